--- a/cmd/root.go
+++ b/cmd/root.go
@@ -42,6 +42,7 @@
 )
 
 type arguments struct {
+	Serve   *serveArgs   `arg:"subcommand:serve" help:"run an entry host's process on the users' platform"`
 	Entry   *entryArgs   `arg:"subcommand:entry" help:"run an entry host's process"`
 	Check   *checkArgs   `arg:"subcommand:check" help:"check a file of settings"`
 	Lookup  *lookupArgs  `arg:"subcommand:lookup" help:"ask which entry hosts to use"`
@@ -66,6 +67,8 @@
 // command returns the command that was given, or nil.
 func (a *arguments) command() command {
 	switch {
+	case a.Serve != nil:
+		return a.Serve
 	case a.Entry != nil:
 		return a.Entry
 	case a.Check != nil:
--- /dev/null
+++ b/cmd/serve.go
@@ -0,0 +1,42 @@
+package cmd
+
+import (
+	"context"
+	"io"
+	"os"
+	"time"
+
+	"go.uber.org/zap/zapcore"
+
+	"github.com/boragelane/boragelane/internal/host/lines"
+	"github.com/boragelane/boragelane/internal/host/meters"
+	"github.com/boragelane/boragelane/internal/host/steer"
+	"github.com/boragelane/boragelane/platform"
+)
+
+type serveArgs struct {
+	Settings string `arg:"positional" help:"file of the platform's settings; by default the one that the environment names"`
+}
+
+// logFlush bounds how long the last lines may take at the end.
+const logFlush = 100 * time.Millisecond
+
+func (a *serveArgs) run(ctx context.Context, out, _ io.Writer) error {
+	path := a.Settings
+	if path == "" {
+		path = os.Getenv(platform.EnvSettings)
+	}
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		return ErrUsage.Wrap(err, "settings")
+	}
+	m := meters.New()
+	w := lines.NewWriter(out, m.Dropped.Inc)
+	defer w.Close(logFlush)
+	store := platform.NewStore(s.Store, s.Regions, func(call, result string) { m.Calls.WithLabelValues(call, result).Inc() })
+	host := steer.New(s, store, platform.Front{}, platform.Names, time.Now, lines.New(w, zapcore.InfoLevel), m)
+	if err := host.Run(ctx); err != nil {
+		return ErrFailed.Wrap(err, "serving")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/ctrl/enrol/doc.go
@@ -0,0 +1,2 @@
+// Package enrol keeps this host's entry in the store alive, under a lease.
+package enrol
--- /dev/null
+++ b/internal/ctrl/watch/loop.go
@@ -0,0 +1,92 @@
+package watch
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/boragelane/boragelane/internal/core/roster"
+)
+
+// Follower adopts each view before traffic reads it.
+type Follower interface {
+	Update(now time.Time, v *roster.View)
+}
+
+// Journal records what changed a host's beliefs.
+type Journal interface {
+	Believe(now time.Time, n Note)
+}
+
+const (
+	// tickPeriod is how often entries past their grace are looked for; well below lapseGrace.
+	tickPeriod = 200 * time.Millisecond
+	// eventBuffer is room for events while a view is built.
+	eventBuffer = 64
+)
+
+// Loop owns the control state; its goroutine alone changes it.
+type Loop struct {
+	Clock     func() time.Time
+	Followers []Follower
+	Journal   Journal
+	Done      chan struct{}
+
+	state  *State
+	events chan Event
+	view   atomic.Pointer[roster.View]
+}
+
+// NewLoop returns a loop that does not run yet.
+func NewLoop(self roster.Host, clock func() time.Time, journal Journal) *Loop {
+	l := &Loop{Clock: clock, Journal: journal, Done: make(chan struct{}), state: NewState(self), events: make(chan Event, eventBuffer)}
+	l.view.Store(l.state.View(clock()))
+	return l
+}
+
+// View returns the newest view.
+func (l *Loop) View() *roster.View { return l.view.Load() }
+
+// Send hands in an event; it reports false if the context or the loop ended first.
+func (l *Loop) Send(ctx context.Context, ev Event) bool {
+	select {
+	case l.events <- ev:
+		return true
+	case <-ctx.Done():
+	case <-l.Done:
+	}
+	return false
+}
+
+// Run folds events until the context ends.
+func (l *Loop) Run(ctx context.Context) {
+	defer close(l.Done)
+	tick := time.NewTicker(tickPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			l.fold(Tick{})
+		case ev := <-l.events:
+			l.fold(ev)
+		}
+	}
+}
+
+func (l *Loop) fold(ev Event) {
+	now := l.Clock()
+	notes := Fold(l.state, ev, now)
+	for _, n := range notes {
+		l.Journal.Believe(now, n)
+	}
+	if _, idle := ev.(Tick); idle && len(notes) == 0 {
+		return
+	}
+	v := l.state.View(now)
+	for _, f := range l.Followers {
+		f.Update(now, v)
+	}
+	l.view.Store(v)
+}
--- a/internal/flow/pipe/job.go
+++ b/internal/flow/pipe/job.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/boragelane/boragelane/internal/core/plan"
+	"github.com/boragelane/boragelane/internal/core/policy"
+	"github.com/boragelane/boragelane/internal/core/roster"
 )
 
 // Job is one request of a caller on its way through the filters.
@@ -36,6 +38,16 @@
 	Claimed  bool
 	Hop      int
 	From     string // The region that the job came from over a link.
+
+	Host       string              // The authority that the caller asked for.
+	Header     map[string][]string // What is passed through to the upstream.
+	Object     string              // Jobs on the same object are fastest on the same upstream.
+	View       *roster.View
+	Route      *policy.Route
+	Objective  time.Time     // An answer is worth most until then.
+	MayHaveRun bool          // An earlier try may have run, whatever became of a later one.
+	Tries      int           // How many upstreams the job was sent to.
+	RetryAfter time.Duration // When a refused caller does best to come back.
 }
 
 // Target is an entry host that may serve a job, and why it was picked.
@@ -59,9 +71,17 @@
 type Answer struct {
 	Status int
 	Type   string
+	Header map[string][]string // What is passed through to the caller.
 	Body   []byte
 }
 
+// Report is what an upstream says of its own load.
+type Report struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
 // Reply is what came back from an upstream, before it is checked.
 type Reply struct {
 	Answer   Answer
@@ -72,6 +92,8 @@
 	Draining bool   // The upstream says that it leaves.
 	Late     bool   // The deadline passed or the caller left.
 	Crash    bool   // The upstream seems to have crashed.
+	Moved    bool   // Another upstream has the address now; it did not run the job.
+	Report   *Report
 	Err      error
 }
 
@@ -137,6 +159,13 @@
 	Mismatch    Reason = "answer-mismatch"
 	TooLarge    Reason = "too-large"
 	Stopping    Reason = "stopping"
+	NoPolicy    Reason = "no-policy"
+	NoRoute     Reason = "no-route"
+	NoBudget    Reason = "no-retry-budget"
+	Moved       Reason = "address-reused"
+	TimedOut    Reason = "timed-out"
+	CallerGone  Reason = "caller-gone"
+	Failed      Reason = "upstream-failed"
 )
 
 // Outcome is how a job ended, and why.
--- /dev/null
+++ b/internal/flow/place/load.go
@@ -0,0 +1,127 @@
+package place
+
+import (
+	"time"
+
+	"github.com/boragelane/boragelane/internal/core/roster"
+	"github.com/boragelane/boragelane/internal/flow/pipe"
+)
+
+const (
+	// othersLife is how long a report of an upstream's load tells of other hosts' jobs: a few service times.
+	othersLife = time.Second
+	// sampleWeight is the weight of the newest sample in a moving mean.
+	sampleWeight = 0.2
+	// failLimit is how much of an upstream's recent answers may be failures before it is ejected.
+	failLimit = 0.35
+	// failLeast is how many failures in a row eject an upstream whatever came before.
+	failLeast = 3
+	// ejectLeast and ejectMost bound an ejection; it doubles while the upstream keeps failing.
+	ejectLeast = 500 * time.Millisecond
+	ejectMost  = 4 * time.Second
+	// coldPart is the part of a cold upstream's rate that its owner uses: two hosts may both think that
+	// they own it for a while, and the bound is one and a half times the rate and a little.
+	coldPart = 0.75
+	// slowFactor is how many times slower than the median an upstream is when it is passed over.
+	slowFactor = 2.5
+)
+
+// load is this host's picture of one incarnation of an upstream.
+type load struct {
+	upstream *roster.Upstream
+	running  int // This host's jobs there.
+	others   float64
+	othersAt time.Time
+	mean     time.Duration // Service time.
+	samples  int
+	failing  float64 // Moving mean of failures, 0 to 1.
+	inRow    int
+	until    time.Time // Ejected until then.
+	eject    time.Duration
+	tokens   float64
+	filled   time.Time
+	coldEnd  time.Time
+}
+
+// free returns the slots that seem unused.
+func (l *load) free(now time.Time) float64 {
+	age := now.Sub(l.othersAt)
+	others := 0.0
+	if age < othersLife {
+		others = l.others * (1 - float64(age)/float64(othersLife))
+	}
+	return float64(l.upstream.Slots-l.running) - others
+}
+
+// down tells whether the upstream is ejected.
+func (l *load) down(now time.Time) bool { return now.Before(l.until) }
+
+// cold tells whether the upstream is cold.
+func (l *load) cold(now time.Time) bool { return now.Before(l.coldEnd) }
+
+// chill takes the upstream for cold until a time.
+func (l *load) chill(now, until time.Time) {
+	if !until.After(l.coldEnd) {
+		return
+	}
+	if !l.cold(now) {
+		l.tokens, l.filled = 1, now
+	}
+	l.coldEnd = until
+}
+
+// fill adds the tokens that a cold upstream's rate has grown since.
+func (l *load) fill(now time.Time, rate float64) {
+	if gap := now.Sub(l.filled); gap > 0 {
+		l.filled = now
+		l.tokens = min(1, l.tokens+rate*coldPart*gap.Seconds())
+	}
+}
+
+// Result is how a job ended at an upstream.
+type Result struct {
+	Reply *pipe.Reply
+	Took  time.Duration
+	Good  bool // The upstream gave a whole answer that is no failure of its own.
+	Quiet bool // Nothing can be learned: the caller left or the job's time was short.
+}
+
+// learn takes in the result of a job.
+func (l *load) learn(now time.Time, r Result) {
+	if rep := r.Reply.Report; rep != nil {
+		l.others = max(0, float64(rep.Running+rep.Waiting-l.running))
+		l.othersAt = now
+	}
+	if r.Reply.Moved {
+		l.until = now.Add(ejectMost)
+		return
+	}
+	if r.Quiet {
+		return
+	}
+	if r.Good {
+		l.failing *= 1 - sampleWeight
+		l.inRow, l.eject = 0, 0
+		l.samples++
+		if l.mean == 0 {
+			l.mean = r.Took
+		}
+		l.mean += time.Duration(sampleWeight * float64(r.Took-l.mean))
+		return
+	}
+	if r.Reply.Shed {
+		l.others, l.othersAt = float64(l.upstream.Slots), now
+		return
+	}
+	l.failing += sampleWeight * (1 - l.failing)
+	l.inRow++
+	broken := !r.Reply.Sent || r.Reply.Crash
+	if broken || l.inRow >= failLeast || l.failing > failLimit {
+		l.eject = min(ejectMost, max(ejectLeast, 2*l.eject))
+		l.until = now.Add(l.eject)
+		l.failing /= 2
+	}
+	if broken {
+		l.chill(now, l.until.Add(ejectLeast))
+	}
+}
--- /dev/null
+++ b/internal/host/meters/meters.go
@@ -0,0 +1,77 @@
+package meters
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/boragelane/boragelane/internal/flow/pipe"
+)
+
+// Meters holds the counters and histograms of one host.
+type Meters struct {
+	Registry *prometheus.Registry
+	Requests *prometheus.CounterVec   // By route, outcome and reason.
+	Latency  *prometheus.HistogramVec // Seconds from a request's first byte to its answer, by route.
+	Tries    *prometheus.CounterVec   // By service and reason.
+	Service  *prometheus.HistogramVec // Seconds at an upstream, by service.
+	Notes    *prometheus.CounterVec   // Changes of what the host believes, by kind.
+	Calls    *prometheus.CounterVec   // Calls to the store, by call and result.
+	Dropped  prometheus.Counter       // Log lines that were dropped.
+}
+
+// buckets spans answers from a warm upstream next door to the longest deadlines, in seconds.
+var buckets = []float64{.01, .025, .05, .1, .15, .25, .4, .6, 1, 1.5, 2.5, 4, 6, 12}
+
+// New returns meters at zero.
+func New() *Meters {
+	m := &Meters{
+		Registry: prometheus.NewRegistry(),
+		Requests: counter("requests_total", "Requests of callers by how they ended.", "route", "outcome", "reason"),
+		Latency:  histogram("request_seconds", "Time from a request's first byte to its answer.", "route"),
+		Tries:    counter("tries_total", "Tries at upstreams by how they ended.", "service", "reason"),
+		Service:  histogram("try_seconds", "Time of a try at an upstream.", "service"),
+		Notes:    counter("beliefs_total", "Changes of what the host believes.", "what"),
+		Calls:    counter("store_calls_total", "Calls to the platform's store.", "call", "result"),
+		Dropped:  prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_dropped_total", Help: "Log lines dropped."}),
+	}
+	m.Registry.MustRegister(m.Requests, m.Latency, m.Tries, m.Service, m.Notes, m.Calls, m.Dropped)
+	return m
+}
+
+const namespace = "boragelane"
+
+func counter(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+func histogram(name, help string, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets}, labels)
+}
+
+// Ended counts a request that got its answer.
+func (m *Meters) Ended(job *pipe.Job, took time.Duration) {
+	route := "none"
+	if job.Route != nil {
+		route = job.Route.Name
+	}
+	m.Requests.WithLabelValues(route, job.Outcome.Kind.String(), string(job.Outcome.Reason)).Inc()
+	m.Latency.WithLabelValues(route).Observe(took.Seconds())
+}
+
+// Tried counts one try at an upstream.
+func (m *Meters) Tried(job *pipe.Job, service string, took time.Duration) {
+	reason := string(job.Outcome.Reason)
+	if job.Outcome.Kind == pipe.Answered {
+		reason = "answered"
+	}
+	m.Tries.WithLabelValues(service, reason).Inc()
+	m.Service.WithLabelValues(service).Observe(took.Seconds())
+}
+
+// Handler serves the metrics as text.
+func (m *Meters) Handler() http.Handler {
+	return promhttp.HandlerFor(m.Registry, promhttp.HandlerOpts{DisableCompression: true})
+}
