--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap/zapcore"
@@ -26,7 +28,8 @@
 	if path == "" {
 		path = os.Getenv(platform.EnvSettings)
 	}
-	s, err := platform.LoadSettings(path)
+	loader := &platform.Loader{Path: path}
+	s, _, err := loader.Load()
 	if err != nil {
 		return ErrUsage.Wrap(err, "settings")
 	}
@@ -35,7 +38,11 @@
 	defer w.Close(logFlush)
 	store := platform.NewStore(s.Store, s.Regions, func(call, result string) { m.Calls.WithLabelValues(call, result).Inc() })
 	host := steer.New(s, store, platform.Front{}, platform.Names, time.Now, lines.New(w, zapcore.InfoLevel), m)
-	if err := host.Run(ctx); err != nil {
+	host.Loader = loader
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	if err := host.Run(ctx, hangup); err != nil {
 		return ErrFailed.Wrap(err, "serving")
 	}
 	return nil
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -46,6 +46,7 @@
 	Policy    *policy.Policy
 	Upstreams map[string][]*Upstream // By service, without those that leave or are evacuated.
 	Hosts     []Host                 // Live hosts, sorted by name.
+	Shares    map[string]int         // Slots that this host may use, by upstream.
 	Crashes   []Crash
 	Evacuated map[string]bool // Failure domains that get no work.
 	Leaving   bool            // This host is stopping.
--- a/internal/ctrl/watch/fold.go
+++ b/internal/ctrl/watch/fold.go
@@ -48,6 +48,10 @@
 		}
 	case Leave:
 		s.leaving = true
+	case Asked:
+		ev.Reply <- s.answer(ev.Ask, now)
+	case Dealt:
+		s.shares, s.dealt = ev.Shares, now
 	}
 	return append(notes, s.expire(now)...)
 }
--- a/internal/ctrl/watch/loop.go
+++ b/internal/ctrl/watch/loop.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/boragelane/boragelane/internal/core/roster"
+	"github.com/boragelane/boragelane/internal/ctrl/deal"
 )
 
 // Follower adopts each view before traffic reads it.
@@ -81,7 +82,7 @@
 	for _, n := range notes {
 		l.Journal.Believe(now, n)
 	}
-	if _, idle := ev.(Tick); idle && len(notes) == 0 {
+	if len(notes) == 0 && !visible(ev) {
 		return
 	}
 	v := l.state.View(now)
@@ -90,3 +91,27 @@
 	}
 	l.view.Store(v)
 }
+
+// visible tells whether an event changes the view even if it is not worth a note.
+func visible(ev Event) bool {
+	switch ev.(type) {
+	case Tick, Asked:
+		return false
+	}
+	return true
+}
+
+// Ask hands in a host's demand and returns its shares; it reports false if the context ended first.
+func (l *Loop) Ask(ctx context.Context, a deal.Ask) (deal.Shares, bool) {
+	reply := make(chan deal.Shares, 1)
+	if !l.Send(ctx, Asked{Ask: a, Reply: reply}) {
+		return nil, false
+	}
+	select {
+	case s := <-reply:
+		return s, true
+	case <-ctx.Done():
+	case <-l.Done:
+	}
+	return nil, false
+}
--- a/internal/ctrl/watch/state.go
+++ b/internal/ctrl/watch/state.go
@@ -40,6 +40,7 @@
 	back      time.Time // When the store last came back.
 	lost      bool
 	leaving   bool
+	deals
 }
 
 // grave remembers an incarnation that was seen leaving.
@@ -53,28 +54,39 @@
 	return &State{
 		self: self, upstreams: map[string]roster.Upstream{}, hosts: map[string]roster.Host{},
 		evacuated: map[string]bool{}, returned: map[string]time.Time{},
-		lapsed: map[string]time.Time{}, graves: map[string]grave{},
+		lapsed: map[string]time.Time{}, graves: map[string]grave{}, deals: deals{book: map[string]asked{}},
 	}
 }
 
 // View returns a snapshot for traffic.
 func (s *State) View(now time.Time) *roster.View {
 	v := &roster.View{
-		Self: s.self, Policy: s.policy, Upstreams: map[string][]*roster.Upstream{}, Leaving: s.leaving,
+		Self: s.self, Policy: s.policy, Upstreams: s.usable(now), Hosts: s.list(), Leaving: s.leaving,
 		Crashes: slices.Clip(s.crashes), Evacuated: maps.Clone(s.evacuated), Synced: s.heard,
 	}
+	v.Shares = s.own(now, v.Hosts, v.Upstreams)
+	return v
+}
+
+// usable lists the upstreams that may get work, by service.
+func (s *State) usable(now time.Time) map[string][]*roster.Upstream {
+	out := map[string][]*roster.Upstream{}
 	for _, u := range s.upstreams {
 		if u.Draining || s.evacuated[u.Domain] {
 			continue
 		}
 		s.chill(&u, now)
-		v.Upstreams[u.Service] = append(v.Upstreams[u.Service], &u)
+		out[u.Service] = append(out[u.Service], &u)
 	}
-	for _, list := range v.Upstreams {
+	for _, list := range out {
 		slices.SortFunc(list, func(a, b *roster.Upstream) int { return strings.Compare(a.ID, b.ID) })
 	}
-	v.Hosts = slices.SortedFunc(maps.Values(s.hosts), func(a, b roster.Host) int { return strings.Compare(a.Name, b.Name) })
-	return v
+	return out
+}
+
+// list returns the live hosts by name.
+func (s *State) list() []roster.Host {
+	return slices.SortedFunc(maps.Values(s.hosts), func(a, b roster.Host) int { return strings.Compare(a.Name, b.Name) })
 }
 
 // chill takes an upstream for cold just after its failure domain was taken back: its next report, which
--- a/internal/edge/dialer/dialer.go
+++ b/internal/edge/dialer/dialer.go
@@ -72,6 +72,7 @@
 			r.Late = ctx.Err() != nil
 			return r
 		}
+		r.Dial = s.Clock().Sub(now)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = l.SetDeadline(time.Unix(1, 0)) })
 	r.Sent = true
--- a/internal/flow/match/match.go
+++ b/internal/flow/match/match.go
@@ -4,19 +4,37 @@
 	"context"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
 // Pipe sets a job's route, service and deadline.
-type Pipe struct{}
+type Pipe struct {
+	mu    sync.Mutex
+	times map[string]time.Duration // The longest time that callers gave, by route.
+}
+
+// New returns a filter that has seen no caller.
+func New() *Pipe { return &Pipe{times: map[string]time.Duration{}} }
 
 // String names the filter.
-func (Pipe) String() string { return "match" }
+func (*Pipe) String() string { return "match" }
+
+// elapsed returns how long ago a caller seems to have first sent a request: one that comes back has less time
+// left than others of its route.
+func (p *Pipe) elapsed(route string, left time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if left > p.times[route] {
+		p.times[route] = left
+	}
+	return p.times[route] - left
+}
 
 // Run matches the job by host and longest prefix; it refuses a job that no route takes.
-func (Pipe) Run(_ context.Context, now time.Time, job *pipe.Job) {
+func (p *Pipe) Run(_ context.Context, now time.Time, job *pipe.Job) {
 	if job.View.Policy == nil {
 		job.RetryAfter = unready
 		job.Refuse(pipe.NoPolicy, "this host knows no policy yet")
@@ -35,6 +53,9 @@
 	}
 	if r.Objective > 0 {
 		job.Objective = job.Started.Add(r.Objective)
+		if !job.Deadline.IsZero() {
+			job.Objective = job.Objective.Add(-p.elapsed(r.Name, job.Deadline.Sub(job.Started)))
+		}
 	}
 	limit := job.Started.Add(r.Timeout)
 	if r.Timeout > 0 && (job.Deadline.IsZero() || limit.Before(job.Deadline)) {
--- a/internal/flow/pipe/job.go
+++ b/internal/flow/pipe/job.go
@@ -94,6 +94,7 @@
 	Crash    bool   // The upstream seems to have crashed.
 	Moved    bool   // Another upstream has the address now; it did not run the job.
 	Report   *Report
+	Dial     time.Duration // How long a new connection took; 0 if none was opened.
 	Err      error
 }
 
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -23,21 +23,21 @@
 // Candidate is an upstream as a choice for one job.
 type Candidate struct {
 	Upstream *roster.Upstream
-	Tier     Tier
-	Free     float64 // Slots that no job is known or thought to use.
-	Cold     bool    // Its cold rate has room for one more request of this host.
-	Slow     bool    // It answers much slower than the others of its service.
-	Score    float64 // Rendezvous rank for the job's object; the highest keeps it warm.
+	Cost     time.Duration // Expected time until the answer, waiting included.
+	Free     float64       // Slots that no job is known or thought to use.
+	Warming  bool          // It is cold, and due for a request that warms it up.
+	Score    float64       // Rendezvous rank for the job's object; the highest keeps it warm.
 }
 
-// Choose returns the index of the best candidate with more than least free slots, or -1. A cold upstream whose
-// rate has room goes first, so that new capacity warms up; a slow one goes last.
-func Choose(list []Candidate, least float64) int {
+// costStep is the difference in expected time that makes one upstream better than another. Within it the object
+// decides, so that all hosts send an object to the same few upstreams.
+const costStep = 8 * time.Millisecond
+
+// Choose returns the index of the best candidate, or -1. A job waits for it if it has no free slot: that is
+// expected to take less time than running the job elsewhere, where its object is not in memory.
+func Choose(list []Candidate) int {
 	best := -1
 	for i := range list {
-		if list[i].Free <= least {
-			continue
-		}
 		if best < 0 || better(&list[i], &list[best]) {
 			best = i
 		}
@@ -46,14 +46,13 @@
 }
 
 func better(a, b *Candidate) bool {
-	switch {
-	case a.Slow != b.Slow:
-		return b.Slow
-	case a.Tier != b.Tier:
-		return a.Tier < b.Tier
-	case a.Cold != b.Cold:
-		return a.Cold
-	case a.Score != b.Score:
+	if a.Warming != b.Warming {
+		return a.Warming
+	}
+	if x, y := a.Cost/costStep, b.Cost/costStep; x != y {
+		return x < y
+	}
+	if a.Score != b.Score {
 		return a.Score > b.Score
 	}
 	return a.Free > b.Free
@@ -93,10 +92,11 @@
 
 // Ask is what a choice needs to know of a job.
 type Ask struct {
-	Service string
-	Rank    int
-	Object  string
-	Allows  func(region string) bool
-	Tried   []string
-	Until   time.Time // How long the job may wait for a slot.
+	Service   string
+	Rank      int
+	Object    string
+	Allows    func(region string) bool
+	Tried     []string
+	Objective time.Time // An answer is worth most until then.
+	Deadline  time.Time // An answer is worth nothing after it.
 }
--- a/internal/flow/place/load.go
+++ b/internal/flow/place/load.go
@@ -8,8 +8,6 @@
 )
 
 const (
-	// othersLife is how long a report of an upstream's load tells of other hosts' jobs: a few service times.
-	othersLife = time.Second
 	// sampleWeight is the weight of the newest sample in a moving mean.
 	sampleWeight = 0.2
 	// failLimit is how much of an upstream's recent answers may be failures before it is ejected.
@@ -22,19 +20,20 @@
 	// coldPart is the part of a cold upstream's rate that its owner uses: two hosts may both think that
 	// they own it for a while, and the bound is one and a half times the rate and a little.
 	coldPart = 0.75
-	// slowFactor is how many times slower than the median an upstream is when it is passed over.
-	slowFactor = 2.5
+	// warmGap is the time between requests that a cold upstream gets though others would answer sooner.
+	warmGap = time.Second
 )
 
 // load is this host's picture of one incarnation of an upstream.
 type load struct {
 	upstream *roster.Upstream
-	running  int // This host's jobs there.
-	others   float64
-	othersAt time.Time
-	mean     time.Duration // Service time.
-	samples  int
-	failing  float64 // Moving mean of failures, 0 to 1.
+	running  int     // This host's jobs there.
+	seen     float64 // Free slots when they were last counted.
+	queued   int     // This host's jobs that wait for it.
+	ratio    float64 // Its work against what its service's requests are expected to take.
+	memory   memory
+	warmed   time.Time // When a cold upstream last got a request of this host.
+	failing  float64   // Moving mean of failures, 0 to 1.
 	inRow    int
 	until    time.Time // Ejected until then.
 	eject    time.Duration
@@ -43,16 +42,6 @@
 	coldEnd  time.Time
 }
 
-// free returns the slots that seem unused.
-func (l *load) free(now time.Time) float64 {
-	age := now.Sub(l.othersAt)
-	others := 0.0
-	if age < othersLife {
-		others = l.others * (1 - float64(age)/float64(othersLife))
-	}
-	return float64(l.upstream.Slots-l.running) - others
-}
-
 // down tells whether the upstream is ejected.
 func (l *load) down(now time.Time) bool { return now.Before(l.until) }
 
@@ -82,16 +71,14 @@
 type Result struct {
 	Reply *pipe.Reply
 	Took  time.Duration
-	Good  bool // The upstream gave a whole answer that is no failure of its own.
-	Quiet bool // Nothing can be learned: the caller left or the job's time was short.
+	Work  time.Duration // What it was expected to take, without round trips.
+	Trip  time.Duration // The round trip.
+	Good  bool          // The upstream gave a whole answer that is no failure of its own.
+	Quiet bool          // Nothing can be learned: the caller left or the job's time was short.
 }
 
 // learn takes in the result of a job.
 func (l *load) learn(now time.Time, r Result) {
-	if rep := r.Reply.Report; rep != nil {
-		l.others = max(0, float64(rep.Running+rep.Waiting-l.running))
-		l.othersAt = now
-	}
 	if r.Reply.Moved {
 		l.until = now.Add(ejectMost)
 		return
@@ -102,15 +89,13 @@
 	if r.Good {
 		l.failing *= 1 - sampleWeight
 		l.inRow, l.eject = 0, 0
-		l.samples++
-		if l.mean == 0 {
-			l.mean = r.Took
+		if r.Work > 0 {
+			sample := min(ratioMost, max(ratioLeast, float64(r.Took-r.Trip)/float64(r.Work)))
+			l.ratio += sampleWeight * (sample - l.ratio)
 		}
-		l.mean += time.Duration(sampleWeight * float64(r.Took-l.mean))
 		return
 	}
 	if r.Reply.Shed {
-		l.others, l.othersAt = float64(l.upstream.Slots), now
 		return
 	}
 	l.failing += sampleWeight * (1 - l.failing)
--- a/internal/flow/serve/budget.go
+++ b/internal/flow/serve/budget.go
@@ -17,9 +17,8 @@
 
 // Budget is this host's share of the retry budget of each service.
 type Budget struct {
-	Terms Terms
-
 	mu       sync.Mutex
+	terms    Terms
 	services map[string]*ledger
 }
 
@@ -30,7 +29,14 @@
 }
 
 // NewBudget returns a budget that nothing has been spent of.
-func NewBudget(t Terms) *Budget { return &Budget{Terms: t, services: map[string]*ledger{}} }
+func NewBudget(t Terms) *Budget { return &Budget{terms: t, services: map[string]*ledger{}} }
+
+// SetTerms changes the terms.
+func (b *Budget) SetTerms(t Terms) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.terms = t
+}
 
 // First notes a request for a service.
 func (b *Budget) First(now time.Time, service string) {
@@ -45,7 +51,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	l := b.at(now, service)
-	limit := part * (b.Terms.Ratio*float64(len(l.firsts)) + b.Terms.Slack/float64(max(1, hosts)))
+	limit := part * (b.terms.Ratio*float64(len(l.firsts)) + b.terms.Slack/float64(max(1, hosts)))
 	if float64(len(l.retries)+1) > limit {
 		return false
 	}
@@ -59,8 +65,8 @@
 		l = &ledger{}
 		b.services[service] = l
 	}
-	l.firsts = since(l.firsts, now.Add(-b.Terms.Window))
-	l.retries = since(l.retries, now.Add(-b.Terms.Window))
+	l.firsts = since(l.firsts, now.Add(-b.terms.Window))
+	l.retries = since(l.retries, now.Add(-b.terms.Window))
 	return l
 }
 
--- a/internal/flow/serve/serve.go
+++ b/internal/flow/serve/serve.go
@@ -13,8 +13,8 @@
 
 // Placer admits jobs to upstreams.
 type Placer interface {
-	Acquire(ctx context.Context, now time.Time, ask place.Ask) *roster.Upstream
-	Release(now time.Time, u *roster.Upstream, r place.Result)
+	Acquire(ctx context.Context, now time.Time, ask place.Ask) *place.Grant
+	Release(now time.Time, g *place.Grant, r place.Result)
 }
 
 // Sender sends a job to an upstream once.
@@ -37,8 +37,6 @@
 }
 
 const (
-	// waitPart is the part of a job's objective that it may wait for a slot; the rest is for the work.
-	waitPart = 0.4
 	// leastLeft is the least time in which another try can end.
 	leastLeft = 30 * time.Millisecond
 )
@@ -54,14 +52,14 @@
 	var tried []string
 	var spare *pipe.Answer
 	for {
-		u := p.Placer.Acquire(ctx, now, p.ask(job, tried))
-		if u == nil {
+		g := p.Placer.Acquire(ctx, now, ask(job, tried))
+		if g == nil {
 			p.unplaced(ctx, job)
 			break
 		}
 		job.Outcome = pipe.Outcome{}
-		p.try(ctx, job, u)
-		tried = append(tried, u.ID)
+		p.try(ctx, job, g)
+		tried = append(tried, g.Upstream.ID)
 		if job.Outcome.Kind == pipe.Answered {
 			spare = &job.Answer
 		}
@@ -78,10 +76,10 @@
 	}
 }
 
-func (p *Pipe) ask(job *pipe.Job, tried []string) place.Ask {
+func ask(job *pipe.Job, tried []string) place.Ask {
 	return place.Ask{
 		Service: job.Service, Rank: job.Level, Object: job.Object, Allows: job.Route.Allows, Tried: tried,
-		Until: job.Started.Add(time.Duration(waitPart * float64(job.Objective.Sub(job.Started)))),
+		Objective: job.Objective, Deadline: job.Deadline,
 	}
 }
 
@@ -106,7 +104,8 @@
 	return returnBase + time.Duration(job.Level)*returnStep + rand.N(returnStep)
 }
 
-func (p *Pipe) try(ctx context.Context, job *pipe.Job, u *roster.Upstream) {
+func (p *Pipe) try(ctx context.Context, job *pipe.Job, g *place.Grant) {
+	u := g.Upstream
 	start := p.Clock()
 	job.Tries++
 	job.Upstream = pipe.Place{ID: u.ID, Address: u.Address}
@@ -114,7 +113,7 @@
 	now := p.Clock()
 	settle(ctx, job)
 	job.MayHaveRun = job.MayHaveRun || job.Outcome.Kind == pipe.Unknown
-	p.Placer.Release(now, u, place.Result{
+	p.Placer.Release(now, g, place.Result{
 		Reply: &job.Reply, Took: now.Sub(start), Quiet: job.Reply.Late,
 		Good: job.Reply.Whole && job.Reply.Answer.Status < http.StatusInternalServerError,
 	})
--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"net"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -14,10 +15,12 @@
 	"go.uber.org/zap"
 
 	"github.com/boragelane/boragelane/internal/core/roster"
+	"github.com/boragelane/boragelane/internal/ctrl/deal"
 	"github.com/boragelane/boragelane/internal/ctrl/enrol"
 	"github.com/boragelane/boragelane/internal/ctrl/watch"
 	"github.com/boragelane/boragelane/internal/edge/dialer"
 	"github.com/boragelane/boragelane/internal/edge/httpd"
+	"github.com/boragelane/boragelane/internal/edge/loans"
 	"github.com/boragelane/boragelane/internal/flow/guard"
 	"github.com/boragelane/boragelane/internal/flow/match"
 	"github.com/boragelane/boragelane/internal/flow/pipe"
@@ -53,6 +56,7 @@
 	Clock    func() time.Time
 	Log      *zap.Logger
 	Meters   *meters.Meters
+	Loader   Loader
 	Done     chan struct{}
 
 	front   Front
@@ -68,6 +72,9 @@
 	server  *httpd.Server
 	stop    atomic.Bool
 	reports chan roster.Crash
+	loans   *loans.Client
+	lender  *loans.Server
+	grace   atomic.Int64 // A time.Duration.
 }
 
 // New returns a host that does not run yet.
@@ -84,11 +91,17 @@
 	h.reader = &watch.Reader{Source: store, Loop: h.loop, Clock: clock, Done: make(chan struct{})}
 	h.keeper = &enrol.Keeper{Registry: store, Journal: book, Host: s.Host, Clock: clock, Listed: h.listed, Done: make(chan struct{})}
 	h.line = pipe.Line{Clock: clock, Filters: []pipe.Filter{
-		match.Pipe{},
+		match.New(),
 		guard.Pipe{Table: h.crashes, Teller: &teller{host: h}},
 		&serve.Pipe{Placer: h.table, Sender: h.sender, Budget: h.budget, Journal: book, Clock: clock},
 	}}
 	h.server = httpd.New(h, h.bounds, clock)
+	h.lender = &loans.Server{Dealer: h.loop, Done: make(chan struct{})}
+	h.loans = &loans.Client{
+		Asker: h.table, Local: h.loop, View: h.loop.View, Lost: book.lost, Clock: clock, Done: make(chan struct{}),
+		Give: func(s deal.Shares) { h.loop.Send(context.Background(), watch.Dealt{Shares: s}) },
+	}
+	h.grace.Store(int64(s.Grace))
 	return h
 }
 
@@ -149,7 +162,7 @@
 var startBounds = httpd.Bounds{Header: 16 << 10, Body: 1 << 20, HeaderLife: 3 * time.Second, IdleLife: 15 * time.Second}
 
 // Run starts the host and serves until the context ends, then stops it as planned.
-func (h *Host) Run(ctx context.Context) error {
+func (h *Host) Run(ctx context.Context, hangup <-chan os.Signal) error {
 	defer close(h.Done)
 	if h.Settings.Memory > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(h.Settings.Memory)))
@@ -160,6 +173,10 @@
 	if err != nil {
 		return err
 	}
+	peers, err := (&net.ListenConfig{}).Listen(life, "tcp", h.Settings.Host.Peer)
+	if err != nil {
+		return ErrListen.Wrap(err, "listening for hosts on %s", h.Settings.Host.Peer)
+	}
 	keep, quit := context.WithCancel(life)
 	defer quit()
 	go h.loop.Run(life)
@@ -167,6 +184,9 @@
 	go h.keeper.Run(keep)
 	go h.sweep(life)
 	go h.report(life)
+	go h.lender.Serve(life, peers)
+	go h.loans.Run(keep)
+	go h.follow(life, hangup)
 	go h.server.Serve(life, front)
 	h.Log.Info("started", zap.String("host", h.Settings.Host.Name), zap.String("domain", h.Settings.Host.Domain),
 		zap.String("incarnation", h.Settings.Host.Incarnation), zap.String("line", h.line.String()))
--- a/internal/host/steer/journal.go
+++ b/internal/host/steer/journal.go
@@ -38,6 +38,11 @@
 	j.log.Info("entry kept", zap.Int64("lease", lease))
 }
 
+// lost logs a host that gave no shares.
+func (j *journal) lost(host string, err error) {
+	j.log.Warn("shares not given", zap.String("host", host), zap.Error(err))
+}
+
 // Tried logs one try of a job.
 func (j *journal) Tried(now time.Time, job *pipe.Job, u *roster.Upstream, d time.Duration) {
 	j.meters.Tried(job, u.Service, d)
--- a/internal/host/steer/stop.go
+++ b/internal/host/steer/stop.go
@@ -25,9 +25,10 @@
 	h.loop.Send(ctx, watch.Leave{})
 	quit()
 	h.server.Drain()
-	end := time.NewTimer(h.Settings.Grace - endMargin)
+	grace := time.Duration(h.grace.Load())
+	end := time.NewTimer(grace - endMargin)
 	defer end.Stop()
-	take := time.NewTimer(time.Duration(takePart * float64(h.Settings.Grace)))
+	take := time.NewTimer(time.Duration(takePart * float64(grace)))
 	defer take.Stop()
 	<-take.C
 	_ = front.Close()
