feat: one host of a region places a service's jobs; regions lend upstreams

Cause: hosts that placed by their own view met on upstreams of three slots, and dealt slots made each host warm its own copy of an object.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -1,9 +1,11 @@
 package roster
 
 import (
+	"slices"
 	"time"
 
 	"github.com/boragelane/boragelane/internal/core/policy"
+	"github.com/boragelane/boragelane/internal/core/rendez"
 )
 
 // Upstream is one incarnation of an upstream.
@@ -46,13 +48,41 @@
 	Policy    *policy.Policy
 	Upstreams map[string][]*Upstream // By service, without those that leave or are evacuated.
 	Hosts     []Host                 // Live hosts, sorted by name.
-	Shares    map[string]int         // Slots that this host may use, by upstream.
+	Loans     map[string]string      // The region that uses an upstream which is not its own, by upstream.
 	Crashes   []Crash
 	Evacuated map[string]bool // Failure domains that get no work.
 	Leaving   bool            // This host is stopping.
 	Synced    time.Time       // When the store was last heard.
 }
 
+// User returns the region that uses an upstream.
+func (v *View) User(u *Upstream) string {
+	if to, lent := v.Loans[u.ID]; lent {
+		return to
+	}
+	return u.Region
+}
+
+// Placers lists the hosts of a region in the order in which they place a service's jobs: the first one that can
+// be reached does.
+func (v *View) Placers(region, service string) []Host {
+	var hosts []Host
+	var scores []float64
+	key := rendez.Hash(service)
+	for _, h := range v.Hosts {
+		if h.Region != region {
+			continue
+		}
+		s := rendez.Score(key, rendez.NewSite(h.Name, 1))
+		at := 0
+		for at < len(scores) && scores[at] >= s {
+			at++
+		}
+		hosts, scores = slices.Insert(hosts, at, h), slices.Insert(scores, at, s)
+	}
+	return hosts
+}
+
 // Kind says what a change is about.
 type Kind int
 
--- a/internal/ctrl/deal/doc.go
+++ b/internal/ctrl/deal/doc.go
@@ -1,3 +1,2 @@
-// Package deal splits the slots of all upstreams among the hosts by their demand. It is pure: hosts that know the
-// same deal the same.
+// Package deal lends upstreams between regions by their demand. It is pure: the same input gives the same deal.
 package deal
--- a/internal/ctrl/watch/fold.go
+++ b/internal/ctrl/watch/fold.go
@@ -50,8 +50,8 @@
 		s.leaving = true
 	case Asked:
 		ev.Reply <- s.answer(ev.Ask, now)
-	case Dealt:
-		s.shares, s.dealt = ev.Shares, now
+	case Lent:
+		s.loans, s.told = ev.Loans, now
 	}
 	return append(notes, s.expire(now)...)
 }
--- a/internal/ctrl/watch/loop.go
+++ b/internal/ctrl/watch/loop.go
@@ -101,9 +101,9 @@
 	return true
 }
 
-// Ask hands in a host's demand and returns its shares; it reports false if the context ended first.
-func (l *Loop) Ask(ctx context.Context, a deal.Ask) (deal.Shares, bool) {
-	reply := make(chan deal.Shares, 1)
+// Ask hands in a region's demand and returns the loans; it reports false if the context ended first.
+func (l *Loop) Ask(ctx context.Context, a deal.Ask) (deal.Loans, bool) {
+	reply := make(chan deal.Loans, 1)
 	if !l.Send(ctx, Asked{Ask: a, Reply: reply}) {
 		return nil, false
 	}
--- a/internal/ctrl/watch/shares.go
+++ b/internal/ctrl/watch/shares.go
@@ -1,83 +1,92 @@
 package watch
 
 import (
+	"maps"
+	"slices"
 	"time"
 
-	"github.com/boragelane/boragelane/internal/core/roster"
 	"github.com/boragelane/boragelane/internal/ctrl/deal"
 )
 
 const (
-	// askLife is how long what a host told of its demand counts: several periods of asking.
-	askLife = 2 * time.Second
-	// dealPeriod is the least time between two deals.
-	dealPeriod = 150 * time.Millisecond
-	// sharesLife is how long shares hold without a new deal; then all hosts split the slots evenly.
-	sharesLife = 3 * time.Second
+	// askLife is how long what a region told of its demand counts: several periods of asking.
+	askLife = 3 * time.Second
+	// dealPeriod is the least time between two deals. Each moves one upstream of a service to a region at the most.
+	dealPeriod = time.Second
+	// loansLife is how long loans hold without news; then each region uses its own upstreams.
+	loansLife = 3 * time.Second
 )
 
-// Asked is a host that asks this one for its shares.
+// Asked is a host that asks this one for its region's loans.
 type Asked struct {
 	Ask   deal.Ask
-	Reply chan deal.Shares
+	Reply chan deal.Loans
 }
 
-// Dealt is the shares that this host was given.
-type Dealt struct{ Shares deal.Shares }
+// Lent is the loans that this host was told of.
+type Lent struct{ Loans deal.Loans }
 
 func (Asked) event() {}
-func (Dealt) event() {}
+func (Lent) event()  {}
 
-// asked is what a host told, and when.
+// asked is the demand of a region for a service, and when it was told.
 type asked struct {
-	ask deal.Ask
-	at  time.Time
+	slots float64
+	down  []string
+	at    time.Time
 }
 
-// deals is what control knows of the split of slots.
+// deals is what control knows of the loans between regions.
 type deals struct {
-	book    map[string]asked // By host.
-	split   deal.Split
-	splitAt time.Time
-	shares  deal.Shares // This host's own.
-	dealt   time.Time
+	book   map[[2]string]asked // By region and service.
+	held   deal.Loans          // What this host dealt or, before its first deal, was told by others.
+	heldAt time.Time
+	loans  deal.Loans // In force here.
+	told   time.Time
 }
 
-// answer notes what a host told and returns its shares.
-func (s *State) answer(a deal.Ask, now time.Time) deal.Shares {
-	s.book[a.Host] = asked{ask: a, at: now}
-	if now.Sub(s.splitAt) >= dealPeriod {
-		s.split, s.splitAt = deal.Deal(s.input(now)), now
+// answer notes a region's demand and returns the loans.
+func (s *State) answer(a deal.Ask, now time.Time) deal.Loans {
+	for service, slots := range a.Demand {
+		s.book[[2]string{a.Region, service}] = asked{slots: slots, down: a.Down, at: now}
 	}
-	return s.split[a.Host]
+	if now.Sub(s.heldAt) < dealPeriod {
+		return s.held
+	}
+	if now.Sub(s.heldAt) > loansLife {
+		s.held = a.Held // This host has not dealt for a while: it goes on from what is in force.
+	}
+	s.held, s.heldAt = deal.Deal(s.input(now)), now
+	return s.held
 }
 
-// input is what the next deal depends on. Hosts that have not asked yet keep what the last deal gave them.
 func (s *State) input(now time.Time) deal.Input {
-	in := deal.Input{
-		Hosts: s.list(), Upstreams: s.usable(now), Demand: map[string]deal.Demand{}, Held: deal.Split{}, Down: map[string]bool{},
+	in := deal.Input{Upstreams: s.usable(now), Demand: map[string]deal.Demand{}, Held: s.held, Down: map[string]bool{}}
+	regions := map[string]bool{}
+	for _, h := range s.hosts {
+		regions[h.Region] = true
 	}
-	for _, h := range in.Hosts {
-		in.Held[h.Name] = s.split[h.Name]
-		a, ok := s.book[h.Name]
-		if !ok || now.Sub(a.at) > askLife {
+	in.Regions = slices.Sorted(maps.Keys(regions))
+	for k, a := range s.book {
+		if now.Sub(a.at) > askLife {
+			delete(s.book, k)
 			continue
 		}
-		in.Demand[h.Name] = a.ask.Demand
-		if _, dealt := s.split[h.Name]; !dealt {
-			in.Held[h.Name] = a.ask.Held
+		if in.Demand[k[0]] == nil {
+			in.Demand[k[0]] = deal.Demand{}
 		}
-		for _, id := range a.ask.Down {
+		in.Demand[k[0]][k[1]] = a.slots
+		for _, id := range a.down {
 			in.Down[id] = true
 		}
 	}
 	return in
 }
 
-// own returns this host's shares: the ones that it was dealt, or its even part while nobody deals.
-func (s *State) own(now time.Time, hosts []roster.Host, ups map[string][]*roster.Upstream) map[string]int {
-	if s.shares != nil && (s.leaving || now.Sub(s.dealt) < sharesLife) {
-		return s.shares
+// current returns the loans in force: none while no host that deals is heard.
+func (s *State) current(now time.Time) deal.Loans {
+	if now.Sub(s.told) > loansLife {
+		return nil
 	}
-	return deal.Deal(deal.Input{Hosts: hosts, Upstreams: ups})[s.self.Name]
+	return s.loans
 }
--- a/internal/ctrl/watch/state.go
+++ b/internal/ctrl/watch/state.go
@@ -54,7 +54,7 @@
 	return &State{
 		self: self, upstreams: map[string]roster.Upstream{}, hosts: map[string]roster.Host{},
 		evacuated: map[string]bool{}, returned: map[string]time.Time{},
-		lapsed: map[string]time.Time{}, graves: map[string]grave{}, deals: deals{book: map[string]asked{}},
+		lapsed: map[string]time.Time{}, graves: map[string]grave{}, deals: deals{book: map[[2]string]asked{}},
 	}
 }
 
@@ -64,7 +64,7 @@
 		Self: s.self, Policy: s.policy, Upstreams: s.usable(now), Hosts: s.list(), Leaving: s.leaving,
 		Crashes: slices.Clip(s.crashes), Evacuated: maps.Clone(s.evacuated), Synced: s.heard,
 	}
-	v.Shares = s.own(now, v.Hosts, v.Upstreams)
+	v.Loans = s.current(now)
 	return v
 }
 
--- /dev/null
+++ b/internal/edge/broker/placer.go
@@ -0,0 +1,111 @@
+package broker
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/boragelane/boragelane/internal/core/roster"
+	"github.com/boragelane/boragelane/internal/flow/place"
+)
+
+// Placer places this host's jobs: through its own table if this host places for its region, through the host that
+// does otherwise, and alone if none can be reached.
+type Placer struct {
+	Table *place.Table
+	View  func() *roster.View
+	Clock func() time.Time
+
+	peers  *peers
+	calls  atomic.Uint64
+	mu     sync.Mutex
+	remote map[*place.Grant]*peer
+}
+
+// NewPlacer returns a placer without connections.
+func NewPlacer(t *place.Table, view func() *roster.View, clock func() time.Time) *Placer {
+	return &Placer{Table: t, View: view, Clock: clock, peers: newPeers(clock), remote: map[*place.Grant]*peer{}}
+}
+
+// Close ends the connections to other hosts.
+func (p *Placer) Close() { p.peers.close() }
+
+// triesMost is how many hosts are asked to place one job.
+const triesMost = 2
+
+// Acquire returns an upstream for a job, or nil if none is free in time.
+func (p *Placer) Acquire(ctx context.Context, now time.Time, ask place.Ask) *place.Grant {
+	v := p.View()
+	tries := 0
+	for _, h := range v.Placers(v.Self.Region, ask.Service) {
+		if h.Name == v.Self.Name {
+			return p.Table.Acquire(ctx, now, ask)
+		}
+		if tries == triesMost || p.peers.shunned(h) {
+			continue
+		}
+		tries++
+		g, err := p.take(ctx, now, h, ask)
+		if err == nil || ctx.Err() != nil {
+			return g
+		}
+		now = p.Clock()
+	}
+	ask.Alone = true
+	return p.Table.Acquire(ctx, now, ask)
+}
+
+// take asks another host. An upstream that this host knows to be leaving is given back.
+func (p *Placer) take(ctx context.Context, now time.Time, h roster.Host, ask place.Ask) (*place.Grant, error) {
+	to, err := p.peers.get(ctx, h)
+	if err != nil {
+		return nil, err
+	}
+	for {
+		var w *wireGrant
+		call := p.calls.Add(1)
+		if err := to.call(ctx, p.Clock, methodTake, toWire(&ask, call, now), &w); err != nil {
+			if ctx.Err() != nil {
+				_ = to.conn.Notify(context.WithoutCancel(ctx), methodDrop, wireDrop{Call: call})
+			}
+			return nil, ErrCall.Wrap(err, "asking %s", h.Name)
+		}
+		if w == nil {
+			return nil, nil
+		}
+		g := &place.Grant{Number: w.Number, Upstream: find(p.View(), ask.Service, w)}
+		if g.Upstream != nil {
+			p.mu.Lock()
+			p.remote[g] = to
+			p.mu.Unlock()
+			return g, nil
+		}
+		_ = to.conn.Notify(ctx, methodFree, wireFree{Number: w.Number, Quiet: true})
+		ask.Tried = append(ask.Tried, w.Upstream)
+		now = p.Clock()
+	}
+}
+
+func find(v *roster.View, service string, w *wireGrant) *roster.Upstream {
+	for _, u := range v.Upstreams[service] {
+		if u.ID == w.Upstream && u.Born == w.Born {
+			return u
+		}
+	}
+	return nil
+}
+
+// Release ends a job's stay at an upstream.
+func (p *Placer) Release(now time.Time, g *place.Grant, r place.Result) {
+	p.mu.Lock()
+	to := p.remote[g]
+	delete(p.remote, g)
+	p.mu.Unlock()
+	if to == nil {
+		p.Table.Release(now, g, r)
+		return
+	}
+	// A host that is lost meanwhile ends the grant by itself.
+	_ = to.conn.Notify(context.Background(), methodFree, fromResult(g.Number, r))
+}
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -1,9 +1,9 @@
 package place
 
 import (
+	"slices"
 	"time"
 
-	"github.com/boragelane/boragelane/internal/core/rendez"
 	"github.com/boragelane/boragelane/internal/core/roster"
 )
 
@@ -24,7 +24,7 @@
 type Candidate struct {
 	Upstream *roster.Upstream
 	Cost     time.Duration // Expected time until the answer, waiting included.
-	Free     float64       // Slots that no job is known or thought to use.
+	Free     int           // Slots that no job uses.
 	Warming  bool          // It is cold, and due for a request that warms it up.
 	Score    float64       // Rendezvous rank for the job's object; the highest keeps it warm.
 }
@@ -69,34 +69,19 @@
 	return Far
 }
 
-// owner returns the host that alone sends to a cold upstream: its rate is too small to be split.
-func owner(hosts []roster.Host, u *roster.Upstream) string {
-	best, top, found := "", 0.0, false
-	key := rendez.Hash(u.ID)
-	for _, t := range []Tier{Near, Region, Far} {
-		for i := range hosts {
-			h := &hosts[i]
-			if tierOf(h, u) != t {
-				continue
-			}
-			if s := rendez.Score(key, rendez.NewSite(h.Name, 1)); !found || s > top {
-				best, top, found = h.Name, s, true
-			}
-		}
-		if found {
-			return best
-		}
-	}
-	return best
-}
-
 // Ask is what a choice needs to know of a job.
 type Ask struct {
+	Host      roster.Host // The host that asks.
 	Service   string
 	Rank      int
 	Object    string
-	Allows    func(region string) bool
+	Homes     []string // The only regions that may serve it; none means all.
 	Tried     []string
 	Objective time.Time // An answer is worth most until then.
 	Deadline  time.Time // An answer is worth nothing after it.
+	Alone     bool      // The host that places for this one can't be reached.
+}
+
+func (a *Ask) allows(region string) bool {
+	return len(a.Homes) == 0 || slices.Contains(a.Homes, region)
 }
--- a/internal/flow/place/demand.go
+++ b/internal/flow/place/demand.go
@@ -11,11 +11,12 @@
 // demandLife is the time constant of the demand: long against a job, short against a wave of callers.
 const demandLife = 1500 * time.Millisecond
 
-// demand is the work that callers offer to this host for one service.
+// demand is the work that the region's callers offer for one service.
 type demand struct {
 	offered time.Duration // Since it was last asked for.
 	slots   float64       // Moving mean of the slots that it would keep busy.
 	known   bool
+	seen    time.Time // When a job was last offered.
 }
 
 // offer notes a job that asks for a slot.
@@ -28,27 +29,31 @@
 	d.offered += t.work(service).mean()
 }
 
-// Ask returns what this host tells when it asks for its shares.
+// Ask returns what this host tells of its region when it asks for loans: the services whose jobs it places.
 func (t *Table) Ask(now time.Time) deal.Ask {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	a := deal.Ask{Host: t.view.Self.Name, Demand: deal.Demand{}, Held: maps.Clone(t.view.Shares)}
+	a := deal.Ask{Region: t.view.Self.Region, Demand: deal.Demand{}, Held: maps.Clone(t.view.Loans)}
 	gap := now.Sub(t.asked)
 	t.asked = now
 	for service, d := range t.demands {
-		if gap > 0 {
-			sample := float64(d.offered) / float64(gap)
-			keep := math.Exp(-float64(gap) / float64(demandLife))
-			if !d.known {
-				keep = 0
-			}
-			d.slots = keep*d.slots + (1-keep)*sample
-			d.offered, d.known = 0, true
+		if d.offered > 0 {
+			d.seen = now
 		}
+		if now.Sub(d.seen) > demandLife {
+			delete(t.demands, service)
+			continue
+		}
+		sample := float64(d.offered) / float64(max(gap, time.Millisecond))
+		keep := math.Exp(-float64(gap) / float64(demandLife))
+		if !d.known {
+			keep = 0
+		}
+		d.slots, d.offered, d.known = keep*d.slots+(1-keep)*sample, 0, true
 		a.Demand[service] = math.Round(d.slots*100) / 100
 	}
-	for id, n := range t.view.Shares {
-		if l := t.loads[id]; n > 0 && l != nil && l.down(now) {
+	for id, l := range t.loads {
+		if l.down(now) && t.view.User(l.upstream) == a.Region {
 			a.Down = append(a.Down, id)
 		}
 	}
--- a/internal/flow/place/load.go
+++ b/internal/flow/place/load.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/boragelane/boragelane/internal/core/roster"
-	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
 const (
@@ -28,11 +27,14 @@
 type load struct {
 	upstream *roster.Upstream
 	running  int     // This host's jobs there.
+	others   float64 // Jobs of other hosts there, as an answer told.
+	othersAt time.Time
+	share    int     // Jobs that this host may have there.
 	seen     float64 // Free slots when they were last counted.
-	queued   int     // This host's jobs that wait for it.
+	queued   int     // Jobs that wait for it.
 	ratio    float64 // Its work against what its service's requests are expected to take.
 	memory   memory
-	warmed   time.Time // When a cold upstream last got a request of this host.
+	warmed   time.Time // When a cold upstream last got a request.
 	failing  float64   // Moving mean of failures, 0 to 1.
 	inRow    int
 	until    time.Time // Ejected until then.
@@ -42,6 +44,17 @@
 	coldEnd  time.Time
 }
 
+// crowd returns how many mean works a further job is expected to wait. A nearly full upstream counts a little
+// too: the next job for one of its objects would have to wait.
+func (l *load) crowd() float64 {
+	share := float64(l.share)
+	busy := min(1, float64(l.running)/share)
+	return max(0, (float64(l.running+l.queued+1)-share)/share) + crowded*busy*busy
+}
+
+// crowded is how many mean works a full upstream costs besides its queue.
+const crowded = 0.4
+
 // down tells whether the upstream is ejected.
 func (l *load) down(now time.Time) bool { return now.Before(l.until) }
 
@@ -69,17 +82,22 @@
 
 // Result is how a job ended at an upstream.
 type Result struct {
-	Reply *pipe.Reply
-	Took  time.Duration
-	Work  time.Duration // What it was expected to take, without round trips.
-	Trip  time.Duration // The round trip.
-	Good  bool          // The upstream gave a whole answer that is no failure of its own.
-	Quiet bool          // Nothing can be learned: the caller left or the job's time was short.
+	Took    time.Duration
+	Dial    time.Duration // How long a new connection took; 0 if none was opened.
+	Waiting int           // Jobs in the upstream's own queue, as it told.
+	Good    bool          // The upstream gave a whole answer that is no failure of its own.
+	Quiet   bool          // Nothing can be learned: the caller left or the job's time was short.
+	Shed    bool          // The upstream did not run the job.
+	Moved   bool          // Another upstream has the address.
+	Broken  bool          // No connection could be opened, or the upstream seems to have crashed.
+
+	Work time.Duration // What the job was expected to take, without the round trip.
+	Trip time.Duration // The round trip.
 }
 
 // learn takes in the result of a job.
 func (l *load) learn(now time.Time, r Result) {
-	if r.Reply.Moved {
+	if r.Moved {
 		l.until = now.Add(ejectMost)
 		return
 	}
@@ -95,18 +113,17 @@
 		}
 		return
 	}
-	if r.Reply.Shed {
+	if r.Shed {
 		return
 	}
 	l.failing += sampleWeight * (1 - l.failing)
 	l.inRow++
-	broken := !r.Reply.Sent || r.Reply.Crash
-	if broken || l.inRow >= failLeast || l.failing > failLimit {
+	if r.Broken || l.inRow >= failLeast || l.failing > failLimit {
 		l.eject = min(ejectMost, max(ejectLeast, 2*l.eject))
 		l.until = now.Add(l.eject)
 		l.failing /= 2
 	}
-	if broken {
+	if r.Broken {
 		l.chill(now, l.until.Add(ejectLeast))
 	}
 }
--- a/internal/flow/place/table.go
+++ b/internal/flow/place/table.go
@@ -10,7 +10,7 @@
 	"github.com/boragelane/boragelane/internal/core/roster"
 )
 
-// Table is this host's picture of all upstreams, and the jobs that wait for one.
+// Table places the jobs of a region's hosts: it knows what runs and waits at the region's upstreams.
 type Table struct {
 	mu      sync.Mutex
 	view    *roster.View
@@ -20,30 +20,40 @@
 	demands map[string]*demand
 	asked   time.Time // When the demand was last asked for.
 	waiters []*waiter
-	arrived int
+	arrived uint64
+	grants  map[uint64]*Grant
+	swept   time.Time
 }
 
 // Grant is a job's stay at an upstream.
 type Grant struct {
+	Number   uint64
 	Upstream *roster.Upstream
-	object   string
-	known    bool          // The upstream is thought to remember the object.
-	work     time.Duration // What the job was expected to take there.
-	trip     time.Duration
+
+	host   string
+	from   string // The host's failure domain.
+	until  time.Time
+	object string
+	known  bool          // The upstream is thought to remember the object.
+	work   time.Duration // What the job was expected to take there.
+	trip   time.Duration
 }
 
 // waiter is a job without a slot.
 type waiter struct {
 	ask    Ask
 	late   bool // It can't meet its objective any more.
-	number int
+	number uint64
 	wants  *load // The upstream that it waits for.
 	ready  chan *Grant
 }
 
 // NewTable returns a table that knows no upstream.
 func NewTable() *Table {
-	return &Table{view: &roster.View{}, loads: map[string]*load{}, works: map[string]*work{}, trips: rtts{}, demands: map[string]*demand{}}
+	return &Table{
+		view: &roster.View{}, loads: map[string]*load{}, works: map[string]*work{}, trips: rtts{},
+		demands: map[string]*demand{}, grants: map[uint64]*Grant{},
+	}
 }
 
 // Update takes in a view.
@@ -63,6 +73,7 @@
 			delete(t.loads, id)
 		}
 	}
+	t.orphans(now)
 	t.wake(now)
 }
 
@@ -83,12 +94,41 @@
 	}
 }
 
-// Acquire returns an upstream for a job, or nil if none was free in time.
+// orphans ends the grants of hosts that are gone, and those whose end was never told.
+func (t *Table) orphans(now time.Time) {
+	t.swept = now
+	live := map[string]bool{t.view.Self.Name: true}
+	for i := range t.view.Hosts {
+		live[t.view.Hosts[i].Name] = true
+	}
+	for _, g := range t.grants {
+		if !live[g.host] || now.After(g.until) {
+			t.end(g)
+		}
+	}
+}
+
+// end forgets a grant; it returns the load of its upstream, or nil if that is not known any more.
+func (t *Table) end(g *Grant) *load {
+	if t.grants[g.Number] != g {
+		return nil
+	}
+	delete(t.grants, g.Number)
+	l := t.loads[g.Upstream.ID]
+	if l != nil {
+		l.running--
+	}
+	return l
+}
+
+// Acquire returns an upstream for a job, or nil if none is free in time.
 func (t *Table) Acquire(ctx context.Context, now time.Time, ask Ask) *Grant {
 	t.mu.Lock()
-	w := &waiter{ask: ask, number: t.arrived, ready: make(chan *Grant, 1)}
 	t.arrived++
-	t.offer(ask.Service)
+	w := &waiter{ask: ask, number: t.arrived, ready: make(chan *Grant, 1)}
+	if !ask.Alone {
+		t.offer(ask.Service)
+	}
 	g, until := t.take(now, w)
 	if g != nil || !until.After(now) {
 		t.mu.Unlock()
@@ -145,7 +185,7 @@
 		case a.ask.Rank != b.ask.Rank:
 			return a.ask.Rank - b.ask.Rank
 		}
-		return a.number - b.number
+		return int(int64(a.number) - int64(b.number))
 	})
 	t.waiters = slices.Insert(t.waiters, at, w)
 }
@@ -162,12 +202,8 @@
 	})
 }
 
-const (
-	// slotLeast is how much of a slot must seem free: what is known of other hosts' jobs is a guess.
-	slotLeast = 0.5
-	// latePart is the part of its time that a late job may wait for a slot that nobody else needs.
-	latePart = 0.4
-)
+// latePart is the part of its time that a late job may wait for a slot that nobody else needs.
+const latePart = 0.4
 
 // take books the job at its best upstream if that has a free slot. Otherwise it returns until when the job may
 // wait: as long as its answer can come in time.
@@ -178,13 +214,12 @@
 	if at < 0 {
 		return nil, now.Add(time.Duration(latePart / 2 * float64(w.ask.Objective.Sub(now))))
 	}
-	c := &list[at]
-	l := t.loads[c.Upstream.ID]
-	if c.Free >= slotLeast {
-		return t.grant(now, l, &w.ask), now
+	l := t.loads[list[at].Upstream.ID]
+	if l.running < l.share {
+		return t.grant(now, l, w), now
 	}
 	w.want(l)
-	until := w.ask.Objective.Add(-t.expect(l, &w.ask, false))
+	until := w.ask.Objective.Add(-t.expect(now, l, &w.ask, false))
 	if !until.After(now) {
 		w.late = true
 		until = now.Add(time.Duration(latePart * float64(w.ask.Deadline.Sub(now))))
@@ -192,17 +227,23 @@
 	return nil, until
 }
 
-func (t *Table) grant(now time.Time, l *load, ask *Ask) *Grant {
+// grantSlack is how long after its job's deadline a grant ends that nobody has ended.
+const grantSlack = time.Second
+
+func (t *Table) grant(now time.Time, l *load, w *waiter) *Grant {
 	l.running++
 	if l.cold(now) {
 		l.tokens--
 		l.warmed = now
 	}
-	u := l.upstream
-	g := &Grant{Upstream: u, object: ask.Object, known: l.memory.holds(ask.Object)}
+	u, ask := l.upstream, &w.ask
+	g := &Grant{
+		Number: w.number, Upstream: u, host: ask.Host.Name, from: ask.Host.Domain, until: ask.Deadline.Add(grantSlack),
+		object: ask.Object, known: l.memory.holds(ask.Object), trip: t.trips.expect(&ask.Host, u),
+	}
 	g.work = t.work(u.Service).expect(g.known)
-	g.trip = t.trips.expect(u.Domain, tierOf(&t.view.Self, u))
 	l.memory = l.memory.add(ask.Object)
+	t.grants[g.Number] = g
 	return g
 }
 
@@ -216,13 +257,12 @@
 }
 
 // expect returns the time that a job would take at an upstream, with the wait for a slot there or without.
-func (t *Table) expect(l *load, ask *Ask, wait bool) time.Duration {
+func (t *Table) expect(now time.Time, l *load, ask *Ask, wait bool) time.Duration {
 	w := t.work(l.upstream.Service)
-	tier := tierOf(&t.view.Self, l.upstream)
-	d := t.trips.expect(l.upstream.Domain, tier) + detour[tier]
+	d := t.trips.expect(&ask.Host, l.upstream) + detour[tierOf(&ask.Host, l.upstream)]
 	d += time.Duration(l.ratio * (1 + failPenalty*l.failing) * float64(w.expect(l.memory.holds(ask.Object))))
-	if over := float64(l.queued) + 1 - l.seen; wait && over > 0 {
-		d += time.Duration(over / float64(l.upstream.Slots) * l.ratio * float64(w.expect(true)))
+	if wait {
+		d += time.Duration(l.crowd() * l.ratio * float64(w.mean()))
 	}
 	return d
 }
@@ -234,24 +274,23 @@
 	ups := t.view.Upstreams[ask.Service]
 	out := make([]Candidate, 0, len(ups))
 	key := rendez.Hash(ask.Object)
-	guest := t.guest(now, ups)
+	guest := t.guest(now, ask, ups)
 	for _, u := range ups {
 		l := t.loads[u.ID]
-		if l == nil || l.down(now) || !ask.Allows(u.Region) || slices.Contains(ask.Tried, u.ID) {
+		if l == nil || l.down(now) || !ask.allows(u.Region) || slices.Contains(ask.Tried, u.ID) {
 			continue
 		}
-		c := Candidate{Upstream: u, Free: float64(t.share(l, guest) - l.running)}
-		if t.share(l, guest) == 0 {
+		if l.share = t.share(l, ask, guest); l.share == 0 {
 			continue
 		}
-		l.seen = c.Free
+		c := Candidate{Upstream: u, Free: l.share - l.running}
 		if l.cold(now) {
-			if !t.mayWarm(now, l) {
+			if ask.Alone || !t.mayWarm(now, l) {
 				continue
 			}
 			c.Warming = now.Sub(l.warmed) > warmGap && ask.Rank > 0
 		}
-		c.Cost = t.expect(l, ask, true)
+		c.Cost = t.expect(now, l, ask, true)
 		if ask.Object != "" {
 			c.Score = rendez.Score(key, rendez.NewSite(u.ID, 1))
 		}
@@ -260,38 +299,39 @@
 	return out
 }
 
-// share returns how many jobs this host may have at an upstream. A cold one belongs to its owner alone.
-func (t *Table) share(l *load, guest bool) int {
-	if n := t.view.Shares[l.upstream.ID]; n > 0 {
-		return n
-	}
-	if guest {
+// guestShare is how many jobs a host may have at an upstream that it does not place for.
+const guestShare = 1
+
+// share returns how many jobs may be at an upstream: as many as it has slots if this region uses it.
+func (t *Table) share(l *load, ask *Ask, guest bool) int {
+	ours := t.view.User(l.upstream) == t.view.Self.Region
+	switch {
+	case ours && !ask.Alone:
+		return l.upstream.Slots
+	case ours || guest:
 		return guestShare
 	}
 	return 0
 }
 
-// guestShare is how many jobs a host may have at an upstream of which it holds no share, while it can use none
-// of those that it holds.
-const guestShare = 1
-
-// guest tells whether this host can use none of the upstreams that it holds shares of.
-func (t *Table) guest(now time.Time, ups []*roster.Upstream) bool {
+// guest tells whether this region can use none of its upstreams, so that its jobs go to others as guests.
+func (t *Table) guest(now time.Time, ask *Ask, ups []*roster.Upstream) bool {
 	for _, u := range ups {
-		if l := t.loads[u.ID]; l != nil && t.view.Shares[u.ID] > 0 && !l.down(now) && !l.cold(now) {
+		l := t.loads[u.ID]
+		if l != nil && t.view.User(u) == t.view.Self.Region && !l.down(now) && !l.cold(now) && ask.allows(u.Region) {
 			return false
 		}
 	}
 	return true
 }
 
-// mayWarm tells whether this host may send one more request to a cold upstream.
+// mayWarm tells whether the rate of a cold upstream has room. Only the region that uses it asks: its rate is too
+// small to be split.
 func (t *Table) mayWarm(now time.Time, l *load) bool {
-	if owner(t.view.Hosts, l.upstream) != t.view.Self.Name {
+	if t.view.User(l.upstream) != t.view.Self.Region {
 		return false
 	}
-	rate := t.view.Policy.Services[l.upstream.Service].ColdRate
-	l.fill(now, rate)
+	l.fill(now, t.view.Policy.Services[l.upstream.Service].ColdRate)
 	return l.tokens >= 1
 }
 
@@ -299,32 +339,37 @@
 func (t *Table) Release(now time.Time, g *Grant, r Result) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	l := t.loads[g.Upstream.ID]
+	l := t.end(g)
 	if l == nil {
 		return
 	}
-	l.running--
 	r.Work, r.Trip = g.work, g.trip
 	if l.upstream.Born == g.Upstream.Born {
 		l.learn(now, r)
-		t.trips.learn(g.Upstream.Domain, r.Reply.Dial)
-		if r.Good && (r.Reply.Report == nil || r.Reply.Report.Waiting == 0) {
+		t.trips.learn(g.from, g.Upstream.Domain, r.Dial)
+		if r.Good && r.Waiting == 0 {
 			t.work(g.Upstream.Service).learn(g.known, r.Took-g.trip)
 		}
 	}
 	t.wake(now)
 }
 
-// Pump lets waiters try again, as ejections end and cold rates grow with time.
-func (t *Table) Pump(now time.Time) {
+// Find returns a grant by its number, or nil.
+func (t *Table) Find(number uint64) *Grant {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.wake(now)
+	return t.grants[number]
 }
 
-// Waiting returns how many jobs wait for a slot.
-func (t *Table) Waiting() int {
+// sweepPeriod is how often grants that nobody ended are looked for.
+const sweepPeriod = 500 * time.Millisecond
+
+// Pump lets waiters try again, as ejections end and cold rates grow with time.
+func (t *Table) Pump(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.waiters)
+	if now.Sub(t.swept) > sweepPeriod {
+		t.orphans(now)
+	}
+	t.wake(now)
 }
--- a/internal/flow/place/work.go
+++ b/internal/flow/place/work.go
@@ -3,11 +3,13 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/boragelane/boragelane/internal/core/roster"
 )
 
 const (
 	// objectsKept is how many objects an upstream is taken to remember of those that this host sent.
-	objectsKept = 16
+	objectsKept = 20
 	// workWeight is the weight of the newest sample in a service's means.
 	workWeight = 0.05
 	// workStart is the work of a request before any was seen.
@@ -77,8 +79,8 @@
 	return append(m, object)
 }
 
-// rtts is the round trip to each failure domain.
-type rtts map[string]time.Duration
+// rtts is the round trip from one failure domain to another.
+type rtts map[[2]string]time.Duration
 
 // Round trips before any connection was opened, by tier.
 var rttStart = [...]time.Duration{Near: time.Millisecond, Region: 3 * time.Millisecond, Far: 60 * time.Millisecond}
@@ -86,20 +88,21 @@
 // detour is added to a round trip for the bytes that cross failure domains and regions, which are priced.
 var detour = [...]time.Duration{Near: 0, Region: 2 * time.Millisecond, Far: 20 * time.Millisecond}
 
-func (r rtts) expect(domain string, t Tier) time.Duration {
-	if d, ok := r[domain]; ok {
+func (r rtts) expect(from *roster.Host, u *roster.Upstream) time.Duration {
+	if d, ok := r[[2]string{from.Domain, u.Domain}]; ok {
 		return d
 	}
-	return rttStart[t]
+	return rttStart[tierOf(from, u)]
 }
 
 // learn takes in the time that a connection took to open.
-func (r rtts) learn(domain string, took time.Duration) {
+func (r rtts) learn(from, to string, took time.Duration) {
 	if took <= 0 {
 		return
 	}
-	if old, ok := r[domain]; ok {
+	key := [2]string{from, to}
+	if old, ok := r[key]; ok {
 		took = old + time.Duration(sampleWeight*float64(took-old))
 	}
-	r[domain] = took
+	r[key] = took
 }
--- a/internal/flow/serve/serve.go
+++ b/internal/flow/serve/serve.go
@@ -78,7 +78,7 @@
 
 func ask(job *pipe.Job, tried []string) place.Ask {
 	return place.Ask{
-		Service: job.Service, Rank: job.Level, Object: job.Object, Allows: job.Route.Allows, Tried: tried,
+		Host: job.View.Self, Service: job.Service, Rank: job.Level, Object: job.Object, Homes: job.Route.Homes, Tried: tried,
 		Objective: job.Objective, Deadline: job.Deadline,
 	}
 }
@@ -113,13 +113,22 @@
 	now := p.Clock()
 	settle(ctx, job)
 	job.MayHaveRun = job.MayHaveRun || job.Outcome.Kind == pipe.Unknown
-	p.Placer.Release(now, g, place.Result{
-		Reply: &job.Reply, Took: now.Sub(start), Quiet: job.Reply.Late,
-		Good: job.Reply.Whole && job.Reply.Answer.Status < http.StatusInternalServerError,
-	})
+	p.Placer.Release(now, g, result(&job.Reply, now.Sub(start)))
 	p.Journal.Tried(now, job, u, now.Sub(start))
 }
 
+// result tells the placer what a reply means for the upstream.
+func result(r *pipe.Reply, took time.Duration) place.Result {
+	out := place.Result{
+		Took: took, Dial: r.Dial, Quiet: r.Late, Shed: r.Shed, Moved: r.Moved, Broken: !r.Sent && !r.Late || r.Crash,
+		Good: r.Whole && r.Answer.Status < http.StatusInternalServerError,
+	}
+	if r.Report != nil {
+		out.Waiting = r.Report.Waiting
+	}
+	return out
+}
+
 // settle decides what a reply means for the job.
 func settle(ctx context.Context, job *pipe.Job) {
 	r := &job.Reply
--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -18,9 +18,9 @@
 	"github.com/boragelane/boragelane/internal/ctrl/deal"
 	"github.com/boragelane/boragelane/internal/ctrl/enrol"
 	"github.com/boragelane/boragelane/internal/ctrl/watch"
+	"github.com/boragelane/boragelane/internal/edge/broker"
 	"github.com/boragelane/boragelane/internal/edge/dialer"
 	"github.com/boragelane/boragelane/internal/edge/httpd"
-	"github.com/boragelane/boragelane/internal/edge/loans"
 	"github.com/boragelane/boragelane/internal/flow/guard"
 	"github.com/boragelane/boragelane/internal/flow/match"
 	"github.com/boragelane/boragelane/internal/flow/pipe"
@@ -72,8 +72,9 @@
 	server  *httpd.Server
 	stop    atomic.Bool
 	reports chan roster.Crash
-	loans   *loans.Client
-	lender  *loans.Server
+	asker   *broker.Asker
+	placer  *broker.Placer
+	broker  *broker.Server
 	grace   atomic.Int64 // A time.Duration.
 }
 
@@ -90,16 +91,17 @@
 	h.loop.Followers = []watch.Follower{h.table, &learner{crashes: h.crashes}}
 	h.reader = &watch.Reader{Source: store, Loop: h.loop, Clock: clock, Done: make(chan struct{})}
 	h.keeper = &enrol.Keeper{Registry: store, Journal: book, Host: s.Host, Clock: clock, Listed: h.listed, Done: make(chan struct{})}
+	h.placer = broker.NewPlacer(h.table, h.loop.View, clock)
 	h.line = pipe.Line{Clock: clock, Filters: []pipe.Filter{
 		match.New(),
 		guard.Pipe{Table: h.crashes, Teller: &teller{host: h}},
-		&serve.Pipe{Placer: h.table, Sender: h.sender, Budget: h.budget, Journal: book, Clock: clock},
+		&serve.Pipe{Placer: h.placer, Sender: h.sender, Budget: h.budget, Journal: book, Clock: clock},
 	}}
 	h.server = httpd.New(h, h.bounds, clock)
-	h.lender = &loans.Server{Dealer: h.loop, Done: make(chan struct{})}
-	h.loans = &loans.Client{
-		Asker: h.table, Local: h.loop, View: h.loop.View, Lost: book.lost, Clock: clock, Done: make(chan struct{}),
-		Give: func(s deal.Shares) { h.loop.Send(context.Background(), watch.Dealt{Shares: s}) },
+	h.broker = &broker.Server{Dealer: h.loop, Table: h.table, Clock: clock, Done: make(chan struct{})}
+	h.asker = &broker.Asker{
+		Teller: h.table, Local: h.loop, View: h.loop.View, Lost: book.lost, Clock: clock, Done: make(chan struct{}),
+		Give: func(l deal.Loans) { h.loop.Send(context.Background(), watch.Lent{Loans: l}) },
 	}
 	h.grace.Store(int64(s.Grace))
 	return h
@@ -184,8 +186,8 @@
 	go h.keeper.Run(keep)
 	go h.sweep(life)
 	go h.report(life)
-	go h.lender.Serve(life, peers)
-	go h.loans.Run(keep)
+	go h.broker.Serve(life, peers)
+	go h.asker.Run(keep)
 	go h.follow(life, hangup)
 	go h.server.Serve(life, front)
 	h.Log.Info("started", zap.String("host", h.Settings.Host.Name), zap.String("domain", h.Settings.Host.Domain),
@@ -242,9 +244,7 @@
 			return
 		case <-t.C:
 			now := h.Clock()
-			if h.table.Waiting() > 0 {
-				h.table.Pump(now)
-			}
+			h.table.Pump(now)
 			h.sender.Sweep(now)
 		}
 	}
--- a/internal/host/steer/journal.go
+++ b/internal/host/steer/journal.go
@@ -38,9 +38,9 @@
 	j.log.Info("entry kept", zap.Int64("lease", lease))
 }
 
-// lost logs a host that gave no shares.
+// lost logs a host that gave no loans.
 func (j *journal) lost(host string, err error) {
-	j.log.Warn("shares not given", zap.String("host", host), zap.Error(err))
+	j.log.Warn("loans not given", zap.String("host", host), zap.Error(err))
 }
 
 // Tried logs one try of a job.
