--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -128,8 +128,9 @@
 // Batch is the changes that follow one another in the store.
 type Batch struct {
 	Changes  []Change
-	Revision int64 // The store's revision after them.
-	Full     bool  // The changes are all that the store holds, not what was added.
+	Revision int64         // The store's revision after them.
+	Full     bool          // The changes are all that the store holds, not what was added.
+	Age      time.Duration // Since the store told them, if another host passed them on.
 }
 
 // Nearest lists the hosts that a caller of a region and failure domain should use: those of its region, the
--- a/internal/ctrl/watch/fold.go
+++ b/internal/ctrl/watch/fold.go
@@ -50,6 +50,8 @@
 		s.leaving = true
 	case Asked:
 		ev.Reply <- s.answer(ev.Ask, now)
+	case Follow:
+		ev.Reply <- s.news(ev.After, now)
 	case Lent:
 		s.loans, s.told = ev.Loans, now
 	}
@@ -62,12 +64,15 @@
 		s.back = now
 		notes = append(notes, Note{What: "store regained", Revision: b.Revision})
 	}
-	s.lost, s.heard = false, now
+	s.lost, s.heard = false, now.Add(-b.Age)
+	s.revision = max(s.revision, b.Revision)
 	if b.Full {
+		s.log, s.start = nil, b.Revision
 		b.Changes = append(b.Changes, s.missing(b)...)
 	}
 	for i := range b.Changes {
 		if n := s.change(&b.Changes[i], now); n.What != "" {
+			s.record(&b.Changes[i])
 			n.Name, n.Revision, n.Err = b.Changes[i].Name, b.Changes[i].Revision, b.Changes[i].Err
 			notes = append(notes, n)
 		}
--- a/internal/ctrl/watch/loop.go
+++ b/internal/ctrl/watch/loop.go
@@ -95,7 +95,7 @@
 // visible tells whether an event changes the view even if it is not worth a note.
 func visible(ev Event) bool {
 	switch ev.(type) {
-	case Tick, Asked:
+	case Tick, Asked, Follow:
 		return false
 	}
 	return true
@@ -115,3 +115,18 @@
 	}
 	return nil, false
 }
+
+// News returns what a follower needs to know; it reports false if the context ended first.
+func (l *Loop) News(ctx context.Context, after int64) (News, bool) {
+	reply := make(chan News, 1)
+	if !l.Send(ctx, Follow{After: after, Reply: reply}) {
+		return News{}, false
+	}
+	select {
+	case n := <-reply:
+		return n, true
+	case <-ctx.Done():
+	case <-l.Done:
+	}
+	return News{}, false
+}
--- a/internal/ctrl/watch/reader.go
+++ b/internal/ctrl/watch/reader.go
@@ -25,6 +25,11 @@
 	Next(ctx context.Context, after int64, wait time.Duration) (roster.Batch, error)
 }
 
+// Relay asks another host for news of the store.
+type Relay interface {
+	News(ctx context.Context, from roster.Host, after int64) (News, error)
+}
+
 const (
 	// readPeriod is the least time between two reads: reports of upstreams come all the time, each call is
 	// priced, and news must be in force within 2.5 s.
@@ -34,44 +39,99 @@
 	// retryLeast and retryMost bound the delay after a failed read, which doubles.
 	retryLeast = 250 * time.Millisecond
 	retryMost  = time.Second
+	// newsPeriod is the time between two questions to the host that reads for its region.
+	newsPeriod = 250 * time.Millisecond
+	// newsLife is the age of news after which a host reads the store itself: reports come more often than that.
+	newsLife = 1200 * time.Millisecond
+	// mistrust is how long a host whose news were old or did not come is not asked again.
+	mistrust = 2 * time.Second
+	// readersMost is how many hosts of a region are asked before a host reads the store itself.
+	readersMost = 2
 )
 
-// Reader follows the store and feeds the loop.
+// Reader follows the store, or the host that reads it for its region, and feeds the loop.
 type Reader struct {
 	Source Source
+	Relay  Relay
 	Loop   *Loop
 	Clock  func() time.Time
 	Done   chan struct{}
+
+	after     int64
+	delay     time.Duration
+	distrusts map[string]time.Time // Until when a host is not asked.
 }
 
 // Run reads until the context ends.
 func (r *Reader) Run(ctx context.Context) {
 	defer close(r.Done)
-	after, delay := int64(0), retryLeast
+	r.delay, r.distrusts = retryLeast, map[string]time.Time{}
 	for ctx.Err() == nil {
-		start := r.Clock()
-		batch, err := r.read(ctx, after)
-		switch {
-		case errorx.IsOfType(err, ErrCompacted):
-			after = 0
-			continue
-		case err != nil:
-			r.Loop.Send(ctx, Lost{Err: err})
-			sleep(ctx, delay/2+rand.N(delay))
-			delay = min(2*delay, retryMost)
+		if from, ok := r.from(); ok {
+			r.ask(ctx, from)
 			continue
 		}
-		after, delay = batch.Revision, retryLeast
-		r.Loop.Send(ctx, Read{Batch: batch})
-		sleep(ctx, readPeriod-r.Clock().Sub(start))
+		r.read(ctx)
+	}
+}
+
+// from returns the host that reads for this region, or false if this host should read the store itself.
+func (r *Reader) from() (roster.Host, bool) {
+	v := r.Loop.View()
+	now, tried := r.Clock(), 0
+	for _, h := range v.Placers(v.Self.Region, readerRole) {
+		if h.Name == v.Self.Name || tried == readersMost {
+			break
+		}
+		tried++
+		if now.After(r.distrusts[h.Name]) {
+			return h, true
+		}
+	}
+	return roster.Host{}, false
+}
+
+// readerRole spreads the duty of reading and the placing of services over a region's hosts.
+const readerRole = "reader"
+
+func (r *Reader) ask(ctx context.Context, from roster.Host) {
+	start := r.Clock()
+	n, err := r.Relay.News(ctx, from, r.after)
+	if err != nil || n.Age > newsLife {
+		r.distrusts[from.Name] = r.Clock().Add(mistrust)
+		return
+	}
+	if n.Batch.Revision >= r.after { // Else this host has read the store itself a moment ago.
+		n.Batch.Age = n.Age
+		r.after = n.Batch.Revision
+		r.Loop.Send(ctx, Read{Batch: n.Batch})
+	}
+	sleep(ctx, newsPeriod-r.Clock().Sub(start))
+}
+
+func (r *Reader) read(ctx context.Context) {
+	start := r.Clock()
+	batch, err := r.next(ctx)
+	switch {
+	case errorx.IsOfType(err, ErrCompacted):
+		r.after = 0
+		return
+	case err != nil:
+		r.Loop.Send(ctx, Lost{Err: err})
+		sleep(ctx, r.delay/2+rand.N(r.delay))
+		r.delay = min(2*r.delay, retryMost)
+		return
 	}
+	r.after, r.delay = batch.Revision, retryLeast
+	r.Loop.Send(ctx, Read{Batch: batch})
+	sleep(ctx, readPeriod-r.Clock().Sub(start))
 }
 
-func (r *Reader) read(ctx context.Context, after int64) (roster.Batch, error) {
-	if after == 0 {
+func (r *Reader) next(ctx context.Context) (roster.Batch, error) {
+	if r.after == 0 {
 		return r.Source.Load(ctx)
 	}
-	return r.Source.Next(ctx, after, readWait)
+	return r.Source.Next(ctx, r.after, readWait)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/ctrl/watch/state.go
+++ b/internal/ctrl/watch/state.go
@@ -41,6 +41,7 @@
 	lost      bool
 	leaving   bool
 	deals
+	relay
 }
 
 // grave remembers an incarnation that was seen leaving.
--- a/internal/edge/broker/asker.go
+++ b/internal/edge/broker/asker.go
@@ -6,6 +6,7 @@
 
 	"github.com/boragelane/boragelane/internal/core/roster"
 	"github.com/boragelane/boragelane/internal/ctrl/deal"
+	"github.com/boragelane/boragelane/internal/ctrl/watch"
 )
 
 const (
@@ -15,14 +16,14 @@
 	askLife = 700 * time.Millisecond
 )
 
-// Teller tells what to ask for.
-type Teller interface {
+// Needer tells what to ask for.
+type Needer interface {
 	Ask(now time.Time) deal.Ask
 }
 
 // Asker asks for loans of upstreams, again and again.
 type Asker struct {
-	Teller Teller
+	Needer Needer
 	Local  Dealer // This host as the one that deals.
 	View   func() *roster.View
 	Give   func(l deal.Loans) // Takes the loans.
@@ -65,7 +66,7 @@
 func (a *Asker) ask(ctx context.Context, h roster.Host) (deal.Loans, error) {
 	ctx, cancel := context.WithTimeout(ctx, askLife)
 	defer cancel()
-	ask := a.Teller.Ask(a.Clock())
+	ask := a.Needer.Ask(a.Clock())
 	if h.Name == a.View().Self.Name {
 		loans, ok := a.Local.Ask(ctx, ask)
 		if !ok {
@@ -83,3 +84,34 @@
 	}
 	return loans, nil
 }
+
+// newsLife bounds a question for news, within a region.
+const newsLife = 400 * time.Millisecond
+
+// Relay asks other hosts of the region for news of the store.
+type Relay struct {
+	peers *peers
+	clock func() time.Time
+}
+
+// NewRelay returns a relay without connections.
+func NewRelay(clock func() time.Time) *Relay { return &Relay{peers: newPeers(clock), clock: clock} }
+
+// Close ends the connections.
+func (r *Relay) Close() { r.peers.close() }
+
+// News asks a host what changed after a revision.
+func (r *Relay) News(ctx context.Context, from roster.Host, after int64) (watch.News, error) {
+	ctx, cancel := context.WithTimeout(ctx, newsLife)
+	defer cancel()
+	p, err := r.peers.get(ctx, from)
+	if err != nil {
+		return watch.News{}, err
+	}
+	var w wireNews
+	if err := p.call(ctx, r.clock, methodNews, wireFollow{After: after}, &w); err != nil {
+		_ = p.conn.Close()
+		return watch.News{}, ErrCall.Wrap(err, "asking %s for news", from.Name)
+	}
+	return watch.News{Batch: roster.Batch{Changes: w.Changes, Revision: w.Revision, Full: w.Full}, Age: w.Age}, nil
+}
--- a/internal/edge/broker/server.go
+++ b/internal/edge/broker/server.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/boragelane/boragelane/internal/ctrl/deal"
+	"github.com/boragelane/boragelane/internal/ctrl/watch"
 	"github.com/boragelane/boragelane/internal/flow/place"
 )
 
@@ -18,9 +20,15 @@
 	Ask(ctx context.Context, a deal.Ask) (deal.Loans, bool)
 }
 
+// Teller passes on what this host read from the store.
+type Teller interface {
+	News(ctx context.Context, after int64) (watch.News, bool)
+}
+
 // Server places the jobs of other hosts of its region.
 type Server struct {
 	Dealer Dealer
+	Teller Teller
 	Table  *place.Table
 	Clock  func() time.Time
 	Done   chan struct{}
@@ -69,6 +77,8 @@
 		err = handle(req, s.drop)
 	case methodPing:
 		err = conn.Reply(ctx, req.ID, true)
+	case methodNews:
+		err = handle(req, func(w *wireFollow) error { return s.news(ctx, conn, req.ID, w) })
 	case methodDeal:
 		err = handle(req, func(a *deal.Ask) error { return s.deal(ctx, conn, req.ID, a) })
 	default:
@@ -137,3 +147,22 @@
 	}
 	return conn.Reply(ctx, id, loans)
 }
+
+// news tells what changed; the time left of a cold upstream is what matters to the other host, not its clock.
+func (s *session) news(ctx context.Context, conn *jsonrpc2.Conn, id jsonrpc2.ID, w *wireFollow) error {
+	n, ok := s.server.Teller.News(ctx, w.After)
+	if !ok {
+		return ErrCall.New("this host is stopping")
+	}
+	now := s.server.Clock()
+	changes := slices.Clone(n.Batch.Changes)
+	for i := range changes {
+		u := &changes[i].Upstream
+		u.Cold = max(0, u.ColdUntil().Sub(now))
+		u.Reported = time.Time{}
+		if changes[i].Err != nil {
+			changes[i].Err, changes[i].Removed = nil, true // An entry that can't be read names nothing to use.
+		}
+	}
+	return conn.Reply(ctx, id, wireNews{Revision: n.Batch.Revision, Full: n.Batch.Full, Age: n.Age, Changes: changes})
+}
--- a/internal/edge/broker/wire.go
+++ b/internal/edge/broker/wire.go
@@ -21,6 +21,7 @@
 	methodFree = "free" // Ends a grant.
 	methodDrop = "drop" // Ends the wait for a grant.
 	methodPing = "ping"
+	methodNews = "news" // Asks what changed in the store.
 	methodDeal = "deal" // Tells a region's demand; the answer is the loans.
 )
 
@@ -89,3 +90,15 @@
 type wireDrop struct {
 	Call uint64 `json:"n"`
 }
+
+type wireFollow struct {
+	After int64 `json:"after"`
+}
+
+// wireNews carries changes as they are: both sides are of one kind, and the fields are plain.
+type wireNews struct {
+	Revision int64           `json:"rev"`
+	Full     bool            `json:"full,omitempty"`
+	Age      time.Duration   `json:"age"`
+	Changes  []roster.Change `json:"changes,omitempty"`
+}
--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -74,6 +74,7 @@
 	reports chan roster.Crash
 	asker   *broker.Asker
 	placer  *broker.Placer
+	relay   *broker.Relay
 	broker  *broker.Server
 	grace   atomic.Int64 // A time.Duration.
 }
@@ -89,7 +90,8 @@
 	book := &journal{log: log, meters: h.Meters}
 	h.loop = watch.NewLoop(s.Host, clock, book)
 	h.loop.Followers = []watch.Follower{h.table, &learner{crashes: h.crashes}}
-	h.reader = &watch.Reader{Source: store, Loop: h.loop, Clock: clock, Done: make(chan struct{})}
+	h.relay = broker.NewRelay(clock)
+	h.reader = &watch.Reader{Source: store, Relay: h.relay, Loop: h.loop, Clock: clock, Done: make(chan struct{})}
 	h.keeper = &enrol.Keeper{Registry: store, Journal: book, Host: s.Host, Clock: clock, Listed: h.listed, Done: make(chan struct{})}
 	h.placer = broker.NewPlacer(h.table, h.loop.View, clock)
 	h.line = pipe.Line{Clock: clock, Filters: []pipe.Filter{
@@ -98,9 +100,9 @@
 		&serve.Pipe{Placer: h.placer, Sender: h.sender, Budget: h.budget, Journal: book, Clock: clock},
 	}}
 	h.server = httpd.New(h, h.bounds, clock)
-	h.broker = &broker.Server{Dealer: h.loop, Table: h.table, Clock: clock, Done: make(chan struct{})}
+	h.broker = &broker.Server{Dealer: h.loop, Teller: h.loop, Table: h.table, Clock: clock, Done: make(chan struct{})}
 	h.asker = &broker.Asker{
-		Teller: h.table, Local: h.loop, View: h.loop.View, Lost: book.lost, Clock: clock, Done: make(chan struct{}),
+		Needer: h.table, Local: h.loop, View: h.loop.View, Lost: book.lost, Clock: clock, Done: make(chan struct{}),
 		Give: func(l deal.Loans) { h.loop.Send(context.Background(), watch.Lent{Loans: l}) },
 	}
 	h.grace.Store(int64(s.Grace))
