perf: waiters look at the upstream that became free, hosts with most processor time place

Cause: at each end of a job all waiters looked at all upstreams: on the grown sites the placing host, often one of 0.16 cores, was out of processor time (0.13 to 0.29 cores).

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -34,6 +35,7 @@
 	Front       string // Address for callers.
 	Peer        string // Address for other hosts.
 	Incarnation string
+	Cores       float64 // Processor time that it may use, in cores.
 }
 
 // Crash is the loss of an upstream while it ran a request with a fingerprint.
@@ -63,23 +65,22 @@
 	return u.Region
 }
 
-// Placers lists the hosts of a region in the order in which they place a service's jobs: the first one that can
-// be reached does.
-func (v *View) Placers(region, service string) []Host {
+// Placers lists the hosts of a region in the order in which they take on a duty for all of them, such as placing
+// a service's jobs: the first one that can be reached does. Those with the most processor time come first.
+func (v *View) Placers(region, duty string) []Host {
 	var hosts []Host
-	var scores []float64
-	key := rendez.Hash(service)
+	key := rendez.Hash(duty)
 	for _, h := range v.Hosts {
-		if h.Region != region {
-			continue
+		if h.Region == region {
+			hosts = append(hosts, h)
 		}
-		s := rendez.Score(key, rendez.NewSite(h.Name, 1))
-		at := 0
-		for at < len(scores) && scores[at] >= s {
-			at++
-		}
-		hosts, scores = slices.Insert(hosts, at, h), slices.Insert(scores, at, s)
 	}
+	slices.SortStableFunc(hosts, func(a, b Host) int {
+		if c := cmp.Compare(b.Cores, a.Cores); c != 0 {
+			return c
+		}
+		return cmp.Compare(rendez.Score(key, rendez.NewSite(b.Name, 1)), rendez.Score(key, rendez.NewSite(a.Name, 1)))
+	})
 	return hosts
 }
 
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/boragelane/boragelane/internal/core/rendez"
 	"github.com/boragelane/boragelane/internal/core/roster"
 )
 
@@ -80,6 +81,16 @@
 	Objective time.Time // An answer is worth most until then.
 	Deadline  time.Time // An answer is worth nothing after it.
 	Alone     bool      // The host that places for this one can't be reached.
+
+	hash uint64
+}
+
+// key returns the hash of the job's object, 0 for none.
+func (a *Ask) key() uint64 {
+	if a.Object != "" && a.hash == 0 {
+		a.hash = rendez.Hash(a.Object)
+	}
+	return a.hash
 }
 
 func (a *Ask) allows(region string) bool {
--- a/internal/flow/place/load.go
+++ b/internal/flow/place/load.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/boragelane/boragelane/internal/core/rendez"
 	"github.com/boragelane/boragelane/internal/core/roster"
 )
 
@@ -26,6 +27,7 @@
 // load is this host's picture of one incarnation of an upstream.
 type load struct {
 	upstream *roster.Upstream
+	site     rendez.Site
 	running  int     // This host's jobs there.
 	others   float64 // Jobs of other hosts there, as an answer told.
 	othersAt time.Time
--- a/internal/flow/place/table.go
+++ b/internal/flow/place/table.go
@@ -30,13 +30,12 @@
 	Number   uint64
 	Upstream *roster.Upstream
 
-	host   string
-	from   string // The host's failure domain.
-	until  time.Time
-	object string
-	known  bool          // The upstream is thought to remember the object.
-	work   time.Duration // What the job was expected to take there.
-	trip   time.Duration
+	host  string
+	from  string // The host's failure domain.
+	until time.Time
+	known bool          // The upstream is thought to remember the object.
+	work  time.Duration // What the job was expected to take there.
+	trip  time.Duration
 }
 
 // waiter is a job without a slot.
@@ -85,7 +84,7 @@
 		if l != nil {
 			running = l.running
 		}
-		l = &load{running: running, ratio: 1}
+		l = &load{running: running, ratio: 1, site: rendez.NewSite(u.ID, 1)}
 		t.loads[u.ID] = l
 	}
 	l.upstream = u
@@ -190,18 +189,46 @@
 	t.waiters = slices.Insert(t.waiters, at, w)
 }
 
-// wake gives free slots to waiters in their order.
+// wakeMost bounds the waiters that look anew for an upstream at one time: each looks at all of its service's.
+const wakeMost = 32
+
+// wake lets waiters look anew, the first ones in their order.
 func (t *Table) wake(now time.Time) {
+	looked := 0
 	t.waiters = slices.DeleteFunc(t.waiters, func(w *waiter) bool {
-		g, _ := t.take(now, w)
-		if g == nil {
-			return false
-		}
-		w.ready <- g
-		return true
+		looked++
+		return looked <= wakeMost && t.serve(now, w)
 	})
 }
 
+// freed gives a slot of an upstream that has become free to a waiter: to the first that waits for it, or else to
+// the first of its service that would go there now.
+func (t *Table) freed(now time.Time, l *load) {
+	for _, wanted := range []bool{true, false} {
+		looked := 0
+		t.waiters = slices.DeleteFunc(t.waiters, func(w *waiter) bool {
+			if l.running >= l.share || w.ask.Service != l.upstream.Service || (w.wants == l) != wanted || looked >= freedMost {
+				return false
+			}
+			looked++
+			return t.serve(now, w)
+		})
+	}
+}
+
+// freedMost bounds the waiters that look at an upstream that has become free.
+const freedMost = 4
+
+// serve gives a waiter its upstream if it has a free slot.
+func (t *Table) serve(now time.Time, w *waiter) bool {
+	g, _ := t.take(now, w)
+	if g == nil {
+		return false
+	}
+	w.ready <- g
+	return true
+}
+
 // latePart is the part of its time that a late job may wait for a slot that nobody else needs.
 const latePart = 0.4
 
@@ -239,10 +266,10 @@
 	u, ask := l.upstream, &w.ask
 	g := &Grant{
 		Number: w.number, Upstream: u, host: ask.Host.Name, from: ask.Host.Domain, until: ask.Deadline.Add(grantSlack),
-		object: ask.Object, known: l.memory.holds(ask.Object), trip: t.trips.expect(&ask.Host, u),
+		known: l.memory.holds(ask.key()), trip: t.trips.expect(&ask.Host, u),
 	}
 	g.work = t.work(u.Service).expect(g.known)
-	l.memory = l.memory.add(ask.Object)
+	l.memory = l.memory.add(ask.key())
 	t.grants[g.Number] = g
 	return g
 }
@@ -260,7 +287,7 @@
 func (t *Table) expect(now time.Time, l *load, ask *Ask, wait bool) time.Duration {
 	w := t.work(l.upstream.Service)
 	d := t.trips.expect(&ask.Host, l.upstream) + detour[tierOf(&ask.Host, l.upstream)]
-	d += time.Duration(l.ratio * (1 + failPenalty*l.failing) * float64(w.expect(l.memory.holds(ask.Object))))
+	d += time.Duration(l.ratio * (1 + failPenalty*l.failing) * float64(w.expect(l.memory.holds(ask.key()))))
 	if wait {
 		d += time.Duration(l.crowd() * l.ratio * float64(w.mean()))
 	}
@@ -273,7 +300,7 @@
 func (t *Table) candidates(now time.Time, ask *Ask) []Candidate {
 	ups := t.view.Upstreams[ask.Service]
 	out := make([]Candidate, 0, len(ups))
-	key := rendez.Hash(ask.Object)
+	key := ask.key()
 	guest := t.guest(now, ask, ups)
 	for _, u := range ups {
 		l := t.loads[u.ID]
@@ -292,7 +319,7 @@
 		}
 		c.Cost = t.expect(now, l, ask, true)
 		if ask.Object != "" {
-			c.Score = rendez.Score(key, rendez.NewSite(u.ID, 1))
+			c.Score = rendez.Score(key, l.site)
 		}
 		out = append(out, c)
 	}
@@ -351,7 +378,7 @@
 			t.work(g.Upstream.Service).learn(g.known, r.Took-g.trip)
 		}
 	}
-	t.wake(now)
+	t.freed(now, l)
 }
 
 // Find returns a grant by its number, or nil.
--- a/internal/flow/place/work.go
+++ b/internal/flow/place/work.go
@@ -60,14 +60,14 @@
 	}
 }
 
-// memory is the objects that an upstream was last sent, the newest last.
-type memory []string
+// memory is the hashes of the objects that an upstream was last sent, the newest last.
+type memory []uint64
 
-func (m memory) holds(object string) bool { return object != "" && slices.Contains(m, object) }
+func (m memory) holds(object uint64) bool { return object != 0 && slices.Contains(m, object) }
 
 // add notes an object, and forgets the oldest.
-func (m memory) add(object string) memory {
-	if object == "" {
+func (m memory) add(object uint64) memory {
+	if object == 0 {
 		return m
 	}
 	if at := slices.Index(m, object); at >= 0 {
