--- a/internal/flow/place/load.go
+++ b/internal/flow/place/load.go
@@ -82,6 +82,17 @@
 	}
 }
 
+// healing is the part of an upstream's difference from its service that is forgiven with each sweep in which it had
+// no job: only jobs could show that it has recovered.
+const healing = 0.1
+
+func (l *load) heal() {
+	if l.running == 0 {
+		l.ratio += healing * (1 - l.ratio)
+		l.failing *= 1 - healing
+	}
+}
+
 // Result is how a job ended at an upstream.
 type Result struct {
 	Took    time.Duration
--- a/internal/flow/place/table.go
+++ b/internal/flow/place/table.go
@@ -33,6 +33,8 @@
 	host  string
 	from  string // The host's failure domain.
 	until time.Time
+	depth int           // How many other objects the upstream was sent since this one.
+	sent  bool          // It was sent this one lately.
 	known bool          // The upstream is thought to remember the object.
 	work  time.Duration // What the job was expected to take there.
 	trip  time.Duration
@@ -96,6 +98,9 @@
 // orphans ends the grants of hosts that are gone, and those whose end was never told.
 func (t *Table) orphans(now time.Time) {
 	t.swept = now
+	for _, l := range t.loads {
+		l.heal()
+	}
 	live := map[string]bool{t.view.Self.Name: true}
 	for i := range t.view.Hosts {
 		live[t.view.Hosts[i].Name] = true
@@ -246,7 +251,7 @@
 		return t.grant(now, l, w), now
 	}
 	w.want(l)
-	until := w.ask.Objective.Add(-t.expect(now, l, &w.ask, false))
+	until := w.ask.Objective.Add(-t.expect(l, &w.ask, false))
 	if !until.After(now) {
 		w.late = true
 		until = now.Add(time.Duration(latePart * float64(w.ask.Deadline.Sub(now))))
@@ -266,9 +271,12 @@
 	u, ask := l.upstream, &w.ask
 	g := &Grant{
 		Number: w.number, Upstream: u, host: ask.Host.Name, from: ask.Host.Domain, until: ask.Deadline.Add(grantSlack),
-		known: l.memory.holds(ask.key()), trip: t.trips.expect(&ask.Host, u),
+		trip: t.trips.expect(&ask.Host, u),
 	}
-	g.work = t.work(u.Service).expect(g.known)
+	k := t.work(u.Service)
+	g.depth, g.sent = l.memory.depth(ask.key())
+	g.known = k.remembers(l.memory, ask.key())
+	g.work = k.expect(g.known)
 	l.memory = l.memory.add(ask.key())
 	t.grants[g.Number] = g
 	return g
@@ -277,21 +285,23 @@
 func (t *Table) work(service string) *work {
 	w := t.works[service]
 	if w == nil {
-		w = &work{}
+		w = &work{kept: keptStart}
 		t.works[service] = w
 	}
 	return w
 }
 
-// expect returns the time that a job would take at an upstream, with the wait for a slot there or without.
-func (t *Table) expect(now time.Time, l *load, ask *Ask, wait bool) time.Duration {
+// expect returns the time that a job would take at an upstream or, as a choice should see it, what it costs with
+// the wait for a slot.
+func (t *Table) expect(l *load, ask *Ask, wait bool) time.Duration {
 	w := t.work(l.upstream.Service)
-	d := t.trips.expect(&ask.Host, l.upstream) + detour[tierOf(&ask.Host, l.upstream)]
-	d += time.Duration(l.ratio * (1 + failPenalty*l.failing) * float64(w.expect(l.memory.holds(ask.key()))))
-	if wait {
-		d += time.Duration(l.crowd() * l.ratio * float64(w.mean()))
+	d := t.trips.expect(&ask.Host, l.upstream)
+	run := l.ratio * float64(w.expect(w.remembers(l.memory, ask.key())))
+	if !wait {
+		return d + time.Duration(run)
 	}
-	return d
+	d += detour[tierOf(&ask.Host, l.upstream)] + time.Duration((1+failPenalty*l.failing)*run)
+	return d + time.Duration(l.crowd()*l.ratio*float64(w.mean()))
 }
 
 // failPenalty is how many times its work an upstream that fails always seems to cost besides.
@@ -317,7 +327,10 @@
 			}
 			c.Warming = now.Sub(l.warmed) > warmGap && ask.Rank > 0
 		}
-		c.Cost = t.expect(now, l, ask, true)
+		if float64(ask.Deadline.Sub(now)) < hopeless*float64(t.expect(l, ask, false)) {
+			continue // It would be cut off in the middle of its work.
+		}
+		c.Cost = t.expect(l, ask, true)
 		if ask.Object != "" {
 			c.Score = rendez.Score(key, l.site)
 		}
@@ -326,6 +339,10 @@
 	return out
 }
 
+// hopeless is the part of the time that a job is expected to take below which it is not begun: expectations are
+// means, and a job that has waited for most of its time only keeps others from theirs.
+const hopeless = 0.6
+
 // guestShare is how many jobs a host may have at an upstream that it does not place for.
 const guestShare = 1
 
@@ -375,12 +392,21 @@
 		l.learn(now, r)
 		t.trips.learn(g.from, g.Upstream.Domain, r.Dial)
 		if r.Good && r.Waiting == 0 {
-			t.work(g.Upstream.Service).learn(g.known, r.Took-g.trip)
+			t.learn(g, r.Took-g.trip)
 		}
 	}
 	t.freed(now, l)
 }
 
+// learn takes in the time of a job that did not wait at its upstream.
+func (t *Table) learn(g *Grant, took time.Duration) {
+	w := t.work(g.Upstream.Service)
+	w.learn(g.known, took)
+	if g.sent {
+		w.correct(g.depth, took)
+	}
+}
+
 // Find returns a grant by its number, or nil.
 func (t *Table) Find(number uint64) *Grant {
 	t.mu.Lock()
--- a/internal/flow/place/work.go
+++ b/internal/flow/place/work.go
@@ -8,8 +8,12 @@
 )
 
 const (
-	// objectsKept is how many objects an upstream is taken to remember of those that this host sent.
-	objectsKept = 20
+	// objectsMost is how many objects are noted of those that an upstream was sent.
+	objectsMost = 64
+	// keptStart is how many objects an upstream is taken to remember before any of its answers tell.
+	keptStart = 16
+	// keptWeight is the weight of an answer that tells otherwise.
+	keptWeight = 0.05
 	// workWeight is the weight of the newest sample in a service's means.
 	workWeight = 0.05
 	// workStart is the work of a request before any was seen.
@@ -23,6 +27,24 @@
 type work struct {
 	known, fresh time.Duration
 	all          time.Duration
+	kept         float64 // How many objects an upstream seems to remember.
+}
+
+// remembers tells whether an upstream is thought to remember an object.
+func (w *work) remembers(m memory, object uint64) bool {
+	depth, ok := m.depth(object)
+	return ok && float64(depth) < w.kept
+}
+
+// correct moves the number of objects that are remembered if an answer took the time of the other kind.
+func (w *work) correct(depth int, took time.Duration) {
+	if w.known == 0 || w.fresh < 2*w.known {
+		return
+	}
+	was := took < (w.known+w.fresh)/2
+	if thought := float64(depth) < w.kept; was != thought {
+		w.kept += keptWeight * (float64(depth) - w.kept)
+	}
 }
 
 // mean returns the work of a request, whatever its object.
@@ -63,7 +85,14 @@
 // memory is the hashes of the objects that an upstream was last sent, the newest last.
 type memory []uint64
 
-func (m memory) holds(object uint64) bool { return object != 0 && slices.Contains(m, object) }
+// depth returns how many other objects an upstream was sent since an object, or false if that is too long ago.
+func (m memory) depth(object uint64) (int, bool) {
+	if object == 0 {
+		return 0, false
+	}
+	at := slices.Index(m, object)
+	return len(m) - 1 - at, at >= 0
+}
 
 // add notes an object, and forgets the oldest.
 func (m memory) add(object uint64) memory {
@@ -73,7 +102,7 @@
 	if at := slices.Index(m, object); at >= 0 {
 		m = slices.Delete(m, at, at+1)
 	}
-	if len(m) >= objectsKept {
+	if len(m) >= objectsMost {
 		m = slices.Delete(m, 0, 1)
 	}
 	return append(m, object)
