--- a/internal/flow/place/table.go
+++ b/internal/flow/place/table.go
@@ -300,7 +300,12 @@
 	if !wait {
 		return d + time.Duration(run)
 	}
-	d += detour[tierOf(&ask.Host, l.upstream)] + time.Duration((1+failPenalty*l.failing)*run)
+	if tier := tierOf(&ask.Host, l.upstream); tier == Far && t.view.User(l.upstream) == t.view.Self.Region {
+		d /= 2 // Borrowed upstreams are used nearly as much as others: the part of jobs that leave the region changes slowly.
+	} else {
+		d += detour[tier]
+	}
+	d += time.Duration((1 + failPenalty*l.failing) * run)
 	return d + time.Duration(l.crowd()*l.ratio*float64(w.mean()))
 }
 
