--- a/internal/ctrl/watch/fold.go
+++ b/internal/ctrl/watch/fold.go
@@ -185,15 +185,10 @@
 	}
 	u := c.Upstream
 	u.Reported = now
-	if known && (u.Born < old.Born || u.Born == old.Born && u.Seq < old.Seq) {
+	if known && older(&u, &old) {
 		return Note{}
 	}
-	if g, ok := s.graves[c.Name]; ok && u.Born <= g.born {
-		u.Draining = true
-	}
-	if u.Draining {
-		s.graves[c.Name] = grave{born: u.Born, at: now}
-	}
+	s.bury(&u, now)
 	delete(s.lapsed, c.Kind.String()+c.Name)
 	s.upstreams[c.Name] = u
 	switch {
@@ -207,6 +202,21 @@
 	return Note{}
 }
 
+// older tells whether a report was made before another one of the same upstream.
+func older(u, than *roster.Upstream) bool {
+	return u.Born < than.Born || u.Born == than.Born && u.Seq < than.Seq
+}
+
+// bury remembers an incarnation that leaves; a report of it that is written late does not bring it back.
+func (s *State) bury(u *roster.Upstream, now time.Time) {
+	if g, ok := s.graves[u.ID]; ok && u.Born <= g.born {
+		u.Draining = true
+	}
+	if u.Draining {
+		s.graves[u.ID] = grave{born: u.Born, at: now}
+	}
+}
+
 // vanish drops a removed entry at once, or after a grace if it may have lapsed while the store was away.
 func (s *State) vanish(c *roster.Change, now time.Time) Note {
 	until := s.back.Add(lapseGrace)
--- a/internal/ctrl/watch/reader.go
+++ b/internal/ctrl/watch/reader.go
@@ -34,8 +34,8 @@
 	// readPeriod is the least time between two reads: reports of upstreams come all the time, each call is
 	// priced, and news must be in force within 2.5 s.
 	readPeriod = 500 * time.Millisecond
-	// readWait is how long a read waits for a change. A silent connection is noticed that late.
-	readWait = 1500 * time.Millisecond
+	// readWait is how long a read waits for a change: less than newsLife, so that a quiet store is no lost one.
+	readWait = 800 * time.Millisecond
 	// retryLeast and retryMost bound the delay after a failed read, which doubles.
 	retryLeast = 250 * time.Millisecond
 	retryMost  = time.Second
--- a/internal/edge/dialer/dialer.go
+++ b/internal/edge/dialer/dialer.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -76,11 +77,11 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = l.SetDeadline(time.Unix(1, 0)) })
 	r.Sent = true
-	resp, written, err := s.exchange(job, u, l, &r)
-	if !stop() || err != nil || resp.Close || !written {
+	life, err := s.exchange(job, u, l, &r)
+	if !stop() || err != nil || life <= 0 {
 		_ = l.Close()
 	} else {
-		s.pool.put(s.Clock(), key(u), l, keep(resp))
+		s.pool.put(s.Clock(), key(u), l, life)
 	}
 	if err != nil {
 		r.Err = err
@@ -90,8 +91,8 @@
 	return r
 }
 
-// exchange writes the request and reads its answer; it reports whether the whole request was written.
-func (s *Sender) exchange(job *pipe.Job, u *roster.Upstream, l *link, r *pipe.Reply) (*http.Response, bool, error) {
+// exchange writes the request and reads its answer; it returns how long the connection may be used again.
+func (s *Sender) exchange(job *pipe.Job, u *roster.Upstream, l *link, r *pipe.Reply) (time.Duration, error) {
 	req := s.request(job, u)
 	wrote := make(chan error, 1)
 	if len(job.Body) == 0 {
@@ -100,33 +101,35 @@
 		// An upstream may answer before it has read a long body.
 		go func() { wrote <- req.Write(l) }()
 	}
-	resp, body, err := s.read(req, job.ID, l)
+	head, body, err := s.read(req, job.ID, l)
 	if err != nil {
-		return nil, false, err
+		return 0, err
 	}
-	s.fill(resp, body, r)
+	s.fill(head, body, r)
 	select {
 	case err := <-wrote:
-		return resp, err == nil, nil
-	default:
-		return resp, false, nil
+		if err == nil && !head.Close {
+			return keep(head.Header), nil
+		}
+	default: // The rest of the body is due on this connection, and nothing else.
 	}
+	return 0, nil
 }
 
 func (s *Sender) request(job *pipe.Job, u *roster.Upstream) *http.Request {
-	head := http.Header{}
-	for k, v := range job.Header {
-		head[k] = v
+	fields := http.Header(maps.Clone(job.Header))
+	if fields == nil {
+		fields = http.Header{}
 	}
-	head.Set(s.Names.Target, u.ID)
+	fields.Set(s.Names.Target, u.ID)
 	left := job.Deadline.Sub(s.Clock()) - backMargin
-	head.Set(s.Names.Deadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
-	if _, ok := head["User-Agent"]; !ok {
-		head["User-Agent"] = nil // Keeps the library from adding one.
+	fields.Set(s.Names.Deadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	if _, ok := fields["User-Agent"]; !ok {
+		fields["User-Agent"] = nil // Keeps the library from adding one.
 	}
 	req := &http.Request{
 		Method: job.Method, URL: &url.URL{Scheme: "http", Host: job.Host, Opaque: job.Path}, Host: job.Host,
-		Header: head, ContentLength: int64(len(job.Body)), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: fields, ContentLength: int64(len(job.Body)), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	if len(job.Body) > 0 {
 		req.Body = io.NopCloser(bytes.NewReader(job.Body))
@@ -135,54 +138,67 @@
 }
 
 // read returns the job's answer; late answers to earlier requests come first and are skipped.
-func (s *Sender) read(req *http.Request, id string, l *link) (*http.Response, []byte, error) {
+func (s *Sender) read(req *http.Request, id string, l *link) (head, []byte, error) {
 	for range strays {
-		resp, err := http.ReadResponse(l.reader, req)
+		h, body, err := next(req, l)
 		if err != nil {
-			return nil, nil, err
+			return head{}, nil, err
 		}
-		if resp.StatusCode < http.StatusOK {
+		if h.Status < http.StatusOK {
 			continue
 		}
-		body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
-		if err != nil {
-			return nil, nil, err
-		}
-		if len(body) > maxAnswer {
-			return nil, nil, ErrAnswer.New("an answer has over %d bytes", maxAnswer)
+		if echo := h.Header.Get(s.Names.ID); echo == "" || echo == id {
+			return h, body, nil
 		}
-		if echo := resp.Header.Get(s.Names.ID); echo != "" && echo != id {
-			if resp.Close {
-				return nil, nil, ErrAnswer.New("an answer to request %s came in place of %s", echo, id)
-			}
-			continue
+		if h.Close {
+			return head{}, nil, ErrAnswer.New("an answer to another request came in place of %s", id)
 		}
-		return resp, body, nil
 	}
-	return nil, nil, ErrAnswer.New("too many answers to other requests")
+	return head{}, nil, ErrAnswer.New("too many answers to other requests")
+}
+
+// head is an answer without its body.
+type head struct {
+	Status int
+	Header http.Header
+	Close  bool // The connection ends with it.
+}
+
+// next reads the next answer on a connection to its end.
+func next(req *http.Request, l *link) (head, []byte, error) {
+	resp, err := http.ReadResponse(l.reader, req)
+	if err != nil {
+		return head{}, nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	if err == nil && len(body) > maxAnswer {
+		err = ErrAnswer.New("an answer has over %d bytes", maxAnswer)
+	}
+	return head{Status: resp.StatusCode, Header: resp.Header, Close: resp.Close}, body, err
 }
 
 // fill takes over what an answer says.
-func (s *Sender) fill(resp *http.Response, body []byte, r *pipe.Reply) {
-	h := resp.Header
+func (s *Sender) fill(a head, body []byte, r *pipe.Reply) {
+	h := a.Header
 	r.ID = h.Get(s.Names.ID)
 	r.Report = report(h.Get(s.Names.Load))
-	r.Draining = resp.Close
+	r.Draining = a.Close
 	switch {
-	case resp.StatusCode == http.StatusMisdirectedRequest:
+	case a.Status == http.StatusMisdirectedRequest:
 		r.Moved = true
 		return
 	case h.Get(s.Names.NotExecuted) != "":
 		r.Shed = true
 		return
 	}
-	good := resp.StatusCode < http.StatusMultipleChoices
+	good := a.Status < http.StatusMultipleChoices
 	signed := h.Get(s.Names.Signature) != "" && r.ID != ""
 	r.Whole = signed || !good
 	if good && !signed {
 		r.Err = ErrAnswer.New("an answer bears no signature")
 	}
-	r.Answer = pipe.Answer{Status: resp.StatusCode, Type: h.Get("Content-Type"), Header: h, Body: body}
+	r.Answer = pipe.Answer{Status: a.Status, Type: h.Get("Content-Type"), Header: h, Body: body}
 }
 
 // report reads an upstream's load: running, waiting, slots.
@@ -203,8 +219,8 @@
 }
 
 // keep returns how long a connection may be used again after an answer.
-func keep(resp *http.Response) time.Duration {
-	for _, field := range strings.Split(resp.Header.Get("Keep-Alive"), ",") {
+func keep(h http.Header) time.Duration {
+	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
 		name, value, ok := strings.Cut(strings.TrimSpace(field), "=")
 		if !ok || !strings.EqualFold(name, "timeout") {
 			continue
--- a/internal/flow/place/load.go
+++ b/internal/flow/place/load.go
@@ -29,10 +29,7 @@
 	upstream *roster.Upstream
 	site     rendez.Site
 	running  int     // This host's jobs there.
-	others   float64 // Jobs of other hosts there, as an answer told.
-	othersAt time.Time
 	share    int     // Jobs that this host may have there.
-	seen     float64 // Free slots when they were last counted.
 	queued   int     // Jobs that wait for it.
 	ratio    float64 // Its work against what its service's requests are expected to take.
 	memory   memory
--- a/internal/flow/serve/serve.go
+++ b/internal/flow/serve/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -144,7 +145,7 @@
 		job.Refuse(pipe.Refused, "no connection to the upstream")
 	case !r.Sent:
 		job.Refuse(pipe.Expired, "the job's time ended before it was sent")
-	case context.Cause(ctx) == context.Canceled:
+	case errors.Is(context.Cause(ctx), context.Canceled):
 		job.Lose(pipe.CallerGone, "the caller left")
 	case ctx.Err() != nil:
 		job.Lose(pipe.TimedOut, "no answer in the job's time")
