--- /dev/null
+++ b/internal/edge/dialer/dialer_test.go
@@ -0,0 +1,198 @@
+package dialer
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/boragelane/boragelane/internal/core/roster"
+	"github.com/boragelane/boragelane/internal/flow/pipe"
+)
+
+var testNames = Names{ID: "X-Id", Deadline: "X-Left", Target: "X-Target", Signature: "X-Sig", NotExecuted: "X-Not", Load: "X-Load"}
+
+// fake is an upstream that answers each request with the raw bytes that a function returns; it closes the
+// connection after an answer that ends in "!".
+func fake(t *testing.T, answer func(n int, r *http.Request) string) *roster.Upstream {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for n := 0; ; {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			br := bufio.NewReader(c)
+			for {
+				r, err := http.ReadRequest(br)
+				if err != nil {
+					break
+				}
+				text := answer(n, r)
+				n++
+				end := strings.HasSuffix(text, "!")
+				_, _ = c.Write([]byte(strings.TrimSuffix(text, "!")))
+				if end {
+					break
+				}
+			}
+			_ = c.Close()
+		}
+	}()
+	return &roster.Upstream{ID: "u1", Address: ln.Addr().String(), Slots: 2}
+}
+
+func ok(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Sig: s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func send(s *Sender, u *roster.Upstream, id string) pipe.Reply {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	job := &pipe.Job{
+		ID: id, Method: http.MethodGet, Host: "h.example", Path: "/a/b?c=%20d", Deadline: time.Now().Add(5 * time.Second),
+		Header: http.Header{"X-Id": {id}},
+	}
+	return s.Send(ctx, time.Now(), job, u)
+}
+
+func TestWhatIsSentAndWhatComesBack(t *testing.T) {
+	var got *http.Request
+	u := fake(t, func(_ int, r *http.Request) string {
+		got = r
+		return strings.Replace(ok("7", "whole"), "X-Sig", "X-Load: 1, 2,3\r\nX-Sig", 1)
+	})
+	s := New(testNames, time.Now)
+	r := send(s, u, "7")
+	assert.Assert(t, r.Whole && r.Sent)
+	assert.Equal(t, string(r.Answer.Body), "whole")
+	assert.DeepEqual(t, *r.Report, pipe.Report{Running: 1, Waiting: 2, Slots: 3})
+	assert.Equal(t, got.RequestURI, "/a/b?c=%20d")
+	assert.Equal(t, got.Header.Get("X-Target"), "u1")
+	assert.Equal(t, got.Header.Get("User-Agent"), "")
+	assert.Equal(t, got.Host, "h.example")
+}
+
+func TestOnlyWholeSignedAnswersOfTheJobArePassedOn(t *testing.T) {
+	for _, c := range []struct {
+		name, answer             string
+		whole, shed, moved, sent bool
+	}{
+		{name: "whole", answer: ok("7", "body"), whole: true, sent: true},
+		{name: "cut short", answer: "HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Sig: s\r\nContent-Length: 9\r\n\r\nbod!", sent: true},
+		{name: "cut in a chunk", answer: "HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Sig: s\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nbod!", sent: true},
+		{name: "without a length, to its end", answer: "HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Sig: s\r\n\r\nbody!", whole: true, sent: true},
+		{name: "no signature", answer: "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 1\r\n\r\nx", sent: true},
+		{name: "no id", answer: "HTTP/1.1 200 OK\r\nX-Sig: s\r\nContent-Length: 1\r\n\r\nx", sent: true},
+		{name: "another request's answer, then the job's", answer: ok("6", "late") + ok("7", "body"), whole: true, sent: true},
+		{name: "another request's answer alone", answer: ok("6", "late") + "!", sent: true},
+		{name: "not HTTP", answer: "\x00\x01garbage\r\n\r\n!", sent: true},
+		{name: "nothing", answer: "!", sent: true},
+		{name: "a failure", answer: "HTTP/1.1 500 Oops\r\nX-Id: 7\r\nContent-Length: 0\r\n\r\n", whole: true, sent: true},
+		{name: "shed", answer: "HTTP/1.1 503 Busy\r\nX-Not: 1\r\nContent-Length: 0\r\n\r\n", shed: true, sent: true},
+		{name: "503 without the promise", answer: "HTTP/1.1 503 Busy\r\nX-Id: 7\r\nContent-Length: 0\r\n\r\n", whole: true, sent: true},
+		{name: "another upstream", answer: "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n", moved: true, sent: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			u := fake(t, func(int, *http.Request) string { return c.answer })
+			r := send(New(testNames, time.Now), u, "7")
+			assert.Equal(t, r.Whole, c.whole, "%v", r.Err)
+			assert.Equal(t, r.Shed, c.shed)
+			assert.Equal(t, r.Moved, c.moved)
+			assert.Equal(t, r.Sent, c.sent)
+			assert.Assert(t, !r.Crash)
+		})
+	}
+}
+
+func TestBytesAfterAnAnswerReachNobody(t *testing.T) {
+	u := fake(t, func(n int, r *http.Request) string {
+		if n == 0 {
+			return ok("1", "first") + ok("1", "extra")
+		}
+		return ok(r.Header.Get("X-Id"), "own")
+	})
+	s := New(testNames, time.Now)
+	assert.Equal(t, string(send(s, u, "1").Answer.Body), "first")
+	time.Sleep(20 * time.Millisecond)
+	assert.Equal(t, string(send(s, u, "2").Answer.Body), "own")
+}
+
+func TestAnIdleConnectionThatWasClosedCostsNoJob(t *testing.T) {
+	u := fake(t, func(_ int, r *http.Request) string { return ok(r.Header.Get("X-Id"), "b") + "!" })
+	s := New(testNames, time.Now)
+	for _, id := range []string{"1", "2", "3"} {
+		r := send(s, u, id)
+		assert.Assert(t, r.Whole, "%s: %v", id, r.Err)
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func TestAConnectionIsUsedAgainOnlyForItsIncarnation(t *testing.T) {
+	opened := 0
+	u := fake(t, func(_ int, r *http.Request) string { return ok(r.Header.Get("X-Id"), "b") })
+	s := New(testNames, time.Now)
+	for _, born := range []int64{1, 1, 2} {
+		v := *u
+		v.Born = born
+		if r := send(s, &v, "1"); r.Dial > 0 {
+			opened++
+		}
+	}
+	assert.Equal(t, opened, 2)
+}
+
+func TestAnUpstreamThatIsDownIsToldFromOneThatLostAnAnswer(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	addr := ln.Addr().String()
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = http.ReadRequest(bufio.NewReader(c))
+		_ = ln.Close()
+		_ = c.Close()
+	}()
+	s := New(testNames, time.Now)
+	r := send(s, &roster.Upstream{ID: "u", Address: addr}, "1")
+	assert.Assert(t, r.Sent && r.Crash, "%v", r.Err)
+	r = send(s, &roster.Upstream{ID: "u", Address: addr}, "2")
+	assert.Assert(t, !r.Sent && !r.Crash)
+}
+
+func TestACallerThatLeavesEndsTheWork(t *testing.T) {
+	ended := make(chan struct{})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = ln.Close() }()
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		br := bufio.NewReader(c)
+		_, _ = http.ReadRequest(br)
+		_, _ = br.ReadByte()
+		close(ended)
+	}()
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	job := &pipe.Job{ID: "1", Method: http.MethodGet, Host: "h", Path: "/", Deadline: time.Now().Add(time.Minute)}
+	r := New(testNames, time.Now).Send(ctx, time.Now(), job, &roster.Upstream{ID: "u", Address: ln.Addr().String()})
+	assert.Assert(t, r.Sent && r.Late)
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the upstream's connection stays open")
+	}
+}
--- a/internal/edge/httpd/conn.go
+++ b/internal/edge/httpd/conn.go
@@ -50,6 +50,7 @@
 type meter struct {
 	io.Reader
 	left int64
+	err  error // The last error; the library's parser hides those in the middle of a line.
 }
 
 var errHeaderSize = errors.New("header too large")
@@ -57,10 +58,12 @@
 // Read reads from the connection within the bound.
 func (m *meter) Read(b []byte) (int, error) {
 	if m.left <= 0 {
-		return 0, errHeaderSize
+		m.err = errHeaderSize
+		return 0, m.err
 	}
 	n, err := m.Reader.Read(b)
 	m.left -= int64(n)
+	m.err = err
 	return n, err
 }
 
@@ -152,6 +155,9 @@
 	arrived := c.server.Clock()
 	_ = c.net.SetReadDeadline(arrived.Add(b.HeaderLife))
 	hr, err := http.ReadRequest(c.reader)
+	if err != nil && c.meter.err != nil {
+		err = c.meter.err
+	}
 	switch {
 	case errors.Is(err, errHeaderSize):
 		return &Request{}, http.StatusRequestHeaderFieldsTooLarge, nil
--- /dev/null
+++ b/internal/flow/place/place_test.go
@@ -0,0 +1,304 @@
+package place
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/boragelane/boragelane/internal/core/policy"
+	"github.com/boragelane/boragelane/internal/core/roster"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+var self = roster.Host{Name: "h1", Domain: "a", Region: "east"}
+
+func upstream(id, domain, region string) *roster.Upstream {
+	return &roster.Upstream{ID: id, Service: "s", Address: id, Domain: domain, Region: region, Slots: 2, Born: 1}
+}
+
+func view(list ...*roster.Upstream) *roster.View {
+	return &roster.View{
+		Self: self, Hosts: []roster.Host{self}, Upstreams: map[string][]*roster.Upstream{"s": list},
+		Policy: &policy.Policy{Services: map[string]policy.Service{"s": {ColdRate: 8, ColdLife: 3 * time.Second}}},
+	}
+}
+
+func table(list ...*roster.Upstream) *Table {
+	t := NewTable()
+	t.Update(at(0), view(list...))
+	return t
+}
+
+func ask(now time.Time) Ask {
+	return Ask{Host: self, Service: "s", Rank: 1, Objective: now.Add(400 * time.Millisecond), Deadline: now.Add(2 * time.Second)}
+}
+
+// try asks for a slot without waiting for one.
+func try(t *Table, now time.Time, a Ask) *Grant {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return t.Acquire(ctx, now, a)
+}
+
+func good(took time.Duration) Result { return Result{Took: took, Good: true} }
+
+func TestSlotsAreNeverExceededAndNearOnesGoFirst(t *testing.T) {
+	tab := table(upstream("near", "a", "east"), upstream("next", "b", "east"), upstream("far", "c", "west"))
+	got := map[string]int{}
+	for range 6 {
+		if g := try(tab, at(0), ask(at(0))); g != nil {
+			got[g.Upstream.ID]++
+		}
+	}
+	assert.DeepEqual(t, got, map[string]int{"near": 2, "next": 2}) // The other region's are not ours to use.
+}
+
+func TestABorrowedUpstreamIsUsedByTheBorrowerAlone(t *testing.T) {
+	v := view(upstream("own", "a", "east"), upstream("lent", "a", "east"), upstream("ours", "c", "west"))
+	v.Loans = map[string]string{"lent": "west", "ours": "east"}
+	tab := NewTable()
+	tab.Update(at(0), v)
+	got := map[string]int{}
+	for range 8 {
+		if g := try(tab, at(0), ask(at(0))); g != nil {
+			got[g.Upstream.ID]++
+		}
+	}
+	assert.DeepEqual(t, got, map[string]int{"own": 2, "ours": 2})
+}
+
+// Load pattern: many callers ask for few objects. Each object stays on few upstreams, where it is fast.
+func TestAnObjectReturnsToTheUpstreamThatRemembersIt(t *testing.T) {
+	tab := table(upstream("u1", "a", "east"), upstream("u2", "a", "east"), upstream("u3", "a", "east"))
+	homes := map[string]map[string]bool{}
+	now := at(0)
+	for i := range 120 {
+		a := ask(now)
+		a.Object = fmt.Sprint(i % 12)
+		g := try(tab, now, a)
+		took := 300 * time.Millisecond
+		if homes[a.Object][g.Upstream.ID] {
+			took = 90 * time.Millisecond
+		}
+		if homes[a.Object] == nil {
+			homes[a.Object] = map[string]bool{}
+		}
+		homes[a.Object][g.Upstream.ID] = true
+		now = now.Add(20 * time.Millisecond)
+		tab.Release(now, g, good(took))
+	}
+	for object, on := range homes {
+		assert.Equal(t, len(on), 1, "object %s ran on %v", object, on)
+	}
+}
+
+// Load pattern: a burst of the least urgent work, then urgent work.
+func TestUrgentJobsAreServedFirstAndLateOnesLast(t *testing.T) {
+	tab := table(upstream("u", "a", "east"))
+	now := at(0)
+	running := []*Grant{try(tab, now, ask(now)), try(tab, now, ask(now))}
+	ends := make(chan string, 4)
+	wait := func(name string, rank int, objective time.Duration) {
+		a := ask(now)
+		a.Rank, a.Objective = rank, now.Add(objective)
+		before := tab.Waiting()
+		go func() {
+			if g := tab.Acquire(context.Background(), now, a); g != nil {
+				ends <- name
+			}
+		}()
+		for tab.Waiting() == before {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	wait("late", 0, -time.Second)
+	wait("bulk", 2, 30*time.Second)
+	wait("normal", 1, 30*time.Second)
+	wait("urgent", 0, 30*time.Second)
+	order := []string{}
+	for _, g := range running {
+		tab.Release(now, g, good(time.Millisecond))
+		order = append(order, <-ends)
+	}
+	assert.DeepEqual(t, order, []string{"urgent", "normal"})
+}
+
+func TestAJobIsRefusedAtOnceWhenNothingCanServeIt(t *testing.T) {
+	tab := table()
+	begin := time.Now()
+	a := ask(at(0))
+	a.Objective = at(0)
+	assert.Assert(t, tab.Acquire(context.Background(), at(0), a) == nil)
+	assert.Assert(t, time.Since(begin) < time.Second)
+}
+
+// Load pattern: jobs that have waited for most of their time behind a full upstream.
+func TestAJobWithoutTimeForItsWorkIsNotBegun(t *testing.T) {
+	tab := table(upstream("u", "a", "east"))
+	now := at(0)
+	for range 20 {
+		g := try(tab, now, ask(now))
+		tab.Release(now, g, good(time.Second))
+	}
+	a := ask(now)
+	a.Deadline = now.Add(400 * time.Millisecond)
+	assert.Assert(t, try(tab, now, a) == nil)
+	a.Deadline = now.Add(900 * time.Millisecond)
+	assert.Assert(t, try(tab, now, a) != nil)
+}
+
+// A cold upstream bears a rate; it gets less than that in any second, and gets something.
+func TestAColdUpstreamGetsLessThanItsRate(t *testing.T) {
+	cold := upstream("cold", "a", "east")
+	cold.Cold, cold.Reported = 3*time.Second, at(0)
+	tab := table(cold, upstream("warm", "a", "east"))
+	var times []time.Duration
+	for d := time.Duration(0); d < 3*time.Second; d += 5 * time.Millisecond {
+		now := at(d)
+		a := ask(now)
+		if g := try(tab, now, a); g != nil {
+			if g.Upstream.ID == "cold" {
+				times = append(times, d)
+			}
+			tab.Release(now, g, good(time.Millisecond))
+		}
+	}
+	assert.Assert(t, len(times) > 2, "%d requests warm it up", len(times))
+	for i := range times {
+		n := 0
+		for _, d := range times[i:] {
+			if d-times[i] < time.Second {
+				n++
+			}
+		}
+		assert.Assert(t, n <= 8, "%d in a second of a rate of 8", n)
+	}
+}
+
+func TestAHostAloneSendsNothingToAColdUpstream(t *testing.T) {
+	cold := upstream("cold", "a", "east")
+	cold.Cold, cold.Reported = 3*time.Second, at(0)
+	tab := table(cold)
+	a := ask(at(time.Second))
+	a.Alone = true
+	assert.Assert(t, try(tab, at(time.Second), a) == nil)
+	a.Alone = false
+	assert.Assert(t, try(tab, at(time.Second), a) != nil)
+}
+
+// Load pattern: upstreams that crash, or fail most of their requests while they say that they are well.
+func TestABrokenUpstreamIsLeftAloneAndTriedAgainLater(t *testing.T) {
+	tab := table(upstream("bad", "a", "east"), upstream("other", "b", "east"))
+	now := at(0)
+	g := try(tab, now, ask(now))
+	assert.Equal(t, g.Upstream.ID, "bad")
+	tab.Release(now, g, Result{Broken: true})
+	assert.Equal(t, try(tab, now, ask(now)).Upstream.ID, "other")
+	now = at(ejectLeast + time.Millisecond)
+	assert.Equal(t, try(tab, now, ask(now)).Upstream.ID, "bad")
+}
+
+func TestAnUpstreamThatFailsMostOfItsJobsIsEjected(t *testing.T) {
+	tab := table(upstream("grey", "a", "east"))
+	now := at(0)
+	for i := range 12 {
+		g := try(tab, now, ask(now))
+		if g == nil {
+			return
+		}
+		tab.Release(now, g, Result{Took: time.Millisecond, Good: i%2 == 0})
+	}
+	t.Fatal("half of its jobs failed, and it is still in use")
+}
+
+func TestAnOldEjectionDoesNotBindANewIncarnation(t *testing.T) {
+	tab := table(upstream("u", "a", "east"))
+	tab.Release(at(0), try(tab, at(0), ask(at(0))), Result{Broken: true})
+	assert.Assert(t, try(tab, at(0), ask(at(0))) == nil)
+	again := upstream("u", "a", "east")
+	again.Born = 2
+	tab.Update(at(time.Millisecond), view(again))
+	assert.Assert(t, try(tab, at(time.Millisecond), ask(at(0))) != nil)
+}
+
+func TestGrantsOfAHostThatIsGoneAreFreed(t *testing.T) {
+	u := upstream("u", "a", "east")
+	v := view(u)
+	other := roster.Host{Name: "h2", Domain: "b", Region: "east"}
+	v.Hosts = append(v.Hosts, other)
+	tab := NewTable()
+	tab.Update(at(0), v)
+	a := ask(at(0))
+	a.Host = other
+	assert.Assert(t, try(tab, at(0), a) != nil && try(tab, at(0), a) != nil)
+	assert.Assert(t, try(tab, at(0), ask(at(0))) == nil)
+	tab.Update(at(time.Second), view(u))
+	assert.Assert(t, try(tab, at(time.Second), ask(at(time.Second))) != nil)
+}
+
+func TestAGrantThatNobodyEndsRunsOut(t *testing.T) {
+	tab := table(upstream("u", "a", "east"))
+	first := try(tab, at(0), ask(at(0)))
+	assert.Assert(t, first != nil && try(tab, at(0), ask(at(0))) != nil)
+	later := at(2*time.Second + grantSlack + time.Millisecond)
+	tab.Pump(later)
+	assert.Assert(t, try(tab, later, ask(later)) != nil)
+	tab.Release(later, first, good(time.Second)) // A late end frees nothing twice.
+	assert.Assert(t, try(tab, later, ask(later)) != nil)
+	assert.Assert(t, try(tab, later, ask(later)) == nil)
+}
+
+func TestHowMuchUpstreamsRememberIsLearned(t *testing.T) {
+	w := &work{kept: keptStart, known: 100 * time.Millisecond, fresh: 300 * time.Millisecond}
+	for range 200 {
+		w.correct(12, 300*time.Millisecond) // Forgotten after twelve other objects.
+		w.correct(6, 100*time.Millisecond)  // Remembered after six.
+	}
+	assert.Assert(t, w.kept > 6 && w.kept <= 12.1, "%.1f", w.kept)
+}
+
+// Slots, tokens and counts hold under any order of grants, ends, losses and views.
+func TestTheTableKeepsItsBooks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ups := []*roster.Upstream{upstream("u1", "a", "east"), upstream("u2", "b", "east"), upstream("u3", "c", "west")}
+		tab := table(ups...)
+		now := at(0)
+		open := []*Grant{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				a := ask(now)
+				a.Object = rapid.SampledFrom([]string{"", "x", "y"}).Draw(t, "object")
+				a.Alone = rapid.IntRange(0, 4).Draw(t, "alone") == 0
+				if g := try(tab, now, a); g != nil {
+					open = append(open, g)
+				}
+			case 2:
+				if len(open) > 0 {
+					i := rapid.IntRange(0, len(open)-1).Draw(t, "which")
+					r := Result{Took: 50 * time.Millisecond, Good: rapid.Bool().Draw(t, "good"), Broken: rapid.IntRange(0, 5).Draw(t, "broken") == 0}
+					tab.Release(now, open[i], r)
+					open = append(open[:i], open[i+1:]...)
+				}
+			case 3:
+				tab.Pump(now)
+			case 4:
+				keep := rapid.IntRange(1, 3).Draw(t, "keep")
+				tab.Update(now, view(ups[:keep]...))
+			}
+			for id, l := range tab.loads {
+				if l.running < 0 || l.running > l.upstream.Slots+guestShare || l.queued != 0 {
+					t.Fatalf("%s runs %d of %d, %d wait", id, l.running, l.upstream.Slots, l.queued)
+				}
+			}
+		}
+	})
+}
--- a/internal/flow/place/table.go
+++ b/internal/flow/place/table.go
@@ -36,7 +36,7 @@
 	depth int           // How many other objects the upstream was sent since this one.
 	sent  bool          // It was sent this one lately.
 	known bool          // The upstream is thought to remember the object.
-	work  time.Duration // What the job was expected to take there.
+	work  time.Duration // What the job was expected to take there; 0 if nothing is known.
 	trip  time.Duration
 }
 
@@ -276,7 +276,9 @@
 	k := t.work(u.Service)
 	g.depth, g.sent = l.memory.depth(ask.key())
 	g.known = k.remembers(l.memory, ask.key())
-	g.work = k.expect(g.known)
+	if k.seen(g.known) {
+		g.work = k.expect(g.known)
+	}
 	l.memory = l.memory.add(ask.key())
 	t.grants[g.Number] = g
 	return g
@@ -419,6 +421,13 @@
 	return t.grants[number]
 }
 
+// Waiting returns how many jobs wait for a slot.
+func (t *Table) Waiting() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.waiters)
+}
+
 // sweepPeriod is how often grants that nobody ended are looked for.
 const sweepPeriod = 500 * time.Millisecond
 
--- a/internal/flow/place/work.go
+++ b/internal/flow/place/work.go
@@ -68,6 +68,9 @@
 	return workStart
 }
 
+// seen tells whether a request of one kind has been seen.
+func (w *work) seen(known bool) bool { return known && w.known > 0 || !known && w.fresh > 0 }
+
 // learn takes in the time of a request that did not wait at its upstream.
 func (w *work) learn(known bool, took time.Duration) {
 	mean := &w.fresh
--- a/internal/host/lines/lines.go
+++ b/internal/host/lines/lines.go
@@ -31,6 +31,9 @@
 	go func() {
 		defer close(w.Done)
 		for line := range w.queue {
+			if line == nil {
+				return // The end.
+			}
 			if _, err := out.Write(line); err != nil {
 				w.Dropped()
 			}
@@ -57,15 +60,16 @@
 	if w.closed.Swap(true) {
 		return
 	}
-	w.queue <- nil
 	t := time.NewTimer(most)
 	defer t.Stop()
-	for len(w.queue) > 0 {
-		select {
-		case <-t.C:
-			return
-		case <-time.After(time.Millisecond):
-		}
+	select {
+	case w.queue <- nil:
+	case <-t.C:
+		return
+	}
+	select {
+	case <-w.Done:
+	case <-t.C:
 	}
 }
 
