fix: each crash of a job's tries is noted, not the last alone

Cause: a repeatable job is tried twice for one request; when both upstreams crashed, only the second was noted, so two hosts let one request crash six upstreams of six.

--- /dev/null
+++ b/internal/edge/broker/broker_test.go
@@ -0,0 +1,186 @@
+package broker
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/boragelane/boragelane/internal/core/policy"
+	"github.com/boragelane/boragelane/internal/core/roster"
+	"github.com/boragelane/boragelane/internal/ctrl/deal"
+	"github.com/boragelane/boragelane/internal/ctrl/watch"
+	"github.com/boragelane/boragelane/internal/flow/place"
+)
+
+// control answers as a host's control would.
+type control struct{ asked atomic.Int64 }
+
+func (c *control) Ask(_ context.Context, a deal.Ask) (deal.Loans, bool) {
+	c.asked.Add(1)
+	return deal.Loans{"u1": a.Region}, true
+}
+
+func (c *control) News(_ context.Context, after int64) (watch.News, bool) {
+	u := roster.Upstream{ID: "u9", Cold: 5 * time.Second, Reported: time.Now().Add(-time.Second)}
+	return watch.News{Batch: roster.Batch{Revision: after + 1, Changes: []roster.Change{{Kind: roster.UpstreamKind, Name: "u9", Upstream: u}}}, Age: time.Second}, true
+}
+
+// pair is a host that places, and one that asks it.
+type pair struct {
+	view   *roster.View
+	tables [2]*place.Table
+	placer *Placer
+	ln     net.Listener
+	kill   context.CancelFunc
+}
+
+func newPair(t *testing.T) *pair {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	first := roster.Host{Name: "h1", Domain: "a", Region: "east", Peer: ln.Addr().String(), Cores: 2}
+	second := roster.Host{Name: "h2", Domain: "b", Region: "east", Peer: "127.0.0.1:1", Cores: 1}
+	u := &roster.Upstream{ID: "u1", Service: "s", Address: "x", Domain: "a", Region: "east", Slots: 2}
+	v := roster.View{
+		Hosts: []roster.Host{first, second}, Upstreams: map[string][]*roster.Upstream{"s": {u}}, Policy: &policy.Policy{},
+	}
+	p := &pair{ln: ln}
+	for i, self := range []roster.Host{first, second} {
+		own := v
+		own.Self = self
+		p.tables[i] = place.NewTable()
+		p.tables[i].Update(time.Now(), &own)
+		p.view = &own
+	}
+	ctx, kill := context.WithCancel(context.Background())
+	p.kill = kill
+	c := &control{}
+	s := &Server{Dealer: c, Teller: c, Table: p.tables[0], Clock: time.Now, Done: make(chan struct{})}
+	go s.Serve(ctx, ln)
+	p.placer = NewPlacer(p.tables[1], func() *roster.View { return p.view }, time.Now)
+	t.Cleanup(func() { kill(); p.placer.Close() })
+	return p
+}
+
+func (p *pair) ask() place.Ask {
+	now := time.Now()
+	return place.Ask{Host: p.view.Self, Service: "s", Objective: now.Add(5 * time.Second), Deadline: now.Add(9 * time.Second)}
+}
+
+func (p *pair) take(ctx context.Context) *place.Grant {
+	return p.placer.Acquire(ctx, time.Now(), p.ask())
+}
+
+func TestOneHostPlacesTheJobsOfItsRegion(t *testing.T) {
+	p := newPair(t)
+	a, b := p.take(context.Background()), p.take(context.Background())
+	assert.Assert(t, a != nil && b != nil)
+	got := make(chan *place.Grant)
+	go func() { got <- p.take(context.Background()) }()
+	select {
+	case <-got:
+		t.Fatal("a third job on two slots")
+	case <-time.After(100 * time.Millisecond):
+	}
+	p.placer.Release(time.Now(), a, place.Result{Took: time.Millisecond, Good: true})
+	assert.Assert(t, <-got != nil)
+}
+
+func TestAWaitThatIsGivenUpTakesNoSlot(t *testing.T) {
+	p := newPair(t)
+	a := p.take(context.Background())
+	_ = p.take(context.Background())
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	assert.Assert(t, p.take(ctx) == nil)
+	p.placer.Release(time.Now(), a, place.Result{Quiet: true})
+	assert.Assert(t, p.take(context.Background()) != nil)
+}
+
+func TestTheNextHostPlacesWhenTheFirstIsGone(t *testing.T) {
+	p := newPair(t)
+	_ = p.take(context.Background())
+	p.kill()
+	time.Sleep(50 * time.Millisecond)
+	assert.Assert(t, p.take(context.Background()) != nil && p.take(context.Background()) != nil)
+}
+
+func TestAHostThatCanReachNoPlacerGoesOnAlone(t *testing.T) {
+	p := newPair(t)
+	p.kill()
+	v := *p.view
+	v.Hosts = append([]roster.Host{
+		{Name: "x1", Region: "east", Peer: "127.0.0.1:1", Cores: 9}, {Name: "x2", Region: "east", Peer: "127.0.0.1:2", Cores: 9},
+	}, v.Hosts...)
+	p.view = &v
+	begin := time.Now()
+	assert.Assert(t, p.take(context.Background()) != nil)
+	assert.Assert(t, time.Since(begin) < 2*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	assert.Assert(t, p.take(ctx) == nil, "one job at an upstream, and no more, while alone")
+}
+
+// A host that is frozen keeps its connections and answers nothing.
+func TestAPlacerThatAnswersNothingIsLeft(t *testing.T) {
+	p := newPair(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = ln.Close() }()
+	go func() {
+		for {
+			if _, err := ln.Accept(); err != nil {
+				return
+			}
+		}
+	}()
+	v := *p.view
+	v.Hosts = []roster.Host{{Name: "h1", Region: "east", Peer: ln.Addr().String(), Cores: 2}, v.Self}
+	p.view = &v
+	begin := time.Now()
+	assert.Assert(t, p.take(context.Background()) != nil)
+	assert.Assert(t, time.Since(begin) < 5*time.Second)
+}
+
+func TestAnUpstreamThatThisHostKnowsToLeaveIsGivenBack(t *testing.T) {
+	p := newPair(t)
+	v := *p.view
+	v.Upstreams = map[string][]*roster.Upstream{}
+	p.view = &v
+	assert.Assert(t, p.take(context.Background()) == nil)
+	u := &roster.Upstream{ID: "u1", Service: "s", Slots: 2}
+	v.Upstreams = map[string][]*roster.Upstream{"s": {u}}
+	for range 2 {
+		assert.Assert(t, p.take(context.Background()) != nil)
+	}
+}
+
+func TestNewsAndLoansCross(t *testing.T) {
+	p := newPair(t)
+	r := NewRelay(time.Now)
+	defer r.Close()
+	n, err := r.News(context.Background(), p.view.Hosts[0], 41)
+	assert.NilError(t, err)
+	assert.Equal(t, n.Batch.Revision, int64(42))
+	cold := n.Batch.Changes[0].Upstream.Cold
+	assert.Assert(t, cold > 3*time.Second && cold <= 4*time.Second, "%s of 5 s are left after 1 s", cold)
+
+	given := make(chan deal.Loans, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	a := &Asker{
+		Needer: p.tables[1], Local: &control{}, View: func() *roster.View { return p.view }, Clock: time.Now, Done: make(chan struct{}),
+		Give: func(l deal.Loans) {
+			select {
+			case given <- l:
+			default:
+			}
+		}, Lost: func(string, error) {},
+	}
+	go a.Run(ctx)
+	assert.DeepEqual(t, <-given, deal.Loans{"u1": "east"})
+	cancel()
+	<-a.Done
+}
--- a/internal/edge/broker/placer.go
+++ b/internal/edge/broker/placer.go
@@ -31,14 +31,17 @@
 // Close ends the connections to other hosts.
 func (p *Placer) Close() { p.peers.close() }
 
-// triesMost is how many hosts are asked to place one job.
+// triesMost is how many hosts are asked to place one job; the one after them places if they can't be reached.
 const triesMost = 2
 
 // Acquire returns an upstream for a job, or nil if none is free in time.
 func (p *Placer) Acquire(ctx context.Context, now time.Time, ask place.Ask) *place.Grant {
 	v := p.View()
 	tries := 0
-	for _, h := range v.Placers(v.Self.Region, ask.Service) {
+	for i, h := range v.Placers(v.Self.Region, ask.Service) {
+		if i > triesMost {
+			break // Were all hosts to place when they can reach no other, they would fill each slot many times.
+		}
 		if h.Name == v.Self.Name {
 			return p.Table.Acquire(ctx, now, ask)
 		}
--- a/internal/flow/guard/guard.go
+++ b/internal/flow/guard/guard.go
@@ -101,12 +101,15 @@
 	}
 }
 
-// Finish notes a crash and tells the other hosts before the caller can send the job again.
+// Finish notes the crashes and tells the other hosts before the caller can send the job again.
 func (p Pipe) Finish(now time.Time, job *pipe.Job) {
-	if !job.Crashed {
-		return
+	upstreams := job.Crashes
+	if job.Crashed {
+		upstreams = append(slices.Clone(upstreams), job.Upstream.ID)
+	}
+	for _, u := range upstreams {
+		c := Crash{Digest: job.Digest, Upstream: u, At: now}
+		p.Table.Add(c)
+		p.Teller.Tell(now, c)
 	}
-	c := Crash{Digest: job.Digest, Upstream: job.Upstream.ID, At: now}
-	p.Table.Add(c)
-	p.Teller.Tell(now, c)
 }
--- a/internal/flow/pipe/job.go
+++ b/internal/flow/pipe/job.go
@@ -45,6 +45,7 @@
 	View       *roster.View
 	Route      *policy.Route
 	Objective  time.Time     // An answer is worth most until then.
+	Crashes    []string      // The upstreams of earlier tries that crashed while they ran the job.
 	MayHaveRun bool          // An earlier try may have run, whatever became of a later one.
 	Tries      int           // How many upstreams the job was sent to.
 	RetryAfter time.Duration // When a refused caller does best to come back.
--- a/internal/flow/serve/serve.go
+++ b/internal/flow/serve/serve.go
@@ -108,6 +108,9 @@
 func (p *Pipe) try(ctx context.Context, job *pipe.Job, g *place.Grant) {
 	u := g.Upstream
 	start := p.Clock()
+	if job.Crashed {
+		job.Crashes = append(job.Crashes, job.Upstream.ID)
+	}
 	job.Tries++
 	job.Upstream = pipe.Place{ID: u.ID, Address: u.Address}
 	job.Reply = p.Sender.Send(ctx, start, job, u)
