fix: a host that was cut off from the store reads on within 2 s

A call of 2.3 s that began just before the cut's end, and a delay of up to 1.5 s after it; news of the region's reader were not asked for meanwhile. Ruled out: the news themselves (the two followers of the same region heard within 30 ms).

--- a/internal/ctrl/watch/fold_test.go
+++ b/internal/ctrl/watch/fold_test.go
@@ -172,6 +172,9 @@
 		}
 		now := at(time.Minute)
 		Fold(follower, Read{Batch: reader.news(after, now).Batch}, now)
+		now = now.Add(lapseGrace + time.Second) // What a follower missed for long may have lapsed, and gets its grace.
+		Fold(reader, Tick{}, now)
+		Fold(follower, Tick{}, now)
 		want, got := ids(reader, now), ids(follower, now)
 		assertEqual(t, got, want)
 	})
--- a/internal/ctrl/watch/reader.go
+++ b/internal/ctrl/watch/reader.go
@@ -36,14 +36,15 @@
 	readPeriod = 500 * time.Millisecond
 	// readWait is how long a read waits for a change: less than newsLife, so that a quiet store is no lost one.
 	readWait = 800 * time.Millisecond
-	// retryLeast and retryMost bound the delay after a failed read, which doubles.
+	// retryLeast and retryMost bound the delay after a failed read, which doubles: with the time of a call they
+	// stay below the 3 s after which a host that was cut off counts as in touch again.
 	retryLeast = 250 * time.Millisecond
-	retryMost  = time.Second
+	retryMost  = 500 * time.Millisecond
 	// newsPeriod is the time between two questions to the host that reads for its region.
 	newsPeriod = 250 * time.Millisecond
 	// newsLife is the age of news after which a host reads the store itself: reports come more often than that.
 	newsLife = 1200 * time.Millisecond
-	// mistrust is how long a host whose news were old or did not come is not asked again.
+	// mistrust is how long a host that gave no news is not asked again.
 	mistrust = 2 * time.Second
 	// readersMost is how many hosts of a region are asked before a host reads the store itself.
 	readersMost = 2
@@ -59,6 +60,8 @@
 
 	after     int64
 	delay     time.Duration
+	lost      bool                 // The last read failed.
+	due       time.Time            // When the store may be read again.
 	distrusts map[string]time.Time // Until when a host is not asked.
 }
 
@@ -67,46 +70,52 @@
 	defer close(r.Done)
 	r.delay, r.distrusts = retryLeast, map[string]time.Time{}
 	for ctx.Err() == nil {
-		if from, ok := r.from(); ok {
-			r.ask(ctx, from)
-			continue
+		start := r.Clock()
+		switch {
+		case r.ask(ctx):
+			sleep(ctx, newsPeriod-r.Clock().Sub(start))
+		case start.Before(r.due):
+			sleep(ctx, min(newsPeriod, r.due.Sub(start)))
+		default:
+			r.read(ctx)
 		}
-		r.read(ctx)
 	}
 }
 
-// from returns the host that reads for this region, or false if this host should read the store itself.
-func (r *Reader) from() (roster.Host, bool) {
+// ask asks the hosts that read for this region; it reports false if this host should read the store itself.
+func (r *Reader) ask(ctx context.Context) bool {
 	v := r.Loop.View()
-	now, tried := r.Clock(), 0
-	for _, h := range v.Placers(v.Self.Region, readerRole) {
-		if h.Name == v.Self.Name || tried == readersMost {
-			break
+	for i, h := range v.Placers(v.Self.Region, readerRole) {
+		if h.Name == v.Self.Name || i == readersMost {
+			return false
+		}
+		if r.Clock().Before(r.distrusts[h.Name]) {
+			continue
+		}
+		n, err := r.Relay.News(ctx, h, r.after)
+		if err != nil {
+			r.distrusts[h.Name] = r.Clock().Add(mistrust)
+			continue
 		}
-		tried++
-		if now.After(r.distrusts[h.Name]) {
-			return h, true
+		if n.Age <= newsLife {
+			r.take(ctx, n)
+			return true
 		}
 	}
-	return roster.Host{}, false
+	return false
 }
 
 // readerRole spreads the duty of reading and the placing of services over a region's hosts.
 const readerRole = "reader"
 
-func (r *Reader) ask(ctx context.Context, from roster.Host) {
-	start := r.Clock()
-	n, err := r.Relay.News(ctx, from, r.after)
-	if err != nil || n.Age > newsLife {
-		r.distrusts[from.Name] = r.Clock().Add(mistrust)
+// take feeds news to the loop, unless this host has read the store itself a moment ago.
+func (r *Reader) take(ctx context.Context, n News) {
+	if n.Batch.Revision < r.after {
 		return
 	}
-	if n.Batch.Revision >= r.after { // Else this host has read the store itself a moment ago.
-		n.Batch.Age = n.Age
-		r.after = n.Batch.Revision
-		r.Loop.Send(ctx, Read{Batch: n.Batch})
-	}
-	sleep(ctx, newsPeriod-r.Clock().Sub(start))
+	n.Batch.Age = n.Age
+	r.after = n.Batch.Revision
+	r.Loop.Send(ctx, Read{Batch: n.Batch})
 }
 
 func (r *Reader) read(ctx context.Context) {
@@ -118,19 +127,21 @@
 		return
 	case err != nil:
 		r.Loop.Send(ctx, Lost{Err: err})
-		sleep(ctx, r.delay/2+rand.N(r.delay))
+		r.lost, r.due = true, r.Clock().Add(r.delay/2+rand.N(r.delay))
 		r.delay = min(2*r.delay, retryMost)
 		return
 	}
-	r.after, r.delay = batch.Revision, retryLeast
+	r.after, r.delay, r.lost, r.due = batch.Revision, retryLeast, false, start.Add(readPeriod)
 	r.Loop.Send(ctx, Read{Batch: batch})
-	sleep(ctx, readPeriod-r.Clock().Sub(start))
 }
 
 func (r *Reader) next(ctx context.Context) (roster.Batch, error) {
 	if r.after == 0 {
 		return r.Source.Load(ctx)
 	}
+	if r.lost {
+		return r.Source.Next(ctx, r.after, 0) // A call that need not wait is given up sooner.
+	}
 	return r.Source.Next(ctx, r.after, readWait)
 }
 
