--- a/internal/host/steer/journal.go
+++ b/internal/host/steer/journal.go
@@ -23,16 +23,24 @@
 	return zap.Float64("ms", float64(d.Microseconds())/1000)
 }
 
+// cause is an error's message without the stack that the library adds.
+func cause(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
+
 // Believe logs a change of what this host believes.
 func (j *journal) Believe(_ time.Time, n watch.Note) {
 	j.meters.Notes.WithLabelValues(n.What).Inc()
-	j.log.Info(n.What, zap.String("name", n.Name), zap.Int64("revision", n.Revision), zap.Error(n.Err))
+	j.log.Info(n.What, zap.String("name", n.Name), zap.Int64("revision", n.Revision), cause(n.Err))
 }
 
 // Enrolled logs the gain or loss of this host's entry in the store.
 func (j *journal) Enrolled(_ time.Time, lease int64, err error) {
 	if err != nil {
-		j.log.Warn("entry not kept", zap.Error(err))
+		j.log.Warn("entry not kept", cause(err))
 		return
 	}
 	j.log.Info("entry kept", zap.Int64("lease", lease))
@@ -40,12 +48,12 @@
 
 // lost logs a host that gave no loans.
 func (j *journal) lost(host string, err error) {
-	j.log.Warn("loans not given", zap.String("host", host), zap.Error(err))
+	j.log.Warn("loans not given", zap.String("host", host), cause(err))
 }
 
 // unplaced logs a host of the region that could not be asked to place a job.
 func (j *journal) unplaced(host string, err error) {
-	j.log.Warn("placing host lost", zap.String("host", host), zap.Error(err))
+	j.log.Warn("placing host lost", zap.String("host", host), cause(err))
 }
 
 // Tried logs one try of a job.
@@ -55,8 +63,8 @@
 		return // The line at the job's end tells it all.
 	}
 	j.log.Info("try", zap.String("id", job.ID), zap.Int("number", job.Tries), zap.String("upstream", u.ID),
-		zap.String("domain", u.Domain), zap.Duration("age", now.Sub(u.Reported)), zap.String("reason", string(job.Outcome.Reason)),
-		zap.Int("status", job.Reply.Answer.Status), zap.Bool("sent", job.Reply.Sent), took(d), zap.Error(job.Reply.Err))
+		zap.String("domain", u.Domain), zap.Duration("reported", now.Sub(u.Reported)), zap.String("reason", string(job.Outcome.Reason)),
+		zap.Int("status", job.Reply.Answer.Status), zap.Bool("sent", job.Reply.Sent), took(d), cause(job.Reply.Err))
 }
 
 // ended logs how a job ended.
@@ -69,6 +77,7 @@
 		version = job.View.Policy.Version
 	}
 	j.log.Info("request", zap.String("id", job.ID), zap.String("route", route), zap.Uint64("policy", version),
+		zap.Duration("age", job.Started.Sub(job.View.Synced)),
 		zap.String("service", job.Service), zap.String("upstream", job.Upstream.ID), zap.Int("tries", job.Tries),
 		zap.String("outcome", job.Outcome.Kind.String()), zap.String("reason", string(job.Outcome.Reason)),
 		zap.Int("status", job.Answer.Status), took(d), zap.String("detail", job.Outcome.Detail))
@@ -114,7 +123,7 @@
 		case c := <-h.reports:
 			call, cancel := context.WithTimeout(ctx, reportLife)
 			if err := h.store.Report(call, c, h.keeper.Lease()); err != nil {
-				h.Log.Warn("crash not told", zap.String("upstream", c.Upstream), zap.Error(err))
+				h.Log.Warn("crash not told", zap.String("upstream", c.Upstream), cause(err))
 			}
 			cancel()
 		}
--- a/internal/host/steer/reload.go
+++ b/internal/host/steer/reload.go
@@ -33,7 +33,7 @@
 		s, changed, err := h.Loader.Load()
 		switch {
 		case err != nil:
-			h.Log.Error("settings refused; the old ones stay in force", zap.Error(err))
+			h.Log.Error("settings refused; the old ones stay in force", cause(err))
 		case changed:
 			h.adopt(s)
 		case asked:
