--- a/internal/ctrl/watch/fold.go
+++ b/internal/ctrl/watch/fold.go
@@ -162,7 +162,7 @@
 		return Note{What: "host entry unreadable"}
 	}
 	if c.Removed {
-		return s.vanish(c, now)
+		return s.remove(c, now)
 	}
 	delete(s.lapsed, c.Kind.String()+c.Name)
 	old, known := s.hosts[c.Name]
@@ -181,14 +181,14 @@
 		return Note{What: "upstream entry unreadable"}
 	}
 	if c.Removed {
-		return s.vanish(c, now)
+		return s.remove(c, now)
 	}
 	u := c.Upstream
 	u.Reported = now
-	if known && older(&u, &old) || u.Born < s.graves[u.ID].born {
+	if known && older(&u, &old) || u.Born < s.tombstones[u.ID].born {
 		return Note{}
 	}
-	s.bury(&u, now)
+	s.markLeaving(&u, now)
 	delete(s.lapsed, c.Kind.String()+c.Name)
 	s.upstreams[c.Name] = u
 	switch {
@@ -207,18 +207,18 @@
 	return u.Born < than.Born || u.Born == than.Born && u.Seq < than.Seq
 }
 
-// bury remembers an incarnation that leaves; a report of it that is written late does not bring it back.
-func (s *State) bury(u *roster.Upstream, now time.Time) {
-	if g := s.graves[u.ID]; g.left && u.Born == g.born {
+// markLeaving remembers an incarnation that leaves; a report of it that is written late does not bring it back.
+func (s *State) markLeaving(u *roster.Upstream, now time.Time) {
+	if g := s.tombstones[u.ID]; g.left && u.Born == g.born {
 		u.Draining = true
 	}
 	if u.Draining {
-		s.graves[u.ID] = grave{born: u.Born, left: true, at: now}
+		s.tombstones[u.ID] = tombstone{born: u.Born, left: true, at: now}
 	}
 }
 
-// vanish drops a removed entry at once, or after a grace if it may have lapsed while the store was away.
-func (s *State) vanish(c *roster.Change, now time.Time) Note {
+// remove drops a removed entry at once, or after a grace if it may have lapsed while the store was away.
+func (s *State) remove(c *roster.Change, now time.Time) Note {
 	until := s.back.Add(lapseGrace)
 	if s.back.IsZero() || !now.Before(until) {
 		return s.drop(c.Kind, c.Name, now)
@@ -231,7 +231,7 @@
 	delete(s.lapsed, k.String()+name)
 	if u, ok := s.upstreams[name]; ok && k == roster.UpstreamKind {
 		delete(s.upstreams, name)
-		s.graves[name] = grave{born: u.Born, left: u.Draining, at: now}
+		s.tombstones[name] = tombstone{born: u.Born, left: u.Draining, at: now}
 		return Note{What: "upstream gone"}
 	}
 	if _, ok := s.hosts[name]; ok && k == roster.HostKind {
@@ -257,9 +257,9 @@
 			}
 		}
 	}
-	for name, g := range s.graves {
-		if now.Sub(g.at) > graveLife {
-			delete(s.graves, name)
+	for name, g := range s.tombstones {
+		if now.Sub(g.at) > tombstoneLife {
+			delete(s.tombstones, name)
 		}
 	}
 	return notes
--- a/internal/ctrl/watch/reader.go
+++ b/internal/ctrl/watch/reader.go
@@ -44,8 +44,8 @@
 	newsPeriod = 250 * time.Millisecond
 	// newsLife is the age of news after which a host reads the store itself: reports come more often than that.
 	newsLife = 1200 * time.Millisecond
-	// mistrust is how long a host that gave no news is not asked again.
-	mistrust = 2 * time.Second
+	// skipLife is how long a host that gave no news is not asked again.
+	skipLife = 2 * time.Second
 	// readersMost is how many hosts of a region are asked before a host reads the store itself.
 	readersMost = 2
 )
@@ -58,17 +58,17 @@
 	Clock  func() time.Time
 	Done   chan struct{}
 
-	after     int64
-	delay     time.Duration
-	lost      bool                 // The last read failed.
-	due       time.Time            // When the store may be read again.
-	distrusts map[string]time.Time // Until when a host is not asked.
+	after   int64
+	delay   time.Duration
+	lost    bool                 // The last read failed.
+	due     time.Time            // When the store may be read again.
+	skipped map[string]time.Time // Until when a host is not asked.
 }
 
 // Run reads until the context ends.
 func (r *Reader) Run(ctx context.Context) {
 	defer close(r.Done)
-	r.delay, r.distrusts = retryLeast, map[string]time.Time{}
+	r.delay, r.skipped = retryLeast, map[string]time.Time{}
 	for ctx.Err() == nil {
 		start := r.Clock()
 		switch {
@@ -89,12 +89,12 @@
 		if h.Name == v.Self.Name || i == readersMost {
 			return false
 		}
-		if r.Clock().Before(r.distrusts[h.Name]) {
+		if r.Clock().Before(r.skipped[h.Name]) {
 			continue
 		}
 		n, err := r.Relay.News(ctx, h, r.after)
 		if err != nil {
-			r.distrusts[h.Name] = r.Clock().Add(mistrust)
+			r.skipped[h.Name] = r.Clock().Add(skipLife)
 			continue
 		}
 		if n.Age <= newsLife {
--- a/internal/ctrl/watch/state.go
+++ b/internal/ctrl/watch/state.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// lapseGrace is how long an entry that vanished while the store was away may still come back. The
+	// lapseGrace is how long an entry that was removed while the store was away may still come back. The
 	// platform restores live entries within about 2 s of the store's return.
 	lapseGrace = 2200 * time.Millisecond
 	// awayAfter is the silence of the store after which entries may have lapsed unseen: below the shortest
@@ -19,33 +19,33 @@
 	awayAfter = 2500 * time.Millisecond
 	// crashesMost bounds the crashes that are remembered.
 	crashesMost = 500
-	// graveLife is how long a leaving incarnation is remembered, so that a late write cannot revive it.
-	graveLife = time.Minute
+	// tombstoneLife is how long a leaving incarnation is remembered, so that a late write cannot revive it.
+	tombstoneLife = time.Minute
 	// returnCold is added to the cold time of a failure domain that is taken back, for the delay of news.
 	returnCold = time.Second
 )
 
 // State is all that control believes; only the loop's goroutine touches it.
 type State struct {
-	self      roster.Host
-	policy    *policy.Policy
-	upstreams map[string]roster.Upstream
-	hosts     map[string]roster.Host
-	crashes   []roster.Crash
-	evacuated map[string]bool
-	returned  map[string]time.Time // When a domain's evacuation ended.
-	lapsed    map[string]time.Time // Until when a vanished entry may come back, by kind and name.
-	graves    map[string]grave
-	heard     time.Time // When the store last answered.
-	back      time.Time // When the store last came back.
-	lost      bool
-	leaving   bool
+	self       roster.Host
+	policy     *policy.Policy
+	upstreams  map[string]roster.Upstream
+	hosts      map[string]roster.Host
+	crashes    []roster.Crash
+	evacuated  map[string]bool
+	returned   map[string]time.Time // When a domain's evacuation ended.
+	lapsed     map[string]time.Time // Until when a removed entry may come back, by kind and name.
+	tombstones map[string]tombstone
+	heard      time.Time // When the store last answered.
+	back       time.Time // When the store last came back.
+	lost       bool
+	leaving    bool
 	deals
 	relay
 }
 
-// grave remembers an incarnation that was seen leaving, or whose entry was removed.
-type grave struct {
+// tombstone remembers an incarnation that was seen leaving, or whose entry was removed.
+type tombstone struct {
 	born int64
 	left bool // It said that it leaves; it does not come back.
 	at   time.Time
@@ -56,7 +56,7 @@
 	return &State{
 		self: self, upstreams: map[string]roster.Upstream{}, hosts: map[string]roster.Host{},
 		evacuated: map[string]bool{}, returned: map[string]time.Time{},
-		lapsed: map[string]time.Time{}, graves: map[string]grave{}, deals: deals{book: map[[2]string]asked{}},
+		lapsed: map[string]time.Time{}, tombstones: map[string]tombstone{}, deals: deals{book: map[[2]string]asked{}},
 	}
 }
 
@@ -77,7 +77,7 @@
 		if u.Draining || s.evacuated[u.Domain] {
 			continue
 		}
-		s.chill(&u, now)
+		s.assumeCold(&u, now)
 		out[u.Service] = append(out[u.Service], &u)
 	}
 	for _, list := range out {
@@ -91,9 +91,9 @@
 	return slices.SortedFunc(maps.Values(s.hosts), func(a, b roster.Host) int { return strings.Compare(a.Name, b.Name) })
 }
 
-// chill takes an upstream for cold just after its failure domain was taken back: its next report, which
+// assumeCold takes an upstream for cold just after its failure domain was taken back: its next report, which
 // would say so, comes later than the first requests.
-func (s *State) chill(u *roster.Upstream, now time.Time) {
+func (s *State) assumeCold(u *roster.Upstream, now time.Time) {
 	end, ok := s.returned[u.Domain]
 	if !ok || s.policy == nil {
 		return
--- a/internal/edge/broker/asker.go
+++ b/internal/edge/broker/asker.go
@@ -48,7 +48,7 @@
 		case <-t.C:
 		}
 		for _, h := range a.View().Hosts {
-			if a.peers.shunned(h) {
+			if a.peers.skipped(h) {
 				continue
 			}
 			loans, err := a.ask(ctx, h)
--- a/internal/edge/broker/peer.go
+++ b/internal/edge/broker/peer.go
@@ -21,8 +21,8 @@
 	pingLife = 300 * time.Millisecond
 	// watchPeriod is how often silence is looked for.
 	watchPeriod = 50 * time.Millisecond
-	// shunLife is how long a host that did not answer is passed over.
-	shunLife = 1500 * time.Millisecond
+	// skipLife is how long a host that did not answer is passed over.
+	skipLife = 1500 * time.Millisecond
 )
 
 // peer is a connection to another host.
@@ -73,11 +73,11 @@
 
 	mu    sync.Mutex
 	conns map[string]*peer // By address.
-	shun  map[string]time.Time
+	skip  map[string]time.Time
 }
 
 func newPeers(clock func() time.Time) *peers {
-	return &peers{clock: clock, conns: map[string]*peer{}, shun: map[string]time.Time{}}
+	return &peers{clock: clock, conns: map[string]*peer{}, skip: map[string]time.Time{}}
 }
 
 // get returns a connection to a host, or an error if it can't be reached or was lost a moment ago.
@@ -87,7 +87,7 @@
 		ps.mu.Unlock()
 		return p, nil
 	}
-	if ps.clock().Before(ps.shun[h.Peer]) {
+	if ps.clock().Before(ps.skip[h.Peer]) {
 		ps.mu.Unlock()
 		return nil, ErrCall.New("host %s was lost a moment ago", h.Name)
 	}
@@ -124,7 +124,7 @@
 		defer ps.mu.Unlock()
 		if ps.conns[p.host.Peer] == p {
 			delete(ps.conns, p.host.Peer)
-			ps.shun[p.host.Peer] = ps.clock().Add(shunLife)
+			ps.skip[p.host.Peer] = ps.clock().Add(skipLife)
 		}
 	}()
 	return p
@@ -134,14 +134,14 @@
 func (ps *peers) lose(h roster.Host) {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
-	ps.shun[h.Peer] = ps.clock().Add(shunLife)
+	ps.skip[h.Peer] = ps.clock().Add(skipLife)
 }
 
-// shunned tells whether a host is passed over.
-func (ps *peers) shunned(h roster.Host) bool {
+// skipped tells whether a host is passed over.
+func (ps *peers) skipped(h roster.Host) bool {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
-	return ps.clock().Before(ps.shun[h.Peer])
+	return ps.clock().Before(ps.skip[h.Peer])
 }
 
 // close ends all connections.
--- a/internal/edge/broker/placer.go
+++ b/internal/edge/broker/placer.go
@@ -11,7 +11,7 @@
 )
 
 // Placer places this host's jobs: through its own table if this host places for its region, through the host that
-// does otherwise, and alone if none can be reached.
+// does otherwise, and by itself if none can be reached.
 type Placer struct {
 	Table *place.Table
 	View  func() *roster.View
@@ -46,7 +46,7 @@
 		if h.Name == v.Self.Name {
 			return p.Table.Acquire(ctx, now, ask)
 		}
-		if tries == triesMost || p.peers.shunned(h) {
+		if tries == triesMost || p.peers.skipped(h) {
 			continue
 		}
 		tries++
@@ -57,7 +57,7 @@
 		p.Lost(h.Name, err)
 		now = p.Clock()
 	}
-	ask.Alone = true
+	ask.Isolated = true
 	return p.Table.Acquire(ctx, now, ask)
 }
 
--- a/internal/edge/broker/wire.go
+++ b/internal/edge/broker/wire.go
@@ -95,7 +95,7 @@
 	After int64 `json:"after"`
 }
 
-// wireNews carries changes as they are: both sides are of one kind, and the fields are plain.
+// wireNews carries the store's changes in the form that control folds: both ends are the same program.
 type wireNews struct {
 	Revision int64           `json:"rev"`
 	Full     bool            `json:"full,omitempty"`
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -80,7 +80,7 @@
 	Tried     []string
 	Objective time.Time // An answer is worth most until then.
 	Deadline  time.Time // An answer is worth nothing after it.
-	Alone     bool      // The host that places for this one can't be reached.
+	Isolated  bool      // The host that places for this one can't be reached.
 
 	hash uint64
 }
--- a/internal/flow/place/load.go
+++ b/internal/flow/place/load.go
@@ -28,8 +28,8 @@
 type load struct {
 	upstream *roster.Upstream
 	site     rendez.Site
-	running  int     // This host's jobs there.
-	share    int     // Jobs that this host may have there.
+	running  int     // Jobs there.
+	share    int     // Jobs that may be there at the same time.
 	queued   int     // Jobs that wait for it.
 	ratio    float64 // Its work against what its service's requests are expected to take.
 	memory   memory
@@ -43,16 +43,16 @@
 	coldEnd  time.Time
 }
 
-// crowd returns how many mean works a further job is expected to wait. A nearly full upstream counts a little
+// queueing returns how many mean works a further job is expected to wait. A nearly full upstream counts a little
 // too: the next job for one of its objects would have to wait.
-func (l *load) crowd() float64 {
+func (l *load) queueing() float64 {
 	share := float64(l.share)
 	busy := min(1, float64(l.running)/share)
-	return max(0, (float64(l.running+l.queued+1)-share)/share) + crowded*busy*busy
+	return max(0, (float64(l.running+l.queued+1)-share)/share) + fullPenalty*busy*busy
 }
 
-// crowded is how many mean works a full upstream costs besides its queue.
-const crowded = 0.4
+// fullPenalty is how many mean works a full upstream costs besides its queue.
+const fullPenalty = 0.4
 
 // down tells whether the upstream is ejected.
 func (l *load) down(now time.Time) bool { return now.Before(l.until) }
@@ -60,8 +60,8 @@
 // cold tells whether the upstream is cold.
 func (l *load) cold(now time.Time) bool { return now.Before(l.coldEnd) }
 
-// chill takes the upstream for cold until a time.
-func (l *load) chill(now, until time.Time) {
+// setCold takes the upstream for cold until a time.
+func (l *load) setCold(now, until time.Time) {
 	if !until.After(l.coldEnd) {
 		return
 	}
@@ -79,14 +79,14 @@
 	}
 }
 
-// healing is the part of an upstream's difference from its service that is forgiven with each sweep in which it had
+// decayPart is the part of an upstream's difference from its service that is forgiven with each sweep in which it had
 // no job: only jobs could show that it has recovered.
-const healing = 0.1
+const decayPart = 0.1
 
-func (l *load) heal() {
+func (l *load) decay() {
 	if l.running == 0 {
-		l.ratio += healing * (1 - l.ratio)
-		l.failing *= 1 - healing
+		l.ratio += decayPart * (1 - l.ratio)
+		l.failing *= 1 - decayPart
 	}
 }
 
@@ -134,6 +134,6 @@
 		l.failing /= 2
 	}
 	if r.Broken {
-		l.chill(now, l.until.Add(ejectLeast))
+		l.setCold(now, l.until.Add(ejectLeast))
 	}
 }
--- a/internal/flow/place/place_test.go
+++ b/internal/flow/place/place_test.go
@@ -187,9 +187,9 @@
 	cold.Cold, cold.Reported = 3*time.Second, at(0)
 	tab := table(cold)
 	a := ask(at(time.Second))
-	a.Alone = true
+	a.Isolated = true
 	assert.Assert(t, try(tab, at(time.Second), a) == nil)
-	a.Alone = false
+	a.Isolated = false
 	assert.Assert(t, try(tab, at(time.Second), a) != nil)
 }
 
@@ -279,7 +279,7 @@
 			case 0, 1:
 				a := ask(now)
 				a.Object = rapid.SampledFrom([]string{"", "x", "y"}).Draw(t, "object")
-				a.Alone = rapid.IntRange(0, 4).Draw(t, "alone") == 0
+				a.Isolated = rapid.IntRange(0, 4).Draw(t, "alone") == 0
 				if g := try(tab, now, a); g != nil {
 					open = append(open, g)
 				}
--- a/internal/flow/place/work.go
+++ b/internal/flow/place/work.go
@@ -117,8 +117,8 @@
 // Round trips before any connection was opened, by tier.
 var rttStart = [...]time.Duration{Near: time.Millisecond, Region: 3 * time.Millisecond, Far: 60 * time.Millisecond}
 
-// detour is added to a round trip for the bytes that cross failure domains and regions, which are priced.
-var detour = [...]time.Duration{Near: 0, Region: 25 * time.Millisecond, Far: 40 * time.Millisecond}
+// crossing is added to a round trip for the bytes that cross failure domains and regions, which are priced.
+var crossing = [...]time.Duration{Near: 0, Region: 25 * time.Millisecond, Far: 40 * time.Millisecond}
 
 func (r rtts) expect(from *roster.Host, u *roster.Upstream) time.Duration {
 	if d, ok := r[[2]string{from.Domain, u.Domain}]; ok {
