--- a/internal/flow/place/load.go
+++ b/internal/flow/place/load.go
@@ -17,6 +17,9 @@
 	// ejectLeast and ejectMost bound an ejection; it doubles while the upstream keeps failing.
 	ejectLeast = 500 * time.Millisecond
 	ejectMost  = 4 * time.Second
+	// reportLag is how much later than an upstream's return its first report may be known here: a heartbeat of
+	// 1.5 s, a read of the store and the news from the host that reads it.
+	reportLag = 2500 * time.Millisecond
 	// coldPart is the part of a cold upstream's rate that its owner uses: two hosts may both think that
 	// they own it for a while, and the bound is one and a half times the rate and a little.
 	coldPart = 0.75
@@ -133,7 +136,7 @@
 		l.until = now.Add(l.eject)
 		l.failing /= 2
 	}
-	if r.Broken {
-		l.setCold(now, l.until.Add(ejectLeast))
+	if r.Broken && l.eject > ejectLeast {
+		l.setCold(now, l.until.Add(reportLag)) // It is down, and will be cold when it is back.
 	}
 }
--- a/internal/flow/place/place_test.go
+++ b/internal/flow/place/place_test.go
@@ -205,6 +205,30 @@
 	assert.Equal(t, try(tab, now, ask(now)).Upstream.ID, "bad")
 }
 
+// Load pattern: a failure domain loses power and its upstreams come back cold. Their reports, which say so, come later
+// than the first connection that opens again.
+func TestAnUpstreamThatComesBackCountsAsColdUntilItsReport(t *testing.T) {
+	tab := table(upstream("u", "a", "east"))
+	now := at(0)
+	for range 4 {
+		var g *Grant
+		for g == nil {
+			now = now.Add(50 * time.Millisecond)
+			g = try(tab, now, ask(now))
+		}
+		tab.Release(now, g, Result{Broken: true})
+	}
+	now = now.Add(ejectMost)
+	n := 0
+	for end := now.Add(2 * time.Second); now.Before(end); now = now.Add(10 * time.Millisecond) {
+		if g := try(tab, now, ask(now)); g != nil {
+			n++
+			tab.Release(now, g, good(5*time.Millisecond))
+		}
+	}
+	assert.Assert(t, n > 0 && n <= 16, "%d requests in the first 2 s, at a rate of 8", n)
+}
+
 func TestAnUpstreamThatFailsMostOfItsJobsIsEjected(t *testing.T) {
 	tab := table(upstream("grey", "a", "east"))
 	now := at(0)
