--- a/internal/ctrl/watch/fold.go
+++ b/internal/ctrl/watch/fold.go
@@ -164,10 +164,11 @@
 	if c.Removed {
 		return s.remove(c, now)
 	}
+	_, lapsed := s.lapsed[c.Kind.String()+c.Name]
 	delete(s.lapsed, c.Kind.String()+c.Name)
 	old, known := s.hosts[c.Name]
 	s.hosts[c.Name] = c.Host
-	if !known || old.Incarnation != c.Host.Incarnation {
+	if !known || lapsed || old.Incarnation != c.Host.Incarnation {
 		return Note{What: "host joined"}
 	}
 	return Note{}
@@ -189,9 +190,12 @@
 		return Note{}
 	}
 	s.markLeaving(&u, now)
+	_, lapsed := s.lapsed[c.Kind.String()+c.Name]
 	delete(s.lapsed, c.Kind.String()+c.Name)
 	s.upstreams[c.Name] = u
 	switch {
+	case lapsed && !u.Draining:
+		return Note{What: "upstream back"}
 	case u.Draining && !old.Draining:
 		return Note{What: "upstream draining"}
 	case !known || u.Born != old.Born:
@@ -223,8 +227,11 @@
 	if s.back.IsZero() || !now.Before(until) {
 		return s.drop(c.Kind, c.Name, now)
 	}
+	if _, ok := s.lapsed[c.Kind.String()+c.Name]; ok {
+		return Note{}
+	}
 	s.lapsed[c.Kind.String()+c.Name] = until
-	return Note{}
+	return Note{What: c.Kind.String() + " lapsed"}
 }
 
 func (s *State) drop(k roster.Kind, name string, now time.Time) Note {
--- a/internal/ctrl/watch/fold_test.go
+++ b/internal/ctrl/watch/fold_test.go
@@ -201,6 +201,34 @@
 	}
 }
 
+// The reader was cut off for long, and a follower asks it while entries that it no longer finds may yet come back.
+func TestAFollowerHearsWhatBecameOfEntriesThatLapsed(t *testing.T) {
+	reader, follower := newState(), newState()
+	whole := func(now time.Time, revision int64, changes ...roster.Change) {
+		Fold(reader, Read{Batch: roster.Batch{Full: true, Revision: revision, Changes: changes}}, now)
+	}
+	ask := func(now time.Time, after int64) int64 {
+		n := reader.news(after, now)
+		Fold(follower, Read{Batch: n.Batch}, now)
+		return n.Batch.Revision
+	}
+	whole(at(0), 1, up("u", 1, 1), up("v", 1, 1))
+	ask(at(0), 0)
+	Fold(reader, Lost{Err: errors.New("timeout")}, at(time.Second))
+	Fold(follower, Lost{Err: errors.New("timeout")}, at(time.Second))
+	whole(at(10*time.Second), 5)
+	after := ask(at(10100*time.Millisecond), 1)
+	back := up("v", 1, 9)
+	back.Revision = 6
+	Fold(reader, Read{Batch: roster.Batch{Revision: 6, Changes: []roster.Change{back}}}, at(11*time.Second))
+	ask(at(11100*time.Millisecond), after)
+	for _, s := range []*State{reader, follower} {
+		Fold(s, Tick{}, at(14*time.Second))
+	}
+	assert.DeepEqual(t, ids(reader, at(14*time.Second)), []string{"v"})
+	assert.DeepEqual(t, ids(follower, at(14*time.Second)), []string{"v"})
+}
+
 func TestAFollowerThatIsFarBehindGetsTheWholeState(t *testing.T) {
 	s := newState()
 	for i := range logMost + 10 {
--- a/internal/ctrl/watch/relay.go
+++ b/internal/ctrl/watch/relay.go
@@ -55,16 +55,23 @@
 	return n
 }
 
-// whole returns all that is known as changes.
+// whole returns all that is known as changes, without entries that may yet come back: a follower gives them its
+// own grace.
 func (s *State) whole() []roster.Change {
 	var out []roster.Change
 	if s.policy != nil {
 		out = append(out, roster.Change{Kind: roster.PolicyKind, Name: "policy", Policy: s.policy})
 	}
 	for id, u := range s.upstreams {
+		if _, lapsed := s.lapsed[roster.UpstreamKind.String()+id]; lapsed {
+			continue
+		}
 		out = append(out, roster.Change{Kind: roster.UpstreamKind, Name: id, Upstream: u})
 	}
 	for name, h := range s.hosts {
+		if _, lapsed := s.lapsed[roster.HostKind.String()+name]; lapsed {
+			continue
+		}
 		out = append(out, roster.Change{Kind: roster.HostKind, Name: name, Host: h})
 	}
 	for domain := range s.evacuated {
--- a/internal/flow/place/load.go
+++ b/internal/flow/place/load.go
@@ -20,9 +20,9 @@
 	// reportLag is how much later than an upstream's return its first report may be known here: a heartbeat of
 	// 1.5 s, a read of the store and the news from the host that reads it.
 	reportLag = 2500 * time.Millisecond
-	// coldPart is the part of a cold upstream's rate that its owner uses: two hosts may both think that
-	// they own it for a while, and the bound is one and a half times the rate and a little.
-	coldPart = 0.75
+	// coldPart is the part of a cold upstream's rate that a placing host uses: three hosts may think for a while
+	// that they place for it, and the bound is one and a half times the rate and a little.
+	coldPart = 0.5
 	// warmGap is the time between requests that a cold upstream gets though others would answer sooner.
 	warmGap = time.Second
 )
--- a/internal/flow/place/place_test.go
+++ b/internal/flow/place/place_test.go
@@ -182,6 +182,32 @@
 	}
 }
 
+// Three hosts think that they place for the region: one that the store turned away and whose entry was taken, the one
+// after it, and one that reaches neither. Together they stay under the bound of one and a half times the rate and five.
+func TestThreePlacingHostsTogetherKeepAColdUpstreamsBound(t *testing.T) {
+	cold := upstream("cold", "a", "east")
+	cold.Slots, cold.Cold, cold.Reported = 9, 3*time.Second, at(0)
+	tabs := []*Table{table(cold), table(cold), table(cold)}
+	var times []time.Duration
+	for d := time.Duration(0); d < 3*time.Second; d += 5 * time.Millisecond {
+		for _, tab := range tabs {
+			if g := try(tab, at(d), ask(at(d))); g != nil {
+				times = append(times, d)
+				tab.Release(at(d), g, good(time.Millisecond))
+			}
+		}
+	}
+	for i := range times {
+		n := 0
+		for _, d := range times[i:] {
+			if d-times[i] < time.Second {
+				n++
+			}
+		}
+		assert.Assert(t, n <= 17, "%d in a second of a rate of 8", n)
+	}
+}
+
 func TestAHostAloneSendsNothingToAColdUpstream(t *testing.T) {
 	cold := upstream("cold", "a", "east")
 	cold.Cold, cold.Reported = 3*time.Second, at(0)
