fix: followers hear how long an upstream is cold

Changes that the reader passes on bore no time of their reading, so the cold time left came out as 0, and a placing host that followed took the upstream for warm. Test: TestAFollowerHearsHowLongAnUpstreamIsCold, red before.

--- a/internal/ctrl/watch/fold.go
+++ b/internal/ctrl/watch/fold.go
@@ -184,8 +184,8 @@
 	if c.Removed {
 		return s.remove(c, now)
 	}
+	c.Upstream.Reported = now // Followers are told the rest of its cold time from here.
 	u := c.Upstream
-	u.Reported = now
 	if known && older(&u, &old) || u.Born < s.tombstones[u.ID].born {
 		return Note{}
 	}
--- a/internal/ctrl/watch/fold_test.go
+++ b/internal/ctrl/watch/fold_test.go
@@ -229,6 +229,22 @@
 	assert.DeepEqual(t, ids(follower, at(14*time.Second)), []string{"v"})
 }
 
+func TestAFollowerHearsHowLongAnUpstreamIsCold(t *testing.T) {
+	reader := newState()
+	read(reader, at(0), up("v", 1, 1))
+	cold := up("u", 1, 1)
+	cold.Upstream.Cold = 3 * time.Second
+	cold.Revision = 5
+	Fold(reader, Read{Batch: roster.Batch{Changes: []roster.Change{cold}, Revision: 5}}, at(time.Second))
+	for _, after := range []int64{0, 4} {
+		for _, c := range reader.news(after, at(2*time.Second)).Batch.Changes {
+			if c.Name == "u" {
+				assert.Equal(t, c.Upstream.ColdUntil(), at(4*time.Second))
+			}
+		}
+	}
+}
+
 func TestAFollowerThatIsFarBehindGetsTheWholeState(t *testing.T) {
 	s := newState()
 	for i := range logMost + 10 {
