fix: a grant that crosses a dropped call is given back

When a slot came free in the moment in which the waiting host gave up, the placing host's answer reached nobody and the slot stayed taken until a second past the job's deadline. The answer is awaited now and the grant given back.

--- a/internal/edge/broker/placer.go
+++ b/internal/edge/broker/placer.go
@@ -68,16 +68,9 @@
 		return nil, err
 	}
 	for {
-		var w *wireGrant
-		call := p.calls.Add(1)
-		if err := to.call(ctx, p.Clock, methodTake, toWire(&ask, call, now), &w); err != nil {
-			if ctx.Err() != nil {
-				_ = to.conn.Notify(context.WithoutCancel(ctx), methodDrop, wireDrop{Call: call})
-			}
-			return nil, ErrCall.Wrap(err, "asking %s", h.Name)
-		}
-		if w == nil {
-			return nil, nil
+		w, err := p.grant(ctx, to, toWire(&ask, p.calls.Add(1), now))
+		if err != nil || w == nil {
+			return nil, err
 		}
 		g := &place.Grant{Number: w.Number, Upstream: find(p.View(), ask.Service, w)}
 		if g.Upstream != nil {
@@ -92,6 +85,39 @@
 	}
 }
 
+// taken is the answer to a call for a grant.
+type taken struct {
+	grant *wireGrant
+	err   error
+}
+
+// grant makes one call for a grant. If the caller leaves, the call is dropped; a grant that crosses the drop is
+// given back.
+func (p *Placer) grant(ctx context.Context, to *peer, w wireTake) (*wireGrant, error) {
+	answer := make(chan taken, 1)
+	life := context.WithoutCancel(ctx)
+	go func() {
+		var t taken
+		t.err = to.call(life, p.Clock, methodTake, w, &t.grant)
+		answer <- t
+	}()
+	select {
+	case t := <-answer:
+		if t.err != nil {
+			return nil, ErrCall.Wrap(t.err, "asking %s", to.host.Name)
+		}
+		return t.grant, nil
+	case <-ctx.Done():
+	}
+	_ = to.conn.Notify(life, methodDrop, wireDrop{Call: w.Call})
+	go func() {
+		if t := <-answer; t.err == nil && t.grant != nil {
+			_ = to.conn.Notify(life, methodFree, wireFree{Number: t.grant.Number, Quiet: true})
+		}
+	}()
+	return nil, ctx.Err()
+}
+
 func find(v *roster.View, service string, w *wireGrant) *roster.Upstream {
 	for _, u := range v.Upstreams[service] {
 		if u.ID == w.Upstream && u.Born == w.Born {
