feat: a span for each hop of a job on the platform

serve, ask, place and upstream, below the caller's traceparent and across hosts; the upstream is told of the last one. Nothing is made or changed without a collector. TestEachHopHasASpan failed before for the host that places its own jobs.

--- a/internal/edge/broker/broker_test.go
+++ b/internal/edge/broker/broker_test.go
@@ -58,7 +58,7 @@
 	ctx, kill := context.WithCancel(context.Background())
 	p.kill = kill
 	c := &control{}
-	s := &Server{Dealer: c, Teller: c, Table: p.tables[0], Clock: time.Now, Done: make(chan struct{})}
+	s := &Server{Dealer: c, Teller: c, Admit: p.tables[0], Table: p.tables[0], Clock: time.Now, Done: make(chan struct{})}
 	go s.Serve(ctx, ln)
 	p.placer = NewPlacer(p.tables[1], func() *roster.View { return p.view }, time.Now, func(string, error) {})
 	t.Cleanup(func() { kill(); p.placer.Close() })
--- a/internal/edge/broker/placer.go
+++ b/internal/edge/broker/placer.go
@@ -14,6 +14,7 @@
 // does otherwise, and by itself if none can be reached.
 type Placer struct {
 	Table *place.Table
+	Admit Admitter // Asks the table.
 	View  func() *roster.View
 	Clock func() time.Time
 	Lost  func(host string, err error) // Told of a host that could not be asked.
@@ -26,7 +27,7 @@
 
 // NewPlacer returns a placer without connections.
 func NewPlacer(t *place.Table, view func() *roster.View, clock func() time.Time, lost func(host string, err error)) *Placer {
-	return &Placer{Table: t, View: view, Clock: clock, Lost: lost, peers: newPeers(clock), remote: map[*place.Grant]*peer{}}
+	return &Placer{Table: t, Admit: t, View: view, Clock: clock, Lost: lost, peers: newPeers(clock), remote: map[*place.Grant]*peer{}}
 }
 
 // Close ends the connections to other hosts.
@@ -44,7 +45,7 @@
 			break // Were all hosts to place when they can reach no other, they would fill each slot many times.
 		}
 		if h.Name == v.Self.Name {
-			return p.Table.Acquire(ctx, now, ask)
+			return p.Admit.Acquire(ctx, now, ask)
 		}
 		if tries == triesMost || p.peers.skipped(h) {
 			continue
@@ -58,7 +59,7 @@
 		now = p.Clock()
 	}
 	ask.Isolated = true
-	return p.Table.Acquire(ctx, now, ask)
+	return p.Admit.Acquire(ctx, now, ask)
 }
 
 // take asks another host. An upstream that this host knows to be leaving is given back.
--- a/internal/edge/broker/server.go
+++ b/internal/edge/broker/server.go
@@ -25,10 +25,16 @@
 	News(ctx context.Context, after int64) (watch.News, bool)
 }
 
+// Admitter admits jobs to upstreams.
+type Admitter interface {
+	Acquire(ctx context.Context, now time.Time, ask place.Ask) *place.Grant
+}
+
 // Server places the jobs of other hosts of its region.
 type Server struct {
 	Dealer Dealer
 	Teller Teller
+	Admit  Admitter // Asks the table.
 	Table  *place.Table
 	Clock  func() time.Time
 	Done   chan struct{}
@@ -107,7 +113,7 @@
 	s.drops[w.Call] = cancel
 	s.mu.Unlock()
 	now := s.server.Clock()
-	g := s.server.Table.Acquire(ctx, now, w.ask(now))
+	g := s.server.Admit.Acquire(ctx, now, w.ask(now))
 	s.mu.Lock()
 	delete(s.drops, w.Call)
 	s.mu.Unlock()
--- a/internal/edge/broker/wire.go
+++ b/internal/edge/broker/wire.go
@@ -37,6 +37,8 @@
 	Tried     []string `json:"tried,omitempty"`
 	Objective int64    `json:"aim"` // Milliseconds left.
 	Deadline  int64    `json:"end"` // Milliseconds left.
+
+	Trace map[string]string `json:"span,omitempty"`
 }
 
 func toWire(a *place.Ask, call uint64, now time.Time) wireTake {
@@ -44,6 +46,7 @@
 		Call: call, Host: a.Host.Name, Domain: a.Host.Domain, Region: a.Host.Region, Service: a.Service, Rank: a.Rank,
 		Object: a.Object, Homes: a.Homes, Tried: a.Tried,
 		Objective: a.Objective.Sub(now).Milliseconds(), Deadline: a.Deadline.Sub(now).Milliseconds(),
+		Trace: a.Trace,
 	}
 }
 
@@ -53,6 +56,7 @@
 		Object: w.Object, Homes: w.Homes, Tried: w.Tried,
 		Objective: now.Add(time.Duration(w.Objective) * time.Millisecond),
 		Deadline:  now.Add(time.Duration(w.Deadline) * time.Millisecond),
+		Trace:     w.Trace,
 	}
 }
 
--- a/internal/edge/dialer/dialer.go
+++ b/internal/edge/dialer/dialer.go
@@ -124,6 +124,9 @@
 	fields.Set(s.Names.Target, u.ID)
 	left := job.Deadline.Sub(s.Clock()) - backMargin
 	fields.Set(s.Names.Deadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	for name, value := range job.Trace {
+		fields.Set(name, value)
+	}
 	if _, ok := fields["User-Agent"]; !ok {
 		fields["User-Agent"] = nil // Keeps the library from adding one.
 	}
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -78,9 +78,10 @@
 	Object    string
 	Homes     []string // The only regions that may serve it; none means all.
 	Tried     []string
-	Objective time.Time // An answer is worth most until then.
-	Deadline  time.Time // An answer is worth nothing after it.
-	Isolated  bool      // The host that places for this one can't be reached.
+	Objective time.Time         // An answer is worth most until then.
+	Deadline  time.Time         // An answer is worth nothing after it.
+	Isolated  bool              // The host that places for this one can't be reached.
+	Trace     map[string]string // The span that the job is in.
 
 	hash uint64
 }
--- a/internal/flow/serve/serve.go
+++ b/internal/flow/serve/serve.go
@@ -80,7 +80,7 @@
 func ask(job *pipe.Job, tried []string) place.Ask {
 	return place.Ask{
 		Host: job.View.Self, Service: job.Service, Rank: job.Level, Object: job.Object, Homes: job.Route.Homes, Tried: tried,
-		Objective: job.Objective, Deadline: job.Deadline,
+		Objective: job.Objective, Deadline: job.Deadline, Trace: job.Trace,
 	}
 }
 
--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+	otel "go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
 	"github.com/boragelane/boragelane/internal/core/roster"
@@ -27,6 +28,7 @@
 	"github.com/boragelane/boragelane/internal/flow/place"
 	"github.com/boragelane/boragelane/internal/flow/serve"
 	"github.com/boragelane/boragelane/internal/host/meters"
+	"github.com/boragelane/boragelane/internal/host/trace"
 )
 
 // Errors is the namespace of this package's errors.
@@ -57,6 +59,7 @@
 	Log      *zap.Logger
 	Meters   *meters.Meters
 	Loader   Loader
+	Tracer   otel.Tracer // Makes a span for each hop of a job; nil for none.
 	Done     chan struct{}
 
 	front   Front
@@ -94,13 +97,14 @@
 	h.reader = &watch.Reader{Source: store, Relay: h.relay, Loop: h.loop, Clock: clock, Done: make(chan struct{})}
 	h.keeper = &enrol.Keeper{Registry: store, Journal: book, Host: s.Host, Clock: clock, Listed: h.listed, Done: make(chan struct{})}
 	h.placer = broker.NewPlacer(h.table, h.loop.View, clock, book.unplaced)
+	h.placer.Admit = &placing{host: h}
 	h.line = pipe.Line{Clock: clock, Filters: []pipe.Filter{
 		match.New(),
 		guard.Pipe{Table: h.crashes, Teller: &teller{host: h}},
-		&serve.Pipe{Placer: h.placer, Sender: h.sender, Budget: h.budget, Journal: book, Clock: clock},
+		&serve.Pipe{Placer: &hops{host: h}, Sender: &hops{host: h}, Budget: h.budget, Journal: book, Clock: clock},
 	}}
 	h.server = httpd.New(h, h.bounds, clock)
-	h.broker = &broker.Server{Dealer: h.loop, Teller: h.loop, Table: h.table, Clock: clock, Done: make(chan struct{})}
+	h.broker = &broker.Server{Dealer: h.loop, Teller: h.loop, Admit: &placing{host: h}, Table: h.table, Clock: clock, Done: make(chan struct{})}
 	h.asker = &broker.Asker{
 		Needer: h.table, Local: h.loop, View: h.loop.View, Lost: book.lost, Clock: clock, Done: make(chan struct{}),
 		Give: func(l deal.Loans) { h.loop.Send(context.Background(), watch.Lent{Loans: l}) },
@@ -142,7 +146,11 @@
 func (h *Host) Serve(ctx context.Context, r *httpd.Request) httpd.Answer {
 	job := h.front.Job(r)
 	job.View = h.loop.View()
-	h.line.Run(ctx, job)
+	if h.Tracer == nil {
+		h.line.Run(ctx, job)
+	} else {
+		trace.Hop{Tracer: h.Tracer, Name: "serve", Next: &h.line}.Run(ctx, job)
+	}
 	h.ended(job)
 	return h.front.Answer(job)
 }
--- a/internal/host/trace/trace.go
+++ b/internal/host/trace/trace.go
@@ -71,6 +71,19 @@
 	end()
 }
 
+// Begin begins a span below the one that a carrier names. It returns the carrier for what follows, and a function that
+// ends the span with what came of it.
+func Begin(ctx context.Context, tracer otel.Tracer, name string, outer map[string]string, tags ...attribute.KeyValue) (map[string]string, func(tags ...attribute.KeyValue)) {
+	ctx = propagation.TraceContext{}.Extract(ctx, propagation.MapCarrier(outer))
+	ctx, span := tracer.Start(ctx, name, otel.WithAttributes(tags...))
+	inner := map[string]string{}
+	propagation.TraceContext{}.Inject(ctx, propagation.MapCarrier(inner))
+	return inner, func(tags ...attribute.KeyValue) {
+		span.SetAttributes(tags...)
+		span.End()
+	}
+}
+
 // Start begins a span for a job; the function that it returns ends the span with the job's outcome.
 func Start(ctx context.Context, tracer otel.Tracer, name string, job *pipe.Job) (context.Context, func()) {
 	outer := job.Trace
