perf: a known object is taken for cheaper before any answer came

Work of a known object is now taken for half of a fresh one until answers tell, and a service's objective is the first guess of its work. Ruled out: objects shared between regions (they are disjoint), late memory (an upstream remembers from the start of a run). Test: TestAnObjectIsNotSpreadBeforeTheFirstAnswer, red before. TestABrokenUpstreamIsLeftAlone also checks now that the ejected one is left alone while the other is full; it relied on the start guess of 100 ms before.

--- a/internal/flow/place/demand.go
+++ b/internal/flow/place/demand.go
@@ -19,14 +19,18 @@
 	seen    time.Time // When a job was last offered.
 }
 
-// offer notes a job that asks for a slot.
-func (t *Table) offer(service string) {
-	d := t.demands[service]
+// offer notes a job that asks for a slot. Before any has ended, a service's objective says best what its jobs take.
+func (t *Table) offer(now time.Time, ask *Ask) {
+	d := t.demands[ask.Service]
 	if d == nil {
 		d = &demand{}
-		t.demands[service] = d
+		t.demands[ask.Service] = d
 	}
-	d.offered += t.work(service).mean()
+	w := t.work(ask.Service)
+	if w.start == workStart && ask.Objective.After(now) {
+		w.start = ask.Objective.Sub(now)
+	}
+	d.offered += w.mean()
 }
 
 // Ask returns what this host tells of its region when it asks for loans: the services whose jobs it places.
--- a/internal/flow/place/place_test.go
+++ b/internal/flow/place/place_test.go
@@ -99,6 +99,18 @@
 	}
 }
 
+// Load pattern: the first second of a day, when no job has ended yet. An object goes where its first job runs, though
+// that is in another failure domain.
+func TestAnObjectIsNotSpreadBeforeTheFirstAnswer(t *testing.T) {
+	tab := table(upstream("u1", "a", "east"), upstream("u2", "b", "east"))
+	first := ask(at(0))
+	first.Host.Domain, first.Object = "b", "x"
+	assert.Equal(t, try(tab, at(0), first).Upstream.ID, "u2")
+	second := ask(at(0))
+	second.Object = "x"
+	assert.Equal(t, try(tab, at(0), second).Upstream.ID, "u2")
+}
+
 // Load pattern: a burst of the least urgent work, then urgent work.
 func TestUrgentJobsAreServedFirstAndLateOnesLast(t *testing.T) {
 	tab := table(upstream("u", "a", "east"))
@@ -226,7 +238,10 @@
 	g := try(tab, now, ask(now))
 	assert.Equal(t, g.Upstream.ID, "bad")
 	tab.Release(now, g, Result{Broken: true})
-	assert.Equal(t, try(tab, now, ask(now)).Upstream.ID, "other")
+	for range 2 {
+		assert.Equal(t, try(tab, now, ask(now)).Upstream.ID, "other")
+	}
+	assert.Assert(t, try(tab, now, ask(now)) == nil) // The other is full.
 	now = at(ejectLeast + time.Millisecond)
 	assert.Equal(t, try(tab, now, ask(now)).Upstream.ID, "bad")
 }
--- a/internal/flow/place/queue.go
+++ b/internal/flow/place/queue.go
@@ -21,7 +21,7 @@
 	t.arrived++
 	w := &waiter{ask: ask, number: t.arrived, ready: make(chan *Grant, 1)}
 	if !ask.Isolated {
-		t.offer(ask.Service)
+		t.offer(now, &ask)
 	}
 	g, until := t.take(now, w)
 	if g != nil || !until.After(now) {
--- a/internal/flow/place/table.go
+++ b/internal/flow/place/table.go
@@ -142,7 +142,7 @@
 func (t *Table) work(service string) *work {
 	w := t.works[service]
 	if w == nil {
-		w = &work{kept: keptStart}
+		w = &work{kept: keptStart, start: workStart}
 		t.works[service] = w
 	}
 	return w
--- a/internal/flow/place/work.go
+++ b/internal/flow/place/work.go
@@ -16,8 +16,11 @@
 	keptWeight = 0.05
 	// workWeight is the weight of the newest sample in a service's means.
 	workWeight = 0.05
-	// workStart is the work of a request before any was seen.
+	// workStart is the work of a request before any was seen, if it has no objective.
 	workStart = 100 * time.Millisecond
+	// knownPart is the part of a fresh object's work that a known one is taken to need before any was seen: less than
+	// all, so that a burst for one object does not spread it over all upstreams before the first answer comes.
+	knownPart = 0.5
 	// ratioLeast and ratioMost bound how much faster or slower than its service an upstream is taken to be.
 	ratioLeast = 0.5
 	ratioMost  = 20
@@ -27,7 +30,8 @@
 type work struct {
 	known, fresh time.Duration
 	all          time.Duration
-	kept         float64 // How many objects an upstream seems to remember.
+	start        time.Duration // Taken for the work of a fresh object before any was seen.
+	kept         float64       // How many objects an upstream seems to remember.
 }
 
 // remembers tells whether an upstream is thought to remember an object.
@@ -52,20 +56,24 @@
 	if w.all > 0 {
 		return w.all
 	}
-	return workStart
+	return w.start
 }
 
 // expect returns the work of a request.
 func (w *work) expect(known bool) time.Duration {
+	fresh := w.start
 	switch {
 	case known && w.known > 0:
 		return w.known
 	case w.fresh > 0:
-		return w.fresh
+		fresh = w.fresh
 	case w.known > 0:
 		return w.known
 	}
-	return workStart
+	if known {
+		return time.Duration(knownPart * float64(fresh))
+	}
+	return fresh
 }
 
 // seen tells whether a request of one kind has been seen.
