feat: the part of jobs that leave their region changes slowly

The loans did not change; the choice did. Now the placing host compares the part that left the region in the last two seconds with the two before, keeps it within half of the platform's bound and half a standard deviation, and lets it go when a region loses or regains many slots at once.

--- a/internal/flow/place/rank.go
+++ b/internal/flow/place/rank.go
@@ -91,7 +91,8 @@
 		out[home].Cost -= l.run(w.guess(l.memory, key))
 	}
 	t.scratch = out
-	return out
+	here, away := t.sway(ask.Service).bounds(now, t.shift)
+	return within(out, ways, here, away)
 }
 
 // startLeast is the part of the time that a job is expected to take below which it is not begun: expectations are
--- /dev/null
+++ b/internal/flow/place/sway_test.go
@@ -0,0 +1,113 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// farPart runs a region's jobs for a while and returns the part that left the region in each piece of time.
+func farPart(tab *Table, until time.Duration, lasts func(at time.Duration, far bool) time.Duration) map[time.Duration][2]int {
+	type running struct {
+		g           *Grant
+		began, ends time.Duration
+	}
+	var open []running
+	out := map[time.Duration][2]int{}
+	for d := time.Duration(0); d < until; d += 4 * time.Millisecond {
+		keep := open[:0]
+		for _, r := range open {
+			if r.ends <= d {
+				tab.Release(at(d), r.g, good(r.ends-r.began))
+				continue
+			}
+			keep = append(keep, r)
+		}
+		open = keep
+		a := ask(at(d))
+		a.Object = fmt.Sprint(int(d/time.Millisecond) % 40)
+		g := try(tab, at(d), a)
+		if g == nil {
+			continue
+		}
+		far := g.Upstream.Region != "east"
+		n := out[d.Truncate(100*time.Millisecond)]
+		n[0]++
+		if far {
+			n[1]++
+		}
+		out[d.Truncate(100*time.Millisecond)] = n
+		open = append(open, running{g: g, began: d, ends: d + lasts(d, far)})
+	}
+	return out
+}
+
+// mostMoved returns the greatest change of the part that left the region from one span to the next.
+func mostMoved(parts map[time.Duration][2]int, from, until time.Duration) float64 {
+	most := 0.0
+	part := func(begin time.Duration) float64 {
+		all, far := 0, 0
+		for d := begin; d < begin+2*time.Second; d += 100 * time.Millisecond {
+			all, far = all+parts[d][0], far+parts[d][1]
+		}
+		return float64(far) / float64(max(1, all))
+	}
+	for d := from; d+4*time.Second <= until; d += 100 * time.Millisecond {
+		most = max(most, part(d+2*time.Second)-part(d), part(d)-part(d+2*time.Second))
+	}
+	return most
+}
+
+// Load pattern: the first seconds of a day. Jobs leave the region while nothing is known of their objects, and would come
+// back at once when the near upstreams know them.
+func TestCallersAreMovedSlowlyBetweenRegions(t *testing.T) {
+	var far []string
+	list := view().Upstreams["s"]
+	for i := range 12 {
+		list = append(list, upstream(fmt.Sprint("near", i), "a", "east"))
+	}
+	for i := range 30 {
+		far = append(far, fmt.Sprint("far", i))
+		list = append(list, upstream(far[i], "c", "west"))
+	}
+	v := view(list...)
+	v.Loans = map[string]string{}
+	for _, id := range far {
+		v.Loans[id] = "east"
+	}
+	tab := NewTable()
+	tab.SetShift(0.15)
+	tab.Update(at(0), v)
+	parts := farPart(tab, 8*time.Second, func(d time.Duration, far bool) time.Duration {
+		switch {
+		case d < 2*time.Second:
+			return 300 * time.Millisecond
+		case far:
+			return 160 * time.Millisecond
+		}
+		return 50 * time.Millisecond
+	})
+	moved := mostMoved(parts, 0, 8*time.Second)
+	assert.Assert(t, moved <= 0.15, "%.2f of the jobs changed their region", moved)
+}
+
+// A region that loses its upstreams moves its callers at once.
+func TestARegionThatLosesItsUpstreamsIsNotHeldBack(t *testing.T) {
+	s := &sway{}
+	for d := time.Duration(0); d < 4*time.Second; d += 10 * time.Millisecond {
+		s.note(at(d), false)
+	}
+	now := at(4 * time.Second)
+	here, away := s.bounds(now, 0.15)
+	assert.Assert(t, here && away)
+	for range 90 {
+		s.note(now, true)
+	}
+	_, away = s.bounds(now, 0.15)
+	assert.Assert(t, !away)
+	s.health(now, 0.5)
+	_, away = s.bounds(now, 0.15)
+	assert.Assert(t, away)
+}
--- a/internal/flow/place/table.go
+++ b/internal/flow/place/table.go
@@ -19,7 +19,9 @@
 	works   map[string]*work
 	trips   rtts
 	demands map[string]*demand
-	asked   time.Time // When the demand was last asked for.
+	sways   map[string]*sway // By service.
+	shift   float64          // The part of a region's callers that may change their region within swaySpan; 0 for any.
+	asked   time.Time        // When the demand was last asked for.
 	waiters []*waiter
 	scratch []Candidate
 	arrived uint64
@@ -46,10 +48,17 @@
 func NewTable() *Table {
 	return &Table{
 		view: &roster.View{}, loads: map[string]*load{}, works: map[string]*work{}, trips: rtts{},
-		demands: map[string]*demand{}, grants: map[uint64]*Grant{},
+		demands: map[string]*demand{}, sways: map[string]*sway{}, grants: map[uint64]*Grant{},
 	}
 }
 
+// SetShift bounds the part of a region's callers that may be moved to other regions, or back, within two seconds.
+func (t *Table) SetShift(part float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.shift = part
+}
+
 // Update takes in a view.
 func (t *Table) Update(now time.Time, v *roster.View) {
 	t.mu.Lock()
@@ -107,6 +116,9 @@
 	for _, l := range t.loads {
 		l.decay()
 	}
+	for service, s := range t.sways {
+		s.health(now, t.hurt(now, service))
+	}
 	live := map[string]bool{t.view.Self.Name: true}
 	for i := range t.view.Hosts {
 		live[t.view.Hosts[i].Name] = true
@@ -118,6 +130,31 @@
 	}
 }
 
+// hurt returns the part of the slots which this region uses that can't be used now.
+func (t *Table) hurt(now time.Time, service string) float64 {
+	all, out := 0, 0
+	for _, l := range t.lists[service] {
+		if !l.ours {
+			continue
+		}
+		all += l.upstream.Slots
+		if l.down(now) || l.cold(now) {
+			out += l.upstream.Slots
+		}
+	}
+	return float64(out) / float64(max(1, all))
+}
+
+// sway returns the count of where a service's jobs run.
+func (t *Table) sway(service string) *sway {
+	s := t.sways[service]
+	if s == nil {
+		s = &sway{}
+		t.sways[service] = s
+	}
+	return s
+}
+
 // end forgets a grant; it returns the load of its upstream, or nil if that is not known any more.
 func (t *Table) end(g *Grant) *load {
 	if t.grants[g.Number] != g {
@@ -141,6 +178,7 @@
 		l.warmed = now
 	}
 	u, ask := l.upstream, &w.ask
+	t.sway(u.Service).note(now, u.Region != t.view.Self.Region)
 	g := &Grant{
 		Number: w.number, Upstream: u, host: ask.Host.Name, from: ask.Host.Domain, until: ask.Deadline.Add(grantSlack),
 		trip: t.trips.expect(&ask.Host, u),
--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -90,6 +90,7 @@
 		table: place.NewTable(), sender: dialer.New(names, clock), budget: serve.NewBudget(s.Retry),
 		crashes: &guard.Table{}, reports: make(chan roster.Crash, reportBuffer),
 	}
+	h.table.SetShift(s.Shift)
 	book := &journal{log: log, meters: h.Meters}
 	h.loop = watch.NewLoop(s.Host, clock, book)
 	h.loop.Followers = []watch.Follower{h.table, &learner{crashes: h.crashes}}
--- a/internal/host/steer/reload.go
+++ b/internal/host/steer/reload.go
@@ -45,6 +45,7 @@
 // adopt takes over what may change while the host runs; the addresses take a new start.
 func (h *Host) adopt(s Settings) {
 	h.budget.SetTerms(s.Retry)
+	h.table.SetShift(s.Shift)
 	h.grace.Store(int64(s.Grace))
 	h.Log.Info("settings in force", zap.Duration("grace", s.Grace), zap.Float64("retries", s.Retry.Ratio))
 }
--- a/internal/host/steer/settings.go
+++ b/internal/host/steer/settings.go
@@ -16,6 +16,7 @@
 	Regions   map[string]string // Region by failure domain.
 	Store     string            // Address of the platform's store.
 	Retry     serve.Terms
+	Shift     float64       // The part of a region's callers that may be moved between regions within two seconds; 0 for any.
 	Grace     time.Duration // From the signal to stop until the process is killed.
 	Memory    int64         // Bytes; 0 for no bound.
 }
