--- a/internal/flow/place/sway.go
+++ b/internal/flow/place/sway.go
@@ -13,7 +13,7 @@
 	swayStep = 100 * time.Millisecond
 	// swayPart is the part of the bound that a service may use: jobs are counted when they are placed and not when they
 	// arrive, and hosts that can't be reached place by themselves.
-	swayPart = 0.5
+	swayPart = 0.8
 	// chance is how many standard deviations of a share are let pass besides: half, as four services vary half as much
 	// together as one does.
 	chance = 0.5
