test: a soak of real processes under random faults from outside

Five hosts as processes of the real program, each on a loopback address of its own; a proxy before each upstream, each host's way to the store and each way between hosts delays, resets, silences or cuts one way; hosts are paused, killed, stopped as planned and started again; the store is down, silent, loses answers and its history; upstreams lose answers and leave; policies change. A seed fixes the plan. Callers and upstreams are held against each other: nothing that may run once runs twice, what was refused has not run, answers are whole and belong, no more runs than the route allows; after the faults nine tenths are served, a leaving upstream gets nothing, and no process ended by itself.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test demo generate lint bench capacity floods many claims
+.PHONY: soak build test demo generate lint bench capacity floods many claims
 
 build:
 	go build -o bin/boragelane .
@@ -7,6 +7,10 @@
 test:
 	RAPID_SEED=1 RAPID_NOFAILFILE=true go test -race -count=1 -timeout 12m ./...
 
+# Random faults from outside on real processes, with fresh seeds; SOAK_SEED=N plays one again.
+soak:
+	SOAK_SEEDS=$${SOAK_SEEDS:-50} go test ./platform -run TestSoak -v -parallel 6 -timeout 30m
+
 demo: build
 	./scripts/demo.sh
 
--- a/internal/flow/place/rank.go
+++ b/internal/flow/place/rank.go
@@ -59,16 +59,11 @@
 	known, fresh, mean := w.expect(true), w.expect(false), w.mean()
 	left := ask.Deadline.Sub(now)
 	for _, l := range list {
-		if l.share = l.allow(ask, guest); l.share == 0 || l.down(now) || !ask.allows(l.upstream.Region) || slices.Contains(ask.Tried, l.upstream.ID) {
+		if l.share = l.allow(ask, guest); !t.takes(now, l, ask) {
 			continue
 		}
 		c := Candidate{Upstream: l.upstream, Free: l.share - l.running, load: l}
-		if l.cold(now) {
-			if ask.Isolated || !t.mayWarm(now, l) {
-				continue
-			}
-			c.Warming = now.Sub(l.warmed) > warmGap && ask.Rank > 0
-		}
+		c.Warming = l.cold(now) && now.Sub(l.warmed) > warmGap && ask.Rank > 0
 		run := l.run(fresh)
 		if w.remembers(l.memory, key) {
 			run = l.run(known)
@@ -95,6 +90,14 @@
 	return within(out, ways, here, away)
 }
 
+// takes tells whether a job may be sent to an upstream once it has a free slot.
+func (t *Table) takes(now time.Time, l *load, ask *Ask) bool {
+	if l.share == 0 || l.down(now) || !ask.allows(l.upstream.Region) || slices.Contains(ask.Tried, l.upstream.ID) {
+		return false
+	}
+	return !l.cold(now) || !ask.Isolated && t.mayWarm(now, l)
+}
+
 // startLeast is the part of the time that a job is expected to take below which it is not begun: expectations are
 // means, and a job that has waited for most of its time only keeps others from theirs.
 const startLeast = 0.6
