--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: soak build test demo generate lint bench capacity floods many claims
+.PHONY: soak report build test demo generate lint bench capacity floods many claims
 
 build:
 	go build -o bin/boragelane .
@@ -32,5 +32,9 @@
 many: build
 	./scripts/many.sh
 
+report: build
+	mkdir -p docs/plots
+	./bin/standin report journal docs/plots
+
 claims: build
 	bin/standin claims
--- a/standin/main.go
+++ b/standin/main.go
@@ -48,6 +48,7 @@
 	Judge    *judgeArgs    `arg:"subcommand:judge" help:"check the demo"`
 	Spread   *spreadArgs   `arg:"subcommand:spread" help:"tell from hosts' logs how fast changes came into force"`
 	Claims   *claimsArgs   `arg:"subcommand:claims" help:"compare ways to run a job at most once"`
+	Report   *reportArgs   `arg:"subcommand:report" help:"draw the figures of the bench's journal"`
 	Capacity *capacityArgs `arg:"subcommand:capacity" help:"measure what a system costs as it grows"`
 }
 
