--- a/internal/flow/place/place_test.go
+++ b/internal/flow/place/place_test.go
@@ -116,7 +116,7 @@
 
 // Load pattern: all hosts restart at once. The new placing host knows nothing, but sends most objects where the old one
 // did, whichever host asks first, and whatever else runs.
-func TestObjectsReturnToTheirHomesAfterARestart(t *testing.T) {
+func TestObjectsReturnToTheirOwnersAfterARestart(t *testing.T) {
 	list := []*roster.Upstream{}
 	for i := range 24 {
 		list = append(list, upstream(fmt.Sprint("u", i), string(rune('a'+i%3)), "east"))
--- a/internal/flow/place/rank.go
+++ b/internal/flow/place/rank.go
@@ -8,19 +8,19 @@
 	"github.com/boragelane/boragelane/internal/core/roster"
 )
 
-// way is what a job spends between its host and the upstreams of one failure domain.
-type way struct {
+// path is what a job spends between its host and the upstreams of one failure domain.
+type path struct {
 	trip   time.Duration
 	detour time.Duration // What speaks against bytes that leave the failure domain.
 	tier   Tier
 }
 
-// ways returns the ways from a host to the failure domains, in the order of the table's list.
-func (t *Table) ways(from *roster.Host) []way {
-	out := make([]way, len(t.domains))
+// paths returns the paths from a host to the failure domains, in the order of the table's list.
+func (t *Table) paths(from *roster.Host) []path {
+	out := make([]path, len(t.domains))
 	for i, u := range t.domains {
 		tier := tierOf(from, u)
-		out[i] = way{trip: t.trips.expect(from, u), detour: crossing[tier], tier: tier}
+		out[i] = path{trip: t.trips.expect(from, u), detour: crossing[tier], tier: tier}
 	}
 	return out
 }
@@ -36,7 +36,7 @@
 
 // cost returns the time by which upstreams are compared: round trip, work, wait for a slot, and what speaks against
 // an upstream besides.
-func (l *load) cost(w *way, run, mean time.Duration) time.Duration {
+func (l *load) cost(w *path, run, mean time.Duration) time.Duration {
 	d := w.trip + w.detour
 	if w.tier == Far && l.ours {
 		d = w.trip / 2 // Borrowed upstreams are used nearly as much as others: the part of jobs that leave the region changes slowly.
@@ -52,9 +52,9 @@
 func (t *Table) candidates(now time.Time, ask *Ask) []Candidate {
 	list := t.lists[ask.Service]
 	out := t.scratch[:0]
-	key, home := ask.key(), -1
+	key, owner := ask.key(), -1
 	guest := t.guest(now, ask, list)
-	ways := t.ways(&ask.Host)
+	paths := t.paths(&ask.Host)
 	w := t.work(ask.Service)
 	known, fresh, mean := w.expect(true), w.expect(false), w.mean()
 	left := ask.Deadline.Sub(now)
@@ -68,26 +68,26 @@
 		if w.remembers(l.memory, key) {
 			run = l.run(known)
 		}
-		to := &ways[l.domain]
+		to := &paths[l.domain]
 		if float64(left) < startLeast*float64(to.trip+run) {
 			continue // It would be cut off in the middle of its work.
 		}
 		c.Cost = l.cost(to, run, mean)
 		if key != 0 {
 			c.Score = rendez.Even(key, l.hash)
-			if home < 0 || c.Score > out[home].Score {
-				home = len(out)
+			if owner < 0 || c.Score > out[owner].Score {
+				owner = len(out)
 			}
 		}
 		out = append(out, c)
 	}
-	if home >= 0 {
-		l := out[home].load
-		out[home].Cost -= l.run(w.guess(l.memory, key))
+	if owner >= 0 {
+		l := out[owner].load
+		out[owner].Cost -= l.run(w.guess(l.memory, key))
 	}
 	t.scratch = out
-	here, away := t.sway(ask.Service).bounds(now, t.shift)
-	return within(out, ways, here, away)
+	here, away := t.limiter(ask.Service).bounds(now, t.shift)
+	return within(out, paths, here, away)
 }
 
 // takes tells whether a job may be sent to an upstream once it has a free slot.
--- a/internal/flow/place/sway_test.go
+++ b/internal/flow/place/shift_test.go
@@ -96,7 +96,7 @@
 
 // A region that loses its upstreams moves its callers at once.
 func TestARegionThatLosesItsUpstreamsIsNotHeldBack(t *testing.T) {
-	s := &sway{}
+	s := &shiftLimiter{}
 	for d := time.Duration(0); d < 4*time.Second; d += 10 * time.Millisecond {
 		s.note(at(d), false)
 	}
--- a/internal/flow/place/table.go
+++ b/internal/flow/place/table.go
@@ -11,22 +11,22 @@
 
 // Table places the jobs of a region's hosts: it knows what runs and waits at the region's upstreams.
 type Table struct {
-	mu      sync.Mutex
-	view    *roster.View
-	loads   map[string]*load
-	lists   map[string][]*load // By service, those that the view holds.
-	domains []*roster.Upstream // One upstream of each failure domain.
-	works   map[string]*work
-	trips   rtts
-	demands map[string]*demand
-	sways   map[string]*sway // By service.
-	shift   float64          // The part of a region's callers that may change their region within swaySpan; 0 for any.
-	asked   time.Time        // When the demand was last asked for.
-	waiters []*waiter
-	scratch []Candidate
-	arrived uint64
-	grants  map[uint64]*Grant
-	swept   time.Time
+	mu       sync.Mutex
+	view     *roster.View
+	loads    map[string]*load
+	lists    map[string][]*load // By service, those that the view holds.
+	domains  []*roster.Upstream // One upstream of each failure domain.
+	works    map[string]*work
+	trips    rtts
+	demands  map[string]*demand
+	limiters map[string]*shiftLimiter // By service.
+	shift    float64                  // The part of a region's callers that may change their region within shiftSpan; 0 for any.
+	asked    time.Time                // When the demand was last asked for.
+	waiters  []*waiter
+	scratch  []Candidate
+	arrived  uint64
+	grants   map[uint64]*Grant
+	swept    time.Time
 }
 
 // Grant is a job's stay at an upstream.
@@ -48,7 +48,7 @@
 func NewTable() *Table {
 	return &Table{
 		view: &roster.View{}, loads: map[string]*load{}, works: map[string]*work{}, trips: rtts{},
-		demands: map[string]*demand{}, sways: map[string]*sway{}, grants: map[uint64]*Grant{},
+		demands: map[string]*demand{}, limiters: map[string]*shiftLimiter{}, grants: map[uint64]*Grant{},
 	}
 }
 
@@ -116,8 +116,8 @@
 	for _, l := range t.loads {
 		l.decay()
 	}
-	for service, s := range t.sways {
-		s.health(now, t.hurt(now, service))
+	for service, s := range t.limiters {
+		s.health(now, t.unusable(now, service))
 	}
 	live := map[string]bool{t.view.Self.Name: true}
 	for i := range t.view.Hosts {
@@ -130,8 +130,8 @@
 	}
 }
 
-// hurt returns the part of the slots which this region uses that can't be used now.
-func (t *Table) hurt(now time.Time, service string) float64 {
+// unusable returns the part of the slots which this region uses that can't be used now.
+func (t *Table) unusable(now time.Time, service string) float64 {
 	all, out := 0, 0
 	for _, l := range t.lists[service] {
 		if !l.ours {
@@ -145,12 +145,12 @@
 	return float64(out) / float64(max(1, all))
 }
 
-// sway returns the count of where a service's jobs run.
-func (t *Table) sway(service string) *sway {
-	s := t.sways[service]
+// limiter returns the count of where a service's jobs run.
+func (t *Table) limiter(service string) *shiftLimiter {
+	s := t.limiters[service]
 	if s == nil {
-		s = &sway{}
-		t.sways[service] = s
+		s = &shiftLimiter{}
+		t.limiters[service] = s
 	}
 	return s
 }
@@ -178,7 +178,7 @@
 		l.warmed = now
 	}
 	u, ask := l.upstream, &w.ask
-	t.sway(u.Service).note(now, u.Region != t.view.Self.Region)
+	t.limiter(u.Service).note(now, u.Region != t.view.Self.Region)
 	g := &Grant{
 		Number: w.number, Upstream: u, host: ask.Host.Name, from: ask.Host.Domain, until: ask.Deadline.Add(grantSlack),
 		trip: t.trips.expect(&ask.Host, u),
--- a/internal/flow/place/work.go
+++ b/internal/flow/place/work.go
@@ -21,9 +21,9 @@
 	// knownPart is the part of a fresh object's work that a known one is taken to need before any was seen: less than
 	// all, so that a burst for one object does not spread it over all upstreams before the first answer comes.
 	knownPart = 0.5
-	// homePart is the chance that an object's home remembers it though no job of ours was sent there: another host may
+	// ownerPart is the chance that an object's owner, the first upstream in rendezvous order, remembers it though no job of ours was sent there: another host may
 	// have placed jobs before.
-	homePart = 0.25
+	ownerPart = 0.25
 	// ratioLeast and ratioMost bound how much faster or slower than its service an upstream is taken to be.
 	ratioLeast = 0.5
 	ratioMost  = 20
@@ -43,12 +43,12 @@
 	return ok && float64(depth) < w.kept
 }
 
-// guess returns how much less than a fresh object's work an object is taken to need at its home.
+// guess returns how much less than a fresh object's work an object is taken to need at its owner.
 func (w *work) guess(m memory, object uint64) time.Duration {
 	if _, sent := m.depth(object); sent {
 		return 0 // It is known what to expect.
 	}
-	return time.Duration(homePart * float64(w.expect(false)-w.expect(true)))
+	return time.Duration(ownerPart * float64(w.expect(false)-w.expect(true)))
 }
 
 // correct moves the number of objects that are remembered if an answer took the time of the other kind.
