perf: hosts that need not read spare a store that refuses

A host that is not one of the two that read for its region now waits up to 0.75 s, half as much again by jitter, and still hears within 0.25 s through those two. Worst case for a host that is cut off from all: 1.1 s and a call of 1 s, below 3 s.

--- a/internal/ctrl/watch/reader.go
+++ b/internal/ctrl/watch/reader.go
@@ -40,6 +40,9 @@
 	// stay below the 3 s after which a host that was cut off counts as in touch again.
 	retryLeast = 250 * time.Millisecond
 	retryMost  = 500 * time.Millisecond
+	// retryFollower is the longest delay of a host that need not read: it hears through the hosts that do as soon as one
+	// of them has the store again, and each call is priced, also one that is refused.
+	retryFollower = 750 * time.Millisecond
 	// newsPeriod is the time between two questions to the host that reads for its region.
 	newsPeriod = 250 * time.Millisecond
 	// newsLife is the age of news after which a host reads the store itself: reports come more often than that.
@@ -61,6 +64,7 @@
 	after   int64
 	delay   time.Duration
 	lost    bool                 // The last read failed.
+	duty    bool                 // This host is one of those that read for the region.
 	due     time.Time            // When the store may be read again.
 	skipped map[string]time.Time // Until when a host is not asked.
 }
@@ -85,8 +89,9 @@
 // ask asks the hosts that read for this region; it reports false if this host should read the store itself.
 func (r *Reader) ask(ctx context.Context) bool {
 	v := r.Loop.View()
+	r.duty = true
 	for i, h := range v.Placers(v.Self.Region, readerRole) {
-		if h.Name == v.Self.Name || i == readersMost {
+		if r.duty = i < readersMost; !r.duty || h.Name == v.Self.Name {
 			return false
 		}
 		if r.Clock().Before(r.skipped[h.Name]) {
@@ -128,7 +133,11 @@
 	case err != nil:
 		r.Loop.Send(ctx, Lost{Err: err})
 		r.lost, r.due = true, r.Clock().Add(r.delay/2+rand.N(r.delay))
-		r.delay = min(2*r.delay, retryMost)
+		most := retryFollower
+		if r.duty {
+			most = retryMost
+		}
+		r.delay = min(2*r.delay, most)
 		return
 	}
 	r.after, r.delay, r.lost, r.due = batch.Revision, retryLeast, false, start.Add(readPeriod)
--- a/internal/ctrl/watch/reader_test.go
+++ b/internal/ctrl/watch/reader_test.go
@@ -16,6 +16,7 @@
 type fakeNet struct {
 	mu       sync.Mutex
 	cut      bool
+	refuse   bool // Each call is refused at once.
 	revision int64
 	begun    chan struct{}
 	peers    map[string]News // What other hosts tell.
@@ -31,6 +32,11 @@
 func (f *fakeNet) Next(ctx context.Context, _ int64, wait time.Duration) (roster.Batch, error) {
 	f.mu.Lock()
 	cut := f.cut
+	if f.refuse {
+		f.reads++
+		f.mu.Unlock()
+		return roster.Batch{}, errors.New("refused")
+	}
 	f.reads++
 	f.revision++
 	out := roster.Batch{Revision: f.revision}
@@ -145,3 +151,18 @@
 	took := await(t, "news", func() bool { return !l.View().Synced.IsZero() })
 	assert.Assert(t, took < 2*time.Second, "%s", took)
 }
+
+// The store refuses all calls, and the hosts that read for the region have no news either. The others of a large region
+// call it less often than those two, and hear soon when one of them has it again.
+func TestFollowersSpareAStoreThatRefuses(t *testing.T) {
+	f := &fakeNet{refuse: true, peers: map[string]News{"big1": {Age: 9 * time.Second}, "big2": {Age: 9 * time.Second}}}
+	l := follow(t, f, roster.Host{Name: "big1", Region: "east", Cores: 2}, roster.Host{Name: "big2", Region: "east", Cores: 2}, roster.Host{Name: "self", Region: "east", Cores: 1})
+	time.Sleep(6 * time.Second)
+	f.mu.Lock()
+	reads := f.reads
+	f.peers["big2"] = News{}
+	f.mu.Unlock()
+	assert.Assert(t, reads >= 4 && reads <= 10, "%d calls in 6 s", reads)
+	took := await(t, "news", func() bool { return !l.View().Synced.IsZero() })
+	assert.Assert(t, took < time.Second, "%s", took)
+}
