--- a/internal/flow/place/work.go
+++ b/internal/flow/place/work.go
@@ -21,8 +21,8 @@
 	// knownPart is the part of a fresh object's work that a known one is taken to need before any was seen: less than
 	// all, so that a burst for one object does not spread it over all upstreams before the first answer comes.
 	knownPart = 0.5
-	// ownerPart is the chance that an object's owner, the first upstream in rendezvous order, remembers it though no job of ours was sent there: another host may
-	// have placed jobs before.
+	// ownerPart is the chance that an object's owner, the first upstream in rendezvous order, remembers it though this
+	// table sent it no job: another host may have placed jobs before.
 	ownerPart = 0.25
 	// ratioLeast and ratioMost bound how much faster or slower than its service an upstream is taken to be.
 	ratioLeast = 0.5
