--- /dev/null
+++ b/internal/flow/place/cold_test.go
@@ -0,0 +1,135 @@
+package place
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// A cold upstream bears a rate; it gets less than that in any second, and gets something.
+func TestAColdUpstreamGetsLessThanItsRate(t *testing.T) {
+	cold := upstream("cold", "a", "east")
+	cold.Cold, cold.Reported = 3*time.Second, at(0)
+	tab := table(cold, upstream("warm", "a", "east"))
+	var times []time.Duration
+	for d := time.Duration(0); d < 3*time.Second; d += 5 * time.Millisecond {
+		now := at(d)
+		a := ask(now)
+		if g := try(tab, now, a); g != nil {
+			if g.Upstream.ID == "cold" {
+				times = append(times, d)
+			}
+			tab.Release(now, g, good(time.Millisecond))
+		}
+	}
+	assert.Assert(t, len(times) > 2, "%d requests warm it up", len(times))
+	for i := range times {
+		n := 0
+		for _, d := range times[i:] {
+			if d-times[i] < time.Second {
+				n++
+			}
+		}
+		assert.Assert(t, n <= 8, "%d in a second of a rate of 8", n)
+	}
+}
+
+// Three hosts think that they place for the region: one that the store turned away and whose entry was taken, the one
+// after it, and one that reaches neither. Together they stay under the bound of one and a half times the rate and five.
+func TestThreePlacingHostsTogetherKeepAColdUpstreamsBound(t *testing.T) {
+	cold := upstream("cold", "a", "east")
+	cold.Slots, cold.Cold, cold.Reported = 9, 3*time.Second, at(0)
+	tabs := []*Table{table(cold), table(cold), table(cold)}
+	var times []time.Duration
+	for d := time.Duration(0); d < 3*time.Second; d += 5 * time.Millisecond {
+		for _, tab := range tabs {
+			if g := try(tab, at(d), ask(at(d))); g != nil {
+				times = append(times, d)
+				tab.Release(at(d), g, good(time.Millisecond))
+			}
+		}
+	}
+	for i := range times {
+		n := 0
+		for _, d := range times[i:] {
+			if d-times[i] < time.Second {
+				n++
+			}
+		}
+		assert.Assert(t, n <= 17, "%d in a second of a rate of 8", n)
+	}
+}
+
+func TestAHostAloneSendsNothingToAColdUpstream(t *testing.T) {
+	cold := upstream("cold", "a", "east")
+	cold.Cold, cold.Reported = 3*time.Second, at(0)
+	tab := table(cold)
+	a := ask(at(time.Second))
+	a.Isolated = true
+	assert.Assert(t, try(tab, at(time.Second), a) == nil)
+	a.Isolated = false
+	assert.Assert(t, try(tab, at(time.Second), a) != nil)
+}
+
+// Load pattern: upstreams that crash, or fail most of their requests while they say that they are well.
+func TestABrokenUpstreamIsLeftAloneAndTriedAgainLater(t *testing.T) {
+	tab := table(upstream("bad", "a", "east"), upstream("other", "b", "east"))
+	now := at(0)
+	g := try(tab, now, ask(now))
+	assert.Equal(t, g.Upstream.ID, "bad")
+	tab.Release(now, g, Result{Broken: true})
+	for range 2 {
+		assert.Equal(t, try(tab, now, ask(now)).Upstream.ID, "other")
+	}
+	assert.Assert(t, try(tab, now, ask(now)) == nil) // The other is full.
+	now = at(ejectLeast + time.Millisecond)
+	assert.Equal(t, try(tab, now, ask(now)).Upstream.ID, "bad")
+}
+
+// Load pattern: a failure domain loses power and its upstreams come back cold. Their reports, which say so, come later
+// than the first connection that opens again.
+func TestAnUpstreamThatComesBackCountsAsColdUntilItsReport(t *testing.T) {
+	tab := table(upstream("u", "a", "east"))
+	now := at(0)
+	for range 4 {
+		var g *Grant
+		for g == nil {
+			now = now.Add(50 * time.Millisecond)
+			g = try(tab, now, ask(now))
+		}
+		tab.Release(now, g, Result{Broken: true})
+	}
+	now = now.Add(ejectMost)
+	n := 0
+	for end := now.Add(2 * time.Second); now.Before(end); now = now.Add(10 * time.Millisecond) {
+		if g := try(tab, now, ask(now)); g != nil {
+			n++
+			tab.Release(now, g, good(5*time.Millisecond))
+		}
+	}
+	assert.Assert(t, n > 0 && n <= 16, "%d requests in the first 2 s, at a rate of 8", n)
+}
+
+func TestAnUpstreamThatFailsMostOfItsJobsIsEjected(t *testing.T) {
+	tab := table(upstream("grey", "a", "east"))
+	now := at(0)
+	for i := range 12 {
+		g := try(tab, now, ask(now))
+		if g == nil {
+			return
+		}
+		tab.Release(now, g, Result{Took: time.Millisecond, Good: i%2 == 0})
+	}
+	t.Fatal("half of its jobs failed, and it is still in use")
+}
+
+func TestAnOldEjectionDoesNotBindANewIncarnation(t *testing.T) {
+	tab := table(upstream("u", "a", "east"))
+	tab.Release(at(0), try(tab, at(0), ask(at(0))), Result{Broken: true})
+	assert.Assert(t, try(tab, at(0), ask(at(0))) == nil)
+	again := upstream("u", "a", "east")
+	again.Born = 2
+	tab.Update(at(time.Millisecond), view(again))
+	assert.Assert(t, try(tab, at(time.Millisecond), ask(at(0))) != nil)
+}
