--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: soak report build test demo generate lint bench capacity floods many claims
+.PHONY: soak report build test demo generate lint bench capacity floods many claims gopls
 
 build:
 	go build -o bin/boragelane .
@@ -38,3 +38,7 @@
 
 claims: build
 	bin/standin claims
+
+# The tool that renames identifiers with every use, at the version that tools/gopls declares.
+gopls:
+	cd tools/gopls && go build -mod=mod -o ../../bin/gopls golang.org/x/tools/gopls
