refactor: plain wording in core/policy, core/roster and core/rendez

Comments described fields by figures ("worth most", "bears", "what traffic decides by"); they now name the limit, the report or the score. rendez: mix, compute, challenge and maxTop became mixHashes, computeWinner, offerBlock and maxWinners; roster: sortInto became appendByLocality. Tests have names that say what they check; their checks are unchanged.

--- a/internal/core/policy/doc.go
+++ b/internal/core/policy/doc.go
@@ -1,2 +1,2 @@
-// Package policy holds the operators' routing policy: which service answers which requests, within which bounds.
+// Package policy defines the operators' routing policy: the routes, services and limits of requests.
 package policy
--- a/internal/core/policy/policy.go
+++ b/internal/core/policy/policy.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Policy is one version of the routing policy; a published one is never changed.
+// Policy is one version of the routing policy; it is immutable once published.
 type Policy struct {
 	Version  uint64
 	Routes   map[string][]Route // By host; longest prefix first.
@@ -14,37 +14,37 @@
 	Limits   Limits
 }
 
-// Route says where the requests of one host and path prefix go.
+// Route defines how requests for a host and path prefix are handled.
 type Route struct {
 	Name      string
 	Host      string
 	Prefix    string
-	Once      bool          // A request may reach an upstream once at most.
-	Timeout   time.Duration // The longest time that a request is kept waiting.
-	Objective time.Duration // The latency within which an answer is worth most.
+	Once      bool          // A request reaches an upstream at most once.
+	Timeout   time.Duration // The longest time allowed for a request.
+	Objective time.Duration // The target latency.
 	Rank      int           // 0 is the most urgent.
 	Parts     []Part
-	Attempts  int // The most upstreams that one request is sent to.
+	Attempts  int // The most upstreams that a request is sent to.
 	Sticky    bool
-	Homes     []string // The only regions that may serve it; none means all.
+	Homes     []string // The regions that may serve the route; empty allows all.
 }
 
-// Part is one service's share of a route's requests.
+// Part is the share of a route's requests that one service gets.
 type Part struct {
 	Service string
 	Weight  float64
 }
 
-// Service is what the policy says of the upstreams of a service.
+// Service configures the upstreams of a service.
 type Service struct {
 	Name       string
 	HealthPath string
 	Conns      int           // Connections that an upstream accepts from all hosts together.
-	ColdLife   time.Duration // How long an upstream is cold after its start.
-	ColdRate   float64       // Requests a second that a cold upstream bears.
+	ColdLife   time.Duration // The time after its start for which an upstream is cold.
+	ColdRate   float64       // Requests per second that a cold upstream can take.
 }
 
-// Limits bounds what a caller may send.
+// Limits bounds the size and timing of callers' requests.
 type Limits struct {
 	Header     int64 // Bytes.
 	Body       int64 // Bytes.
@@ -52,14 +52,14 @@
 	IdleLife   time.Duration
 }
 
-// Sort orders the routes of each host for Match; call it once, before the policy is published.
+// Sort orders each host's routes by descending prefix length, as Match requires; call it once, before publishing.
 func (p *Policy) Sort() {
 	for _, routes := range p.Routes {
 		slices.SortStableFunc(routes, func(a, b Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
 }
 
-// Match returns the route with the longest prefix of a path, or nil if there is none.
+// Match returns the route with the longest prefix of the path, or nil if none matches.
 func (p *Policy) Match(host, path string) *Route {
 	routes := p.Routes[host]
 	for i := range routes {
@@ -70,12 +70,12 @@
 	return nil
 }
 
-// Allows tells whether a route's requests may be served in a region.
+// Allows reports whether a region may serve the route.
 func (r *Route) Allows(region string) bool {
 	return len(r.Homes) == 0 || slices.Contains(r.Homes, region)
 }
 
-// Pick returns the service of the part in which a point of [0, 1) lies.
+// Pick returns the service that the traffic split assigns to a point in [0, 1), or "" if the route has no parts.
 func (r *Route) Pick(point float64) string {
 	var sum float64
 	for _, part := range r.Parts {
--- a/internal/core/policy/policy_test.go
+++ b/internal/core/policy/policy_test.go
@@ -53,7 +53,7 @@
 	})
 }
 
-func TestPartsGetTheShareOfTheirWeight(t *testing.T) {
+func TestPickFollowsWeights(t *testing.T) {
 	r := Route{Parts: []Part{{"a", 90}, {"b", 10}, {"none", 0}}}
 	n := map[string]int{}
 	for i := range 1000 {
@@ -64,7 +64,7 @@
 	assert.Equal(t, (&Route{}).Pick(0.5), "")
 }
 
-func TestHomesBindOnlyIfThereAreAny(t *testing.T) {
+func TestNoHomesAllowsAllRegions(t *testing.T) {
 	assert.Assert(t, (&Route{}).Allows("dar"))
 	assert.Assert(t, (&Route{Homes: []string{"dar"}}).Allows("dar"))
 	assert.Assert(t, !(&Route{Homes: []string{"dar"}}).Allows("mwanza"))
--- a/internal/core/rendez/doc.go
+++ b/internal/core/rendez/doc.go
@@ -1,2 +1,2 @@
-// Package rendez picks among weighted sites by rendezvous hashing.
+// Package rendez selects among weighted sites by rendezvous (highest random weight) hashing.
 package rendez
--- a/internal/core/rendez/rendez.go
+++ b/internal/core/rendez/rendez.go
@@ -7,7 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Site is a choice with a weight; a weight of 0 or less is never picked.
+// Site is a weighted site; one with a weight of 0 or less is never selected.
 type Site struct {
 	Name   string
 	Weight float64
@@ -22,7 +22,7 @@
 // Hash returns the hash of a key.
 func Hash(key string) uint64 { return xxhash.Sum64String(key) }
 
-func mix(a, b uint64) uint64 {
+func mixHashes(a, b uint64) uint64 {
 	x := a ^ (b + 0x9e3779b97f4a7c15 + a<<6 + a>>2)
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
@@ -31,27 +31,27 @@
 	return x ^ x>>33
 }
 
-// Score returns the rank of a site for a key; the highest wins.
+// Score returns a site's score for a key; the highest score wins.
 func Score(key uint64, s Site) float64 {
 	if s.Weight <= 0 {
 		return math.Inf(-1)
 	}
-	u := (float64(mix(key, s.Hash)>>11) + 0.5) / (1 << 53)
+	u := (float64(mixHashes(key, s.Hash)>>11) + 0.5) / (1 << 53)
 	return -s.Weight / math.Log(u)
 }
 
-// Even returns the rank of a site among sites of equal weight: it orders them as Score does, without a logarithm.
-func Even(key, site uint64) uint64 { return mix(key, site) >> 11 }
+// Even returns a site's score among sites of equal weight; it orders them as Score does but needs no logarithm.
+func Even(key, site uint64) uint64 { return mixHashes(key, site) >> 11 }
 
-// maxTop bounds the winners of Top.
-const maxTop = 8
+// maxWinners is the most sites that Top returns.
+const maxWinners = 8
 
-// Top returns the indexes of the winning sites, the first one first: as many as buf has room for, at
-// most eight. It allocates nothing.
+// Top returns the indexes of the sites with the highest scores, highest first: as many as buf has capacity for, at
+// most eight. It does not allocate.
 func Top(key uint64, sites []Site, buf []int) []int {
-	var scores [maxTop]float64
+	var scores [maxWinners]float64
 	top := buf[:0]
-	room := min(cap(buf), maxTop)
+	room := min(cap(buf), maxWinners)
 	for i := range sites {
 		sc := Score(key, sites[i])
 		if math.IsInf(sc, -1) || len(top) == room && sc <= scores[room-1] {
@@ -69,7 +69,7 @@
 	return top
 }
 
-// Order returns the indexes of all sites with a weight, the winner first.
+// Order returns the indexes of all sites with a positive weight, highest score first.
 func Order(key uint64, sites []Site) []int {
 	order := make([]int, 0, len(sites))
 	for i := range sites {
--- a/internal/core/rendez/rendez_test.go
+++ b/internal/core/rendez/rendez_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 )
 
-func draw(t *rapid.T) []Site {
+func drawSites(t *rapid.T) []Site {
 	sites := make([]Site, rapid.IntRange(1, 40).Draw(t, "sites"))
 	for i := range sites {
 		sites[i] = NewSite(fmt.Sprint("s", i), rapid.SampledFrom([]float64{0, 0.5, 1, 1, 3}).Draw(t, "weight"))
@@ -18,16 +18,16 @@
 
 func TestTopIsTheBeginningOfOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		sites, key := draw(t), rapid.Uint64().Draw(t, "key")
+		sites, key := drawSites(t), rapid.Uint64().Draw(t, "key")
 		order := Order(key, sites)
 		top := Top(key, sites, make([]int, 0, 4))
 		assert.DeepEqual(t, top, order[:min(4, len(order))])
 	})
 }
 
-func TestAChangedWeightGivesTheSameTableAsANewOne(t *testing.T) {
+func TestWithWeightMatchesANewTable(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		sites := draw(t)
+		sites := drawSites(t)
 		sites[0].Weight = 1
 		table := NewTable(500, sites)
 		at, weight := rapid.IntRange(0, len(sites)-1).Draw(t, "site"), rapid.Float64Range(0, 4).Draw(t, "weight")
@@ -41,7 +41,7 @@
 	})
 }
 
-func TestWeightsAreShares(t *testing.T) {
+func TestSitesWinInProportionToWeight(t *testing.T) {
 	sites := []Site{NewSite("a", 1), NewSite("b", 3), NewSite("c", 0)}
 	won := [3]int{}
 	for i := range 40_000 {
--- a/internal/core/rendez/table.go
+++ b/internal/core/rendez/table.go
@@ -2,7 +2,7 @@
 
 import "math"
 
-// Table maps a fixed number of blocks of callers to sites; a Table is never changed.
+// Table maps a fixed number of blocks of callers to sites; it is immutable.
 type Table struct {
 	Sites  []Site
 	Winner []uint16
@@ -13,14 +13,14 @@
 func NewTable(blocks int, sites []Site) *Table {
 	t := &Table{Sites: sites, Winner: make([]uint16, blocks), score: make([]float64, blocks)}
 	for b := range blocks {
-		t.compute(b)
+		t.computeWinner(b)
 	}
 	return t
 }
 
 func blockKey(b int) uint64 { return uint64(b)*0x9e3779b97f4a7c15 + 1 }
 
-func (t *Table) compute(b int) {
+func (t *Table) computeWinner(b int) {
 	best, top := 0, math.Inf(-1)
 	key := blockKey(b)
 	for i := range t.Sites {
@@ -31,7 +31,7 @@
 	t.Winner[b], t.score[b] = uint16(best), top
 }
 
-// WithWeight returns a table in which one site has another weight, computing only what that moves.
+// WithWeight returns a copy of the table with one site's weight changed; it recomputes only the affected blocks.
 func (t *Table) WithWeight(site int, weight float64) *Table {
 	n := &Table{
 		Sites:  append([]Site(nil), t.Sites...),
@@ -44,24 +44,24 @@
 		own := int(n.Winner[b]) == site
 		switch {
 		case own && shrink:
-			n.compute(b)
+			n.computeWinner(b)
 		case own:
 			n.score[b] = Score(blockKey(b), n.Sites[site])
 		case !shrink:
-			n.challenge(b, site)
+			n.offerBlock(b, site)
 		}
 	}
 	return n
 }
 
-func (t *Table) challenge(b, site int) {
+func (t *Table) offerBlock(b, site int) {
 	sc := Score(blockKey(b), t.Sites[site])
 	if sc > t.score[b] {
 		t.Winner[b], t.score[b] = uint16(site), sc
 	}
 }
 
-// Lookup returns the site of the block that a caller's hash falls into.
+// Lookup returns the index of the site that a caller's hash maps to.
 func (t *Table) Lookup(hash uint64) int {
 	return int(t.Winner[hash%uint64(len(t.Winner))])
 }
--- a/internal/core/roster/doc.go
+++ b/internal/core/roster/doc.go
@@ -1,2 +1,2 @@
-// Package roster holds what a host knows of the other hosts and the upstreams, and the changes that it learns.
+// Package roster holds a host's view of the other hosts and the upstreams, and the changes that update it.
 package roster
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -9,7 +9,7 @@
 	"github.com/boragelane/boragelane/internal/core/rendez"
 )
 
-// Upstream is one incarnation of an upstream.
+// Upstream is the last report of one incarnation of an upstream.
 type Upstream struct {
 	ID       string
 	Service  string
@@ -18,16 +18,16 @@
 	Region   string
 	Slots    int
 	Draining bool
-	Born     int64 // Unix milliseconds of its start; it orders incarnations of one ID.
-	Seq      int64 // Counts the reports of one incarnation.
+	Born     int64 // Start time in Unix milliseconds; orders the incarnations of an ID.
+	Seq      int64 // Sequence number of the report within the incarnation.
 	Cold     time.Duration
 	Reported time.Time // When this host read the report.
 }
 
-// ColdUntil returns when the upstream is warm, as far as its last report tells.
+// ColdUntil returns when the upstream stops being cold, according to its last report.
 func (u *Upstream) ColdUntil() time.Time { return u.Reported.Add(u.Cold) }
 
-// Host is one entry host.
+// Host is an entry host.
 type Host struct {
 	Name        string
 	Domain      string
@@ -35,30 +35,30 @@
 	Front       string // Address for callers.
 	Peer        string // Address for other hosts.
 	Incarnation string
-	Cores       float64 // Processor time that it may use, in cores.
+	Cores       float64 // Processor time available to the host, in cores.
 }
 
-// Crash is the loss of an upstream while it ran a request with a fingerprint.
+// Crash records that an upstream crashed while it ran a request with the given digest.
 type Crash struct {
 	Digest   uint64
 	Upstream string
 }
 
-// View is an immutable snapshot of what traffic decides by.
+// View is an immutable snapshot of the state that requests are handled by.
 type View struct {
 	Self      Host
 	Policy    *policy.Policy
-	Upstreams map[string][]*Upstream // By service, without those that leave or are evacuated.
+	Upstreams map[string][]*Upstream // By service; excludes upstreams that are draining or evacuated.
 	Hosts     []Host                 // Live hosts, sorted by name.
-	Duties    map[string][]Host      // The hosts of this region that take on a duty, in their order, by duty.
-	Loans     map[string]string      // The region that uses an upstream which is not its own, by upstream.
+	Duties    map[string][]Host      // The hosts of this region that may perform a duty, in order of preference, by duty.
+	Loans     map[string]string      // The region that borrows an upstream, by upstream ID.
 	Crashes   []Crash
-	Evacuated map[string]bool // Failure domains that get no work.
-	Leaving   bool            // This host is stopping.
-	Synced    time.Time       // When the store was last heard.
+	Evacuated map[string]bool // Failure domains that get no jobs.
+	Leaving   bool            // This host is shutting down.
+	Synced    time.Time       // Time of the newest data from the store.
 }
 
-// User returns the region that uses an upstream.
+// User returns the region that uses an upstream: the borrower of a loaned one, or else its own.
 func (v *View) User(u *Upstream) string {
 	if to, lent := v.Loans[u.ID]; lent {
 		return to
@@ -66,8 +66,8 @@
 	return u.Region
 }
 
-// Placers lists the hosts of a region in the order in which they take on a duty for all of them, such as placing
-// a service's jobs: the first one that can be reached does. Those with the most processor time come first.
+// Placers returns the hosts of a region in the order in which they perform a duty for the region, such as placing a
+// service's jobs. The first reachable host performs it. Hosts with more processor time come first.
 func (v *View) Placers(region, duty string) []Host {
 	var hosts []Host
 	key := rendez.Hash(duty)
@@ -85,12 +85,12 @@
 	return hosts
 }
 
-// Kind says what a change is about.
+// Kind is the kind of object that a change affects.
 type Kind int
 
 // Kinds of change.
 const (
-	// Ignored changes concern nobody here.
+	// Ignored is a change that this host does not use.
 	Ignored Kind = iota
 	// PolicyKind is a change of the policy.
 	PolicyKind
@@ -100,13 +100,13 @@
 	HostKind
 	// EvacuationKind is the start or end of a failure domain's evacuation.
 	EvacuationKind
-	// CrashKind is the loss of an upstream that another host saw.
+	// CrashKind is an upstream's crash that another host reported.
 	CrashKind
 )
 
 var kindNames = [...]string{"ignored", "policy", "upstream", "host", "evacuation", "crash"}
 
-// String returns the kind's name in logs.
+// String returns the kind's name for logs.
 func (k Kind) String() string {
 	if k < 0 || int(k) >= len(kindNames) {
 		return "invalid"
@@ -114,7 +114,7 @@
 	return kindNames[k]
 }
 
-// Change is one decoded change in the store; Name is the upstream, host or failure domain that it concerns.
+// Change is a decoded change in the store; Name is the upstream, host or failure domain that it affects.
 type Change struct {
 	Kind     Kind
 	Name     string
@@ -124,19 +124,19 @@
 	Upstream Upstream
 	Host     Host
 	Crash    Crash
-	Err      error // The entry can't be used, and why.
+	Err      error // Why the entry is invalid, or nil.
 }
 
-// Batch is the changes that follow one another in the store.
+// Batch is a group of consecutive changes in the store.
 type Batch struct {
 	Changes  []Change
-	Revision int64         // The store's revision after them.
-	Full     bool          // The changes are all that the store holds, not what was added.
-	Age      time.Duration // Since the store told them, if another host passed them on.
+	Revision int64         // The store's revision after the changes.
+	Full     bool          // The changes are a full snapshot of the store, not an increment.
+	Age      time.Duration // Time since the store sent the changes, if another host forwarded them.
 }
 
-// Nearest lists the hosts that a caller of a region and failure domain should use: those of its region, the
-// ones of its failure domain first; all others if the region has none.
+// Nearest returns the hosts that a caller in the given region and failure domain should use: those of its region, with
+// those of its failure domain first, or all others if its region has none.
 func (v *View) Nearest(region, domain string) []Host {
 	var near, same, far []Host
 	self := false
@@ -147,10 +147,10 @@
 				continue
 			}
 		}
-		near, same, far = sortInto(h, region, domain, near, same, far)
+		near, same, far = appendByLocality(h, region, domain, near, same, far)
 	}
 	if !self && !v.Leaving {
-		near, same, far = sortInto(v.Self, region, domain, near, same, far)
+		near, same, far = appendByLocality(v.Self, region, domain, near, same, far)
 	}
 	if len(near)+len(same) > 0 {
 		return append(near, same...)
@@ -158,7 +158,7 @@
 	return far
 }
 
-func sortInto(h Host, region, domain string, near, same, far []Host) ([]Host, []Host, []Host) {
+func appendByLocality(h Host, region, domain string, near, same, far []Host) ([]Host, []Host, []Host) {
 	switch {
 	case h.Domain == domain:
 		near = append(near, h)
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -14,7 +14,7 @@
 	return out
 }
 
-func TestTheDirectoryNamesLiveHostsOfTheCallersRegion(t *testing.T) {
+func TestNearestReturnsLiveHostsOfTheCallersRegion(t *testing.T) {
 	self := Host{Name: "a1", Domain: "a", Region: "east"}
 	v := &View{Self: self, Hosts: []Host{
 		self, {Name: "a2", Domain: "a", Region: "east"}, {Name: "b1", Domain: "b", Region: "east"}, {Name: "c1", Domain: "c", Region: "west"},
@@ -26,14 +26,14 @@
 	assert.DeepEqual(t, names(v.Nearest("east", "a")), []string{"a2", "b1"})
 }
 
-func TestAHostThatKnowsNobodyNamesItself(t *testing.T) {
+func TestNearestReturnsSelfWithoutOtherHosts(t *testing.T) {
 	v := &View{Self: Host{Name: "a1", Domain: "a", Region: "east"}}
 	assert.DeepEqual(t, names(v.Nearest("west", "c")), []string{"a1"})
 	v.Leaving = true
 	assert.DeepEqual(t, names(v.Nearest("west", "c")), []string{})
 }
 
-func TestDutiesGoToHostsWithProcessorTimeAndSpreadOverThem(t *testing.T) {
+func TestPlacersPreferCoresAndSpreadDuties(t *testing.T) {
 	v := &View{Hosts: []Host{
 		{Name: "small", Region: "east", Cores: 0.16}, {Name: "big1", Region: "east", Cores: 0.8},
 		{Name: "big2", Region: "east", Cores: 0.8}, {Name: "far", Region: "west", Cores: 8},
