refactor: plain wording in flow/match

times, elapsed, unready and defaultLife became longestTimeouts, estimateElapsed, noPolicyRetryAfter and defaultTimeout; the comments say how the elapsed time is estimated.

--- a/internal/flow/match/doc.go
+++ b/internal/flow/match/doc.go
@@ -1,2 +1,2 @@
-// Package match finds the route of a job, the service of its traffic split, and the time that it has.
+// Package match assigns a job its route, a service according to the route's traffic split, and its deadline.
 package match
--- a/internal/flow/match/match.go
+++ b/internal/flow/match/match.go
@@ -10,33 +10,33 @@
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
-// Pipe sets a job's route, service and deadline.
+// Pipe is the filter that sets a job's route, service and deadline.
 type Pipe struct {
-	mu    sync.Mutex
-	times map[string]time.Duration // The longest time that callers gave, by route.
+	mu              sync.Mutex
+	longestTimeouts map[string]time.Duration // The longest time that a caller has allowed for a job, by route.
 }
 
-// New returns a filter that has seen no caller.
-func New() *Pipe { return &Pipe{times: map[string]time.Duration{}} }
+// New returns a filter without recorded timeouts.
+func New() *Pipe { return &Pipe{longestTimeouts: map[string]time.Duration{}} }
 
-// String names the filter.
+// String returns the filter's name.
 func (*Pipe) String() string { return "match" }
 
-// elapsed returns how long ago a caller seems to have first sent a request: one that comes back has less time
-// left than others of its route.
-func (p *Pipe) elapsed(route string, left time.Duration) time.Duration {
+// estimateElapsed estimates how long ago a caller first sent a request. A caller that retries allows less time than
+// the longest seen on its route; the difference is the time that has passed.
+func (p *Pipe) estimateElapsed(route string, left time.Duration) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if left > p.times[route] {
-		p.times[route] = left
+	if left > p.longestTimeouts[route] {
+		p.longestTimeouts[route] = left
 	}
-	return p.times[route] - left
+	return p.longestTimeouts[route] - left
 }
 
-// Run matches the job by host and longest prefix; it refuses a job that no route takes.
+// Run matches the job by host and longest path prefix, and refuses a job without a route.
 func (p *Pipe) Run(_ context.Context, now time.Time, job *pipe.Job) {
 	if job.View.Policy == nil {
-		job.RetryAfter = unready
+		job.RetryAfter = noPolicyRetryAfter
 		job.Refuse(pipe.NoPolicy, "this host knows no policy yet")
 		return
 	}
@@ -54,7 +54,7 @@
 	if r.Objective > 0 {
 		job.Objective = job.Started.Add(r.Objective)
 		if !job.Deadline.IsZero() {
-			job.Objective = job.Objective.Add(-p.elapsed(r.Name, job.Deadline.Sub(job.Started)))
+			job.Objective = job.Objective.Add(-p.estimateElapsed(r.Name, job.Deadline.Sub(job.Started)))
 		}
 	}
 	limit := job.Started.Add(r.Timeout)
@@ -62,7 +62,7 @@
 		job.Deadline = limit
 	}
 	if job.Deadline.IsZero() {
-		job.Deadline = job.Started.Add(defaultLife)
+		job.Deadline = job.Started.Add(defaultTimeout)
 	}
 	if job.Objective.IsZero() {
 		job.Objective = job.Deadline
@@ -73,8 +73,8 @@
 }
 
 const (
-	// unready is when a caller may come back to a host that has just started: about one read of the store.
-	unready = 500 * time.Millisecond
-	// defaultLife bounds a job whose caller and route name no deadline.
-	defaultLife = 30 * time.Second
+	// noPolicyRetryAfter is the retry delay for callers of a host that has just started: about one read of the store.
+	noPolicyRetryAfter = 500 * time.Millisecond
+	// defaultTimeout applies if neither the caller nor the route sets a deadline.
+	defaultTimeout = 30 * time.Second
 )
