refactor: plain wording in flow/serve

The retry budget spoke of a ledger, firsts and a part that is spent, the filter of spare answers and again; it is now a history of requests and retries, usableShare, lastAnswer and mayRetry. Tests and subtests are named after what they check; their checks are unchanged.

--- a/internal/flow/serve/budget.go
+++ b/internal/flow/serve/budget.go
@@ -5,73 +5,75 @@
 	"time"
 )
 
-// Terms is the retry budget that all hosts share.
+// Terms configures the retry budget, which all hosts share.
 type Terms struct {
-	Ratio  float64       // Retries for each request.
-	Slack  float64       // Retries in a window besides.
-	Window time.Duration // Any span of this length counts.
+	Ratio  float64       // Retries allowed per request.
+	Slack  float64       // Additional retries allowed per window, for all hosts together.
+	Window time.Duration // The length of the sliding window.
 }
 
-// part is how much of its share a host spends: others may count fewer hosts than there are for a moment.
-const part = 0.8
+// usableShare is the part of its share that a host spends. Hosts may briefly undercount each other, which makes each
+// share too large.
+const usableShare = 0.8
 
-// Budget is this host's share of the retry budget of each service.
+// Budget is this host's share of the retry budget, by service.
 type Budget struct {
 	mu       sync.Mutex
 	terms    Terms
-	services map[string]*ledger
+	services map[string]*history
 }
 
-// ledger holds when requests and retries of one service were sent, within the window.
-type ledger struct {
-	firsts  []time.Time
-	retries []time.Time
+// history holds the send times of one service's requests and retries within the window.
+type history struct {
+	requests []time.Time
+	retries  []time.Time
 }
 
-// NewBudget returns a budget that nothing has been spent of.
-func NewBudget(t Terms) *Budget { return &Budget{terms: t, services: map[string]*ledger{}} }
+// NewBudget returns an unused budget.
+func NewBudget(t Terms) *Budget { return &Budget{terms: t, services: map[string]*history{}} }
 
-// SetTerms changes the terms.
+// SetTerms replaces the configuration.
 func (b *Budget) SetTerms(t Terms) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.terms = t
 }
 
-// First notes a request for a service.
-func (b *Budget) First(now time.Time, service string) {
+// RecordRequest records the first attempt of a request.
+func (b *Budget) RecordRequest(now time.Time, service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	l := b.at(now, service)
-	l.firsts = append(l.firsts, now)
+	h := b.history(now, service)
+	h.requests = append(h.requests, now)
 }
 
-// Retry spends a retry if the share of this host, one of so many, leaves room for it.
-func (b *Budget) Retry(now time.Time, service string, hosts int) bool {
+// SpendRetry reports whether this host's share, with the given number of hosts, allows another retry, and records the
+// retry if so.
+func (b *Budget) SpendRetry(now time.Time, service string, hosts int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	l := b.at(now, service)
-	limit := part * (b.terms.Ratio*float64(len(l.firsts)) + b.terms.Slack/float64(max(1, hosts)))
-	if float64(len(l.retries)+1) > limit {
+	h := b.history(now, service)
+	limit := usableShare * (b.terms.Ratio*float64(len(h.requests)) + b.terms.Slack/float64(max(1, hosts)))
+	if float64(len(h.retries)+1) > limit {
 		return false
 	}
-	l.retries = append(l.retries, now)
+	h.retries = append(h.retries, now)
 	return true
 }
 
-func (b *Budget) at(now time.Time, service string) *ledger {
-	l := b.services[service]
-	if l == nil {
-		l = &ledger{}
-		b.services[service] = l
+func (b *Budget) history(now time.Time, service string) *history {
+	h := b.services[service]
+	if h == nil {
+		h = &history{}
+		b.services[service] = h
 	}
-	l.firsts = since(l.firsts, now.Add(-b.terms.Window))
-	l.retries = since(l.retries, now.Add(-b.terms.Window))
-	return l
+	h.requests = dropBefore(h.requests, now.Add(-b.terms.Window))
+	h.retries = dropBefore(h.retries, now.Add(-b.terms.Window))
+	return h
 }
 
-// since drops the times before a start.
-func since(times []time.Time, start time.Time) []time.Time {
+// dropBefore returns the times from start on; times must be in ascending order.
+func dropBefore(times []time.Time, start time.Time) []time.Time {
 	n := 0
 	for n < len(times) && times[n].Before(start) {
 		n++
--- a/internal/flow/serve/doc.go
+++ b/internal/flow/serve/doc.go
@@ -1,2 +1,3 @@
-// Package serve takes a job to upstreams, one after the other, within its time and the shared retry budget.
+// Package serve sends a job to upstreams, one after another, until one answers or the deadline or the shared retry
+// budget ends the attempts.
 package serve
--- a/internal/flow/serve/serve.go
+++ b/internal/flow/serve/serve.go
@@ -12,23 +12,23 @@
 	"github.com/boragelane/boragelane/internal/flow/place"
 )
 
-// Placer admits jobs to upstreams.
+// Placer reserves and releases slots of upstreams.
 type Placer interface {
 	Acquire(ctx context.Context, now time.Time, ask place.Ask) *place.Grant
 	Release(now time.Time, g *place.Grant, r place.Result)
 }
 
-// Sender sends a job to an upstream once.
+// Sender makes one attempt to run a job on an upstream.
 type Sender interface {
 	Send(ctx context.Context, now time.Time, job *pipe.Job, u *roster.Upstream) pipe.Reply
 }
 
-// Journal records each try of a job.
+// Journal records each attempt.
 type Journal interface {
 	Tried(now time.Time, job *pipe.Job, u *roster.Upstream, took time.Duration)
 }
 
-// Pipe serves jobs.
+// Pipe is the filter that runs jobs on upstreams.
 type Pipe struct {
 	Placer  Placer
 	Sender  Sender
@@ -38,54 +38,54 @@
 }
 
 const (
-	// leastLeft is the least time in which another try can end.
-	leastLeft = 30 * time.Millisecond
+	// minTryTime is the remaining time below which another attempt is not made.
+	minTryTime = 30 * time.Millisecond
 )
 
-// String names the filter.
+// String returns the filter's name.
 func (*Pipe) String() string { return "serve" }
 
-// Run tries upstreams until one ends the job or another try isn't allowed.
+// Run makes attempts until one ends the job or no further attempt is allowed.
 func (p *Pipe) Run(ctx context.Context, now time.Time, job *pipe.Job) {
 	ctx, cancel := context.WithDeadline(ctx, job.Deadline)
 	defer cancel()
-	p.Budget.First(now, job.Service)
+	p.Budget.RecordRequest(now, job.Service)
 	var tried []string
-	var spare *pipe.Answer
+	var lastAnswer *pipe.Answer
 	for {
-		g := p.Placer.Acquire(ctx, now, ask(job, tried))
+		g := p.Placer.Acquire(ctx, now, placeRequest(job, tried))
 		if g == nil {
-			p.unplaced(ctx, job)
+			p.refuseUnplaced(ctx, job)
 			break
 		}
 		job.Outcome = pipe.Outcome{}
-		p.try(ctx, job, g)
+		p.attempt(ctx, job, g)
 		tried = append(tried, g.Upstream.ID)
 		if job.Outcome.Kind == pipe.Answered {
-			spare = &job.Answer
+			lastAnswer = &job.Answer
 		}
 		now = p.Clock()
-		if !p.again(now, job) {
+		if !p.mayRetry(now, job) {
 			break
 		}
 	}
 	switch {
-	case job.Outcome.Kind != pipe.Answered && spare != nil:
-		job.Finish(*spare)
+	case job.Outcome.Kind != pipe.Answered && lastAnswer != nil:
+		job.Finish(*lastAnswer)
 	case job.Outcome.Kind == pipe.NotRun && job.MayHaveRun:
 		job.Lose(job.Outcome.Reason, job.Outcome.Detail)
 	}
 }
 
-func ask(job *pipe.Job, tried []string) place.Ask {
+func placeRequest(job *pipe.Job, tried []string) place.Ask {
 	return place.Ask{
 		Host: job.View.Self, Service: job.Service, Rank: job.Level, Object: job.Object, Homes: job.Route.Homes, Tried: tried,
 		Objective: job.Objective, Deadline: job.Deadline, Trace: job.Trace,
 	}
 }
 
-// unplaced ends a job that found no slot; what its earlier tries came to stays true.
-func (p *Pipe) unplaced(ctx context.Context, job *pipe.Job) {
+// refuseUnplaced ends a job that got no slot. If there were earlier attempts, their outcome stands.
+func (p *Pipe) refuseUnplaced(ctx context.Context, job *pipe.Job) {
 	switch {
 	case ctx.Err() != nil && job.Tries == 0:
 		job.Refuse(pipe.Expired, "the job's time ended before a slot was free")
@@ -96,16 +96,17 @@
 }
 
 const (
-	// returnBase and returnStep spread the callers that come back: urgent ones first, and none at once.
-	returnBase = 100 * time.Millisecond
-	returnStep = 150 * time.Millisecond
+	// retryAfterBase and retryAfterStep spread the return of refused callers: urgent jobs return first, and the random
+	// part keeps callers from returning all at once.
+	retryAfterBase = 100 * time.Millisecond
+	retryAfterStep = 150 * time.Millisecond
 )
 
 func retryAfter(job *pipe.Job) time.Duration {
-	return returnBase + time.Duration(job.Level)*returnStep + rand.N(returnStep)
+	return retryAfterBase + time.Duration(job.Level)*retryAfterStep + rand.N(retryAfterStep)
 }
 
-func (p *Pipe) try(ctx context.Context, job *pipe.Job, g *place.Grant) {
+func (p *Pipe) attempt(ctx context.Context, job *pipe.Job, g *place.Grant) {
 	u := g.Upstream
 	start := p.Clock()
 	if job.Crashed {
@@ -115,13 +116,13 @@
 	job.Upstream = pipe.Place{ID: u.ID, Address: u.Address}
 	job.Reply = p.Sender.Send(ctx, start, job, u)
 	now := p.Clock()
-	settle(ctx, job)
+	setOutcome(ctx, job)
 	job.MayHaveRun = job.MayHaveRun || job.Outcome.Kind == pipe.Unknown
 	p.Placer.Release(now, g, result(&job.Reply, now.Sub(start)))
 	p.Journal.Tried(now, job, u, now.Sub(start))
 }
 
-// result tells the placer what a reply means for the upstream.
+// result converts a reply to the result that the placer records for the upstream.
 func result(r *pipe.Reply, took time.Duration) place.Result {
 	out := place.Result{
 		Took: took, Dial: r.Dial, Quiet: r.Late, Shed: r.Shed, Moved: r.Moved, Broken: !r.Sent && !r.Late || r.Crash,
@@ -133,8 +134,8 @@
 	return out
 }
 
-// settle decides what a reply means for the job.
-func settle(ctx context.Context, job *pipe.Job) {
+// setOutcome derives the job's outcome from its reply.
+func setOutcome(ctx context.Context, job *pipe.Job) {
 	r := &job.Reply
 	job.Crashed = r.Crash
 	switch {
@@ -157,9 +158,9 @@
 	}
 }
 
-// again tells whether another upstream may be tried, and spends a retry for it.
-func (p *Pipe) again(now time.Time, job *pipe.Job) bool {
-	if job.Deadline.Sub(now) < leastLeft || job.Tries >= max(1, job.Route.Attempts) {
+// mayRetry reports whether another attempt is allowed, and spends a retry of the budget if it needs one.
+func (p *Pipe) mayRetry(now time.Time, job *pipe.Job) bool {
+	if job.Deadline.Sub(now) < minTryTime || job.Tries >= max(1, job.Route.Attempts) {
 		return false
 	}
 	switch job.Outcome.Kind {
@@ -179,5 +180,5 @@
 			return true
 		}
 	}
-	return p.Budget.Retry(now, job.Service, len(job.View.Hosts))
+	return p.Budget.SpendRetry(now, job.Service, len(job.View.Hosts))
 }
--- a/internal/flow/serve/serve_test.go
+++ b/internal/flow/serve/serve_test.go
@@ -16,15 +16,15 @@
 
 var start = time.Unix(1_700_000_000, 0)
 
-// script answers tries in order, and notes what was sent.
-type script struct {
+// scriptedUpstreams replies to attempts in order and counts them.
+type scriptedUpstreams struct {
 	replies []pipe.Reply
 	sent    int
-	free    int // Upstreams that are still free.
+	free    int // Slots that can still be acquired.
 	held    int
 }
 
-func (s *script) Acquire(context.Context, time.Time, place.Ask) *place.Grant {
+func (s *scriptedUpstreams) Acquire(context.Context, time.Time, place.Ask) *place.Grant {
 	if s.free == 0 {
 		return nil
 	}
@@ -33,17 +33,17 @@
 	return &place.Grant{Upstream: &roster.Upstream{ID: string(rune('a' + s.free)), Service: "s"}}
 }
 
-func (s *script) Release(time.Time, *place.Grant, place.Result) { s.held-- }
+func (s *scriptedUpstreams) Release(time.Time, *place.Grant, place.Result) { s.held-- }
 
-func (s *script) Send(context.Context, time.Time, *pipe.Job, *roster.Upstream) pipe.Reply {
+func (s *scriptedUpstreams) Send(context.Context, time.Time, *pipe.Job, *roster.Upstream) pipe.Reply {
 	r := s.replies[min(s.sent, len(s.replies)-1)]
 	s.sent++
 	return r
 }
 
-func (*script) Tried(time.Time, *pipe.Job, *roster.Upstream, time.Duration) {}
+func (*scriptedUpstreams) Tried(time.Time, *pipe.Job, *roster.Upstream, time.Duration) {}
 
-func run(s *script, once bool) *pipe.Job {
+func run(s *scriptedUpstreams, once bool) *pipe.Job {
 	job := &pipe.Job{
 		Once: once, Service: "s", Started: start, Deadline: time.Now().Add(time.Minute), Objective: start,
 		Route: &policy.Route{Attempts: 2}, View: &roster.View{Hosts: make([]roster.Host, 1)},
@@ -65,7 +65,7 @@
 	lost    = pipe.Reply{Sent: true}
 )
 
-func TestWhatMayRunOnceIsSentAgainOnlyIfItHasNotRun(t *testing.T) {
+func TestAnAtMostOnceJobIsRetriedOnlyIfItHasNotRun(t *testing.T) {
 	for _, c := range []struct {
 		name    string
 		once    bool
@@ -74,19 +74,19 @@
 		want    pipe.Kind
 		status  int
 	}{
-		{"a shed job goes elsewhere", true, []pipe.Reply{shed, whole}, 2, pipe.Answered, 200},
-		{"so does one that met another upstream", true, []pipe.Reply{moved, whole}, 2, pipe.Answered, 200},
-		{"or no upstream", true, []pipe.Reply{refused, whole}, 2, pipe.Answered, 200},
-		{"a lost answer is not asked for again", true, []pipe.Reply{lost, whole}, 1, pipe.Unknown, 0},
-		{"nor a failure", true, []pipe.Reply{failed, whole}, 1, pipe.Answered, 500},
-		{"what was shed everywhere has not run", true, []pipe.Reply{shed, shed}, 2, pipe.NotRun, 0},
-		{"a repeatable job is sent again", false, []pipe.Reply{lost, whole}, 2, pipe.Answered, 200},
-		{"after a failure too", false, []pipe.Reply{failed, whole}, 2, pipe.Answered, 200},
-		{"a failure is passed on if the next try brings less", false, []pipe.Reply{failed, lost}, 2, pipe.Answered, 500},
-		{"what was lost once may have run", false, []pipe.Reply{lost, shed}, 2, pipe.Unknown, 0},
+		{"a shed job is retried", true, []pipe.Reply{shed, whole}, 2, pipe.Answered, 200},
+		{"a job sent to a reused address is retried", true, []pipe.Reply{moved, whole}, 2, pipe.Answered, 200},
+		{"a job without a connection is retried", true, []pipe.Reply{refused, whole}, 2, pipe.Answered, 200},
+		{"a lost at-most-once job is not retried", true, []pipe.Reply{lost, whole}, 1, pipe.Unknown, 0},
+		{"a failed at-most-once job is not retried", true, []pipe.Reply{failed, whole}, 1, pipe.Answered, 500},
+		{"a job shed by all upstreams has not run", true, []pipe.Reply{shed, shed}, 2, pipe.NotRun, 0},
+		{"a lost repeatable job is retried", false, []pipe.Reply{lost, whole}, 2, pipe.Answered, 200},
+		{"a failed repeatable job is retried", false, []pipe.Reply{failed, whole}, 2, pipe.Answered, 200},
+		{"a failed answer is returned if the retry is lost", false, []pipe.Reply{failed, lost}, 2, pipe.Answered, 500},
+		{"a job lost once may have run", false, []pipe.Reply{lost, shed}, 2, pipe.Unknown, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			s := &script{replies: c.replies, free: 5}
+			s := &scriptedUpstreams{replies: c.replies, free: 5}
 			job := run(s, c.once)
 			assert.Equal(t, s.sent, c.sent)
 			assert.Equal(t, job.Outcome.Kind, c.want)
@@ -98,26 +98,26 @@
 	}
 }
 
-func TestAJobWithoutAnUpstreamIsRefusedWithATimeToComeBack(t *testing.T) {
-	job := run(&script{}, true)
+func TestAJobWithoutAnUpstreamIsRefusedWithRetryAfter(t *testing.T) {
+	job := run(&scriptedUpstreams{}, true)
 	assert.Equal(t, job.Outcome.Kind, pipe.NotRun)
 	assert.Assert(t, job.RetryAfter > 0)
 }
 
-func TestARetryThatFindsNoUpstreamLeavesTheTruth(t *testing.T) {
-	job := run(&script{replies: []pipe.Reply{lost}, free: 1}, false)
+func TestAnUnplacedRetryKeepsTheUnknownOutcome(t *testing.T) {
+	job := run(&scriptedUpstreams{replies: []pipe.Reply{lost}, free: 1}, false)
 	assert.Equal(t, job.Outcome.Kind, pipe.Unknown)
 }
 
-func TestAtMostAsManyUpstreamsAsTheRouteAllows(t *testing.T) {
-	s := &script{replies: []pipe.Reply{lost}, free: 9}
+func TestAttemptsAreLimitedByTheRoute(t *testing.T) {
+	s := &scriptedUpstreams{replies: []pipe.Reply{lost}, free: 9}
 	run(s, false)
 	assert.Equal(t, s.sent, 2)
 }
 
-// Load pattern: upstreams fail much, and all hosts retry. Over any window the retries of all hosts together stay
-// under the shared budget, however unevenly the requests come.
-func TestTheSharedBudgetHoldsOverAllHosts(t *testing.T) {
+// While upstreams fail and all hosts retry, the retries of all hosts together must stay within the shared budget over
+// any window, however unevenly the requests arrive.
+func TestRetriesOfAllHostsStayWithinTheBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		terms := Terms{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}
 		hosts := make([]*Budget, rapid.IntRange(1, 12).Draw(t, "hosts"))
@@ -134,12 +134,12 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "gap")) * time.Millisecond)
 			b := hosts[rapid.IntRange(0, len(hosts)-1).Draw(t, "host")]
 			if rapid.Bool().Draw(t, "retry") {
-				if b.Retry(now, "s", len(hosts)) {
+				if b.SpendRetry(now, "s", len(hosts)) {
 					events = append(events, event{now, true})
 				}
 				continue
 			}
-			b.First(now, "s")
+			b.RecordRequest(now, "s")
 			events = append(events, event{now, false})
 		}
 		for i := range events {
