--- a/internal/flow/place/bench_test.go
+++ b/internal/flow/place/bench_test.go
@@ -9,8 +9,8 @@
 	"github.com/boragelane/boragelane/internal/core/roster"
 )
 
-// BenchmarkHerd is the load of a placing host after all hosts restarted: all slots are taken, 400 jobs wait, and more come as
-// slots become free.
+// BenchmarkHerd measures a placing host after a restart of all hosts: all slots are taken, 400 jobs wait, and a new
+// job arrives for each slot that becomes free.
 func BenchmarkHerd(b *testing.B) {
 	list := []*roster.Upstream{}
 	for i := range 170 {
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -8,36 +8,37 @@
 	"github.com/boragelane/boragelane/internal/core/roster"
 )
 
-// Tier is how far an upstream is from a host.
-type Tier int
+// Locality classifies an upstream by its distance from a host.
+type Locality int
 
-// Tiers, the nearest first.
+// Localities, in order of increasing distance.
 const (
-	// Near upstreams are in the host's failure domain.
-	Near Tier = iota
-	// Region upstreams are in the host's region.
-	Region
-	// Far upstreams are in another region.
-	Far
+	// SameDomain upstreams are in the host's failure domain.
+	SameDomain Locality = iota
+	// SameRegion upstreams are in the host's region.
+	SameRegion
+	// OtherRegion upstreams are in another region.
+	OtherRegion
 )
 
-// Candidate is an upstream as a choice for one job.
+// Candidate is an upstream that may run a job, with the values used to compare it with others.
 type Candidate struct {
 	Upstream *roster.Upstream
-	Cost     time.Duration // Expected time until the answer, waiting included.
-	Free     int           // Slots that no job uses.
-	Warming  bool          // It is cold, and due for a request that warms it up.
-	Score    uint64        // Rendezvous rank for the job's object; the highest keeps it warm.
+	Cost     time.Duration // Expected time until the answer, including queueing.
+	Free     int           // Slots that the job could use now; none if not positive.
+	Warming  bool          // The upstream is cold and due for a warm-up request.
+	Score    uint64        // Rendezvous score for the job's object; the upstream with the highest score owns the object.
 
 	load *load
 }
 
-// costStep is the difference in expected time that makes one upstream better than another. Within it the object
-// decides, so that all hosts send an object to the same few upstreams.
-const costStep = 8 * time.Millisecond
+// costGranularity is the smallest difference in cost that matters. Candidates within the same step are ordered by
+// rendezvous score, so that all hosts send an object to the same few upstreams.
+const costGranularity = 8 * time.Millisecond
 
-// Choose returns the index of the best candidate, or -1. A job waits for it if it has no free slot: that is
-// expected to take less time than running the job elsewhere, where its object is not in memory.
+// Choose returns the index of the best candidate, or -1 if the list is empty. The best candidate may have no free
+// slot: queueing for it is then expected to take less time than running the job on an upstream that has not cached its
+// object.
 func Choose(list []Candidate) int {
 	best := -1
 	for i := range list {
@@ -52,7 +53,7 @@
 	if a.Warming != b.Warming {
 		return a.Warming
 	}
-	if x, y := a.Cost/costStep, b.Cost/costStep; x != y {
+	if x, y := a.Cost/costGranularity, b.Cost/costGranularity; x != y {
 		return x < y
 	}
 	if a.Score != b.Score {
@@ -61,39 +62,39 @@
 	return a.Free > b.Free
 }
 
-// tierOf returns how far an upstream is from a host.
-func tierOf(self *roster.Host, u *roster.Upstream) Tier {
+// localityOf returns the locality of an upstream relative to a host.
+func localityOf(self *roster.Host, u *roster.Upstream) Locality {
 	switch {
 	case u.Domain == self.Domain:
-		return Near
+		return SameDomain
 	case u.Region == self.Region:
-		return Region
+		return SameRegion
 	}
-	return Far
+	return OtherRegion
 }
 
-// Ask is what a choice needs to know of a job.
+// Ask holds the attributes of a job that placement depends on.
 type Ask struct {
-	Host      roster.Host // The host that asks.
+	Host      roster.Host // The host that received the job.
 	Service   string
 	Rank      int
 	Object    string
-	Homes     []string // The only regions that may serve it; none means all.
+	Homes     []string // The regions that may run the job; empty allows all.
 	Tried     []string
-	Objective time.Time         // An answer is worth most until then.
-	Deadline  time.Time         // An answer is worth nothing after it.
-	Isolated  bool              // The host that places for this one can't be reached.
-	Trace     map[string]string // The span that the job is in.
+	Objective time.Time         // Target time for the answer.
+	Deadline  time.Time         // An answer after this time is useless.
+	Isolated  bool              // The host cannot reach the placing host of its region.
+	Trace     map[string]string // Trace context of the job's span.
 
-	hash uint64
+	cachedHash uint64
 }
 
-// key returns the hash of the job's object, 0 for none.
-func (a *Ask) key() uint64 {
-	if a.Object != "" && a.hash == 0 {
-		a.hash = rendez.Hash(a.Object)
+// objectHash returns the hash of the job's object, or 0 if it has none.
+func (a *Ask) objectHash() uint64 {
+	if a.Object != "" && a.cachedHash == 0 {
+		a.cachedHash = rendez.Hash(a.Object)
 	}
-	return a.hash
+	return a.cachedHash
 }
 
 func (a *Ask) allows(region string) bool {
--- a/internal/flow/place/cold_test.go
+++ b/internal/flow/place/cold_test.go
@@ -7,7 +7,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// A cold upstream bears a rate; it gets less than that in any second, and gets something.
+// A cold upstream must not get more requests in any second than its rate, but must get some to warm up.
 func TestAColdUpstreamGetsLessThanItsRate(t *testing.T) {
 	cold := upstream("cold", "a", "east")
 	cold.Cold, cold.Reported = 3*time.Second, at(0)
@@ -23,7 +23,7 @@
 			tab.Release(now, g, good(time.Millisecond))
 		}
 	}
-	assert.Assert(t, len(times) > 2, "%d requests warm it up", len(times))
+	assert.Assert(t, len(times) > 2, "%d warm-up requests", len(times))
 	for i := range times {
 		n := 0
 		for _, d := range times[i:] {
@@ -31,12 +31,12 @@
 				n++
 			}
 		}
-		assert.Assert(t, n <= 8, "%d in a second of a rate of 8", n)
+		assert.Assert(t, n <= 8, "%d requests within a second at a rate of 8", n)
 	}
 }
 
-// Three hosts think that they place for the region: one that the store turned away and whose entry was taken, the one
-// after it, and one that reaches neither. Together they stay under the bound of one and a half times the rate and five.
+// Three hosts may act as the region's placing host at once: one that has lost the store and whose entry was taken
+// over, its successor, and one that can reach neither. Together they must stay below 1.5 times the rate plus 5.
 func TestThreePlacingHostsTogetherKeepAColdUpstreamsBound(t *testing.T) {
 	cold := upstream("cold", "a", "east")
 	cold.Slots, cold.Cold, cold.Reported = 9, 3*time.Second, at(0)
@@ -57,11 +57,11 @@
 				n++
 			}
 		}
-		assert.Assert(t, n <= 17, "%d in a second of a rate of 8", n)
+		assert.Assert(t, n <= 17, "%d requests within a second at a rate of 8", n)
 	}
 }
 
-func TestAHostAloneSendsNothingToAColdUpstream(t *testing.T) {
+func TestAnIsolatedHostSendsNothingToAColdUpstream(t *testing.T) {
 	cold := upstream("cold", "a", "east")
 	cold.Cold, cold.Reported = 3*time.Second, at(0)
 	tab := table(cold)
@@ -72,8 +72,9 @@
 	assert.Assert(t, try(tab, at(time.Second), a) != nil)
 }
 
-// Load pattern: upstreams that crash, or fail most of their requests while they say that they are well.
-func TestABrokenUpstreamIsLeftAloneAndTriedAgainLater(t *testing.T) {
+// Guards against sending jobs to an upstream that crashes, or that fails most requests while it reports itself
+// healthy.
+func TestABrokenUpstreamIsEjectedAndRetriedLater(t *testing.T) {
 	tab := table(upstream("bad", "a", "east"), upstream("other", "b", "east"))
 	now := at(0)
 	g := try(tab, now, ask(now))
@@ -82,13 +83,13 @@
 	for range 2 {
 		assert.Equal(t, try(tab, now, ask(now)).Upstream.ID, "other")
 	}
-	assert.Assert(t, try(tab, now, ask(now)) == nil) // The other is full.
-	now = at(ejectLeast + time.Millisecond)
+	assert.Assert(t, try(tab, now, ask(now)) == nil) // The other upstream is full.
+	now = at(minEjection + time.Millisecond)
 	assert.Equal(t, try(tab, now, ask(now)).Upstream.ID, "bad")
 }
 
-// Load pattern: a failure domain loses power and its upstreams come back cold. Their reports, which say so, come later
-// than the first connection that opens again.
+// After a power failure in a failure domain, its upstreams return cold and accept connections before their reports say
+// that they are cold. They must not get the full load in between.
 func TestAnUpstreamThatComesBackCountsAsColdUntilItsReport(t *testing.T) {
 	tab := table(upstream("u", "a", "east"))
 	now := at(0)
@@ -100,7 +101,7 @@
 		}
 		tab.Release(now, g, Result{Broken: true})
 	}
-	now = now.Add(ejectMost)
+	now = now.Add(maxEjection)
 	n := 0
 	for end := now.Add(2 * time.Second); now.Before(end); now = now.Add(10 * time.Millisecond) {
 		if g := try(tab, now, ask(now)); g != nil {
@@ -121,10 +122,10 @@
 		}
 		tab.Release(now, g, Result{Took: time.Millisecond, Good: i%2 == 0})
 	}
-	t.Fatal("half of its jobs failed, and it is still in use")
+	t.Fatal("half of its jobs failed, but it was not ejected")
 }
 
-func TestAnOldEjectionDoesNotBindANewIncarnation(t *testing.T) {
+func TestANewIncarnationIsNotEjected(t *testing.T) {
 	tab := table(upstream("u", "a", "east"))
 	tab.Release(at(0), try(tab, at(0), ask(at(0))), Result{Broken: true})
 	assert.Assert(t, try(tab, at(0), ask(at(0))) == nil)
--- a/internal/flow/place/demand.go
+++ b/internal/flow/place/demand.go
@@ -8,56 +8,59 @@
 	"github.com/boragelane/boragelane/internal/ctrl/deal"
 )
 
-// demandLife is the time constant of the demand: long against a job, short against a wave of callers.
-const demandLife = 1500 * time.Millisecond
+// demandTimeConstant is the time constant of the demand average: long compared with a job, short compared with a
+// change in traffic.
+const demandTimeConstant = 1500 * time.Millisecond
 
-// demand is the work that the region's callers offer for one service.
+// demand estimates the load that the region's callers offer to one service.
 type demand struct {
-	offered time.Duration // Since it was last asked for.
-	slots   float64       // Moving mean of the slots that it would keep busy.
-	known   bool
-	seen    time.Time // When a job was last offered.
+	offered     time.Duration // Expected work of the jobs since the last report.
+	slots       float64       // Exponential moving average of the slots that the jobs keep busy.
+	initialized bool
+	lastOffered time.Time // When a report last found new jobs.
 }
 
-// offer notes a job that asks for a slot. Before any has ended, a service's objective says best what its jobs take.
-func (t *Table) offer(now time.Time, ask *Ask) {
+// recordDemand adds a job's expected work to the demand. Until a job has finished, the first job's objective is the
+// best estimate of the service's work.
+func (t *Table) recordDemand(now time.Time, ask *Ask) {
 	d := t.demands[ask.Service]
 	if d == nil {
 		d = &demand{}
 		t.demands[ask.Service] = d
 	}
-	w := t.work(ask.Service)
-	if w.start == workStart && ask.Objective.After(now) {
-		w.start = ask.Objective.Sub(now)
+	w := t.estimate(ask.Service)
+	if w.initial == initialWork && ask.Objective.After(now) {
+		w.initial = ask.Objective.Sub(now)
 	}
 	d.offered += w.mean()
 }
 
-// Ask returns what this host tells of its region when it asks for loans: the services whose jobs it places.
+// Ask returns this host's request for loaned upstreams: the demand of the services that it places jobs for, the
+// current loans and the region's ejected upstreams.
 func (t *Table) Ask(now time.Time) deal.Ask {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	a := deal.Ask{Region: t.view.Self.Region, Demand: deal.Demand{}, Held: maps.Clone(t.view.Loans)}
-	gap := now.Sub(t.asked)
-	t.asked = now
+	elapsed := now.Sub(t.lastDemandReport)
+	t.lastDemandReport = now
 	for service, d := range t.demands {
 		if d.offered > 0 {
-			d.seen = now
+			d.lastOffered = now
 		}
-		if now.Sub(d.seen) > demandLife {
+		if now.Sub(d.lastOffered) > demandTimeConstant {
 			delete(t.demands, service)
 			continue
 		}
-		sample := float64(d.offered) / float64(max(gap, time.Millisecond))
-		keep := math.Exp(-float64(gap) / float64(demandLife))
-		if !d.known {
-			keep = 0
+		sample := float64(d.offered) / float64(max(elapsed, time.Millisecond))
+		retain := math.Exp(-float64(elapsed) / float64(demandTimeConstant))
+		if !d.initialized {
+			retain = 0
 		}
-		d.slots, d.offered, d.known = keep*d.slots+(1-keep)*sample, 0, true
+		d.slots, d.offered, d.initialized = retain*d.slots+(1-retain)*sample, 0, true
 		a.Demand[service] = math.Round(d.slots*100) / 100
 	}
 	for id, l := range t.loads {
-		if l.down(now) && t.view.User(l.upstream) == a.Region {
+		if l.ejected(now) && t.view.User(l.upstream) == a.Region {
 			a.Down = append(a.Down, id)
 		}
 	}
--- a/internal/flow/place/doc.go
+++ b/internal/flow/place/doc.go
@@ -1,3 +1,3 @@
-// Package place admits jobs to upstreams: it keeps this host's picture of their load and health, picks one for
-// each job, and lets jobs wait by rank while none has a free slot.
+// Package place assigns jobs to upstreams. It tracks the load and health of each upstream as seen by this host,
+// selects one for each job, and queues jobs by rank while none has a free slot.
 package place
--- a/internal/flow/place/load.go
+++ b/internal/flow/place/load.go
@@ -7,138 +7,139 @@
 )
 
 const (
-	// sampleWeight is the weight of the newest sample in a moving mean.
+	// sampleWeight is the weight of the newest sample in an exponential moving average.
 	sampleWeight = 0.2
-	// failLimit is how much of an upstream's recent answers may be failures before it is ejected.
-	failLimit = 0.35
-	// failLeast is how many failures in a row eject an upstream whatever came before.
-	failLeast = 3
-	// ejectLeast and ejectMost bound an ejection; it doubles while the upstream keeps failing.
-	ejectLeast = 500 * time.Millisecond
-	ejectMost  = 4 * time.Second
-	// reportLag is how much later than an upstream's return its first report may be known here: a heartbeat of
-	// 1.5 s, a read of the store and the news from the host that reads it.
-	reportLag = 2500 * time.Millisecond
-	// coldPart is the part of a cold upstream's rate that a placing host uses: three hosts may think for a while
-	// that they place for it, and the bound is one and a half times the rate and a little.
-	coldPart = 0.5
-	// warmGap is the time between requests that a cold upstream gets though others would answer sooner.
-	warmGap = time.Second
+	// maxFailureRate is the average failure rate above which an upstream is ejected.
+	maxFailureRate = 0.35
+	// maxConsecutiveFailures is the number of consecutive failures that ejects an upstream regardless of its failure
+	// rate.
+	maxConsecutiveFailures = 3
+	// minEjection and maxEjection bound the ejection time, which doubles while the upstream keeps failing.
+	minEjection = 500 * time.Millisecond
+	maxEjection = 4 * time.Second
+	// maxReportDelay bounds the time between an upstream's recovery and the arrival of its first report: a heartbeat
+	// of 1.5 s, a read of the store and the update from the host that reads it.
+	maxReportDelay = 2500 * time.Millisecond
+	// coldRateShare is the share of a cold upstream's rate that one placing host uses. Up to three hosts may act as
+	// the placing host at the same time, and together they must stay below 1.5 times the rate plus a small constant.
+	coldRateShare = 0.5
+	// warmupInterval is the interval at which a cold upstream gets a request even if others would answer sooner.
+	warmupInterval = time.Second
 )
 
-// load is this host's picture of one incarnation of an upstream.
+// load tracks the load and health of one incarnation of an upstream.
 type load struct {
-	upstream *roster.Upstream
-	hash     uint64  // Of its ID.
-	domain   int     // Its failure domain's place in the table's list.
-	ours     bool    // This region uses it.
-	listed   bool    // It may get work.
-	running  int     // Jobs there.
-	share    int     // Jobs that may be there at the same time.
-	queued   int     // Jobs that wait for it.
-	ratio    float64 // Its work against what its service's requests are expected to take.
-	memory   memory
-	warmed   time.Time // When a cold upstream last got a request.
-	failing  float64   // Moving mean of failures, 0 to 1.
-	inRow    int
-	until    time.Time // Ejected until then.
-	eject    time.Duration
-	tokens   float64
-	filled   time.Time
-	coldEnd  time.Time
+	upstream            *roster.Upstream
+	hash                uint64  // Hash of the upstream's ID.
+	domainIndex         int     // Index of its failure domain in Table.domains.
+	assigned            bool    // This region uses the upstream: it owns or borrows it.
+	inView              bool    // The current view contains the upstream.
+	running             int     // Jobs running on the upstream.
+	limit               int     // Jobs that may run at the same time, as computed for the last job considered.
+	queued              int     // Jobs queued for the upstream.
+	slowdown            float64 // Average ratio of actual to expected work.
+	recent              recentObjects
+	lastWarmup          time.Time // When a cold upstream last got a request.
+	failureRate         float64   // Exponential moving average of failures, 0 to 1.
+	consecutiveFailures int
+	ejectedUntil        time.Time
+	ejection            time.Duration
+	tokens              float64
+	refilledAt          time.Time
+	coldUntil           time.Time
 }
 
-// queueing returns how many mean works a further job is expected to wait. A nearly full upstream counts a little
-// too: the next job for one of its objects would have to wait.
-func (l *load) queueing() float64 {
-	share := float64(l.share)
-	busy := min(1, float64(l.running)/share)
-	return max(0, (float64(l.running+l.queued+1)-share)/share) + fullPenalty*busy*busy
+// queueFactor returns the expected wait of one more job, as a multiple of the mean work. It includes a penalty for a
+// nearly full upstream, because the next job for one of its cached objects would have to wait.
+func (l *load) queueFactor() float64 {
+	limit := float64(l.limit)
+	busy := min(1, float64(l.running)/limit)
+	return max(0, (float64(l.running+l.queued+1)-limit)/limit) + utilizationPenalty*busy*busy
 }
 
-// fullPenalty is how many mean works a full upstream costs besides its queue.
-const fullPenalty = 0.4
+// utilizationPenalty is the cost of a full upstream in addition to its queue, as a multiple of the mean work.
+const utilizationPenalty = 0.4
 
-// down tells whether the upstream is ejected.
-func (l *load) down(now time.Time) bool { return now.Before(l.until) }
+// ejected reports whether the upstream is ejected.
+func (l *load) ejected(now time.Time) bool { return now.Before(l.ejectedUntil) }
 
-// cold tells whether the upstream is cold.
-func (l *load) cold(now time.Time) bool { return now.Before(l.coldEnd) }
+// cold reports whether the upstream is cold.
+func (l *load) cold(now time.Time) bool { return now.Before(l.coldUntil) }
 
-// setCold takes the upstream for cold until a time.
-func (l *load) setCold(now, until time.Time) {
-	if !until.After(l.coldEnd) {
+// markCold treats the upstream as cold until the given time. It never shortens a cold period.
+func (l *load) markCold(now, until time.Time) {
+	if !until.After(l.coldUntil) {
 		return
 	}
 	if !l.cold(now) {
-		l.tokens, l.filled = 1, now
+		l.tokens, l.refilledAt = 1, now
 	}
-	l.coldEnd = until
+	l.coldUntil = until
 }
 
-// fill adds the tokens that a cold upstream's rate has grown since.
-func (l *load) fill(now time.Time, rate float64) {
-	if gap := now.Sub(l.filled); gap > 0 {
-		l.filled = now
-		l.tokens = min(1, l.tokens+rate*coldPart*gap.Seconds())
+// refillTokens adds the tokens accumulated since the last refill of a cold upstream's token bucket.
+func (l *load) refillTokens(now time.Time, rate float64) {
+	if gap := now.Sub(l.refilledAt); gap > 0 {
+		l.refilledAt = now
+		l.tokens = min(1, l.tokens+rate*coldRateShare*gap.Seconds())
 	}
 }
 
-// decayPart is the part of an upstream's difference from its service that is forgiven with each sweep in which it had
-// no job: only jobs could show that it has recovered.
-const decayPart = 0.1
+// idleDecay is the share by which an idle upstream's slowdown and failure rate return to normal on each sweep. Without
+// jobs, nothing else would show that it has recovered.
+const idleDecay = 0.1
 
 func (l *load) decay() {
 	if l.running == 0 {
-		l.ratio += decayPart * (1 - l.ratio)
-		l.failing *= 1 - decayPart
+		l.slowdown += idleDecay * (1 - l.slowdown)
+		l.failureRate *= 1 - idleDecay
 	}
 }
 
-// Result is how a job ended at an upstream.
+// Result describes how a job ended on an upstream.
 type Result struct {
 	Took    time.Duration
-	Dial    time.Duration // How long a new connection took; 0 if none was opened.
-	Waiting int           // Jobs in the upstream's own queue, as it told.
-	Good    bool          // The upstream gave a whole answer that is no failure of its own.
-	Quiet   bool          // Nothing can be learned: the caller left or the job's time was short.
-	Shed    bool          // The upstream did not run the job.
-	Moved   bool          // Another upstream has the address.
-	Broken  bool          // No connection could be opened, or the upstream seems to have crashed.
+	Dial    time.Duration // Time to open the connection; 0 if an open one was used.
+	Waiting int           // Length of the upstream's own queue, as it reported.
+	Good    bool          // The upstream sent a complete answer that is not a server error.
+	Quiet   bool          // The result says nothing about the upstream: the caller left or the job's time was too short.
+	Shed    bool          // The upstream rejected the job without running it.
+	Moved   bool          // The address now belongs to another upstream.
+	Broken  bool          // The connection failed or the upstream appears to have crashed.
 
-	Work time.Duration // What the job was expected to take, without the round trip.
-	Trip time.Duration // The round trip.
+	ExpectedWork time.Duration // Expected work, without the round trip; 0 if unknown.
+	RTT          time.Duration // Expected round-trip time.
 }
 
-// learn takes in the result of a job.
-func (l *load) learn(now time.Time, r Result) {
+// recordResult updates the failure rate, ejection and slowdown with the result of a job.
+func (l *load) recordResult(now time.Time, r Result) {
 	if r.Moved {
-		l.until = now.Add(ejectMost)
+		l.ejectedUntil = now.Add(maxEjection)
 		return
 	}
 	if r.Quiet {
 		return
 	}
 	if r.Good {
-		l.failing *= 1 - sampleWeight
-		l.inRow, l.eject = 0, 0
-		if r.Work > 0 {
-			sample := min(ratioMost, max(ratioLeast, float64(r.Took-r.Trip)/float64(r.Work)))
-			l.ratio += sampleWeight * (sample - l.ratio)
+		l.failureRate *= 1 - sampleWeight
+		l.consecutiveFailures, l.ejection = 0, 0
+		if r.ExpectedWork > 0 {
+			sample := min(maxSlowdown, max(minSlowdown, float64(r.Took-r.RTT)/float64(r.ExpectedWork)))
+			l.slowdown += sampleWeight * (sample - l.slowdown)
 		}
 		return
 	}
 	if r.Shed {
 		return
 	}
-	l.failing += sampleWeight * (1 - l.failing)
-	l.inRow++
-	if r.Broken || l.inRow >= failLeast || l.failing > failLimit {
-		l.eject = min(ejectMost, max(ejectLeast, 2*l.eject))
-		l.until = now.Add(l.eject)
-		l.failing /= 2
+	l.failureRate += sampleWeight * (1 - l.failureRate)
+	l.consecutiveFailures++
+	if r.Broken || l.consecutiveFailures >= maxConsecutiveFailures || l.failureRate > maxFailureRate {
+		l.ejection = min(maxEjection, max(minEjection, 2*l.ejection))
+		l.ejectedUntil = now.Add(l.ejection)
+		l.failureRate /= 2
 	}
-	if r.Broken && l.eject > ejectLeast {
-		l.setCold(now, l.until.Add(reportLag)) // It is down, and will be cold when it is back.
+	if r.Broken && l.ejection > minEjection {
+		l.markCold(now, l.ejectedUntil.Add(maxReportDelay)) // The upstream is down and will be cold when it returns.
 	}
 }
--- a/internal/flow/place/place_test.go
+++ b/internal/flow/place/place_test.go
@@ -41,7 +41,7 @@
 	return Ask{Host: self, Service: "s", Rank: 1, Objective: now.Add(400 * time.Millisecond), Deadline: now.Add(2 * time.Second)}
 }
 
-// try asks for a slot without waiting for one.
+// try asks for a slot without waiting.
 func try(t *Table, now time.Time, a Ask) *Grant {
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
@@ -50,7 +50,7 @@
 
 func good(took time.Duration) Result { return Result{Took: took, Good: true} }
 
-func TestSlotsAreNeverExceededAndNearOnesGoFirst(t *testing.T) {
+func TestSlotsAreNeverExceededAndSameDomainGoesFirst(t *testing.T) {
 	tab := table(upstream("near", "a", "east"), upstream("next", "b", "east"), upstream("far", "c", "west"))
 	got := map[string]int{}
 	for range 6 {
@@ -58,7 +58,7 @@
 			got[g.Upstream.ID]++
 		}
 	}
-	assert.DeepEqual(t, got, map[string]int{"near": 2, "next": 2}) // The other region's are not ours to use.
+	assert.DeepEqual(t, got, map[string]int{"near": 2, "next": 2}) // Upstreams of the other region are not loaned to this one.
 }
 
 func TestABorrowedUpstreamIsUsedByTheBorrowerAlone(t *testing.T) {
@@ -75,8 +75,8 @@
 	assert.DeepEqual(t, got, map[string]int{"own": 2, "ours": 2})
 }
 
-// Load pattern: many callers ask for few objects. Each object stays on few upstreams, where it is fast.
-func TestAnObjectReturnsToTheUpstreamThatRemembersIt(t *testing.T) {
+// With many callers and few objects, each object must stay on few upstreams, where it is cached.
+func TestAnObjectStaysOnTheUpstreamThatCachesIt(t *testing.T) {
 	tab := table(upstream("u1", "a", "east"), upstream("u2", "a", "east"), upstream("u3", "a", "east"))
 	homes := map[string]map[string]bool{}
 	now := at(0)
@@ -96,12 +96,11 @@
 		tab.Release(now, g, good(took))
 	}
 	for object, on := range homes {
-		assert.Equal(t, len(on), 1, "object %s ran on %v", object, on)
+		assert.Equal(t, len(on), 1, "object %s ran on several upstreams: %v", object, on)
 	}
 }
 
-// Load pattern: the first second of a day, when no job has ended yet. An object goes where its first job runs, though
-// that is in another failure domain.
+// Before any job has finished, the second job of an object must follow the first, even to another failure domain.
 func TestAnObjectIsNotSpreadBeforeTheFirstAnswer(t *testing.T) {
 	tab := table(upstream("u1", "a", "east"), upstream("u2", "b", "east"))
 	first, second := ask(at(0)), ask(at(0))
@@ -114,8 +113,8 @@
 	assert.Equal(t, try(tab, at(0), second).Upstream.ID, "u2")
 }
 
-// Load pattern: all hosts restart at once. The new placing host knows nothing, but sends most objects where the old one
-// did, whichever host asks first, and whatever else runs.
+// After a restart of all hosts, the new placing host knows no cached objects. It must still send most objects where
+// the previous one sent them, whichever host asks first and in whatever order.
 func TestObjectsReturnToTheirOwnersAfterARestart(t *testing.T) {
 	list := []*roster.Upstream{}
 	for i := range 24 {
@@ -138,10 +137,10 @@
 			same++
 		}
 	}
-	assert.Assert(t, same >= 14, "%d of 20 objects", same)
+	assert.Assert(t, same >= 14, "only %d of 20 objects returned", same)
 }
 
-// Load pattern: a burst of the least urgent work, then urgent work.
+// Guards against urgent jobs waiting behind a burst of less urgent ones.
 func TestUrgentJobsAreServedFirstAndLateOnesLast(t *testing.T) {
 	tab := table(upstream("u", "a", "east"))
 	now := at(0)
@@ -172,8 +171,8 @@
 	assert.DeepEqual(t, order, []string{"urgent", "normal"})
 }
 
-// An upstream that leaves, or that another region uses now, is not given to the jobs that wait for it.
-func TestWaitersAreNotGivenAnUpstreamThatIsNotForThem(t *testing.T) {
+// An upstream that drains or is lent to another region must not be granted to the jobs queued for it.
+func TestWaitersDoNotGetAnUpstreamThatIsGoneOrLent(t *testing.T) {
 	u, other := upstream("u", "a", "east"), upstream("other", "a", "east")
 	lent := view(u, other)
 	lent.Loans = map[string]string{"u": "west"}
@@ -185,7 +184,7 @@
 				running = append(running, g)
 			}
 		}
-		got := make(chan *Grant, 2*wakeMost)
+		got := make(chan *Grant, 2*maxWakeRetries)
 		ctx, cancel := context.WithCancel(context.Background())
 		for range cap(got) {
 			go func() { got <- tab.Acquire(ctx, at(0), ask(at(0))) }()
@@ -199,7 +198,7 @@
 		}
 		cancel()
 		for range cap(got) {
-			assert.Assert(t, <-got == nil, "the upstream %s", name)
+			assert.Assert(t, <-got == nil, "a waiter got the upstream after it %s", name)
 		}
 	}
 }
@@ -213,8 +212,9 @@
 	assert.Assert(t, time.Since(begin) < time.Second)
 }
 
-// Load pattern: jobs that have waited for most of their time behind a full upstream.
-func TestAJobWithoutTimeForItsWorkIsNotBegun(t *testing.T) {
+// A job that has waited most of its time behind a full upstream must not take a slot if too little time is left to run
+// it.
+func TestAJobThatCannotMeetItsDeadlineIsNotStarted(t *testing.T) {
 	tab := table(upstream("u", "a", "east"))
 	now := at(0)
 	for range 20 {
@@ -228,7 +228,7 @@
 	assert.Assert(t, try(tab, now, a) != nil)
 }
 
-func TestGrantsOfAHostThatIsGoneAreFreed(t *testing.T) {
+func TestGrantsOfADepartedHostAreReleased(t *testing.T) {
 	u := upstream("u", "a", "east")
 	v := view(u)
 	other := roster.Host{Name: "h2", Domain: "b", Region: "east"}
@@ -245,29 +245,30 @@
 	assert.Assert(t, try(tab, at(time.Second), ask(at(time.Second))) != nil)
 }
 
-func TestAGrantThatNobodyEndsRunsOut(t *testing.T) {
+func TestAnUnreleasedGrantExpires(t *testing.T) {
 	tab := table(upstream("u", "a", "east"))
 	first := try(tab, at(0), ask(at(0)))
 	assert.Assert(t, first != nil && try(tab, at(0), ask(at(0))) != nil)
-	later := at(2*time.Second + grantSlack + time.Millisecond)
+	later := at(2*time.Second + grantGracePeriod + time.Millisecond)
 	tab.Pump(later)
 	assert.Assert(t, try(tab, later, ask(later)) != nil)
-	tab.Release(later, first, good(time.Second)) // A late end frees nothing twice.
+	tab.Release(later, first, good(time.Second)) // Releasing an expired grant frees no slot a second time.
 	assert.Assert(t, try(tab, later, ask(later)) != nil)
 	assert.Assert(t, try(tab, later, ask(later)) == nil)
 }
 
-func TestHowMuchUpstreamsRememberIsLearned(t *testing.T) {
-	w := &work{kept: keptStart, known: 100 * time.Millisecond, fresh: 300 * time.Millisecond}
+func TestCacheSizeEstimateConverges(t *testing.T) {
+	w := &workEstimate{cacheSize: initialCacheSize, hit: 100 * time.Millisecond, miss: 300 * time.Millisecond}
 	for range 200 {
-		w.correct(12, 300*time.Millisecond) // Forgotten after twelve other objects.
-		w.correct(6, 100*time.Millisecond)  // Remembered after six.
+		w.adjustCacheSize(12, 300*time.Millisecond) // A miss after twelve other objects.
+		w.adjustCacheSize(6, 100*time.Millisecond)  // A hit after six.
 	}
-	assert.Assert(t, w.kept > 6 && w.kept <= 12.1, "%.1f", w.kept)
+	assert.Assert(t, w.cacheSize > 6 && w.cacheSize <= 12.1, "%.1f", w.cacheSize)
 }
 
-// Slots, tokens and counts hold under any order of grants, ends, losses and views.
-func TestTheTableKeepsItsBooks(t *testing.T) {
+// Counts of running and queued jobs must stay within their limits under any order of grants, releases, losses and
+// views.
+func TestJobCountsStayWithinLimits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		ups := []*roster.Upstream{upstream("u1", "a", "east"), upstream("u2", "b", "east"), upstream("u3", "c", "west")}
 		tab := table(ups...)
@@ -297,8 +298,8 @@
 				tab.Update(now, view(ups[:keep]...))
 			}
 			for id, l := range tab.loads {
-				if l.running < 0 || l.running > l.upstream.Slots+guestShare || l.queued != 0 {
-					t.Fatalf("%s runs %d of %d, %d wait", id, l.running, l.upstream.Slots, l.queued)
+				if l.running < 0 || l.running > l.upstream.Slots+uncoordinatedJobLimit || l.queued != 0 {
+					t.Fatalf("%s: %d jobs running on %d slots, %d queued", id, l.running, l.upstream.Slots, l.queued)
 				}
 			}
 		}
--- a/internal/flow/place/queue.go
+++ b/internal/flow/place/queue.go
@@ -6,24 +6,24 @@
 	"time"
 )
 
-// waiter is a job without a slot.
+// waiter is a job that waits for a slot.
 type waiter struct {
 	ask    Ask
-	late   bool // It can't meet its objective any more.
-	number uint64
-	wants  *load // The upstream that it waits for.
+	late   bool // The job can no longer meet its objective.
+	seq    uint64
+	target *load // The upstream that the job is queued for.
 	ready  chan *Grant
 }
 
-// Acquire returns an upstream for a job, or nil if none is free in time.
+// Acquire reserves a slot for a job, waiting for one if necessary; it returns nil if none becomes free in time.
 func (t *Table) Acquire(ctx context.Context, now time.Time, ask Ask) *Grant {
 	t.mu.Lock()
-	t.arrived++
-	w := &waiter{ask: ask, number: t.arrived, ready: make(chan *Grant, 1)}
+	t.lastSeq++
+	w := &waiter{ask: ask, seq: t.lastSeq, ready: make(chan *Grant, 1)}
 	if !ask.Isolated {
-		t.offer(now, &ask)
+		t.recordDemand(now, &ask)
 	}
-	g, until := t.take(now, w)
+	g, until := t.reserve(now, w)
 	if g != nil || !until.After(now) {
 		t.mu.Unlock()
 		return g
@@ -39,11 +39,11 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return t.abandon(w)
+	return t.cancelWait(w)
 }
 
-// abandon ends a wait.
-func (t *Table) abandon(w *waiter) *Grant {
+// cancelWait removes a waiter, and returns its grant if one was delivered in the meantime.
+func (t *Table) cancelWait(w *waiter) *Grant {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.waiters = slices.DeleteFunc(t.waiters, func(o *waiter) bool { return o == w })
@@ -52,23 +52,23 @@
 		return g
 	default:
 	}
-	w.want(nil)
+	w.setTarget(nil)
 	return nil
 }
 
-// want books the upstream that a waiter waits for.
-func (w *waiter) want(l *load) {
-	if w.wants != nil {
-		w.wants.queued--
+// setTarget sets the upstream that a waiter is queued for and updates the queue lengths.
+func (w *waiter) setTarget(l *load) {
+	if w.target != nil {
+		w.target.queued--
 	}
 	if l != nil {
 		l.queued++
 	}
-	w.wants = l
+	w.target = l
 }
 
-// enqueue keeps the waiters in the order in which they are served: those that can still meet their objective
-// first, the most urgent first, the oldest first.
+// enqueue inserts a waiter in service order: jobs that can still meet their objective first, then by rank, then by
+// arrival.
 func (t *Table) enqueue(w *waiter) {
 	at, _ := slices.BinarySearchFunc(t.waiters, w, func(a, b *waiter) int {
 		switch {
@@ -79,58 +79,58 @@
 		case a.ask.Rank != b.ask.Rank:
 			return a.ask.Rank - b.ask.Rank
 		}
-		return int(int64(a.number) - int64(b.number))
+		return int(int64(a.seq) - int64(b.seq))
 	})
 	t.waiters = slices.Insert(t.waiters, at, w)
 }
 
-// wakeMost bounds the waiters that look anew for an upstream at one time: each looks at all of its service's.
-const wakeMost = 32
+// maxWakeRetries bounds the waiters that retry on one wake, because each retry examines all upstreams of a service.
+const maxWakeRetries = 32
 
-// wake lets waiters look anew, the first ones in their order.
+// wake retries the first waiters in service order.
 func (t *Table) wake(now time.Time) {
-	looked := 0
+	retries := 0
 	t.waiters = slices.DeleteFunc(t.waiters, func(w *waiter) bool {
-		looked++
-		return looked <= wakeMost && t.serve(now, w)
+		retries++
+		return retries <= maxWakeRetries && t.tryServe(now, w)
 	})
 }
 
-// freed gives a slot of an upstream that has become free to a waiter: to the first that waits for it, or else to
-// the first of its service that would go there now.
-func (t *Table) freed(now time.Time, l *load) {
+// assignFreedSlot assigns the free slots of an upstream to the waiters that are queued for it. If slots remain, the
+// first waiters of its service retry.
+func (t *Table) assignFreedSlot(now time.Time, l *load) {
 	t.waiters = slices.DeleteFunc(t.waiters, func(w *waiter) bool {
-		return w.wants == l && t.open(now, l, w) && t.hand(now, l, w)
+		return w.target == l && t.canStart(now, l, w) && t.deliver(now, l, w)
 	})
-	looked := 0
+	retries := 0
 	t.waiters = slices.DeleteFunc(t.waiters, func(w *waiter) bool {
-		if l.running >= l.share || w.ask.Service != l.upstream.Service || looked >= freedMost {
+		if l.running >= l.limit || w.ask.Service != l.upstream.Service || retries >= maxFreedRetries {
 			return false
 		}
-		looked++
-		return t.serve(now, w)
+		retries++
+		return t.tryServe(now, w)
 	})
 }
 
-// open tells whether an upstream can take the first job that waits for it.
-func (t *Table) open(now time.Time, l *load, w *waiter) bool {
-	return l.listed && l.running < l.allow(&w.ask, false) && !l.down(now) && !l.cold(now) &&
-		float64(w.ask.Deadline.Sub(now)) >= startLeast*float64(t.duration(l, &w.ask))
+// canStart reports whether an upstream can run a job that is queued for it.
+func (t *Table) canStart(now time.Time, l *load, w *waiter) bool {
+	return l.inView && l.running < l.jobLimit(&w.ask, false) && !l.ejected(now) && !l.cold(now) &&
+		float64(w.ask.Deadline.Sub(now)) >= minTimeShare*float64(t.expectedDuration(l, &w.ask))
 }
 
-// hand gives a waiter the upstream that it waits for.
-func (t *Table) hand(now time.Time, l *load, w *waiter) bool {
-	w.want(nil)
+// deliver grants a waiter a slot of the upstream that it is queued for.
+func (t *Table) deliver(now time.Time, l *load, w *waiter) bool {
+	w.setTarget(nil)
 	w.ready <- t.grant(now, l, w)
 	return true
 }
 
-// freedMost bounds the waiters that look at an upstream that has become free.
-const freedMost = 4
+// maxFreedRetries bounds the waiters that retry when a slot is freed.
+const maxFreedRetries = 4
 
-// serve gives a waiter its upstream if it has a free slot.
-func (t *Table) serve(now time.Time, w *waiter) bool {
-	g, _ := t.take(now, w)
+// tryServe grants a waiter a slot of its best upstream, if that has one free.
+func (t *Table) tryServe(now time.Time, w *waiter) bool {
+	g, _ := t.reserve(now, w)
 	if g == nil {
 		return false
 	}
@@ -138,27 +138,28 @@
 	return true
 }
 
-// latePart is the part of its time that a late job may wait for a slot that nobody else needs.
-const latePart = 0.4
+// lateWaitShare is the share of its remaining time that a late job may wait for a slot. Other waiters are
+// served before it.
+const lateWaitShare = 0.4
 
-// take books the job at its best upstream if that has a free slot. Otherwise it returns until when the job may
-// wait: as long as its answer can come in time.
-func (t *Table) take(now time.Time, w *waiter) (*Grant, time.Time) {
-	w.want(nil)
+// reserve grants the job a slot of its best upstream, if that has one free. Otherwise it returns the time until which
+// the job may wait and still be answered in time.
+func (t *Table) reserve(now time.Time, w *waiter) (*Grant, time.Time) {
+	w.setTarget(nil)
 	list := t.candidates(now, &w.ask)
 	at := Choose(list)
 	if at < 0 {
-		return nil, now.Add(time.Duration(latePart / 2 * float64(w.ask.Objective.Sub(now))))
+		return nil, now.Add(time.Duration(lateWaitShare / 2 * float64(w.ask.Objective.Sub(now))))
 	}
 	l := list[at].load
-	if l.running < l.share {
+	if l.running < l.limit {
 		return t.grant(now, l, w), now
 	}
-	w.want(l)
-	until := w.ask.Objective.Add(-t.duration(l, &w.ask))
+	w.setTarget(l)
+	until := w.ask.Objective.Add(-t.expectedDuration(l, &w.ask))
 	if !until.After(now) {
 		w.late = true
-		until = now.Add(time.Duration(latePart * float64(w.ask.Deadline.Sub(now))))
+		until = now.Add(time.Duration(lateWaitShare * float64(w.ask.Deadline.Sub(now))))
 	}
 	return nil, until
 }
--- a/internal/flow/place/rank.go
+++ b/internal/flow/place/rank.go
@@ -8,71 +8,72 @@
 	"github.com/boragelane/boragelane/internal/core/roster"
 )
 
-// path is what a job spends between its host and the upstreams of one failure domain.
+// path holds the network costs between a job's host and the upstreams of one failure domain.
 type path struct {
-	trip   time.Duration
-	detour time.Duration // What speaks against bytes that leave the failure domain.
-	tier   Tier
+	rtt      time.Duration
+	penalty  time.Duration // Cost of traffic that leaves the failure domain.
+	locality Locality
 }
 
-// paths returns the paths from a host to the failure domains, in the order of the table's list.
+// paths returns the paths from a host to each failure domain, in the order of t.domains.
 func (t *Table) paths(from *roster.Host) []path {
 	out := make([]path, len(t.domains))
 	for i, u := range t.domains {
-		tier := tierOf(from, u)
-		out[i] = path{trip: t.trips.expect(from, u), detour: crossing[tier], tier: tier}
+		loc := localityOf(from, u)
+		out[i] = path{rtt: t.rtts.expected(from, u), penalty: crossingPenalty[loc], locality: loc}
 	}
 	return out
 }
 
-// duration returns how long a job is expected to take at an upstream, without a wait for a slot.
-func (t *Table) duration(l *load, ask *Ask) time.Duration {
-	w := t.work(l.upstream.Service)
-	return t.trips.expect(&ask.Host, l.upstream) + l.run(w.expect(w.remembers(l.memory, ask.key())))
+// expectedDuration returns the expected round trip and service time of a job on an upstream, without queueing.
+func (t *Table) expectedDuration(l *load, ask *Ask) time.Duration {
+	w := t.estimate(l.upstream.Service)
+	return t.rtts.expected(&ask.Host, l.upstream) + l.serviceTime(w.expected(w.likelyCached(l.recent, ask.objectHash())))
 }
 
-// run returns the time that this upstream takes for work of a given length.
-func (l *load) run(work time.Duration) time.Duration { return time.Duration(l.ratio * float64(work)) }
+// serviceTime scales expected work by the upstream's slowdown.
+func (l *load) serviceTime(work time.Duration) time.Duration {
+	return time.Duration(l.slowdown * float64(work))
+}
 
-// cost returns the time by which upstreams are compared: round trip, work, wait for a slot, and what speaks against
-// an upstream besides.
-func (l *load) cost(w *path, run, mean time.Duration) time.Duration {
-	d := w.trip + w.detour
-	if w.tier == Far && l.ours {
-		d = w.trip / 2 // Borrowed upstreams are used nearly as much as others: the part of jobs that leave the region changes slowly.
+// cost returns the value by which upstreams are compared: round trip, service time, queueing and penalties.
+func (l *load) cost(p *path, service, mean time.Duration) time.Duration {
+	d := p.rtt + p.penalty
+	if p.locality == OtherRegion && l.assigned {
+		d = p.rtt / 2 // Keeps borrowed upstreams in nearly even use: the share of jobs that leave the region may change only slowly.
 	}
-	return d + time.Duration((1+failPenalty*l.failing)*float64(run)+l.queueing()*l.ratio*float64(mean))
+	return d + time.Duration((1+failurePenalty*l.failureRate)*float64(service)+l.queueFactor()*l.slowdown*float64(mean))
 }
 
-// failPenalty is how many times its work an upstream that fails always seems to cost besides.
-const failPenalty = 4
+// failurePenalty is the cost, as a multiple of the service time, of an upstream that always fails.
+const failurePenalty = 4
 
-// candidates lists the upstreams that a job may be sent to, also those without a free slot. The list is good until the
-// next one is asked for.
+// candidates returns the upstreams that a job may be sent to, including those without a free slot. The list is valid
+// until the next call.
 func (t *Table) candidates(now time.Time, ask *Ask) []Candidate {
-	list := t.lists[ask.Service]
+	list := t.loadsByService[ask.Service]
 	out := t.scratch[:0]
-	key, owner := ask.key(), -1
-	guest := t.guest(now, ask, list)
+	key, owner := ask.objectHash(), -1
+	failover := t.failover(now, ask, list)
 	paths := t.paths(&ask.Host)
-	w := t.work(ask.Service)
-	known, fresh, mean := w.expect(true), w.expect(false), w.mean()
-	left := ask.Deadline.Sub(now)
+	w := t.estimate(ask.Service)
+	hitWork, missWork, meanWork := w.expected(true), w.expected(false), w.mean()
+	remaining := ask.Deadline.Sub(now)
 	for _, l := range list {
-		if l.share = l.allow(ask, guest); !t.takes(now, l, ask) {
+		if l.limit = l.jobLimit(ask, failover); !t.eligible(now, l, ask) {
 			continue
 		}
-		c := Candidate{Upstream: l.upstream, Free: l.share - l.running, load: l}
-		c.Warming = l.cold(now) && now.Sub(l.warmed) > warmGap && ask.Rank > 0
-		run := l.run(fresh)
-		if w.remembers(l.memory, key) {
-			run = l.run(known)
+		c := Candidate{Upstream: l.upstream, Free: l.limit - l.running, load: l}
+		c.Warming = l.cold(now) && now.Sub(l.lastWarmup) > warmupInterval && ask.Rank > 0
+		service := l.serviceTime(missWork)
+		if w.likelyCached(l.recent, key) {
+			service = l.serviceTime(hitWork)
 		}
-		to := &paths[l.domain]
-		if float64(left) < startLeast*float64(to.trip+run) {
-			continue // It would be cut off in the middle of its work.
+		p := &paths[l.domainIndex]
+		if float64(remaining) < minTimeShare*float64(p.rtt+service) {
+			continue // The deadline would probably interrupt the job.
 		}
-		c.Cost = l.cost(to, run, mean)
+		c.Cost = l.cost(p, service, meanWork)
 		if key != 0 {
 			c.Score = rendez.Even(key, l.hash)
 			if owner < 0 || c.Score > out[owner].Score {
@@ -83,55 +84,56 @@
 	}
 	if owner >= 0 {
 		l := out[owner].load
-		out[owner].Cost -= l.run(w.guess(l.memory, key))
+		out[owner].Cost -= l.serviceTime(w.ownerDiscount(l.recent, key))
 	}
 	t.scratch = out
-	here, away := t.limiter(ask.Service).bounds(now, t.shift)
-	return within(out, paths, here, away)
+	mayStay, mayLeave := t.limiter(ask.Service).allowed(now, t.maxShift)
+	return restrict(out, paths, mayStay, mayLeave)
 }
 
-// takes tells whether a job may be sent to an upstream once it has a free slot.
-func (t *Table) takes(now time.Time, l *load, ask *Ask) bool {
-	if l.share == 0 || l.down(now) || !ask.allows(l.upstream.Region) || slices.Contains(ask.Tried, l.upstream.ID) {
+// eligible reports whether a job may be sent to an upstream once it has a free slot.
+func (t *Table) eligible(now time.Time, l *load, ask *Ask) bool {
+	if l.limit == 0 || l.ejected(now) || !ask.allows(l.upstream.Region) || slices.Contains(ask.Tried, l.upstream.ID) {
 		return false
 	}
-	return !l.cold(now) || !ask.Isolated && t.mayWarm(now, l)
+	return !l.cold(now) || !ask.Isolated && t.canWarm(now, l)
 }
 
-// startLeast is the part of the time that a job is expected to take below which it is not begun: expectations are
-// means, and a job that has waited for most of its time only keeps others from theirs.
-const startLeast = 0.6
+// minTimeShare is the share of a job's expected duration that must remain before its deadline for the job to start. It
+// is below 1 because expected durations are averages. A job that has waited longer would only take slots from others.
+const minTimeShare = 0.6
 
-// guestShare is how many jobs a host may have at an upstream that it does not place for.
-const guestShare = 1
+// uncoordinatedJobLimit is the number of jobs that a host may run on an upstream whose jobs it does not coordinate.
+const uncoordinatedJobLimit = 1
 
-// allow returns how many jobs may be at an upstream: as many as it has slots if this region uses it.
-func (l *load) allow(ask *Ask, guest bool) int {
+// jobLimit returns how many jobs may run on an upstream: all of its slots if this region uses it.
+func (l *load) jobLimit(ask *Ask, failover bool) int {
 	switch {
-	case l.ours && !ask.Isolated:
+	case l.assigned && !ask.Isolated:
 		return l.upstream.Slots
-	case l.ours || guest:
-		return guestShare
+	case l.assigned || failover:
+		return uncoordinatedJobLimit
 	}
 	return 0
 }
 
-// guest tells whether this region can use none of its upstreams, so that its jobs go to others as guests.
-func (t *Table) guest(now time.Time, ask *Ask, list []*load) bool {
+// failover reports whether this region can use none of its upstreams, so that its jobs may run on those of other
+// regions.
+func (t *Table) failover(now time.Time, ask *Ask, list []*load) bool {
 	for _, l := range list {
-		if l.ours && !l.down(now) && !l.cold(now) && ask.allows(l.upstream.Region) {
+		if l.assigned && !l.ejected(now) && !l.cold(now) && ask.allows(l.upstream.Region) {
 			return false
 		}
 	}
 	return true
 }
 
-// mayWarm tells whether the rate of a cold upstream has room. Only the region that uses it asks: its rate is too
-// small to be split.
-func (t *Table) mayWarm(now time.Time, l *load) bool {
-	if !l.ours {
+// canWarm reports whether a cold upstream's token bucket has a token. Only the region that uses the upstream may warm
+// it, because the rate is too small to be split.
+func (t *Table) canWarm(now time.Time, l *load) bool {
+	if !l.assigned {
 		return false
 	}
-	l.fill(now, t.view.Policy.Services[l.upstream.Service].ColdRate)
+	l.refillTokens(now, t.view.Policy.Services[l.upstream.Service].ColdRate)
 	return l.tokens >= 1
 }
--- a/internal/flow/place/shift.go
+++ b/internal/flow/place/shift.go
@@ -6,102 +6,103 @@
 )
 
 const (
-	// shiftSpan is the span over which the part of jobs that leave the region is compared with the span before it: the
-	// time in which callers may be moved by a bounded part.
-	shiftSpan = 2 * time.Second
-	// shiftStep is the length of the pieces in which jobs are counted.
-	shiftStep = 100 * time.Millisecond
-	// shiftPart is the part of the bound that a service may use: jobs are counted when they are placed and not when they
-	// arrive, and hosts that can't be reached place by themselves.
-	shiftPart = 0.8
-	// chance is how many standard deviations of a share are let pass besides: half, as four services vary half as much
-	// together as one does.
-	chance = 0.5
-	// shiftLeast is how many jobs a span must have before it tells anything.
-	shiftLeast = 20
-	// outagePart is the part of a region's slots that is lost or regained at once when its jobs may move freely.
-	outagePart = 0.15
-	// shiftPieces is how many pieces two spans have.
-	shiftPieces = int(2 * shiftSpan / shiftStep)
+	// shiftWindow is the period over which the share of jobs that leave the region is measured and compared with the
+	// previous period. The limit on moved callers applies to the same period.
+	shiftWindow = 2 * time.Second
+	// shiftBucketWidth is the width of a counting bucket.
+	shiftBucketWidth = 100 * time.Millisecond
+	// shiftHeadroom is the share of the limit that a service may use. The rest covers the delay between a job's
+	// arrival and its placement, and the placements of hosts that are cut off.
+	shiftHeadroom = 0.8
+	// allowedDeviations is the number of standard deviations of the measured share that are tolerated in addition to
+	// the limit. It is one half because the sum of four services varies half as much as one of them.
+	allowedDeviations = 0.5
+	// minShiftSamples is the number of jobs that a window needs for its share to be meaningful.
+	minShiftSamples = 20
+	// outageThreshold is the sudden change in the unusable share of a region's slots that lifts the limit.
+	outageThreshold = 0.15
+	// shiftBuckets is the number of buckets in two windows.
+	shiftBuckets = int(2 * shiftWindow / shiftBucketWidth)
 )
 
-// shiftLimiter counts where the jobs of a service run, and keeps the part that leaves the region from changing too fast: callers
-// of a region must not be moved all at once.
+// shiftLimiter counts where the jobs of a service run and limits how fast the share that leaves the region changes, so
+// that a region's callers are not all moved at once.
 type shiftLimiter struct {
-	pieces [shiftPieces]piece
-	out    float64 // The part of the region's slots that can't be used.
-	free   time.Time
+	buckets        [shiftBuckets]shiftBucket
+	unusable       float64 // Moving average of the share of the region's slots that cannot be used.
+	unlimitedUntil time.Time
 }
 
-// piece is the jobs of one step of time.
-type piece struct {
-	step      int64
-	all, away int
+// shiftBucket counts the jobs of one interval.
+type shiftBucket struct {
+	index         int64
+	total, remote int
 }
 
-func stepOf(now time.Time) int64 { return now.UnixNano() / int64(shiftStep) }
+func bucketIndex(now time.Time) int64 { return now.UnixNano() / int64(shiftBucketWidth) }
 
-// note counts a job.
-func (s *shiftLimiter) note(now time.Time, away bool) {
-	step := stepOf(now)
-	p := &s.pieces[int(step%int64(shiftPieces))]
-	if p.step != step {
-		*p = piece{step: step}
+// record counts a job.
+func (s *shiftLimiter) record(now time.Time, remote bool) {
+	index := bucketIndex(now)
+	b := &s.buckets[int(index%int64(shiftBuckets))]
+	if b.index != index {
+		*b = shiftBucket{index: index}
 	}
-	p.all++
-	if away {
-		p.away++
+	b.total++
+	if remote {
+		b.remote++
 	}
 }
 
-// health tells which part of the region's slots can't be used. An outage, or its end, frees the jobs to move for two spans.
-func (s *shiftLimiter) health(now time.Time, out float64) {
-	if d := out - s.out; d > outagePart || d < -outagePart {
-		s.out, s.free = out, now.Add(2*shiftSpan)
+// setUnusable records the share of the region's slots that cannot be used. The start or end of an outage lifts the
+// limit for two windows.
+func (s *shiftLimiter) setUnusable(now time.Time, unusable float64) {
+	if d := unusable - s.unusable; d > outageThreshold || d < -outageThreshold {
+		s.unusable, s.unlimitedUntil = unusable, now.Add(2*shiftWindow)
 	}
-	s.out += outageWeight * (out - s.out)
+	s.unusable += outageWeight * (unusable - s.unusable)
 }
 
-// outageWeight is the weight of the newest look at a region's slots, of which there are two to six a second: what comes
-// slowly is no outage.
+// outageWeight is the weight of the newest sample of the unusable share, which is sampled two to six times a second.
+// The average follows gradual changes, which are not outages.
 const outageWeight = 0.2
 
-// bounds tells whether the next job may run in the region, and whether it may leave it.
-func (s *shiftLimiter) bounds(now time.Time, limit float64) (here, away bool) {
-	if limit <= 0 || now.Before(s.free) {
+// allowed reports whether the next job may run in the region and whether it may leave it.
+func (s *shiftLimiter) allowed(now time.Time, limit float64) (mayStay, mayLeave bool) {
+	if limit <= 0 || now.Before(s.unlimitedUntil) {
 		return true, true
 	}
-	var old, recent piece
-	step := stepOf(now)
-	for i := range s.pieces {
-		p := &s.pieces[i]
-		switch age := step - p.step; {
-		case age < 0 || age >= int64(shiftPieces):
-		case age >= int64(shiftPieces)/2:
-			old.all, old.away = old.all+p.all, old.away+p.away
+	var previous, recent shiftBucket
+	current := bucketIndex(now)
+	for i := range s.buckets {
+		b := &s.buckets[i]
+		switch age := current - b.index; {
+		case age < 0 || age >= int64(shiftBuckets):
+		case age >= int64(shiftBuckets)/2:
+			previous.total, previous.remote = previous.total+b.total, previous.remote+b.remote
 		default:
-			recent.all, recent.away = recent.all+p.all, recent.away+p.away
+			recent.total, recent.remote = recent.total+b.total, recent.remote+b.remote
 		}
 	}
-	if old.all < shiftLeast || recent.all < shiftLeast {
+	if previous.total < minShiftSamples || recent.total < minShiftSamples {
 		return true, true
 	}
-	// Few jobs vary by chance, and several services add up to less than each varies.
-	most := shiftPart*limit + chance/math.Sqrt(float64(min(old.all, recent.all)))
-	was := float64(old.away) / float64(old.all)
-	more := float64(recent.away+1) / float64(recent.all+1)
-	less := float64(recent.away) / float64(recent.all+1)
-	return was-less <= most, more-was <= most
+	// Small samples vary randomly, and the sum of several services varies less than each of them.
+	maxChange := shiftHeadroom*limit + allowedDeviations/math.Sqrt(float64(min(previous.total, recent.total)))
+	before := float64(previous.remote) / float64(previous.total)
+	more := float64(recent.remote+1) / float64(recent.total+1)
+	less := float64(recent.remote) / float64(recent.total+1)
+	return before-less <= maxChange, more-before <= maxChange
 }
 
-// within leaves only the candidates that the bounds allow, if there are any.
-func within(list []Candidate, paths []path, here, away bool) []Candidate {
-	if here && away {
+// restrict drops the candidates that the shift limit rules out, unless it rules out all of them.
+func restrict(list []Candidate, paths []path, mayStay, mayLeave bool) []Candidate {
+	if mayStay && mayLeave {
 		return list
 	}
 	n := 0
 	for i := range list {
-		if far := paths[list[i].load.domain].tier == Far; far && away || !far && here {
+		if remote := paths[list[i].load.domainIndex].locality == OtherRegion; remote && mayLeave || !remote && mayStay {
 			list[i], list[n] = list[n], list[i]
 			n++
 		}
--- a/internal/flow/place/shift_test.go
+++ b/internal/flow/place/shift_test.go
@@ -8,9 +8,10 @@
 	"gotest.tools/v3/assert"
 )
 
-// farPart runs a region's jobs for a while and returns the part that left the region in each piece of time. An upstream
-// takes long for the first job of an object, and those of other regions a round trip more.
-func farPart(tab *Table, until time.Duration) map[time.Duration][2]int {
+// remoteJobs places a region's jobs for a while and returns the number of all jobs and of those that left the region,
+// per 100 ms. The first job of an object takes longer on each upstream, and jobs in other regions take a round trip
+// longer.
+func remoteJobs(tab *Table, until time.Duration) map[time.Duration][2]int {
 	type running struct {
 		g           *Grant
 		began, ends time.Duration
@@ -53,8 +54,9 @@
 	return out
 }
 
-// mostMoved returns the greatest change of the part that left the region from one span to the next.
-func mostMoved(parts map[time.Duration][2]int, from, until time.Duration) float64 {
+// maxShift returns the greatest change, from one two-second window to the next, of the share of jobs that left the
+// region.
+func maxShift(parts map[time.Duration][2]int, from, until time.Duration) float64 {
 	most := 0.0
 	part := func(begin time.Duration) float64 {
 		all, far := 0, 0
@@ -69,9 +71,9 @@
 	return most
 }
 
-// Load pattern: the first seconds of a day. Jobs leave the region while nothing is known of their objects, and would come
-// back at once when the near upstreams know them.
-func TestCallersAreMovedSlowlyBetweenRegions(t *testing.T) {
+// At startup, jobs leave the region while no upstream has their objects cached, and would all return once the near
+// upstreams do. The share that leaves must change slowly.
+func TestShiftBetweenRegionsStaysUnderTheLimit(t *testing.T) {
 	var far []string
 	list := view().Upstreams["s"]
 	for i := range 12 {
@@ -89,26 +91,26 @@
 	tab := NewTable()
 	tab.SetShift(0.15)
 	tab.Update(at(0), v)
-	parts := farPart(tab, 8*time.Second)
-	moved := mostMoved(parts, 0, 8*time.Second)
-	assert.Assert(t, moved <= 0.15, "%.2f of the jobs changed their region", moved)
+	parts := remoteJobs(tab, 8*time.Second)
+	moved := maxShift(parts, 0, 8*time.Second)
+	assert.Assert(t, moved <= 0.15, "the share of jobs that left the region changed by %.2f", moved)
 }
 
-// A region that loses its upstreams moves its callers at once.
-func TestARegionThatLosesItsUpstreamsIsNotHeldBack(t *testing.T) {
+// A region that loses its upstreams must be able to move its callers at once.
+func TestAnOutageLiftsTheShiftLimit(t *testing.T) {
 	s := &shiftLimiter{}
 	for d := time.Duration(0); d < 4*time.Second; d += 10 * time.Millisecond {
-		s.note(at(d), false)
+		s.record(at(d), false)
 	}
 	now := at(4 * time.Second)
-	here, away := s.bounds(now, 0.15)
+	here, away := s.allowed(now, 0.15)
 	assert.Assert(t, here && away)
 	for range 90 {
-		s.note(now, true)
+		s.record(now, true)
 	}
-	_, away = s.bounds(now, 0.15)
+	_, away = s.allowed(now, 0.15)
 	assert.Assert(t, !away)
-	s.health(now, 0.5)
-	_, away = s.bounds(now, 0.15)
+	s.setUnusable(now, 0.5)
+	_, away = s.allowed(now, 0.15)
 	assert.Assert(t, away)
 }
--- a/internal/flow/place/table.go
+++ b/internal/flow/place/table.go
@@ -9,99 +9,99 @@
 	"github.com/boragelane/boragelane/internal/core/roster"
 )
 
-// Table places the jobs of a region's hosts: it knows what runs and waits at the region's upstreams.
+// Table places the jobs of a region's hosts on upstreams and tracks which jobs run and wait there.
 type Table struct {
-	mu       sync.Mutex
-	view     *roster.View
-	loads    map[string]*load
-	lists    map[string][]*load // By service, those that the view holds.
-	domains  []*roster.Upstream // One upstream of each failure domain.
-	works    map[string]*work
-	trips    rtts
-	demands  map[string]*demand
-	limiters map[string]*shiftLimiter // By service.
-	shift    float64                  // The part of a region's callers that may change their region within shiftSpan; 0 for any.
-	asked    time.Time                // When the demand was last asked for.
-	waiters  []*waiter
-	scratch  []Candidate
-	arrived  uint64
-	grants   map[uint64]*Grant
-	swept    time.Time
+	mu               sync.Mutex
+	view             *roster.View
+	loads            map[string]*load
+	loadsByService   map[string][]*load // The upstreams of the current view, by service.
+	domains          []*roster.Upstream // One upstream of each known failure domain.
+	estimates        map[string]*workEstimate
+	rtts             rttEstimates
+	demands          map[string]*demand
+	limiters         map[string]*shiftLimiter // By service.
+	maxShift         float64                  // The share of a region's callers that may change region within shiftWindow; 0 for no limit.
+	lastDemandReport time.Time                // When the demand was last reported.
+	waiters          []*waiter
+	scratch          []Candidate
+	lastSeq          uint64
+	grants           map[uint64]*Grant
+	lastSweep        time.Time
 }
 
-// Grant is a job's stay at an upstream.
+// Grant is a slot of an upstream that is assigned to a job.
 type Grant struct {
 	Number   uint64
 	Upstream *roster.Upstream
 
-	host  string
-	from  string // The host's failure domain.
-	until time.Time
-	depth int           // How many other objects the upstream was sent since this one.
-	sent  bool          // It was sent this one lately.
-	known bool          // The upstream is thought to remember the object.
-	work  time.Duration // What the job was expected to take there; 0 if nothing is known.
-	trip  time.Duration
+	host          string
+	fromDomain    string // The host's failure domain.
+	expires       time.Time
+	reuseDistance int           // The number of other objects sent to the upstream since the job's object.
+	reused        bool          // The object was sent to the upstream recently.
+	expectHit     bool          // The upstream is expected to have the object cached.
+	expectedWork  time.Duration // The expected work of the job there; 0 if there are no samples.
+	rtt           time.Duration
 }
 
-// NewTable returns a table that knows no upstream.
+// NewTable returns a table without upstreams.
 func NewTable() *Table {
 	return &Table{
-		view: &roster.View{}, loads: map[string]*load{}, works: map[string]*work{}, trips: rtts{},
+		view: &roster.View{}, loads: map[string]*load{}, estimates: map[string]*workEstimate{}, rtts: rttEstimates{},
 		demands: map[string]*demand{}, limiters: map[string]*shiftLimiter{}, grants: map[uint64]*Grant{},
 	}
 }
 
-// SetShift bounds the part of a region's callers that may be moved to other regions, or back, within two seconds.
+// SetShift sets the maximum share of a region's callers that may change region within two seconds; 0 means no limit.
 func (t *Table) SetShift(part float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.shift = part
+	t.maxShift = part
 }
 
-// Update takes in a view.
+// Update applies a new view and retries the waiters.
 func (t *Table) Update(now time.Time, v *roster.View) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.view = v
-	t.lists = make(map[string][]*load, len(v.Upstreams))
+	t.loadsByService = make(map[string][]*load, len(v.Upstreams))
 	seen := map[string]bool{}
 	for service, list := range v.Upstreams {
 		for _, u := range list {
 			seen[u.ID] = true
-			t.lists[service] = append(t.lists[service], t.observe(now, u))
+			t.loadsByService[service] = append(t.loadsByService[service], t.updateLoad(now, u))
 		}
 	}
 	for id, l := range t.loads {
-		l.listed = seen[id]
-		if !l.listed && l.running == 0 {
+		l.inView = seen[id]
+		if !l.inView && l.running == 0 {
 			delete(t.loads, id)
 		}
 	}
-	t.expire(now)
+	t.sweep(now)
 	t.wake(now)
 }
 
-// observe takes in a report of an upstream; a new incarnation starts with a clean record.
-func (t *Table) observe(now time.Time, u *roster.Upstream) *load {
+// updateLoad applies a report of an upstream; a new incarnation starts with empty statistics.
+func (t *Table) updateLoad(now time.Time, u *roster.Upstream) *load {
 	l := t.loads[u.ID]
 	if l == nil || l.upstream.Born != u.Born {
 		running := 0
 		if l != nil {
 			running = l.running
 		}
-		l = &load{running: running, ratio: 1, hash: rendez.Hash(u.ID), domain: t.domain(u)}
+		l = &load{running: running, slowdown: 1, hash: rendez.Hash(u.ID), domainIndex: t.domainIndex(u)}
 		t.loads[u.ID] = l
 	}
-	l.upstream, l.ours = u, t.view.User(u) == t.view.Self.Region
+	l.upstream, l.assigned = u, t.view.User(u) == t.view.Self.Region
 	if u.Cold > 0 {
-		l.setCold(now, u.ColdUntil())
+		l.markCold(now, u.ColdUntil())
 	}
 	return l
 }
 
-// domain returns the place of an upstream's failure domain in the list.
-func (t *Table) domain(u *roster.Upstream) int {
+// domainIndex returns the index of an upstream's failure domain in t.domains, adding it if necessary.
+func (t *Table) domainIndex(u *roster.Upstream) int {
 	at := slices.IndexFunc(t.domains, func(o *roster.Upstream) bool { return o.Domain == u.Domain })
 	if at < 0 {
 		at = len(t.domains)
@@ -110,42 +110,43 @@
 	return at
 }
 
-// expire ends the grants of hosts that are gone, and those whose end was never told.
-func (t *Table) expire(now time.Time) {
-	t.swept = now
+// sweep ends the grants of hosts that have left and those past their expiry, and lets the statistics of idle upstreams
+// decay.
+func (t *Table) sweep(now time.Time) {
+	t.lastSweep = now
 	for _, l := range t.loads {
 		l.decay()
 	}
 	for service, s := range t.limiters {
-		s.health(now, t.unusable(now, service))
+		s.setUnusable(now, t.unusableShare(now, service))
 	}
 	live := map[string]bool{t.view.Self.Name: true}
 	for i := range t.view.Hosts {
 		live[t.view.Hosts[i].Name] = true
 	}
 	for _, g := range t.grants {
-		if !live[g.host] || now.After(g.until) {
-			t.end(g)
+		if !live[g.host] || now.After(g.expires) {
+			t.endGrant(g)
 		}
 	}
 }
 
-// unusable returns the part of the slots which this region uses that can't be used now.
-func (t *Table) unusable(now time.Time, service string) float64 {
-	all, out := 0, 0
-	for _, l := range t.lists[service] {
-		if !l.ours {
+// unusableShare returns the share of the slots used by this region whose upstreams are ejected or cold.
+func (t *Table) unusableShare(now time.Time, service string) float64 {
+	total, unusable := 0, 0
+	for _, l := range t.loadsByService[service] {
+		if !l.assigned {
 			continue
 		}
-		all += l.upstream.Slots
-		if l.down(now) || l.cold(now) {
-			out += l.upstream.Slots
+		total += l.upstream.Slots
+		if l.ejected(now) || l.cold(now) {
+			unusable += l.upstream.Slots
 		}
 	}
-	return float64(out) / float64(max(1, all))
+	return float64(unusable) / float64(max(1, total))
 }
 
-// limiter returns the count of where a service's jobs run.
+// limiter returns the shift limiter of a service, creating it if necessary.
 func (t *Table) limiter(service string) *shiftLimiter {
 	s := t.limiters[service]
 	if s == nil {
@@ -155,8 +156,8 @@
 	return s
 }
 
-// end forgets a grant; it returns the load of its upstream, or nil if that is not known any more.
-func (t *Table) end(g *Grant) *load {
+// endGrant removes a grant and returns the load of its upstream, or nil if the grant or upstream is no longer known.
+func (t *Table) endGrant(g *Grant) *load {
 	if t.grants[g.Number] != g {
 		return nil
 	}
@@ -168,92 +169,92 @@
 	return l
 }
 
-// grantSlack is how long after its job's deadline a grant ends that nobody has ended.
-const grantSlack = time.Second
+// grantGracePeriod is the time after a job's deadline at which a grant that was not released expires.
+const grantGracePeriod = time.Second
 
 func (t *Table) grant(now time.Time, l *load, w *waiter) *Grant {
 	l.running++
 	if l.cold(now) {
 		l.tokens--
-		l.warmed = now
+		l.lastWarmup = now
 	}
 	u, ask := l.upstream, &w.ask
-	t.limiter(u.Service).note(now, u.Region != t.view.Self.Region)
+	t.limiter(u.Service).record(now, u.Region != t.view.Self.Region)
 	g := &Grant{
-		Number: w.number, Upstream: u, host: ask.Host.Name, from: ask.Host.Domain, until: ask.Deadline.Add(grantSlack),
-		trip: t.trips.expect(&ask.Host, u),
+		Number: w.seq, Upstream: u, host: ask.Host.Name, fromDomain: ask.Host.Domain, expires: ask.Deadline.Add(grantGracePeriod),
+		rtt: t.rtts.expected(&ask.Host, u),
 	}
-	k := t.work(u.Service)
-	g.depth, g.sent = l.memory.depth(ask.key())
-	g.known = k.remembers(l.memory, ask.key())
-	if k.seen(g.known) {
-		g.work = k.expect(g.known)
+	estimate := t.estimate(u.Service)
+	g.reuseDistance, g.reused = l.recent.reuseDistance(ask.objectHash())
+	g.expectHit = estimate.likelyCached(l.recent, ask.objectHash())
+	if estimate.hasSamples(g.expectHit) {
+		g.expectedWork = estimate.expected(g.expectHit)
 	}
-	l.memory = l.memory.add(ask.key())
+	l.recent = l.recent.add(ask.objectHash())
 	t.grants[g.Number] = g
 	return g
 }
 
-func (t *Table) work(service string) *work {
-	w := t.works[service]
+func (t *Table) estimate(service string) *workEstimate {
+	w := t.estimates[service]
 	if w == nil {
-		w = &work{kept: keptStart, start: workStart}
-		t.works[service] = w
+		w = &workEstimate{cacheSize: initialCacheSize, initial: initialWork}
+		t.estimates[service] = w
 	}
 	return w
 }
 
-// Release ends a job's stay at an upstream.
+// Release ends a grant, records the job's result and assigns the freed slot.
 func (t *Table) Release(now time.Time, g *Grant, r Result) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	l := t.end(g)
+	l := t.endGrant(g)
 	if l == nil {
 		return
 	}
-	r.Work, r.Trip = g.work, g.trip
+	r.ExpectedWork, r.RTT = g.expectedWork, g.rtt
 	if l.upstream.Born == g.Upstream.Born {
-		l.learn(now, r)
-		t.trips.learn(g.from, g.Upstream.Domain, r.Dial)
+		l.recordResult(now, r)
+		t.rtts.record(g.fromDomain, g.Upstream.Domain, r.Dial)
 		if r.Good && r.Waiting == 0 {
-			t.learn(g, r.Took-g.trip)
+			t.recordWork(g, r.Took-g.rtt)
 		}
 	}
-	t.freed(now, l)
+	t.assignFreedSlot(now, l)
 }
 
-// learn takes in the time of a job that did not wait at its upstream.
-func (t *Table) learn(g *Grant, took time.Duration) {
-	w := t.work(g.Upstream.Service)
-	w.learn(g.known, took)
-	if g.sent {
-		w.correct(g.depth, took)
+// recordWork records the time of a job that was not queued by its upstream.
+func (t *Table) recordWork(g *Grant, took time.Duration) {
+	w := t.estimate(g.Upstream.Service)
+	w.record(g.expectHit, took)
+	if g.reused {
+		w.adjustCacheSize(g.reuseDistance, took)
 	}
 }
 
-// Find returns a grant by its number, or nil.
+// Find returns the grant with the given number, or nil.
 func (t *Table) Find(number uint64) *Grant {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.grants[number]
 }
 
-// Waiting returns how many jobs wait for a slot.
+// Waiting returns the number of jobs that wait for a slot.
 func (t *Table) Waiting() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return len(t.waiters)
 }
 
-// sweepPeriod is how often grants that nobody ended are looked for.
-const sweepPeriod = 500 * time.Millisecond
+// sweepInterval is the time between sweeps for expired grants.
+const sweepInterval = 500 * time.Millisecond
 
-// Pump lets waiters try again, as ejections end and cold rates grow with time.
+// Pump retries the waiters, since ejections end and cold upstreams earn tokens as time passes.
 func (t *Table) Pump(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if now.Sub(t.swept) > sweepPeriod {
-		t.expire(now)
+	if now.Sub(t.lastSweep) > sweepInterval {
+		t.sweep(now)
 	}
 	t.wake(now)
 }
--- a/internal/flow/place/work.go
+++ b/internal/flow/place/work.go
@@ -8,93 +8,93 @@
 )
 
 const (
-	// objectsMost is how many objects are noted of those that an upstream was sent.
-	objectsMost = 64
-	// keptStart is how many objects an upstream is taken to remember before any of its answers tell.
-	keptStart = 16
-	// keptWeight is the weight of an answer that tells otherwise.
-	keptWeight = 0.05
-	// workWeight is the weight of the newest sample in a service's means.
+	// maxRecentObjects is the number of recent objects tracked for each upstream.
+	maxRecentObjects = 64
+	// initialCacheSize is the number of objects that an upstream is assumed to cache before there are samples.
+	initialCacheSize = 16
+	// cacheSizeWeight is the weight of an answer that contradicts the estimated cache size.
+	cacheSizeWeight = 0.05
+	// workWeight is the weight of the newest sample in a service's moving averages.
 	workWeight = 0.05
-	// workStart is the work of a request before any was seen, if it has no objective.
-	workStart = 100 * time.Millisecond
-	// knownPart is the part of a fresh object's work that a known one is taken to need before any was seen: less than
-	// all, so that a burst for one object does not spread it over all upstreams before the first answer comes.
-	knownPart = 0.5
-	// ownerPart is the chance that an object's owner, the first upstream in rendezvous order, remembers it though this
-	// table sent it no job: another host may have placed jobs before.
-	ownerPart = 0.25
-	// ratioLeast and ratioMost bound how much faster or slower than its service an upstream is taken to be.
-	ratioLeast = 0.5
-	ratioMost  = 20
+	// initialWork is the assumed work of a request before there are samples, if it has no objective.
+	initialWork = 100 * time.Millisecond
+	// initialHitShare is the assumed ratio of the work of a cache hit to that of a miss before there are samples. It
+	// is below 1 so that a burst for one object is not spread over all upstreams before the first answer.
+	initialHitShare = 0.5
+	// ownerHitProbability is the chance that an object's owner, the first upstream in rendezvous order, has cached it
+	// although this table has not sent it there. Another host may have placed jobs before.
+	ownerHitProbability = 0.25
+	// minSlowdown and maxSlowdown bound the measured slowdown of an upstream relative to its service.
+	minSlowdown = 0.5
+	maxSlowdown = 20
 )
 
-// work is what the requests of one service take, by whether the upstream remembers their object.
-type work struct {
-	known, fresh time.Duration
-	all          time.Duration
-	start        time.Duration // Taken for the work of a fresh object before any was seen.
-	kept         float64       // How many objects an upstream seems to remember.
+// workEstimate tracks the time that a service's requests take, separately for cache hits and misses.
+type workEstimate struct {
+	hit, miss time.Duration
+	all       time.Duration
+	initial   time.Duration // Assumed work of a miss before there are samples.
+	cacheSize float64       // Estimated number of objects that an upstream caches.
 }
 
-// remembers tells whether an upstream is thought to remember an object.
-func (w *work) remembers(m memory, object uint64) bool {
-	depth, ok := m.depth(object)
-	return ok && float64(depth) < w.kept
+// likelyCached reports whether an upstream is expected to have an object cached.
+func (w *workEstimate) likelyCached(m recentObjects, object uint64) bool {
+	distance, ok := m.reuseDistance(object)
+	return ok && float64(distance) < w.cacheSize
 }
 
-// guess returns how much less than a fresh object's work an object is taken to need at its owner.
-func (w *work) guess(m memory, object uint64) time.Duration {
-	if _, sent := m.depth(object); sent {
-		return 0 // It is known what to expect.
+// ownerDiscount returns the work that an object is expected to save on its owner, which may have it cached.
+func (w *workEstimate) ownerDiscount(m recentObjects, object uint64) time.Duration {
+	if _, sent := m.reuseDistance(object); sent {
+		return 0 // The reuse distance already tells whether to expect a hit.
 	}
-	return time.Duration(ownerPart * float64(w.expect(false)-w.expect(true)))
+	return time.Duration(ownerHitProbability * float64(w.expected(false)-w.expected(true)))
 }
 
-// correct moves the number of objects that are remembered if an answer took the time of the other kind.
-func (w *work) correct(depth int, took time.Duration) {
-	if w.known == 0 || w.fresh < 2*w.known {
+// adjustCacheSize moves the estimated cache size towards a reuse distance whose hit or miss it predicted wrongly.
+func (w *workEstimate) adjustCacheSize(distance int, took time.Duration) {
+	if w.hit == 0 || w.miss < 2*w.hit {
 		return
 	}
-	was := took < (w.known+w.fresh)/2
-	if thought := float64(depth) < w.kept; was != thought {
-		w.kept += keptWeight * (float64(depth) - w.kept)
+	hit := took < (w.hit+w.miss)/2
+	if predicted := float64(distance) < w.cacheSize; hit != predicted {
+		w.cacheSize += cacheSizeWeight * (float64(distance) - w.cacheSize)
 	}
 }
 
-// mean returns the work of a request, whatever its object.
-func (w *work) mean() time.Duration {
+// mean returns the mean work of all requests.
+func (w *workEstimate) mean() time.Duration {
 	if w.all > 0 {
 		return w.all
 	}
-	return w.start
+	return w.initial
 }
 
-// expect returns the work of a request.
-func (w *work) expect(known bool) time.Duration {
-	fresh := w.start
+// expected returns the expected work of a cache hit or miss.
+func (w *workEstimate) expected(hit bool) time.Duration {
+	miss := w.initial
 	switch {
-	case known && w.known > 0:
-		return w.known
-	case w.fresh > 0:
-		fresh = w.fresh
-	case w.known > 0:
-		return w.known
+	case hit && w.hit > 0:
+		return w.hit
+	case w.miss > 0:
+		miss = w.miss
+	case w.hit > 0:
+		return w.hit
 	}
-	if known {
-		return time.Duration(knownPart * float64(fresh))
+	if hit {
+		return time.Duration(initialHitShare * float64(miss))
 	}
-	return fresh
+	return miss
 }
 
-// seen tells whether a request of one kind has been seen.
-func (w *work) seen(known bool) bool { return known && w.known > 0 || !known && w.fresh > 0 }
+// hasSamples reports whether a cache hit or miss has been recorded.
+func (w *workEstimate) hasSamples(hit bool) bool { return hit && w.hit > 0 || !hit && w.miss > 0 }
 
-// learn takes in the time of a request that did not wait at its upstream.
-func (w *work) learn(known bool, took time.Duration) {
-	mean := &w.fresh
-	if known {
-		mean = &w.known
+// record adds the time of a request that was not queued by its upstream.
+func (w *workEstimate) record(hit bool, took time.Duration) {
+	mean := &w.miss
+	if hit {
+		mean = &w.hit
 	}
 	for _, m := range []*time.Duration{mean, &w.all} {
 		if *m == 0 {
@@ -104,11 +104,12 @@
 	}
 }
 
-// memory is the hashes of the objects that an upstream was last sent, the newest last.
-type memory []uint64
+// recentObjects holds the hashes of the objects last sent to an upstream, newest last.
+type recentObjects []uint64
 
-// depth returns how many other objects an upstream was sent since an object, or false if that is too long ago.
-func (m memory) depth(object uint64) (int, bool) {
+// reuseDistance returns the number of other objects sent to the upstream since the given object, or false if that
+// object is not tracked.
+func (m recentObjects) reuseDistance(object uint64) (int, bool) {
 	if object == 0 {
 		return 0, false
 	}
@@ -116,38 +117,38 @@
 	return len(m) - 1 - at, at >= 0
 }
 
-// add notes an object, and forgets the oldest.
-func (m memory) add(object uint64) memory {
+// add appends an object, and drops the oldest if there are too many.
+func (m recentObjects) add(object uint64) recentObjects {
 	if object == 0 {
 		return m
 	}
 	if at := slices.Index(m, object); at >= 0 {
 		m = slices.Delete(m, at, at+1)
 	}
-	if len(m) >= objectsMost {
+	if len(m) >= maxRecentObjects {
 		m = slices.Delete(m, 0, 1)
 	}
 	return append(m, object)
 }
 
-// rtts is the round trip from one failure domain to another.
-type rtts map[[2]string]time.Duration
+// rttEstimates holds the round-trip time from one failure domain to another.
+type rttEstimates map[[2]string]time.Duration
 
-// Round trips before any connection was opened, by tier.
-var rttStart = [...]time.Duration{Near: time.Millisecond, Region: 3 * time.Millisecond, Far: 60 * time.Millisecond}
+// Assumed round-trip times before a connection was opened, by locality.
+var initialRTT = [...]time.Duration{SameDomain: time.Millisecond, SameRegion: 3 * time.Millisecond, OtherRegion: 60 * time.Millisecond}
 
-// crossing is added to a round trip for the bytes that cross failure domains and regions, which are priced.
-var crossing = [...]time.Duration{Near: 0, Region: 25 * time.Millisecond, Far: 40 * time.Millisecond}
+// crossingPenalty is added to the round trip because traffic between failure domains and regions is billed.
+var crossingPenalty = [...]time.Duration{SameDomain: 0, SameRegion: 25 * time.Millisecond, OtherRegion: 40 * time.Millisecond}
 
-func (r rtts) expect(from *roster.Host, u *roster.Upstream) time.Duration {
+func (r rttEstimates) expected(from *roster.Host, u *roster.Upstream) time.Duration {
 	if d, ok := r[[2]string{from.Domain, u.Domain}]; ok {
 		return d
 	}
-	return rttStart[tierOf(from, u)]
+	return initialRTT[localityOf(from, u)]
 }
 
-// learn takes in the time that a connection took to open.
-func (r rtts) learn(from, to string, took time.Duration) {
+// record adds the time that a connection took to open.
+func (r rttEstimates) record(from, to string, took time.Duration) {
 	if took <= 0 {
 		return
 	}
