refactor: names in flow/place's ejection rule and tests

failuresToEject is the count that ejects, not a maximum. Test variables homes, open and keep became placements, grants or active, and unfinished; the checks are unchanged.

--- a/internal/flow/place/load.go
+++ b/internal/flow/place/load.go
@@ -11,9 +11,8 @@
 	sampleWeight = 0.2
 	// maxFailureRate is the average failure rate above which an upstream is ejected.
 	maxFailureRate = 0.35
-	// maxConsecutiveFailures is the number of consecutive failures that ejects an upstream regardless of its failure
-	// rate.
-	maxConsecutiveFailures = 3
+	// failuresToEject is the number of consecutive failures that ejects an upstream regardless of its failure rate.
+	failuresToEject = 3
 	// minEjection and maxEjection bound the ejection time, which doubles while the upstream keeps failing.
 	minEjection = 500 * time.Millisecond
 	maxEjection = 4 * time.Second
@@ -134,7 +133,7 @@
 	}
 	l.failureRate += sampleWeight * (1 - l.failureRate)
 	l.consecutiveFailures++
-	if r.Broken || l.consecutiveFailures >= maxConsecutiveFailures || l.failureRate > maxFailureRate {
+	if r.Broken || l.consecutiveFailures >= failuresToEject || l.failureRate > maxFailureRate {
 		l.ejection = min(maxEjection, max(minEjection, 2*l.ejection))
 		l.ejectedUntil = now.Add(l.ejection)
 		l.failureRate /= 2
--- a/internal/flow/place/place_test.go
+++ b/internal/flow/place/place_test.go
@@ -78,24 +78,24 @@
 // With many callers and few objects, each object must stay on few upstreams, where it is cached.
 func TestAnObjectStaysOnTheUpstreamThatCachesIt(t *testing.T) {
 	tab := table(upstream("u1", "a", "east"), upstream("u2", "a", "east"), upstream("u3", "a", "east"))
-	homes := map[string]map[string]bool{}
+	placements := map[string]map[string]bool{}
 	now := at(0)
 	for i := range 120 {
 		a := ask(now)
 		a.Object = fmt.Sprint(i % 12)
 		g := try(tab, now, a)
 		took := 300 * time.Millisecond
-		if homes[a.Object][g.Upstream.ID] {
+		if placements[a.Object][g.Upstream.ID] {
 			took = 90 * time.Millisecond
 		}
-		if homes[a.Object] == nil {
-			homes[a.Object] = map[string]bool{}
+		if placements[a.Object] == nil {
+			placements[a.Object] = map[string]bool{}
 		}
-		homes[a.Object][g.Upstream.ID] = true
+		placements[a.Object][g.Upstream.ID] = true
 		now = now.Add(20 * time.Millisecond)
 		tab.Release(now, g, good(took))
 	}
-	for object, on := range homes {
+	for object, on := range placements {
 		assert.Equal(t, len(on), 1, "object %s ran on several upstreams: %v", object, on)
 	}
 }
@@ -121,15 +121,15 @@
 		list = append(list, upstream(fmt.Sprint("u", i), string(rune('a'+i%3)), "east"))
 	}
 	place := func(shift int) map[string]string {
-		tab, homes := table(list...), map[string]string{}
+		tab, placements := table(list...), map[string]string{}
 		for i := range 20 {
 			a := ask(at(0))
 			a.Object = fmt.Sprint((i + shift) % 20)
 			a.Host.Domain = string(rune('a' + (i+2*shift)%3))
 			g := try(tab, at(0), a)
-			homes[a.Object] = g.Upstream.ID
+			placements[a.Object] = g.Upstream.ID
 		}
-		return homes
+		return placements
 	}
 	before, after, same := place(0), place(7), 0
 	for object, on := range before {
@@ -273,7 +273,7 @@
 		ups := []*roster.Upstream{upstream("u1", "a", "east"), upstream("u2", "b", "east"), upstream("u3", "c", "west")}
 		tab := table(ups...)
 		now := at(0)
-		open := []*Grant{}
+		grants := []*Grant{}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
 			switch rapid.IntRange(0, 4).Draw(t, "step") {
@@ -282,14 +282,14 @@
 				a.Object = rapid.SampledFrom([]string{"", "x", "y"}).Draw(t, "object")
 				a.Isolated = rapid.IntRange(0, 4).Draw(t, "alone") == 0
 				if g := try(tab, now, a); g != nil {
-					open = append(open, g)
+					grants = append(grants, g)
 				}
 			case 2:
-				if len(open) > 0 {
-					i := rapid.IntRange(0, len(open)-1).Draw(t, "which")
+				if len(grants) > 0 {
+					i := rapid.IntRange(0, len(grants)-1).Draw(t, "which")
 					r := Result{Took: 50 * time.Millisecond, Good: rapid.Bool().Draw(t, "good"), Broken: rapid.IntRange(0, 5).Draw(t, "broken") == 0}
-					tab.Release(now, open[i], r)
-					open = append(open[:i], open[i+1:]...)
+					tab.Release(now, grants[i], r)
+					grants = append(grants[:i], grants[i+1:]...)
 				}
 			case 3:
 				tab.Pump(now)
--- a/internal/flow/place/rank.go
+++ b/internal/flow/place/rank.go
@@ -40,12 +40,12 @@
 func (l *load) cost(p *path, service, mean time.Duration) time.Duration {
 	d := p.rtt + p.penalty
 	if p.locality == OtherRegion && l.assigned {
-		d = p.rtt / 2 // Keeps borrowed upstreams in nearly even use: the share of jobs that leave the region may change only slowly.
+		d = p.rtt / 2 // Nearly equal use of borrowed upstreams: the share of jobs leaving the region must change slowly.
 	}
 	return d + time.Duration((1+failurePenalty*l.failureRate)*float64(service)+l.queueFactor()*l.slowdown*float64(mean))
 }
 
-// failurePenalty is the cost, as a multiple of the service time, of an upstream that always fails.
+// failurePenalty is the additional cost, as a multiple of the service time, of an upstream that always fails.
 const failurePenalty = 4
 
 // candidates returns the upstreams that a job may be sent to, including those without a free slot. The list is valid
--- a/internal/flow/place/shift_test.go
+++ b/internal/flow/place/shift_test.go
@@ -16,29 +16,29 @@
 		g           *Grant
 		began, ends time.Duration
 	}
-	var open []running
+	var active []running
 	sent := map[string]bool{}
 	out := map[time.Duration][2]int{}
 	for d := time.Duration(0); d < until; d += 4 * time.Millisecond {
-		keep := open[:0]
-		for _, r := range open {
+		unfinished := active[:0]
+		for _, r := range active {
 			if r.ends <= d {
 				tab.Release(at(d), r.g, good(r.ends-r.began))
 				continue
 			}
-			keep = append(keep, r)
+			unfinished = append(unfinished, r)
 		}
-		open = keep
+		active = unfinished
 		a := ask(at(d))
 		a.Object = fmt.Sprint(int(d/(4*time.Millisecond)) * 7 % 120)
 		g := try(tab, at(d), a)
 		if g == nil {
 			continue
 		}
-		far := g.Upstream.Region != "east"
+		remote := g.Upstream.Region != "east"
 		n := out[d.Truncate(100*time.Millisecond)]
 		n[0]++
-		if far {
+		if remote {
 			n[1]++
 		}
 		out[d.Truncate(100*time.Millisecond)] = n
@@ -46,10 +46,10 @@
 		if pair := g.Upstream.ID + "/" + a.Object; !sent[pair] {
 			sent[pair], lasts = true, 400*time.Millisecond
 		}
-		if far {
+		if remote {
 			lasts += 110 * time.Millisecond
 		}
-		open = append(open, running{g: g, began: d, ends: d + lasts})
+		active = append(active, running{g: g, began: d, ends: d + lasts})
 	}
 	return out
 }
@@ -74,18 +74,18 @@
 // At startup, jobs leave the region while no upstream has their objects cached, and would all return once the near
 // upstreams do. The share that leaves must change slowly.
 func TestShiftBetweenRegionsStaysUnderTheLimit(t *testing.T) {
-	var far []string
+	var remoteIDs []string
 	list := view().Upstreams["s"]
 	for i := range 12 {
 		list = append(list, upstream(fmt.Sprint("near", i), "a", "east"))
 	}
 	for i := range 30 {
-		far = append(far, fmt.Sprint("far", i))
-		list = append(list, upstream(far[i], "c", "west"))
+		remoteIDs = append(remoteIDs, fmt.Sprint("far", i))
+		list = append(list, upstream(remoteIDs[i], "c", "west"))
 	}
 	v := view(list...)
 	v.Loans = map[string]string{}
-	for _, id := range far {
+	for _, id := range remoteIDs {
 		v.Loans[id] = "east"
 	}
 	tab := NewTable()
--- a/internal/flow/place/table.go
+++ b/internal/flow/place/table.go
@@ -53,10 +53,10 @@
 }
 
 // SetShift sets the maximum share of a region's callers that may change region within two seconds; 0 means no limit.
-func (t *Table) SetShift(part float64) {
+func (t *Table) SetShift(share float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.maxShift = part
+	t.maxShift = share
 }
 
 // Update applies a new view and retries the waiters.
