refactor: plain terms in pipe and route

Read badly: consider, tried, take, part, best, costStep, 'how long it would wait'. Now: newCandidate, isTarget, takeShiftToken, hashFraction, selectSite, costResolution; WaitEstimator instead of Local; the job's fields and outcomes are described in the terms of routing and retries.

--- a/internal/flow/pipe/doc.go
+++ b/internal/flow/pipe/doc.go
@@ -1,2 +1,2 @@
-// Package pipe defines the job that flows through the filters, and the line that runs them.
+// Package pipe defines the job that flows through the filters, and the pipeline that runs them.
 package pipe
--- a/internal/flow/pipe/job.go
+++ b/internal/flow/pipe/job.go
@@ -8,7 +8,7 @@
 	"github.com/boragelane/boragelane/internal/core/roster"
 )
 
-// Job is one request of a caller on its way through the filters.
+// Job is a request of a caller together with the state that the filters add to it.
 type Job struct {
 	ID       string
 	Service  string
@@ -37,86 +37,86 @@
 	Draining bool
 	Claimed  bool
 	Hop      int
-	From     string // The region that the job came from over a link.
+	From     string // The region of the host that forwarded the job, or "" on its first hop.
 
-	Host       string              // The authority that the caller asked for.
-	Header     map[string][]string // What is passed through to the upstream.
-	Object     string              // Jobs on the same object are fastest on the same upstream.
+	Host       string              // The authority that the caller requested.
+	Header     map[string][]string // The header fields passed on to the upstream.
+	Object     string              // The affinity key: jobs with the same key run fastest on the same upstream.
 	View       *roster.View
 	Route      *policy.Route
-	Objective  time.Time     // An answer is worth most until then.
-	Crashes    []string      // The upstreams of earlier tries that crashed while they ran the job.
-	MayHaveRun bool          // An earlier try may have run, whatever became of a later one.
-	Tries      int           // How many upstreams the job was sent to.
-	RetryAfter time.Duration // When a refused caller does best to come back.
+	Objective  time.Time     // The target time for the answer, at most the deadline.
+	Crashes    []string      // The upstreams that crashed during earlier tries.
+	MayHaveRun bool          // Some try may have run, whatever the result of later tries.
+	Tries      int           // The number of upstreams that the job was sent to.
+	RetryAfter time.Duration // How long a refused caller should wait before it retries.
 }
 
-// Target is an entry host that may serve a job, and why it was picked.
+// Target is an entry host that may serve a job, and the reason for its selection.
 type Target struct {
 	Seat   string
 	Peer   string
 	Region string
 	Domain string
-	Self   bool // This host.
+	Self   bool // Whether the target is this host.
 	Reason string
 }
 
-// Place is the upstream that a job was admitted to.
+// Place identifies the upstream that a job was admitted to and bounds the connections to it.
 type Place struct {
 	ID      string
 	Address string
 	Conns   int64
 }
 
-// Answer is a whole answer of an upstream.
+// Answer is the complete response of an upstream.
 type Answer struct {
 	Status int
 	Type   string
-	Header map[string][]string // What is passed through to the caller.
+	Header map[string][]string // The header fields passed on to the caller.
 	Body   []byte
 }
 
-// Report is what an upstream says of its own load.
+// Report is the load that an upstream reports about itself.
 type Report struct {
 	Running int
 	Waiting int
 	Slots   int
 }
 
-// Reply is what came back from an upstream, before it is checked.
+// Reply is the unchecked result of sending a job to an upstream.
 type Reply struct {
 	Answer   Answer
-	ID       string // The job id that the upstream echoed, if any.
-	Sent     bool   // A byte of the job may have reached the upstream.
-	Whole    bool   // The answer arrived to its end, as its length and digest say.
-	Shed     bool   // The upstream says that it did not run the job.
-	Draining bool   // The upstream says that it leaves.
-	Late     bool   // The deadline passed or the caller left.
+	ID       string // The job ID that the upstream echoed, if any.
+	Sent     bool   // Some bytes of the job may have reached the upstream.
+	Whole    bool   // The answer is complete by its length and digest.
+	Shed     bool   // The upstream reported that it did not run the job.
+	Draining bool   // The upstream announced that it is draining.
+	Late     bool   // The deadline passed or the caller disconnected.
 	Crash    bool   // The upstream seems to have crashed.
-	Moved    bool   // Another upstream has the address now; it did not run the job.
+	Moved    bool   // Another upstream now has the address and did not run the job.
 	Report   *Report
-	Dial     time.Duration // How long a new connection took; 0 if none was opened.
+	Dial     time.Duration // The time taken to open a new connection; 0 if none was opened.
 	Err      error
 }
 
-// Kind says how a job ended.
+// Kind classifies how a job ended.
 type Kind int
 
 // Kinds of outcome.
 const (
-	// Pending jobs have not ended.
+	// Pending means that the job has not ended.
 	Pending Kind = iota
-	// Answered jobs ran and have a whole answer.
+	// Answered means that the job ran and has a complete answer.
 	Answered
-	// NotRun jobs were refused before a byte could reach an upstream.
+	// NotRun means that the job provably did not run: no byte reached an upstream, or the upstream rejected it.
 	NotRun
-	// Unknown jobs may have run, but no whole answer came back.
+	// Unknown means that the job may have run, but no complete answer came back.
 	Unknown
 )
 
 var kindNames = [...]string{"pending", "answered", "not-run", "unknown"}
 
-// String returns the kind's name in messages.
+// String returns the kind's name as used on the wire and in logs.
 func (k Kind) String() string {
 	if k < 0 || int(k) >= len(kindNames) {
 		return "invalid"
@@ -124,7 +124,7 @@
 	return kindNames[k]
 }
 
-// ParseKind reads a kind's name; it returns false for any other text.
+// ParseKind parses a kind's name and reports whether the name is valid.
 func ParseKind(s string) (Kind, bool) {
 	for i, n := range kindNames {
 		if n == s {
@@ -134,10 +134,10 @@
 	return Pending, false
 }
 
-// Reason says why a job ended without an answer.
+// Reason is the cause of a job ending without an answer.
 type Reason string
 
-// Reasons of refusal.
+// Reasons for ending a job without an answer.
 const (
 	BadRequest  Reason = "bad-request"
 	NoService   Reason = "no-service"
@@ -170,23 +170,23 @@
 	Failed      Reason = "upstream-failed"
 )
 
-// Outcome is how a job ended, and why.
+// Outcome is the result of a job with its reason and a message for the caller.
 type Outcome struct {
 	Kind   Kind
 	Reason Reason
 	Detail string
 }
 
-// WaitPart is the part of its time that a job may spend in one queue. A queue that is full of longer waits
-// serves no more jobs, only later ones, and many of them too late.
+// WaitPart is the fraction of its remaining time that a job may spend in one queue. Longer waits don't
+// raise throughput; they only delay jobs, many of them past their deadline.
 const WaitPart = 0.25
 
-// WaitUntil returns until when the job may wait in a queue from now on.
+// WaitUntil returns the time at which a job that is queued now must leave the queue.
 func (j *Job) WaitUntil(now time.Time) time.Time {
 	return now.Add(time.Duration(WaitPart * float64(j.Deadline.Sub(now))))
 }
 
-// Ended tells whether the job has an outcome.
+// Ended reports whether the job has an outcome.
 func (j *Job) Ended() bool { return j.Outcome.Kind != Pending }
 
 // Refuse ends the job as not run.
@@ -194,7 +194,8 @@
 	j.Outcome = Outcome{Kind: NotRun, Reason: r, Detail: detail}
 }
 
-// Reject ends the job; if its ticket was not looked up yet, an earlier try may have run.
+// Reject ends the job as not run, or as unknown if its ticket was not claimed yet and an earlier try may
+// have run.
 func (j *Job) Reject(r Reason, detail string) {
 	if j.Ticket != "" && !j.Claimed {
 		j.Lose(r, detail)
@@ -208,14 +209,14 @@
 	j.Outcome = Outcome{Kind: Unknown, Reason: r, Detail: detail}
 }
 
-// Finish ends the job with a whole answer.
+// Finish ends the job with a complete answer.
 func (j *Job) Finish(a Answer) {
 	j.Answer = a
 	j.Outcome = Outcome{Kind: Answered}
 }
 
-// Retryable tells whether another target may be tried: nothing ran, and another place may differ;
-// or the job may be repeated, and its answer was lost on the way.
+// Retryable reports whether another target may be tried: the job did not run and another target may accept
+// it, or its answer was lost and the job may run more than once.
 func (j *Job) Retryable() bool {
 	switch j.Outcome.Reason {
 	case NoUpstream, QueueFull, TooLate, LinkFull, PeerDown, Shed, Refused, Stopping:
--- a/internal/flow/pipe/line.go
+++ b/internal/flow/pipe/line.go
@@ -6,24 +6,24 @@
 	"time"
 )
 
-// Filter is one step of a line; it passes the job on or ends it.
+// Filter is one step of a line; it passes the job on or ends it with an outcome.
 type Filter interface {
 	String() string
 	Run(ctx context.Context, now time.Time, job *Job)
 }
 
-// Finisher is a filter that also acts on the way back, once for each job that it ran.
+// Finisher is a filter with a second step that runs once for each job after the later filters.
 type Finisher interface {
 	Finish(now time.Time, job *Job)
 }
 
-// Line runs filters in order, and their Finish in reverse order.
+// Line is a pipeline: it runs its filters in order and their Finish methods in reverse order.
 type Line struct {
 	Filters []Filter
 	Clock   func() time.Time
 }
 
-// String names the line's filters in order.
+// String lists the names of the filters in order.
 func (l Line) String() string {
 	names := make([]string, len(l.Filters))
 	for i, f := range l.Filters {
@@ -32,7 +32,7 @@
 	return strings.Join(names, " -> ")
 }
 
-// Run takes the job through the line; the job has an outcome afterwards.
+// Run passes the job through the filters until one of them ends it, then calls Finish on those that ran.
 func (l Line) Run(ctx context.Context, job *Job) {
 	passed := 0
 	for _, f := range l.Filters {
--- a/internal/flow/route/doc.go
+++ b/internal/flow/route/doc.go
@@ -1,2 +1,2 @@
-// Package route picks the failure domains that may serve a job.
+// Package route selects the failure domains that may serve a job.
 package route
--- a/internal/flow/route/route.go
+++ b/internal/flow/route/route.go
@@ -10,50 +10,52 @@
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
-// MaxTargets is the most places that a job may be tried in.
+// MaxTargets is the maximum number of targets per job.
 const MaxTargets = 3
 
-// Reasons of a choice.
+// Reasons for choosing a target.
 const (
-	ReasonLocal = "local"
-	ReasonNear  = "same region"
-	ReasonFar   = "another region"
-	ReasonShift = "shift"
+	ReasonLocal       = "local"
+	ReasonSameRegion  = "same region"
+	ReasonOtherRegion = "another region"
+	ReasonShift       = "shift"
 )
 
-// costStep is the difference in expected time that makes one target better than another.
-const costStep = 2 * time.Millisecond
+// costResolution is the unit of a target's cost; expected times that round up to the same cost count as equal.
+const costResolution = 2 * time.Millisecond
 
-// Local knows how long a job would wait on this host now.
-type Local interface {
+// WaitEstimator estimates how long a new job would wait on this host.
+type WaitEstimator interface {
 	Expect(now time.Time, service string, level int) time.Duration
 }
 
-// Pipe picks the targets of jobs.
+// Pipe selects the targets of jobs.
 type Pipe struct {
-	Local Local
+	Estimator WaitEstimator
 
-	mu     sync.Mutex
-	shifts map[string]*bucket.Bucket
+	mu          sync.Mutex
+	shiftLimits map[string]*bucket.Bucket
 }
 
-// New returns a filter with no shift under way.
-func New(local Local) *Pipe { return &Pipe{Local: local, shifts: map[string]*bucket.Bucket{}} }
+// New returns a filter with no shift in progress.
+func New(local WaitEstimator) *Pipe {
+	return &Pipe{Estimator: local, shiftLimits: map[string]*bucket.Bucket{}}
+}
 
 // String names the filter.
 func (*Pipe) String() string { return "route" }
 
-// Run sets the job's first target, or refuses the job if there is none.
+// Run selects the job's first target, or refuses the job if no failure domain can serve it.
 func (p *Pipe) Run(_ context.Context, now time.Time, job *pipe.Job) {
 	q := p.query(now, job)
-	q.Shift = p.shift(now, job)
+	q.Shift = p.shiftRegion(now, job)
 	job.Targets = Decide(now, job.Plan, q, job.Targets, 1)
 	if len(job.Targets) == 0 {
 		job.Refuse(pipe.NoTarget, "no failure domain serves "+job.Service+" now")
 	}
 }
 
-// More sets the job's other targets, for when the first one ran nothing.
+// More appends further targets, up to MaxTargets, for a job that its first target did not answer.
 func (p *Pipe) More(now time.Time, job *pipe.Job) {
 	job.Targets = Decide(now, job.Plan, p.query(now, job), job.Targets, MaxTargets)
 }
@@ -62,31 +64,32 @@
 	return Query{
 		Service: job.Service,
 		Hash:    job.Digest ^ job.Block,
-		Wait:    p.Local.Expect(now, job.Service, job.Level),
+		Wait:    p.Estimator.Expect(now, job.Service, job.Level),
 	}
 }
 
-// shift returns the region that this job moves to, if its part of a shift and the cap allow it.
-func (p *Pipe) shift(now time.Time, job *pipe.Job) string {
+// shiftRegion returns the region that a shift moves this job to, or "" if the job is outside the
+// shift's fraction or the shift's rate limit is reached.
+func (p *Pipe) shiftRegion(now time.Time, job *pipe.Job) string {
 	for i := range job.Plan.Shifts {
 		sh := &job.Plan.Shifts[i]
-		if sh.Service == job.Service && part(job.Digest^job.Block) < sh.Part && p.take(now, sh) {
+		if sh.Service == job.Service && hashFraction(job.Digest^job.Block) < sh.Part && p.takeShiftToken(now, sh) {
 			return sh.To
 		}
 	}
 	return ""
 }
 
-func part(hash uint64) float64 { return float64(hash>>11) / (1 << 53) }
+func hashFraction(hash uint64) float64 { return float64(hash>>11) / (1 << 53) }
 
-func (p *Pipe) take(now time.Time, sh *plan.Shift) bool {
+func (p *Pipe) takeShiftToken(now time.Time, sh *plan.Shift) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	b := p.shifts[sh.Name]
+	b := p.shiftLimits[sh.Name]
 	if b == nil {
 		nb := bucket.New(sh.Rate, now)
 		b = &nb
-		p.shifts[sh.Name] = b
+		p.shiftLimits[sh.Name] = b
 	}
 	if b.Limit != sh.Rate {
 		b.SetLimit(sh.Rate, now)
@@ -94,12 +97,12 @@
 	return b.TakeWhole(now)
 }
 
-// Query is what a decision needs to know of a job.
+// Query holds the properties of a job that Decide uses.
 type Query struct {
 	Service string
 	Hash    uint64
-	Shift   string        // The region that the job moves to, if it is part of a shift.
-	Wait    time.Duration // How long it would wait on this host.
+	Shift   string        // The region that a shift moves the job to, or "".
+	Wait    time.Duration // The expected wait on this host.
 }
 
 type candidate struct {
@@ -108,36 +111,36 @@
 	weight float64
 }
 
-// Decide appends targets to the ones that a job has, best first, until there are most of them. It is a
-// pure function of its arguments.
-func Decide(now time.Time, p *plan.Plan, q Query, out []pipe.Target, most int) []pipe.Target {
+// Decide appends targets, best first, until there are limit of them or no site is left. It is a pure
+// function of its arguments.
+func Decide(now time.Time, p *plan.Plan, q Query, targets []pipe.Target, limit int) []pipe.Target {
 	svc := p.Services[q.Service]
 	if svc == nil {
-		return out
+		return targets
 	}
-	for len(out) < most {
-		best := best(now, p, svc, q, out)
+	for len(targets) < limit {
+		best := selectSite(now, p, svc, q, targets)
 		if best == nil {
-			return out
+			return targets
 		}
-		out = append(out, target(p, best, q))
+		targets = append(targets, newTarget(p, best, q))
 		q.Hash = q.Hash*0xff51afd7ed558ccd + 0x9e3779b97f4a7c15
 	}
-	return out
+	return targets
 }
 
-// best returns one of the cheapest sites that are not yet targets: by hash, weighted by room. The
-// reservoir needs one pass and no memory.
-func best(now time.Time, p *plan.Plan, svc *plan.Service, q Query, taken []pipe.Target) *plan.Site {
-	if s := self(svc, q); s != nil && len(taken) == 0 {
+// selectSite picks a site at random by hash among the cheapest ones that are not yet targets, weighted
+// by free capacity. Weighted reservoir sampling takes one pass and allocates nothing.
+func selectSite(now time.Time, p *plan.Plan, svc *plan.Service, q Query, taken []pipe.Target) *plan.Site {
+	if s := idleLocalSite(svc, q); s != nil && len(taken) == 0 {
 		return s
 	}
 	var pick candidate
 	var sum float64
 	hash := q.Hash
 	for i := range svc.Sites {
-		c, ok := consider(now, p, &svc.Sites[i], q)
-		if !ok || tried(c.site, taken) || sum > 0 && c.cost > pick.cost {
+		c, ok := newCandidate(now, p, &svc.Sites[i], q)
+		if !ok || isTarget(c.site, taken) || sum > 0 && c.cost > pick.cost {
 			continue
 		}
 		if sum == 0 || c.cost < pick.cost {
@@ -146,23 +149,23 @@
 		}
 		sum += c.weight
 		hash = hash*0xc4ceb9fe1a85ec53 + 0x9e3779b97f4a7c15
-		if part(hash^hash>>29)*sum < c.weight {
+		if hashFraction(hash^hash>>29)*sum < c.weight {
 			pick = c
 		}
 	}
 	return pick.site
 }
 
-// self returns this host's own site if a job need not wait there: no other can be better.
-func self(svc *plan.Service, q Query) *plan.Site {
+// idleLocalSite returns this host's own site if the job need not wait there, which no other site can beat.
+func idleLocalSite(svc *plan.Service, q Query) *plan.Site {
 	if q.Wait > 0 || q.Shift != "" || svc.Self == nil {
 		return nil
 	}
 	return svc.Self
 }
 
-// tried tells whether a site is a target already.
-func tried(s *plan.Site, taken []pipe.Target) bool {
+// isTarget reports whether a site is already a target.
+func isTarget(s *plan.Site, taken []pipe.Target) bool {
 	for i := range taken {
 		if taken[i].Domain == s.Domain.Name && taken[i].Self == s.Domain.Self {
 			return true
@@ -171,32 +174,32 @@
 	return false
 }
 
-// consider returns a site as a candidate, unless no link leads there.
-func consider(now time.Time, p *plan.Plan, s *plan.Site, q Query) (candidate, bool) {
+// newCandidate returns a site with its cost, or false if this host has no share of a link to its region.
+func newCandidate(now time.Time, p *plan.Plan, s *plan.Site, q Query) (candidate, bool) {
 	d := s.Domain
 	if d.Region != p.Self.Region && s.Link.At(now) <= 0 {
 		return candidate{}, false
 	}
 	wait := q.Wait
 	if !d.Self {
-		wait = 2*d.Delay + expect(s.Load)
+		wait = 2*d.Delay + remoteWait(s.Load)
 	}
-	c := candidate{site: s, weight: float64(max(1, s.Load.Room())), cost: int64((wait + costStep - 1) / costStep)}
+	c := candidate{site: s, weight: float64(max(1, s.Load.Room())), cost: int64((wait + costResolution - 1) / costResolution)}
 	if q.Shift != "" && d.Region == q.Shift {
 		c.cost = -1
 	}
 	return c, true
 }
 
-// expect returns how long a job would wait under a load that another host reported.
-func expect(l plan.Load) time.Duration {
+// remoteWait estimates a job's wait from the load that another host reported.
+func remoteWait(l plan.Load) time.Duration {
 	if l.Room() > 0 {
 		return 0
 	}
 	return l.Latency * time.Duration(1-l.Room()) / time.Duration(l.Slots)
 }
 
-func target(p *plan.Plan, s *plan.Site, q Query) pipe.Target {
+func newTarget(p *plan.Plan, s *plan.Site, q Query) pipe.Target {
 	d := s.Domain
 	h := d.Hosts[int(q.Hash>>33)%len(d.Hosts)]
 	t := pipe.Target{Seat: h.Name, Peer: h.Peer, Region: d.Region, Domain: d.Name, Self: d.Self}
@@ -206,9 +209,9 @@
 	case d.Self:
 		t.Reason = ReasonLocal
 	case d.Region == p.Self.Region:
-		t.Reason = ReasonNear
+		t.Reason = ReasonSameRegion
 	default:
-		t.Reason = ReasonFar
+		t.Reason = ReasonOtherRegion
 	}
 	return t
 }
--- a/internal/flow/route/route_test.go
+++ b/internal/flow/route/route_test.go
@@ -56,7 +56,7 @@
 			assert.Assert(t, !seen[target.Domain], "twice %s", target.Domain)
 			assert.Assert(t, !d.Drained && d.Loads["s"].Slots > 0)
 			assert.Assert(t, d.Region == "r0" || p.Links[d.Region].Floor > 0, "no link to %s", d.Region)
-			if i == 0 && target.Reason == ReasonFar {
+			if i == 0 && target.Reason == ReasonOtherRegion {
 				assert.Assert(t, q.Wait > 0 || p.Services["s"].Self == nil, "left a free host")
 			}
 			seen[target.Domain] = true
@@ -65,9 +65,9 @@
 	})
 }
 
-type noWait struct{}
+type zeroWait struct{}
 
-func (noWait) Expect(time.Time, string, int) time.Duration { return 0 }
+func (zeroWait) Expect(time.Time, string, int) time.Duration { return 0 }
 
 func TestAShiftStaysUnderItsCap(t *testing.T) {
 	p := &plan.Plan{
@@ -82,7 +82,7 @@
 		})
 	}
 	p.SetSites()
-	r := New(noWait{})
+	r := New(zeroWait{})
 	var moved []time.Time
 	for i := range 5000 {
 		at := now.Add(time.Duration(i) * 2 * time.Millisecond)
