--- a/internal/flow/accept/accept.go
+++ b/internal/flow/accept/accept.go
@@ -8,16 +8,16 @@
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
-// MaxBody is the largest body of a request, in bytes.
+// MaxBody is the maximum size of a request body, in bytes.
 const MaxBody = 1 << 20
 
-// Pipe checks jobs as they come in.
+// Pipe validates incoming jobs.
 type Pipe struct{}
 
 // String names the filter.
 func (Pipe) String() string { return "accept" }
 
-// Run refuses jobs that can't be served, and fills in rank and deadline.
+// Run rejects invalid jobs and fills in the rank, the deadline and whether the job runs at most once.
 func (Pipe) Run(_ context.Context, now time.Time, job *pipe.Job) {
 	if job.Plan == nil || job.Plan.Doc == nil {
 		job.Reject(pipe.NoTarget, "this host has no configuration yet")
--- a/internal/flow/accept/doc.go
+++ b/internal/flow/accept/doc.go
@@ -1,2 +1,2 @@
-// Package accept checks a job against the plan and fills in its defaults.
+// Package accept validates a job against the plan and fills in its defaults.
 package accept
--- a/internal/flow/ident/doc.go
+++ b/internal/flow/ident/doc.go
@@ -1,2 +1,2 @@
-// Package ident gives a job its identity: an id and a fingerprint.
+// Package ident sets the ID of a job and the hashes that identify its caller and content.
 package ident
--- a/internal/flow/ident/ident.go
+++ b/internal/flow/ident/ident.go
@@ -9,7 +9,7 @@
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
-// Pipe identifies jobs.
+// Pipe sets the ID and hashes of jobs.
 type Pipe struct {
 	NewID func() string
 }
@@ -17,7 +17,7 @@
 // String names the filter.
 func (Pipe) String() string { return "ident" }
 
-// Run sets the job's id if it has none, the hash of its caller, and the digest of its content.
+// Run sets the job's ID if it has none, the hash of its caller and the digest of its content.
 func (p Pipe) Run(_ context.Context, _ time.Time, job *pipe.Job) {
 	if job.ID == "" {
 		job.ID = p.NewID()
@@ -26,7 +26,7 @@
 	job.Digest = Digest(job)
 }
 
-// Digest returns the fingerprint of a job's service, method, path and body.
+// Digest returns a non-cryptographic hash of a job's service, method, path and body.
 func Digest(job *pipe.Job) uint64 {
 	h := xxhash.New()
 	for _, part := range []string{job.Service, job.Method, job.Path} {
--- a/internal/flow/relay/relay.go
+++ b/internal/flow/relay/relay.go
@@ -7,7 +7,7 @@
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
-// Sender sends a job once to the upstream it was admitted to, and never again by itself.
+// Sender sends a job to the upstream that it was admitted to, and never retries.
 type Sender interface {
 	Send(ctx context.Context, job *pipe.Job) pipe.Reply
 }
@@ -20,7 +20,7 @@
 // String names the filter.
 func (Pipe) String() string { return "relay" }
 
-// Run sends the job and keeps what came back for the next filter.
+// Run sends the job and stores the reply for the next filter.
 func (p Pipe) Run(ctx context.Context, now time.Time, job *pipe.Job) {
 	if !now.Before(job.Deadline) {
 		job.Refuse(pipe.TooLate, "the deadline passed before the job was sent")
--- a/internal/flow/reply/doc.go
+++ b/internal/flow/reply/doc.go
@@ -1,2 +1,2 @@
-// Package reply passes on only whole answers that belong to their job.
+// Package reply checks the replies of upstreams and passes on only complete answers to the right job.
 package reply
--- a/internal/flow/reply/reply.go
+++ b/internal/flow/reply/reply.go
@@ -7,14 +7,14 @@
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
-// Pipe turns what came back from an upstream into an outcome.
+// Pipe turns the reply of an upstream into the outcome of the job.
 type Pipe struct{}
 
 // String names the filter.
 func (Pipe) String() string { return "reply" }
 
-// Run ends the job: answered only by a whole answer to this very job, not run only if no byte of
-// it can have reached an upstream or the upstream says that it did not run it.
+// Run ends the job: as answered only if the answer is complete and carries no other job's ID, and as not
+// run only if no byte can have reached an upstream or the upstream reported that it did not run the job.
 func (Pipe) Run(_ context.Context, _ time.Time, job *pipe.Job) {
 	r := job.Reply
 	job.Draining = r.Draining
