refactor: clearer query fields in route, exact comments in pipe

Read badly: Query.Wait and Query.Shift, 'an answer is worth most until then'. Now: LocalWait and ShiftRegion; the target time of the answer.

--- a/internal/flow/pipe/job.go
+++ b/internal/flow/pipe/job.go
@@ -44,7 +44,7 @@
 	Object     string              // The affinity key: jobs with the same key run fastest on the same upstream.
 	View       *roster.View
 	Route      *policy.Route
-	Objective  time.Time     // The target time for the answer, at most the deadline.
+	Objective  time.Time     // The target time of the answer; a later answer is worth less.
 	Crashes    []string      // The upstreams that crashed during earlier tries.
 	MayHaveRun bool          // Some try may have run, whatever the result of later tries.
 	Tries      int           // The number of upstreams that the job was sent to.
@@ -108,7 +108,8 @@
 	Pending Kind = iota
 	// Answered means that the job ran and has a complete answer.
 	Answered
-	// NotRun means that the job provably did not run: no byte reached an upstream, or the upstream rejected it.
+	// NotRun means that the job provably did not run: no byte can have reached an upstream, or the upstream
+	// reported that it did not run it.
 	NotRun
 	// Unknown means that the job may have run, but no complete answer came back.
 	Unknown
--- a/internal/flow/route/route.go
+++ b/internal/flow/route/route.go
@@ -48,7 +48,7 @@
 // Run selects the job's first target, or refuses the job if no failure domain can serve it.
 func (p *Pipe) Run(_ context.Context, now time.Time, job *pipe.Job) {
 	q := p.query(now, job)
-	q.Shift = p.shiftRegion(now, job)
+	q.ShiftRegion = p.shiftRegion(now, job)
 	job.Targets = Decide(now, job.Plan, q, job.Targets, 1)
 	if len(job.Targets) == 0 {
 		job.Refuse(pipe.NoTarget, "no failure domain serves "+job.Service+" now")
@@ -62,9 +62,9 @@
 
 func (p *Pipe) query(now time.Time, job *pipe.Job) Query {
 	return Query{
-		Service: job.Service,
-		Hash:    job.Digest ^ job.Block,
-		Wait:    p.Estimator.Expect(now, job.Service, job.Level),
+		Service:   job.Service,
+		Hash:      job.Digest ^ job.Block,
+		LocalWait: p.Estimator.Expect(now, job.Service, job.Level),
 	}
 }
 
@@ -99,10 +99,10 @@
 
 // Query holds the properties of a job that Decide uses.
 type Query struct {
-	Service string
-	Hash    uint64
-	Shift   string        // The region that a shift moves the job to, or "".
-	Wait    time.Duration // The expected wait on this host.
+	Service     string
+	Hash        uint64
+	ShiftRegion string        // The region that a shift moves the job to, or "".
+	LocalWait   time.Duration // The expected wait on this host.
 }
 
 type candidate struct {
@@ -124,6 +124,7 @@
 			return targets
 		}
 		targets = append(targets, newTarget(p, best, q))
+		// Each further target is chosen by a different hash.
 		q.Hash = q.Hash*0xff51afd7ed558ccd + 0x9e3779b97f4a7c15
 	}
 	return targets
@@ -158,7 +159,7 @@
 
 // idleLocalSite returns this host's own site if the job need not wait there, which no other site can beat.
 func idleLocalSite(svc *plan.Service, q Query) *plan.Site {
-	if q.Wait > 0 || q.Shift != "" || svc.Self == nil {
+	if q.LocalWait > 0 || q.ShiftRegion != "" || svc.Self == nil {
 		return nil
 	}
 	return svc.Self
@@ -180,12 +181,12 @@
 	if d.Region != p.Self.Region && s.Link.At(now) <= 0 {
 		return candidate{}, false
 	}
-	wait := q.Wait
+	wait := q.LocalWait
 	if !d.Self {
 		wait = 2*d.Delay + remoteWait(s.Load)
 	}
 	c := candidate{site: s, weight: float64(max(1, s.Load.Room())), cost: int64((wait + costResolution - 1) / costResolution)}
-	if q.Shift != "" && d.Region == q.Shift {
+	if q.ShiftRegion != "" && d.Region == q.ShiftRegion {
 		c.cost = -1
 	}
 	return c, true
@@ -204,7 +205,7 @@
 	h := d.Hosts[int(q.Hash>>33)%len(d.Hosts)]
 	t := pipe.Target{Seat: h.Name, Peer: h.Peer, Region: d.Region, Domain: d.Name, Self: d.Self}
 	switch {
-	case q.Shift != "" && d.Region == q.Shift:
+	case q.ShiftRegion != "" && d.Region == q.ShiftRegion:
 		t.Reason = ReasonShift
 	case d.Self:
 		t.Reason = ReasonLocal
--- a/internal/flow/route/route_test.go
+++ b/internal/flow/route/route_test.go
@@ -41,8 +41,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		p := drawPlan(t)
 		q := Query{
-			Service: "s", Hash: rapid.Uint64().Draw(t, "hash"), Wait: time.Duration(rapid.IntRange(0, 100).Draw(t, "wait")) * time.Millisecond,
-			Shift: rapid.SampledFrom([]string{"", "r1", "r2"}).Draw(t, "shift"),
+			Service: "s", Hash: rapid.Uint64().Draw(t, "hash"), LocalWait: time.Duration(rapid.IntRange(0, 100).Draw(t, "wait")) * time.Millisecond,
+			ShiftRegion: rapid.SampledFrom([]string{"", "r1", "r2"}).Draw(t, "shift"),
 		}
 		out := Decide(now, p, q, nil, MaxTargets)
 		seen := map[string]bool{}
@@ -57,7 +57,7 @@
 			assert.Assert(t, !d.Drained && d.Loads["s"].Slots > 0)
 			assert.Assert(t, d.Region == "r0" || p.Links[d.Region].Floor > 0, "no link to %s", d.Region)
 			if i == 0 && target.Reason == ReasonOtherRegion {
-				assert.Assert(t, q.Wait > 0 || p.Services["s"].Self == nil, "left a free host")
+				assert.Assert(t, q.LocalWait > 0 || p.Services["s"].Self == nil, "left a free host")
 			}
 			seen[target.Domain] = true
 		}
