refactor: plain terms in admit

Read badly: slot for an upstream, rest, cut, gone, pump, revive, 'a job must not find out for it'. Now: upstreamState, backoff, lowered, removed, dispatch and Tick, MarkUp; the limit and the estimates are described in the terms of admission control. Four tests have clearer names.

--- a/internal/flow/admit/admit.go
+++ b/internal/flow/admit/admit.go
@@ -9,20 +9,20 @@
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
-// Pipe admits jobs to the upstreams of its own failure domain.
+// Pipe admits jobs to the upstreams of this host's failure domain.
 type Pipe struct {
 	mu    sync.Mutex
 	sched *Scheduler
 	plan  *plan.Plan
 }
 
-// New returns a filter that has no upstreams until a job brings a plan.
+// New returns a filter that has no upstreams until the first Update.
 func New() *Pipe { return &Pipe{sched: NewScheduler()} }
 
 // String names the filter.
 func (*Pipe) String() string { return "admit" }
 
-// Update adopts a plan; control publishes plans in order.
+// Update applies a plan; control publishes plans in order.
 func (p *Pipe) Update(now time.Time, pl *plan.Plan) {
 	if pl.Doc == nil {
 		return
@@ -33,25 +33,25 @@
 	p.sched.Update(now, pl)
 }
 
-// Pump admits what time alone has made possible.
+// Pump does the scheduler's time-driven work.
 func (p *Pipe) Pump(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.sched.Pump(now)
+	p.sched.Tick(now)
 }
 
 // Due returns the upstreams to probe now.
 func (p *Pipe) Due(now time.Time) []plan.Upstream {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.sched.Due(now)
+	return p.sched.DueProbes(now)
 }
 
-// Revive gives work to an upstream again that a probe has reached.
+// Revive makes an upstream that a probe has reached available again.
 func (p *Pipe) Revive(now time.Time, id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.sched.Revive(now, id)
+	p.sched.MarkUp(now, id)
 }
 
 // Load returns the load of each service.
@@ -61,37 +61,37 @@
 	return p.sched.Load(now)
 }
 
-// Expect returns how long a new job would wait here.
+// Expect returns the expected wait of a new job on this host.
 func (p *Pipe) Expect(now time.Time, service string, level int) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.sched.Expect(now, service, level)
+	return p.sched.EstimateWait(now, service, level)
 }
 
-// Run waits for a slot, and refuses the job if there is none in time.
+// Run waits for a slot and refuses the job if it gets none in time.
 func (p *Pipe) Run(ctx context.Context, now time.Time, job *pipe.Job) {
-	w := waiters.Get().(*Waiter)
+	w := waiterPool.Get().(*Waiter)
 	*w = Waiter{Service: job.Service, Level: job.Level, Deadline: job.Deadline, Ready: w.Ready}
-	if r := p.offer(now, w); r != None {
-		waiters.Put(w)
-		refuse(job, r)
+	if r := p.enqueue(now, w); r != NotRefused {
+		waiterPool.Put(w)
+		refuseJob(job, r)
 		return
 	}
 	v, reuse := p.wait(ctx, now, w)
 	if reuse {
-		waiters.Put(w)
+		waiterPool.Put(w)
 	}
 	if !v.Admitted {
-		refuse(job, v.Refusal)
+		refuseJob(job, v.Refusal)
 		return
 	}
-	p.place(job, v.Upstream)
+	p.assignUpstream(job, v.Upstream)
 }
 
-var waiters = sync.Pool{New: func() any { return &Waiter{Ready: make(chan Verdict, 1)} }}
+var waiterPool = sync.Pool{New: func() any { return &Waiter{Ready: make(chan Decision, 1)} }}
 
-// wait returns the verdict, and whether the scheduler has let go of the waiter.
-func (p *Pipe) wait(ctx context.Context, now time.Time, w *Waiter) (Verdict, bool) {
+// wait returns the decision, and whether the waiter may be reused because the scheduler no longer holds it.
+func (p *Pipe) wait(ctx context.Context, now time.Time, w *Waiter) (Decision, bool) {
 	select {
 	case v := <-w.Ready:
 		return v, true
@@ -108,34 +108,34 @@
 	return p.cancel(w), false
 }
 
-func (p *Pipe) offer(now time.Time, w *Waiter) Refusal {
+func (p *Pipe) enqueue(now time.Time, w *Waiter) Refusal {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.plan == nil || w.Level >= len(p.plan.Doc.Ranks) {
 		return NoUpstream
 	}
-	return p.sched.Offer(now, w)
+	return p.sched.Enqueue(now, w)
 }
 
-func (p *Pipe) cancel(w *Waiter) Verdict {
+func (p *Pipe) cancel(w *Waiter) Decision {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.sched.Cancel(w) {
-		return Verdict{Refusal: TooLate}
+		return Decision{Refusal: TooLate}
 	}
 	return <-w.Ready
 }
 
-func (p *Pipe) place(job *pipe.Job, upstream string) {
+func (p *Pipe) assignUpstream(job *pipe.Job, upstream string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	job.Upstream = pipe.Place{ID: upstream}
-	if sl := p.sched.services[job.Service].slots[upstream]; sl != nil {
-		job.Upstream.Address, job.Upstream.Conns = sl.Address, sl.Conns
+	if up := p.sched.services[job.Service].upstreams[upstream]; up != nil {
+		job.Upstream.Address, job.Upstream.Conns = up.Address, up.Conns
 	}
 }
 
-// Finish frees the slot and admits the next jobs.
+// Finish releases the slot, which admits the next jobs.
 func (p *Pipe) Finish(now time.Time, job *pipe.Job) {
 	if job.Upstream.ID == "" {
 		return
@@ -173,13 +173,13 @@
 	return Aborted
 }
 
-func refuse(job *pipe.Job, r Refusal) {
+func refuseJob(job *pipe.Job, r Refusal) {
 	switch r {
 	case QueueFull:
 		job.Refuse(pipe.QueueFull, "the queue of rank "+job.Rank+" is full")
 	case TooLate:
 		job.Refuse(pipe.TooLate, "the deadline can't be met")
-	case None, NoUpstream:
+	case NotRefused, NoUpstream:
 		job.Refuse(pipe.NoUpstream, "no upstream of "+job.Service+" is in service here")
 	}
 }
--- a/internal/flow/admit/doc.go
+++ b/internal/flow/admit/doc.go
@@ -1,2 +1,2 @@
-// Package admit queues jobs by rank and admits them to upstreams.
+// Package admit queues jobs by rank and admits them to the upstreams of this host's failure domain.
 package admit
--- a/internal/flow/admit/flood_test.go
+++ b/internal/flow/admit/flood_test.go
@@ -15,30 +15,30 @@
 	"github.com/boragelane/boragelane/internal/core/spec"
 )
 
-// A flood is played in virtual time: no clock is read, so each run gives the same figures.
+// The floods are simulated in virtual time. No clock is read, so each run gives the same results.
 
 const (
-	simUpstreams = 12
-	simSlots     = 4
-	simTime      = 5 * time.Millisecond
-	simLength    = 8 * time.Second
-	simWarm      = 2 * time.Second
-	simCapacity  = simUpstreams * simSlots * 200.0 // Jobs a second at simTime.
+	simUpstreams   = 12
+	simSlots       = 4
+	simServiceTime = 5 * time.Millisecond
+	simDuration    = 8 * time.Second
+	simWarmUp      = 2 * time.Second
+	simCapacity    = simUpstreams * simSlots * 200.0 // Jobs per second at simServiceTime.
 )
 
 var simMinimum = []float64{0, 0.2, 0.1}
 
 type simEvent struct {
-	at    time.Time
-	order int
-	run   func(now time.Time)
+	at  time.Time
+	seq int
+	run func(now time.Time)
 }
 
 type simQueue []simEvent
 
 func (q simQueue) Len() int { return len(q) }
 func (q simQueue) Less(i, j int) bool {
-	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].order < q[j].order
+	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].seq < q[j].seq
 }
 func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
 func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
@@ -49,29 +49,29 @@
 	return x
 }
 
-// simRank is the load and the results of one rank.
+// simRank is the load of one rank and its results.
 type simRank struct {
-	rate    float64 // Jobs a second, as a part of the capacity.
-	from    time.Duration
-	to      time.Duration
-	timeout time.Duration
-	cost    float64 // Service time as a multiple of simTime.
+	rate       float64 // Arrival rate as a fraction of simCapacity.
+	from       time.Duration
+	to         time.Duration
+	timeout    time.Duration
+	costFactor float64 // Mean service time as a multiple of simServiceTime.
 
 	sent, done, refused int
 	busy                time.Duration
-	took                []time.Duration
+	latencies           []time.Duration
 	waiting             []*Waiter
 }
 
 type simulation struct {
-	sched *Scheduler
-	dice  *rand.Rand
-	queue simQueue
-	order int
-	start time.Time
-	ranks []*simRank
-	flat  bool // All jobs are offered as one rank: first in, first out.
-	from  time.Duration
+	sched     *Scheduler
+	rng       *rand.Rand
+	queue     simQueue
+	seq       int
+	start     time.Time
+	ranks     []*simRank
+	fifo      bool // All jobs are queued at one rank, as a FIFO baseline.
+	countFrom time.Duration
 }
 
 func simPlan(minimum []float64, queue int) *plan.Plan {
@@ -88,14 +88,14 @@
 }
 
 func newSimulation(minimum []float64, ranks ...*simRank) *simulation {
-	s := &simulation{sched: NewScheduler(), dice: rand.New(rand.NewPCG(7, 7)), start: time.Unix(1000, 0), ranks: ranks}
+	s := &simulation{sched: NewScheduler(), rng: rand.New(rand.NewPCG(7, 7)), start: time.Unix(1000, 0), ranks: ranks}
 	s.sched.Update(s.start, simPlan(minimum, 2000))
 	return s
 }
 
 func (s *simulation) at(t time.Time, run func(time.Time)) {
-	s.order++
-	heap.Push(&s.queue, simEvent{t, s.order, run})
+	s.seq++
+	heap.Push(&s.queue, simEvent{t, s.seq, run})
 }
 
 func (s *simulation) run() {
@@ -115,34 +115,34 @@
 	if now.Sub(s.start) >= r.to {
 		return
 	}
-	s.at(now.Add(time.Duration(s.dice.ExpFloat64()/(r.rate*simCapacity)*float64(time.Second))), func(n time.Time) { s.arrive(n, level) })
-	w := &Waiter{Service: "s", Level: level, Deadline: now.Add(r.timeout), Ready: make(chan Verdict, 1)}
-	if s.flat {
+	s.at(now.Add(time.Duration(s.rng.ExpFloat64()/(r.rate*simCapacity)*float64(time.Second))), func(n time.Time) { s.arrive(n, level) })
+	w := &Waiter{Service: "s", Level: level, Deadline: now.Add(r.timeout), Ready: make(chan Decision, 1)}
+	if s.fifo {
 		w.Level = 0
 	}
-	counted := now.Sub(s.start) >= s.from
+	counted := now.Sub(s.start) >= s.countFrom
 	if counted {
 		r.sent++
 	}
-	if s.sched.Offer(now, w) != None {
+	if s.sched.Enqueue(now, w) != NotRefused {
 		if counted {
 			r.refused++
 		}
 		return
 	}
 	r.waiting = append(r.waiting, w)
-	s.settle(now)
+	s.startAdmitted(now)
 }
 
-// settle starts the jobs that the scheduler admitted; each rank's are admitted in order.
-func (s *simulation) settle(now time.Time) {
+// startAdmitted starts the jobs that the scheduler admitted; it admits the jobs of each rank in order.
+func (s *simulation) startAdmitted(now time.Time) {
 	for level, r := range s.ranks {
 		for len(r.waiting) > 0 {
 			w := r.waiting[0]
 			select {
 			case v := <-w.Ready:
 				r.waiting = r.waiting[1:]
-				s.begin(now, level, w, v)
+				s.startJob(now, level, w, v)
 				continue
 			default:
 			}
@@ -151,74 +151,74 @@
 	}
 }
 
-func (s *simulation) begin(now time.Time, level int, w *Waiter, v Verdict) {
+func (s *simulation) startJob(now time.Time, level int, w *Waiter, v Decision) {
 	r := s.ranks[level]
-	came := w.Deadline.Add(-r.timeout)
-	counted := came.Sub(s.start) >= s.from
+	arrived := w.Deadline.Add(-r.timeout)
+	counted := arrived.Sub(s.start) >= s.countFrom
 	if !v.Admitted {
 		if counted {
 			r.refused++
 		}
 		return
 	}
-	took := time.Duration((0.5 + s.dice.Float64()) * max(r.cost, 0.01) * float64(simTime))
+	took := time.Duration((0.5 + s.rng.Float64()) * max(r.costFactor, 0.01) * float64(simServiceTime))
 	s.at(now.Add(took), func(n time.Time) {
 		s.sched.Release(n, "s", v.Upstream, w.Level, took, Done)
 		r.busy += took
 		if counted && !n.After(w.Deadline) {
 			r.done++
-			r.took = append(r.took, n.Sub(came))
+			r.latencies = append(r.latencies, n.Sub(arrived))
 		}
-		s.settle(n)
+		s.startAdmitted(n)
 	})
 }
 
 func (r *simRank) p99() time.Duration {
-	if len(r.took) == 0 {
+	if len(r.latencies) == 0 {
 		return 0
 	}
-	slices.Sort(r.took)
-	return r.took[len(r.took)*99/100]
+	slices.Sort(r.latencies)
+	return r.latencies[len(r.latencies)*99/100]
 }
 
 func rank(rate float64, timeout time.Duration) *simRank {
-	return &simRank{rate: rate, to: simLength, timeout: timeout, cost: 1}
+	return &simRank{rate: rate, to: simDuration, timeout: timeout, costFactor: 1}
 }
 
-func played(minimum []float64, flat bool, ranks ...*simRank) []*simRank {
+func simulate(minimum []float64, fifo bool, ranks ...*simRank) []*simRank {
 	s := newSimulation(minimum, ranks...)
-	s.flat, s.from = flat, simWarm
+	s.fifo, s.countFrom = fifo, simWarmUp
 	s.run()
 	return ranks
 }
 
-func table(t *testing.T, name string, ranks []*simRank) float64 {
+func logResults(t *testing.T, name string, ranks []*simRank) float64 {
 	var total float64
 	for i, r := range ranks {
 		total += float64(r.done)
 		t.Logf("%-34s rank %d: offered %6d, in time %6d (%5.1f%%), refused %6d, late %4d, p99 %8s", name, i, r.sent, r.done,
 			100*float64(r.done)/float64(max(1, r.sent)), r.refused, r.sent-r.done-r.refused, r.p99().Round(10*time.Microsecond))
 	}
-	return total / (simLength - simWarm).Seconds() / simCapacity
+	return total / (simDuration - simWarmUp).Seconds() / simCapacity
 }
 
-func floodOfLast(minimum []float64, flat bool) []*simRank {
-	return played(minimum, flat, rank(0.4, time.Second), rank(0.2, time.Second), rank(5, 2*time.Second))
+func floodLowestRank(minimum []float64, fifo bool) []*simRank {
+	return simulate(minimum, fifo, rank(0.4, time.Second), rank(0.2, time.Second), rank(5, 2*time.Second))
 }
 
-func floodOfTop(minimum []float64, flat bool) []*simRank {
-	return played(minimum, flat, rank(5, time.Second), rank(0.3, time.Second), rank(0.2, 2*time.Second))
+func floodTopRank(minimum []float64, fifo bool) []*simRank {
+	return simulate(minimum, fifo, rank(5, time.Second), rank(0.3, time.Second), rank(0.2, 2*time.Second))
 }
 
 func TestFloodOfTheLastRankLeavesTheTopAlone(t *testing.T) {
-	calm := played(simMinimum, false, rank(0.4, time.Second), rank(0.2, time.Second), rank(0.2, 2*time.Second))
-	base := table(t, "no flood", calm)
-	flood := floodOfLast(simMinimum, false)
-	total := table(t, "flood of the last", flood)
-	fifo := floodOfLast(simMinimum, true)
-	table(t, "flood of the last, baseline FIFO", fifo)
-	strict := floodOfLast([]float64{0, 0, 0}, false)
-	table(t, "flood of the last, baseline strict", strict)
+	calm := simulate(simMinimum, false, rank(0.4, time.Second), rank(0.2, time.Second), rank(0.2, 2*time.Second))
+	base := logResults(t, "no flood", calm)
+	flood := floodLowestRank(simMinimum, false)
+	total := logResults(t, "flood of the last", flood)
+	fifo := floodLowestRank(simMinimum, true)
+	logResults(t, "flood of the last, baseline FIFO", fifo)
+	strict := floodLowestRank([]float64{0, 0, 0}, false)
+	logResults(t, "flood of the last, baseline strict", strict)
 
 	top := flood[0]
 	assert.Assert(t, float64(top.done) >= 0.99*float64(top.sent), "the top rank kept %d of %d", top.done, top.sent)
@@ -229,14 +229,14 @@
 }
 
 func TestFloodOfTheTopRankLeavesTheOthersTheirMinimum(t *testing.T) {
-	flood := floodOfTop(simMinimum, false)
-	total := table(t, "flood of the top", flood)
-	table(t, "flood of the top, baseline FIFO", floodOfTop(simMinimum, true))
-	strict := floodOfTop([]float64{0, 0, 0}, false)
-	table(t, "flood of the top, baseline strict", strict)
+	flood := floodTopRank(simMinimum, false)
+	total := logResults(t, "flood of the top", flood)
+	logResults(t, "flood of the top, baseline FIFO", floodTopRank(simMinimum, true))
+	strict := floodTopRank([]float64{0, 0, 0}, false)
+	logResults(t, "flood of the top, baseline strict", strict)
 
 	for i, r := range flood[1:] {
-		got := float64(r.busy) / float64(simLength) / (simUpstreams * simSlots)
+		got := float64(r.busy) / float64(simDuration) / (simUpstreams * simSlots)
 		t.Logf("rank %d had %.3f of the slots, its minimum is %.3f", i+1, got, simMinimum[i+1])
 		assert.Assert(t, got >= 0.95*simMinimum[i+1], "rank %d had %.3f of the slots", i+1, got)
 	}
@@ -244,10 +244,10 @@
 }
 
 func TestFloodOfBothEnds(t *testing.T) {
-	flood := played(simMinimum, false, rank(3, time.Second), rank(0.3, time.Second), rank(3, 2*time.Second))
-	total := table(t, "flood of both", flood)
+	flood := simulate(simMinimum, false, rank(3, time.Second), rank(0.3, time.Second), rank(3, 2*time.Second))
+	total := logResults(t, "flood of both", flood)
 	for i, r := range flood[1:] {
-		got := float64(r.busy) / float64(simLength) / (simUpstreams * simSlots)
+		got := float64(r.busy) / float64(simDuration) / (simUpstreams * simSlots)
 		assert.Assert(t, got >= 0.95*simMinimum[i+1], "rank %d had %.3f of the slots", i+1, got)
 	}
 	assert.Assert(t, total >= 0.95, "in all %.3f of the capacity was useful", total)
@@ -255,10 +255,10 @@
 
 func TestSlowJobsOfTheLastRankDoNotExceedTheirMinimumInAFlood(t *testing.T) {
 	last := rank(2, 4*time.Second)
-	last.cost = 10
-	flood := played(simMinimum, false, rank(2, time.Second), rank(0.3, time.Second), last)
-	table(t, "slow jobs of the last rank", flood)
-	got := float64(last.busy) / float64(simLength) / (simUpstreams * simSlots)
+	last.costFactor = 10
+	flood := simulate(simMinimum, false, rank(2, time.Second), rank(0.3, time.Second), last)
+	logResults(t, "slow jobs of the last rank", flood)
+	got := float64(last.busy) / float64(simDuration) / (simUpstreams * simSlots)
 	t.Logf("the last rank had %.3f of the slots", got)
 	assert.Assert(t, got >= 0.95*simMinimum[2] && got <= 1.3*simMinimum[2])
 }
@@ -268,6 +268,6 @@
 	top.to = 5 * time.Second
 	last := rank(0.5, 2*time.Second)
 	last.from, last.to = 5500*time.Millisecond, 8*time.Second
-	played(simMinimum, false, top, rank(0, time.Second), last)
+	simulate(simMinimum, false, top, rank(0, time.Second), last)
 	assert.Assert(t, float64(last.done) >= 0.999*float64(last.sent), "%d of %d", last.done, last.sent)
 }
--- a/internal/flow/admit/queue.go
+++ b/internal/flow/admit/queue.go
@@ -10,25 +10,25 @@
 	Level    int
 	Deadline time.Time
 	Since    time.Time
-	Ready    chan Verdict
+	Ready    chan Decision
 	done     bool
 }
 
-// Verdict ends a wait: admitted to an upstream, or refused.
-type Verdict struct {
+// Decision is the result of a wait: admission to an upstream, or a refusal.
+type Decision struct {
 	Admitted bool
 	Upstream string
 	Refusal  Refusal
 }
 
-// Refusal says why a job was not admitted.
+// Refusal is the reason why a job was not admitted.
 type Refusal int
 
 // Reasons of refusal.
 const (
-	// None is no refusal.
-	None Refusal = iota
-	// NoUpstream means that no upstream is in service.
+	// NotRefused means that the job was queued.
+	NotRefused Refusal = iota
+	// NoUpstream means that no upstream accepts jobs before the deadline.
 	NoUpstream
 	// QueueFull means that the rank's queue is full.
 	QueueFull
@@ -36,20 +36,20 @@
 	TooLate
 )
 
-// queue is a first-in first-out queue of one rank of one service.
+// queue is the FIFO queue of one rank of one service.
 type queue struct {
-	waiters []*Waiter
-	head    int
-	gone    int
-	drained time.Time // When a waiter was last admitted.
-	gap     time.Duration
+	waiters       []*Waiter
+	head          int
+	canceled      int           // The canceled waiters that are still in waiters.
+	lastAdmitted  time.Time     // The last admission, or zero if it left the queue empty.
+	admitInterval time.Duration // Moving average of the time between admissions while there is a backlog.
 }
 
-func (q *queue) len() int { return len(q.waiters) - q.head - q.gone }
+func (q *queue) len() int { return len(q.waiters) - q.head - q.canceled }
 
 func (q *queue) push(w *Waiter) { q.waiters = append(q.waiters, w) }
 
-// peek drops the waiters that have ended and returns the oldest one left.
+// peek discards the canceled waiters at the head and returns the oldest one left, or nil.
 func (q *queue) peek() *Waiter {
 	for q.head < len(q.waiters) {
 		w := q.waiters[q.head]
@@ -58,13 +58,13 @@
 		}
 		q.waiters[q.head] = nil
 		q.head++
-		q.gone--
+		q.canceled--
 	}
 	q.waiters, q.head = q.waiters[:0], 0
 	return nil
 }
 
-// pop removes the oldest waiter, which peek has just returned.
+// pop removes the oldest waiter; call it right after peek.
 func (q *queue) pop() {
 	q.waiters[q.head] = nil
 	q.head++
@@ -74,42 +74,42 @@
 	}
 }
 
-// gapWeight is the weight of the newest sample in a mean.
-const gapWeight = 0.1
+// sampleWeight is the weight of the newest sample in a moving average.
+const sampleWeight = 0.1
 
-func mean(old, sample time.Duration) time.Duration {
+func movingAverage(old, sample time.Duration) time.Duration {
 	if old == 0 {
 		return sample
 	}
-	return old + time.Duration(gapWeight*float64(sample-old))
+	return old + time.Duration(sampleWeight*float64(sample-old))
 }
 
-// admitted updates the mean time between admissions while the queue was never empty.
-func (q *queue) admitted(now time.Time, backlogged bool) {
-	if backlogged && !q.drained.IsZero() {
-		q.gap = mean(q.gap, now.Sub(q.drained))
+// recordAdmission updates the mean time between admissions, which counts only while there is a backlog.
+func (q *queue) recordAdmission(now time.Time, backlogged bool) {
+	if backlogged && !q.lastAdmitted.IsZero() {
+		q.admitInterval = movingAverage(q.admitInterval, now.Sub(q.lastAdmitted))
 	}
-	q.drained = now
+	q.lastAdmitted = now
 	if !backlogged {
-		q.drained = time.Time{}
+		q.lastAdmitted = time.Time{}
 	}
 }
 
-// costStart is the service time that is assumed before any was seen.
-const costStart = 5 * time.Millisecond
+// initialServiceTime is the mean service time that is assumed until jobs have finished.
+const initialServiceTime = 5 * time.Millisecond
 
-// cost is the mean service time of one rank, and when it last changed.
+// cost is the mean service time of one rank, and when it was last updated.
 type cost struct {
-	mean time.Duration
-	at   time.Time
+	mean    time.Duration
+	updated time.Time
 }
 
-// costs holds the cost of each rank.
+// costs holds the mean service time of each rank, which is what a job costs its rank in credit.
 type costs []cost
 
 func (c *costs) resize(n int) {
 	for len(*c) < n {
-		*c = append(*c, cost{mean: costStart})
+		*c = append(*c, cost{mean: initialServiceTime})
 	}
 }
 
@@ -117,19 +117,19 @@
 
 func (c costs) observe(level int, took time.Duration, now time.Time) {
 	if level < len(c) {
-		c[level] = cost{mean: max(time.Microsecond, mean(c[level].mean, took)), at: now}
+		c[level] = cost{mean: max(time.Microsecond, movingAverage(c[level].mean, took)), updated: now}
 	}
 }
 
-// costLife is how long a mean stands without a job that ended, if that is longer than two such jobs.
-const costLife = time.Second
+// maxCostAge is how long a mean is kept without a finished job, or twice the mean if that is longer.
+const maxCostAge = time.Second
 
-// age halves the means that no job has confirmed for a while. A mean that is too high may keep away the very
-// jobs that would lower it.
-func (c costs) age(now time.Time) {
+// decay halves the means that no finished job has updated for a while. A mean that is too high may otherwise
+// refuse the very jobs that would lower it.
+func (c costs) decay(now time.Time) {
 	for i, k := range c {
-		if k.mean > costStart && now.Sub(k.at) >= max(costLife, 2*k.mean) {
-			c[i] = cost{mean: max(costStart, k.mean/2), at: now}
+		if k.mean > initialServiceTime && now.Sub(k.updated) >= max(maxCostAge, 2*k.mean) {
+			c[i] = cost{mean: max(initialServiceTime, k.mean/2), updated: now}
 		}
 	}
 }
--- a/internal/flow/admit/scheduler.go
+++ b/internal/flow/admit/scheduler.go
@@ -10,112 +10,113 @@
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
-// Scheduler decides which waiting job gets which slot. It reads no clock and does no I/O.
+// Scheduler assigns the slots of upstreams to waiting jobs. It reads no clock and does no I/O.
 type Scheduler struct {
-	capacity share.Amount
-	busy     int64
-	ranks    credit.Credit
-	costs    costs
-	depth    []int
-	services map[string]*pool
-	names    []string
+	capacity     share.Amount
+	inFlight     int64
+	credits      credit.Credit
+	costs        costs
+	queueLimits  []int
+	services     map[string]*pool
+	serviceNames []string
 }
 
-// NewScheduler returns a scheduler without services; Update brings them.
+// NewScheduler returns a scheduler without services; Update adds them.
 func NewScheduler() *Scheduler { return &Scheduler{services: map[string]*pool{}} }
 
-// Update adopts a plan's ranks, capacity and upstreams; waiting and running jobs stay.
+// Update applies a plan's ranks, capacity and upstreams; waiting and running jobs are kept.
 func (s *Scheduler) Update(now time.Time, p *plan.Plan) {
 	s.capacity = p.Capacity
 	minimum := make([]float64, len(p.Doc.Ranks))
-	s.depth = make([]int, len(p.Doc.Ranks))
+	s.queueLimits = make([]int, len(p.Doc.Ranks))
 	for i, r := range p.Doc.Ranks {
-		minimum[i], s.depth[i] = r.Minimum, r.Queue
+		minimum[i], s.queueLimits[i] = r.Minimum, r.Queue
 	}
-	s.ranks.Resize(minimum)
+	s.credits.Resize(minimum)
 	s.costs.resize(len(minimum))
 	for name, svc := range p.Services {
-		s.service(name).update(svc.Upstreams, minimum)
+		s.ensurePool(name).update(svc.Upstreams, minimum)
 	}
 	for name, po := range s.services {
 		if p.Services[name] == nil {
 			po.update(nil, minimum)
 		}
 	}
-	s.pump(now)
+	s.dispatch(now)
 }
 
-func (s *Scheduler) service(name string) *pool {
+func (s *Scheduler) ensurePool(name string) *pool {
 	po := s.services[name]
 	if po == nil {
-		po = &pool{name: name, slots: map[string]*slot{}}
+		po = &pool{name: name, upstreams: map[string]*upstreamState{}}
 		s.services[name] = po
-		s.names = append(s.names, name)
-		slices.Sort(s.names)
+		s.serviceNames = append(s.serviceNames, name)
+		slices.Sort(s.serviceNames)
 	}
 	return po
 }
 
-// Offer queues a job, or refuses it at once if it can't be served in time.
-func (s *Scheduler) Offer(now time.Time, w *Waiter) Refusal {
+// Enqueue queues a job, or refuses it at once if its queue is full or it can't be served in time.
+func (s *Scheduler) Enqueue(now time.Time, w *Waiter) Refusal {
 	po := s.services[w.Service]
-	if po == nil || !po.alive(now, w.Deadline) {
+	if po == nil || !po.availableBefore(now, w.Deadline) {
 		return NoUpstream
 	}
 	q := &po.queues[w.Level]
-	if q.len() >= s.depth[w.Level] {
+	if q.len() >= s.queueLimits[w.Level] {
 		return QueueFull
 	}
-	if wait := po.expect(now, w.Level); wait > time.Duration(pipe.WaitPart*float64(w.Deadline.Sub(now)-po.costs[w.Level].mean)) {
+	if wait := po.estimateWait(now, w.Level); wait > time.Duration(pipe.WaitPart*float64(w.Deadline.Sub(now)-po.costs[w.Level].mean)) {
 		return TooLate
 	}
 	w.Since = now
 	q.push(w)
-	s.pump(now)
-	return None
+	s.dispatch(now)
+	return NotRefused
 }
 
-// Cancel takes a waiter out; it reports false if the waiter was admitted before.
+// Cancel removes a waiter; it reports false if the waiter was already admitted or refused.
 func (s *Scheduler) Cancel(w *Waiter) bool {
 	if w.done {
 		return false
 	}
 	w.done = true
-	s.services[w.Service].queues[w.Level].gone++
+	s.services[w.Service].queues[w.Level].canceled++
 	return true
 }
 
 // Release frees the slot of an admitted job and admits the next ones.
 func (s *Scheduler) Release(now time.Time, service, upstream string, level int, took time.Duration, r Result) {
 	po := s.services[service]
-	s.busy--
-	sl := po.slots[upstream]
-	if sl != nil {
-		sl.finish(now, took, r)
-		if sl.gone && sl.inflight == 0 {
-			delete(po.slots, upstream)
+	s.inFlight--
+	up := po.upstreams[upstream]
+	if up != nil {
+		up.release(now, took, r)
+		if up.removed && up.inFlight == 0 {
+			delete(po.upstreams, upstream)
 		}
 	}
 	if r == Done {
 		po.costs.observe(level, took, now)
 		s.costs.observe(level, took, now)
 	}
-	s.pump(now)
+	s.dispatch(now)
 }
 
-// Pump does what time alone makes due: it ages the service times and admits what can be admitted now.
-func (s *Scheduler) Pump(now time.Time) {
-	s.costs.age(now)
+// Tick does the time-driven work: it decays the mean service times and admits jobs to upstreams whose pause
+// has ended.
+func (s *Scheduler) Tick(now time.Time) {
+	s.costs.decay(now)
 	for _, po := range s.services {
-		po.costs.age(now)
+		po.costs.decay(now)
 	}
-	s.pump(now)
+	s.dispatch(now)
 }
 
-// pump admits jobs while a slot, the capacity and a waiter come together.
-func (s *Scheduler) pump(now time.Time) {
-	for s.busy < s.capacity.At(now) {
-		po, level := s.next(now)
+// dispatch admits jobs while there is a waiter, a free slot and host capacity.
+func (s *Scheduler) dispatch(now time.Time) {
+	for s.inFlight < s.capacity.At(now) {
+		po, level := s.selectNext(now)
 		if po == nil {
 			return
 		}
@@ -123,14 +124,14 @@
 	}
 }
 
-// next returns the pool and the rank to serve. Each pool proposes a rank by its own credits; when
-// proposals differ in rank, the credits of the whole host decide.
-func (s *Scheduler) next(now time.Time) (*pool, int) {
+// selectNext returns the pool and the rank to serve. Each pool proposes a rank by its own credits. Among
+// proposals of the same rank the oldest waiter wins; among ranks the credits of the whole host decide.
+func (s *Scheduler) selectNext(now time.Time) (*pool, int) {
 	var proposed [16]*pool
 	ready := func(l int) bool { return l < len(proposed) && proposed[l] != nil }
-	for _, name := range s.names {
+	for _, name := range s.serviceNames {
 		po := s.services[name]
-		level := po.propose(now)
+		level := po.proposeRank(now)
 		if level < 0 || level >= len(proposed) {
 			continue
 		}
@@ -138,7 +139,7 @@
 			proposed[level] = po
 		}
 	}
-	level := s.ranks.Pick(ready, s.costs.seconds)
+	level := s.credits.Pick(ready, s.costs.seconds)
 	if level < 0 {
 		return nil, -1
 	}
@@ -149,18 +150,18 @@
 	q := &po.queues[level]
 	w := q.peek()
 	q.pop()
-	sl := po.best(now)
-	sl.inflight++
-	s.busy++
+	up := po.bestUpstream(now)
+	up.inFlight++
+	s.inFlight++
 	w.done = true
-	q.admitted(now, q.len() > 0)
-	po.ranks.Charge(level, func(l int) bool { return po.queues[l].len() > 0 }, po.costs.seconds)
-	s.ranks.Charge(level, s.waitingAt, s.costs.seconds)
-	w.Ready <- Verdict{Admitted: true, Upstream: sl.ID}
+	q.recordAdmission(now, q.len() > 0)
+	po.credits.Charge(level, func(l int) bool { return po.queues[l].len() > 0 }, po.costs.seconds)
+	s.credits.Charge(level, s.hasWaiting, s.costs.seconds)
+	w.Ready <- Decision{Admitted: true, Upstream: up.ID}
 }
 
-func (s *Scheduler) waitingAt(level int) bool {
-	for _, name := range s.names {
+func (s *Scheduler) hasWaiting(level int) bool {
+	for _, name := range s.serviceNames {
 		if s.services[name].queues[level].len() > 0 {
 			return true
 		}
@@ -168,40 +169,40 @@
 	return false
 }
 
-// Expect returns how long a new job would wait, 0 if it can be admitted at once.
-func (s *Scheduler) Expect(now time.Time, service string, level int) time.Duration {
+// EstimateWait returns the expected wait of a new job, 0 if it can be admitted at once.
+func (s *Scheduler) EstimateWait(now time.Time, service string, level int) time.Duration {
 	po := s.services[service]
 	if po == nil || level >= len(po.queues) {
 		return 0
 	}
-	if s.busy < s.capacity.At(now) && po.best(now) != nil {
+	if s.inFlight < s.capacity.At(now) && po.bestUpstream(now) != nil {
 		return 0
 	}
-	return max(time.Millisecond, po.expect(now, level))
+	return max(time.Millisecond, po.estimateWait(now, level))
 }
 
-// Due returns the upstreams that are down and whose next probe is due, and sets the one after.
-func (s *Scheduler) Due(now time.Time) []plan.Upstream {
+// DueProbes returns the down upstreams whose next probe is due, and schedules the probe after it.
+func (s *Scheduler) DueProbes(now time.Time) []plan.Upstream {
 	var out []plan.Upstream
-	for _, name := range s.names {
-		for _, sl := range s.services[name].order {
-			if sl.down && !now.Before(sl.until) {
-				sl.until = now.Add(probeMax)
-				out = append(out, sl.Upstream)
+	for _, name := range s.serviceNames {
+		for _, up := range s.services[name].sorted {
+			if up.down && !now.Before(up.pausedUntil) {
+				up.pausedUntil = now.Add(maxProbeInterval)
+				out = append(out, up.Upstream)
 			}
 		}
 	}
 	return out
 }
 
-// Revive gives work to an upstream again that a probe has reached.
-func (s *Scheduler) Revive(now time.Time, id string) {
+// MarkUp makes an upstream that a probe has reached available again.
+func (s *Scheduler) MarkUp(now time.Time, id string) {
 	for _, po := range s.services {
-		if sl := po.slots[id]; sl != nil && sl.down {
-			sl.down, sl.until = false, now
+		if up := po.upstreams[id]; up != nil && up.down {
+			up.down, up.pausedUntil = false, now
 		}
 	}
-	s.pump(now)
+	s.dispatch(now)
 }
 
 // Load returns the load of each service.
@@ -209,11 +210,11 @@
 	out := make(map[string]plan.Load, len(s.services))
 	for name, po := range s.services {
 		l := plan.Load{}
-		for _, sl := range po.order {
-			if !now.Before(sl.until) && !sl.down {
-				l.Slots += sl.Slots.At(now)
+		for _, up := range po.sorted {
+			if !now.Before(up.pausedUntil) && !up.down {
+				l.Slots += up.Slots.At(now)
 			}
-			l.Busy += sl.inflight
+			l.Busy += up.inFlight
 		}
 		for i := range po.queues {
 			l.Queued += int64(po.queues[i].len())
--- a/internal/flow/admit/scheduler_test.go
+++ b/internal/flow/admit/scheduler_test.go
@@ -13,7 +13,7 @@
 	"github.com/boragelane/boragelane/internal/core/spec"
 )
 
-func smallPlan(capacity, slots int64, until time.Time) *plan.Plan {
+func testPlan(capacity, slots int64, until time.Time) *plan.Plan {
 	p := &plan.Plan{
 		Doc:      &spec.Document{Ranks: []spec.Rank{{Name: "a", Queue: 5}, {Name: "b", Queue: 5, Minimum: 0.3}}},
 		Capacity: share.Amount{Floor: capacity}, Services: map[string]*plan.Service{},
@@ -30,12 +30,13 @@
 	return p
 }
 
-// TestNothingIsExceededOrForgotten drives the scheduler through offers, results, cancels, plans and time.
-func TestNothingIsExceededOrForgotten(t *testing.T) {
+// TestSchedulerKeepsLimitsAndLosesNoJob runs random sequences of new jobs, results, cancellations, plans and
+// time steps. It checks that no limit is exceeded and that each job is waiting, running or ended.
+func TestSchedulerKeepsLimitsAndLosesNoJob(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1000, 0)
 		s := NewScheduler()
-		p := smallPlan(3, 1, now.Add(time.Minute))
+		p := testPlan(3, 1, now.Add(time.Minute))
 		s.Update(now, p)
 		type running struct {
 			w  *Waiter
@@ -70,9 +71,9 @@
 			"offer": func(t *rapid.T) {
 				w := &Waiter{
 					Service: rapid.SampledFrom([]string{"s", "t"}).Draw(t, "service"), Level: rapid.IntRange(0, 1).Draw(t, "level"),
-					Deadline: now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond), Ready: make(chan Verdict, 1),
+					Deadline: now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond), Ready: make(chan Decision, 1),
 				}
-				if s.Offer(now, w) == None {
+				if s.Enqueue(now, w) == NotRefused {
 					waiting = append(waiting, w)
 				}
 				collect()
@@ -97,19 +98,19 @@
 			},
 			"time": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
-				for _, u := range s.Due(now) {
-					s.Revive(now, u.ID)
+				for _, u := range s.DueProbes(now) {
+					s.MarkUp(now, u.ID)
 				}
-				s.Pump(now)
+				s.Tick(now)
 				collect()
 			},
 			"plan": func(t *rapid.T) {
-				p = smallPlan(rapid.Int64Range(0, 4).Draw(t, "capacity"), rapid.Int64Range(0, 2).Draw(t, "slots"), now.Add(time.Second))
+				p = testPlan(rapid.Int64Range(0, 4).Draw(t, "capacity"), rapid.Int64Range(0, 2).Draw(t, "slots"), now.Add(time.Second))
 				s.Update(now, p)
 				collect()
 			},
 			"": func(t *rapid.T) {
-				assert.Equal(t, s.busy, int64(len(jobs)))
+				assert.Equal(t, s.inFlight, int64(len(jobs)))
 				queued := 0
 				for _, po := range s.services {
 					for l := range po.queues {
@@ -123,14 +124,14 @@
 	})
 }
 
-func TestAJobNeverFindsOutForADownUpstream(t *testing.T) {
+func TestDownUpstreamGetsNoJobUntilProbed(t *testing.T) {
 	now := time.Unix(1000, 0)
 	s := NewScheduler()
-	p := smallPlan(10, 0, now)
+	p := testPlan(10, 0, now)
 	s.Update(now, p)
 	offer := func() string {
-		w := &Waiter{Service: "s", Deadline: now.Add(time.Minute), Ready: make(chan Verdict, 1)}
-		assert.Equal(t, s.Offer(now, w), None)
+		w := &Waiter{Service: "s", Deadline: now.Add(time.Minute), Ready: make(chan Decision, 1)}
+		assert.Equal(t, s.Enqueue(now, w), NotRefused)
 		return (<-w.Ready).Upstream
 	}
 	first := offer()
@@ -139,49 +140,51 @@
 	second := offer()
 	assert.Assert(t, second != first)
 	s.Release(now, "s", second, 0, time.Millisecond, Done)
-	due := s.Due(now)
+	due := s.DueProbes(now)
 	assert.Equal(t, len(due), 1)
-	s.Revive(now, due[0].ID)
+	s.MarkUp(now, due[0].ID)
 	got := map[string]bool{offer(): true, offer(): true}
 	assert.Equal(t, len(got), 2)
 }
 
-func TestNoJobWaitsForUpstreamsThatRestPastItsDeadline(t *testing.T) {
+func TestJobIsRefusedIfAllUpstreamsPausePastItsDeadline(t *testing.T) {
 	now := time.Unix(1000, 0)
 	s := NewScheduler()
-	s.Update(now, smallPlan(10, 0, now))
+	s.Update(now, testPlan(10, 0, now))
 	for range 2 {
-		w := &Waiter{Service: "s", Deadline: now.Add(time.Second), Ready: make(chan Verdict, 1)}
-		assert.Equal(t, s.Offer(now, w), None)
+		w := &Waiter{Service: "s", Deadline: now.Add(time.Second), Ready: make(chan Decision, 1)}
+		assert.Equal(t, s.Enqueue(now, w), NotRefused)
 		s.Release(now, "s", (<-w.Ready).Upstream, 0, time.Millisecond, Draining)
 	}
-	w := &Waiter{Service: "s", Deadline: now.Add(time.Second), Ready: make(chan Verdict, 1)}
-	assert.Equal(t, s.Offer(now, w), NoUpstream)
+	w := &Waiter{Service: "s", Deadline: now.Add(time.Second), Ready: make(chan Decision, 1)}
+	assert.Equal(t, s.Enqueue(now, w), NoUpstream)
 }
 
-func TestASlowSpellDoesNotKeepAServiceClosed(t *testing.T) {
+// A mean service time that stays high after a slow period would refuse jobs with short deadlines, none of
+// which could then lower it.
+func TestMeanServiceTimeDecaysWithoutFinishedJobs(t *testing.T) {
 	now := time.Unix(1000, 0)
 	s := NewScheduler()
-	s.Update(now, smallPlan(10, 0, now))
+	s.Update(now, testPlan(10, 0, now))
 	offer := func() (*Waiter, Refusal) {
-		w := &Waiter{Service: "s", Deadline: now.Add(300 * time.Millisecond), Ready: make(chan Verdict, 1)}
-		return w, s.Offer(now, w)
+		w := &Waiter{Service: "s", Deadline: now.Add(300 * time.Millisecond), Ready: make(chan Decision, 1)}
+		return w, s.Enqueue(now, w)
 	}
 	for range 20 {
-		w := &Waiter{Service: "s", Deadline: now.Add(time.Minute), Ready: make(chan Verdict, 1)}
-		assert.Equal(t, s.Offer(now, w), None)
+		w := &Waiter{Service: "s", Deadline: now.Add(time.Minute), Ready: make(chan Decision, 1)}
+		assert.Equal(t, s.Enqueue(now, w), NotRefused)
 		v := <-w.Ready
 		now = now.Add(2 * time.Second)
 		s.Release(now, "s", v.Upstream, 0, 2*time.Second, Done)
 	}
 	_, r := offer()
-	assert.Equal(t, r, TooLate, "it would not be done in time")
-	for range 300 { // 30 s without a job that ended.
+	assert.Equal(t, r, TooLate, "the job can't finish before its deadline")
+	for range 300 { // 30 s without a finished job.
 		now = now.Add(100 * time.Millisecond)
-		s.Pump(now)
+		s.Tick(now)
 	}
 	w, r := offer()
-	assert.Equal(t, r, None)
+	assert.Equal(t, r, NotRefused)
 	assert.Assert(t, (<-w.Ready).Upstream != "")
 	assert.Assert(t, s.Load(now)["s"].Latency < 20*time.Millisecond, "%s", s.Load(now)["s"].Latency)
 }
--- a/internal/flow/admit/slots.go
+++ b/internal/flow/admit/slots.go
@@ -6,123 +6,128 @@
 	"github.com/boragelane/boragelane/internal/core/plan"
 )
 
-// Result says how a job on an upstream ended, for the upstream's limit.
+// Result classifies how a job ended, for the adaptive limit of its upstream.
 type Result int
 
-// Results.
+// Results of a job.
 const (
-	// Done is a whole answer.
+	// Done means that a complete answer came back.
 	Done Result = iota
-	// Overload is a shed or a time-out.
+	// Overload means that the upstream shed the job or did not answer in time.
 	Overload
-	// Failed is a connection that was refused or lost.
+	// Failed means that the connection was refused, or lost because the upstream seems to have crashed.
 	Failed
-	// Aborted is a job whose caller left.
+	// Aborted means any other end, such as a caller that disconnected; the limit stays as it is.
 	Aborted
-	// Draining is an answer by which the upstream says that it leaves.
+	// Draining means that the upstream announced in its answer that it is draining.
 	Draining
 )
 
-// Rules of the adaptive limit.
+// Parameters of the adaptive concurrency limit.
 const (
-	slowFactor  = 2.0
-	slowSlack   = 5 * time.Millisecond
-	backoffPart = 0.8
-	overPart    = 0.5
-	restMin     = 250 * time.Millisecond
-	restMax     = 8 * time.Second
-	// probeMax is the longest time between two probes of an upstream that is down.
-	probeMax = time.Second
-	// drainRest is how long an upstream that said that it leaves gets no work; the platform's list
-	// takes over from then.
-	drainRest = 60 * time.Second
+	// The limit is lowered when the mean latency exceeds maxLatencyFactor times the base plus latencySlack.
+	maxLatencyFactor = 2.0
+	latencySlack     = 5 * time.Millisecond
+	// slowLimitFactor and overloadLimitFactor are what a limit is multiplied by when latency is high and after
+	// an overload.
+	slowLimitFactor     = 0.8
+	overloadLimitFactor = 0.5
+	// An upstream is paused for minBackoff after an overload or a failure, and for twice as long, up to maxBackoff,
+	// after each further one without a success between them.
+	minBackoff = 250 * time.Millisecond
+	maxBackoff = 8 * time.Second
+	// maxProbeInterval is the longest time between two probes of an upstream that is down.
+	maxProbeInterval = time.Second
+	// drainPause is how long a draining upstream gets no jobs; from then on the platform's list decides.
+	drainPause = 60 * time.Second
 )
 
-// slot is an upstream as the scheduler sees it: its share of slots and an adaptive limit below it.
-type slot struct {
+// upstreamState is the scheduler's state of an upstream: this host's share of its slots, and an adaptive
+// concurrency limit within that share.
+type upstreamState struct {
 	plan.Upstream
-	limit    float64
-	inflight int64
-	latency  time.Duration
-	base     time.Duration
-	cut      time.Time // When the limit was last lowered.
-	rest     time.Duration
-	until    time.Time // No work before then.
-	down     bool      // No work until a probe reaches it.
-	gone     bool
+	limit       float64
+	inFlight    int64
+	latency     time.Duration // Moving average of the service times.
+	baseLatency time.Duration // Slowly rising minimum of the service times.
+	lowered     time.Time     // When the limit was last lowered.
+	backoff     time.Duration // The length of the last pause; 0 after a success.
+	pausedUntil time.Time     // No jobs are admitted before then.
+	down        bool          // No jobs are admitted until a probe reaches it.
+	removed     bool          // No longer in the plan; deleted when its last job has ended.
 }
 
-// newSlot starts at one job at a time: the upstream may be cold.
-func newSlot(u plan.Upstream) *slot { return &slot{Upstream: u, limit: 1} }
+// newUpstreamState starts with a limit of one job, since the upstream may be cold.
+func newUpstreamState(u plan.Upstream) *upstreamState { return &upstreamState{Upstream: u, limit: 1} }
 
-func (s *slot) room(now time.Time) bool {
+func (s *upstreamState) hasRoom(now time.Time) bool {
 	slots := s.Slots.At(now)
-	if s.gone || s.down || now.Before(s.until) || slots == 0 {
+	if s.removed || s.down || now.Before(s.pausedUntil) || slots == 0 {
 		return false
 	}
-	return s.inflight < max(1, min(slots, int64(s.limit)))
+	return s.inFlight < max(1, min(slots, int64(s.limit)))
 }
 
-// weight orders upstreams: the least expected time to finish one more job first.
-func (s *slot) weight() float64 {
-	return float64(s.inflight+1) * float64(s.latency+time.Millisecond)
+// finishEstimate returns a value proportional to the expected time until one more job has finished.
+func (s *upstreamState) finishEstimate() float64 {
+	return float64(s.inFlight+1) * float64(s.latency+time.Millisecond)
 }
 
-func (s *slot) finish(now time.Time, took time.Duration, r Result) {
-	s.inflight--
+func (s *upstreamState) release(now time.Time, took time.Duration, r Result) {
+	s.inFlight--
 	switch r {
 	case Done:
-		s.success(now, took)
+		s.recordSuccess(now, took)
 	case Overload:
-		s.lower(now, overPart)
-		s.pause(now)
+		s.lowerLimit(now, overloadLimitFactor)
+		s.backOff(now)
 	case Failed:
-		s.fail(now)
+		s.markDown(now)
 	case Draining:
-		s.until = now.Add(drainRest)
+		s.pausedUntil = now.Add(drainPause)
 	case Aborted:
 	}
 }
 
-func (s *slot) success(now time.Time, took time.Duration) {
-	s.rest = 0
-	s.latency = mean(s.latency, took)
-	s.learnBase(took)
-	if s.latency > time.Duration(slowFactor*float64(s.base))+slowSlack {
-		s.lower(now, backoffPart)
+func (s *upstreamState) recordSuccess(now time.Time, took time.Duration) {
+	s.backoff = 0
+	s.latency = movingAverage(s.latency, took)
+	s.updateBaseLatency(took)
+	if s.latency > time.Duration(maxLatencyFactor*float64(s.baseLatency))+latencySlack {
+		s.lowerLimit(now, slowLimitFactor)
 		return
 	}
-	if float64(s.inflight+1) >= s.limit-1 {
+	if float64(s.inFlight+1) >= s.limit-1 {
 		s.limit = min(float64(max(1, s.Slots.At(now))), s.limit+1/s.limit)
 	}
 }
 
-// learnBase follows the least latency: down at once, up slowly.
-func (s *slot) learnBase(took time.Duration) {
-	if s.base == 0 || took < s.base {
-		s.base = took
+// updateBaseLatency tracks the minimum latency: it falls at once and rises slowly.
+func (s *upstreamState) updateBaseLatency(took time.Duration) {
+	if s.baseLatency == 0 || took < s.baseLatency {
+		s.baseLatency = took
 		return
 	}
-	s.base += (took - s.base) / 200
+	s.baseLatency += (took - s.baseLatency) / 200
 }
 
-// lower cuts the limit, once for each mean latency at the most.
-func (s *slot) lower(now time.Time, part float64) {
-	if now.Sub(s.cut) < s.latency {
+// lowerLimit multiplies the limit by a factor, at most once per mean latency.
+func (s *upstreamState) lowerLimit(now time.Time, factor float64) {
+	if now.Sub(s.lowered) < s.latency {
 		return
 	}
-	s.cut = now
-	s.limit = max(1, s.limit*part)
+	s.lowered = now
+	s.limit = max(1, s.limit*factor)
 }
 
-// fail takes the upstream out until a probe reaches it: a job must not find out for it.
-func (s *slot) fail(now time.Time) {
+// markDown takes the upstream out of use until a probe reaches it, so that no job has to serve as the probe.
+func (s *upstreamState) markDown(now time.Time) {
 	s.limit, s.down = 1, true
-	s.pause(now)
-	s.until = now.Add(min(probeMax, s.rest))
+	s.backOff(now)
+	s.pausedUntil = now.Add(min(maxProbeInterval, s.backoff))
 }
 
-func (s *slot) pause(now time.Time) {
-	s.rest = min(restMax, max(restMin, s.rest*2))
-	s.until = now.Add(s.rest)
+func (s *upstreamState) backOff(now time.Time) {
+	s.backoff = min(maxBackoff, max(minBackoff, s.backoff*2))
+	s.pausedUntil = now.Add(s.backoff)
 }
