--- a/internal/flow/carry/budget.go
+++ b/internal/flow/carry/budget.go
@@ -1,10 +1,10 @@
 package carry
 
-// budgetCap bounds the retries that a service and rank save up.
-const budgetCap = 10
+// maxSavedRetries is the maximum number of retries that a service and rank can save up.
+const maxSavedRetries = 10
 
-// Budget allows retries as a part of first tries, so that retries can't multiply an overload.
-type Budget struct {
+// RetryBudget limits retries to a fraction of first tries, so that retries can't amplify an overload.
+type RetryBudget struct {
 	tokens map[budgetKey]float64
 }
 
@@ -13,25 +13,25 @@
 	level   int
 }
 
-// NewBudget returns a budget that starts full.
-func NewBudget() *Budget { return &Budget{tokens: map[budgetKey]float64{}} }
+// NewRetryBudget returns a budget with maxSavedRetries for each service and rank.
+func NewRetryBudget() *RetryBudget { return &RetryBudget{tokens: map[budgetKey]float64{}} }
 
-func (b *Budget) get(k budgetKey) float64 {
+func (b *RetryBudget) get(k budgetKey) float64 {
 	t, ok := b.tokens[k]
 	if !ok {
-		return budgetCap
+		return maxSavedRetries
 	}
 	return t
 }
 
-// First books a first try, which earns a part of a retry.
-func (b *Budget) First(service string, level int, part float64) {
+// AddFirstTry records a first try, which earns the given fraction of a retry.
+func (b *RetryBudget) AddFirstTry(service string, level int, ratio float64) {
 	k := budgetKey{service, level}
-	b.tokens[k] = min(budgetCap, b.get(k)+part)
+	b.tokens[k] = min(maxSavedRetries, b.get(k)+ratio)
 }
 
-// Retry books a retry, or reports false if there is no budget for it.
-func (b *Budget) Retry(service string, level int) bool {
+// TakeRetry spends a retry, or reports false if the budget has none left.
+func (b *RetryBudget) TakeRetry(service string, level int) bool {
 	k := budgetKey{service, level}
 	t := b.get(k)
 	if t < 1 {
--- a/internal/flow/carry/doc.go
+++ b/internal/flow/carry/doc.go
@@ -1,2 +1,2 @@
-// Package carry takes a job to its target and retries within a budget.
+// Package carry sends a job to its targets and retries within a budget.
 package carry
--- a/internal/flow/carry/pacer.go
+++ b/internal/flow/carry/pacer.go
@@ -12,27 +12,27 @@
 	"github.com/boragelane/boragelane/internal/core/share"
 )
 
-// usablePart of a share carries jobs; the rest is for refusals and for the hosts' own messages.
-const usablePart = 0.95
+// usableFraction is the fraction of a share that jobs may use; the rest is for refusals and control messages.
+const usableFraction = 0.95
 
-// Pacer spends this host's shares of the links to other regions, by rank.
+// Pacer paces messages to other regions within this host's shares of the links, by rank.
 type Pacer struct {
 	Clock func() time.Time
 
 	mu    sync.Mutex
 	ranks []float64
-	links map[string]*lane
+	links map[string]*link
 }
 
-// lane is one link with the messages that wait for it.
-type lane struct {
-	share   share.Amount
-	bucket  bucket.Bucket
-	credit  credit.Credit
-	queues  [][]*message
-	timer   *time.Timer
-	spent   int64
-	waiting int
+// link is the link to one region with the messages that wait for it.
+type link struct {
+	share     share.Amount
+	bucket    bucket.Bucket
+	credit    credit.Credit
+	queues    [][]*message
+	timer     *time.Timer
+	sentBytes int64
+	waiting   int
 }
 
 type message struct {
@@ -41,12 +41,12 @@
 	sent  bool
 }
 
-// NewPacer returns a pacer that has no links until a plan brings them.
+// NewPacer returns a pacer that has no links until the first Update.
 func NewPacer(clock func() time.Time) *Pacer {
-	return &Pacer{Clock: clock, links: map[string]*lane{}}
+	return &Pacer{Clock: clock, links: map[string]*link{}}
 }
 
-// Update adopts a plan's link shares.
+// Update applies a plan's link shares.
 func (p *Pacer) Update(now time.Time, pl *plan.Plan) {
 	if pl.Doc == nil {
 		return
@@ -60,12 +60,12 @@
 	for region, amount := range pl.Links {
 		ln := p.links[region]
 		if ln == nil {
-			ln = &lane{bucket: bucket.New(0, now)}
+			ln = &link{bucket: bucket.New(0, now)}
 			p.links[region] = ln
 		}
 		ln.resize(p.ranks)
 		ln.share = amount
-		p.pump(now, ln)
+		p.dispatch(now, ln)
 	}
 	for region, ln := range p.links {
 		if _, ok := pl.Links[region]; !ok {
@@ -74,23 +74,24 @@
 	}
 }
 
-// usable brings the bucket to the share of now; the rest of a share that ran out is dropped.
-func (ln *lane) usable(now time.Time) bool {
-	if limit := float64(ln.share.At(now)) * usablePart; ln.bucket.Limit != limit {
+// updateLimit sets the rate limit to the share at this time and reports whether it is above 0. Tokens above the
+// new burst are dropped.
+func (ln *link) updateLimit(now time.Time) bool {
+	if limit := float64(ln.share.At(now)) * usableFraction; ln.bucket.Limit != limit {
 		ln.bucket.SetLimit(limit, now)
 	}
 	return ln.bucket.Limit > 0
 }
 
-func (ln *lane) resize(minimum []float64) {
+func (ln *link) resize(minimum []float64) {
 	ln.credit.Resize(minimum)
 	for len(ln.queues) < len(minimum) {
 		ln.queues = append(ln.queues, nil)
 	}
 }
 
-// Wait spends bytes of the link to a region, after those that go before them; it reports false if
-// the share can't carry them before the deadline or the context's end.
+// Wait queues bytes by rank for the link to a region and returns when they may be sent; it reports false if they
+// can't be sent before the deadline or the end of the context.
 func (p *Pacer) Wait(ctx context.Context, now time.Time, region string, level int, bytes int64, deadline time.Time) bool {
 	m := p.enqueue(now, region, level, bytes, deadline)
 	if m == nil {
@@ -104,33 +105,33 @@
 	case <-ctx.Done():
 	case <-timer.C:
 	}
-	return p.giveUp(region, level, m)
+	return p.cancel(region, level, m)
 }
 
 func (p *Pacer) enqueue(now time.Time, region string, level int, bytes int64, deadline time.Time) *message {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	ln := p.links[region]
-	if ln == nil || !ln.usable(now) || level >= len(ln.queues) {
+	if ln == nil || !ln.updateLimit(now) || level >= len(ln.queues) {
 		return nil
 	}
-	if now.Add(ln.expect(level, bytes)).After(deadline) {
+	if now.Add(ln.estimateWait(level, bytes)).After(deadline) {
 		return nil
 	}
 	m := &message{bytes: bytes, ready: make(chan struct{})}
 	ln.queues[level] = append(ln.queues[level], m)
 	ln.waiting++
-	p.pump(now, ln)
+	p.dispatch(now, ln)
 	return m
 }
 
-// expect returns how long a new message would wait: behind all ranks up to its own, or behind its
-// own rank alone at that rank's minimum, whichever is shorter.
-func (ln *lane) expect(level int, bytes int64) time.Duration {
-	own := float64(bytes) + ln.queued(level)
+// estimateWait returns the expected wait of a new message: behind all ranks up to its own, or behind its own rank
+// alone at that rank's minimum rate, whichever is shorter.
+func (ln *link) estimateWait(level int, bytes int64) time.Duration {
+	own := float64(bytes) + ln.queuedBytes(level)
 	ahead := own - ln.bucket.Tokens
 	for l := range level {
-		ahead += ln.queued(l)
+		ahead += ln.queuedBytes(l)
 	}
 	rate := ln.bucket.Limit * (1 - bucket.BurstPart)
 	seconds := max(0, ahead) / rate
@@ -140,7 +141,7 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
-func (ln *lane) queued(level int) float64 {
+func (ln *link) queuedBytes(level int) float64 {
 	var sum int64
 	for _, m := range ln.queues[level] {
 		sum += m.bytes
@@ -148,7 +149,7 @@
 	return float64(sum)
 }
 
-func (p *Pacer) giveUp(region string, level int, m *message) bool {
+func (p *Pacer) cancel(region string, level int, m *message) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if m.sent {
@@ -160,8 +161,8 @@
 	return false
 }
 
-// pump sends what the bucket allows and sets a timer for the rest.
-func (p *Pacer) pump(now time.Time, ln *lane) {
+// dispatch releases the messages that the bucket allows and schedules a timer for the next one.
+func (p *Pacer) dispatch(now time.Time, ln *link) {
 	ready := func(l int) bool { return len(ln.queues[l]) > 0 }
 	cost := func(l int) float64 {
 		if len(ln.queues[l]) == 0 {
@@ -169,35 +170,35 @@
 		}
 		return float64(ln.queues[l][0].bytes)
 	}
-	for ln.waiting > 0 && ln.usable(now) {
+	for ln.waiting > 0 && ln.updateLimit(now) {
 		level := ln.credit.Pick(ready, cost)
 		m := ln.queues[level][0]
 		if wait := ln.bucket.Take(float64(m.bytes), now); wait > 0 {
-			p.wake(ln, wait)
+			p.scheduleDispatch(ln, wait)
 			return
 		}
 		ln.credit.Charge(level, ready, cost)
 		ln.queues[level] = ln.queues[level][1:]
 		ln.waiting--
-		ln.spent += m.bytes
+		ln.sentBytes += m.bytes
 		m.sent = true
 		close(m.ready)
 	}
 }
 
-func (p *Pacer) wake(ln *lane, wait time.Duration) {
+func (p *Pacer) scheduleDispatch(ln *link, wait time.Duration) {
 	if ln.timer == nil {
 		ln.timer = time.AfterFunc(wait, func() {
 			p.mu.Lock()
 			defer p.mu.Unlock()
-			p.pump(p.Clock(), ln)
+			p.dispatch(p.Clock(), ln)
 		})
 		return
 	}
 	ln.timer.Reset(wait)
 }
 
-// Charge spends bytes that are sent in any case, if need be as a debt that later messages wait for.
+// Charge spends bytes that are sent without waiting; the bucket may go into debt, which delays later messages.
 func (p *Pacer) Charge(now time.Time, region string, bytes int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -207,16 +208,16 @@
 	}
 	ln.bucket.Refill(now)
 	ln.bucket.Tokens -= float64(bytes)
-	ln.spent += bytes
+	ln.sentBytes += bytes
 }
 
-// Spent returns the bytes sent to each region so far.
+// Spent returns the number of bytes sent to each region.
 func (p *Pacer) Spent() map[string]int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out := make(map[string]int64, len(p.links))
 	for region, ln := range p.links {
-		out[region] = ln.spent
+		out[region] = ln.sentBytes
 	}
 	return out
 }
--- a/internal/flow/carry/pacer_test.go
+++ b/internal/flow/carry/pacer_test.go
@@ -21,8 +21,8 @@
 	bytes float64
 }
 
-// most returns the most that was spent within any second.
-func most(list []spending) float64 {
+// maxPerSecond returns the largest sum that was spent within any second.
+func maxPerSecond(list []spending) float64 {
 	var top, sum float64
 	first := 0
 	for _, s := range list {
@@ -51,7 +51,7 @@
 			}
 			list = append(list, spending{now, n})
 		}
-		assert.Assert(t, most(list) <= limit*1.0001, "%.0f in a second of %.0f", most(list), limit)
+		assert.Assert(t, maxPerSecond(list) <= limit*1.0001, "%.0f in a second of %.0f", maxPerSecond(list), limit)
 	})
 }
 
@@ -68,7 +68,7 @@
 			}
 		}
 		if len(list) > 0 {
-			assert.Assert(t, most(list) <= limit, "%.0f in a second of %.2f", most(list), limit)
+			assert.Assert(t, maxPerSecond(list) <= limit, "%.0f in a second of %.2f", maxPerSecond(list), limit)
 		}
 	})
 }
@@ -105,30 +105,30 @@
 	assert.Assert(t, float64(bytes[1]) >= 0.05*float64(sum), "the low rank sent %d of %d", bytes[1], sum)
 }
 
-func TestAShareThatRanOutCarriesOnlyItsFloor(t *testing.T) {
+func TestExpiredShareFallsBackToItsFloor(t *testing.T) {
 	now := time.Unix(1000, 0)
 	p := NewPacer(func() time.Time { return now })
 	p.Update(now, pacerPlan(share.Amount{Lent: 1_000_000, Until: now.Add(time.Second)}))
-	now = now.Add(time.Second) // As after a pause: no plan came since.
+	now = now.Add(time.Second) // No newer plan has arrived, as after a pause of the process.
 	ok := p.Wait(context.Background(), now, "far", 0, 100, now.Add(time.Hour))
 	assert.Assert(t, !ok, "the grant has run out, and the floor is 0")
 }
 
-func TestRetriesAreAPartOfFirstTries(t *testing.T) {
-	b := NewBudget()
+func TestRetriesAreBoundedByFirstTries(t *testing.T) {
+	b := NewRetryBudget()
 	retries := 0
 	for range 1000 {
-		b.First("s", 0, 0.1)
-		if b.Retry("s", 0) {
+		b.AddFirstTry("s", 0, 0.1)
+		if b.TakeRetry("s", 0) {
 			retries++
 		}
 	}
-	assert.Assert(t, retries <= 100+budgetCap, "%d retries of 1000 tries", retries)
+	assert.Assert(t, retries <= 100+maxSavedRetries, "%d retries of 1000 tries", retries)
 }
 
-type noPeers struct{ sent int }
+type recordingPeers struct{ sent int }
 
-func (p *noPeers) Run(_ context.Context, _ pipe.Target, job *pipe.Job) {
+func (p *recordingPeers) Run(_ context.Context, _ pipe.Target, job *pipe.Job) {
 	p.sent++
 	job.Finish(pipe.Answer{Status: 200})
 }
@@ -137,11 +137,11 @@
 
 func (noRouter) More(time.Time, *pipe.Job) {}
 
-func TestAJobThatWouldSpendItsTimeWaitingForTheLinkIsRefusedAtOnce(t *testing.T) {
+func TestJobIsRefusedAtOnceIfTheLinkWaitIsTooLong(t *testing.T) {
 	pacer := NewPacer(time.Now)
 	pl := pacerPlan(share.Amount{Floor: 10_000})
 	pacer.Update(time.Now(), pl)
-	peers := &noPeers{}
+	peers := &recordingPeers{}
 	p := New(nil, noRouter{}, peers, pacer, nil, time.Now)
 	send := func(timeout time.Duration) pipe.Outcome {
 		now := time.Now()
@@ -149,7 +149,7 @@
 		p.Run(context.Background(), now, job)
 		return job.Outcome
 	}
-	// The link has room for its 3,692 bytes in 0.32 to 0.43 s.
+	// At this rate the link sends the 3,692 bytes of the message after 0.32 to 0.43 s.
 	assert.Equal(t, send(time.Second).Reason, pipe.LinkFull)
 	assert.Equal(t, peers.sent, 0)
 	assert.Equal(t, send(4*time.Second).Kind, pipe.Answered)
