refactor: plain terms in guard and once

Read badly: Teller, mass, Window, begin and end of a ticket, state, kept. Now: Notifier, isMassCrash, CrashWindow, claim and complete, claimResult, keptBytes. Four tests have clearer names.

--- a/internal/flow/guard/doc.go
+++ b/internal/flow/guard/doc.go
@@ -1,2 +1,2 @@
-// Package guard refuses jobs that crash the upstreams which run them.
+// Package guard refuses jobs that repeatedly crash upstreams.
 package guard
--- a/internal/flow/guard/guard.go
+++ b/internal/flow/guard/guard.go
@@ -9,17 +9,18 @@
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
-// Rules of quarantine.
+// Parameters of the quarantine.
 const (
-	// Window is how long a crash counts.
-	Window = 5 * time.Minute
-	// Limit is how many upstreams a job may crash within the window.
-	Limit = 2
-	// massGap is how close in time crashes are taken for one event.
-	massGap = 2 * time.Second
-	// massOthers is how many other upstreams crash in an event that is not the job's doing.
-	massOthers = 2
-	// maxCrashes bounds the crashes that are remembered.
+	// CrashWindow is how long a crash counts against a job.
+	CrashWindow = 5 * time.Minute
+	// CrashLimit is the number of upstreams that a job must have crashed within CrashWindow to be quarantined.
+	CrashLimit = 2
+	// massCrashGap is the time between two crashes up to which they count as one event.
+	massCrashGap = 2 * time.Second
+	// massCrashMinOthers is the number of upstreams that the job did not run on whose crash makes an event a
+	// mass crash, which does not count against the job.
+	massCrashMinOthers = 2
+	// maxCrashes is the maximum number of remembered crashes.
 	maxCrashes = 2_000
 )
 
@@ -30,46 +31,46 @@
 	At       time.Time
 }
 
-// Teller tells other hosts of a crash, and returns when they know or the time for it is over.
-type Teller interface {
+// Notifier tells other hosts about a crash, and returns when they know or the time limit is reached.
+type Notifier interface {
 	Tell(now time.Time, c Crash)
 }
 
-// Table remembers crashes.
+// Table stores recent crashes.
 type Table struct {
 	mu      sync.Mutex
 	crashes []Crash
 }
 
-// Add remembers a crash unless it is known.
+// Add stores a crash unless it is already known, and drops those that are outside the window.
 func (t *Table) Add(c Crash) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if slices.ContainsFunc(t.crashes, func(o Crash) bool { return o.Digest == c.Digest && o.Upstream == c.Upstream }) {
 		return
 	}
-	t.crashes = slices.DeleteFunc(t.crashes, func(o Crash) bool { return c.At.Sub(o.At) > Window })
+	t.crashes = slices.DeleteFunc(t.crashes, func(o Crash) bool { return c.At.Sub(o.At) > CrashWindow })
 	if len(t.crashes) >= maxCrashes {
 		t.crashes = t.crashes[1:]
 	}
 	t.crashes = append(t.crashes, c)
 }
 
-// Quarantined tells whether a job has crashed as many upstreams as it may.
+// Quarantined reports whether a job has crashed CrashLimit upstreams within CrashWindow.
 func (t *Table) Quarantined(digest uint64, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := 0
 	for _, c := range t.crashes {
-		if c.Digest == digest && now.Sub(c.At) <= Window && !t.mass(c) {
+		if c.Digest == digest && now.Sub(c.At) <= CrashWindow && !t.isMassCrash(c) {
 			n++
 		}
 	}
-	return n >= Limit
+	return n >= CrashLimit
 }
 
-// mass tells whether a crash is part of an event that took upstreams the job did not run on.
-func (t *Table) mass(c Crash) bool {
+// isMassCrash reports whether a crash is part of an event that also took down upstreams the job did not run on.
+func (t *Table) isMassCrash(c Crash) bool {
 	own := map[string]bool{}
 	for _, o := range t.crashes {
 		if o.Digest == c.Digest {
@@ -78,30 +79,30 @@
 	}
 	others := map[string]bool{}
 	for _, o := range t.crashes {
-		if gap := o.At.Sub(c.At).Abs(); gap <= massGap && !own[o.Upstream] {
+		if gap := o.At.Sub(c.At).Abs(); gap <= massCrashGap && !own[o.Upstream] {
 			others[o.Upstream] = true
 		}
 	}
-	return len(others) >= massOthers
+	return len(others) >= massCrashMinOthers
 }
 
 // Pipe refuses jobs in quarantine.
 type Pipe struct {
 	Table  *Table
-	Teller Teller
+	Teller Notifier
 }
 
 // String names the filter.
 func (Pipe) String() string { return "guard" }
 
-// Run refuses a job that has crashed as many upstreams as it may.
+// Run refuses a job that is in quarantine.
 func (p Pipe) Run(_ context.Context, now time.Time, job *pipe.Job) {
 	if p.Table.Quarantined(job.Digest, now) {
 		job.Refuse(pipe.Quarantined, "upstreams crashed while they ran this job; it is refused for a while")
 	}
 }
 
-// Finish notes the crashes and tells the other hosts before the caller can send the job again.
+// Finish records the crashes and tells the other hosts before the caller gets the outcome and can retry.
 func (p Pipe) Finish(now time.Time, job *pipe.Job) {
 	upstreams := job.Crashes
 	if job.Crashed {
--- a/internal/flow/guard/guard_test.go
+++ b/internal/flow/guard/guard_test.go
@@ -13,20 +13,20 @@
 func TestTwoCrashesQuarantineForAWindow(t *testing.T) {
 	g := &Table{}
 	g.Add(Crash{Digest: 1, Upstream: "a", At: now})
-	g.Add(Crash{Digest: 1, Upstream: "a", At: now}) // The same news again.
+	g.Add(Crash{Digest: 1, Upstream: "a", At: now}) // A duplicate report.
 	assert.Assert(t, !g.Quarantined(1, now))
 	g.Add(Crash{Digest: 1, Upstream: "b", At: now.Add(time.Minute)})
 	assert.Assert(t, g.Quarantined(1, now.Add(time.Minute)))
 	assert.Assert(t, !g.Quarantined(2, now.Add(time.Minute)))
-	assert.Assert(t, !g.Quarantined(1, now.Add(Window+time.Second)), "the first crash is out of the window")
+	assert.Assert(t, !g.Quarantined(1, now.Add(CrashWindow+time.Second)), "the first crash is out of the window")
 }
 
-func TestACrashOfManyUpstreamsIsNoJobsDoing(t *testing.T) {
+func TestMassCrashQuarantinesNoJob(t *testing.T) {
 	g := &Table{}
 	for i := range 8 {
 		at := now.Add(time.Duration(i) * 50 * time.Millisecond)
 		g.Add(Crash{Digest: uint64(i), Upstream: fmt.Sprint("u", i), At: at})
-		g.Add(Crash{Digest: uint64(i), Upstream: fmt.Sprint("u", (i+1)%8), At: at}) // Its second try.
+		g.Add(Crash{Digest: uint64(i), Upstream: fmt.Sprint("u", (i+1)%8), At: at}) // The job's second try.
 	}
 	for i := range 8 {
 		assert.Assert(t, !g.Quarantined(uint64(i), now.Add(time.Second)), "job %d", i)
--- a/internal/flow/once/doc.go
+++ b/internal/flow/once/doc.go
@@ -1,2 +1,2 @@
-// Package once runs a job with a ticket at most once.
+// Package once runs each job that has a ticket at most once.
 package once
--- a/internal/flow/once/once.go
+++ b/internal/flow/once/once.go
@@ -9,16 +9,17 @@
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
-// TicketLife is how long a ticket may be used.
+// TicketLife is how long a ticket is valid.
 const TicketLife = 10 * time.Minute
 
-// Forwarder takes a job to the entry host that owns its ticket; it reports false if the job
-// provably did not reach that host.
+// Forwarder sends a job to the entry host that owns its ticket; it reports false if the job provably did not
+// reach that host.
 type Forwarder interface {
 	Forward(ctx context.Context, now time.Time, seat spec.Seat, job *pipe.Job) bool
 }
 
-// Pipe runs each ticket at most once: only the incarnation that a ticket names runs it.
+// Pipe runs the job of each ticket at most once: only the process that the ticket names, or the successor that
+// took over its tickets, runs it.
 type Pipe struct {
 	Table *Table
 	Owner Forwarder
@@ -28,12 +29,13 @@
 // String names the filter.
 func (Pipe) String() string { return "once" }
 
-// Issue returns a new ticket owned by this host.
+// Issue returns a new ticket that this host owns.
 func (p Pipe) Issue(now time.Time, seat, incarnation string) Ticket {
 	return Ticket{Seat: seat, Incarnation: incarnation, Expiry: now.Add(TicketLife).Truncate(time.Second), Nonce: p.NewID()}
 }
 
-// Run passes on the first try of a job and answers later tries from the record.
+// Run passes on the first try of a job and answers later tries with the recorded outcome; it forwards jobs whose
+// ticket another host owns.
 func (p Pipe) Run(ctx context.Context, now time.Time, job *pipe.Job) {
 	if !job.Once {
 		return
@@ -60,18 +62,18 @@
 }
 
 func (p Pipe) claim(ctx context.Context, tk Ticket, job *pipe.Job) {
-	e, st := p.Table.begin(job.Ticket, tk, job.Digest)
+	e, st := p.Table.claim(job.Ticket, tk, job.Digest)
 	switch st {
-	case stateNew:
+	case claimNew:
 		job.Claimed = true
 		return
-	case stateFull:
+	case claimTableFull:
 		job.Lose(pipe.QueueFull, "this host remembers too many jobs; this try was not run")
 		return
-	case stateClosed:
+	case claimTableClosed:
 		job.Lose(pipe.Stopping, "this host is stopping; try again: the ticket goes to its successor")
 		return
-	case stateKnown:
+	case claimKnown:
 	}
 	if e.Digest != job.Digest {
 		job.Lose(pipe.BadTicket, "the ticket was used for a job with other content")
@@ -99,11 +101,11 @@
 // Finish records the outcome of the first try.
 func (p Pipe) Finish(_ time.Time, job *pipe.Job) {
 	if job.Claimed {
-		p.Table.end(job.Ticket, job.Outcome, job.Answer)
+		p.Table.complete(job.Ticket, job.Outcome, job.Answer)
 	}
 }
 
-// forward takes the job to its owner, or to the hosts that the owner would hand over to.
+// forward sends the job to the owner of its ticket, or to the hosts that take over tickets from the owner.
 func (p Pipe) forward(ctx context.Context, now time.Time, tk Ticket, job *pipe.Job) {
 	if job.Hop > 0 {
 		job.Lose(pipe.OwnerGone, "the ticket's owner is gone; it will not be run by this try, an earlier try may have run")
@@ -126,19 +128,19 @@
 	}
 }
 
-// Successors returns a seat and the seats that would take over its tickets, in order.
+// Successors returns a seat and the seats that take over its tickets, in order of preference.
 func Successors(doc *spec.Document, seat string) []spec.Seat {
 	_, d, s, ok := doc.Find(seat)
 	if !ok {
 		return nil
 	}
-	return order(d.Seats, s)
+	return successorOrder(d.Seats, s)
 }
 
-// maxSuccessors bounds the hosts that are asked for a ticket whose owner is gone.
+// maxSuccessors is the maximum number of other hosts that are asked about a ticket whose owner is gone.
 const maxSuccessors = 3
 
-func order(seats []spec.Seat, owner spec.Seat) []spec.Seat {
+func successorOrder(seats []spec.Seat, owner spec.Seat) []spec.Seat {
 	sites := make([]rendez.Site, len(seats))
 	for i, s := range seats {
 		sites[i] = rendez.NewSite(s.Name, 1)
--- a/internal/flow/once/table.go
+++ b/internal/flow/once/table.go
@@ -9,15 +9,15 @@
 
 // Bounds of a table.
 const (
-	// MaxRecords is the most jobs that a table remembers.
+	// MaxRecords is the maximum number of jobs in a table.
 	MaxRecords = 100_000
-	// MaxKept is the most bytes of answers that a table keeps for replays.
-	MaxKept = 16 << 20
-	// MaxAnswer is the most bytes of one answer that is kept.
-	MaxAnswer = 64 << 10
+	// MaxKeptBytes is the maximum total size in bytes of the answer bodies that a table keeps for replay.
+	MaxKeptBytes = 16 << 20
+	// MaxKeptAnswer is the maximum size in bytes of one answer body that is kept.
+	MaxKeptAnswer = 64 << 10
 )
 
-// Record is what a table remembers of one job.
+// Record is the state of one job with a ticket; Kept tells whether it holds the answer.
 type Record struct {
 	Ticket  string
 	Expiry  time.Time
@@ -32,13 +32,13 @@
 	done chan struct{}
 }
 
-// Table remembers the jobs with tickets that this process ran, or that a stopped one handed over.
+// Table stores the jobs with tickets that this process ran, or that a stopped process handed over.
 type Table struct {
-	mu      sync.Mutex
-	records map[string]*entry
-	adopted map[string]time.Time
-	kept    int
-	closed  bool
+	mu        sync.Mutex
+	records   map[string]*entry
+	adopted   map[string]time.Time
+	keptBytes int
+	closed    bool
 }
 
 // NewTable returns an empty table.
@@ -46,36 +46,36 @@
 	return &Table{records: map[string]*entry{}, adopted: map[string]time.Time{}}
 }
 
-// state is the answer of begin.
-type state int
+// claimResult is the result of claiming a ticket.
+type claimResult int
 
 const (
-	stateNew state = iota
-	stateKnown
-	stateFull
-	stateClosed
+	claimNew claimResult = iota
+	claimKnown
+	claimTableFull
+	claimTableClosed
 )
 
-// begin claims a ticket for the first try; each later try gets the same entry.
-func (t *Table) begin(ticket string, tk Ticket, digest uint64) (*entry, state) {
+// claim claims a ticket for the first try; each later try gets the same entry.
+func (t *Table) claim(ticket string, tk Ticket, digest uint64) (*entry, claimResult) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e, ok := t.records[ticket]; ok {
-		return e, stateKnown
+		return e, claimKnown
 	}
 	if t.closed {
-		return nil, stateClosed
+		return nil, claimTableClosed
 	}
 	if len(t.records) >= MaxRecords {
-		return nil, stateFull
+		return nil, claimTableFull
 	}
 	e := &entry{Record: Record{Ticket: ticket, Expiry: tk.Expiry, Digest: digest}, done: make(chan struct{})}
 	t.records[ticket] = e
-	return e, stateNew
+	return e, claimNew
 }
 
-// end records how a job ended and wakes the tries that wait for it.
-func (t *Table) end(ticket string, o pipe.Outcome, a pipe.Answer) {
+// complete records the outcome of a job and wakes the tries that wait for it.
+func (t *Table) complete(ticket string, o pipe.Outcome, a pipe.Answer) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.records[ticket]
@@ -83,14 +83,14 @@
 		return
 	}
 	e.Outcome = o
-	if o.Kind == pipe.Answered && len(a.Body) <= MaxAnswer && t.kept+len(a.Body) <= MaxKept {
-		t.kept += len(a.Body)
+	if o.Kind == pipe.Answered && len(a.Body) <= MaxKeptAnswer && t.keptBytes+len(a.Body) <= MaxKeptBytes {
+		t.keptBytes += len(a.Body)
 		e.Answer, e.Kept = a, true
 	}
 	close(e.done)
 }
 
-// Sweep forgets the jobs whose tickets have expired and that have ended.
+// Sweep deletes the records of ended jobs whose tickets have expired.
 func (t *Table) Sweep(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -99,7 +99,7 @@
 			continue
 		}
 		if e.Kept {
-			t.kept -= len(e.Answer.Body)
+			t.keptBytes -= len(e.Answer.Body)
 		}
 		delete(t.records, k)
 	}
@@ -110,8 +110,8 @@
 	}
 }
 
-// Close stops new claims for good and returns the records for a successor. Call it after the
-// last job has ended: a job that still runs is handed over as unknown.
+// Close permanently refuses new claims and returns the records for a successor. Call it after the last job has
+// ended: a job that still runs is handed over as unknown.
 func (t *Table) Close() []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -127,15 +127,14 @@
 	return out
 }
 
-// Refuse makes the table refuse new claims while known ones may still be asked for.
+// Refuse refuses new claims from now on; tries of known tickets still get their record.
 func (t *Table) Refuse() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.closed = true
 }
 
-// Adopt takes over records of a stopped incarnation; with the last of them it takes over its
-// tickets too.
+// Adopt takes over records of a stopped incarnation, and with the last of them the ownership of its tickets.
 func (t *Table) Adopt(incarnation string, until time.Time, last bool, records []Record) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -146,17 +145,17 @@
 		if _, ok := t.records[r.Ticket]; ok {
 			continue
 		}
-		if r.Kept && t.kept+len(r.Answer.Body) > MaxKept {
+		if r.Kept && t.keptBytes+len(r.Answer.Body) > MaxKeptBytes {
 			r.Answer, r.Kept = pipe.Answer{}, false
 		}
-		t.kept += len(r.Answer.Body)
+		t.keptBytes += len(r.Answer.Body)
 		e := &entry{Record: r, done: make(chan struct{})}
 		close(e.done)
 		t.records[r.Ticket] = e
 	}
 }
 
-// Adopted tells whether this table took over an incarnation.
+// Adopted reports whether this table took over an incarnation's tickets.
 func (t *Table) Adopted(incarnation string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/flow/once/ticket.go
+++ b/internal/flow/once/ticket.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Ticket names the only process that may run a job, and until when.
+// Ticket names the only process that may run a job, and when the ticket expires.
 type Ticket struct {
 	Seat        string
 	Incarnation string
@@ -16,12 +16,12 @@
 
 const separator = "~"
 
-// String writes the ticket as callers send it.
+// String returns the ticket in the form that callers send.
 func (t Ticket) String() string {
 	return strings.Join([]string{t.Seat, t.Incarnation, strconv.FormatInt(t.Expiry.Unix(), 10), t.Nonce}, separator)
 }
 
-// ParseTicket reads a ticket, or returns ErrTicket.
+// ParseTicket parses a ticket; it returns ErrTicket if the ticket is malformed.
 func ParseTicket(s string) (Ticket, error) {
 	if len(s) > 256 {
 		return Ticket{}, ErrTicket.New("a ticket has at most 256 bytes, got %d", len(s))
--- a/internal/flow/once/ticket_test.go
+++ b/internal/flow/once/ticket_test.go
@@ -11,7 +11,7 @@
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
-func TestTicketsComeBackAsTheyWere(t *testing.T) {
+func TestTicketRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		part := rapid.StringMatching(`[a-z0-9.-]{1,30}`)
 		want := Ticket{
@@ -24,7 +24,7 @@
 	})
 }
 
-func TestBadTickets(t *testing.T) {
+func TestInvalidTicketsAreRejected(t *testing.T) {
 	for _, s := range []string{"", "~~~", "a~b~c~d", "a~b~-1~d", "a~b~1", "a~b~1~d~e", strings.Repeat("a", 300)} {
 		_, err := ParseTicket(s)
 		assert.Assert(t, err != nil, "%q", s)
@@ -43,7 +43,7 @@
 	})
 }
 
-func TestARefusalIsNotRunOnlyIfTheRecordWasSeen(t *testing.T) {
+func TestRejectIsUnknownUntilTicketIsClaimed(t *testing.T) {
 	for _, c := range []struct {
 		ticket  string
 		claimed bool
