--- a/internal/core/bucket/bucket.go
+++ b/internal/core/bucket/bucket.go
@@ -2,40 +2,40 @@
 
 import "time"
 
-// BurstPart is the part of a second's limit that may be spent at once.
+// BurstPart is the burst size as a fraction of the limit for one second.
 const BurstPart = 0.1
 
-// Bucket holds tokens that grow with time, such that no window of one second spends more than Limit.
+// Bucket is a token bucket: in any window of one second, at most Limit tokens are spent.
 type Bucket struct {
-	Limit  float64
-	Tokens float64
-	At     time.Time
+	Limit  float64   // Tokens a second.
+	Tokens float64   // Negative while in debt.
+	At     time.Time // Time of the last refill.
 }
 
-// New returns an empty bucket for a limit of tokens a second; it starts empty so that a restart brings no second burst.
+// New returns an empty bucket with a limit in tokens a second; a full one would allow another burst after each restart.
 func New(limit float64, now time.Time) Bucket {
 	return Bucket{Limit: limit, At: now}
 }
 
-// Refill adds the tokens that grew until now.
+// Refill adds the tokens for the time since the last refill, up to the burst size.
 func (b *Bucket) Refill(now time.Time) {
-	gap := now.Sub(b.At)
-	if gap <= 0 {
+	elapsed := now.Sub(b.At)
+	if elapsed <= 0 {
 		return
 	}
 	b.At = now
-	b.Tokens = min(b.Limit*BurstPart, b.Tokens+b.Limit*(1-BurstPart)*gap.Seconds())
+	b.Tokens = min(b.Limit*BurstPart, b.Tokens+b.Limit*(1-BurstPart)*elapsed.Seconds())
 }
 
-// SetLimit changes the limit and drops the tokens above the new burst.
+// SetLimit changes the limit and discards tokens above the new burst size.
 func (b *Bucket) SetLimit(limit float64, now time.Time) {
 	b.Refill(now)
 	b.Limit = limit
 	b.Tokens = min(b.Tokens, limit*BurstPart)
 }
 
-// Take spends n tokens and returns 0, or returns how long to wait before they are there.
-// A need above the burst is taken by going into debt from a full bucket.
+// Take spends n tokens and returns 0, or spends none and returns the time until enough are available. For n above the
+// burst size, a full bucket is enough and goes into debt.
 func (b *Bucket) Take(n float64, now time.Time) time.Duration {
 	b.Refill(now)
 	need := min(n, b.Limit*BurstPart)
@@ -50,17 +50,17 @@
 	return time.Duration(wait*float64(time.Second)) + time.Microsecond
 }
 
-// TakeWhole spends one token if a whole one is there; it never goes into debt. The burst is at
-// least one token, and the rate makes up for it, so that small limits are usable and hold.
+// TakeWhole spends one token if the bucket holds at least one; it never goes into debt. Its burst size is at least one
+// token, and its refill rate is lower in turn, so that small limits can be used without being exceeded.
 func (b *Bucket) TakeWhole(now time.Time) bool {
 	burst := max(1, b.Limit*BurstPart)
 	rate := b.Limit - burst
 	if b.Limit < 2 {
 		rate = b.Limit / 2
 	}
-	if gap := now.Sub(b.At); gap > 0 {
+	if elapsed := now.Sub(b.At); elapsed > 0 {
 		b.At = now
-		b.Tokens = min(burst, b.Tokens+rate*gap.Seconds())
+		b.Tokens = min(burst, b.Tokens+rate*elapsed.Seconds())
 	}
 	if b.Tokens < 1 {
 		return false
--- a/internal/core/bucket/doc.go
+++ b/internal/core/bucket/doc.go
@@ -1,2 +1,2 @@
-// Package bucket limits a rate with a token bucket whose clock is its caller's.
+// Package bucket implements a token bucket rate limiter that is passed the time on each call.
 package bucket
--- a/internal/core/credit/credit.go
+++ b/internal/core/credit/credit.go
@@ -1,48 +1,49 @@
 package credit
 
-// saveCap bounds what a rank saves, in units of its own cost.
-const saveCap = 2
+// maxSavedCosts bounds the balance of a rank, as a multiple of the cost of one of its jobs.
+const maxSavedCosts = 2
 
-// Credit decides which rank is served next. Costs are in any unit of the resource, such as
-// seconds of a slot or bytes of a link.
+// Credit decides which rank is served next. Costs are in a unit of the resource, such as seconds of a slot or bytes on
+// a link.
 type Credit struct {
-	Minimum []float64
-	Saved   []float64
+	Minimum []float64 // Guaranteed fraction of the resource, by rank.
+	Balance []float64 // Credit earned and not spent, by rank.
 }
 
-// Resize adopts the ranks' minimums, each a part of the resource from 0 to 1.
+// Resize sets the guaranteed minimum of each rank, as a fraction of the resource from 0 to 1.
 func (c *Credit) Resize(minimum []float64) {
 	c.Minimum = minimum
-	for len(c.Saved) < len(minimum) {
-		c.Saved = append(c.Saved, 0)
+	for len(c.Balance) < len(minimum) {
+		c.Balance = append(c.Balance, 0)
 	}
 }
 
-// Pick returns the rank to serve next among the ready ones, or -1 if none is ready.
+// Pick returns the ready rank to serve next, or -1 if there is none: the most urgent one, unless a less urgent one has
+// the balance for its cost.
 func (c *Credit) Pick(ready func(level int) bool, cost func(level int) float64) int {
-	first := -1
+	mostUrgent := -1
 	for level := range c.Minimum {
 		if !ready(level) {
 			continue
 		}
-		if first < 0 {
-			first = level
+		if mostUrgent < 0 {
+			mostUrgent = level
 			continue
 		}
-		if c.Minimum[level] > 0 && c.Saved[level] >= cost(level) {
+		if c.Minimum[level] > 0 && c.Balance[level] >= cost(level) {
 			return level
 		}
 	}
-	return first
+	return mostUrgent
 }
 
-// Charge books that a rank was served; the ranks that wait gain their minimum of the cost.
+// Charge deducts the cost of a served job from its rank; this rank and those that wait earn their minimum of the cost.
 func (c *Credit) Charge(level int, waiting func(level int) bool, cost func(level int) float64) {
 	spent := cost(level)
 	for l := range c.Minimum {
 		if l == level || waiting(l) {
-			c.Saved[l] = min(saveCap*cost(l), c.Saved[l]+c.Minimum[l]*spent)
+			c.Balance[l] = min(maxSavedCosts*cost(l), c.Balance[l]+c.Minimum[l]*spent)
 		}
 	}
-	c.Saved[level] = max(0, c.Saved[level]-spent)
+	c.Balance[level] = max(0, c.Balance[level]-spent)
 }
--- a/internal/core/credit/doc.go
+++ b/internal/core/credit/doc.go
@@ -1,2 +1,2 @@
-// Package credit shares a resource among ranks: strict order, with a guaranteed minimum for each.
+// Package credit schedules a resource among ranks by strict priority with a guaranteed minimum for each rank.
 package credit
--- a/internal/core/plan/doc.go
+++ b/internal/core/plan/doc.go
@@ -1,2 +1,2 @@
-// Package plan holds the immutable snapshot that control publishes and traffic reads.
+// Package plan defines the immutable snapshot that the control goroutine publishes and traffic goroutines read.
 package plan
--- a/internal/core/plan/plan.go
+++ b/internal/core/plan/plan.go
@@ -8,7 +8,7 @@
 	"github.com/boragelane/boragelane/internal/core/spec"
 )
 
-// Self says who this entry host is.
+// Self identifies this entry host.
 type Self struct {
 	Seat        string
 	Region      string
@@ -16,36 +16,36 @@
 	Incarnation string
 }
 
-// Plan is all that a decision on traffic reads; a published Plan is never changed.
+// Plan holds everything that routing and admission read; it is immutable once published.
 type Plan struct {
 	Self     Self
 	Doc      *spec.Document
 	Services map[string]*Service
-	Capacity share.Amount
-	Links    map[string]share.Amount
+	Capacity share.Amount            // This host's share of its region's capacity.
+	Links    map[string]share.Amount // This host's share of each link, by destination region.
 	Domains  []Domain
 	Shifts   []Shift
 	Lookup   Lookup
-	Leaving  bool
+	Leaving  bool // This host is shutting down.
 }
 
-// Service is a service with the upstreams of this host's failure domain.
+// Service is a service with its upstreams in this host's failure domain.
 type Service struct {
 	spec.Service
-	Level     int
+	Level     int // Index of the service's rank; 0 is the most urgent.
 	Upstreams []Upstream
 	Sites     []Site
-	Self      *Site // The one of Sites that is this host alone, if any.
+	Self      *Site // The element of Sites for this host alone, or nil.
 }
 
-// Site is a failure domain, or this host alone, as a place that serves a service now.
+// Site is a failure domain, or this host alone, that can serve a service now.
 type Site struct {
 	Domain *Domain
 	Load   Load
-	Link   share.Amount // This host's share of the link there; unused within the region.
+	Link   share.Amount // This host's share of the link to the site's region; unused within the same region.
 }
 
-// SetSites lists the sites of each service from the domains; call it once, before the plan is published.
+// SetSites derives the sites of each service from the domains; call it once, before the plan is published.
 func (p *Plan) SetSites() {
 	for name, svc := range p.Services {
 		svc.Sites, svc.Self = make([]Site, 0, len(p.Domains)), nil
@@ -62,7 +62,7 @@
 	}
 }
 
-// Upstream is an upstream with this host's shares of its slots and connections.
+// Upstream is an upstream with this host's share of its slots and connections.
 type Upstream struct {
 	ID      string
 	Address string
@@ -70,18 +70,18 @@
 	Conns   int64
 }
 
-// Domain is a failure domain as a target for jobs.
+// Domain is a failure domain, or this host alone, as a target for jobs.
 type Domain struct {
 	Name    string
 	Region  string
-	Delay   time.Duration
+	Delay   time.Duration // One way.
 	Drained bool
-	Self    bool // This host alone; its failure domain's other hosts are another target.
+	Self    bool // This host alone; the other hosts of its failure domain are a separate target.
 	Hosts   []spec.Seat
 	Loads   map[string]Load
 }
 
-// Load is what a failure domain says of one service.
+// Load is the load that a failure domain reports for one service.
 type Load struct {
 	Slots   int64         `json:"slots"`
 	Busy    int64         `json:"busy"`
@@ -89,27 +89,27 @@
 	Latency time.Duration `json:"latency"`
 }
 
-// Room returns the jobs that the load leaves room for; less than 0 when jobs wait.
+// Room returns the number of free slots less the jobs that wait; it may be negative.
 func (l Load) Room() int64 { return l.Slots - l.Busy - l.Queued }
 
-// Shift is the part of a service's traffic that moves now, and this host's share of its cap.
+// Shift is the fraction of a service's traffic that moves to another region now, and this host's share of its cap.
 type Shift struct {
 	Name    string
 	Service string
 	To      string
-	Part    float64
-	Rate    float64
+	Part    float64 // 0 to 1.
+	Rate    float64 // This host's share of the cap, in jobs a second.
 }
 
-// Lookup is what look-ups read.
+// Lookup lists the entry hosts for callers' look-ups.
 type Lookup struct {
 	Hosts []spec.Seat
 	Sites []rendez.Site
-	Life  time.Duration
+	Life  time.Duration // How long callers may keep an answer.
 }
 
-// LookupHosts is the most hosts that a look-up answers with.
+// LookupHosts is the maximum number of hosts in the answer to a look-up.
 const LookupHosts = 4
 
-// Pick returns the indexes of a caller's entry hosts, best first, in the room of buf.
+// Pick returns the indexes of a caller's entry hosts in buf, best first, up to the capacity of buf.
 func (l *Lookup) Pick(caller uint64, buf []int) []int { return rendez.Top(caller, l.Sites, buf) }
--- a/internal/core/share/doc.go
+++ b/internal/core/share/doc.go
@@ -1,6 +1,6 @@
-// Package share splits a limit among holders so that their parts never add up to more than it.
+// Package share divides a limit among holders such that the sum of their shares never exceeds it.
 //
-// A floor needs no contact and belongs to a seat for as long as the configuration names it. The
-// rest of a limit is the pool: one lender for each failure domain lends it for a bounded time,
-// and only while the lender's own lease from the platform lasts.
+// Each seat in the configuration has a floor, a permanent share that it may use without contacting other hosts. The
+// rest of the limit is the pool. One lender in each failure domain lends from it for a bounded time, and only while the
+// lender's own lease from the platform is valid.
 package share
--- a/internal/core/share/floor.go
+++ b/internal/core/share/floor.go
@@ -6,7 +6,7 @@
 	"github.com/boragelane/boragelane/internal/core/rendez"
 )
 
-// Split divides a whole limit into parts for n holders, in the order of the resource's hash.
+// Split divides a limit evenly among the holders; rendezvous hashing of the resource decides who gets the remainder.
 func Split(resource string, limit int64, holders []string) []int64 {
 	parts := make([]int64, len(holders))
 	n := int64(len(holders))
@@ -26,8 +26,8 @@
 	return parts
 }
 
-// FloorTotal is the part of a limit that is held as floors: a fraction of it, but at least one
-// unit for each holder where the limit reaches that far.
+// FloorTotal returns the units of a limit that are assigned as floors: the given fraction of the limit, but at least
+// one unit for each holder as far as the limit allows.
 func FloorTotal(limit int64, fraction float64, holders int) int64 {
 	if limit <= 0 || holders == 0 {
 		return 0
@@ -36,7 +36,7 @@
 	return max(f, min(int64(holders), limit))
 }
 
-// Parts returns each holder's floor and the pool that is left to lend.
+// Parts returns each holder's floor and the rest of the limit, the pool.
 func Parts(resource string, limit int64, fraction float64, holders []string) (floors []int64, pool int64) {
 	total := FloorTotal(limit, fraction, len(holders))
 	return Split(resource, total, holders), max(0, limit-total)
--- a/internal/core/spec/change.go
+++ b/internal/core/spec/change.go
@@ -2,11 +2,11 @@
 
 import "slices"
 
-// MaxWrites is how many ids of past writes a document keeps, so that a writer whose answer was lost
-// can tell that its write took effect even after others came on top.
-const MaxWrites = 32
+// MaxWriteIDs is the number of recent write ids that a document keeps, so that a writer that lost the response can
+// tell whether its write was applied, even after later writes.
+const MaxWriteIDs = 32
 
-// Change is one edit of a document: a set of things to put and a set of things to remove.
+// Change is one edit of a document: items to insert or replace, and references to items to remove.
 type Change struct {
 	Ranks    []Rank    `json:"ranks,omitempty"`
 	Services []Service `json:"services,omitempty"`
@@ -18,20 +18,20 @@
 	Remove   []Ref     `json:"remove,omitempty"`
 }
 
-// Entry is an accepted change and the revision that it made.
+// Entry is an accepted change with its write id and the revision that it produced.
 type Entry struct {
 	Revision uint64 `json:"revision"`
 	Write    string `json:"write"`
 	Change   Change `json:"change"`
 }
 
-// Ref names one thing in a document.
+// Ref identifies one item of a document by kind and name.
 type Ref struct {
 	Kind string `json:"kind"`
 	Name string `json:"name"`
 }
 
-// Kinds of Ref besides the kinds of Drain, which remove that drain.
+// Values of Ref.Kind besides the drain kinds; a Ref with a drain kind removes that drain.
 const (
 	RefRank    = "rank"
 	RefService = "service"
@@ -40,30 +40,32 @@
 	RefShift   = "shift"
 )
 
-// LinkName is the name of a link in a Ref.
+// LinkName returns the name by which a Ref identifies a link.
 func LinkName(l Link) string { return l.From + ">" + l.To }
 
-func put[T any](list []T, items []T, same func(a, b T) bool) []T {
-	for _, it := range items {
-		i := slices.IndexFunc(list, func(o T) bool { return same(o, it) })
+// upsert replaces the elements of list that have the key of an item and appends the other items.
+func upsert[T any](list []T, items []T, sameKey func(a, b T) bool) []T {
+	for _, item := range items {
+		i := slices.IndexFunc(list, func(o T) bool { return sameKey(o, item) })
 		if i < 0 {
-			list = append(list, it)
+			list = append(list, item)
 			continue
 		}
-		list[i] = it
+		list[i] = item
 	}
 	return list
 }
 
+// remove deletes the matching elements and reports whether there were any.
 func remove[T any](list []T, match func(T) bool) ([]T, bool) {
 	n := len(list)
 	list = slices.DeleteFunc(list, match)
 	return list, len(list) < n
 }
 
-// Apply returns the next revision of a document, or ErrMissing or ErrInvalid.
+// Apply returns the next revision of the document; it fails with ErrMissing or ErrInvalid.
 func (d Document) Apply(ch Change, write string) (Document, error) {
-	n, err := d.edit(Entry{Revision: d.Revision + 1, Write: write, Change: ch})
+	n, err := d.applyEntry(Entry{Revision: d.Revision + 1, Write: write, Change: ch})
 	if err != nil {
 		return d, err
 	}
@@ -73,11 +75,11 @@
 	return n, nil
 }
 
-// MaxRecent is how many changes a document keeps besides itself.
-const MaxRecent = 64
+// MaxRecentChanges is the length of the change history that a document carries.
+const MaxRecentChanges = 64
 
-// Follow applies changes that were accepted before, from the next revision on; earlier ones are passed
-// over, and a gap is ErrMissing.
+// Follow replays accepted changes in order of revision; it skips revisions that the document already has and returns
+// ErrMissing at a gap.
 func (d Document) Follow(list []Entry) (Document, error) {
 	for _, e := range list {
 		if e.Revision <= d.Revision {
@@ -87,14 +89,14 @@
 			return d, ErrMissing.New("revision %d does not follow revision %d", e.Revision, d.Revision)
 		}
 		var err error
-		if d, err = d.edit(e); err != nil {
+		if d, err = d.applyEntry(e); err != nil {
 			return d, err
 		}
 	}
 	return d, nil
 }
 
-// Since returns the changes after a revision, or false if they are no longer all there.
+// Since returns the changes after a revision, or false if the history does not reach back that far.
 func (d Document) Since(revision uint64) ([]Entry, bool) {
 	if revision > d.Revision || d.Revision-revision > uint64(len(d.Recent)) {
 		return nil, false
@@ -102,15 +104,15 @@
 	return d.Recent[uint64(len(d.Recent))-(d.Revision-revision):], true
 }
 
-// edit makes a change without checking its outcome.
-func (d Document) edit(e Entry) (Document, error) {
+// applyEntry applies a change without validating the result.
+func (d Document) applyEntry(e Entry) (Document, error) {
 	n, ch := d.Clone(), e.Change
-	n.Ranks = put(n.Ranks, ch.Ranks, func(a, b Rank) bool { return a.Name == b.Name })
-	n.Services = put(n.Services, ch.Services, func(a, b Service) bool { return a.Name == b.Name })
-	n.Regions = put(n.Regions, ch.Regions, func(a, b Region) bool { return a.Name == b.Name })
-	n.Links = put(n.Links, ch.Links, func(a, b Link) bool { return LinkName(a) == LinkName(b) })
-	n.Drains = put(n.Drains, ch.Drains, func(a, b Drain) bool { return a == b })
-	n.Shifts = put(n.Shifts, ch.Shifts, func(a, b Shift) bool { return a.Name == b.Name })
+	n.Ranks = upsert(n.Ranks, ch.Ranks, func(a, b Rank) bool { return a.Name == b.Name })
+	n.Services = upsert(n.Services, ch.Services, func(a, b Service) bool { return a.Name == b.Name })
+	n.Regions = upsert(n.Regions, ch.Regions, func(a, b Region) bool { return a.Name == b.Name })
+	n.Links = upsert(n.Links, ch.Links, func(a, b Link) bool { return LinkName(a) == LinkName(b) })
+	n.Drains = upsert(n.Drains, ch.Drains, func(a, b Drain) bool { return a == b })
+	n.Shifts = upsert(n.Shifts, ch.Shifts, func(a, b Shift) bool { return a.Name == b.Name })
 	if ch.Floor != nil {
 		n.Floor = *ch.Floor
 	}
@@ -121,9 +123,9 @@
 	}
 	n.Revision = e.Revision
 	n.Writes = append(n.Writes, e.Write)
-	n.Writes = n.Writes[max(0, len(n.Writes)-MaxWrites):]
+	n.Writes = n.Writes[max(0, len(n.Writes)-MaxWriteIDs):]
 	n.Recent = append(n.Recent, e)
-	n.Recent = n.Recent[max(0, len(n.Recent)-MaxRecent):]
+	n.Recent = n.Recent[max(0, len(n.Recent)-MaxRecentChanges):]
 	return n, nil
 }
 
--- a/internal/core/spec/doc.go
+++ b/internal/core/spec/doc.go
@@ -1,2 +1,2 @@
-// Package spec holds the operators' configuration document, its changes and its checks.
+// Package spec defines the operators' configuration document, its changes and its validation.
 package spec
--- a/internal/core/spec/document.go
+++ b/internal/core/spec/document.go
@@ -6,15 +6,15 @@
 	"time"
 )
 
-// Duration is a time.Duration that is written as text, such as "1.5s".
+// Duration is a time.Duration that is encoded as a string such as "1.5s".
 type Duration time.Duration
 
-// MarshalJSON writes the duration in Go's notation.
+// MarshalJSON encodes the duration in the notation of time.Duration.String.
 func (d Duration) MarshalJSON() ([]byte, error) {
 	return json.Marshal(time.Duration(d).String())
 }
 
-// UnmarshalJSON reads a duration in Go's notation; other forms are an error.
+// UnmarshalJSON decodes a string that time.ParseDuration accepts; anything else is ErrFormat.
 func (d *Duration) UnmarshalJSON(b []byte) error {
 	var s string
 	if err := json.Unmarshal(b, &s); err != nil {
@@ -39,10 +39,10 @@
 	Links    []Link    `json:"links"`
 	Drains   []Drain   `json:"drains,omitempty"`
 	Shifts   []Shift   `json:"shifts,omitempty"`
-	Recent   []Entry   `json:"-"` // The last changes, which are kept and sent in place of the whole.
+	Recent   []Entry   `json:"-"` // The latest changes, which are stored and sent instead of the whole document.
 }
 
-// Rank is one class of urgency; the first rank of a document is the most urgent.
+// Rank is a priority class; the document lists ranks from the most to the least urgent.
 type Rank struct {
 	Name    string  `json:"name"`
 	Minimum float64 `json:"minimum"`
@@ -50,7 +50,7 @@
 	Retry   float64 `json:"retry"`
 }
 
-// Service is one kind of work, served by upstreams that all accept the same requests.
+// Service is a set of interchangeable upstreams, which all accept the same requests.
 type Service struct {
 	Name    string   `json:"name"`
 	Rank    string   `json:"rank"`
@@ -60,27 +60,27 @@
 	Conns   int      `json:"conns"`
 }
 
-// Region is a group of failure domains with one capacity, in jobs in flight.
+// Region is a group of failure domains that share one capacity, in jobs in flight.
 type Region struct {
 	Name     string   `json:"name"`
 	Capacity int      `json:"capacity"`
 	Domains  []Domain `json:"domains"`
 }
 
-// Domain is a failure domain with the entry hosts that may serve in it.
+// Domain is a failure domain and the entry hosts that may run in it.
 type Domain struct {
 	Name  string `json:"name"`
 	Seats []Seat `json:"seats"`
 }
 
-// Seat is the place of one entry host: its addresses for callers and for other entry hosts.
+// Seat is the configured place of one entry host: its name and its addresses for callers and for other entry hosts.
 type Seat struct {
 	Name  string `json:"name"`
 	Front string `json:"front"`
 	Peer  string `json:"peer"`
 }
 
-// Link limits the bytes a second that flow from one region to another.
+// Link limits the traffic from one region to another, in bytes a second, and gives its one-way delay.
 type Link struct {
 	From  string   `json:"from"`
 	To    string   `json:"to"`
@@ -88,13 +88,13 @@
 	Delay Duration `json:"delay"`
 }
 
-// Drain keeps new work from an upstream, host, domain or region.
+// Drain stops new work from going to an upstream, host, domain or region.
 type Drain struct {
 	Kind string `json:"kind"`
 	Name string `json:"name"`
 }
 
-// Kinds of Drain.
+// Values of Drain.Kind.
 const (
 	DrainUpstream = "upstream"
 	DrainHost     = "host"
@@ -102,7 +102,7 @@
 	DrainRegion   = "region"
 )
 
-// Shift moves a part of a service's traffic from one region to another.
+// Shift moves a fraction of a service's traffic from one region to another, with a cap in jobs a second.
 type Shift struct {
 	Name    string    `json:"name"`
 	Service string    `json:"service"`
@@ -134,7 +134,7 @@
 	return c
 }
 
-// Locate returns the region and failure domain of a domain's name.
+// Locate returns the failure domain of the given name and its region.
 func (d Document) Locate(domain string) (Region, Domain, bool) {
 	for _, r := range d.Regions {
 		for _, dom := range r.Domains {
@@ -146,7 +146,7 @@
 	return Region{}, Domain{}, false
 }
 
-// Find returns a seat by its name, with its region and failure domain.
+// Find returns the seat of the given name with its region and failure domain.
 func (d Document) Find(seat string) (Region, Domain, Seat, bool) {
 	for _, r := range d.Regions {
 		for _, dom := range r.Domains {
@@ -169,12 +169,12 @@
 	return d.Services[i], true
 }
 
-// RankIndex returns the position of a rank, or -1 if there is none of that name.
+// RankIndex returns the index of the rank of the given name, or -1.
 func (d Document) RankIndex(name string) int {
 	return slices.IndexFunc(d.Ranks, func(r Rank) bool { return r.Name == name })
 }
 
-// Drained tells whether the document drains the thing of the given kind and name.
+// Drained reports whether the document has a drain of the given kind and name.
 func (d Document) Drained(kind, name string) bool {
 	return slices.Contains(d.Drains, Drain{Kind: kind, Name: name})
 }
--- a/internal/core/spec/errors.go
+++ b/internal/core/spec/errors.go
@@ -5,12 +5,12 @@
 // Errors is the namespace of this package's errors.
 var Errors = errorx.NewNamespace("spec")
 
-// Types of error.
+// Error types of this package.
 var (
-	// ErrFormat is a value that can't be read.
+	// ErrFormat is returned for a value that can't be parsed.
 	ErrFormat = Errors.NewType("format")
-	// ErrInvalid is a document that breaks one or more rules.
+	// ErrInvalid is returned for a document that violates one or more rules.
 	ErrInvalid = Errors.NewType("invalid")
-	// ErrMissing is a change to something that does not exist.
+	// ErrMissing is returned for a change that refers to an item or a revision that does not exist.
 	ErrMissing = Errors.NewType("missing")
 )
