test: plain terms in the model of the share package

The model was called world and its steps pass, exchange, take and use; they are poolModel, advance, requestLoan, readStoredReply and readReply. TestAPausedHolderWakesUpOnItsFloor is TestAPausedHolderFallsBackToItsFloor. Draw labels, action names, bounds and assertions are the same.

--- a/internal/core/share/share_test.go
+++ b/internal/core/share/share_test.go
@@ -29,17 +29,17 @@
 	})
 }
 
-// world is one pool with its lenders, its holders and the platform's lease. Each process counts time
-// by itself: a paused one acts later on what it read before.
-type world struct {
-	now     time.Time // True time.
-	pool    int64
-	lease   time.Time // Until when the platform keeps the lease.
-	owner   int       // The session that holds it, 0 for none.
-	opened  int       // Sessions opened so far.
-	lenders []lender
-	holders []holder
-	replies []answer
+// poolModel models one pool with its lenders, its holders and the platform's lease. Any process may be paused between two
+// steps and then act on data that it read earlier.
+type poolModel struct {
+	now        time.Time // Current time.
+	pool       int64
+	leaseUntil time.Time // End of the lease on the platform.
+	leaseOwner int       // Session that holds the lease; 0 for none.
+	sessions   int       // Number of sessions opened.
+	lenders    []lender
+	holders    []holder
+	replies    []loanReply
 }
 
 type lender struct {
@@ -53,25 +53,26 @@
 	asked  time.Time
 }
 
-type ask struct {
+type loanRequest struct {
 	holder int
 	at     time.Time
 }
 
-type answer struct {
-	ask
+type loanReply struct {
+	loanRequest
 	grant Grant
 }
 
-const leaseLife = 10 * time.Second
+const leaseDuration = 10 * time.Second
 
-// restart gives a lender a new process, which opens a session of its own.
-func (w *world) restart(i int) {
-	w.opened++
-	w.lenders[i] = lender{session: w.opened, ledger: NewLedger()}
+// restart replaces a lender with a new process that has its own session.
+func (w *poolModel) restart(i int) {
+	w.sessions++
+	w.lenders[i] = lender{session: w.sessions, ledger: NewLedger()}
 }
 
-func (w *world) check(t *rapid.T) {
+// checkPool asserts that the holders together use no more than the pool.
+func (w *poolModel) checkPool(t *rapid.T) {
 	var sum int64
 	for _, h := range w.holders {
 		sum += h.amount.At(w.now)
@@ -79,18 +80,18 @@
 	assert.Assert(t, sum <= w.pool, "%d units in use of a pool of %d", sum, w.pool)
 }
 
-// renew is a lender's call to the platform; its answer is taken after a delay, or lost.
-func (w *world) renew(t *rapid.T) {
+// renew is a lender's call to the platform to renew the lease; the response arrives late or is lost.
+func (w *poolModel) renew(t *rapid.T) {
 	i := rapid.IntRange(0, len(w.lenders)-1).Draw(t, "lender")
 	asked := w.now
-	w.pass(t)
+	w.advance(t)
 	l := &w.lenders[i]
-	if w.owner > 0 && w.owner != l.session && w.now.Before(w.lease) {
+	if w.leaseOwner > 0 && w.leaseOwner != l.session && w.now.Before(w.leaseUntil) {
 		l.lease = Lease{}
 		return
 	}
-	w.owner, w.lease = l.session, w.now.Add(leaseLife)
-	w.pass(t)
+	w.leaseOwner, w.leaseUntil = l.session, w.now.Add(leaseDuration)
+	w.advance(t)
 	if rapid.Bool().Draw(t, "lost") {
 		return
 	}
@@ -98,37 +99,39 @@
 		l.ledger = NewLedger()
 		l.ledger.SetPools(map[string]int64{"r": w.pool})
 	}
-	l.lease = Lease{Until: asked.Add(leaseLife)}
+	l.lease = Lease{Until: asked.Add(leaseDuration)}
 }
 
-var passes = []time.Duration{0, 0, time.Millisecond, time.Second, Term - time.Millisecond, Term, leaseLife - time.Second, leaseLife - time.Millisecond, leaseLife}
+// pauses are the durations by which time advances, up to the ends of loans and leases.
+var pauses = []time.Duration{0, 0, time.Millisecond, time.Second, Term - time.Millisecond, Term, leaseDuration - time.Second, leaseDuration - time.Millisecond, leaseDuration}
 
-// pass lets time go by while whoever acts is paused.
-func (w *world) pass(t *rapid.T) {
-	w.now = w.now.Add(rapid.SampledFrom(passes).Draw(t, "pass"))
+// advance lets time pass while the acting process is paused.
+func (w *poolModel) advance(t *rapid.T) {
+	w.now = w.now.Add(rapid.SampledFrom(pauses).Draw(t, "pass"))
 }
 
-// exchange is a holder's ask and a lender's answer, which may be taken late.
-func (w *world) exchange(t *rapid.T) {
-	a := ask{holder: rapid.IntRange(0, len(w.holders)-1).Draw(t, "holder"), at: w.now}
-	w.pass(t)
+// requestLoan is a holder's request and a lender's reply, which may be delivered late.
+func (w *poolModel) requestLoan(t *rapid.T) {
+	a := loanRequest{holder: rapid.IntRange(0, len(w.holders)-1).Draw(t, "holder"), at: w.now}
+	w.advance(t)
 	l := w.lenders[rapid.IntRange(0, len(w.lenders)-1).Draw(t, "lender")]
-	w.replies = append(w.replies, answer{a, l.ledger.Lend(fmt.Sprint("h", a.holder), l.lease, w.now)})
+	w.replies = append(w.replies, loanReply{a, l.ledger.Lend(fmt.Sprint("h", a.holder), l.lease, w.now)})
 	if rapid.Bool().Draw(t, "late") {
 		return
 	}
-	w.use(t, len(w.replies)-1)
+	w.readReply(t, len(w.replies)-1)
 }
 
-// take lets a holder read an answer again, or one that came late.
-func (w *world) take(t *rapid.T) {
+// readStoredReply delivers a reply that was delayed, or the same reply once more.
+func (w *poolModel) readStoredReply(t *rapid.T) {
 	if len(w.replies) > 0 {
-		w.use(t, rapid.IntRange(0, len(w.replies)-1).Draw(t, "reply"))
+		w.readReply(t, rapid.IntRange(0, len(w.replies)-1).Draw(t, "reply"))
 	}
 }
 
-func (w *world) use(t *rapid.T, i int) {
-	w.pass(t)
+// readReply delivers a reply to its holder, which ignores it if it has read the reply to a later request.
+func (w *poolModel) readReply(t *rapid.T, i int) {
+	w.advance(t)
 	r := w.replies[i]
 	h := &w.holders[r.holder]
 	if r.grant.Left <= 0 || r.at.Before(h.asked) {
@@ -138,19 +141,20 @@
 	h.amount = Amount{Lent: r.grant.Units["r"], Until: r.at.Add(r.grant.Left - Margin)}
 }
 
+// Guards against pools that are lent twice after pauses, restarts of lenders, and late, lost or repeated replies.
 func TestLoansNeverExceedThePool(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := &world{now: time.Unix(1000, 0), pool: rapid.Int64Range(1, 40).Draw(t, "pool"), lenders: make([]lender, 2), holders: make([]holder, 3)}
+		w := &poolModel{now: time.Unix(1000, 0), pool: rapid.Int64Range(1, 40).Draw(t, "pool"), lenders: make([]lender, 2), holders: make([]holder, 3)}
 		for i := range w.lenders {
 			w.restart(i)
 		}
 		t.Repeat(map[string]func(*rapid.T){
-			"":         w.check,
+			"":         w.checkPool,
 			"renew":    w.renew,
-			"pass":     w.pass,
-			"exchange": w.exchange,
-			"again":    w.exchange,
-			"take":     w.take,
+			"pass":     w.advance,
+			"exchange": w.requestLoan,
+			"again":    w.requestLoan,
+			"take":     w.readStoredReply,
 			"restart": func(t *rapid.T) {
 				w.restart(rapid.IntRange(0, 1).Draw(t, "lender"))
 			},
@@ -158,11 +162,12 @@
 	})
 }
 
+// A new holder gets units only once the other holder's larger loan has expired.
 func TestALoanShrinksBeforeAnotherGrows(t *testing.T) {
 	now := time.Unix(1000, 0)
 	l := NewLedger()
 	l.SetPools(map[string]int64{"r": 4})
-	lease := Lease{Until: now.Add(leaseLife)}
+	lease := Lease{Until: now.Add(leaseDuration)}
 	assert.Equal(t, l.Lend("a", lease, now).Units["r"], int64(4))
 	assert.Equal(t, l.Lend("b", lease, now.Add(time.Second)).Units["r"], int64(0))
 	assert.Equal(t, l.Lend("a", lease, now.Add(2*time.Second)).Units["r"], int64(2))
@@ -170,7 +175,8 @@
 	assert.Equal(t, l.Lend("b", lease, now.Add(Term)).Units["r"], int64(2))
 }
 
-func TestAPausedHolderWakesUpOnItsFloor(t *testing.T) {
+// A process that resumes after its loan has expired may use its floor only.
+func TestAPausedHolderFallsBackToItsFloor(t *testing.T) {
 	now := time.Unix(1000, 0)
 	a := Amount{Floor: 1, Lent: 3, Until: now.Add(time.Second)}
 	assert.Equal(t, a.At(now), int64(4))
