refactor: plain terms in the logger, metrics and trace packages

lines had burst and Dropped, and spoke of lines that find no room; it has maxLinesPerMessage and OnDrop. trace had outer, inner and tags for a parent, a carrier and attributes, and 'a part of a job's way' for a Runner. The comments of meters and stats state what each metric counts. TestAnOutputThatIsStuckBlocksNobody is TestABlockedOutputDoesNotBlockTheLogger and checks the same. Metric names, help texts, spans and attributes stay.

--- a/internal/core/spec/document.go
+++ b/internal/core/spec/document.go
@@ -73,7 +73,7 @@
 	Seats []Seat `json:"seats"`
 }
 
-// Seat is the configured place of one entry host: its name and its addresses for callers and for other entry hosts.
+// Seat is the configured position of one entry host, with its addresses for callers and for other entry hosts.
 type Seat struct {
 	Name  string `json:"name"`
 	Front string `json:"front"`
--- a/internal/host/lines/doc.go
+++ b/internal/host/lines/doc.go
@@ -1,2 +1,2 @@
-// Package lines writes structured logs: JSON lines of bounded volume that never block the writer.
+// Package lines provides a JSON logger that bounds its volume and never blocks the goroutine that logs.
 package lines
--- a/internal/host/lines/lines.go
+++ b/internal/host/lines/lines.go
@@ -10,39 +10,39 @@
 )
 
 const (
-	// queueSize is how many lines may wait for the output.
+	// queueSize is the number of lines that may wait for the output.
 	queueSize = 2048
-	// burst is how many lines with one message are written in a second.
-	burst = 300
+	// maxLinesPerMessage is the number of lines with the same message that are written in a second.
+	maxLinesPerMessage = 300
 )
 
-// Writer hands lines to its output in a goroutine; it drops those that find no room.
+// Writer writes lines to its output in a goroutine; it drops lines when the queue is full.
 type Writer struct {
-	Dropped func()
-	Done    chan struct{}
+	OnDrop func() // Called for each dropped line.
+	Done   chan struct{}
 
 	queue  chan []byte
 	closed atomic.Bool
 }
 
-// NewWriter returns a writer that has started.
-func NewWriter(out io.Writer, dropped func()) *Writer {
-	w := &Writer{Dropped: dropped, Done: make(chan struct{}), queue: make(chan []byte, queueSize)}
+// NewWriter starts a writer.
+func NewWriter(out io.Writer, onDrop func()) *Writer {
+	w := &Writer{OnDrop: onDrop, Done: make(chan struct{}), queue: make(chan []byte, queueSize)}
 	go func() {
 		defer close(w.Done)
 		for line := range w.queue {
 			if line == nil {
-				return // The end.
+				return // Close queues nil to end the output.
 			}
 			if _, err := out.Write(line); err != nil {
-				w.Dropped()
+				w.OnDrop()
 			}
 		}
 	}()
 	return w
 }
 
-// Write queues a line; it never fails and never waits.
+// Write queues a copy of a line; it never fails or blocks.
 func (w *Writer) Write(line []byte) (int, error) {
 	if w.closed.Load() {
 		return len(line), nil
@@ -50,17 +50,17 @@
 	select {
 	case w.queue <- append([]byte(nil), line...):
 	default:
-		w.Dropped()
+		w.OnDrop()
 	}
 	return len(line), nil
 }
 
-// Close writes what is queued, for at most the given time.
-func (w *Writer) Close(most time.Duration) {
+// Close writes the queued lines and stops the writer, or gives up after the timeout.
+func (w *Writer) Close(timeout time.Duration) {
 	if w.closed.Swap(true) {
 		return
 	}
-	t := time.NewTimer(most)
+	t := time.NewTimer(timeout)
 	defer t.Stop()
 	select {
 	case w.queue <- nil:
@@ -73,16 +73,16 @@
 	}
 }
 
-// New returns a logger on a writer.
+// New returns a logger that writes JSON lines at or above the level.
 func New(w *Writer, level zapcore.Level) *zap.Logger {
 	c := zap.NewProductionEncoderConfig()
 	c.TimeKey, c.EncodeTime = "time", zapcore.RFC3339NanoTimeEncoder
 	c.EncodeDuration = zapcore.StringDurationEncoder
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(c), zapcore.AddSync(w), level)
-	sampled := zapcore.NewSamplerWithOptions(core, time.Second, burst, 0, zapcore.SamplerHook(func(_ zapcore.Entry, d zapcore.SamplingDecision) {
+	sampler := zapcore.NewSamplerWithOptions(core, time.Second, maxLinesPerMessage, 0, zapcore.SamplerHook(func(_ zapcore.Entry, d zapcore.SamplingDecision) {
 		if d&zapcore.LogDropped != 0 {
-			w.Dropped()
+			w.OnDrop()
 		}
 	}))
-	return zap.New(sampled)
+	return zap.New(sampler)
 }
--- a/internal/host/lines/lines_test.go
+++ b/internal/host/lines/lines_test.go
@@ -13,22 +13,22 @@
 	"gotest.tools/v3/assert"
 )
 
-// stuck is an output that takes nothing until it is let go.
-type stuck struct {
-	mu  sync.Mutex
-	let chan struct{}
-	buf bytes.Buffer
+// blockedOutput blocks each write until release is closed.
+type blockedOutput struct {
+	mu      sync.Mutex
+	release chan struct{}
+	buf     bytes.Buffer
 }
 
-func (s *stuck) Write(b []byte) (int, error) {
-	<-s.let
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.buf.Write(b)
+func (o *blockedOutput) Write(b []byte) (int, error) {
+	<-o.release
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.buf.Write(b)
 }
 
-func TestAnOutputThatIsStuckBlocksNobody(t *testing.T) {
-	out := &stuck{let: make(chan struct{})}
+func TestABlockedOutputDoesNotBlockTheLogger(t *testing.T) {
+	out := &blockedOutput{release: make(chan struct{})}
 	var dropped atomic.Int64
 	w := NewWriter(out, func() { dropped.Add(1) })
 	for range queueSize + 100 {
@@ -36,7 +36,7 @@
 		assert.NilError(t, err)
 	}
 	assert.Assert(t, dropped.Load() >= 99, "%d", dropped.Load())
-	close(out.let)
+	close(out.release)
 	w.Close(5 * time.Second)
 	assert.Assert(t, out.mu.TryLock())
 	assert.Assert(t, out.buf.Len() > 0)
@@ -48,11 +48,11 @@
 	var dropped atomic.Int64
 	w := NewWriter(&out, func() { dropped.Add(1) })
 	log := New(w, zapcore.InfoLevel)
-	for range 3 * burst {
+	for range 3 * maxLinesPerMessage {
 		log.Info("request", zap.String("id", "7"))
 	}
 	w.Close(5 * time.Second)
 	n := strings.Count(out.String(), "\n")
-	assert.Assert(t, n >= burst && n <= 2*burst, "%d lines", n)
-	assert.Equal(t, n+int(dropped.Load()), 3*burst)
+	assert.Assert(t, n >= maxLinesPerMessage && n <= 2*maxLinesPerMessage, "%d lines", n)
+	assert.Equal(t, n+int(dropped.Load()), 3*maxLinesPerMessage)
 }
--- a/internal/host/meters/doc.go
+++ b/internal/host/meters/doc.go
@@ -1,2 +1,2 @@
-// Package meters counts what a host does, as counters and latency histograms in the Prometheus text format.
+// Package meters exposes the metrics of a host in the Prometheus text format.
 package meters
--- a/internal/host/meters/meters.go
+++ b/internal/host/meters/meters.go
@@ -10,22 +10,22 @@
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
-// Meters holds the counters and histograms of one host.
+// Meters holds the metrics of one host.
 type Meters struct {
 	Registry *prometheus.Registry
 	Requests *prometheus.CounterVec   // By route, outcome and reason.
-	Latency  *prometheus.HistogramVec // Seconds from a request's first byte to its answer, by route.
+	Latency  *prometheus.HistogramVec // Seconds from the first byte of a request to its answer, by route.
 	Tries    *prometheus.CounterVec   // By service and reason.
-	Service  *prometheus.HistogramVec // Seconds at an upstream, by service.
-	Notes    *prometheus.CounterVec   // Changes of what the host believes, by kind.
+	Service  *prometheus.HistogramVec // Seconds that a try at an upstream took, by service.
+	Notes    *prometheus.CounterVec   // Changes in the host's view of the system, by kind.
 	Calls    *prometheus.CounterVec   // Calls to the store, by call and result.
 	Dropped  prometheus.Counter       // Log lines that were dropped.
 }
 
-// buckets spans answers from a warm upstream next door to the longest deadlines, in seconds.
-var buckets = []float64{.01, .025, .05, .1, .15, .25, .4, .6, 1, 1.5, 2.5, 4, 6, 12}
+// latencyBuckets are in seconds and range from the latency of a warm upstream nearby to the longest deadline.
+var latencyBuckets = []float64{.01, .025, .05, .1, .15, .25, .4, .6, 1, 1.5, 2.5, 4, 6, 12}
 
-// New returns meters at zero.
+// New returns registered metrics with all values at zero.
 func New() *Meters {
 	m := &Meters{
 		Registry: prometheus.NewRegistry(),
@@ -48,10 +48,10 @@
 }
 
 func histogram(name, help string, labels ...string) *prometheus.HistogramVec {
-	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets}, labels)
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: latencyBuckets}, labels)
 }
 
-// Ended counts a request that got its answer.
+// Ended records the outcome and the latency of an answered request.
 func (m *Meters) Ended(job *pipe.Job, took time.Duration) {
 	route := "none"
 	if job.Route != nil {
@@ -61,7 +61,7 @@
 	m.Latency.WithLabelValues(route).Observe(took.Seconds())
 }
 
-// Tried counts one try at an upstream.
+// Tried records the outcome and the duration of one try at an upstream.
 func (m *Meters) Tried(job *pipe.Job, service string, took time.Duration) {
 	reason := string(job.Outcome.Reason)
 	if job.Outcome.Kind == pipe.Answered {
@@ -71,7 +71,7 @@
 	m.Service.WithLabelValues(service).Observe(took.Seconds())
 }
 
-// Handler serves the metrics as text.
+// Handler serves the metrics in the Prometheus text format, uncompressed.
 func (m *Meters) Handler() http.Handler {
 	return promhttp.HandlerFor(m.Registry, promhttp.HandlerOpts{DisableCompression: true})
 }
--- a/internal/host/stats/doc.go
+++ b/internal/host/stats/doc.go
@@ -1,2 +1,2 @@
-// Package stats publishes an entry host's metrics with expvar.
+// Package stats publishes the metrics of an entry host with expvar.
 package stats
--- a/internal/host/stats/stats.go
+++ b/internal/host/stats/stats.go
@@ -8,15 +8,15 @@
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
-// Stats holds the counters of one host.
+// Stats holds the metrics of one host.
 type Stats struct {
-	Jobs    *expvar.Map // Jobs by rank and outcome.
-	Reasons *expvar.Map // Refusals and losses by reason.
-	Gauges  *expvar.Map // Present values, by name.
+	Jobs    *expvar.Map // Number of jobs by rank and outcome.
+	Reasons *expvar.Map // Number of refused and lost jobs by reason.
+	Gauges  *expvar.Map // Current values by name.
 	root    *expvar.Map
 }
 
-// New returns counters at zero.
+// New returns metrics with all counters at zero.
 func New() *Stats {
 	s := &Stats{Jobs: newMap(), Reasons: newMap(), Gauges: newMap(), root: newMap()}
 	s.root.Set("jobs", s.Jobs)
@@ -39,13 +39,13 @@
 	}
 }
 
-// Refused counts a refusal before a job reached the filters.
+// Refused counts a request that was refused before it reached the filters.
 func (s *Stats) Refused(reason pipe.Reason) { s.Reasons.Add("front/"+string(reason), 1) }
 
-// Gauge publishes a present value.
+// Gauge publishes the value that a function returns on each read.
 func (s *Stats) Gauge(name string, value func() any) { s.Gauges.Set(name, expvar.Func(value)) }
 
-// Handler serves this host's metrics, and the process's own, as expvar does.
+// Handler serves this host's metrics and the variables of the process in the JSON format of expvar.
 func (s *Stats) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json; charset=utf-8")
--- a/internal/host/trace/doc.go
+++ b/internal/host/trace/doc.go
@@ -1,2 +1,2 @@
-// Package trace makes a span for each hop of a job and passes its context on.
+// Package trace records an OpenTelemetry span for each hop of a job and propagates the trace context.
 package trace
--- a/internal/host/trace/trace.go
+++ b/internal/host/trace/trace.go
@@ -19,22 +19,22 @@
 // Errors is the namespace of this package's errors.
 var Errors = errorx.NewNamespace("trace")
 
-// ErrExporter is an exporter that can't be set up.
+// ErrExporter is returned when the span exporter can't be created.
 var ErrExporter = Errors.NewType("exporter")
 
-// Provider makes tracers and can be shut down.
+// Provider is a tracer provider with a function that flushes and stops it.
 type Provider struct {
 	otel.TracerProvider
 	Shutdown func(context.Context) error
 }
 
-// None returns a provider whose spans go nowhere.
+// None returns a provider that discards all spans.
 func None() Provider {
 	return Provider{TracerProvider: noop.NewTracerProvider(), Shutdown: func(context.Context) error { return nil }}
 }
 
-// Setup returns a provider that sends spans to an OTLP collector, or None for no URL.
-func Setup(ctx context.Context, url, seat string) (Provider, error) {
+// Setup returns a provider that exports spans to the OTLP collector at url; for an empty url it returns None.
+func Setup(ctx context.Context, url, instance string) (Provider, error) {
 	if url == "" {
 		return None(), nil
 	}
@@ -42,58 +42,58 @@
 	if err != nil {
 		return Provider{}, ErrExporter.Wrap(err, "setting up %s", url)
 	}
-	return With(sdk.NewBatchSpanProcessor(exp), seat), nil
+	return With(sdk.NewBatchSpanProcessor(exp), instance), nil
 }
 
-// With returns a provider that hands its spans to a processor.
-func With(p sdk.SpanProcessor, seat string) Provider {
-	res := resource.NewSchemaless(attribute.String("service.name", "boragelane"), attribute.String("service.instance.id", seat))
+// With returns a provider that passes its spans to a processor.
+func With(p sdk.SpanProcessor, instance string) Provider {
+	res := resource.NewSchemaless(attribute.String("service.name", "boragelane"), attribute.String("service.instance.id", instance))
 	tp := sdk.NewTracerProvider(sdk.WithSpanProcessor(p), sdk.WithResource(res))
 	return Provider{TracerProvider: tp, Shutdown: tp.Shutdown}
 }
 
-// Runner is a part of a job's way.
+// Runner processes a job.
 type Runner interface {
 	Run(ctx context.Context, job *pipe.Job)
 }
 
-// Hop runs a part of a job's way in a span of its own.
+// Hop is a Runner that wraps another one in a span.
 type Hop struct {
 	Tracer otel.Tracer
 	Name   string
 	Next   Runner
 }
 
-// Run starts the span as a child of the one in the job's trace context.
+// Run starts the span as a child of the span in the job's trace context.
 func (h Hop) Run(ctx context.Context, job *pipe.Job) {
 	ctx, end := Start(ctx, h.Tracer, h.Name, job)
 	h.Next.Run(ctx, job)
 	end()
 }
 
-// Begin begins a span below the one that a carrier names. It returns the carrier for what follows, and a function that
-// ends the span with what came of it.
-func Begin(ctx context.Context, tracer otel.Tracer, name string, outer map[string]string, tags ...attribute.KeyValue) (map[string]string, func(tags ...attribute.KeyValue)) {
-	ctx = propagation.TraceContext{}.Extract(ctx, propagation.MapCarrier(outer))
-	ctx, span := tracer.Start(ctx, name, otel.WithAttributes(tags...))
-	inner := map[string]string{}
-	propagation.TraceContext{}.Inject(ctx, propagation.MapCarrier(inner))
-	return inner, func(tags ...attribute.KeyValue) {
-		span.SetAttributes(tags...)
+// Begin starts a span as a child of the span in the parent carrier. It returns the carrier to propagate downstream, and a
+// function that adds attributes and ends the span.
+func Begin(ctx context.Context, tracer otel.Tracer, name string, parent map[string]string, attrs ...attribute.KeyValue) (map[string]string, func(attrs ...attribute.KeyValue)) {
+	ctx = propagation.TraceContext{}.Extract(ctx, propagation.MapCarrier(parent))
+	ctx, span := tracer.Start(ctx, name, otel.WithAttributes(attrs...))
+	carrier := map[string]string{}
+	propagation.TraceContext{}.Inject(ctx, propagation.MapCarrier(carrier))
+	return carrier, func(attrs ...attribute.KeyValue) {
+		span.SetAttributes(attrs...)
 		span.End()
 	}
 }
 
-// Start begins a span for a job; the function that it returns ends the span with the job's outcome.
+// Start starts a span for a job; the returned function records the job's outcome and ends the span.
 func Start(ctx context.Context, tracer otel.Tracer, name string, job *pipe.Job) (context.Context, func()) {
-	outer := job.Trace
-	ctx = propagation.TraceContext{}.Extract(ctx, propagation.MapCarrier(outer))
+	parent := job.Trace
+	ctx = propagation.TraceContext{}.Extract(ctx, propagation.MapCarrier(parent))
 	ctx, span := tracer.Start(ctx, name, otel.WithAttributes(
 		attribute.String("boragelane.job", job.ID), attribute.String("boragelane.service", job.Service)))
 	job.Trace = map[string]string{}
 	propagation.TraceContext{}.Inject(ctx, propagation.MapCarrier(job.Trace))
 	return ctx, func() {
-		job.Trace = outer
+		job.Trace = parent
 		span.SetAttributes(
 			attribute.String("boragelane.rank", job.Rank),
 			attribute.String("boragelane.outcome", job.Outcome.Kind.String()),
