refactor: plain terms in the steer package

They are hopTracer, placeTracer, crashReceiver, crashReporter, eventLog, runCtx, cancelRun, memberCtx, withdraw, events, acceptFraction and auxHeaderTimeout, and comments say what the host does at each step.

--- a/internal/host/steer/doc.go
+++ b/internal/host/steer/doc.go
@@ -1,2 +1,2 @@
-// Package steer assembles an entry host that serves callers on a platform: the filters, control and the servers.
+// Package steer assembles and runs an entry host on a platform: the filters, the control loop and the servers.
 package steer
--- a/internal/host/steer/hops.go
+++ b/internal/host/steer/hops.go
@@ -12,57 +12,58 @@
 	"github.com/boragelane/boragelane/internal/host/trace"
 )
 
-// hops makes a span for each way that a job takes from this host: to the host that places it, and to an upstream.
-type hops struct{ host *Host }
+// hopTracer records a span for each call that this host makes for a job: to the host that places it, and to an upstream.
+type hopTracer struct{ host *Host }
 
-// Acquire asks for an upstream in a span.
-func (h *hops) Acquire(ctx context.Context, now time.Time, ask place.Ask) *place.Grant {
+// Acquire requests an upstream within a span.
+func (h *hopTracer) Acquire(ctx context.Context, now time.Time, ask place.Ask) *place.Grant {
 	if h.host.Tracer == nil {
 		return h.host.placer.Acquire(ctx, now, ask)
 	}
-	inner, end := trace.Begin(ctx, h.host.Tracer, "ask", ask.Trace, attribute.String("boragelane.service", ask.Service))
-	ask.Trace = inner
+	carrier, end := trace.Begin(ctx, h.host.Tracer, "ask", ask.Trace, attribute.String("boragelane.service", ask.Service))
+	ask.Trace = carrier
 	g := h.host.placer.Acquire(ctx, now, ask)
-	end(granted(g)...)
+	end(grantAttributes(g)...)
 	return g
 }
 
-// Release ends a job's stay at an upstream.
-func (h *hops) Release(now time.Time, g *place.Grant, r place.Result) {
+// Release returns the grant of a finished job; it has no span.
+func (h *hopTracer) Release(now time.Time, g *place.Grant, r place.Result) {
 	h.host.placer.Release(now, g, r)
 }
 
-// Send sends a job to an upstream in a span, which the upstream is told of.
-func (h *hops) Send(ctx context.Context, now time.Time, job *pipe.Job, u *roster.Upstream) pipe.Reply {
+// Send sends a job to an upstream within a span and passes the trace context on.
+func (h *hopTracer) Send(ctx context.Context, now time.Time, job *pipe.Job, u *roster.Upstream) pipe.Reply {
 	if h.host.Tracer == nil {
 		return h.host.sender.Send(ctx, now, job, u)
 	}
-	outer := job.Trace
-	inner, end := trace.Begin(ctx, h.host.Tracer, "upstream", outer,
+	parent := job.Trace
+	carrier, end := trace.Begin(ctx, h.host.Tracer, "upstream", parent,
 		attribute.String("boragelane.job", job.ID), attribute.String("boragelane.upstream", u.ID), attribute.Int("boragelane.try", job.Tries))
-	job.Trace = inner
+	job.Trace = carrier
 	r := h.host.sender.Send(ctx, now, job, u)
-	job.Trace = outer
+	job.Trace = parent
 	end(attribute.Int("boragelane.status", r.Answer.Status), attribute.Bool("boragelane.whole", r.Whole))
 	return r
 }
 
-// placing makes a span for each job that this host places, for itself or for another one.
-type placing struct{ host *Host }
+// placeTracer records a span for each job that this host places, whether for itself or for another host.
+type placeTracer struct{ host *Host }
 
-// Acquire places a job in a span.
-func (p *placing) Acquire(ctx context.Context, now time.Time, ask place.Ask) *place.Grant {
+// Acquire places a job within a span.
+func (p *placeTracer) Acquire(ctx context.Context, now time.Time, ask place.Ask) *place.Grant {
 	if p.host.Tracer == nil {
 		return p.host.table.Acquire(ctx, now, ask)
 	}
 	_, end := trace.Begin(ctx, p.host.Tracer, "place", ask.Trace,
 		attribute.String("boragelane.service", ask.Service), attribute.String("boragelane.host", ask.Host.Name))
 	g := p.host.table.Acquire(ctx, now, ask)
-	end(granted(g)...)
+	end(grantAttributes(g)...)
 	return g
 }
 
-func granted(g *place.Grant) []attribute.KeyValue {
+// grantAttributes returns the span attributes of a grant, which is nil if the job was not placed.
+func grantAttributes(g *place.Grant) []attribute.KeyValue {
 	if g == nil {
 		return []attribute.KeyValue{attribute.Bool("boragelane.granted", false)}
 	}
--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -34,19 +34,19 @@
 // Errors is the namespace of this package's errors.
 var Errors = errorx.NewNamespace("steer")
 
-// ErrListen is an address that can't be listened on.
+// ErrListen is returned when a listener can't be opened.
 var ErrListen = Errors.NewType("listen")
 
-// Store is the platform's store.
+// Store is the part of the platform's store that a host uses.
 type Store interface {
 	watch.Source
 	enrol.Registry
-	// Report tells the other hosts of a crash.
+	// Report writes a crash for the other hosts to read.
 	Report(ctx context.Context, c roster.Crash, lease int64) error
 }
 
-// Front turns callers' messages into jobs and back.
-type Front interface {
+// Frontend decodes callers' requests into jobs and encodes the answers.
+type Frontend interface {
 	Job(r *httpd.Request) *pipe.Job
 	Answer(job *pipe.Job) httpd.Answer
 	Directory(view func() *roster.View) http.Handler
@@ -57,73 +57,75 @@
 	Settings Settings
 	Clock    func() time.Time
 	Log      *zap.Logger
-	Meters   *meters.Meters
+	Metrics  *meters.Meters
 	Loader   Loader
-	Tracer   otel.Tracer // Makes a span for each hop of a job; nil for none.
+	Tracer   otel.Tracer // Records a span for each hop of a job; nil disables tracing.
 	Done     chan struct{}
 
-	front   Front
-	store   Store
-	loop    *watch.Loop
-	reader  *watch.Reader
-	keeper  *enrol.Keeper
-	table   *place.Table
-	sender  *dialer.Sender
-	budget  *serve.Budget
-	crashes *guard.Table
-	line    pipe.Line
-	server  *httpd.Server
-	stop    atomic.Bool
-	reports chan roster.Crash
-	asker   *broker.Asker
-	placer  *broker.Placer
-	relay   *broker.Relay
-	broker  *broker.Server
-	grace   atomic.Int64 // A time.Duration.
+	front        Frontend
+	store        Store
+	loop         *watch.Loop
+	reader       *watch.Reader
+	keeper       *enrol.Keeper
+	table        *place.Table
+	sender       *dialer.Sender
+	budget       *serve.Budget
+	crashes      *guard.Table
+	filters      pipe.Line
+	server       *httpd.Server
+	stopping     atomic.Bool
+	crashReports chan roster.Crash
+	asker        *broker.Asker
+	placer       *broker.Placer
+	relay        *broker.Relay
+	broker       *broker.Server
+	stopGrace    atomic.Int64 // A time.Duration in nanoseconds.
 }
 
-// New returns a host that does not run yet.
-func New(s Settings, store Store, front Front, names dialer.Names, clock func() time.Time, log *zap.Logger, m *meters.Meters) *Host {
+// New returns a host; Run starts it.
+func New(s Settings, store Store, front Frontend, names dialer.Names, clock func() time.Time, log *zap.Logger, metrics *meters.Meters) *Host {
 	s.Host.Incarnation = newID()
 	h := &Host{
-		Settings: s, Clock: clock, Log: log, Meters: m, Done: make(chan struct{}), front: front, store: store,
+		Settings: s, Clock: clock, Log: log, Metrics: metrics, Done: make(chan struct{}), front: front, store: store,
 		table: place.NewTable(), sender: dialer.New(names, clock), budget: serve.NewBudget(s.Retry),
-		crashes: &guard.Table{}, reports: make(chan roster.Crash, reportBuffer),
+		crashes: &guard.Table{}, crashReports: make(chan roster.Crash, crashReportBuffer),
 	}
 	h.table.SetShift(s.Shift)
-	book := &journal{log: log, meters: h.Meters}
-	h.loop = watch.NewLoop(s.Host, clock, book)
-	h.loop.Followers = []watch.Follower{h.table, &learner{crashes: h.crashes}}
+	events := &eventLog{log: log, metrics: h.Metrics}
+	h.loop = watch.NewLoop(s.Host, clock, events)
+	h.loop.Followers = []watch.Follower{h.table, &crashReceiver{crashes: h.crashes}}
 	h.relay = broker.NewRelay(clock)
 	h.reader = &watch.Reader{Source: store, Relay: h.relay, Loop: h.loop, Clock: clock, Done: make(chan struct{})}
-	h.keeper = &enrol.Keeper{Registry: store, Journal: book, Host: s.Host, Clock: clock, Listed: h.listed, Done: make(chan struct{})}
-	h.placer = broker.NewPlacer(h.table, h.loop.View, clock, book.unplaced)
-	h.placer.Admit = &placing{host: h}
-	h.line = pipe.Line{Clock: clock, Filters: []pipe.Filter{
+	h.keeper = &enrol.Keeper{Registry: store, Journal: events, Host: s.Host, Clock: clock, Listed: h.isRegistered, Done: make(chan struct{})}
+	h.placer = broker.NewPlacer(h.table, h.loop.View, clock, events.logPlacingFailure)
+	h.placer.Admit = &placeTracer{host: h}
+	h.filters = pipe.Line{Clock: clock, Filters: []pipe.Filter{
 		match.New(),
-		guard.Pipe{Table: h.crashes, Teller: &teller{host: h}},
-		&serve.Pipe{Placer: &hops{host: h}, Sender: &hops{host: h}, Budget: h.budget, Journal: book, Clock: clock},
+		guard.Pipe{Table: h.crashes, Teller: &crashReporter{host: h}},
+		&serve.Pipe{Placer: &hopTracer{host: h}, Sender: &hopTracer{host: h}, Budget: h.budget, Journal: events, Clock: clock},
 	}}
-	h.server = httpd.New(h, h.bounds, clock)
-	h.broker = &broker.Server{Dealer: h.loop, Teller: h.loop, Admit: &placing{host: h}, Table: h.table, Clock: clock, Done: make(chan struct{})}
+	h.server = httpd.New(h, h.requestBounds, clock)
+	h.broker = &broker.Server{Dealer: h.loop, Teller: h.loop, Admit: &placeTracer{host: h}, Table: h.table, Clock: clock, Done: make(chan struct{})}
 	h.asker = &broker.Asker{
-		Needer: h.table, Local: h.loop, View: h.loop.View, Lost: book.lost, Clock: clock, Done: make(chan struct{}),
+		Needer: h.table, Local: h.loop, View: h.loop.View, Lost: events.logLoanFailure, Clock: clock, Done: make(chan struct{}),
 		Give: func(l deal.Loans) { h.loop.Send(context.Background(), watch.Lent{Loans: l}) },
 	}
-	h.grace.Store(int64(s.Grace))
+	h.stopGrace.Store(int64(s.Grace))
 	return h
 }
 
+// newID returns a random id for an incarnation of the host.
 func newID() string {
 	var b [8]byte
 	_, _ = rand.Read(b[:])
 	return hex.EncodeToString(b[:])
 }
 
-// listed tells whether the newest view holds this incarnation, or the store is not heard.
-func (h *Host) listed() bool {
+// isRegistered reports whether the latest view contains this incarnation. It returns true while the view is stale, since
+// the view can't tell then.
+func (h *Host) isRegistered() bool {
 	v := h.loop.View()
-	if h.Clock().Sub(v.Synced) > staleAfter {
+	if h.Clock().Sub(v.Synced) > storeStaleAfter {
 		return true
 	}
 	for i := range v.Hosts {
@@ -135,80 +137,82 @@
 }
 
 const (
-	// staleAfter is the silence of the store after which its picture tells nothing of this host's entry.
-	staleAfter = 2 * time.Second
-	// sweepPeriod is how often waiting jobs look again at upstreams that changed with time alone.
+	// storeStaleAfter is the time since the last sync with the store after which the view may lack this host's entry.
+	storeStaleAfter = 2 * time.Second
+	// sweepPeriod is how often waiting jobs are retried, since some upstreams become usable without an event.
 	sweepPeriod = 25 * time.Millisecond
-	// memoryPart is the part of its memory bound at which the collector works harder.
-	memoryPart = 0.7
+	// memoryLimitFraction is the fraction of Settings.Memory above which the garbage collector runs more often.
+	memoryLimitFraction = 0.7
 )
 
-// Serve takes one request of a caller through the filters.
+// Serve runs a caller's request through the filters and returns the answer.
 func (h *Host) Serve(ctx context.Context, r *httpd.Request) httpd.Answer {
 	job := h.front.Job(r)
 	job.View = h.loop.View()
 	if h.Tracer == nil {
-		h.line.Run(ctx, job)
+		h.filters.Run(ctx, job)
 	} else {
-		trace.Hop{Tracer: h.Tracer, Name: "serve", Next: &h.line}.Run(ctx, job)
+		trace.Hop{Tracer: h.Tracer, Name: "serve", Next: &h.filters}.Run(ctx, job)
 	}
-	h.ended(job)
+	h.recordRequest(job)
 	return h.front.Answer(job)
 }
 
-func (h *Host) ended(job *pipe.Job) {
+// recordRequest records a finished job in the metrics and the log.
+func (h *Host) recordRequest(job *pipe.Job) {
 	took := h.Clock().Sub(job.Started)
-	h.Meters.Ended(job, took)
-	(&journal{log: h.Log, meters: h.Meters}).ended(job, took)
+	h.Metrics.Ended(job, took)
+	(&eventLog{log: h.Log, metrics: h.Metrics}).logRequest(job, took)
 }
 
-// bounds returns what callers may send, by the policy in force.
-func (h *Host) bounds() httpd.Bounds {
+// requestBounds returns the bounds on callers' requests from the current policy.
+func (h *Host) requestBounds() httpd.Bounds {
 	p := h.loop.View().Policy
 	if p == nil {
-		return startBounds
+		return defaultBounds
 	}
 	return httpd.Bounds{Header: p.Limits.Header, Body: p.Limits.Body, HeaderLife: p.Limits.HeaderLife, IdleLife: p.Limits.IdleLife}
 }
 
-// startBounds holds until a policy is known; nothing is served before that.
-var startBounds = httpd.Bounds{Header: 16 << 10, Body: 1 << 20, HeaderLife: 3 * time.Second, IdleLife: 15 * time.Second}
+// defaultBounds apply until a policy is known; no request is served before that.
+var defaultBounds = httpd.Bounds{Header: 16 << 10, Body: 1 << 20, HeaderLife: 3 * time.Second, IdleLife: 15 * time.Second}
 
-// Run starts the host and serves until the context ends, then stops it as planned.
+// Run starts the host, serves until the context ends, and then shuts down gracefully; hangup triggers a reload.
 func (h *Host) Run(ctx context.Context, hangup <-chan os.Signal) error {
 	defer close(h.Done)
 	if h.Settings.Memory > 0 {
-		debug.SetMemoryLimit(int64(memoryPart * float64(h.Settings.Memory)))
+		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(h.Settings.Memory)))
 	}
-	life, kill := context.WithCancel(context.Background())
-	defer kill()
-	front, err := h.listen(life)
+	runCtx, cancelRun := context.WithCancel(context.Background())
+	defer cancelRun()
+	front, err := h.listen(runCtx)
 	if err != nil {
 		return err
 	}
-	peers, err := (&net.ListenConfig{}).Listen(life, "tcp", h.Settings.Host.Peer)
+	peers, err := (&net.ListenConfig{}).Listen(runCtx, "tcp", h.Settings.Host.Peer)
 	if err != nil {
 		return ErrListen.Wrap(err, "listening for hosts on %s", h.Settings.Host.Peer)
 	}
-	keep, quit := context.WithCancel(life)
-	defer quit()
-	go h.loop.Run(life)
-	go h.reader.Run(life)
-	go h.keeper.Run(keep)
-	go h.sweep(life)
-	go h.report(life)
-	go h.broker.Serve(life, peers)
-	go h.asker.Run(keep)
-	go h.follow(life, hangup)
-	go h.server.Serve(life, front)
+	memberCtx, withdraw := context.WithCancel(runCtx)
+	defer withdraw()
+	go h.loop.Run(runCtx)
+	go h.reader.Run(runCtx)
+	go h.keeper.Run(memberCtx)
+	go h.sweep(runCtx)
+	go h.reportCrashes(runCtx)
+	go h.broker.Serve(runCtx, peers)
+	go h.asker.Run(memberCtx)
+	go h.watchSettings(runCtx, hangup)
+	go h.server.Serve(runCtx, front)
 	h.Log.Info("started", zap.String("host", h.Settings.Host.Name), zap.String("domain", h.Settings.Host.Domain),
-		zap.String("incarnation", h.Settings.Host.Incarnation), zap.String("line", h.line.String()))
+		zap.String("incarnation", h.Settings.Host.Incarnation), zap.String("line", h.filters.String()))
 	<-ctx.Done()
-	h.leave(life, front, quit)
+	h.shutdown(runCtx, front, withdraw)
 	h.Log.Info("stopped", zap.String("host", h.Settings.Host.Name))
 	return nil
 }
 
+// listen opens the listener for callers, and serves readiness, directory and metrics on their own addresses.
 func (h *Host) listen(ctx context.Context) (net.Listener, error) {
 	s := h.Settings
 	front, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Host.Front)
@@ -216,7 +220,7 @@
 		return nil, ErrListen.Wrap(err, "listening for callers on %s", s.Host.Front)
 	}
 	for addr, handler := range map[string]http.Handler{
-		s.Ready: http.HandlerFunc(h.ready), s.Directory: h.front.Directory(h.loop.View), s.Metrics: h.Meters.Handler(),
+		s.Ready: http.HandlerFunc(h.ready), s.Directory: h.front.Directory(h.loop.View), s.Metrics: h.Metrics.Handler(),
 	} {
 		if addr == "" {
 			continue
@@ -226,26 +230,27 @@
 			_ = front.Close()
 			return nil, ErrListen.Wrap(err, "listening on %s", addr)
 		}
-		srv := &http.Server{Handler: handler, ReadHeaderTimeout: sideLife, IdleTimeout: sideIdle}
+		srv := &http.Server{Handler: handler, ReadHeaderTimeout: auxHeaderTimeout, IdleTimeout: auxIdleTimeout}
 		go func() { _ = srv.Serve(ln) }()
 	}
 	return front, nil
 }
 
 const (
-	// sideLife bounds a header on the addresses for readiness, directory and metrics.
-	sideLife = 3 * time.Second
-	// sideIdle bounds an idle connection there.
-	sideIdle = 30 * time.Second
+	// auxHeaderTimeout is the time to read a request header on the addresses for readiness, directory and metrics.
+	auxHeaderTimeout = 3 * time.Second
+	// auxIdleTimeout closes idle connections on these addresses.
+	auxIdleTimeout = 30 * time.Second
 )
 
-// ready answers the platform's checks: a host is ready while it knows a policy and is not stopping.
+// ready answers the platform's readiness checks: a host is ready while it has a policy and is not stopping.
 func (h *Host) ready(w http.ResponseWriter, _ *http.Request) {
-	if h.stop.Load() || h.loop.View().Policy == nil {
+	if h.stopping.Load() || h.loop.View().Policy == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
+// sweep periodically retries waiting jobs and closes idle connections to upstreams.
 func (h *Host) sweep(ctx context.Context) {
 	t := time.NewTicker(sweepPeriod)
 	defer t.Stop()
--- a/internal/host/steer/reload.go
+++ b/internal/host/steer/reload.go
@@ -8,44 +8,44 @@
 	"go.uber.org/zap"
 )
 
-// checkPeriod is how often the settings are looked at though no signal came: a stat of one file.
-const checkPeriod = 2 * time.Second
+// settingsCheckPeriod is how often the settings are checked without a signal; each check costs a stat of one file.
+const settingsCheckPeriod = 2 * time.Second
 
-// Loader reads the settings anew.
+// Loader reloads the settings.
 type Loader interface {
-	// Load returns the settings, and whether they differ from those that it returned before.
+	// Load returns the settings and whether they have changed since the last call.
 	Load() (Settings, bool, error)
 }
 
-// follow takes new settings when a signal comes, or when they have changed without one.
-func (h *Host) follow(ctx context.Context, signal <-chan os.Signal) {
-	t := time.NewTicker(checkPeriod)
+// watchSettings reloads the settings on a signal and at regular intervals, and applies them if they have changed.
+func (h *Host) watchSettings(ctx context.Context, hangup <-chan os.Signal) {
+	t := time.NewTicker(settingsCheckPeriod)
 	defer t.Stop()
 	for {
-		asked := false
+		requested := false
 		select {
 		case <-ctx.Done():
 			return
-		case <-signal:
-			asked = true
+		case <-hangup:
+			requested = true
 		case <-t.C:
 		}
 		s, changed, err := h.Loader.Load()
 		switch {
 		case err != nil:
-			h.Log.Error("settings refused; the old ones stay in force", cause(err))
+			h.Log.Error("settings refused; the old ones stay in force", errorField(err))
 		case changed:
-			h.adopt(s)
-		case asked:
+			h.applySettings(s)
+		case requested:
 			h.Log.Info("settings unchanged")
 		}
 	}
 }
 
-// adopt takes over what may change while the host runs; the addresses take a new start.
-func (h *Host) adopt(s Settings) {
+// applySettings applies the settings that can change at run time; new addresses need a restart.
+func (h *Host) applySettings(s Settings) {
 	h.budget.SetTerms(s.Retry)
 	h.table.SetShift(s.Shift)
-	h.grace.Store(int64(s.Grace))
+	h.stopGrace.Store(int64(s.Grace))
 	h.Log.Info("settings in force", zap.Duration("grace", s.Grace), zap.Float64("retries", s.Retry.Ratio))
 }
--- a/internal/host/steer/settings.go
+++ b/internal/host/steer/settings.go
@@ -7,16 +7,16 @@
 	"github.com/boragelane/boragelane/internal/flow/serve"
 )
 
-// Settings is what a host is told at its start.
+// Settings is the configuration of one host.
 type Settings struct {
 	Host      roster.Host
 	Ready     string            // Address for the platform's readiness checks; empty for none.
-	Directory string            // Address for callers that ask which host to use; empty for none.
+	Directory string            // Address for callers' directory requests; empty for none.
 	Metrics   string            // Address for metrics; empty for none.
 	Regions   map[string]string // Region by failure domain.
 	Store     string            // Address of the platform's store.
 	Retry     serve.Terms
-	Shift     float64       // The part of a region's callers that may be moved between regions within two seconds; 0 for any.
-	Grace     time.Duration // From the signal to stop until the process is killed.
-	Memory    int64         // Bytes; 0 for no bound.
+	Shift     float64       // Maximum fraction of a region's callers moved to other regions, or back, within two seconds; 0 for no limit.
+	Grace     time.Duration // Time from the stop signal until the platform kills the process.
+	Memory    int64         // Memory limit in bytes; 0 for none.
 }
--- a/internal/host/steer/stop.go
+++ b/internal/host/steer/stop.go
@@ -9,34 +9,34 @@
 )
 
 const (
-	// takePart is the part of the grace in which a stopping host still takes requests: callers keep what the
-	// directory told them for a while.
-	takePart = 0.5
-	// endMargin is what is left of the grace when the process ends by itself.
-	endMargin = 150 * time.Millisecond
+	// acceptFraction is the fraction of the grace period in which a stopping host still accepts connections, since
+	// callers cache the answer of the directory.
+	acceptFraction = 0.5
+	// exitMargin is the time between the exit of the process and the end of the grace period.
+	exitMargin = 150 * time.Millisecond
 )
 
-// leave stops the host: it leaves the directory at once, takes requests for a part of the grace, and ends when
-// the last one is answered.
-func (h *Host) leave(ctx context.Context, front net.Listener, quit func()) {
+// shutdown stops the host: it leaves the directory at once, accepts requests for a fraction of the grace period, and
+// returns when the last one is answered or the grace period is about to end.
+func (h *Host) shutdown(ctx context.Context, front net.Listener, withdraw func()) {
 	start := h.Clock()
-	h.stop.Store(true)
+	h.stopping.Store(true)
 	h.Log.Info("stopping")
 	h.loop.Send(ctx, watch.Leave{})
-	quit()
+	withdraw()
 	h.server.Drain()
-	grace := time.Duration(h.grace.Load())
-	end := time.NewTimer(grace - endMargin)
-	defer end.Stop()
-	take := time.NewTimer(time.Duration(takePart * float64(grace)))
-	defer take.Stop()
-	<-take.C
+	grace := time.Duration(h.stopGrace.Load())
+	exitTimer := time.NewTimer(grace - exitMargin)
+	defer exitTimer.Stop()
+	acceptTimer := time.NewTimer(time.Duration(acceptFraction * float64(grace)))
+	defer acceptTimer.Stop()
+	<-acceptTimer.C
 	_ = front.Close()
 	h.server.CloseIdle()
 	select {
 	case <-h.server.Done:
-	case <-end.C:
+	case <-exitTimer.C:
 	}
 	<-h.keeper.Done
-	h.Log.Info("drained", took(h.Clock().Sub(start)))
+	h.Log.Info("drained", millisField(h.Clock().Sub(start)))
 }
