--- a/internal/core/spec/change.go
+++ b/internal/core/spec/change.go
@@ -35,7 +35,7 @@
 const (
 	RefRank    = "rank"
 	RefService = "service"
-	RefRegion  = "regions"
+	RefRegion  = "regions" // "region" refers to the drain of a region.
 	RefLink    = "link"
 	RefShift   = "shift"
 )
@@ -129,6 +129,7 @@
 	return n, nil
 }
 
+// remove deletes the item that ref identifies and reports whether it existed.
 func (d *Document) remove(ref Ref) bool {
 	var ok bool
 	switch ref.Kind {
--- a/internal/host/meters/meters.go
+++ b/internal/host/meters/meters.go
@@ -12,14 +12,14 @@
 
 // Meters holds the metrics of one host.
 type Meters struct {
-	Registry *prometheus.Registry
-	Requests *prometheus.CounterVec   // By route, outcome and reason.
-	Latency  *prometheus.HistogramVec // Seconds from the first byte of a request to its answer, by route.
-	Tries    *prometheus.CounterVec   // By service and reason.
-	Service  *prometheus.HistogramVec // Seconds that a try at an upstream took, by service.
-	Notes    *prometheus.CounterVec   // Changes in the host's view of the system, by kind.
-	Calls    *prometheus.CounterVec   // Calls to the store, by call and result.
-	Dropped  prometheus.Counter       // Log lines that were dropped.
+	Registry       *prometheus.Registry
+	Requests       *prometheus.CounterVec   // By route, outcome and reason.
+	RequestLatency *prometheus.HistogramVec // Seconds from the first byte of a request to its answer, by route.
+	Tries          *prometheus.CounterVec   // By service and reason.
+	TryLatency     *prometheus.HistogramVec // Seconds that a try at an upstream took, by service.
+	Notes          *prometheus.CounterVec   // Changes in the host's view of the system, by kind.
+	Calls          *prometheus.CounterVec   // Calls to the store, by call and result.
+	Dropped        prometheus.Counter       // Log lines that were dropped.
 }
 
 // latencyBuckets are in seconds and range from the latency of a warm upstream nearby to the longest deadline.
@@ -28,16 +28,16 @@
 // New returns registered metrics with all values at zero.
 func New() *Meters {
 	m := &Meters{
-		Registry: prometheus.NewRegistry(),
-		Requests: counter("requests_total", "Requests of callers by how they ended.", "route", "outcome", "reason"),
-		Latency:  histogram("request_seconds", "Time from a request's first byte to its answer.", "route"),
-		Tries:    counter("tries_total", "Tries at upstreams by how they ended.", "service", "reason"),
-		Service:  histogram("try_seconds", "Time of a try at an upstream.", "service"),
-		Notes:    counter("beliefs_total", "Changes of what the host believes.", "what"),
-		Calls:    counter("store_calls_total", "Calls to the platform's store.", "call", "result"),
-		Dropped:  prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_dropped_total", Help: "Log lines dropped."}),
+		Registry:       prometheus.NewRegistry(),
+		Requests:       counter("requests_total", "Requests of callers by how they ended.", "route", "outcome", "reason"),
+		RequestLatency: histogram("request_seconds", "Time from a request's first byte to its answer.", "route"),
+		Tries:          counter("tries_total", "Tries at upstreams by how they ended.", "service", "reason"),
+		TryLatency:     histogram("try_seconds", "Time of a try at an upstream.", "service"),
+		Notes:          counter("beliefs_total", "Changes of what the host believes.", "what"),
+		Calls:          counter("store_calls_total", "Calls to the platform's store.", "call", "result"),
+		Dropped:        prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_dropped_total", Help: "Log lines dropped."}),
 	}
-	m.Registry.MustRegister(m.Requests, m.Latency, m.Tries, m.Service, m.Notes, m.Calls, m.Dropped)
+	m.Registry.MustRegister(m.Requests, m.RequestLatency, m.Tries, m.TryLatency, m.Notes, m.Calls, m.Dropped)
 	return m
 }
 
@@ -58,7 +58,7 @@
 		route = job.Route.Name
 	}
 	m.Requests.WithLabelValues(route, job.Outcome.Kind.String(), string(job.Outcome.Reason)).Inc()
-	m.Latency.WithLabelValues(route).Observe(took.Seconds())
+	m.RequestLatency.WithLabelValues(route).Observe(took.Seconds())
 }
 
 // Tried records the outcome and the duration of one try at an upstream.
@@ -68,7 +68,7 @@
 		reason = "answered"
 	}
 	m.Tries.WithLabelValues(service, reason).Inc()
-	m.Service.WithLabelValues(service).Observe(took.Seconds())
+	m.TryLatency.WithLabelValues(service).Observe(took.Seconds())
 }
 
 // Handler serves the metrics in the Prometheus text format, uncompressed.
