--- a/internal/host/lines/lines.go
+++ b/internal/host/lines/lines.go
@@ -18,7 +18,7 @@
 
 // Writer writes lines to its output in a goroutine; it drops lines when the queue is full.
 type Writer struct {
-	OnDrop func() // Called for each dropped line.
+	OnDrop func() // Called for each line that is dropped or that the output fails to write, until Close.
 	Done   chan struct{}
 
 	queue  chan []byte
