--- a/internal/host/lines/lines.go
+++ b/internal/host/lines/lines.go
@@ -18,7 +18,7 @@
 
 // Writer writes lines to its output in a goroutine; it drops lines when the queue is full.
 type Writer struct {
-	OnDrop func() // Called for each line that is dropped or that the output fails to write, until Close.
+	OnDrop func() // Called for each line that does not fit in the queue or that the output fails to write.
 	Done   chan struct{}
 
 	queue  chan []byte
@@ -42,7 +42,7 @@
 	return w
 }
 
-// Write queues a copy of a line; it never fails or blocks.
+// Write queues a copy of a line; it never fails or blocks, and discards lines after Close.
 func (w *Writer) Write(line []byte) (int, error) {
 	if w.closed.Load() {
 		return len(line), nil
