--- a/internal/host/lines/lines.go
+++ b/internal/host/lines/lines.go
@@ -18,7 +18,7 @@
 
 // Writer writes lines to its output in a goroutine; it drops lines when the queue is full.
 type Writer struct {
-	OnDrop func() // Called for each line that does not fit in the queue or that the output fails to write.
+	OnDrop func() // Called for each line lost to the volume limit, a full queue or a write error.
 	Done   chan struct{}
 
 	queue  chan []byte
