docs: commit and loop in the terms of the field

They now speak of compare-and-swap, keys, retries, a queue and published plans. Names: attempt is tryCommit, advance is nextHead, retryMin and retryMax are minBackoff and maxBackoff, keptBases is retainedBases, Loop.fold is apply, drain is applyQueued, urgent is needsPublish.

--- a/internal/ctrl/commit/commit.go
+++ b/internal/ctrl/commit/commit.go
@@ -12,64 +12,65 @@
 	"github.com/boragelane/boragelane/internal/core/spec"
 )
 
-// Keys in the platform's service: the head names a base, which is a whole document, and holds the
-// changes since. Only the head is swapped; a base is written once, before a head names it.
+// Keys in the platform's key-value store. The head refers to a base, which is a complete document, and holds the
+// changes since then. Only the head is updated by compare-and-swap; a base is written once, before a head refers to it.
 const (
-	Key     = "boragelane/config"
-	baseKey = "boragelane/base/"
+	Key           = "boragelane/config"
+	baseKeyPrefix = "boragelane/base/"
 )
 
-// maxChanges is how many changes a head holds before it names a new base.
-const maxChanges = 32
+// maxHeadChanges is the number of changes that a head holds before it refers to a new base.
+const maxHeadChanges = 32
 
-// keptBases is how many bases are kept for readers of earlier heads.
-const keptBases = 2
+// retainedBases is the number of bases that are kept for readers of earlier heads.
+const retainedBases = 2
 
 type wireHead struct {
 	Base    uint64       `json:"base"`
 	Changes []spec.Entry `json:"changes,omitempty"`
 }
 
-// BaseKey returns where the base of a revision lies.
-func BaseKey(revision uint64) string { return baseKey + strconv.FormatUint(revision, 10) }
+// BaseKey returns the key of the base of a revision.
+func BaseKey(revision uint64) string { return baseKeyPrefix + strconv.FormatUint(revision, 10) }
 
 // Errors is the namespace of this package's errors.
 var Errors = errorx.NewNamespace("commit")
 
-// Types of error.
+// Error types.
 var (
-	// ErrConflict means that another change came first; the property current holds its revision.
+	// ErrConflict means that another change was applied first; the property Current holds the revision in force.
 	ErrConflict = Errors.NewType("conflict")
-	// ErrInvalid means that the change breaks a rule.
+	// ErrInvalid means that the change, or a stored document, is invalid or too large.
 	ErrInvalid = Errors.NewType("invalid")
 	// ErrMissing means that the change removes something that does not exist.
 	ErrMissing = Errors.NewType("missing")
-	// ErrUnavailable means that the platform did not answer; the change may yet be found in force.
+	// ErrUnavailable means that the platform did not answer; the change may still have taken effect.
 	ErrUnavailable = Errors.NewType("unavailable")
 
 	// Current is the property of ErrConflict that holds the revision in force.
 	Current = errorx.RegisterPrintableProperty("current")
 )
 
-// Store reads and swaps one value.
+// Store is a key-value store with compare-and-swap on an index, which is 0 for a key that does not exist.
 type Store interface {
 	Read(ctx context.Context, key string) (data []byte, index uint64, err error)
 	Swap(ctx context.Context, key string, data []byte, index uint64) (bool, error)
 	Delete(ctx context.Context, key string) error
 }
 
-// Retry rules of a commit, within its context's deadline.
+// Backoff between the attempts of a commit, which are bounded by its context.
 const (
-	retryMin = 10 * time.Millisecond
-	retryMax = 800 * time.Millisecond
+	minBackoff = 10 * time.Millisecond
+	maxBackoff = 800 * time.Millisecond
 )
 
-// Commit applies a change to the document and returns the revision that holds it. With an expected
-// revision it fails on a lost race; without one it tries again on top of the other change.
+// Commit applies a change to the document and returns the document that contains it. With an expected revision it fails
+// with ErrConflict if another change was applied first; without one it retries on top of that change. The write ID
+// identifies the change, so that a retry detects that an earlier attempt took effect.
 func Commit(ctx context.Context, st Store, ch spec.Change, expect *uint64, write string) (spec.Document, error) {
-	wait, tried := retryMin, false
+	backoff, tried := minBackoff, false
 	for {
-		doc, retry, err := attempt(ctx, st, ch, expect, write, tried)
+		doc, retry, err := tryCommit(ctx, st, ch, expect, write, tried)
 		if !retry {
 			return doc, err
 		}
@@ -77,14 +78,14 @@
 		select {
 		case <-ctx.Done():
 			return doc, ErrUnavailable.Wrap(err, "the platform did not answer in time; write %s may have taken effect", write)
-		case <-time.After(wait):
+		case <-time.After(backoff):
 		}
-		wait = min(retryMax, wait*2)
+		backoff = min(maxBackoff, backoff*2)
 	}
 }
 
-// attempt reads, applies and swaps once; it reports whether to try again.
-func attempt(ctx context.Context, st Store, ch spec.Change, expect *uint64, write string, tried bool) (spec.Document, bool, error) {
+// tryCommit performs one read, apply and swap, and reports whether to retry.
+func tryCommit(ctx context.Context, st Store, ch spec.Change, expect *uint64, write string, tried bool) (spec.Document, bool, error) {
 	doc, index, err := Load(ctx, st)
 	if err != nil {
 		return doc, true, err
@@ -103,7 +104,7 @@
 	case err != nil:
 		return doc, false, ErrInvalid.Wrap(err, "the change can't be applied")
 	}
-	head, err := advance(ctx, st, doc, next)
+	head, err := nextHead(ctx, st, doc, next)
 	if err != nil {
 		return doc, errorx.IsOfType(err, ErrUnavailable), err
 	}
@@ -115,22 +116,22 @@
 	if err != nil || !ok {
 		return doc, true, err
 	}
-	if head.Base == doc.Revision && head.Base > keptBases*maxChanges {
-		// Readers of the last heads still need their bases; a base that stays by mistake does no harm.
-		_ = st.Delete(ctx, BaseKey(head.Base-keptBases*maxChanges))
+	if head.Base == doc.Revision && head.Base > retainedBases*maxHeadChanges {
+		// Readers of recent heads still need the other bases. A base that fails to be deleted does no harm.
+		_ = st.Delete(ctx, BaseKey(head.Base-retainedBases*maxHeadChanges))
 	}
 	return next, false, nil
 }
 
-// advance returns the head that holds the next revision; now and then it writes a new base first.
-func advance(ctx context.Context, st Store, doc, next spec.Document) (wireHead, error) {
-	base := next.Revision - 1 - (next.Revision-1)%maxChanges
+// nextHead returns the head for the next revision. Every maxHeadChanges revisions it writes a new base first.
+func nextHead(ctx context.Context, st Store, doc, next spec.Document) (wireHead, error) {
+	base := next.Revision - 1 - (next.Revision-1)%maxHeadChanges
 	if base == doc.Revision && base > 0 {
 		data, err := json.Marshal(doc)
 		if err != nil || len(data) > spec.MaxBytes {
 			return wireHead{}, ErrInvalid.New("the document has %d bytes, at most %d are allowed", len(data), spec.MaxBytes)
 		}
-		// A base that is there already holds the same: its revision has one history.
+		// An existing base has the same content, since a revision has only one history.
 		if _, err := st.Swap(ctx, BaseKey(base), data, 0); err != nil {
 			return wireHead{}, ErrUnavailable.Wrap(err, "writing base %d", base)
 		}
@@ -142,7 +143,7 @@
 	return wireHead{Base: base, Changes: changes}, nil
 }
 
-// Load returns the document on the platform and its index there.
+// Load returns the document stored on the platform and the index of its head.
 func Load(ctx context.Context, st Store) (spec.Document, uint64, error) {
 	data, index, err := st.Read(ctx, Key)
 	if err != nil {
@@ -155,7 +156,7 @@
 	return doc, index, err
 }
 
-// Parse returns the document of a head. It starts from a known document if that is not older than the
+// Parse reconstructs the document of an encoded head. It starts from the known document if that is not older than the
 // head's base, and reads the base otherwise.
 func Parse(ctx context.Context, st Store, data []byte, known *spec.Document) (spec.Document, error) {
 	var head wireHead
--- a/internal/ctrl/loop/doc.go
+++ b/internal/ctrl/loop/doc.go
@@ -1,2 +1,2 @@
-// Package loop runs the one goroutine that owns an entry host's control state.
+// Package loop runs the single goroutine that owns an entry host's control state.
 package loop
--- a/internal/ctrl/loop/loop.go
+++ b/internal/ctrl/loop/loop.go
@@ -10,28 +10,28 @@
 	"github.com/boragelane/boragelane/internal/ctrl/state"
 )
 
-// Doer does what control wants done, each action in a goroutine of its own.
+// Doer executes actions. Each call of Do runs in its own goroutine and passes resulting events to feed.
 type Doer interface {
 	Do(ctx context.Context, act state.Action, feed func(state.Event))
 }
 
-// Follower adopts each plan before traffic reads it.
+// Follower is notified of each plan before the data path can read it.
 type Follower interface {
 	Update(now time.Time, p *plan.Plan)
 }
 
-// Loader tells the loads of this host.
+// Loader reports the current loads of this host by service.
 type Loader interface {
 	Load(now time.Time) map[string]plan.Load
 }
 
 const (
-	eventBuffer = 1024
-	// eventBatch is the most events that are folded before a plan is published.
-	eventBatch = 128
+	eventQueueSize = 1024
+	// maxEventBatch is the maximum number of queued events that are applied before a plan is published.
+	maxEventBatch = 128
 )
 
-// Loop owns the control state. Traffic reads its plans and sends it events.
+// Loop owns the control state. The data path reads its plans and sends it events.
 type Loop struct {
 	Doer      Doer
 	Followers []Follower
@@ -43,23 +43,23 @@
 	events  chan state.Event
 	plan    atomic.Pointer[plan.Plan]
 	dropped atomic.Int64
-	work    sync.WaitGroup
+	actions sync.WaitGroup
 }
 
-// New returns a loop that does not run yet.
+// New returns a loop, which processes events once Run is called.
 func New(self plan.Self, clock func() time.Time) *Loop {
-	l := &Loop{Clock: clock, Done: make(chan struct{}), state: state.New(self), events: make(chan state.Event, eventBuffer)}
+	l := &Loop{Clock: clock, Done: make(chan struct{}), state: state.New(self), events: make(chan state.Event, eventQueueSize)}
 	l.plan.Store(&plan.Plan{Self: self})
 	return l
 }
 
-// Plan returns the newest plan.
+// Plan returns the most recently published plan.
 func (l *Loop) Plan() *plan.Plan { return l.plan.Load() }
 
-// Dropped returns how many observations found no room.
+// Dropped returns the number of events that Offer dropped because the queue was full.
 func (l *Loop) Dropped() int64 { return l.dropped.Load() }
 
-// Offer sends an observation without waiting; it is dropped if control is behind.
+// Offer queues an event without blocking, and drops it if the queue is full.
 func (l *Loop) Offer(ev state.Event) {
 	select {
 	case l.events <- ev:
@@ -68,7 +68,7 @@
 	}
 }
 
-// Send sends an event, and reports false if the context ends before there is room.
+// Send queues an event. It blocks while the queue is full, and reports false if the context or the loop ends first.
 func (l *Loop) Send(ctx context.Context, ev state.Event) bool {
 	select {
 	case l.events <- ev:
@@ -82,22 +82,22 @@
 // Status returns the control state for operators.
 func (l *Loop) Status(ctx context.Context) (state.Status, bool) {
 	reply := make(chan state.Status, 1)
-	return wait(ctx, l, state.Ask{Reply: reply}, reply)
+	return request(ctx, l, state.Ask{Reply: reply}, reply)
 }
 
-// HeartbeatIn hands in another host's heartbeat and returns the answer.
+// HeartbeatIn processes a heartbeat from another host and returns the reply.
 func (l *Loop) HeartbeatIn(ctx context.Context, b state.Heartbeat) (state.HeartbeatReply, bool) {
 	reply := make(chan state.HeartbeatReply, 1)
-	return wait(ctx, l, state.HeartbeatIn{Heartbeat: b, Reply: reply}, reply)
+	return request(ctx, l, state.HeartbeatIn{Heartbeat: b, Reply: reply}, reply)
 }
 
-// ExchangeIn hands in another relay's exchange and returns the answer.
+// ExchangeIn processes an exchange from another relay and returns the reply.
 func (l *Loop) ExchangeIn(ctx context.Context, s state.Exchange) (state.ExchangeReply, bool) {
 	reply := make(chan state.ExchangeReply, 1)
-	return wait(ctx, l, state.ExchangeIn{Exchange: s, Reply: reply}, reply)
+	return request(ctx, l, state.ExchangeIn{Exchange: s, Reply: reply}, reply)
 }
 
-func wait[T any](ctx context.Context, l *Loop, ev state.Event, reply chan T) (T, bool) {
+func request[T any](ctx context.Context, l *Loop, ev state.Event, reply chan T) (T, bool) {
 	var zero T
 	if !l.Send(ctx, ev) {
 		return zero, false
@@ -111,10 +111,10 @@
 	return zero, false
 }
 
-// Run folds events until the context ends, then waits for the actions under way.
+// Run processes events until the context ends, then waits for the running actions.
 func (l *Loop) Run(ctx context.Context) {
 	defer close(l.Done)
-	defer l.work.Wait()
+	defer l.actions.Wait()
 	tick := time.NewTicker(state.TickPeriod)
 	defer tick.Stop()
 	for {
@@ -122,21 +122,21 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			l.fold(ctx, l.tick())
-			l.drain(ctx)
+			l.apply(ctx, l.tick())
+			l.applyQueued(ctx)
 			l.publish()
 		case ev := <-l.events:
-			l.fold(ctx, ev)
-			if l.drain(ctx) || urgent(ev) {
+			l.apply(ctx, ev)
+			if l.applyQueued(ctx) || needsPublish(ev) {
 				l.publish()
 			}
 		}
 	}
 }
 
-// urgent tells whether an event must reach traffic before the next tick; the routine exchange, which
-// grows with the system, need not.
-func urgent(ev state.Event) bool {
+// needsPublish reports whether the effect of an event must reach the data path before the next tick. Routine exchanges,
+// whose number grows with the size of the system, can wait.
+func needsPublish(ev state.Event) bool {
 	switch ev.(type) {
 	case state.Adopt, state.Notice, state.ListOut, state.Unreachable, state.Leave, state.HeartbeatOut:
 		return true
@@ -146,15 +146,15 @@
 
 func (l *Loop) tick() state.Event { return state.Tick{Loads: l.Loader.Load(l.Clock())} }
 
-// drain folds what else has come, so that a burst costs one plan; it reports whether any of it is
-// urgent.
-func (l *Loop) drain(ctx context.Context) bool {
+// applyQueued applies the events that are already queued, so that a burst produces only one plan. It reports whether
+// any of them needs a plan at once.
+func (l *Loop) applyQueued(ctx context.Context) bool {
 	found := false
-	for range eventBatch {
+	for range maxEventBatch {
 		select {
 		case ev := <-l.events:
-			l.fold(ctx, ev)
-			found = found || urgent(ev)
+			l.apply(ctx, ev)
+			found = found || needsPublish(ev)
 		default:
 			return found
 		}
@@ -162,12 +162,12 @@
 	return found
 }
 
-func (l *Loop) fold(ctx context.Context, ev state.Event) {
+func (l *Loop) apply(ctx context.Context, ev state.Event) {
 	feed := func(ev state.Event) { l.Send(ctx, ev) }
 	for _, act := range state.Fold(l.state, ev, l.Clock()) {
-		l.work.Add(1)
+		l.actions.Add(1)
 		go func() {
-			defer l.work.Done()
+			defer l.actions.Done()
 			l.Doer.Do(ctx, act, feed)
 		}()
 	}
