--- a/internal/ctrl/state/doc.go
+++ b/internal/ctrl/state/doc.go
@@ -1,5 +1,5 @@
-// Package state folds events into an entry host's control state and plans from it.
+// Package state implements the control state machine of an entry host and derives routing plans from it.
 //
-// Both steps are pure functions of the state, the event and the present time. What the host is to
-// do about an event comes back as actions, whose results are events again.
+// State transitions depend only on the state, the event and the current time. They perform no I/O:
+// they return actions for the host to execute, whose results come back as further events.
 package state
--- a/internal/ctrl/state/election_test.go
+++ b/internal/ctrl/state/election_test.go
@@ -11,18 +11,18 @@
 func TestOnlyTheElectedHostAsksForTheLease(t *testing.T) {
 	f := newFleet(1, 8)
 	run := func(d time.Duration) {
-		clear(f.asks)
+		clear(f.leaseRequests)
 		for end := f.now.Add(d); f.now.Before(end); {
 			f.step(TickPeriod)
 		}
 	}
 	run(5 * time.Second)
-	assert.Equal(t, len(f.asks), 1, "at the start: %v", f.asks)
-	assert.Assert(t, f.asks["d0-0"] > 0)
-	f.hosts[0].cut = true
+	assert.Equal(t, len(f.leaseRequests), 1, "at the start: %v", f.leaseRequests)
+	assert.Assert(t, f.leaseRequests["d0-0"] > 0)
+	f.hosts[0].isolated = true
 	run(20 * time.Second)
-	delete(f.asks, "d0-0")
-	assert.Equal(t, len(f.asks), 1, "after the relay's loss: %v", f.asks)
+	delete(f.leaseRequests, "d0-0")
+	assert.Equal(t, len(f.leaseRequests), 1, "after the relay's loss: %v", f.leaseRequests)
 	assert.Assert(t, f.hosts[1].state.Lease.Held(f.now))
 }
 
@@ -35,7 +35,7 @@
 	doc.Regions[0].Domains[0].Seats = doc.Regions[0].Domains[0].Seats[1:]
 	f.doc = doc
 	f.fold(h, Adopt{Doc: doc})
-	h.cut = true
+	h.isolated = true
 	sent := 0
 	for range 10 * time.Second / TickPeriod {
 		f.now = f.now.Add(TickPeriod)
--- a/internal/ctrl/state/event.go
+++ b/internal/ctrl/state/event.go
@@ -7,24 +7,25 @@
 	"github.com/boragelane/boragelane/internal/core/spec"
 )
 
-// Event is something that control hears of.
+// Event is an input of the control state machine.
 type Event interface{ event() }
 
-// Events.
+// Events of the control state machine.
 type (
-	// Tick is the passing of time; Loads are this host's own.
+	// Tick is the periodic timer event; Loads is the current load of this host by service.
 	Tick struct{ Loads map[string]plan.Load }
-	// Adopt brings a document, from the platform, another host or, as Own, an operator of this host.
+	// Adopt delivers a configuration document. Own marks one that an operator changed through this host;
+	// otherwise it comes from the platform or another host.
 	Adopt struct {
 		Doc spec.Document
 		Own bool
 	}
-	// HeartbeatIn is a heartbeat of a host of the same failure domain; Reply takes one answer.
+	// HeartbeatIn is a heartbeat received from a host of the same failure domain. Exactly one reply is sent to Reply.
 	HeartbeatIn struct {
 		Heartbeat Heartbeat
 		Reply     chan HeartbeatReply
 	}
-	// HeartbeatOut is the answer to this host's heartbeat, or its failure.
+	// HeartbeatOut is the result of a heartbeat that this host sent.
 	HeartbeatOut struct {
 		Seat  string
 		Asked time.Time
@@ -32,12 +33,12 @@
 		Reply HeartbeatReply
 		Err   error
 	}
-	// ExchangeIn is an exchange of another relay; Reply takes one answer.
+	// ExchangeIn is an exchange received from another relay. Exactly one reply is sent to Reply.
 	ExchangeIn struct {
 		Exchange Exchange
 		Reply    chan ExchangeReply
 	}
-	// ExchangeOut is the answer to this host's exchange, or its failure.
+	// ExchangeOut is the result of an exchange that this host sent.
 	ExchangeOut struct {
 		Seat   string
 		Domain string
@@ -45,7 +46,7 @@
 		Reply  ExchangeReply
 		Err    error
 	}
-	// LeaseOut is the answer of the platform to a lease request, or its failure.
+	// LeaseOut is the result of a lease request to the platform.
 	LeaseOut struct {
 		Domain string
 		Asked  time.Time
@@ -53,21 +54,21 @@
 		Held   bool
 		Err    error
 	}
-	// ListOut is the platform's list of this failure domain's upstreams.
+	// ListOut delivers the platform's list of this failure domain's upstreams.
 	ListOut struct{ Members []Member }
-	// Notice says that a host has a revision, and brings the changes that made it.
+	// Notice announces that a host has a revision and carries the most recent changes up to it.
 	Notice struct {
 		Seat     string
 		Revision uint64
 		Changes  []spec.Entry
 	}
-	// FetchOut ends a fetch that brought no document.
+	// FetchOut reports that a fetch returned no document.
 	FetchOut struct{}
-	// Unreachable says that traffic could not reach a host.
+	// Unreachable reports that the data path failed to reach a host.
 	Unreachable struct{ Seat string }
-	// Ask wants the host's status; Reply takes one answer.
+	// Ask requests the host's status. Exactly one answer is sent to Reply.
 	Ask struct{ Reply chan Status }
-	// Leave begins this host's planned stop.
+	// Leave starts the planned stop of this host.
 	Leave struct{}
 )
 
@@ -85,39 +86,39 @@
 func (Ask) event()          {}
 func (Leave) event()        {}
 
-// Action is something that control wants done.
+// Action is an output of the control state machine that the host executes.
 type Action interface{ action() }
 
-// Actions.
+// Actions of the control state machine.
 type (
-	// SendHeartbeat sends a heartbeat to a host and brings back HeartbeatOut.
+	// SendHeartbeat sends a heartbeat to a host; its result is a HeartbeatOut.
 	SendHeartbeat struct {
 		To        spec.Seat
 		Heartbeat Heartbeat
 	}
-	// SendExchange sends an exchange to a host and brings back ExchangeOut.
+	// SendExchange sends an exchange to the relay of another failure domain; its result is an ExchangeOut.
 	SendExchange struct {
 		To       spec.Seat
 		Domain   string
 		Sent     uint64
 		Exchange Exchange
 	}
-	// SendNotice tells hosts of a revision and its changes.
+	// SendNotice announces a revision and its most recent changes to hosts.
 	SendNotice struct {
 		To       []spec.Seat
 		Revision uint64
 		Changes  []spec.Entry
 	}
-	// AskLease asks the platform for a failure domain's lease, or renews it, and brings back LeaseOut.
+	// AskLease acquires or renews a failure domain's lease on the platform; its result is a LeaseOut.
 	AskLease struct {
 		Domain string
 		Life   time.Duration
 	}
-	// ReleaseLease gives a failure domain's lease back.
+	// ReleaseLease releases a failure domain's lease.
 	ReleaseLease struct{ Domain string }
-	// Relay says whether this host now follows the platform for its failure domain.
+	// Relay starts or stops watching the platform on behalf of this host's failure domain.
 	Relay struct{ On bool }
-	// Fetch asks a host for its document and brings back Adopt or FetchOut.
+	// Fetch requests the document of a host; its result is an Adopt or a FetchOut.
 	Fetch struct{ From spec.Seat }
 )
 
--- a/internal/ctrl/state/fleet_test.go
+++ b/internal/ctrl/state/fleet_test.go
@@ -11,19 +11,19 @@
 // fleet is a few hosts' control states, the messages between them, and the platform's part. Messages
 // may be lost, late or doubled; hosts may be paused, restarted and cut off; the platform may be out.
 type fleet struct {
-	now      time.Time
-	doc      spec.Document
-	members  []Member
-	hosts    []*fakeHost
-	flight   []func()
-	lease    map[string]fakeLease // By failure domain.
-	want     map[string]fakeLease // The same, for hosts that were refused their own domain's lease.
-	asks     map[string]int       // Requests for leases by host.
-	sessions int
-	ended    map[int]bool // Sessions that were given back.
-	out      bool
-	apart    bool // The failure domains do not reach each other.
-	chaos    func() (lost, late, twice bool)
+	now           time.Time
+	doc           spec.Document
+	members       []Member
+	hosts         []*fakeHost
+	inFlight      []func()
+	lease         map[string]fakeLease // By failure domain.
+	claims        map[string]fakeLease // The same, for hosts that were refused their own domain's lease.
+	leaseRequests map[string]int       // Requests for leases by host.
+	sessions      int
+	ended         map[int]bool // Sessions that were given back.
+	platformDown  bool
+	partitioned   bool // The failure domains do not reach each other.
+	faults        func() (lost, late, twice bool)
 }
 
 type fakeLease struct {
@@ -32,15 +32,15 @@
 }
 
 type fakeHost struct {
-	state   *State
-	session map[string]int // By failure domain.
-	paused  bool
-	cut     bool // From all other hosts and the platform.
-	highest uint64
-	inbox   []Event // What came while it was paused.
+	state       *State
+	session     map[string]int // By failure domain.
+	paused      bool
+	isolated    bool // From all other hosts and the platform.
+	maxRevision uint64
+	inbox       []Event // What came while it was paused.
 }
 
-const fakeLife = 10 * time.Second
+const fakeLeaseTTL = 10 * time.Second
 
 func fakeDocument(domains, seats int) spec.Document {
 	d := spec.Document{
@@ -63,20 +63,20 @@
 }
 
 func newFleet(domains, seats int) *fleet {
-	f := &fleet{now: time.Unix(10_000, 0), doc: fakeDocument(domains, seats), lease: map[string]fakeLease{}, want: map[string]fakeLease{}, ended: map[int]bool{}, asks: map[string]int{}}
-	f.chaos = func() (bool, bool, bool) { return false, false, false }
+	f := &fleet{now: time.Unix(10_000, 0), doc: fakeDocument(domains, seats), lease: map[string]fakeLease{}, claims: map[string]fakeLease{}, ended: map[int]bool{}, leaseRequests: map[string]int{}}
+	f.faults = func() (bool, bool, bool) { return false, false, false }
 	for i := range domains {
 		f.members = append(f.members, Member{ID: fmt.Sprint("u", i), Service: "s", Domain: fmt.Sprint("d", i), Address: "a"})
 	}
 	for _, d := range f.doc.Regions[0].Domains {
 		for _, s := range d.Seats {
-			f.hosts = append(f.hosts, f.boot(plan.Self{Seat: s.Name, Domain: d.Name, Region: "r"}))
+			f.hosts = append(f.hosts, f.newHost(plan.Self{Seat: s.Name, Domain: d.Name, Region: "r"}))
 		}
 	}
 	return f
 }
 
-func (f *fleet) boot(self plan.Self) *fakeHost {
+func (f *fleet) newHost(self plan.Self) *fakeHost {
 	f.sessions++
 	self.Incarnation = fmt.Sprint("i", f.sessions)
 	return &fakeHost{state: New(self), session: map[string]int{}}
@@ -103,16 +103,16 @@
 
 // send delivers now, later, twice or never.
 func (f *fleet) send(run func()) {
-	lost, late, twice := f.chaos()
+	lost, late, twice := f.faults()
 	switch {
 	case lost:
 	case late:
-		f.flight = append(f.flight, run)
+		f.inFlight = append(f.inFlight, run)
 	default:
 		run()
 	}
 	if twice && !lost {
-		f.flight = append(f.flight, run)
+		f.inFlight = append(f.inFlight, run)
 	}
 }
 
@@ -124,7 +124,7 @@
 		f.exchange(h, a)
 	case SendNotice:
 		for _, s := range a.To {
-			if to := f.host(s.Name); f.joined(h, to) {
+			if to := f.host(s.Name); f.canReach(h, to) {
 				f.send(func() { f.fold(to, Notice{Seat: h.state.Self.Seat, Revision: a.Revision, Changes: a.Changes}) })
 			}
 		}
@@ -134,27 +134,27 @@
 		f.releaseLease(h, a.Domain)
 	case Relay:
 		if a.On {
-			f.follow(h)
+			f.deliverPlatformState(h)
 		}
 	case Fetch:
 		to := f.host(a.From.Name)
-		if f.joined(h, to) && to.state.Doc != nil {
+		if f.canReach(h, to) && to.state.Doc != nil {
 			doc := *to.state.Doc
 			f.send(func() { f.fold(h, Adopt{Doc: doc}) })
 		}
 	}
 }
 
-func (f *fleet) joined(a, b *fakeHost) bool {
-	if b == nil || a.cut || b.cut {
+func (f *fleet) canReach(a, b *fakeHost) bool {
+	if b == nil || a.isolated || b.isolated {
 		return false
 	}
-	return !f.apart || a.state.Self.Domain == b.state.Self.Domain
+	return !f.partitioned || a.state.Self.Domain == b.state.Self.Domain
 }
 
 func (f *fleet) heartbeat(h *fakeHost, a SendHeartbeat) {
 	to, asked := f.host(a.To.Name), f.now
-	if !f.joined(h, to) || to.paused {
+	if !f.canReach(h, to) || to.paused {
 		f.fold(h, HeartbeatOut{Seat: a.To.Name, Asked: asked, Err: fmt.Errorf("down")})
 		return
 	}
@@ -174,7 +174,7 @@
 
 func (f *fleet) exchange(h *fakeHost, a SendExchange) {
 	to := f.host(a.To.Name)
-	if !f.joined(h, to) || to.paused {
+	if !f.canReach(h, to) || to.paused {
 		f.fold(h, ExchangeOut{Seat: a.To.Name, Domain: a.Domain, Err: fmt.Errorf("down")})
 		return
 	}
@@ -192,8 +192,8 @@
 // askLease plays the platform and the host's part in front of it: a session a lease.
 func (f *fleet) askLease(h *fakeHost, d string) {
 	asked := f.now
-	f.asks[h.state.Self.Seat]++
-	if f.out || h.cut {
+	f.leaseRequests[h.state.Self.Seat]++
+	if f.platformDown || h.isolated {
 		f.fold(h, LeaseOut{Domain: d, Asked: asked, Err: fmt.Errorf("out")})
 		return
 	}
@@ -203,7 +203,7 @@
 	}
 	session, own := h.session[d], d == h.state.Self.Domain
 	f.send(func() {
-		if w := f.want[d]; !own && f.now.Before(w.until) {
+		if w := f.claims[d]; !own && f.now.Before(w.until) {
 			f.send(func() { f.fold(h, LeaseOut{Domain: d, Asked: asked}) })
 			return
 		}
@@ -211,11 +211,11 @@
 		held := (l.session == session || !f.now.Before(l.until)) && !f.ended[session]
 		switch {
 		case held:
-			f.lease[d] = fakeLease{session: session, until: f.now.Add(fakeLife)}
+			f.lease[d] = fakeLease{session: session, until: f.now.Add(fakeLeaseTTL)}
 		case own:
-			f.want[d] = fakeLease{session: session, until: f.now.Add(fakeLife)}
+			f.claims[d] = fakeLease{session: session, until: f.now.Add(fakeLeaseTTL)}
 		}
-		f.send(func() { f.fold(h, LeaseOut{Domain: d, Asked: asked, Life: fakeLife, Held: held}) })
+		f.send(func() { f.fold(h, LeaseOut{Domain: d, Asked: asked, Life: fakeLeaseTTL, Held: held}) })
 	})
 }
 
@@ -223,7 +223,7 @@
 func (f *fleet) releaseLease(h *fakeHost, d string) {
 	session := h.session[d]
 	delete(h.session, d)
-	if f.out || h.cut {
+	if f.platformDown || h.isolated {
 		return
 	}
 	f.send(func() {
@@ -234,9 +234,9 @@
 	})
 }
 
-// follow gives a relay what the platform holds.
-func (f *fleet) follow(h *fakeHost) {
-	if f.out || h.cut {
+// deliverPlatformState gives a relay what the platform holds.
+func (f *fleet) deliverPlatformState(h *fakeHost) {
+	if f.platformDown || h.isolated {
 		return
 	}
 	f.fold(h, Adopt{Doc: f.doc.Clone()})
@@ -254,14 +254,14 @@
 	for _, h := range f.hosts {
 		if !h.paused {
 			if h.state.IsRelay {
-				f.follow(h)
+				f.deliverPlatformState(h)
 			}
 			f.fold(h, Tick{Loads: map[string]plan.Load{"s": {Slots: 1}}})
 		}
 	}
 }
 
-func (f *fleet) wake(h *fakeHost) {
+func (f *fleet) resume(h *fakeHost) {
 	h.paused = false
 	box := h.inbox
 	h.inbox = nil
@@ -270,33 +270,33 @@
 	}
 }
 
-type failer interface {
+type testingT interface {
 	Helper()
 	Fatalf(format string, args ...any)
 }
 
-// check adds up what all hosts would use now, paused ones too: traffic reads plans by itself.
-func (f *fleet) check(t failer) {
+// checkLimits adds up what all hosts would use now, paused ones too: traffic reads plans by itself.
+func (f *fleet) checkLimits(t testingT) {
 	t.Helper()
 	sums := map[string]int64{}
 	for _, h := range f.hosts {
-		if r := h.state.Revision(); r < h.highest {
-			t.Fatalf("%s went back from revision %d to %d", h.state.Self.Seat, h.highest, r)
+		if r := h.state.Revision(); r < h.maxRevision {
+			t.Fatalf("%s went back from revision %d to %d", h.state.Self.Seat, h.maxRevision, r)
 		}
-		h.highest = h.state.Revision()
+		h.maxRevision = h.state.Revision()
 		if h.state.Doc == nil {
 			continue
 		}
-		for res := range h.state.Parts {
+		for res := range h.state.Allocations {
 			if isPool(res) {
 				continue
 			}
 			sums[res] += h.state.amount(res).At(f.now)
 		}
 	}
-	limits := map[string]int64{resCapacity: 11, resLink + "q": 1000}
+	limits := map[string]int64{resourceCapacity: 11, resourceLinkPrefix + "q": 1000}
 	for _, m := range f.members {
-		limits[resSlot+m.ID] = 5
+		limits[resourceSlotPrefix+m.ID] = 5
 	}
 	for res, sum := range sums {
 		if sum > limits[res] {
--- a/internal/ctrl/state/fold.go
+++ b/internal/ctrl/state/fold.go
@@ -9,147 +9,149 @@
 	"github.com/boragelane/boragelane/internal/core/spec"
 )
 
-// Fold takes an event into the state and returns what is to be done.
+// Fold applies an event to the state and returns the actions to execute.
 func Fold(s *State, ev Event, now time.Time) []Action {
 	switch e := ev.(type) {
 	case Tick:
-		s.smooth(e.Loads)
+		s.smoothLoads(e.Loads)
 		return s.tick(now)
 	case Adopt:
-		return s.adopt(e.Doc, e.Own, now)
+		return s.adoptDocument(e.Doc, e.Own, now)
 	case HeartbeatIn:
-		e.Reply <- s.heartbeatIn(e.Heartbeat, now)
-		return s.behind(e.Heartbeat.Seat, e.Heartbeat.Revision, now)
+		e.Reply <- s.handleHeartbeat(e.Heartbeat, now)
+		return s.fetchIfBehind(e.Heartbeat.Seat, e.Heartbeat.Revision, now)
 	case HeartbeatOut:
-		return s.heartbeatOut(e, now)
+		return s.handleHeartbeatResult(e, now)
 	case ExchangeIn:
-		e.Reply <- s.exchangeIn(e.Exchange, now)
-		return s.behind(e.Exchange.Seat, e.Exchange.Revision, now)
+		e.Reply <- s.handleExchange(e.Exchange, now)
+		return s.fetchIfBehind(e.Exchange.Seat, e.Exchange.Revision, now)
 	case ExchangeOut:
-		return s.exchangeOut(e, now)
+		return s.handleExchangeResult(e, now)
 	case LeaseOut:
 		if e.Domain != s.Self.Domain {
-			return s.takeoverOut(e, now)
+			return s.handleTakeoverLeaseResult(e, now)
 		}
-		s.leaseOut(e)
+		s.handleLeaseResult(e)
 	case ListOut:
-		s.listOut(e.Members, now)
+		s.setMembers(e.Members, now)
 	case Notice:
-		return s.notice(e, now)
+		return s.handleNotice(e, now)
 	case FetchOut:
-		s.fetchAt = time.Time{}
+		s.fetchStartedAt = time.Time{}
 	case Unreachable:
 		s.Unreachable[e.Seat] = now
 	case Ask:
 		e.Reply <- s.status(now)
 	case Leave:
 		s.Leaving = true
-		s.heartbeatAt = time.Time{}
+		s.lastHeartbeat = time.Time{}
 		return s.tick(now)
 	}
 	return nil
 }
 
-// smoothWeight is the weight of the newest sample in the loads that other hosts hear of. A sample is a
-// moment's chance; each change that it seems to be would be sent through the whole system.
-const smoothWeight = 0.2
+// loadSmoothingWeight is the weight of the newest sample in the moving average of the loads that this host
+// reports. Raw samples fluctuate, and each apparent change would be propagated through the whole system.
+const loadSmoothingWeight = 0.2
 
-// smooth takes in a sample of this host's loads.
-func (s *State) smooth(sample map[string]plan.Load) {
+// smoothLoads adds a sample to the exponentially weighted moving averages of this host's loads.
+func (s *State) smoothLoads(sample map[string]plan.Load) {
 	loads := make(map[string]plan.Load, len(sample))
 	for svc, l := range sample {
-		m, ok := s.means[svc]
+		m, ok := s.loadAverages[svc]
 		if !ok {
-			m = Mean{Busy: float64(l.Busy), Queued: float64(l.Queued)}
+			m = LoadAverage{Busy: float64(l.Busy), Queued: float64(l.Queued)}
 		}
-		m.Busy += smoothWeight * (float64(l.Busy) - m.Busy)
-		m.Queued += smoothWeight * (float64(l.Queued) - m.Queued)
-		s.means[svc] = m
+		m.Busy += loadSmoothingWeight * (float64(l.Busy) - m.Busy)
+		m.Queued += loadSmoothingWeight * (float64(l.Queued) - m.Queued)
+		s.loadAverages[svc] = m
 		l.Busy, l.Queued = int64(math.Round(m.Busy)), int64(math.Round(m.Queued))
 		loads[svc] = l
 	}
 	s.Loads = loads
 }
 
-// tick sends what is due.
+// tick runs the election and returns the periodic messages and requests that are due.
 func (s *State) tick(now time.Time) []Action {
 	if s.Doc == nil {
-		return s.seek(now)
+		return s.followPlatform(now)
 	}
 	var acts []Action
-	relay := s.relay(now)
-	if on := s.elected(relay, now); on != s.IsRelay {
+	relay := s.currentRelay(now)
+	if on := s.isElected(relay, now); on != s.IsRelay {
 		s.IsRelay = on
-		s.leaseAt, s.heartbeatAt = time.Time{}, time.Time{}
+		s.lastLeaseRequest, s.lastHeartbeat = time.Time{}, time.Time{}
 		if !on {
-			// Its own summary, and news it passed over as a relay, must come anew.
+			// A relay ignores received summaries of its own domain, so all summaries must be received again.
 			clear(s.Peers)
-			delete(s.Domains, s.Self.Domain)
-			clear(s.Takeovers) // The leases are given back with this host's own.
+			delete(s.Summaries, s.Self.Domain)
+			clear(s.Takeovers) // Stopping the relay role releases all leases of this host.
 		}
 		acts = append(acts, Relay{On: on})
 	}
-	if now.Sub(s.heartbeatAt) >= HeartbeatPeriod(len(s.seats())) {
-		s.heartbeatAt = now
-		acts = append(acts, s.heartbeat(relay, now)...)
+	if now.Sub(s.lastHeartbeat) >= HeartbeatPeriod(len(s.domainSeats())) {
+		s.lastHeartbeat = now
+		acts = append(acts, s.sendHeartbeat(relay, now)...)
 	}
-	s.applyPending(now)
-	s.advance(now)
+	s.applyPendingGrowth(now)
+	s.advanceShifts(now)
 	if !s.IsRelay {
 		return acts
 	}
-	s.summarize(now)
-	if now.Sub(s.leaseAt) >= s.leasePeriod(now) {
-		s.leaseAt = now
-		acts = append(acts, AskLease{Domain: s.Self.Domain, Life: LeaseLife(len(s.seats()))})
+	s.updateOwnSummary(now)
+	if now.Sub(s.lastLeaseRequest) >= s.leaseRequestPeriod(now) {
+		s.lastLeaseRequest = now
+		acts = append(acts, AskLease{Domain: s.Self.Domain, Life: LeaseLife(len(s.domainSeats()))})
 	}
-	acts = append(acts, s.takeOver(now)...)
-	if now.Sub(s.exchangeAt) >= ExchangePeriod(s.domainCount()) || s.starting(now) {
-		s.exchangeAt = now
-		acts = append(acts, s.exchange(now)...)
+	acts = append(acts, s.requestTakeovers(now)...)
+	if now.Sub(s.lastExchange) >= ExchangePeriod(s.domainCount()) || s.isStarting(now) {
+		s.lastExchange = now
+		acts = append(acts, s.startExchange(now)...)
 	}
 	return acts
 }
 
-// electionTime is how long a host must have been the first live seat before it relays: long enough for the
-// answers of the seats before it. Otherwise all hosts of a failure domain would turn to the platform at once
+// electionDelay is how long a host must have been the first live seat before it becomes the relay. It leaves time
+// for replies from the seats before it. Without it, all hosts of a failure domain would contact the platform at once
 // when they start together or lose their relay.
-const electionTime = time.Second
+const electionDelay = time.Second
 
-// elected tells whether this host relays for its failure domain.
-func (s *State) elected(relay spec.Seat, now time.Time) bool {
+// isElected reports whether this host is the relay of its failure domain.
+func (s *State) isElected(relay spec.Seat, now time.Time) bool {
 	if relay.Name != s.Self.Seat {
-		s.chosenAt = time.Time{}
+		s.candidateSince = time.Time{}
 		return false
 	}
-	if s.chosenAt.IsZero() {
-		s.chosenAt = now
+	if s.candidateSince.IsZero() {
+		s.candidateSince = now
 	}
-	return relay.Name == s.seats()[0].Name || now.Sub(s.chosenAt) >= electionTime
+	return relay.Name == s.domainSeats()[0].Name || now.Sub(s.candidateSince) >= electionDelay
 }
 
-// leaseRetry is how often a relay asks for the lease while it has none: its domain is on its floors.
-const leaseRetry = time.Second
+// leaseRetryPeriod is how often a relay requests the lease while it does not hold it. Until then the hosts of its
+// failure domain can only use their floors.
+const leaseRetryPeriod = time.Second
 
-func (s *State) leasePeriod(now time.Time) time.Duration {
+func (s *State) leaseRequestPeriod(now time.Time) time.Duration {
 	if !s.Lease.Held(now) {
-		return leaseRetry
+		return leaseRetryPeriod
 	}
-	return LeasePeriod(len(s.seats()))
+	return LeasePeriod(len(s.domainSeats()))
 }
 
-// startupTime is how long a relay may exchange news at each tick until it has heard of all failure domains.
-const startupTime = 10 * time.Second
+// startupExchangeTime is how long a new relay may send an exchange at every tick while it lacks the summary of
+// some failure domain.
+const startupExchangeTime = 10 * time.Second
 
-func (s *State) starting(now time.Time) bool {
-	if s.born.IsZero() {
-		s.born = now
+func (s *State) isStarting(now time.Time) bool {
+	if s.firstRelayedAt.IsZero() {
+		s.firstRelayedAt = now
 	}
-	return now.Sub(s.born) < startupTime && len(s.Domains) < s.domainCount()
+	return now.Sub(s.firstRelayedAt) < startupExchangeTime && len(s.Summaries) < s.domainCount()
 }
 
-// seek follows the platform until some document is known.
-func (s *State) seek(time.Time) []Action {
+// followPlatform makes this host watch the platform until it has a document.
+func (s *State) followPlatform(time.Time) []Action {
 	if s.IsRelay {
 		return nil
 	}
@@ -157,20 +159,20 @@
 	return []Action{Relay{On: true}}
 }
 
-// listOut adopts the list; its number grows only if the list changed.
-func (s *State) listOut(members []Member, now time.Time) {
+// setMembers replaces the list of upstreams. Its version grows only if the list changed.
+func (s *State) setMembers(members []Member, now time.Time) {
 	slices.SortFunc(members, func(a, b Member) int {
 		if a.ID < b.ID {
 			return -1
 		}
 		return 1
 	})
-	if slices.Equal(members, s.Members) && s.List > 0 {
+	if slices.Equal(members, s.Members) && s.MembersVersion > 0 {
 		return
 	}
 	s.Members = members
-	s.List++
+	s.MembersVersion++
 	if s.Doc != nil {
-		s.settle(now)
+		s.updateAllocations(now)
 	}
 }
--- a/internal/ctrl/state/grant.go
+++ b/internal/ctrl/state/grant.go
@@ -8,9 +8,10 @@
 	"github.com/boragelane/boragelane/internal/core/share"
 )
 
-// takeGrant adopts a grant unless a later one was asked for; it counts from the asking.
-func (s *State) takeGrant(asked time.Time, r HeartbeatReply) {
-	if r.Left <= 0 || asked.Before(s.Grant.Asked) {
+// acceptGrant installs the grant of a reply unless a grant requested later is in force. The grant's duration counts
+// from the request, so that it never outlasts the relay's record of the loan.
+func (s *State) acceptGrant(asked time.Time, r HeartbeatReply) {
+	if r.Left <= 0 || asked.Before(s.Grant.RequestedAt) {
 		return
 	}
 	units := r.Units
@@ -20,10 +21,10 @@
 		}
 		units = s.Grant.Units
 	}
-	s.Grant = Grant{Units: units, Hash: r.Hash, Asked: asked, Until: asked.Add(r.Left - share.Margin)}
+	s.Grant = Grant{Units: units, Hash: r.Hash, RequestedAt: asked, ExpiresAt: asked.Add(r.Left - share.Margin)}
 }
 
-// hashUnits returns a number that stands for the units of a grant, never 0.
+// hashUnits returns a hash of the units of a grant. It is never 0, which stands for no known grant.
 func hashUnits(units map[string]int64) uint64 {
 	sum := uint64(1)
 	for res, n := range units {
@@ -32,8 +33,8 @@
 	return max(1, sum)
 }
 
-// leaseOut books the platform's answer for this failure domain's own lease.
-func (s *State) leaseOut(e LeaseOut) {
+// handleLeaseResult records the result of a request for this failure domain's own lease.
+func (s *State) handleLeaseResult(e LeaseOut) {
 	if e.Err != nil {
 		return
 	}
--- a/internal/ctrl/state/heartbeat.go
+++ b/internal/ctrl/state/heartbeat.go
@@ -9,144 +9,144 @@
 	"github.com/boragelane/boragelane/internal/core/spec"
 )
 
-// heartbeat tells the relay of this host, or books it here if this host is the relay.
-func (s *State) heartbeat(relay spec.Seat, now time.Time) []Action {
-	b := Heartbeat{
+// sendHeartbeat reports this host to its relay; the relay itself records its own report directly.
+func (s *State) sendHeartbeat(relay spec.Seat, now time.Time) []Action {
+	hb := Heartbeat{
 		Seat: s.Self.Seat, Incarnation: s.Self.Incarnation, Revision: s.Revision(),
 		Leaving: s.Leaving, Loads: s.Loads,
 	}
-	if now.Before(s.Grant.Until) {
-		b.Hash = s.Grant.Hash
+	if now.Before(s.Grant.ExpiresAt) {
+		hb.Hash = s.Grant.Hash
 	}
 	if s.IsRelay {
-		reply := s.heartbeatIn(b, now)
-		s.takeGrant(now, reply)
-		return s.probe(b)
+		reply := s.handleHeartbeat(hb, now)
+		s.acceptGrant(now, reply)
+		return s.probeEarlierSeats(hb)
 	}
 	if relay.Name == s.Self.Seat || relay.Name == "" {
-		return s.probe(b) // Not elected yet, or without a seat in the document.
+		return s.probeEarlierSeats(hb) // This host is not elected yet, or has no seat in the document.
 	}
-	p := s.Peers[relay.Name]
-	b.Peer, b.Got, b.List = p.Incarnation, p.Got, p.List
-	if s.reported.peer != "" && s.reported.peer == p.Incarnation && s.unchanged(s.reported.loads, s.Loads) {
-		b.Loads, b.Same = nil, true
+	peer := s.Peers[relay.Name]
+	hb.Peer, hb.Got, hb.List = peer.Incarnation, peer.SeenSeq, peer.MembersVersion
+	if s.lastReport.relayIncarnation != "" && s.lastReport.relayIncarnation == peer.Incarnation && s.loadsUnchanged(s.lastReport.loads, s.Loads) {
+		hb.Loads, hb.Same = nil, true
 	}
-	return []Action{SendHeartbeat{To: relay, Heartbeat: b}}
+	return []Action{SendHeartbeat{To: relay, Heartbeat: hb}}
 }
 
-// manySeats is from how many hosts on a small change of one host's loads is no news to its relay.
-const manySeats = 9
+// largeDomainHosts is the number of hosts from which a small change of one host's loads is not reported to its relay.
+const largeDomainHosts = 9
 
-// unchanged tells whether loads need not be sent again.
-func (s *State) unchanged(old, loads map[string]plan.Load) bool {
-	if len(s.seats()) < manySeats {
+// loadsUnchanged reports whether the loads need not be sent again.
+func (s *State) loadsUnchanged(old, loads map[string]plan.Load) bool {
+	if len(s.domainSeats()) < largeDomainHosts {
 		return maps.Equal(old, loads)
 	}
-	return !moved(old, loads)
+	return !loadsChanged(old, loads)
 }
 
-// probe sends a heartbeat to the seats before this one in order, one of which should relay if it is back.
-func (s *State) probe(b Heartbeat) []Action {
+// probeEarlierSeats sends a heartbeat to each seat that comes before this one. The first of them that is alive
+// should be the relay.
+func (s *State) probeEarlierSeats(hb Heartbeat) []Action {
 	var acts []Action
-	for _, seat := range s.seats() {
+	for _, seat := range s.domainSeats() {
 		if seat.Name == s.Self.Seat {
 			break
 		}
-		p := s.Peers[seat.Name]
-		b.Peer, b.Got, b.List = p.Incarnation, p.Got, p.List
-		acts = append(acts, SendHeartbeat{To: seat, Heartbeat: b})
+		peer := s.Peers[seat.Name]
+		hb.Peer, hb.Got, hb.List = peer.Incarnation, peer.SeenSeq, peer.MembersVersion
+		acts = append(acts, SendHeartbeat{To: seat, Heartbeat: hb})
 	}
 	return acts
 }
 
-// heartbeatIn books a host's heartbeat and answers with its grant and the news.
-func (s *State) heartbeatIn(b Heartbeat, now time.Time) HeartbeatReply {
-	if old := s.Seats[b.Seat]; b.Same && old.Incarnation == b.Incarnation {
-		b.Loads = old.Loads
-	}
-	s.Seats[b.Seat] = Seat{Heard: now, Incarnation: b.Incarnation, Revision: b.Revision, Leaving: b.Leaving, Loads: b.Loads}
-	delete(s.Unreachable, b.Seat)
-	r := HeartbeatReply{Incarnation: s.Self.Incarnation, Revision: s.Revision(), Stamp: s.Stamp, List: s.List, Leaving: s.Leaving}
-	if s.IsRelay && !b.Leaving {
+// handleHeartbeat records a host's heartbeat and returns its grant and the summaries that it lacks.
+func (s *State) handleHeartbeat(hb Heartbeat, now time.Time) HeartbeatReply {
+	if old := s.Hosts[hb.Seat]; hb.Same && old.Incarnation == hb.Incarnation {
+		hb.Loads = old.Loads
+	}
+	s.Hosts[hb.Seat] = HostRecord{HeardAt: now, Incarnation: hb.Incarnation, Revision: hb.Revision, Leaving: hb.Leaving, Loads: hb.Loads}
+	delete(s.Unreachable, hb.Seat)
+	reply := HeartbeatReply{Incarnation: s.Self.Incarnation, Revision: s.Revision(), Stamp: s.Seq, List: s.MembersVersion, Leaving: s.Leaving}
+	if s.IsRelay && !hb.Leaving {
 		if len(s.Takeovers) > 0 {
-			s.usePools(now)
+			s.updateLedgerPools(now)
 		}
-		g := s.Ledger.Lend(b.Seat, s.lendingLease(now), now)
-		r.Units, r.Left, r.Hash = g.Units, g.Left, hashUnits(g.Units)
-		if b.Hash == r.Hash {
-			r.Units = nil // The host has them.
+		g := s.Ledger.Lend(hb.Seat, s.lendingLease(now), now)
+		reply.Units, reply.Left, reply.Hash = g.Units, g.Left, hashUnits(g.Units)
+		if hb.Hash == reply.Hash {
+			reply.Units = nil // The host already holds the same grant.
 		}
 	}
-	if b.Seat == s.Self.Seat {
-		return r
+	if hb.Seat == s.Self.Seat {
+		return reply
 	}
-	got, list := b.Got, b.List
-	if b.Peer != s.Self.Incarnation {
+	got, list := hb.Got, hb.List
+	if hb.Peer != s.Self.Incarnation {
 		got, list = 0, 0
 	}
-	r.News = slices.DeleteFunc(s.since(got, "", asker(got, b.Seat)), func(n Summary) bool { return n.Same })
-	r.Stale = s.stale(now)
-	if list != s.List {
-		r.Members = s.Members
+	reply.News = slices.DeleteFunc(s.summariesSince(got, "", excludedSource(got, hb.Seat)), func(n Summary) bool { return n.Same })
+	reply.Stale = s.staleDomains(now)
+	if list != s.MembersVersion {
+		reply.Members = s.Members
 	}
-	return r
+	return reply
 }
 
-func (s *State) heartbeatOut(e HeartbeatOut, now time.Time) []Action {
+func (s *State) handleHeartbeatResult(e HeartbeatOut, now time.Time) []Action {
 	if e.Err != nil {
-		was := s.relay(now).Name
+		relay := s.currentRelay(now).Name
 		s.Unreachable[e.Seat] = now
-		delete(s.Alive, e.Seat)
-		if was == e.Seat {
-			s.heartbeatAt = time.Time{}
+		delete(s.LastReply, e.Seat)
+		if relay == e.Seat {
+			s.lastHeartbeat = time.Time{}
 			return s.tick(now)
 		}
 		return nil
 	}
 	delete(s.Unreachable, e.Seat)
-	if s.Alive[e.Seat] = now; e.Reply.Leaving {
-		delete(s.Alive, e.Seat)
+	if s.LastReply[e.Seat] = now; e.Reply.Leaving {
+		delete(s.LastReply, e.Seat)
 	}
-	p := s.Peers[e.Seat]
-	if !e.Sent.Same && e.Seat == s.relay(now).Name {
-		s.reported = reported{peer: e.Reply.Incarnation, loads: e.Sent.Loads}
+	peer := s.Peers[e.Seat]
+	if !e.Sent.Same && e.Seat == s.currentRelay(now).Name {
+		s.lastReport = loadReport{relayIncarnation: e.Reply.Incarnation, loads: e.Sent.Loads}
 	}
-	p.Incarnation, p.Got = e.Reply.Incarnation, e.Reply.Stamp
-	if e.Reply.List != 0 && (e.Reply.Members != nil || p.List != e.Reply.List) {
-		p.List = e.Reply.List
-		s.listOut(e.Reply.Members, now)
+	peer.Incarnation, peer.SeenSeq = e.Reply.Incarnation, e.Reply.Stamp
+	if e.Reply.List != 0 && (e.Reply.Members != nil || peer.MembersVersion != e.Reply.List) {
+		peer.MembersVersion = e.Reply.List
+		s.setMembers(e.Reply.Members, now)
 	}
-	s.Peers[e.Seat] = p
-	s.takeGrant(e.Asked, e.Reply)
-	s.merge(e.Seat, e.Reply.News, now)
+	s.Peers[e.Seat] = peer
+	s.acceptGrant(e.Asked, e.Reply)
+	s.mergeSummaries(e.Seat, e.Reply.News, now)
 	if !s.IsRelay {
-		s.refreshHeard(e.Reply.Stale, now)
+		s.refreshSummaries(e.Reply.Stale, now)
 	}
-	return s.behind(e.Seat, e.Reply.Revision, now)
+	return s.fetchIfBehind(e.Seat, e.Reply.Revision, now)
 }
 
-// total adds up the loads of the live hosts of this failure domain, and lists the hosts that are
-// not there for new work.
-func (s *State) total(now time.Time) (map[string]plan.Load, []string) {
+// domainLoads sums the loads of the live hosts of this failure domain and lists the hosts that accept no new jobs.
+func (s *State) domainLoads(now time.Time) (map[string]plan.Load, []string) {
 	sum := map[string]plan.Load{}
-	var away []string
-	for _, seat := range s.seats() {
-		st, ok := s.Seats[seat.Name]
-		if !ok || now.Sub(st.Heard) > SeatLife(len(s.seats())) {
-			away = append(away, seat.Name)
+	var unavailable []string
+	for _, seat := range s.domainSeats() {
+		host, ok := s.Hosts[seat.Name]
+		if !ok || now.Sub(host.HeardAt) > SeatTimeout(len(s.domainSeats())) {
+			unavailable = append(unavailable, seat.Name)
 			continue
 		}
-		for svc, l := range st.Loads {
-			sum[svc] = add(sum[svc], l)
+		for svc, l := range host.Loads {
+			sum[svc] = addLoads(sum[svc], l)
 		}
-		if st.Leaving {
-			away = append(away, seat.Name)
+		if host.Leaving {
+			unavailable = append(unavailable, seat.Name)
 		}
 	}
-	return sum, away
+	return sum, unavailable
 }
 
-func add(a, b plan.Load) plan.Load {
+func addLoads(a, b plan.Load) plan.Load {
 	return plan.Load{
 		Slots: a.Slots + b.Slots, Busy: a.Busy + b.Busy, Queued: a.Queued + b.Queued,
 		Latency: max(a.Latency, b.Latency),
--- a/internal/ctrl/state/limits.go
+++ b/internal/ctrl/state/limits.go
@@ -8,15 +8,15 @@
 	"github.com/boragelane/boragelane/internal/core/spec"
 )
 
-// Names of resources whose limits are shared.
+// Names and name prefixes of the resources whose limits are shared, and the prefix of pools in State.Allocations.
 const (
-	resCapacity = "cap"
-	resLink     = "link/"
-	resSlot     = "slot/"
-	poolPrefix  = "pool/"
+	resourceCapacity   = "cap"
+	resourceLinkPrefix = "link/"
+	resourceSlotPrefix = "slot/"
+	poolPrefix         = "pool/"
 )
 
-// regionLimits returns a failure domain's part of each limit that the domains of a region share.
+// regionLimits returns a failure domain's part of each limit that is split among the domains of its region.
 func (s *State) regionLimits(domain string) map[string]int64 {
 	region, _, ok := s.Doc.Locate(domain)
 	if !ok {
@@ -30,16 +30,16 @@
 			at = i
 		}
 	}
-	out := map[string]int64{resCapacity: share.Split(resCapacity, int64(region.Capacity), names)[at]}
+	out := map[string]int64{resourceCapacity: share.Split(resourceCapacity, int64(region.Capacity), names)[at]}
 	for _, l := range s.Doc.Links {
 		if l.From == region.Name {
-			out[resLink+l.To] = share.Split(resLink+l.To, l.Rate, names)[at]
+			out[resourceLinkPrefix+l.To] = share.Split(resourceLinkPrefix+l.To, l.Rate, names)[at]
 		}
 	}
 	return out
 }
 
-// domainLimits returns this failure domain's part of each shared limit.
+// domainLimits returns the limits of this failure domain: its part of the region's limits and the slots of its upstreams.
 func (s *State) domainLimits() map[string]int64 {
 	out := s.regionLimits(s.Self.Domain)
 	if out == nil {
@@ -47,14 +47,14 @@
 	}
 	for _, m := range s.Members {
 		if svc, ok := s.Doc.Service(m.Service); ok && m.Domain == s.Self.Domain {
-			out[resSlot+m.ID] = int64(svc.Slots)
+			out[resourceSlotPrefix+m.ID] = int64(svc.Slots)
 		}
 	}
 	return out
 }
 
-// drop gives up the units of one resource; the grant's mark no longer stands for the rest.
-func (g *Grant) drop(res string) {
+// dropUnits removes the units of one resource from the grant. It clears the hash, which no longer matches the units.
+func (g *Grant) dropUnits(res string) {
 	if _, ok := g.Units[res]; !ok {
 		return
 	}
@@ -63,100 +63,100 @@
 	g.Hash = 0
 }
 
-func (s *State) seatNames() ([]string, int) {
-	seats := s.seats()
-	names, at := make([]string, len(seats)), -1
+func (s *State) domainSeatNames() ([]string, int) {
+	seats := s.domainSeats()
+	names, self := make([]string, len(seats)), -1
 	for i, seat := range seats {
 		names[i] = seat.Name
 		if seat.Name == s.Self.Seat {
-			at = i
+			self = i
 		}
 	}
-	return names, at
+	return names, self
 }
 
-// settle recomputes this host's floors and the pools; a part that grew waits until all hosts
-// have the revision that made it grow.
-func (s *State) settle(now time.Time) {
-	names, at := s.seatNames()
+// updateAllocations recomputes this host's floors and the pools. Growth takes effect only after a delay in which all
+// hosts receive the revision that caused it.
+func (s *State) updateAllocations(now time.Time) {
+	names, self := s.domainSeatNames()
 	seen := map[string]bool{}
 	for res, limit := range s.domainLimits() {
 		floors, pool := share.Parts(res, limit, s.Doc.Floor, names)
-		mine := int64(0)
-		if at >= 0 {
-			mine = floors[at]
+		own := int64(0)
+		if self >= 0 {
+			own = floors[self]
 		}
-		s.setPart(res, mine, now)
+		s.setAllocation(res, own, now)
 		s.setPool(poolPrefix, res, pool, now)
 		seen[res], seen[poolPrefix+res] = true, true
 	}
 	for _, d := range s.index.siblings {
-		prefix := sparePrefix(d.Name)
+		prefix := siblingPoolPrefix(d.Name)
 		for res, limit := range s.regionLimits(d.Name) {
 			s.setPool(prefix, res, limit-share.FloorTotal(limit, s.Doc.Floor, len(d.Seats)), now)
 			seen[prefix+res] = true
 		}
 	}
-	for name := range s.Parts {
+	for name := range s.Allocations {
 		if !seen[name] {
-			s.Grant.drop(resource(name))
-			delete(s.Parts, name)
+			s.Grant.dropUnits(resource(name))
+			delete(s.Allocations, name)
 		}
 	}
-	s.usePools(now)
+	s.updateLedgerPools(now)
 }
 
-// setPool sets a pool; what this host was lent from a larger one it gives up.
+// setPool updates the size of a pool. When the pool shrinks, the host gives up the units that were lent to it.
 func (s *State) setPool(prefix, res string, units int64, now time.Time) {
-	if units < s.Parts[prefix+res].Units {
-		s.Grant.drop(res)
+	if units < s.Allocations[prefix+res].Units {
+		s.Grant.dropUnits(res)
 	}
-	s.setPart(prefix+res, units, now)
+	s.setAllocation(prefix+res, units, now)
 }
 
-func (s *State) setPart(res string, units int64, now time.Time) {
-	p, ok := s.Parts[res]
+func (s *State) setAllocation(res string, units int64, now time.Time) {
+	p, ok := s.Allocations[res]
 	switch {
 	case !ok:
-		p = Part{Units: units, Next: units}
+		p = Allocation{Units: units, Pending: units}
 	case units <= p.Units:
-		p = Part{Units: units, Next: units}
-	case units != p.Next:
-		p.Next, p.From = units, now.Add(s.settleTime())
+		p = Allocation{Units: units, Pending: units}
+	case units != p.Pending:
+		p.Pending, p.EffectiveAt = units, now.Add(s.growthDelay())
 	}
-	s.Parts[res] = p
+	s.Allocations[res] = p
 }
 
-// settleTime returns how long a part that grew waits: longer than any loan from a pool that shrank, since a
-// host that is out of reach does not hear that it shrank.
-func (s *State) settleTime() time.Duration {
-	wait := Settle
-	for _, d := range s.index.region {
-		wait = max(wait, Term(len(d.Seats))+time.Second)
+// growthDelay returns how long the growth of an allocation is delayed. It exceeds the duration of any loan from a pool
+// that shrank, since an unreachable host keeps using its loan until it expires.
+func (s *State) growthDelay() time.Duration {
+	delay := MinGrowthDelay
+	for _, d := range s.index.regionDomains {
+		delay = max(delay, Term(len(d.Seats))+time.Second)
 	}
-	return wait
+	return delay
 }
 
-// applyPending brings the parts that have waited long enough into force.
-func (s *State) applyPending(now time.Time) {
-	for res, p := range s.Parts {
-		if p.Next > p.Units && !now.Before(p.From) {
-			s.Parts[res] = Part{Units: p.Next, Next: p.Next}
+// applyPendingGrowth applies the growth of allocations whose delay has passed.
+func (s *State) applyPendingGrowth(now time.Time) {
+	for res, p := range s.Allocations {
+		if p.Pending > p.Units && !now.Before(p.EffectiveAt) {
+			s.Allocations[res] = Allocation{Units: p.Pending, Pending: p.Pending}
 		}
 	}
-	s.usePools(now)
+	s.updateLedgerPools(now)
 }
 
-// amount returns this host's part of a limit.
+// amount returns this host's share of a limit: its floor and what is lent to it.
 func (s *State) amount(res string) share.Amount {
-	return share.Amount{Floor: s.Parts[res].Units, Lent: s.Grant.Units[res], Until: s.Grant.Until}
+	return share.Amount{Floor: s.Allocations[res].Units, Lent: s.Grant.Units[res], Until: s.Grant.ExpiresAt}
 }
 
-// conns returns this host's part of an upstream's connections.
-func (s *State) conns(id string, svc spec.Service) int64 {
-	names, at := s.seatNames()
-	if at < 0 {
+// connectionLimit returns this host's part of the connections that an upstream allows.
+func (s *State) connectionLimit(id string, svc spec.Service) int64 {
+	names, self := s.domainSeatNames()
+	if self < 0 {
 		return 0
 	}
-	return share.Split("conn/"+id, int64(svc.Conns), names)[at]
+	return share.Split("conn/"+id, int64(svc.Conns), names)[self]
 }
--- a/internal/ctrl/state/limits_test.go
+++ b/internal/ctrl/state/limits_test.go
@@ -14,42 +14,42 @@
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet(2, 2)
 		chance := rapid.IntRange(0, 9)
-		f.chaos = func() (bool, bool, bool) {
+		f.faults = func() (bool, bool, bool) {
 			return chance.Draw(t, "lost") == 9, chance.Draw(t, "late") >= 8, chance.Draw(t, "twice") == 9
 		}
 		pick := func(t *rapid.T) *fakeHost { return f.hosts[rapid.IntRange(0, len(f.hosts)-1).Draw(t, "host")] }
 		t.Repeat(map[string]func(*rapid.T){
-			"":     func(t *rapid.T) { f.check(t) },
+			"":     func(t *rapid.T) { f.checkLimits(t) },
 			"tick": func(*rapid.T) { f.step(TickPeriod) },
 			"step": func(t *rapid.T) { f.step(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond) },
 			"late": func(t *rapid.T) {
-				if n := len(f.flight); n > 0 {
+				if n := len(f.inFlight); n > 0 {
 					i := rapid.IntRange(0, n-1).Draw(t, "message")
-					run := f.flight[i]
-					f.flight = append(f.flight[:i:i], f.flight[i+1:]...)
+					run := f.inFlight[i]
+					f.inFlight = append(f.inFlight[:i:i], f.inFlight[i+1:]...)
 					run()
 				}
 			},
 			"pause":  func(t *rapid.T) { pick(t).paused = true },
-			"wake":   func(t *rapid.T) { f.wake(pick(t)) },
-			"cut":    func(t *rapid.T) { h := pick(t); h.cut = !h.cut },
-			"outage": func(*rapid.T) { f.out = !f.out },
-			"apart":  func(*rapid.T) { f.apart = !f.apart },
+			"wake":   func(t *rapid.T) { f.resume(pick(t)) },
+			"cut":    func(t *rapid.T) { h := pick(t); h.isolated = !h.isolated },
+			"outage": func(*rapid.T) { f.platformDown = !f.platformDown },
+			"apart":  func(*rapid.T) { f.partitioned = !f.partitioned },
 			"restart": func(t *rapid.T) {
 				i := rapid.IntRange(0, len(f.hosts)-1).Draw(t, "host")
-				f.hosts[i] = f.boot(f.hosts[i].state.Self)
+				f.hosts[i] = f.newHost(f.hosts[i].state.Self)
 			},
 			"change": func(*rapid.T) { f.doc.Revision++ },
 			"alone": func(t *rapid.T) {
 				cut := rapid.Bool().Draw(t, "cut")
 				for _, h := range f.hosts[2:] {
-					h.cut = cut
+					h.isolated = cut
 				}
 			},
 			"while": func(t *rapid.T) {
 				for range 40 {
 					f.step(2 * TickPeriod)
-					f.check(t)
+					f.checkLimits(t)
 				}
 			},
 		})
@@ -58,11 +58,11 @@
 
 func TestAFrozenLenderIsReplaced(t *testing.T) {
 	f := newFleet(1, 2)
-	lent := func(h *fakeHost) int64 { return h.state.amount(resSlot + "u0").At(f.now) }
+	lent := func(h *fakeHost) int64 { return h.state.amount(resourceSlotPrefix + "u0").At(f.now) }
 	run := func(d time.Duration) {
 		for end := f.now.Add(d); f.now.Before(end); {
 			f.step(TickPeriod)
-			f.check(t)
+			f.checkLimits(t)
 		}
 	}
 	run(15 * time.Second)
@@ -71,8 +71,8 @@
 	run(20 * time.Second)
 	assert.Equal(t, lent(f.hosts[0]), int64(1), "the frozen host is on its floor")
 	assert.Equal(t, lent(f.hosts[1]), int64(4), "the other has its floor and the whole pool")
-	f.wake(f.hosts[0])
-	f.check(t)
+	f.resume(f.hosts[0])
+	f.checkLimits(t)
 	run(25 * time.Second)
 	assert.Equal(t, lent(f.hosts[0])+lent(f.hosts[1]), int64(5))
 }
@@ -82,13 +82,13 @@
 	for range 60 {
 		f.step(TickPeriod)
 	}
-	f.out = true
+	f.platformDown = true
 	for range 60 {
 		f.step(TickPeriod)
-		f.check(t)
+		f.checkLimits(t)
 	}
 	for _, h := range f.hosts {
-		assert.Equal(t, h.state.amount(resSlot+"u0").At(f.now), int64(1))
+		assert.Equal(t, h.state.amount(resourceSlotPrefix+"u0").At(f.now), int64(1))
 	}
 	p := Plan(f.hosts[0].state, f.now)
 	assert.Equal(t, len(p.Services["s"].Upstreams), 1)
@@ -112,15 +112,15 @@
 			for range 60 {
 				f.step(TickPeriod)
 			}
-			assert.Equal(t, f.inUse(resSlot+"u0"), int64(5))
+			assert.Equal(t, f.inUse(resourceSlotPrefix+"u0"), int64(5))
 			f.doc = f.doc.Clone()
 			f.doc.Revision++
 			change(&f.doc)
 			for range 12 {
 				f.step(TickPeriod)
-				f.check(t)
+				f.checkLimits(t)
 			}
-			assert.Assert(t, f.inUse(resSlot+"u0") <= 3, "%d in use of 3 after 3 s", f.inUse(resSlot+"u0"))
+			assert.Assert(t, f.inUse(resourceSlotPrefix+"u0") <= 3, "%d in use of 3 after 3 s", f.inUse(resourceSlotPrefix+"u0"))
 		})
 	}
 }
@@ -140,10 +140,10 @@
 	for i := range 80 {
 		f.step(TickPeriod)
 		if i == 8 {
-			f.wake(slow)
+			f.resume(slow)
 			f.fold(slow, Adopt{Doc: f.doc})
 		}
-		f.check(t)
+		f.checkLimits(t)
 	}
-	assert.Equal(t, f.inUse(resLink+"q"), int64(1000))
+	assert.Equal(t, f.inUse(resourceLinkPrefix+"q"), int64(1000))
 }
--- a/internal/ctrl/state/message.go
+++ b/internal/ctrl/state/message.go
@@ -6,7 +6,7 @@
 	"github.com/boragelane/boragelane/internal/core/plan"
 )
 
-// Member is an upstream on the platform's list.
+// Member is an upstream registered with the platform.
 type Member struct {
 	ID      string
 	Address string
@@ -15,60 +15,60 @@
 	Leaving bool
 }
 
-// Summary is what a failure domain tells the others of itself.
+// Summary is the versioned status that a failure domain publishes to the others.
 type Summary struct {
 	Domain  string
 	Version int64
 	Relay   string
-	Away    []string // Hosts that take no new work.
+	Away    []string // Hosts that accept no new jobs.
 	Loads   map[string]plan.Load
-	Same    bool // Only the version is new; the rest is left out.
+	Same    bool // Only the version changed; Relay, Away and Loads are omitted.
 }
 
-// Heartbeat is what an entry host tells its relay, once a period.
+// Heartbeat is the periodic report of an entry host to its relay.
 type Heartbeat struct {
 	Seat        string
 	Incarnation string
 	Revision    uint64
 	Leaving     bool
 	Loads       map[string]plan.Load
-	Same        bool   // The loads are about those of the last heartbeat, and are left out.
-	Peer        string // The incarnation of the relay that Got counts for.
-	Got         uint64
-	List        uint64
-	Hash        uint64 // The grant that the sender holds.
+	Same        bool   // The loads are nearly those of the last heartbeat and are omitted.
+	Peer        string // The incarnation of the relay to which Got and List refer.
+	Got         uint64 // The relay's sequence number up to which the sender has its summaries.
+	List        uint64 // The version of the upstream list that the sender has.
+	Hash        uint64 // The hash of the grant that the sender holds, 0 for none.
 }
 
-// HeartbeatReply is what a relay answers: the sender's grant, and the news since it last heard.
+// HeartbeatReply answers a heartbeat with the sender's grant and the summaries that it lacks.
 type HeartbeatReply struct {
 	Incarnation string
 	Revision    uint64
 	Leaving     bool
-	Stamp       uint64
-	Units       map[string]int64
-	Left        time.Duration
-	Hash        uint64 // Stands for the units, which are left out if the sender holds them.
+	Stamp       uint64           // The relay's sequence number; News is complete up to it.
+	Units       map[string]int64 // The grant by resource; nil if the sender already holds it.
+	Left        time.Duration    // The duration of the grant, 0 for none.
+	Hash        uint64           // The hash of the granted units.
 	News        []Summary
-	Stale       []string // Failure domains of which the relay hears nothing.
-	List        uint64
+	Stale       []string // Failure domains whose summaries are out of date at the relay.
+	List        uint64   // The version of the upstream list.
 	Members     []Member
 }
 
-// Exchange is what a relay tells the relay of another failure domain.
+// Exchange carries summaries from a relay to the relay of another failure domain.
 type Exchange struct {
 	Domain      string
 	Seat        string
 	Incarnation string
 	Revision    uint64
-	Peer        string
-	Got         uint64
+	Peer        string // The receiver's incarnation to which Got refers.
+	Got         uint64 // The receiver's sequence number up to which the sender has its summaries.
 	News        []Summary
 }
 
-// ExchangeReply is what the other relay answers.
+// ExchangeReply returns the summaries that the sender of an Exchange lacks.
 type ExchangeReply struct {
 	Incarnation string
 	Revision    uint64
-	Stamp       uint64
+	Stamp       uint64 // The receiver's sequence number; News is complete up to it.
 	News        []Summary
 }
--- a/internal/ctrl/state/news.go
+++ b/internal/ctrl/state/news.go
@@ -9,14 +9,14 @@
 	"github.com/boragelane/boragelane/internal/core/spec"
 )
 
-// since returns the news that this host learned after a stamp, but for one failure domain's own and
-// for what came from the host that asks.
-func (s *State) since(stamp uint64, except, asker string) []Summary {
+// summariesSince returns the summaries that this host received after a sequence number, in the order of their
+// domains. It omits those of one failure domain and those received from the excluded source.
+func (s *State) summariesSince(seq uint64, exceptDomain, source string) []Summary {
 	var out []Summary
-	for name, n := range s.Domains {
+	for name, n := range s.Summaries {
 		switch {
-		case n.Stamp <= stamp || name == except || asker != "" && n.From == asker:
-		case n.Changed <= stamp:
+		case n.Seq <= seq || name == exceptDomain || source != "" && n.Source == source:
+		case n.ChangedSeq <= seq:
 			out = append(out, Summary{Domain: n.Domain, Version: n.Version, Same: true})
 		default:
 			out = append(out, n.Summary)
@@ -31,40 +31,41 @@
 	return out
 }
 
-// asker names a host that needs no news of its own; one that knows nothing yet may have forgotten them.
-func asker(got uint64, seat string) string {
-	if got == 0 {
+// excludedSource returns the host whose own summaries need not be sent back to it. A host that has nothing from this
+// one yet may have restarted and lost them, so nothing is excluded for it.
+func excludedSource(seenSeq uint64, seat string) string {
+	if seenSeq == 0 {
 		return ""
 	}
 	return seat
 }
 
-// merge takes in the summaries that are newer than what is known, or whose predecessor is stale.
-func (s *State) merge(from string, news []Summary, now time.Time) {
-	for _, n := range news {
-		old, ok := s.Domains[n.Domain]
+// mergeSummaries stores the summaries that are newer than the known ones, or that replace a stale one.
+func (s *State) mergeSummaries(from string, summaries []Summary, now time.Time) {
+	for _, n := range summaries {
+		old, ok := s.Summaries[n.Domain]
 		if n.Domain == s.Self.Domain && s.IsRelay {
 			continue
 		}
-		if ok && n.Version <= old.Version && now.Sub(old.Heard) < s.newsLife() || n.Same && !ok {
+		if ok && n.Version <= old.Version && now.Sub(old.HeardAt) < s.summaryTimeout() || n.Same && !ok {
 			continue
 		}
-		s.Stamp++
-		changed := s.Stamp
+		s.Seq++
+		changedSeq := s.Seq
 		if n.Same {
 			v := n.Version
-			n, changed = old.Summary, old.Changed
+			n, changedSeq = old.Summary, old.ChangedSeq
 			n.Version = v
 		}
-		s.Domains[n.Domain] = News{Summary: n, Heard: now, Stamp: s.Stamp, Changed: changed, From: from}
+		s.Summaries[n.Domain] = SummaryRecord{Summary: n, HeardAt: now, Seq: s.Seq, ChangedSeq: changedSeq, Source: from}
 	}
 }
 
-// stale lists the failure domains of which nothing was heard for too long.
-func (s *State) stale(now time.Time) []string {
+// staleDomains lists the failure domains whose summaries have not been refreshed in time.
+func (s *State) staleDomains(now time.Time) []string {
 	var out []string
-	for name, n := range s.Domains {
-		if now.Sub(n.Heard) > s.newsLife() {
+	for name, n := range s.Summaries {
+		if now.Sub(n.HeardAt) > s.summaryTimeout() {
 			out = append(out, name)
 		}
 	}
@@ -72,60 +73,61 @@
 	return out
 }
 
-// refreshHeard takes a relay's word for the age of all news but the stale ones, so that it need not repeat
-// what has not changed.
-func (s *State) refreshHeard(stale []string, now time.Time) {
-	for name, n := range s.Domains {
+// refreshSummaries marks all summaries as current except those that the relay reports as stale, so that the relay need
+// not resend unchanged ones.
+func (s *State) refreshSummaries(stale []string, now time.Time) {
+	for name, n := range s.Summaries {
 		if !slices.Contains(stale, name) {
-			n.Heard = now
-			s.Domains[name] = n
+			n.HeardAt = now
+			s.Summaries[name] = n
 		}
 	}
 }
 
-func (s *State) newsLife() time.Duration {
-	return summaryLives * Refresh(s.domainCount())
+func (s *State) summaryTimeout() time.Duration {
+	return maxMissedRefreshes * Refresh(s.domainCount())
 }
 
 func (s *State) domainCount() int {
 	return len(s.index.domains)
 }
 
-// summarize renews this failure domain's own summary if it changed enough or is due.
-func (s *State) summarize(now time.Time) {
-	loads, away := s.total(now)
-	old, ok := s.Domains[s.Self.Domain]
-	fresh := ok && now.Sub(s.sumAt) < Refresh(s.domainCount())
-	same := ok && slices.Equal(old.Away, away) && !moved(old.Loads, loads) && old.Relay == s.Self.Seat
-	if fresh && same {
+// updateOwnSummary publishes a new version of this failure domain's summary if it changed significantly or its refresh
+// is due.
+func (s *State) updateOwnSummary(now time.Time) {
+	loads, unavailable := s.domainLoads(now)
+	old, ok := s.Summaries[s.Self.Domain]
+	fresh := ok && now.Sub(s.lastSummary) < Refresh(s.domainCount())
+	unchanged := ok && slices.Equal(old.Away, unavailable) && !loadsChanged(old.Loads, loads) && old.Relay == s.Self.Seat
+	if fresh && unchanged {
 		return
 	}
-	s.Stamp++
-	s.sumAt = now
-	changed := s.Stamp
-	if same {
-		loads, changed = old.Loads, old.Changed
+	s.Seq++
+	s.lastSummary = now
+	changedSeq := s.Seq
+	if unchanged {
+		loads, changedSeq = old.Loads, old.ChangedSeq
 	}
-	s.Domains[s.Self.Domain] = News{
+	s.Summaries[s.Self.Domain] = SummaryRecord{
 		Summary: Summary{
 			Domain: s.Self.Domain, Version: max(now.UnixMilli(), old.Version+1), Relay: s.Self.Seat,
-			Away: away, Loads: loads,
+			Away: unavailable, Loads: loads,
 		},
-		Heard: now, Stamp: s.Stamp, Changed: changed,
+		HeardAt: now, Seq: s.Seq, ChangedSeq: changedSeq,
 	}
 }
 
-// moveStep is the part of a service's slots by which its room must change to be news.
-const moveStep = 0.25
+// loadChangeThreshold is the fraction of a service's slots by which its free capacity must change to be reported.
+const loadChangeThreshold = 0.25
 
-func moved(old, loads map[string]plan.Load) bool {
+func loadsChanged(old, loads map[string]plan.Load) bool {
 	if len(old) != len(loads) {
 		return true
 	}
 	for svc, l := range loads {
 		o := old[svc]
-		gap := float64(l.Room() - o.Room())
-		if o.Slots != l.Slots || max(gap, -gap) > moveStep*float64(max(1, l.Slots)) {
+		change := float64(l.Room() - o.Room())
+		if o.Slots != l.Slots || max(change, -change) > loadChangeThreshold*float64(max(1, l.Slots)) {
 			return true
 		}
 		if l.Latency > 2*o.Latency || 2*l.Latency < o.Latency {
@@ -135,113 +137,114 @@
 	return false
 }
 
-// exchange sends the news to the relay of a neighbor.
-func (s *State) exchange(now time.Time) []Action {
-	d, ok := s.neighbor(now)
+// startExchange sends an exchange to the relay of the next partner domain.
+func (s *State) startExchange(now time.Time) []Action {
+	d, ok := s.exchangePartner(now)
 	if !ok {
 		return nil
 	}
-	to := s.exchangeSeat(d, now)
-	p := s.Peers[to.Name]
-	sw := Exchange{
+	to := s.exchangeTarget(d, now)
+	peer := s.Peers[to.Name]
+	exchange := Exchange{
 		Domain: s.Self.Domain, Seat: s.Self.Seat, Incarnation: s.Self.Incarnation, Revision: s.Revision(),
-		Peer: p.Incarnation, Got: p.Got, News: s.since(p.Acked, d.Name, asker(p.Acked, to.Name)),
+		Peer: peer.Incarnation, Got: peer.SeenSeq, News: s.summariesSince(peer.AckedSeq, d.Name, excludedSource(peer.AckedSeq, to.Name)),
 	}
-	return []Action{SendExchange{To: to, Domain: d.Name, Sent: s.Stamp, Exchange: sw}}
+	return []Action{SendExchange{To: to, Domain: d.Name, Sent: s.Seq, Exchange: exchange}}
 }
 
-// repairTurn is how often, in exchanges, the partner is another domain than the two neighbors, so that
-// news find a way around domains that are cut off. A partner that is new gets all news, so this is done
-// only while some are missing.
-const repairTurn = 8
+// repairInterval is the number of exchanges after which one goes to a domain other than the two regular partners, so
+// that summaries get around domains that are cut off. A new partner receives all summaries, so this happens only
+// while some are missing.
+const repairInterval = 8
 
-// missing tells whether some failure domain's news are not known or stale.
-func (s *State) missing(now time.Time) bool {
-	return len(s.Domains) < s.domainCount() || len(s.stale(now)) > 0
+// hasMissingSummaries reports whether the summary of some failure domain is unknown or stale.
+func (s *State) hasMissingSummaries(now time.Time) bool {
+	return len(s.Summaries) < s.domainCount() || len(s.staleDomains(now)) > 0
 }
 
-// neighbor returns the failure domain to exchange news with: in turn the next one in the document's order, and
-// the one a row further, as if the domains lay in a square. Few partners keep the differences small.
-func (s *State) neighbor(now time.Time) (spec.Domain, bool) {
+// exchangePartner returns the failure domain for the next exchange. It alternates between the next domain in the
+// document's order and the one a row further, with the domains arranged in a square grid. With few regular partners,
+// little has changed since the last exchange with each.
+func (s *State) exchangePartner(now time.Time) (spec.Domain, bool) {
 	n := s.domainCount()
-	if n < 2 || s.index.own < 0 {
+	if n < 2 || s.index.selfIndex < 0 {
 		return spec.Domain{}, false
 	}
-	s.exchangeNext++
+	s.exchangeCount++
 	step := 1
 	switch {
-	case s.exchangeNext%repairTurn == 0 && s.missing(now):
-		step = 1 + s.exchangeNext/repairTurn%(n-1)
-	case s.exchangeNext%2 == 0:
+	case s.exchangeCount%repairInterval == 0 && s.hasMissingSummaries(now):
+		step = 1 + s.exchangeCount/repairInterval%(n-1)
+	case s.exchangeCount%2 == 0:
 		step = max(1, int(math.Sqrt(float64(n))))
 	}
 	for range n - 1 {
-		d := s.index.domains[(s.index.own+step)%n]
-		if d.Name != s.Self.Domain && s.reachable(d, now) {
+		d := s.index.domains[(s.index.selfIndex+step)%n]
+		if d.Name != s.Self.Domain && s.isDomainReachable(d, now) {
 			return d, true
 		}
 		step++
 	}
-	d := s.index.domains[(s.index.own+1+s.exchangeNext%(n-1))%n]
+	d := s.index.domains[(s.index.selfIndex+1+s.exchangeCount%(n-1))%n]
 	return d, len(d.Seats) > 0
 }
 
-func (s *State) reachable(d spec.Domain, now time.Time) bool {
+func (s *State) isDomainReachable(d spec.Domain, now time.Time) bool {
 	for _, seat := range d.Seats {
-		if !s.unreachable(seat.Name, now) {
+		if !s.isUnreachable(seat.Name, now) {
 			return true
 		}
 	}
 	return false
 }
 
-// exchangeSeat picks the relay that the domain named, or the next seat that is not avoided.
-func (s *State) exchangeSeat(d spec.Domain, now time.Time) spec.Seat {
-	relay := s.Domains[d.Name].Relay
+// exchangeTarget returns the relay that the domain published if it is reachable, or else the first reachable seat.
+func (s *State) exchangeTarget(d spec.Domain, now time.Time) spec.Seat {
+	relay := s.Summaries[d.Name].Relay
 	for _, seat := range d.Seats {
-		if seat.Name == relay && !s.unreachable(seat.Name, now) {
+		if seat.Name == relay && !s.isUnreachable(seat.Name, now) {
 			return seat
 		}
 	}
 	for _, seat := range d.Seats {
-		if !s.unreachable(seat.Name, now) {
+		if !s.isUnreachable(seat.Name, now) {
 			return seat
 		}
 	}
-	return d.Seats[s.exchangeNext%len(d.Seats)]
+	return d.Seats[s.exchangeCount%len(d.Seats)]
 }
 
-func (s *State) exchangeIn(sw Exchange, now time.Time) ExchangeReply {
-	r := ExchangeReply{Incarnation: s.Self.Incarnation, Revision: s.Revision()}
+func (s *State) handleExchange(exchange Exchange, now time.Time) ExchangeReply {
+	reply := ExchangeReply{Incarnation: s.Self.Incarnation, Revision: s.Revision()}
 	if s.Doc == nil {
-		return r
+		return reply
 	}
-	got := sw.Got
-	if sw.Peer != s.Self.Incarnation {
+	got := exchange.Got
+	if exchange.Peer != s.Self.Incarnation {
 		got = 0
 	}
-	r.News = s.since(got, sw.Domain, asker(got, sw.Seat))
-	s.merge(sw.Seat, sw.News, now)
-	r.Stamp = s.Stamp
-	delete(s.Unreachable, sw.Seat)
-	return r
+	reply.News = s.summariesSince(got, exchange.Domain, excludedSource(got, exchange.Seat))
+	s.mergeSummaries(exchange.Seat, exchange.News, now)
+	reply.Stamp = s.Seq
+	delete(s.Unreachable, exchange.Seat)
+	return reply
 }
 
-func (s *State) exchangeOut(e ExchangeOut, now time.Time) []Action {
+func (s *State) handleExchangeResult(e ExchangeOut, now time.Time) []Action {
 	if e.Err != nil {
 		s.Unreachable[e.Seat] = now
 		delete(s.Peers, e.Seat)
 		return nil
 	}
 	delete(s.Unreachable, e.Seat)
-	p := s.Peers[e.Seat]
-	if p.Incarnation != e.Reply.Incarnation {
-		p = Peer{Incarnation: e.Reply.Incarnation}
+	peer := s.Peers[e.Seat]
+	if peer.Incarnation != e.Reply.Incarnation {
+		peer = Peer{Incarnation: e.Reply.Incarnation}
 	} else {
-		p.Acked = e.Sent
+		peer.AckedSeq = e.Sent
 	}
-	p.Got = e.Reply.Stamp
-	s.Peers[e.Seat] = p
-	s.merge(e.Seat, e.Reply.News, now)
-	return s.behind(e.Seat, e.Reply.Revision, now)
+	peer.SeenSeq = e.Reply.Stamp
+	s.Peers[e.Seat] = peer
+	s.mergeSummaries(e.Seat, e.Reply.News, now)
+	return s.fetchIfBehind(e.Seat, e.Reply.Revision, now)
 }
--- a/internal/ctrl/state/news_test.go
+++ b/internal/ctrl/state/news_test.go
@@ -13,7 +13,7 @@
 	for range 20 {
 		f.step(TickPeriod)
 	}
-	f.hosts[4].cut, f.hosts[7].paused = true, true
+	f.hosts[4].isolated, f.hosts[7].paused = true, true
 	f.doc.Revision = 2
 	for range 20 {
 		f.step(TickPeriod)
@@ -23,8 +23,8 @@
 			assert.Equal(t, h.state.Revision(), uint64(2), "host %s", h.state.Self.Seat)
 		}
 	}
-	f.hosts[4].cut = false
-	f.wake(f.hosts[7])
+	f.hosts[4].isolated = false
+	f.resume(f.hosts[7])
 	for range 12 {
 		f.step(TickPeriod)
 	}
@@ -36,19 +36,19 @@
 func TestAHostThatRelayedBeforeHearsOfItsOwnDomain(t *testing.T) {
 	f := newFleet(1, 2)
 	for _, h := range f.hosts {
-		h.cut = false
+		h.isolated = false
 	}
-	f.hosts[0].cut = true
+	f.hosts[0].isolated = true
 	for range 20 {
 		f.step(TickPeriod)
 	}
-	f.hosts[0].cut = false
-	f.follow(f.hosts[0])
+	f.hosts[0].isolated = false
+	f.deliverPlatformState(f.hosts[0])
 	for range 60 {
 		f.step(TickPeriod)
 	}
 	assert.Assert(t, !f.hosts[1].state.IsRelay)
-	n, ok := f.hosts[1].state.Domains["d0"]
+	n, ok := f.hosts[1].state.Summaries["d0"]
 	assert.Assert(t, ok && len(n.Away) == 0, "%+v", n)
 }
 
@@ -59,11 +59,11 @@
 		f.now = f.now.Add(TickPeriod)
 		h := f.hosts[1].state
 		h.Loads = loads
-		a := h.heartbeat(f.doc.Regions[0].Domains[0].Seats[0], f.now)[0].(SendHeartbeat)
+		a := h.sendHeartbeat(f.doc.Regions[0].Domains[0].Seats[0], f.now)[0].(SendHeartbeat)
 		f.do(f.hosts[1], a)
 		return a.Heartbeat
 	}
-	busy := func() int64 { return f.hosts[0].state.Seats["d0-1"].Loads["s"].Busy }
+	busy := func() int64 { return f.hosts[0].state.Hosts["d0-1"].Loads["s"].Busy }
 	for range 8 {
 		f.step(TickPeriod)
 	}
@@ -73,7 +73,7 @@
 	assert.Assert(t, !beat(load(2)).Same, "in a small failure domain each change is told")
 	assert.Equal(t, busy(), int64(2))
 
-	f.hosts[0] = f.boot(f.hosts[0].state.Self) // The relay has forgotten.
+	f.hosts[0] = f.newHost(f.hosts[0].state.Self) // The relay has forgotten.
 	f.fold(f.hosts[0], Tick{})
 	assert.Assert(t, beat(load(2)).Same, "it is not known yet")
 	assert.Assert(t, !beat(load(2)).Same)
--- a/internal/ctrl/state/notice.go
+++ b/internal/ctrl/state/notice.go
@@ -6,41 +6,41 @@
 	"github.com/boragelane/boragelane/internal/core/spec"
 )
 
-// adopt takes a higher revision only.
-func (s *State) adopt(doc spec.Document, own bool, now time.Time) []Action {
-	s.fetchAt = time.Time{}
+// adoptDocument installs a document if its revision is higher than the one in force, and announces it.
+func (s *State) adoptDocument(doc spec.Document, local bool, now time.Time) []Action {
+	s.fetchStartedAt = time.Time{}
 	if doc.Revision <= s.Revision() {
 		return nil
 	}
-	s.Doc, s.index = &doc, newIndex(&doc, s.Self)
-	s.settle(now)
+	s.Doc, s.index = &doc, newDocumentIndex(&doc, s.Self)
+	s.updateAllocations(now)
 	acts := s.tick(now)
-	return append(acts, s.announce(own, now)...)
+	return append(acts, s.announce(local, now)...)
 }
 
-// notice follows the changes that came with it, or fetches what is missing.
-func (s *State) notice(n Notice, now time.Time) []Action {
+// handleNotice applies the changes of a notice, or fetches the document if they don't lead to its revision.
+func (s *State) handleNotice(n Notice, now time.Time) []Action {
 	if n.Revision > s.Revision() && s.Doc != nil {
 		if doc, err := s.Doc.Follow(n.Changes); err == nil && doc.Revision == n.Revision {
-			return s.adopt(doc, false, now)
+			return s.adoptDocument(doc, false, now)
 		}
 	}
-	return s.behind(n.Seat, n.Revision, now)
+	return s.fetchIfBehind(n.Seat, n.Revision, now)
 }
 
-// noticeChanges is how many of the last changes a notice brings.
-const noticeChanges = 2
+// maxNoticeChanges is the number of most recent changes that a notice carries.
+const maxNoticeChanges = 2
 
-// announce tells other hosts of a revision: a relay its failure domain's, the host of the operator who
-// made it its relay.
-func (s *State) announce(own bool, now time.Time) []Action {
+// announce sends notices of a new revision. A relay notifies all hosts of its failure domain; a host through which an
+// operator made the change notifies its relay.
+func (s *State) announce(local bool, now time.Time) []Action {
 	var to []spec.Seat
-	relay := s.relay(now).Name
-	for _, seat := range s.seats() {
-		if seat.Name == s.Self.Seat || s.unreachable(seat.Name, now) {
+	relay := s.currentRelay(now).Name
+	for _, seat := range s.domainSeats() {
+		if seat.Name == s.Self.Seat || s.isUnreachable(seat.Name, now) {
 			continue
 		}
-		if s.IsRelay || own && seat.Name == relay {
+		if s.IsRelay || local && seat.Name == relay {
 			to = append(to, seat)
 		}
 	}
@@ -48,19 +48,19 @@
 		return nil
 	}
 	recent := s.Doc.Recent
-	recent = recent[max(0, len(recent)-noticeChanges):]
+	recent = recent[max(0, len(recent)-maxNoticeChanges):]
 	return []Action{SendNotice{To: to, Revision: s.Revision(), Changes: recent}}
 }
 
-// behind fetches the document of a host that has a higher revision.
-func (s *State) behind(seat string, revision uint64, now time.Time) []Action {
-	if revision <= s.Revision() || now.Sub(s.fetchAt) < FetchLife {
+// fetchIfBehind fetches the document of a host that has a higher revision, unless a fetch is in progress.
+func (s *State) fetchIfBehind(seat string, revision uint64, now time.Time) []Action {
+	if revision <= s.Revision() || now.Sub(s.fetchStartedAt) < FetchTimeout {
 		return nil
 	}
-	from, ok := s.seat(seat)
+	host, ok := s.findSeat(seat)
 	if !ok {
 		return nil
 	}
-	s.fetchAt = now
-	return []Action{Fetch{From: from}}
+	s.fetchStartedAt = now
+	return []Action{Fetch{From: host}}
 }
--- a/internal/ctrl/state/plan.go
+++ b/internal/ctrl/state/plan.go
@@ -10,20 +10,20 @@
 	"github.com/boragelane/boragelane/internal/core/spec"
 )
 
-// LookupLife is how long callers may keep the answer of a look-up.
+// LookupLife is how long callers may cache the answer to a lookup.
 const LookupLife = 5 * time.Second
 
-// Plan returns the snapshot for traffic. Nothing in it is changed afterwards.
+// Plan returns an immutable snapshot of the state for the data path.
 func Plan(s *State, now time.Time) *plan.Plan {
 	p := &plan.Plan{Self: s.Self, Doc: s.Doc, Leaving: s.Leaving}
 	if s.Doc == nil {
 		return p
 	}
-	p.Capacity = s.amount(resCapacity)
+	p.Capacity = s.amount(resourceCapacity)
 	p.Links = s.links()
 	p.Services = s.services()
 	p.Shifts = s.shifts()
-	p.Domains = s.targets(now)
+	p.Domains = s.domainTargets(now)
 	p.SetSites()
 	p.Lookup = s.lookup(p)
 	return p
@@ -33,13 +33,13 @@
 	out := map[string]share.Amount{}
 	for _, l := range s.Doc.Links {
 		if l.From == s.Self.Region {
-			out[l.To] = s.amount(resLink + l.To)
+			out[l.To] = s.amount(resourceLinkPrefix + l.To)
 		}
 	}
 	return out
 }
 
-// services lists each service with the upstreams of this failure domain that take new work.
+// services returns each service with the upstreams of this failure domain that accept new jobs.
 func (s *State) services() map[string]*plan.Service {
 	out := make(map[string]*plan.Service, len(s.Doc.Services))
 	for _, svc := range s.Doc.Services {
@@ -51,24 +51,24 @@
 			continue
 		}
 		svc.Upstreams = append(svc.Upstreams, plan.Upstream{
-			ID: m.ID, Address: m.Address, Slots: s.amount(resSlot + m.ID), Conns: s.conns(m.ID, svc.Service),
+			ID: m.ID, Address: m.Address, Slots: s.amount(resourceSlotPrefix + m.ID), Conns: s.connectionLimit(m.ID, svc.Service),
 		})
 	}
 	return out
 }
 
-// targets lists this host, the other hosts of its failure domain, and the other failure domains.
-func (s *State) targets(now time.Time) []plan.Domain {
+// domainTargets lists this host, the other hosts of its failure domain, and the other failure domains.
+func (s *State) domainTargets(now time.Time) []plan.Domain {
 	out := make([]plan.Domain, 0, s.domainCount()+1)
 	for _, r := range s.Doc.Regions {
-		gone := s.Doc.Drained(spec.DrainRegion, r.Name)
+		drained := s.Doc.Drained(spec.DrainRegion, r.Name)
 		for _, d := range r.Domains {
 			t := plan.Domain{
-				Name: d.Name, Region: r.Name, Delay: s.index.delays[r.Name],
-				Drained: gone || s.Doc.Drained(spec.DrainDomain, d.Name),
+				Name: d.Name, Region: r.Name, Delay: s.index.linkDelays[r.Name],
+				Drained: drained || s.Doc.Drained(spec.DrainDomain, d.Name),
 			}
 			if r.Name == s.Self.Region {
-				t.Delay = domainDelay
+				t.Delay = assumedDomainDelay
 			}
 			if d.Name == s.Self.Domain {
 				out = append(out, s.selfTarget(t))
@@ -79,8 +79,8 @@
 	return out
 }
 
-// domainDelay is the one-way delay that is assumed between failure domains of a region.
-const domainDelay = 1500 * time.Microsecond
+// assumedDomainDelay is the assumed one-way network delay between failure domains of a region.
+const assumedDomainDelay = 1500 * time.Microsecond
 
 func (s *State) selfTarget(t plan.Domain) plan.Domain {
 	t.Self, t.Delay = true, 0
@@ -90,36 +90,36 @@
 }
 
 func (s *State) otherTarget(t plan.Domain, d spec.Domain, now time.Time) plan.Domain {
-	n, ok := s.Domains[d.Name]
-	if !ok || now.Sub(n.Heard) > s.newsLife() {
+	n, ok := s.Summaries[d.Name]
+	if !ok || now.Sub(n.HeardAt) > s.summaryTimeout() {
 		return t
 	}
-	t.Hosts = s.usable(d, n.Away, now)
+	t.Hosts = s.usableHosts(d, n.Away, now)
 	t.Loads = n.Loads
 	if d.Name == s.Self.Domain {
-		t.Loads = minus(n.Loads, s.Loads)
+		t.Loads = subtractLoads(n.Loads, s.Loads)
 	}
 	return t
 }
 
-// unreachableMost is how many hosts of a failure domain may be out of reach before none of it is tried: it
-// is then more likely that the domain is gone or cut off.
-const unreachableMost = 3
+// unreachableDomainThreshold is the number of unreachable hosts at which a whole failure domain is avoided, since it has then
+// probably failed or been cut off.
+const unreachableDomainThreshold = 3
 
-// usable returns the hosts that take jobs from other hosts.
-func (s *State) usable(d spec.Domain, away []string, now time.Time) []spec.Seat {
+// usableHosts returns the hosts of a failure domain that accept jobs from other hosts, or none if too many are unreachable.
+func (s *State) usableHosts(d spec.Domain, unavailable []string, now time.Time) []spec.Seat {
 	out := make([]spec.Seat, 0, len(d.Seats))
-	gone := 0
+	unreachable := 0
 	for _, seat := range d.Seats {
-		if s.unreachable(seat.Name, now) {
-			if gone++; gone >= unreachableMost {
+		if s.isUnreachable(seat.Name, now) {
+			if unreachable++; unreachable >= unreachableDomainThreshold {
 				return nil
 			}
 		}
-		if seat.Name == s.Self.Seat || slices.Contains(away, seat.Name) {
+		if seat.Name == s.Self.Seat || slices.Contains(unavailable, seat.Name) {
 			continue
 		}
-		if s.unreachable(seat.Name, now) || s.Doc.Drained(spec.DrainHost, seat.Name) {
+		if s.isUnreachable(seat.Name, now) || s.Doc.Drained(spec.DrainHost, seat.Name) {
 			continue
 		}
 		out = append(out, seat)
@@ -127,9 +127,9 @@
 	return out
 }
 
-func minus(all, own map[string]plan.Load) map[string]plan.Load {
-	out := make(map[string]plan.Load, len(all))
-	for svc, l := range all {
+func subtractLoads(total, own map[string]plan.Load) map[string]plan.Load {
+	out := make(map[string]plan.Load, len(total))
+	for svc, l := range total {
 		o := own[svc]
 		l.Slots, l.Busy, l.Queued = max(0, l.Slots-o.Slots), max(0, l.Busy-o.Busy), max(0, l.Queued-o.Queued)
 		out[svc] = l
@@ -137,7 +137,7 @@
 	return out
 }
 
-// lookup lists the hosts of this region that callers may use.
+// lookup returns the hosts of this region that callers may use.
 func (s *State) lookup(p *plan.Plan) plan.Lookup {
 	l := plan.Lookup{Life: LookupLife}
 	for _, d := range p.Domains {
@@ -145,7 +145,7 @@
 			continue
 		}
 		for _, h := range d.Hosts {
-			seat, _ := s.seat(h.Name)
+			seat, _ := s.findSeat(h.Name)
 			if h.Name == s.Self.Seat && (s.Leaving || s.Doc.Drained(spec.DrainHost, h.Name)) {
 				continue
 			}
--- a/internal/ctrl/state/shift.go
+++ b/internal/ctrl/state/shift.go
@@ -7,17 +7,19 @@
 	"github.com/boragelane/boragelane/internal/core/spec"
 )
 
-// Rules by which a shift pauses and steps back.
+// Thresholds at which a shift pauses or reverses. Utilization is the target's running and queued jobs per slot; latency
+// is compared with the target's latency when the shift began, plus a slack that keeps short latencies from pausing it.
+// A reversal runs at shiftReverseFactor times the speed of the ramp.
 const (
-	shiftFull  = 0.9
-	shiftOver  = 1.2
-	shiftSlow  = 1.5
-	shiftSlack = 5 * time.Millisecond
-	shiftBack  = 2.0
+	shiftPauseUtilization   = 0.9
+	shiftReverseUtilization = 1.2
+	shiftLatencyFactor      = 1.5
+	shiftLatencySlack       = 5 * time.Millisecond
+	shiftReverseFactor      = 2.0
 )
 
-// advance moves each shift that has begun along its ramp while its target stays healthy.
-func (s *State) advance(now time.Time) {
+// advanceShifts moves each started shift along its ramp while its target stays healthy.
+func (s *State) advanceShifts(now time.Time) {
 	live := map[string]bool{}
 	for _, sh := range s.Doc.Shifts {
 		live[sh.Name] = true
@@ -25,7 +27,7 @@
 			continue
 		}
 		load := s.regionLoad(sh.To, sh.Service, now)
-		s.Shifts[sh.Name] = step(s.Shifts[sh.Name], sh, load, now)
+		s.Shifts[sh.Name] = advanceShift(s.Shifts[sh.Name], sh, load, now)
 	}
 	for name := range s.Shifts {
 		if !live[name] {
@@ -34,36 +36,36 @@
 	}
 }
 
-// step returns the next progress of a shift under its target's load.
-func step(p Progress, sh spec.Shift, load plan.Load, now time.Time) Progress {
-	if p.At.IsZero() {
-		return Progress{At: now, Latency: load.Latency}
+// advanceShift returns the progress of a shift after the time since its last update, given its target's load.
+func advanceShift(p Progress, sh spec.Shift, load plan.Load, now time.Time) Progress {
+	if p.UpdatedAt.IsZero() {
+		return Progress{UpdatedAt: now, BaseLatency: load.Latency}
 	}
-	gap := now.Sub(p.At)
-	p.At = now
-	moved := 1.0
+	elapsed := now.Sub(p.UpdatedAt)
+	p.UpdatedAt = now
+	delta := 1.0
 	if sh.Ramp > 0 {
-		moved = gap.Seconds() / time.Duration(sh.Ramp).Seconds()
+		delta = elapsed.Seconds() / time.Duration(sh.Ramp).Seconds()
 	}
-	used := 2.0
+	utilization := 2.0
 	if load.Slots > 0 {
-		used = float64(load.Busy+load.Queued) / float64(load.Slots)
+		utilization = float64(load.Busy+load.Queued) / float64(load.Slots)
 	}
-	slow := load.Latency > time.Duration(shiftSlow*float64(p.Latency))+shiftSlack
+	slow := load.Latency > time.Duration(shiftLatencyFactor*float64(p.BaseLatency))+shiftLatencySlack
 	switch {
-	case used >= shiftOver:
+	case utilization >= shiftReverseUtilization:
 		p.Paused = true
-		p.Done = max(0, p.Done-shiftBack*moved)
-	case used >= shiftFull || slow:
+		p.Done = max(0, p.Done-shiftReverseFactor*delta)
+	case utilization >= shiftPauseUtilization || slow:
 		p.Paused = true
 	default:
 		p.Paused = false
-		p.Done = min(1, p.Done+moved)
+		p.Done = min(1, p.Done+delta)
 	}
 	return p
 }
 
-// regionLoad adds up what the region's failure domains last said of a service.
+// regionLoad sums the loads of a service that the region's failure domains last published.
 func (s *State) regionLoad(region, service string, now time.Time) plan.Load {
 	var sum plan.Load
 	for _, r := range s.Doc.Regions {
@@ -71,15 +73,15 @@
 			continue
 		}
 		for _, d := range r.Domains {
-			if n, ok := s.Domains[d.Name]; ok && now.Sub(n.Heard) < s.newsLife() {
-				sum = add(sum, n.Loads[service])
+			if n, ok := s.Summaries[d.Name]; ok && now.Sub(n.HeardAt) < s.summaryTimeout() {
+				sum = addLoads(sum, n.Loads[service])
 			}
 		}
 	}
 	return sum
 }
 
-// shifts returns the shifts that move traffic now, with this host's part of each cap.
+// shifts returns the shifts that currently move traffic, with this host's part of each rate cap.
 func (s *State) shifts() []plan.Shift {
 	var out []plan.Shift
 	for _, sh := range s.Doc.Shifts {
--- a/internal/ctrl/state/shift_test.go
+++ b/internal/ctrl/state/shift_test.go
@@ -14,11 +14,11 @@
 	sh := spec.Shift{Ramp: spec.Duration(10 * time.Second)}
 	now := time.Unix(1000, 0)
 	good := plan.Load{Slots: 10, Busy: 2, Latency: 10 * time.Millisecond}
-	p := step(Progress{}, sh, good, now)
+	p := advanceShift(Progress{}, sh, good, now)
 	play := func(load plan.Load, seconds int) {
 		for range seconds * 4 {
 			now = now.Add(250 * time.Millisecond)
-			p = step(p, sh, load, now)
+			p = advanceShift(p, sh, load, now)
 		}
 	}
 	play(good, 5)
--- a/internal/ctrl/state/state.go
+++ b/internal/ctrl/state/state.go
@@ -8,166 +8,165 @@
 	"github.com/boragelane/boragelane/internal/core/spec"
 )
 
-// Periods of control.
+// Periods and timeouts of the control state machine.
 const (
-	// TickPeriod is how often control wakes up by itself.
+	// TickPeriod is the interval between Tick events.
 	TickPeriod = 250 * time.Millisecond
-	// UnreachableLife is how long a host that could not be reached is avoided.
-	UnreachableLife = 2 * time.Second
-	// Settle is how long a part that a new revision made larger waits, so that all hosts have
-	// made theirs smaller before.
-	Settle = 5 * time.Second
-	// FetchLife is how long a fetch may take before another is sent.
-	FetchLife = 2 * time.Second
+	// UnreachableTimeout is how long a host is avoided after it could not be reached.
+	UnreachableTimeout = 2 * time.Second
+	// MinGrowthDelay is the shortest delay before an allocation that a new revision enlarged takes effect, so that the
+	// other hosts have reduced theirs first.
+	MinGrowthDelay = 5 * time.Second
+	// FetchTimeout is how long a fetch may take before another one is started.
+	FetchTimeout = 2 * time.Second
 )
 
-// Refresh returns how often a failure domain renews its unchanged summary; it lengthens with the
-// number of domains, so that a host's traffic for control does not.
+// Refresh returns how often a failure domain publishes its unchanged summary. It grows with the number of domains, so
+// that the control traffic of each host does not.
 func Refresh(domains int) time.Duration {
 	return max(2*time.Second, time.Duration(domains)*600*time.Millisecond)
 }
 
-// ExchangePeriod returns how often a relay exchanges news with the relay of another failure domain.
+// ExchangePeriod returns how often a relay sends an exchange to the relay of another failure domain.
 func ExchangePeriod(domains int) time.Duration {
 	return max(time.Second, time.Duration(domains)*20*time.Millisecond)
 }
 
-// summaryLives is how many refreshes a summary may miss.
-const summaryLives = 3
+// maxMissedRefreshes is the number of refresh periods after which a summary is stale.
+const maxMissedRefreshes = 3
 
-// HeartbeatPeriod returns how often a host tells its relay of itself; it lengthens with the hosts of the
-// failure domain, so that the relay's traffic does not, and with it all that waits for heartbeats.
+// HeartbeatPeriod returns how often a host sends a heartbeat to its relay. It grows with the number of hosts of the
+// failure domain, so that the relay's traffic does not, and every timeout that depends on heartbeats grows with it.
 func HeartbeatPeriod(hosts int) time.Duration {
 	return max(time.Second, time.Duration(hosts)*250*time.Millisecond)
 }
 
-// Term returns how long a grant lasts: two heartbeats may be lost.
+// Term returns the duration of a grant, which survives the loss of two heartbeats.
 func Term(hosts int) time.Duration { return max(share.Term, 2*HeartbeatPeriod(hosts)+time.Second) }
 
-// LeaseLife returns how long the lender's lease lasts; it holds a whole term after two renewals were
-// lost.
+// LeaseLife returns the duration of the lender's lease. After the loss of two renewals it still covers a whole grant.
 func LeaseLife(hosts int) time.Duration { return max(10*time.Second, 2*Term(hosts)) }
 
 // LeasePeriod returns how often a lender renews its lease.
 func LeasePeriod(hosts int) time.Duration { return LeaseLife(hosts) / 4 }
 
-// SeatLife returns how long a silent host of the same failure domain counts as live.
-func SeatLife(hosts int) time.Duration { return 3 * HeartbeatPeriod(hosts) }
+// SeatTimeout returns how long a host of the same failure domain counts as alive without a heartbeat or a reply.
+func SeatTimeout(hosts int) time.Duration { return 3 * HeartbeatPeriod(hosts) }
 
-// State is the control state of one entry host. Only Fold changes it.
+// State is the control state of one entry host, which is modified only by Fold.
 type State struct {
 	Self    plan.Self
 	Doc     *spec.Document
 	Leaving bool
 
-	Seats       map[string]Seat
-	Unreachable map[string]time.Time
-	Alive       map[string]time.Time // When a host of this failure domain last answered a heartbeat.
-	Domains     map[string]News
-	Stamp       uint64
-	Peers       map[string]Peer
-	Members     []Member
-	List        uint64
-	Loads       map[string]plan.Load
+	Hosts          map[string]HostRecord
+	Unreachable    map[string]time.Time
+	LastReply      map[string]time.Time // When a host of this failure domain last answered a heartbeat.
+	Summaries      map[string]SummaryRecord
+	Seq            uint64
+	Peers          map[string]Peer
+	Members        []Member
+	MembersVersion uint64
+	Loads          map[string]plan.Load
 
 	IsRelay bool
 	Lease   share.Lease
 	Ledger  *share.Ledger
-	// Takeovers are the leases of silent failure domains, by name.
-	Takeovers map[string]Takeover
-	Grant     Grant
-	Parts     map[string]Part
-	Shifts    map[string]Progress
+	// Takeovers are the leases of silent failure domains by domain name.
+	Takeovers   map[string]Takeover
+	Grant       Grant
+	Allocations map[string]Allocation
+	Shifts      map[string]Progress
 
-	index    *index
-	means    map[string]Mean
-	reported reported
+	index        *documentIndex
+	loadAverages map[string]LoadAverage
+	lastReport   loadReport
 
-	born, chosenAt, heartbeatAt, exchangeAt, leaseAt, fetchAt, sumAt time.Time
-	exchangeNext                                                     int
+	firstRelayedAt, candidateSince, lastHeartbeat, lastExchange, lastLeaseRequest, fetchStartedAt, lastSummary time.Time
+	exchangeCount                                                                                              int
 }
 
-// Seat is what a relay knows of a host of its failure domain.
-type Seat struct {
-	Heard       time.Time
+// HostRecord is the last heartbeat that a relay received from a host of its failure domain.
+type HostRecord struct {
+	HeardAt     time.Time
 	Incarnation string
 	Revision    uint64
 	Leaving     bool
 	Loads       map[string]plan.Load
 }
 
-// reported is the loads that a relay has from this host.
-type reported struct {
-	peer  string // The relay's incarnation.
-	loads map[string]plan.Load
+// loadReport holds the loads that this host last reported in full, and the incarnation of the relay that received them.
+type loadReport struct {
+	relayIncarnation string
+	loads            map[string]plan.Load
 }
 
-// Mean is a smoothed load of one service.
-type Mean struct {
+// LoadAverage is the moving average of the load of one service.
+type LoadAverage struct {
 	Busy   float64
 	Queued float64
 }
 
-// News is a summary, when it came, and its place in the order in which this host learned.
-type News struct {
+// SummaryRecord is a received summary with its source and its position in the order of this host's updates.
+type SummaryRecord struct {
 	Summary
-	Heard time.Time
-	Stamp uint64
-	// Changed is the stamp at which more than the version changed.
-	Changed uint64
-	From    string // The host that this one has it from.
+	HeardAt time.Time
+	Seq     uint64
+	// ChangedSeq is the sequence number at which anything besides the version last changed.
+	ChangedSeq uint64
+	Source     string // The host from which it was received.
 }
 
-// Peer is what this host remembers of its exchange with another.
+// Peer records how far this host and another one have synchronized their summaries.
 type Peer struct {
-	Incarnation string
-	Got         uint64 // The peer's stamp up to which this host has its news.
-	Acked       uint64 // This host's stamp up to which the peer has the news.
-	List        uint64
+	Incarnation    string
+	SeenSeq        uint64 // The peer's sequence number up to which this host has its summaries.
+	AckedSeq       uint64 // This host's sequence number up to which the peer has its summaries.
+	MembersVersion uint64
 }
 
-// Grant is what the lender lent to this host.
+// Grant holds the units that the lender lent to this host.
 type Grant struct {
-	Units map[string]int64
-	Hash  uint64 // Stands for the units in heartbeats.
-	Asked time.Time
-	Until time.Time
+	Units       map[string]int64
+	Hash        uint64 // Identifies the units in heartbeats; 0 if some were dropped.
+	RequestedAt time.Time
+	ExpiresAt   time.Time
 }
 
-// Part is a part of a limit in force, and a larger one that waits.
-type Part struct {
-	Units int64
-	Next  int64
-	From  time.Time
+// Allocation is a part of a limit, and a larger one that is not in force yet.
+type Allocation struct {
+	Units       int64
+	Pending     int64
+	EffectiveAt time.Time
 }
 
-// Progress is how far a shift has come, from 0 to 1.
+// Progress is the progress of a shift along its ramp.
 type Progress struct {
-	Done    float64
-	At      time.Time
-	Latency time.Duration // The target's latency when the shift began.
-	Paused  bool
+	Done        float64
+	UpdatedAt   time.Time
+	BaseLatency time.Duration // The target's latency when the shift began.
+	Paused      bool
 }
 
-// New returns the state of a host that has just started.
+// New returns the initial state of a host.
 func New(self plan.Self) *State {
 	return &State{
-		Self:        self,
-		Seats:       map[string]Seat{},
-		Unreachable: map[string]time.Time{},
-		Alive:       map[string]time.Time{},
-		Domains:     map[string]News{},
-		Peers:       map[string]Peer{},
-		Loads:       map[string]plan.Load{},
-		means:       map[string]Mean{},
-		Ledger:      share.NewLedger(),
-		Takeovers:   map[string]Takeover{},
-		Parts:       map[string]Part{},
-		Shifts:      map[string]Progress{},
+		Self:         self,
+		Hosts:        map[string]HostRecord{},
+		Unreachable:  map[string]time.Time{},
+		LastReply:    map[string]time.Time{},
+		Summaries:    map[string]SummaryRecord{},
+		Peers:        map[string]Peer{},
+		Loads:        map[string]plan.Load{},
+		loadAverages: map[string]LoadAverage{},
+		Ledger:       share.NewLedger(),
+		Takeovers:    map[string]Takeover{},
+		Allocations:  map[string]Allocation{},
+		Shifts:       map[string]Progress{},
 	}
 }
 
-// Revision returns the revision in force here, 0 before the first.
+// Revision returns the document revision in force on this host, 0 if it has no document.
 func (s *State) Revision() uint64 {
 	if s.Doc == nil {
 		return 0
@@ -175,27 +174,27 @@
 	return s.Doc.Revision
 }
 
-// index finds things in a document by name; it is made once for each revision.
-type index struct {
-	seats   map[string]spec.Seat
-	domains []spec.Domain // All, in the order of the document.
-	own     int           // The place of this host's failure domain, or -1.
-	region  []spec.Domain // Those of this host's region.
+// documentIndex speeds up lookups in a document. It is built once per revision.
+type documentIndex struct {
+	seats         map[string]spec.Seat
+	domains       []spec.Domain // All domains, in document order.
+	selfIndex     int           // The index of this host's failure domain in domains, or -1.
+	regionDomains []spec.Domain // The domains of this host's region.
 	// siblings are the other failure domains of this host's region.
-	siblings []spec.Domain
-	delays   map[string]time.Duration
+	siblings   []spec.Domain
+	linkDelays map[string]time.Duration
 }
 
-func newIndex(doc *spec.Document, self plan.Self) *index {
-	ix := &index{seats: map[string]spec.Seat{}, own: -1, delays: map[string]time.Duration{}}
+func newDocumentIndex(doc *spec.Document, self plan.Self) *documentIndex {
+	ix := &documentIndex{seats: map[string]spec.Seat{}, selfIndex: -1, linkDelays: map[string]time.Duration{}}
 	for _, r := range doc.Regions {
 		for _, d := range r.Domains {
 			if d.Name == self.Domain {
-				ix.own = len(ix.domains)
+				ix.selfIndex = len(ix.domains)
 			}
 			ix.domains = append(ix.domains, d)
 			if r.Name == self.Region {
-				ix.region = append(ix.region, d)
+				ix.regionDomains = append(ix.regionDomains, d)
 			}
 			if r.Name == self.Region && d.Name != self.Domain {
 				ix.siblings = append(ix.siblings, d)
@@ -207,21 +206,21 @@
 	}
 	for _, l := range doc.Links {
 		if l.From == self.Region {
-			ix.delays[l.To] = time.Duration(l.Delay)
+			ix.linkDelays[l.To] = time.Duration(l.Delay)
 		}
 	}
 	return ix
 }
 
-// seats returns the seats of this host's failure domain.
-func (s *State) seats() []spec.Seat {
-	if s.Doc == nil || s.index.own < 0 {
+// domainSeats returns the domainSeats of this host's failure domain.
+func (s *State) domainSeats() []spec.Seat {
+	if s.Doc == nil || s.index.selfIndex < 0 {
 		return nil
 	}
-	return s.index.domains[s.index.own].Seats
+	return s.index.domains[s.index.selfIndex].Seats
 }
 
-func (s *State) seat(name string) (spec.Seat, bool) {
+func (s *State) findSeat(name string) (spec.Seat, bool) {
 	if s.Doc == nil {
 		return spec.Seat{}, false
 	}
@@ -229,15 +228,16 @@
 	return seat, ok
 }
 
-func (s *State) unreachable(seat string, now time.Time) bool {
+func (s *State) isUnreachable(seat string, now time.Time) bool {
 	at, ok := s.Unreachable[seat]
-	return ok && now.Sub(at) < UnreachableLife
+	return ok && now.Sub(at) < UnreachableTimeout
 }
 
-// relay returns the seat that relays for this failure domain: the first in order that lives.
-func (s *State) relay(now time.Time) spec.Seat {
+// currentRelay returns the seat that should relay for this failure domain: the first one in document order that is
+// alive and, if it is this host, not leaving. With no such seat it returns this host's own, if the document has one.
+func (s *State) currentRelay(now time.Time) spec.Seat {
 	var self spec.Seat
-	for _, seat := range s.seats() {
+	for _, seat := range s.domainSeats() {
 		if seat.Name == s.Self.Seat {
 			if !s.Leaving {
 				return seat
@@ -245,7 +245,7 @@
 			self = seat
 			continue
 		}
-		if at, ok := s.Alive[seat.Name]; ok && now.Sub(at) < SeatLife(len(s.seats())) {
+		if at, ok := s.LastReply[seat.Name]; ok && now.Sub(at) < SeatTimeout(len(s.domainSeats())) {
 			return seat
 		}
 	}
--- a/internal/ctrl/state/status.go
+++ b/internal/ctrl/state/status.go
@@ -9,13 +9,13 @@
 	"github.com/boragelane/boragelane/internal/core/share"
 )
 
-// Status is what a host knows and does, for operators.
+// Status is a report of a host's control state for operators.
 type Status struct {
 	Self      plan.Self
 	Revision  uint64
 	Relay     string
 	Lender    bool
-	Takeovers []string // Silent failure domains whose pools this host lends too.
+	Takeovers []string // Silent failure domains whose pools this host also lends.
 	Leaving   bool
 	Hosts     []HostStatus
 	Loads     []LoadStatus
@@ -23,7 +23,7 @@
 	Shifts    map[string]Progress
 }
 
-// HostStatus is what a relay knows of a host of its failure domain.
+// HostStatus is a relay's record of a host of its failure domain.
 type HostStatus struct {
 	Seat     string
 	Revision uint64
@@ -31,7 +31,7 @@
 	Age      time.Duration
 }
 
-// LoadStatus is the load of a service in a failure domain, and how old the news of it is.
+// LoadStatus is the load of a service in a failure domain and the age of that information.
 type LoadStatus struct {
 	Domain  string
 	Service string
@@ -39,7 +39,7 @@
 	Age     time.Duration
 }
 
-// ShareStatus is this host's part of a limit.
+// ShareStatus is this host's share of a limit.
 type ShareStatus struct {
 	Resource string
 	Amount   share.Amount
@@ -47,40 +47,40 @@
 }
 
 func (s *State) status(now time.Time) Status {
-	st := Status{
+	status := Status{
 		Self: s.Self, Revision: s.Revision(), Lender: s.IsRelay && s.Lease.Held(now),
 		Leaving: s.Leaving, Shifts: map[string]Progress{},
 	}
 	if s.Doc == nil {
-		return st
+		return status
 	}
-	st.Relay = s.relay(now).Name
-	for name, h := range s.Seats {
-		st.Hosts = append(st.Hosts, HostStatus{Seat: name, Revision: h.Revision, Leaving: h.Leaving, Age: now.Sub(h.Heard)})
+	status.Relay = s.currentRelay(now).Name
+	for name, h := range s.Hosts {
+		status.Hosts = append(status.Hosts, HostStatus{Seat: name, Revision: h.Revision, Leaving: h.Leaving, Age: now.Sub(h.HeardAt)})
 	}
-	for name, n := range s.Domains {
+	for name, n := range s.Summaries {
 		for svc, l := range n.Loads {
-			st.Loads = append(st.Loads, LoadStatus{Domain: name, Service: svc, Load: l, Age: now.Sub(n.Heard)})
+			status.Loads = append(status.Loads, LoadStatus{Domain: name, Service: svc, Load: l, Age: now.Sub(n.HeardAt)})
 		}
 	}
-	for res := range s.Parts {
+	for res := range s.Allocations {
 		if isPool(res) {
 			continue
 		}
 		a := s.amount(res)
-		st.Shares = append(st.Shares, ShareStatus{Resource: res, Amount: a, Lent: a.At(now) - a.Floor})
+		status.Shares = append(status.Shares, ShareStatus{Resource: res, Amount: a, Lent: a.At(now) - a.Floor})
 	}
 	for name, p := range s.Shifts {
-		st.Shifts[name] = p
+		status.Shifts[name] = p
 	}
 	for name, t := range s.Takeovers {
 		if s.isLending(t, now) {
-			st.Takeovers = append(st.Takeovers, name)
+			status.Takeovers = append(status.Takeovers, name)
 		}
 	}
-	slices.Sort(st.Takeovers)
-	slices.SortFunc(st.Hosts, func(a, b HostStatus) int { return strings.Compare(a.Seat, b.Seat) })
-	slices.SortFunc(st.Loads, func(a, b LoadStatus) int { return strings.Compare(a.Domain+" "+a.Service, b.Domain+" "+b.Service) })
-	slices.SortFunc(st.Shares, func(a, b ShareStatus) int { return strings.Compare(a.Resource, b.Resource) })
-	return st
+	slices.Sort(status.Takeovers)
+	slices.SortFunc(status.Hosts, func(a, b HostStatus) int { return strings.Compare(a.Seat, b.Seat) })
+	slices.SortFunc(status.Loads, func(a, b LoadStatus) int { return strings.Compare(a.Domain+" "+a.Service, b.Domain+" "+b.Service) })
+	slices.SortFunc(status.Shares, func(a, b ShareStatus) int { return strings.Compare(a.Resource, b.Resource) })
+	return status
 }
--- a/internal/ctrl/state/takeover.go
+++ b/internal/ctrl/state/takeover.go
@@ -9,17 +9,18 @@
 	"github.com/boragelane/boragelane/internal/core/spec"
 )
 
-// Takeover is the lease of a silent failure domain of the same region. While this host's relay holds it,
-// the silent domain's pools are lent to this failure domain's hosts.
+// Takeover is the lease of a silent failure domain of the same region. While this host holds it as the relay of its own
+// domain, it lends the silent domain's pools to its own domain's hosts.
 type Takeover struct {
-	Begun  time.Time // When the lease was first asked for.
-	Asked  time.Time // When it was last asked for.
-	Lease  share.Lease
-	Ending time.Time // When the pools were last lent, once the lease is to be given back.
+	FirstRequestedAt time.Time // When the lease was first requested.
+	LastRequestedAt  time.Time // When the lease was last requested.
+	Lease            share.Lease
+	EndedAt          time.Time // When lending stopped; the lease is released after the last loan has expired.
 }
 
-// takeOver asks for the leases of silent failure domains, renews those it holds, and gives them back.
-func (s *State) takeOver(now time.Time) []Action {
+// requestTakeovers acquires the leases of silent failure domains, renews those already requested and releases those
+// that are no longer needed.
+func (s *State) requestTakeovers(now time.Time) []Action {
 	acts := s.endTakeovers(now)
 	if !s.Lease.Held(now) {
 		return acts
@@ -27,27 +28,27 @@
 	for _, d := range s.index.siblings {
 		t, begun := s.Takeovers[d.Name]
 		switch {
-		case !begun && s.silent(d.Name, now) && s.firstAlive(d.Name, now):
-			t.Begun = now
-		case !begun || !t.Ending.IsZero() || now.Sub(t.Asked) < LeasePeriod(len(s.seats())):
+		case !begun && s.isSilent(d.Name, now) && s.isFirstHeardDomain(d.Name, now):
+			t.FirstRequestedAt = now
+		case !begun || !t.EndedAt.IsZero() || now.Sub(t.LastRequestedAt) < LeasePeriod(len(s.domainSeats())):
 			continue
 		}
-		t.Asked = now
+		t.LastRequestedAt = now
 		s.Takeovers[d.Name] = t
-		acts = append(acts, AskLease{Domain: d.Name, Life: LeaseLife(len(s.seats()))})
+		acts = append(acts, AskLease{Domain: d.Name, Life: LeaseLife(len(s.domainSeats()))})
 	}
 	return acts
 }
 
-// endTakeovers stops lending the pools of failure domains that are heard again, or all if this host's own
-// lease is gone, and gives each lease back once the last loan from it has run out.
+// endTakeovers stops lending the pools of failure domains that are heard again, or of all if this host's own lease has
+// expired. It releases each lease once the last loan under it has expired.
 func (s *State) endTakeovers(now time.Time) []Action {
 	var acts []Action
 	for name, t := range s.Takeovers {
 		switch {
-		case t.Ending.IsZero() && (!s.Lease.Held(now) || !s.isSibling(name) || !s.silent(name, now)):
+		case t.EndedAt.IsZero() && (!s.Lease.Held(now) || !s.isSibling(name) || !s.isSilent(name, now)):
 			s.endTakeover(name, now)
-		case !t.Ending.IsZero() && now.Sub(t.Ending) > s.Ledger.Term+share.Margin:
+		case !t.EndedAt.IsZero() && now.Sub(t.EndedAt) > s.Ledger.Term+share.Margin:
 			delete(s.Takeovers, name)
 			acts = append(acts, ReleaseLease{Domain: name})
 		}
@@ -57,44 +58,46 @@
 
 func (s *State) endTakeover(name string, now time.Time) {
 	t := s.Takeovers[name]
-	t.Ending = now
+	t.EndedAt = now
 	s.Takeovers[name] = t
-	s.usePools(now)
+	s.updateLedgerPools(now)
 }
 
-// takeoverOut books the platform's answer for another failure domain's lease.
-func (s *State) takeoverOut(e LeaseOut, now time.Time) []Action {
+// handleTakeoverLeaseResult records the result of a request for another failure domain's lease.
+func (s *State) handleTakeoverLeaseResult(e LeaseOut, now time.Time) []Action {
 	t, ok := s.Takeovers[e.Domain]
 	switch {
 	case !ok && e.Held:
 		return []Action{ReleaseLease{Domain: e.Domain}}
-	case !ok || e.Err != nil || e.Asked.Before(t.Begun) || !t.Ending.IsZero():
+	case !ok || e.Err != nil || e.Asked.Before(t.FirstRequestedAt) || !t.EndedAt.IsZero():
 	case !e.Held:
 		s.endTakeover(e.Domain, now)
 	default:
 		t.Lease = share.Lease{Until: e.Asked.Add(e.Life)}
 		s.Takeovers[e.Domain] = t
-		s.usePools(now)
+		s.updateLedgerPools(now)
 	}
 	return nil
 }
 
-// silent tells whether nothing was heard of a failure domain for too long.
-func (s *State) silent(domain string, now time.Time) bool {
-	n, ok := s.Domains[domain]
+// isSilent reports whether the summary of a failure domain is stale, or has been missing since this host began to relay
+// for longer than the same timeout.
+func (s *State) isSilent(domain string, now time.Time) bool {
+	n, ok := s.Summaries[domain]
 	if !ok {
-		return !s.born.IsZero() && now.Sub(s.born) > s.newsLife()
+		return !s.firstRelayedAt.IsZero() && now.Sub(s.firstRelayedAt) > s.summaryTimeout()
 	}
-	return now.Sub(n.Heard) > s.newsLife()
+	return now.Sub(n.HeardAt) > s.summaryTimeout()
 }
 
-// firstAlive tells whether no other failure domain of the region that is heard comes before this one.
-func (s *State) firstAlive(except string, now time.Time) bool {
-	for _, d := range s.index.region {
+// isFirstHeardDomain reports whether this failure domain is the first of the region, in document order, that is heard
+// from. It disregards the domain to take over.
+func (s *State) isFirstHeardDomain(silent string, now time.Time) bool {
+	for _, d := range s.index.regionDomains {
 		switch {
 		case d.Name == s.Self.Domain:
 			return true
-		case d.Name != except && !s.silent(d.Name, now):
+		case d.Name != silent && !s.isSilent(d.Name, now):
 			return false
 		}
 	}
@@ -105,13 +108,13 @@
 	return slices.ContainsFunc(s.index.siblings, func(d spec.Domain) bool { return d.Name == domain })
 }
 
-// isLending tells whether a taken over domain's pools are lent: with too little left of the lease, each new
-// loan, which ends within all leases, would be cut short.
+// isLending reports whether a silent domain's pools are being lent. With too little time left on its lease they are not,
+// since new loans, which must end within every lease, would become too short.
 func (s *State) isLending(t Takeover, now time.Time) bool {
-	return t.Ending.IsZero() && t.Lease.Left(now) > 2*HeartbeatPeriod(len(s.seats()))
+	return t.EndedAt.IsZero() && t.Lease.Left(now) > 2*HeartbeatPeriod(len(s.domainSeats()))
 }
 
-// lendingLease returns the right under which the pools are lent now: the shortest of all leases.
+// lendingLease returns the lease that bounds new loans: the one that expires first.
 func (s *State) lendingLease(now time.Time) share.Lease {
 	l := s.Lease
 	for _, t := range s.Takeovers {
@@ -122,11 +125,11 @@
 	return l
 }
 
-// usePools tells the ledger what may be lent now: this failure domain's pools and those taken over.
-func (s *State) usePools(now time.Time) {
+// updateLedgerPools sets the pools that the ledger may lend: this failure domain's and those taken over.
+func (s *State) updateLedgerPools(now time.Time) {
 	pools := map[string]int64{}
 	add := func(prefix string) {
-		for name, p := range s.Parts {
+		for name, p := range s.Allocations {
 			if res, ok := strings.CutPrefix(name, prefix); ok && p.Units > 0 {
 				pools[res] += p.Units
 			}
@@ -135,31 +138,31 @@
 	add(poolPrefix)
 	for name, t := range s.Takeovers {
 		if s.isLending(t, now) {
-			add(sparePrefix(name))
+			add(siblingPoolPrefix(name))
 		}
 	}
 	s.Ledger.SetPools(pools)
-	s.Ledger.Term = Term(len(s.seats()))
+	s.Ledger.Term = Term(len(s.domainSeats()))
 }
 
-// isPool tells whether a part is a pool, which is not this host's own.
+// isPool reports whether an allocation is a pool rather than a share of this host.
 func isPool(name string) bool {
-	return strings.HasPrefix(name, poolPrefix) || strings.HasPrefix(name, spareRoot)
+	return strings.HasPrefix(name, poolPrefix) || strings.HasPrefix(name, siblingPoolsPrefix)
 }
 
-const spareRoot = "spare/"
+const siblingPoolsPrefix = "spare/"
 
-// resource returns the name of the resource that a part belongs to.
+// resource returns the name of the resource to which an allocation belongs.
 func resource(part string) string {
 	if res, ok := strings.CutPrefix(part, poolPrefix); ok {
 		return res
 	}
-	if rest, ok := strings.CutPrefix(part, spareRoot); ok {
+	if rest, ok := strings.CutPrefix(part, siblingPoolsPrefix); ok {
 		_, res, _ := strings.Cut(rest, "/")
 		return res
 	}
 	return part
 }
 
-// sparePrefix begins the names of another failure domain's pools, which are lent after a takeover only.
-func sparePrefix(domain string) string { return spareRoot + domain + "/" }
+// siblingPoolPrefix returns the name prefix of another failure domain's pools, which are lent only during a takeover.
+func siblingPoolPrefix(domain string) string { return siblingPoolsPrefix + domain + "/" }
--- a/internal/ctrl/state/takeover_test.go
+++ b/internal/ctrl/state/takeover_test.go
@@ -12,7 +12,7 @@
 	inUse := func(domain string, res string) int64 {
 		var sum int64
 		for _, h := range f.hosts {
-			if h.state.Self.Domain == domain && !h.cut {
+			if h.state.Self.Domain == domain && !h.isolated {
 				sum += h.state.amount(res).At(f.now)
 			}
 		}
@@ -21,23 +21,23 @@
 	run := func(d time.Duration) {
 		for end := f.now.Add(d); f.now.Before(end); {
 			f.step(TickPeriod)
-			f.check(t)
+			f.checkLimits(t)
 		}
 	}
 	run(30 * time.Second)
-	assert.Equal(t, inUse("d0", resLink+"q"), int64(500))
+	assert.Equal(t, inUse("d0", resourceLinkPrefix+"q"), int64(500))
 	gone := f.hosts[2:]
 	for _, h := range gone {
-		h.cut = true
+		h.isolated = true
 	}
 	run(40 * time.Second)
-	assert.Equal(t, inUse("d0", resLink+"q"), int64(800), "all but the other domain's floors of 200")
+	assert.Equal(t, inUse("d0", resourceLinkPrefix+"q"), int64(800), "all but the other domain's floors of 200")
 	for _, h := range gone {
-		h.cut = false
+		h.isolated = false
 	}
 	run(20 * time.Second)
-	assert.Equal(t, inUse("d0", resLink+"q"), int64(500))
-	assert.Equal(t, inUse("d1", resLink+"q"), int64(500))
+	assert.Equal(t, inUse("d0", resourceLinkPrefix+"q"), int64(500))
+	assert.Equal(t, inUse("d1", resourceLinkPrefix+"q"), int64(500))
 }
 
 func TestADomainThatIsApartFromItsNeighborGetsItsPoolsBack(t *testing.T) {
@@ -45,24 +45,24 @@
 	run := func(d time.Duration, apart bool) {
 		for end := f.now.Add(d); f.now.Before(end); {
 			f.step(TickPeriod)
-			f.check(t)
-			f.apart = apart
+			f.checkLimits(t)
+			f.partitioned = apart
 		}
 	}
 	run(30*time.Second, false)
-	f.hosts[1].cut = true
+	f.hosts[1].isolated = true
 	run(40*time.Second, true)
-	assert.Equal(t, f.hosts[0].state.amount(resLink+"q").At(f.now), int64(800))
-	f.hosts[1].cut = false // It reaches the platform again, but not the other failure domain.
+	assert.Equal(t, f.hosts[0].state.amount(resourceLinkPrefix+"q").At(f.now), int64(800))
+	f.hosts[1].isolated = false // It reaches the platform again, but not the other failure domain.
 	run(40*time.Second, true)
-	assert.Equal(t, f.hosts[0].state.amount(resLink+"q").At(f.now), int64(500))
-	assert.Equal(t, f.hosts[1].state.amount(resLink+"q").At(f.now), int64(500))
+	assert.Equal(t, f.hosts[0].state.amount(resourceLinkPrefix+"q").At(f.now), int64(500))
+	assert.Equal(t, f.hosts[1].state.amount(resourceLinkPrefix+"q").At(f.now), int64(500))
 }
 
 func TestALoanEndsWithinTheShortestLease(t *testing.T) {
 	f := newFleet(2, 2)
 	for _, h := range f.hosts[2:] {
-		h.cut = true
+		h.isolated = true
 	}
 	for range 120 {
 		f.step(TickPeriod)
@@ -76,5 +76,5 @@
 	Fold(lender, HeartbeatIn{Heartbeat: Heartbeat{Seat: "d0-1"}, Reply: reply}, f.now)
 	r := <-reply
 	assert.Assert(t, r.Left < 3*time.Second, "lent for %s", r.Left)
-	assert.Equal(t, r.Units[resLink+"q"], int64(300), "half of both pools")
+	assert.Equal(t, r.Units[resourceLinkPrefix+"q"], int64(300), "half of both pools")
 }
