test: the control state's tests in the terms of the field

The harness spoke of a platform that is out, doubled messages, playing a part, and rapid actions named alone, apart and while. It now speaks of simulated hosts, faults, partitions and leases, and each failed check names the resource and its limit. Renamed: TestAHostWithoutASeatKeepsThePeriod to TestAHostWithoutASeatKeepsTheHeartbeatPeriod, TestAFrozenLenderIsReplaced to TestAPausedLenderIsReplaced, TestAnOutageOfThePlatformLeavesTheFloors to TestHostsKeepTheirFloorsDuringAPlatformOutage, TestPartsGrowOnlyAfterOthersHaveShrunk to TestAllocationsGrowOnlyAfterOthersHaveShrunk, TestAHostThatRelayedBeforeHearsOfItsOwnDomain to TestAFormerRelayReceivesTheSummaryOfItsOwnDomain, TestAHeartbeatLeavesOutLoadsThatTheRelayHas to TestAHeartbeatOmitsLoadsThatTheRelayHas, TestADomainThatIsApartFromItsNeighborGetsItsPoolsBack to TestADomainCutOffFromItsNeighborGetsItsPoolsBack.

--- a/internal/ctrl/state/election_test.go
+++ b/internal/ctrl/state/election_test.go
@@ -22,11 +22,13 @@
 	f.hosts[0].isolated = true
 	run(20 * time.Second)
 	delete(f.leaseRequests, "d0-0")
-	assert.Equal(t, len(f.leaseRequests), 1, "after the relay's loss: %v", f.leaseRequests)
+	assert.Equal(t, len(f.leaseRequests), 1, "after the loss of the relay: %v", f.leaseRequests)
 	assert.Assert(t, f.hosts[1].state.Lease.Held(f.now))
 }
 
-func TestAHostWithoutASeatKeepsThePeriod(t *testing.T) {
+// A failed heartbeat to the relay triggers another tick. Guards against a host without a seat, which is never elected,
+// sending heartbeats at each failure instead of once per period.
+func TestAHostWithoutASeatKeepsTheHeartbeatPeriod(t *testing.T) {
 	f := newFleet(1, 3)
 	h := f.hosts[0]
 	f.step(TickPeriod)
@@ -34,20 +36,20 @@
 	doc.Revision++
 	doc.Regions[0].Domains[0].Seats = doc.Regions[0].Domains[0].Seats[1:]
 	f.doc = doc
-	f.fold(h, Adopt{Doc: doc})
+	f.apply(h, Adopt{Doc: doc})
 	h.isolated = true
 	sent := 0
 	for range 10 * time.Second / TickPeriod {
 		f.now = f.now.Add(TickPeriod)
-		acts := Fold(h.state, Tick{}, f.now)
-		for len(acts) > 0 && sent < 100 {
-			if a, ok := acts[0].(SendHeartbeat); ok {
+		actions := Fold(h.state, Tick{}, f.now)
+		for len(actions) > 0 && sent < 100 {
+			if a, ok := actions[0].(SendHeartbeat); ok {
 				sent++
-				acts = append(acts, Fold(h.state, HeartbeatOut{Seat: a.To.Name, Asked: f.now, Err: fmt.Errorf("down")}, f.now)...)
+				actions = append(actions, Fold(h.state, HeartbeatOut{Seat: a.To.Name, Asked: f.now, Err: fmt.Errorf("host unreachable")}, f.now)...)
 			}
-			acts = acts[1:]
+			actions = actions[1:]
 		}
 	}
-	// One to each seat a second, and a round more when the relay is lost.
+	// One heartbeat to each seat per second, and one extra round when the relay is lost.
 	assert.Assert(t, sent >= 18 && sent <= 24, "%d heartbeats in 10 s", sent)
 }
--- a/internal/ctrl/state/fleet_test.go
+++ b/internal/ctrl/state/fleet_test.go
@@ -8,22 +8,22 @@
 	"github.com/boragelane/boragelane/internal/core/spec"
 )
 
-// fleet is a few hosts' control states, the messages between them, and the platform's part. Messages
-// may be lost, late or doubled; hosts may be paused, restarted and cut off; the platform may be out.
+// fleet simulates the control states of several hosts, the messages between them and the platform. Messages may be
+// lost, delayed or duplicated; hosts may be paused, restarted or isolated; the platform may be down.
 type fleet struct {
-	now           time.Time
-	doc           spec.Document
-	members       []Member
-	hosts         []*fakeHost
-	inFlight      []func()
-	lease         map[string]fakeLease // By failure domain.
-	claims        map[string]fakeLease // The same, for hosts that were refused their own domain's lease.
-	leaseRequests map[string]int       // Requests for leases by host.
-	sessions      int
-	ended         map[int]bool // Sessions that were given back.
-	platformDown  bool
-	partitioned   bool // The failure domains do not reach each other.
-	faults        func() (lost, late, twice bool)
+	now              time.Time
+	doc              spec.Document
+	members          []Member
+	hosts            []*fakeHost
+	inFlight         []func()
+	leases           map[string]fakeLease // By failure domain.
+	claims           map[string]fakeLease // By failure domain; set when a host is refused its own domain's lease.
+	leaseRequests    map[string]int       // The number of lease requests by host.
+	lastSession      int
+	releasedSessions map[int]bool
+	platformDown     bool
+	partitioned      bool // The failure domains cannot reach each other.
+	faults           func() (lost, late, twice bool)
 }
 
 type fakeLease struct {
@@ -33,11 +33,11 @@
 
 type fakeHost struct {
 	state       *State
-	session     map[string]int // By failure domain.
+	sessions    map[string]int // By failure domain.
 	paused      bool
-	isolated    bool // From all other hosts and the platform.
+	isolated    bool // Cut off from all other hosts and the platform.
 	maxRevision uint64
-	inbox       []Event // What came while it was paused.
+	inbox       []Event // Events received while it was paused.
 }
 
 const fakeLeaseTTL = 10 * time.Second
@@ -63,7 +63,7 @@
 }
 
 func newFleet(domains, seats int) *fleet {
-	f := &fleet{now: time.Unix(10_000, 0), doc: fakeDocument(domains, seats), lease: map[string]fakeLease{}, claims: map[string]fakeLease{}, ended: map[int]bool{}, leaseRequests: map[string]int{}}
+	f := &fleet{now: time.Unix(10_000, 0), doc: fakeDocument(domains, seats), leases: map[string]fakeLease{}, claims: map[string]fakeLease{}, releasedSessions: map[int]bool{}, leaseRequests: map[string]int{}}
 	f.faults = func() (bool, bool, bool) { return false, false, false }
 	for i := range domains {
 		f.members = append(f.members, Member{ID: fmt.Sprint("u", i), Service: "s", Domain: fmt.Sprint("d", i), Address: "a"})
@@ -77,18 +77,18 @@
 }
 
 func (f *fleet) newHost(self plan.Self) *fakeHost {
-	f.sessions++
-	self.Incarnation = fmt.Sprint("i", f.sessions)
-	return &fakeHost{state: New(self), session: map[string]int{}}
+	f.lastSession++
+	self.Incarnation = fmt.Sprint("i", f.lastSession)
+	return &fakeHost{state: New(self), sessions: map[string]int{}}
 }
 
-func (f *fleet) fold(h *fakeHost, ev Event) {
+func (f *fleet) apply(h *fakeHost, ev Event) {
 	if h.paused {
 		h.inbox = append(h.inbox, ev)
 		return
 	}
 	for _, act := range Fold(h.state, ev, f.now) {
-		f.do(h, act)
+		f.execute(h, act)
 	}
 }
 
@@ -101,8 +101,8 @@
 	return nil
 }
 
-// send delivers now, later, twice or never.
-func (f *fleet) send(run func()) {
+// deliver runs the delivery of a message now, later, twice or never, depending on the injected faults.
+func (f *fleet) deliver(run func()) {
 	lost, late, twice := f.faults()
 	switch {
 	case lost:
@@ -116,7 +116,7 @@
 	}
 }
 
-func (f *fleet) do(h *fakeHost, act Action) {
+func (f *fleet) execute(h *fakeHost, act Action) {
 	switch a := act.(type) {
 	case SendHeartbeat:
 		f.heartbeat(h, a)
@@ -125,7 +125,7 @@
 	case SendNotice:
 		for _, s := range a.To {
 			if to := f.host(s.Name); f.canReach(h, to) {
-				f.send(func() { f.fold(to, Notice{Seat: h.state.Self.Seat, Revision: a.Revision, Changes: a.Changes}) })
+				f.deliver(func() { f.apply(to, Notice{Seat: h.state.Self.Seat, Revision: a.Revision, Changes: a.Changes}) })
 			}
 		}
 	case AskLease:
@@ -140,7 +140,7 @@
 		to := f.host(a.From.Name)
 		if f.canReach(h, to) && to.state.Doc != nil {
 			doc := *to.state.Doc
-			f.send(func() { f.fold(h, Adopt{Doc: doc}) })
+			f.deliver(func() { f.apply(h, Adopt{Doc: doc}) })
 		}
 	}
 }
@@ -155,16 +155,16 @@
 func (f *fleet) heartbeat(h *fakeHost, a SendHeartbeat) {
 	to, asked := f.host(a.To.Name), f.now
 	if !f.canReach(h, to) || to.paused {
-		f.fold(h, HeartbeatOut{Seat: a.To.Name, Asked: asked, Err: fmt.Errorf("down")})
+		f.apply(h, HeartbeatOut{Seat: a.To.Name, Asked: asked, Err: fmt.Errorf("host unreachable")})
 		return
 	}
-	f.send(func() {
+	f.deliver(func() {
 		reply := make(chan HeartbeatReply, 1)
-		f.fold(to, HeartbeatIn{Heartbeat: a.Heartbeat, Reply: reply})
-		f.send(func() {
+		f.apply(to, HeartbeatIn{Heartbeat: a.Heartbeat, Reply: reply})
+		f.deliver(func() {
 			select {
 			case r := <-reply:
-				f.fold(h, HeartbeatOut{Seat: a.To.Name, Asked: asked, Sent: a.Heartbeat, Reply: r})
+				f.apply(h, HeartbeatOut{Seat: a.To.Name, Asked: asked, Sent: a.Heartbeat, Reply: r})
 				reply <- r
 			default:
 			}
@@ -175,78 +175,78 @@
 func (f *fleet) exchange(h *fakeHost, a SendExchange) {
 	to := f.host(a.To.Name)
 	if !f.canReach(h, to) || to.paused {
-		f.fold(h, ExchangeOut{Seat: a.To.Name, Domain: a.Domain, Err: fmt.Errorf("down")})
+		f.apply(h, ExchangeOut{Seat: a.To.Name, Domain: a.Domain, Err: fmt.Errorf("host unreachable")})
 		return
 	}
-	f.send(func() {
+	f.deliver(func() {
 		reply := make(chan ExchangeReply, 1)
-		f.fold(to, ExchangeIn{Exchange: a.Exchange, Reply: reply})
+		f.apply(to, ExchangeIn{Exchange: a.Exchange, Reply: reply})
 		select {
 		case r := <-reply:
-			f.send(func() { f.fold(h, ExchangeOut{Seat: a.To.Name, Domain: a.Domain, Sent: a.Sent, Reply: r}) })
+			f.deliver(func() { f.apply(h, ExchangeOut{Seat: a.To.Name, Domain: a.Domain, Sent: a.Sent, Reply: r}) })
 		default:
 		}
 	})
 }
 
-// askLease plays the platform and the host's part in front of it: a session a lease.
-func (f *fleet) askLease(h *fakeHost, d string) {
+// askLease simulates the platform's leases and the host's client of them, with one session per lease.
+func (f *fleet) askLease(h *fakeHost, domain string) {
 	asked := f.now
 	f.leaseRequests[h.state.Self.Seat]++
 	if f.platformDown || h.isolated {
-		f.fold(h, LeaseOut{Domain: d, Asked: asked, Err: fmt.Errorf("out")})
+		f.apply(h, LeaseOut{Domain: domain, Asked: asked, Err: fmt.Errorf("platform unreachable")})
 		return
 	}
-	if h.session[d] == 0 {
-		f.sessions++
-		h.session[d] = f.sessions
+	if h.sessions[domain] == 0 {
+		f.lastSession++
+		h.sessions[domain] = f.lastSession
 	}
-	session, own := h.session[d], d == h.state.Self.Domain
-	f.send(func() {
-		if w := f.claims[d]; !own && f.now.Before(w.until) {
-			f.send(func() { f.fold(h, LeaseOut{Domain: d, Asked: asked}) })
+	session, ownDomain := h.sessions[domain], domain == h.state.Self.Domain
+	f.deliver(func() {
+		if claim := f.claims[domain]; !ownDomain && f.now.Before(claim.until) {
+			f.deliver(func() { f.apply(h, LeaseOut{Domain: domain, Asked: asked}) })
 			return
 		}
-		l := f.lease[d]
-		held := (l.session == session || !f.now.Before(l.until)) && !f.ended[session]
+		l := f.leases[domain]
+		held := (l.session == session || !f.now.Before(l.until)) && !f.releasedSessions[session]
 		switch {
 		case held:
-			f.lease[d] = fakeLease{session: session, until: f.now.Add(fakeLeaseTTL)}
-		case own:
-			f.claims[d] = fakeLease{session: session, until: f.now.Add(fakeLeaseTTL)}
+			f.leases[domain] = fakeLease{session: session, until: f.now.Add(fakeLeaseTTL)}
+		case ownDomain:
+			f.claims[domain] = fakeLease{session: session, until: f.now.Add(fakeLeaseTTL)}
 		}
-		f.send(func() { f.fold(h, LeaseOut{Domain: d, Asked: asked, Life: fakeLeaseTTL, Held: held}) })
+		f.deliver(func() { f.apply(h, LeaseOut{Domain: domain, Asked: asked, Life: fakeLeaseTTL, Held: held}) })
 	})
 }
 
-// releaseLease ends a session, which is never used again; a late request for it finds nothing.
-func (f *fleet) releaseLease(h *fakeHost, d string) {
-	session := h.session[d]
-	delete(h.session, d)
+// releaseLease ends a session, which is never reused. A delayed request with it does not acquire the lease.
+func (f *fleet) releaseLease(h *fakeHost, domain string) {
+	session := h.sessions[domain]
+	delete(h.sessions, domain)
 	if f.platformDown || h.isolated {
 		return
 	}
-	f.send(func() {
-		f.ended[session] = true
-		if f.lease[d].session == session {
-			f.lease[d] = fakeLease{}
+	f.deliver(func() {
+		f.releasedSessions[session] = true
+		if f.leases[domain].session == session {
+			f.leases[domain] = fakeLease{}
 		}
 	})
 }
 
-// deliverPlatformState gives a relay what the platform holds.
+// deliverPlatformState gives a relay the platform's document and its list of upstreams.
 func (f *fleet) deliverPlatformState(h *fakeHost) {
 	if f.platformDown || h.isolated {
 		return
 	}
-	f.fold(h, Adopt{Doc: f.doc.Clone()})
-	var mine []Member
+	f.apply(h, Adopt{Doc: f.doc.Clone()})
+	var members []Member
 	for _, m := range f.members {
 		if m.Domain == h.state.Self.Domain {
-			mine = append(mine, m)
+			members = append(members, m)
 		}
 	}
-	f.fold(h, ListOut{Members: mine})
+	f.apply(h, ListOut{Members: members})
 }
 
 func (f *fleet) step(d time.Duration) {
@@ -256,17 +256,17 @@
 			if h.state.IsRelay {
 				f.deliverPlatformState(h)
 			}
-			f.fold(h, Tick{Loads: map[string]plan.Load{"s": {Slots: 1}}})
+			f.apply(h, Tick{Loads: map[string]plan.Load{"s": {Slots: 1}}})
 		}
 	}
 }
 
 func (f *fleet) resume(h *fakeHost) {
 	h.paused = false
-	box := h.inbox
+	inbox := h.inbox
 	h.inbox = nil
-	for _, ev := range box {
-		f.fold(h, ev)
+	for _, ev := range inbox {
+		f.apply(h, ev)
 	}
 }
 
@@ -275,13 +275,14 @@
 	Fatalf(format string, args ...any)
 }
 
-// checkLimits adds up what all hosts would use now, paused ones too: traffic reads plans by itself.
+// checkLimits fails if the units that all hosts may use now exceed a limit, or if a host's revision decreased. Paused
+// hosts count too, since the data path keeps using their last plan.
 func (f *fleet) checkLimits(t testingT) {
 	t.Helper()
-	sums := map[string]int64{}
+	inUse := map[string]int64{}
 	for _, h := range f.hosts {
 		if r := h.state.Revision(); r < h.maxRevision {
-			t.Fatalf("%s went back from revision %d to %d", h.state.Self.Seat, h.maxRevision, r)
+			t.Fatalf("host %s went back from revision %d to %d", h.state.Self.Seat, h.maxRevision, r)
 		}
 		h.maxRevision = h.state.Revision()
 		if h.state.Doc == nil {
@@ -291,16 +292,16 @@
 			if isPool(res) {
 				continue
 			}
-			sums[res] += h.state.amount(res).At(f.now)
+			inUse[res] += h.state.amount(res).At(f.now)
 		}
 	}
 	limits := map[string]int64{resourceCapacity: 11, resourceLinkPrefix + "q": 1000}
 	for _, m := range f.members {
 		limits[resourceSlotPrefix+m.ID] = 5
 	}
-	for res, sum := range sums {
+	for res, sum := range inUse {
 		if sum > limits[res] {
-			t.Fatalf("%s: %d in use of %d", res, sum, limits[res])
+			t.Fatalf("resource %s: %d units in use, limit is %d", res, sum, limits[res])
 		}
 	}
 }
--- a/internal/ctrl/state/limits_test.go
+++ b/internal/ctrl/state/limits_test.go
@@ -10,6 +10,7 @@
 	"github.com/boragelane/boragelane/internal/core/spec"
 )
 
+// Guards against hosts that together exceed a shared limit, in any order of messages, faults and configuration changes.
 func TestLimitsHoldUnderAnyInterleaving(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet(2, 2)
@@ -17,12 +18,12 @@
 		f.faults = func() (bool, bool, bool) {
 			return chance.Draw(t, "lost") == 9, chance.Draw(t, "late") >= 8, chance.Draw(t, "twice") == 9
 		}
-		pick := func(t *rapid.T) *fakeHost { return f.hosts[rapid.IntRange(0, len(f.hosts)-1).Draw(t, "host")] }
+		randomHost := func(t *rapid.T) *fakeHost { return f.hosts[rapid.IntRange(0, len(f.hosts)-1).Draw(t, "host")] }
 		t.Repeat(map[string]func(*rapid.T){
 			"":     func(t *rapid.T) { f.checkLimits(t) },
 			"tick": func(*rapid.T) { f.step(TickPeriod) },
 			"step": func(t *rapid.T) { f.step(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond) },
-			"late": func(t *rapid.T) {
+			"deliver late": func(t *rapid.T) {
 				if n := len(f.inFlight); n > 0 {
 					i := rapid.IntRange(0, n-1).Draw(t, "message")
 					run := f.inFlight[i]
@@ -30,23 +31,23 @@
 					run()
 				}
 			},
-			"pause":  func(t *rapid.T) { pick(t).paused = true },
-			"wake":   func(t *rapid.T) { f.resume(pick(t)) },
-			"cut":    func(t *rapid.T) { h := pick(t); h.isolated = !h.isolated },
-			"outage": func(*rapid.T) { f.platformDown = !f.platformDown },
-			"apart":  func(*rapid.T) { f.partitioned = !f.partitioned },
+			"pause":     func(t *rapid.T) { randomHost(t).paused = true },
+			"resume":    func(t *rapid.T) { f.resume(randomHost(t)) },
+			"isolate":   func(t *rapid.T) { h := randomHost(t); h.isolated = !h.isolated },
+			"outage":    func(*rapid.T) { f.platformDown = !f.platformDown },
+			"partition": func(*rapid.T) { f.partitioned = !f.partitioned },
 			"restart": func(t *rapid.T) {
 				i := rapid.IntRange(0, len(f.hosts)-1).Draw(t, "host")
 				f.hosts[i] = f.newHost(f.hosts[i].state.Self)
 			},
 			"change": func(*rapid.T) { f.doc.Revision++ },
-			"alone": func(t *rapid.T) {
-				cut := rapid.Bool().Draw(t, "cut")
+			"isolate d1": func(t *rapid.T) {
+				isolated := rapid.Bool().Draw(t, "isolated")
 				for _, h := range f.hosts[2:] {
-					h.isolated = cut
+					h.isolated = isolated
 				}
 			},
-			"while": func(t *rapid.T) {
+			"run 20 s": func(t *rapid.T) {
 				for range 40 {
 					f.step(2 * TickPeriod)
 					f.checkLimits(t)
@@ -56,9 +57,11 @@
 	})
 }
 
-func TestAFrozenLenderIsReplaced(t *testing.T) {
+// A paused lender may resume and still count on its lease: the units that it and its replacement lend must not add up to
+// more than the limit.
+func TestAPausedLenderIsReplaced(t *testing.T) {
 	f := newFleet(1, 2)
-	lent := func(h *fakeHost) int64 { return h.state.amount(resourceSlotPrefix + "u0").At(f.now) }
+	inUse := func(h *fakeHost) int64 { return h.state.amount(resourceSlotPrefix + "u0").At(f.now) }
 	run := func(d time.Duration) {
 		for end := f.now.Add(d); f.now.Before(end); {
 			f.step(TickPeriod)
@@ -66,18 +69,18 @@
 		}
 	}
 	run(15 * time.Second)
-	assert.Equal(t, lent(f.hosts[0])+lent(f.hosts[1]), int64(5), "all slots are in use")
+	assert.Equal(t, inUse(f.hosts[0])+inUse(f.hosts[1]), int64(5), "all slots are in use")
 	f.hosts[0].paused = true
 	run(20 * time.Second)
-	assert.Equal(t, lent(f.hosts[0]), int64(1), "the frozen host is on its floor")
-	assert.Equal(t, lent(f.hosts[1]), int64(4), "the other has its floor and the whole pool")
+	assert.Equal(t, inUse(f.hosts[0]), int64(1), "the paused host falls back to its floor")
+	assert.Equal(t, inUse(f.hosts[1]), int64(4), "the other host has its floor and the whole pool")
 	f.resume(f.hosts[0])
 	f.checkLimits(t)
 	run(25 * time.Second)
-	assert.Equal(t, lent(f.hosts[0])+lent(f.hosts[1]), int64(5))
+	assert.Equal(t, inUse(f.hosts[0])+inUse(f.hosts[1]), int64(5))
 }
 
-func TestAnOutageOfThePlatformLeavesTheFloors(t *testing.T) {
+func TestHostsKeepTheirFloorsDuringAPlatformOutage(t *testing.T) {
 	f := newFleet(1, 2)
 	for range 60 {
 		f.step(TickPeriod)
@@ -94,7 +97,7 @@
 	assert.Equal(t, len(p.Services["s"].Upstreams), 1)
 }
 
-func (f *fleet) inUse(res string) int64 {
+func (f *fleet) unitsInUse(res string) int64 {
 	var sum int64
 	for _, h := range f.hosts {
 		sum += h.state.amount(res).At(f.now)
@@ -112,7 +115,7 @@
 			for range 60 {
 				f.step(TickPeriod)
 			}
-			assert.Equal(t, f.inUse(resourceSlotPrefix+"u0"), int64(5))
+			assert.Equal(t, f.unitsInUse(resourceSlotPrefix+"u0"), int64(5))
 			f.doc = f.doc.Clone()
 			f.doc.Revision++
 			change(&f.doc)
@@ -120,18 +123,18 @@
 				f.step(TickPeriod)
 				f.checkLimits(t)
 			}
-			assert.Assert(t, f.inUse(resourceSlotPrefix+"u0") <= 3, "%d in use of 3 after 3 s", f.inUse(resourceSlotPrefix+"u0"))
+			assert.Assert(t, f.unitsInUse(resourceSlotPrefix+"u0") <= 3, "%d units in use after 3 s, limit is 3", f.unitsInUse(resourceSlotPrefix+"u0"))
 		})
 	}
 }
 
-func TestPartsGrowOnlyAfterOthersHaveShrunk(t *testing.T) {
+func TestAllocationsGrowOnlyAfterOthersHaveShrunk(t *testing.T) {
 	f := newFleet(1, 3)
 	for range 60 {
 		f.step(TickPeriod)
 	}
-	slow := f.hosts[2]
-	slow.paused = true // It learns two seconds late that its seat is gone.
+	late := f.hosts[2]
+	late.paused = true // It receives the revision that removes its seat two seconds after the others.
 	f.doc = f.doc.Clone()
 	f.doc.Revision++
 	f.doc.Floor = 1
@@ -140,10 +143,10 @@
 	for i := range 80 {
 		f.step(TickPeriod)
 		if i == 8 {
-			f.resume(slow)
-			f.fold(slow, Adopt{Doc: f.doc})
+			f.resume(late)
+			f.apply(late, Adopt{Doc: f.doc})
 		}
 		f.checkLimits(t)
 	}
-	assert.Equal(t, f.inUse(resourceLinkPrefix+"q"), int64(1000))
+	assert.Equal(t, f.unitsInUse(resourceLinkPrefix+"q"), int64(1000))
 }
--- a/internal/ctrl/state/news_test.go
+++ b/internal/ctrl/state/news_test.go
@@ -33,7 +33,9 @@
 	}
 }
 
-func TestAHostThatRelayedBeforeHearsOfItsOwnDomain(t *testing.T) {
+// While a host relays it ignores received summaries of its own domain. Guards against a former relay that keeps its own
+// old summary and never receives the new relay's.
+func TestAFormerRelayReceivesTheSummaryOfItsOwnDomain(t *testing.T) {
 	f := newFleet(1, 2)
 	for _, h := range f.hosts {
 		h.isolated = false
@@ -52,30 +54,30 @@
 	assert.Assert(t, ok && len(n.Away) == 0, "%+v", n)
 }
 
-func TestAHeartbeatLeavesOutLoadsThatTheRelayHas(t *testing.T) {
+func TestAHeartbeatOmitsLoadsThatTheRelayHas(t *testing.T) {
 	f := newFleet(1, 2)
 	load := func(busy int64) map[string]plan.Load { return map[string]plan.Load{"s": {Slots: 4, Busy: busy}} }
-	beat := func(loads map[string]plan.Load) Heartbeat {
+	sendHeartbeat := func(loads map[string]plan.Load) Heartbeat {
 		f.now = f.now.Add(TickPeriod)
 		h := f.hosts[1].state
 		h.Loads = loads
 		a := h.sendHeartbeat(f.doc.Regions[0].Domains[0].Seats[0], f.now)[0].(SendHeartbeat)
-		f.do(f.hosts[1], a)
+		f.execute(f.hosts[1], a)
 		return a.Heartbeat
 	}
-	busy := func() int64 { return f.hosts[0].state.Hosts["d0-1"].Loads["s"].Busy }
+	recordedBusy := func() int64 { return f.hosts[0].state.Hosts["d0-1"].Loads["s"].Busy }
 	for range 8 {
 		f.step(TickPeriod)
 	}
-	assert.Assert(t, !beat(load(3)).Same)
-	assert.Assert(t, beat(load(3)).Same)
-	assert.Equal(t, busy(), int64(3))
-	assert.Assert(t, !beat(load(2)).Same, "in a small failure domain each change is told")
-	assert.Equal(t, busy(), int64(2))
+	assert.Assert(t, !sendHeartbeat(load(3)).Same)
+	assert.Assert(t, sendHeartbeat(load(3)).Same)
+	assert.Equal(t, recordedBusy(), int64(3))
+	assert.Assert(t, !sendHeartbeat(load(2)).Same, "every change is reported in a small failure domain")
+	assert.Equal(t, recordedBusy(), int64(2))
 
-	f.hosts[0] = f.newHost(f.hosts[0].state.Self) // The relay has forgotten.
-	f.fold(f.hosts[0], Tick{})
-	assert.Assert(t, beat(load(2)).Same, "it is not known yet")
-	assert.Assert(t, !beat(load(2)).Same)
-	assert.Equal(t, busy(), int64(2))
+	f.hosts[0] = f.newHost(f.hosts[0].state.Self) // The relay restarts without its state.
+	f.apply(f.hosts[0], Tick{})
+	assert.Assert(t, sendHeartbeat(load(2)).Same, "the restart of the relay is not known yet")
+	assert.Assert(t, !sendHeartbeat(load(2)).Same)
+	assert.Equal(t, recordedBusy(), int64(2))
 }
--- a/internal/ctrl/state/shift_test.go
+++ b/internal/ctrl/state/shift_test.go
@@ -15,20 +15,20 @@
 	now := time.Unix(1000, 0)
 	good := plan.Load{Slots: 10, Busy: 2, Latency: 10 * time.Millisecond}
 	p := advanceShift(Progress{}, sh, good, now)
-	play := func(load plan.Load, seconds int) {
+	run := func(load plan.Load, seconds int) {
 		for range seconds * 4 {
 			now = now.Add(250 * time.Millisecond)
 			p = advanceShift(p, sh, load, now)
 		}
 	}
-	play(good, 5)
+	run(good, 5)
 	assert.Assert(t, p.Done > 0.49 && p.Done < 0.51 && !p.Paused, "%+v", p)
-	play(plan.Load{Slots: 10, Busy: 2, Latency: 30 * time.Millisecond}, 5) // A cold cache.
+	run(plan.Load{Slots: 10, Busy: 2, Latency: 30 * time.Millisecond}, 5) // The target is slow, for instance because its cache is cold.
 	assert.Assert(t, p.Done > 0.49 && p.Done < 0.51 && p.Paused, "%+v", p)
-	play(plan.Load{Slots: 10, Busy: 10, Queued: 5, Latency: 10 * time.Millisecond}, 1)
+	run(plan.Load{Slots: 10, Busy: 10, Queued: 5, Latency: 10 * time.Millisecond}, 1)
 	assert.Assert(t, p.Done < 0.35 && p.Paused, "%+v", p)
-	play(plan.Load{}, 5) // Nothing is heard of it.
+	run(plan.Load{}, 5) // No load of the target is known.
 	assert.Equal(t, p.Done, 0.0)
-	play(good, 20)
+	run(good, 20)
 	assert.Assert(t, p.Done == 1 && !p.Paused, "%+v", p)
 }
--- a/internal/ctrl/state/takeover_test.go
+++ b/internal/ctrl/state/takeover_test.go
@@ -26,13 +26,13 @@
 	}
 	run(30 * time.Second)
 	assert.Equal(t, inUse("d0", resourceLinkPrefix+"q"), int64(500))
-	gone := f.hosts[2:]
-	for _, h := range gone {
+	silent := f.hosts[2:]
+	for _, h := range silent {
 		h.isolated = true
 	}
 	run(40 * time.Second)
-	assert.Equal(t, inUse("d0", resourceLinkPrefix+"q"), int64(800), "all but the other domain's floors of 200")
-	for _, h := range gone {
+	assert.Equal(t, inUse("d0", resourceLinkPrefix+"q"), int64(800), "everything except the other domain's floors of 200")
+	for _, h := range silent {
 		h.isolated = false
 	}
 	run(20 * time.Second)
@@ -40,7 +40,8 @@
 	assert.Equal(t, inUse("d1", resourceLinkPrefix+"q"), int64(500))
 }
 
-func TestADomainThatIsApartFromItsNeighborGetsItsPoolsBack(t *testing.T) {
+// The domains cannot reach each other, so the domain that took over learns of the other's return only from the platform.
+func TestADomainCutOffFromItsNeighborGetsItsPoolsBack(t *testing.T) {
 	f := newFleet(2, 1)
 	run := func(d time.Duration, apart bool) {
 		for end := f.now.Add(d); f.now.Before(end); {
@@ -53,7 +54,7 @@
 	f.hosts[1].isolated = true
 	run(40*time.Second, true)
 	assert.Equal(t, f.hosts[0].state.amount(resourceLinkPrefix+"q").At(f.now), int64(800))
-	f.hosts[1].isolated = false // It reaches the platform again, but not the other failure domain.
+	f.hosts[1].isolated = false // It can reach the platform again, but not the other failure domain.
 	run(40*time.Second, true)
 	assert.Equal(t, f.hosts[0].state.amount(resourceLinkPrefix+"q").At(f.now), int64(500))
 	assert.Equal(t, f.hosts[1].state.amount(resourceLinkPrefix+"q").At(f.now), int64(500))
@@ -70,7 +71,7 @@
 	lender := f.hosts[0].state
 	taken, ok := lender.Takeovers["d1"]
 	assert.Assert(t, ok && taken.Lease.Held(f.now))
-	taken.Lease.Until = f.now.Add(3 * time.Second) // It could not be renewed; the lender's own could.
+	taken.Lease.Until = f.now.Add(3 * time.Second) // As if only the lender's own lease could be renewed.
 	lender.Takeovers["d1"] = taken
 	reply := make(chan HeartbeatReply, 1)
 	Fold(lender, HeartbeatIn{Heartbeat: Heartbeat{Seat: "d0-1"}, Reply: reply}, f.now)
