docs: local names in the control state machine

One-letter names that stood for a takeover, a summary record, an allocation or a shift are spelled out, and 'own', 'to' and 'begun' are floor, recipients and ok.

--- a/internal/ctrl/state/fold.go
+++ b/internal/ctrl/state/fold.go
@@ -58,14 +58,14 @@
 func (s *State) smoothLoads(sample map[string]plan.Load) {
 	loads := make(map[string]plan.Load, len(sample))
 	for svc, l := range sample {
-		m, ok := s.loadAverages[svc]
+		mean, ok := s.loadAverages[svc]
 		if !ok {
-			m = LoadAverage{Busy: float64(l.Busy), Queued: float64(l.Queued)}
+			mean = LoadAverage{Busy: float64(l.Busy), Queued: float64(l.Queued)}
 		}
-		m.Busy += loadSmoothingWeight * (float64(l.Busy) - m.Busy)
-		m.Queued += loadSmoothingWeight * (float64(l.Queued) - m.Queued)
-		s.loadAverages[svc] = m
-		l.Busy, l.Queued = int64(math.Round(m.Busy)), int64(math.Round(m.Queued))
+		mean.Busy += loadSmoothingWeight * (float64(l.Busy) - mean.Busy)
+		mean.Queued += loadSmoothingWeight * (float64(l.Queued) - mean.Queued)
+		s.loadAverages[svc] = mean
+		l.Busy, l.Queued = int64(math.Round(mean.Busy)), int64(math.Round(mean.Queued))
 		loads[svc] = l
 	}
 	s.Loads = loads
--- a/internal/ctrl/state/limits.go
+++ b/internal/ctrl/state/limits.go
@@ -82,11 +82,11 @@
 	seen := map[string]bool{}
 	for res, limit := range s.domainLimits() {
 		floors, pool := share.Parts(res, limit, s.Doc.Floor, names)
-		own := int64(0)
+		floor := int64(0)
 		if self >= 0 {
-			own = floors[self]
+			floor = floors[self]
 		}
-		s.setAllocation(res, own, now)
+		s.setAllocation(res, floor, now)
 		s.setPool(poolPrefix, res, pool, now)
 		seen[res], seen[poolPrefix+res] = true, true
 	}
@@ -115,16 +115,16 @@
 }
 
 func (s *State) setAllocation(res string, units int64, now time.Time) {
-	p, ok := s.Allocations[res]
+	alloc, ok := s.Allocations[res]
 	switch {
 	case !ok:
-		p = Allocation{Units: units, Pending: units}
-	case units <= p.Units:
-		p = Allocation{Units: units, Pending: units}
-	case units != p.Pending:
-		p.Pending, p.EffectiveAt = units, now.Add(s.growthDelay())
+		alloc = Allocation{Units: units, Pending: units}
+	case units <= alloc.Units:
+		alloc = Allocation{Units: units, Pending: units}
+	case units != alloc.Pending:
+		alloc.Pending, alloc.EffectiveAt = units, now.Add(s.growthDelay())
 	}
-	s.Allocations[res] = p
+	s.Allocations[res] = alloc
 }
 
 // growthDelay returns how long the growth of an allocation is delayed. It exceeds the duration of any loan from a pool
@@ -139,9 +139,9 @@
 
 // applyPendingGrowth applies the growth of allocations whose delay has passed.
 func (s *State) applyPendingGrowth(now time.Time) {
-	for res, p := range s.Allocations {
-		if p.Pending > p.Units && !now.Before(p.EffectiveAt) {
-			s.Allocations[res] = Allocation{Units: p.Pending, Pending: p.Pending}
+	for res, alloc := range s.Allocations {
+		if alloc.Pending > alloc.Units && !now.Before(alloc.EffectiveAt) {
+			s.Allocations[res] = Allocation{Units: alloc.Pending, Pending: alloc.Pending}
 		}
 	}
 	s.updateLedgerPools(now)
--- a/internal/ctrl/state/news.go
+++ b/internal/ctrl/state/news.go
@@ -13,13 +13,13 @@
 // domains. It omits those of one failure domain and those received from the excluded source.
 func (s *State) summariesSince(seq uint64, exceptDomain, source string) []Summary {
 	var out []Summary
-	for name, n := range s.Summaries {
+	for name, record := range s.Summaries {
 		switch {
-		case n.Seq <= seq || name == exceptDomain || source != "" && n.Source == source:
-		case n.ChangedSeq <= seq:
-			out = append(out, Summary{Domain: n.Domain, Version: n.Version, Same: true})
+		case record.Seq <= seq || name == exceptDomain || source != "" && record.Source == source:
+		case record.ChangedSeq <= seq:
+			out = append(out, Summary{Domain: record.Domain, Version: record.Version, Same: true})
 		default:
-			out = append(out, n.Summary)
+			out = append(out, record.Summary)
 		}
 	}
 	slices.SortFunc(out, func(a, b Summary) int {
@@ -42,30 +42,30 @@
 
 // mergeSummaries stores the summaries that are newer than the known ones, or that replace a stale one.
 func (s *State) mergeSummaries(from string, summaries []Summary, now time.Time) {
-	for _, n := range summaries {
-		old, ok := s.Summaries[n.Domain]
-		if n.Domain == s.Self.Domain && s.IsRelay {
+	for _, summary := range summaries {
+		old, ok := s.Summaries[summary.Domain]
+		if summary.Domain == s.Self.Domain && s.IsRelay {
 			continue
 		}
-		if ok && n.Version <= old.Version && now.Sub(old.HeardAt) < s.summaryTimeout() || n.Same && !ok {
+		if ok && summary.Version <= old.Version && now.Sub(old.HeardAt) < s.summaryTimeout() || summary.Same && !ok {
 			continue
 		}
 		s.Seq++
 		changedSeq := s.Seq
-		if n.Same {
-			v := n.Version
-			n, changedSeq = old.Summary, old.ChangedSeq
-			n.Version = v
+		if summary.Same {
+			v := summary.Version
+			summary, changedSeq = old.Summary, old.ChangedSeq
+			summary.Version = v
 		}
-		s.Summaries[n.Domain] = SummaryRecord{Summary: n, HeardAt: now, Seq: s.Seq, ChangedSeq: changedSeq, Source: from}
+		s.Summaries[summary.Domain] = SummaryRecord{Summary: summary, HeardAt: now, Seq: s.Seq, ChangedSeq: changedSeq, Source: from}
 	}
 }
 
 // staleDomains lists the failure domains whose summaries have not been refreshed in time.
 func (s *State) staleDomains(now time.Time) []string {
 	var out []string
-	for name, n := range s.Summaries {
-		if now.Sub(n.HeardAt) > s.summaryTimeout() {
+	for name, record := range s.Summaries {
+		if now.Sub(record.HeardAt) > s.summaryTimeout() {
 			out = append(out, name)
 		}
 	}
@@ -76,10 +76,10 @@
 // refreshSummaries marks all summaries as current except those that the relay reports as stale, so that the relay need
 // not resend unchanged ones.
 func (s *State) refreshSummaries(stale []string, now time.Time) {
-	for name, n := range s.Summaries {
+	for name, record := range s.Summaries {
 		if !slices.Contains(stale, name) {
-			n.HeardAt = now
-			s.Summaries[name] = n
+			record.HeardAt = now
+			s.Summaries[name] = record
 		}
 	}
 }
--- a/internal/ctrl/state/notice.go
+++ b/internal/ctrl/state/notice.go
@@ -34,22 +34,22 @@
 // announce sends notices of a new revision. A relay notifies all hosts of its failure domain; a host through which an
 // operator made the change notifies its relay.
 func (s *State) announce(local bool, now time.Time) []Action {
-	var to []spec.Seat
+	var recipients []spec.Seat
 	relay := s.currentRelay(now).Name
 	for _, seat := range s.domainSeats() {
 		if seat.Name == s.Self.Seat || s.isUnreachable(seat.Name, now) {
 			continue
 		}
 		if s.IsRelay || local && seat.Name == relay {
-			to = append(to, seat)
+			recipients = append(recipients, seat)
 		}
 	}
-	if len(to) == 0 {
+	if len(recipients) == 0 {
 		return nil
 	}
 	recent := s.Doc.Recent
 	recent = recent[max(0, len(recent)-maxNoticeChanges):]
-	return []Action{SendNotice{To: to, Revision: s.Revision(), Changes: recent}}
+	return []Action{SendNotice{To: recipients, Revision: s.Revision(), Changes: recent}}
 }
 
 // fetchIfBehind fetches the document of a host that has a higher revision, unless a fetch is in progress.
--- a/internal/ctrl/state/plan.go
+++ b/internal/ctrl/state/plan.go
@@ -90,20 +90,20 @@
 }
 
 func (s *State) otherTarget(t plan.Domain, d spec.Domain, now time.Time) plan.Domain {
-	n, ok := s.Summaries[d.Name]
-	if !ok || now.Sub(n.HeardAt) > s.summaryTimeout() {
+	record, ok := s.Summaries[d.Name]
+	if !ok || now.Sub(record.HeardAt) > s.summaryTimeout() {
 		return t
 	}
-	t.Hosts = s.usableHosts(d, n.Away, now)
-	t.Loads = n.Loads
+	t.Hosts = s.usableHosts(d, record.Away, now)
+	t.Loads = record.Loads
 	if d.Name == s.Self.Domain {
-		t.Loads = subtractLoads(n.Loads, s.Loads)
+		t.Loads = subtractLoads(record.Loads, s.Loads)
 	}
 	return t
 }
 
-// unreachableDomainThreshold is the number of unreachable hosts at which a whole failure domain is avoided, since it has then
-// probably failed or been cut off.
+// unreachableDomainThreshold is the number of unreachable hosts at which a whole failure domain is avoided, since it has
+// then probably failed or been cut off.
 const unreachableDomainThreshold = 3
 
 // usableHosts returns the hosts of a failure domain that accept jobs from other hosts, or none if too many are unreachable.
@@ -139,19 +139,19 @@
 
 // lookup returns the hosts of this region that callers may use.
 func (s *State) lookup(p *plan.Plan) plan.Lookup {
-	l := plan.Lookup{Life: LookupLife}
+	lookup := plan.Lookup{Life: LookupLife}
 	for _, d := range p.Domains {
 		if d.Region != s.Self.Region || d.Drained {
 			continue
 		}
-		for _, h := range d.Hosts {
-			seat, _ := s.findSeat(h.Name)
-			if h.Name == s.Self.Seat && (s.Leaving || s.Doc.Drained(spec.DrainHost, h.Name)) {
+		for _, host := range d.Hosts {
+			seat, _ := s.findSeat(host.Name)
+			if host.Name == s.Self.Seat && (s.Leaving || s.Doc.Drained(spec.DrainHost, host.Name)) {
 				continue
 			}
-			l.Hosts = append(l.Hosts, seat)
-			l.Sites = append(l.Sites, rendez.NewSite(seat.Name, 1))
+			lookup.Hosts = append(lookup.Hosts, seat)
+			lookup.Sites = append(lookup.Sites, rendez.NewSite(seat.Name, 1))
 		}
 	}
-	return l
+	return lookup
 }
--- a/internal/ctrl/state/shift.go
+++ b/internal/ctrl/state/shift.go
@@ -37,32 +37,32 @@
 }
 
 // advanceShift returns the progress of a shift after the time since its last update, given its target's load.
-func advanceShift(p Progress, sh spec.Shift, load plan.Load, now time.Time) Progress {
-	if p.UpdatedAt.IsZero() {
+func advanceShift(progress Progress, shift spec.Shift, load plan.Load, now time.Time) Progress {
+	if progress.UpdatedAt.IsZero() {
 		return Progress{UpdatedAt: now, BaseLatency: load.Latency}
 	}
-	elapsed := now.Sub(p.UpdatedAt)
-	p.UpdatedAt = now
+	elapsed := now.Sub(progress.UpdatedAt)
+	progress.UpdatedAt = now
 	delta := 1.0
-	if sh.Ramp > 0 {
-		delta = elapsed.Seconds() / time.Duration(sh.Ramp).Seconds()
+	if shift.Ramp > 0 {
+		delta = elapsed.Seconds() / time.Duration(shift.Ramp).Seconds()
 	}
 	utilization := 2.0
 	if load.Slots > 0 {
 		utilization = float64(load.Busy+load.Queued) / float64(load.Slots)
 	}
-	slow := load.Latency > time.Duration(shiftLatencyFactor*float64(p.BaseLatency))+shiftLatencySlack
+	slow := load.Latency > time.Duration(shiftLatencyFactor*float64(progress.BaseLatency))+shiftLatencySlack
 	switch {
 	case utilization >= shiftReverseUtilization:
-		p.Paused = true
-		p.Done = max(0, p.Done-shiftReverseFactor*delta)
+		progress.Paused = true
+		progress.Done = max(0, progress.Done-shiftReverseFactor*delta)
 	case utilization >= shiftPauseUtilization || slow:
-		p.Paused = true
+		progress.Paused = true
 	default:
-		p.Paused = false
-		p.Done = min(1, p.Done+delta)
+		progress.Paused = false
+		progress.Done = min(1, progress.Done+delta)
 	}
-	return p
+	return progress
 }
 
 // regionLoad sums the loads of a service that the region's failure domains last published.
--- a/internal/ctrl/state/shift_test.go
+++ b/internal/ctrl/state/shift_test.go
@@ -23,7 +23,7 @@
 	}
 	run(good, 5)
 	assert.Assert(t, p.Done > 0.49 && p.Done < 0.51 && !p.Paused, "%+v", p)
-	run(plan.Load{Slots: 10, Busy: 2, Latency: 30 * time.Millisecond}, 5) // The target is slow, for instance because its cache is cold.
+	run(plan.Load{Slots: 10, Busy: 2, Latency: 30 * time.Millisecond}, 5) // As with a cold cache.
 	assert.Assert(t, p.Done > 0.49 && p.Done < 0.51 && p.Paused, "%+v", p)
 	run(plan.Load{Slots: 10, Busy: 10, Queued: 5, Latency: 10 * time.Millisecond}, 1)
 	assert.Assert(t, p.Done < 0.35 && p.Paused, "%+v", p)
--- a/internal/ctrl/state/takeover.go
+++ b/internal/ctrl/state/takeover.go
@@ -26,15 +26,15 @@
 		return acts
 	}
 	for _, d := range s.index.siblings {
-		t, begun := s.Takeovers[d.Name]
+		takeover, ok := s.Takeovers[d.Name]
 		switch {
-		case !begun && s.isSilent(d.Name, now) && s.isFirstHeardDomain(d.Name, now):
-			t.FirstRequestedAt = now
-		case !begun || !t.EndedAt.IsZero() || now.Sub(t.LastRequestedAt) < LeasePeriod(len(s.domainSeats())):
+		case !ok && s.isSilent(d.Name, now) && s.isFirstHeardDomain(d.Name, now):
+			takeover.FirstRequestedAt = now
+		case !ok || !takeover.EndedAt.IsZero() || now.Sub(takeover.LastRequestedAt) < LeasePeriod(len(s.domainSeats())):
 			continue
 		}
-		t.LastRequestedAt = now
-		s.Takeovers[d.Name] = t
+		takeover.LastRequestedAt = now
+		s.Takeovers[d.Name] = takeover
 		acts = append(acts, AskLease{Domain: d.Name, Life: LeaseLife(len(s.domainSeats()))})
 	}
 	return acts
@@ -44,11 +44,11 @@
 // expired. It releases each lease once the last loan under it has expired.
 func (s *State) endTakeovers(now time.Time) []Action {
 	var acts []Action
-	for name, t := range s.Takeovers {
+	for name, takeover := range s.Takeovers {
 		switch {
-		case t.EndedAt.IsZero() && (!s.Lease.Held(now) || !s.isSibling(name) || !s.isSilent(name, now)):
+		case takeover.EndedAt.IsZero() && (!s.Lease.Held(now) || !s.isSibling(name) || !s.isSilent(name, now)):
 			s.endTakeover(name, now)
-		case !t.EndedAt.IsZero() && now.Sub(t.EndedAt) > s.Ledger.Term+share.Margin:
+		case !takeover.EndedAt.IsZero() && now.Sub(takeover.EndedAt) > s.Ledger.Term+share.Margin:
 			delete(s.Takeovers, name)
 			acts = append(acts, ReleaseLease{Domain: name})
 		}
@@ -57,24 +57,24 @@
 }
 
 func (s *State) endTakeover(name string, now time.Time) {
-	t := s.Takeovers[name]
-	t.EndedAt = now
-	s.Takeovers[name] = t
+	takeover := s.Takeovers[name]
+	takeover.EndedAt = now
+	s.Takeovers[name] = takeover
 	s.updateLedgerPools(now)
 }
 
 // handleTakeoverLeaseResult records the result of a request for another failure domain's lease.
 func (s *State) handleTakeoverLeaseResult(e LeaseOut, now time.Time) []Action {
-	t, ok := s.Takeovers[e.Domain]
+	takeover, ok := s.Takeovers[e.Domain]
 	switch {
 	case !ok && e.Held:
 		return []Action{ReleaseLease{Domain: e.Domain}}
-	case !ok || e.Err != nil || e.Asked.Before(t.FirstRequestedAt) || !t.EndedAt.IsZero():
+	case !ok || e.Err != nil || e.Asked.Before(takeover.FirstRequestedAt) || !takeover.EndedAt.IsZero():
 	case !e.Held:
 		s.endTakeover(e.Domain, now)
 	default:
-		t.Lease = share.Lease{Until: e.Asked.Add(e.Life)}
-		s.Takeovers[e.Domain] = t
+		takeover.Lease = share.Lease{Until: e.Asked.Add(e.Life)}
+		s.Takeovers[e.Domain] = takeover
 		s.updateLedgerPools(now)
 	}
 	return nil
@@ -83,11 +83,11 @@
 // isSilent reports whether the summary of a failure domain is stale, or has been missing since this host began to relay
 // for longer than the same timeout.
 func (s *State) isSilent(domain string, now time.Time) bool {
-	n, ok := s.Summaries[domain]
+	record, ok := s.Summaries[domain]
 	if !ok {
 		return !s.firstRelayedAt.IsZero() && now.Sub(s.firstRelayedAt) > s.summaryTimeout()
 	}
-	return now.Sub(n.HeardAt) > s.summaryTimeout()
+	return now.Sub(record.HeardAt) > s.summaryTimeout()
 }
 
 // isFirstHeardDomain reports whether this failure domain is the first of the region, in document order, that is heard
