docs: comments of events and messages that hold under any name

Comments named other types and fields ('its result is a HeartbeatOut', 'to which Got refers'), which a rename leaves behind. They now say what comes back and which field follows.

--- a/internal/ctrl/loop/loop.go
+++ b/internal/ctrl/loop/loop.go
@@ -10,7 +10,7 @@
 	"github.com/boragelane/boragelane/internal/ctrl/state"
 )
 
-// Doer executes actions. Each call of Do runs in its own goroutine and passes resulting events to feed.
+// Doer executes actions. Each call runs in its own goroutine and passes resulting events to feed.
 type Doer interface {
 	Do(ctx context.Context, act state.Action, feed func(state.Event))
 }
@@ -56,7 +56,7 @@
 // Plan returns the most recently published plan.
 func (l *Loop) Plan() *plan.Plan { return l.plan.Load() }
 
-// Dropped returns the number of events that Offer dropped because the queue was full.
+// Dropped returns the number of events that were dropped because the queue was full.
 func (l *Loop) Dropped() int64 { return l.dropped.Load() }
 
 // Offer queues an event without blocking, and drops it if the queue is full.
--- a/internal/ctrl/state/event.go
+++ b/internal/ctrl/state/event.go
@@ -14,11 +14,10 @@
 type (
 	// Tick is the periodic timer event; Loads is the current load of this host by service.
 	Tick struct{ Loads map[string]plan.Load }
-	// Adopt delivers a configuration document. Own marks one that an operator changed through this host;
-	// otherwise it comes from the platform or another host.
+	// Adopt delivers a configuration document.
 	Adopt struct {
 		Doc spec.Document
-		Own bool
+		Own bool // An operator changed it through this host; otherwise it is from the platform or another host.
 	}
 	// HeartbeatIn is a heartbeat received from a host of the same failure domain. Exactly one reply is sent to Reply.
 	HeartbeatIn struct {
@@ -91,12 +90,12 @@
 
 // Actions of the control state machine.
 type (
-	// SendHeartbeat sends a heartbeat to a host; its result is a HeartbeatOut.
+	// SendHeartbeat sends a heartbeat to a host. Its result comes back as an event.
 	SendHeartbeat struct {
 		To        spec.Seat
 		Heartbeat Heartbeat
 	}
-	// SendExchange sends an exchange to the relay of another failure domain; its result is an ExchangeOut.
+	// SendExchange sends an exchange to the relay of another failure domain. Its result comes back as an event.
 	SendExchange struct {
 		To       spec.Seat
 		Domain   string
@@ -109,7 +108,7 @@
 		Revision uint64
 		Changes  []spec.Entry
 	}
-	// AskLease acquires or renews a failure domain's lease on the platform; its result is a LeaseOut.
+	// AskLease acquires or renews a failure domain's lease on the platform. Its result comes back as an event.
 	AskLease struct {
 		Domain string
 		Life   time.Duration
@@ -118,7 +117,7 @@
 	ReleaseLease struct{ Domain string }
 	// Relay starts or stops watching the platform on behalf of this host's failure domain.
 	Relay struct{ On bool }
-	// Fetch requests the document of a host; its result is an Adopt or a FetchOut.
+	// Fetch requests the document of a host. The document, or the lack of one, comes back as an event.
 	Fetch struct{ From spec.Seat }
 )
 
--- a/internal/ctrl/state/message.go
+++ b/internal/ctrl/state/message.go
@@ -22,7 +22,7 @@
 	Relay   string
 	Away    []string // Hosts that accept no new jobs.
 	Loads   map[string]plan.Load
-	Same    bool // Only the version changed; Relay, Away and Loads are omitted.
+	Same    bool // Only the version changed; the relay, hosts and loads are omitted.
 }
 
 // Heartbeat is the periodic report of an entry host to its relay.
@@ -33,7 +33,7 @@
 	Leaving     bool
 	Loads       map[string]plan.Load
 	Same        bool   // The loads are nearly those of the last heartbeat and are omitted.
-	Peer        string // The incarnation of the relay to which Got and List refer.
+	Peer        string // The incarnation of the relay to which the next two fields refer.
 	Got         uint64 // The relay's sequence number up to which the sender has its summaries.
 	List        uint64 // The version of the upstream list that the sender has.
 	Hash        uint64 // The hash of the grant that the sender holds, 0 for none.
@@ -44,7 +44,7 @@
 	Incarnation string
 	Revision    uint64
 	Leaving     bool
-	Stamp       uint64           // The relay's sequence number; News is complete up to it.
+	Stamp       uint64           // The relay's sequence number up to which the reply is complete.
 	Units       map[string]int64 // The grant by resource; nil if the sender already holds it.
 	Left        time.Duration    // The duration of the grant, 0 for none.
 	Hash        uint64           // The hash of the granted units.
@@ -60,7 +60,7 @@
 	Seat        string
 	Incarnation string
 	Revision    uint64
-	Peer        string // The receiver's incarnation to which Got refers.
+	Peer        string // The receiver's incarnation to which the next field refers.
 	Got         uint64 // The receiver's sequence number up to which the sender has its summaries.
 	News        []Summary
 }
@@ -69,6 +69,6 @@
 type ExchangeReply struct {
 	Incarnation string
 	Revision    uint64
-	Stamp       uint64 // The receiver's sequence number; News is complete up to it.
+	Stamp       uint64 // The receiver's sequence number up to which the reply is complete.
 	News        []Summary
 }
--- a/internal/ctrl/state/state.go
+++ b/internal/ctrl/state/state.go
@@ -53,7 +53,7 @@
 // SeatTimeout returns how long a host of the same failure domain counts as alive without a heartbeat or a reply.
 func SeatTimeout(hosts int) time.Duration { return 3 * HeartbeatPeriod(hosts) }
 
-// State is the control state of one entry host, which is modified only by Fold.
+// State is the control state of one entry host. Only events modify it.
 type State struct {
 	Self    plan.Self
 	Doc     *spec.Document
