--- a/internal/ctrl/loop/loop.go
+++ b/internal/ctrl/loop/loop.go
@@ -86,15 +86,15 @@
 }
 
 // HeartbeatIn processes a heartbeat from another host and returns the reply.
-func (l *Loop) HeartbeatIn(ctx context.Context, b state.Heartbeat) (state.HeartbeatReply, bool) {
+func (l *Loop) HeartbeatIn(ctx context.Context, hb state.Heartbeat) (state.HeartbeatReply, bool) {
 	reply := make(chan state.HeartbeatReply, 1)
-	return request(ctx, l, state.HeartbeatIn{Heartbeat: b, Reply: reply}, reply)
+	return request(ctx, l, state.HeartbeatIn{Heartbeat: hb, Reply: reply}, reply)
 }
 
 // ExchangeIn processes an exchange from another relay and returns the reply.
-func (l *Loop) ExchangeIn(ctx context.Context, s state.Exchange) (state.ExchangeReply, bool) {
+func (l *Loop) ExchangeIn(ctx context.Context, exchange state.Exchange) (state.ExchangeReply, bool) {
 	reply := make(chan state.ExchangeReply, 1)
-	return request(ctx, l, state.ExchangeIn{Exchange: s, Reply: reply}, reply)
+	return request(ctx, l, state.ExchangeIn{Exchange: exchange, Reply: reply}, reply)
 }
 
 func request[T any](ctx context.Context, l *Loop, ev state.Event, reply chan T) (T, bool) {
@@ -149,17 +149,17 @@
 // applyQueued applies the events that are already queued, so that a burst produces only one plan. It reports whether
 // any of them needs a plan at once.
 func (l *Loop) applyQueued(ctx context.Context) bool {
-	found := false
+	publishNow := false
 	for range maxEventBatch {
 		select {
 		case ev := <-l.events:
 			l.apply(ctx, ev)
-			found = found || needsPublish(ev)
+			publishNow = publishNow || needsPublish(ev)
 		default:
-			return found
+			return publishNow
 		}
 	}
-	return found
+	return publishNow
 }
 
 func (l *Loop) apply(ctx context.Context, ev state.Event) {
--- a/internal/ctrl/state/fleet_test.go
+++ b/internal/ctrl/state/fleet_test.go
@@ -119,9 +119,9 @@
 func (f *fleet) execute(h *fakeHost, act Action) {
 	switch a := act.(type) {
 	case SendHeartbeat:
-		f.heartbeat(h, a)
+		f.sendHeartbeat(h, a)
 	case SendExchange:
-		f.exchange(h, a)
+		f.sendExchange(h, a)
 	case SendNotice:
 		for _, s := range a.To {
 			if to := f.host(s.Name); f.canReach(h, to) {
@@ -152,10 +152,10 @@
 	return !f.partitioned || a.state.Self.Domain == b.state.Self.Domain
 }
 
-func (f *fleet) heartbeat(h *fakeHost, a SendHeartbeat) {
-	to, asked := f.host(a.To.Name), f.now
+func (f *fleet) sendHeartbeat(h *fakeHost, a SendHeartbeat) {
+	to, requestedAt := f.host(a.To.Name), f.now
 	if !f.canReach(h, to) || to.paused {
-		f.apply(h, HeartbeatOut{Seat: a.To.Name, Asked: asked, Err: fmt.Errorf("host unreachable")})
+		f.apply(h, HeartbeatOut{Seat: a.To.Name, Asked: requestedAt, Err: fmt.Errorf("host unreachable")})
 		return
 	}
 	f.deliver(func() {
@@ -164,7 +164,7 @@
 		f.deliver(func() {
 			select {
 			case r := <-reply:
-				f.apply(h, HeartbeatOut{Seat: a.To.Name, Asked: asked, Sent: a.Heartbeat, Reply: r})
+				f.apply(h, HeartbeatOut{Seat: a.To.Name, Asked: requestedAt, Sent: a.Heartbeat, Reply: r})
 				reply <- r
 			default:
 			}
@@ -172,7 +172,7 @@
 	})
 }
 
-func (f *fleet) exchange(h *fakeHost, a SendExchange) {
+func (f *fleet) sendExchange(h *fakeHost, a SendExchange) {
 	to := f.host(a.To.Name)
 	if !f.canReach(h, to) || to.paused {
 		f.apply(h, ExchangeOut{Seat: a.To.Name, Domain: a.Domain, Err: fmt.Errorf("host unreachable")})
@@ -191,10 +191,10 @@
 
 // askLease simulates the platform's leases and the host's client of them, with one session per lease.
 func (f *fleet) askLease(h *fakeHost, domain string) {
-	asked := f.now
+	requestedAt := f.now
 	f.leaseRequests[h.state.Self.Seat]++
 	if f.platformDown || h.isolated {
-		f.apply(h, LeaseOut{Domain: domain, Asked: asked, Err: fmt.Errorf("platform unreachable")})
+		f.apply(h, LeaseOut{Domain: domain, Asked: requestedAt, Err: fmt.Errorf("platform unreachable")})
 		return
 	}
 	if h.sessions[domain] == 0 {
@@ -204,7 +204,7 @@
 	session, ownDomain := h.sessions[domain], domain == h.state.Self.Domain
 	f.deliver(func() {
 		if claim := f.claims[domain]; !ownDomain && f.now.Before(claim.until) {
-			f.deliver(func() { f.apply(h, LeaseOut{Domain: domain, Asked: asked}) })
+			f.deliver(func() { f.apply(h, LeaseOut{Domain: domain, Asked: requestedAt}) })
 			return
 		}
 		l := f.leases[domain]
@@ -215,7 +215,7 @@
 		case ownDomain:
 			f.claims[domain] = fakeLease{session: session, until: f.now.Add(fakeLeaseTTL)}
 		}
-		f.deliver(func() { f.apply(h, LeaseOut{Domain: domain, Asked: asked, Life: fakeLeaseTTL, Held: held}) })
+		f.deliver(func() { f.apply(h, LeaseOut{Domain: domain, Asked: requestedAt, Life: fakeLeaseTTL, Held: held}) })
 	})
 }
 
--- a/internal/ctrl/state/grant.go
+++ b/internal/ctrl/state/grant.go
@@ -10,18 +10,18 @@
 
 // acceptGrant installs the grant of a reply unless a grant requested later is in force. The grant's duration counts
 // from the request, so that it never outlasts the relay's record of the loan.
-func (s *State) acceptGrant(asked time.Time, r HeartbeatReply) {
-	if r.Left <= 0 || asked.Before(s.Grant.RequestedAt) {
+func (s *State) acceptGrant(requestedAt time.Time, reply HeartbeatReply) {
+	if reply.Left <= 0 || requestedAt.Before(s.Grant.RequestedAt) {
 		return
 	}
-	units := r.Units
+	units := reply.Units
 	if units == nil {
-		if r.Hash != s.Grant.Hash {
+		if reply.Hash != s.Grant.Hash {
 			return
 		}
 		units = s.Grant.Units
 	}
-	s.Grant = Grant{Units: units, Hash: r.Hash, RequestedAt: asked, ExpiresAt: asked.Add(r.Left - share.Margin)}
+	s.Grant = Grant{Units: units, Hash: reply.Hash, RequestedAt: requestedAt, ExpiresAt: requestedAt.Add(reply.Left - share.Margin)}
 }
 
 // hashUnits returns a hash of the units of a grant. It is never 0, which stands for no known grant.
--- a/internal/ctrl/state/heartbeat.go
+++ b/internal/ctrl/state/heartbeat.go
@@ -65,7 +65,7 @@
 	if old := s.Hosts[hb.Seat]; hb.Same && old.Incarnation == hb.Incarnation {
 		hb.Loads = old.Loads
 	}
-	s.Hosts[hb.Seat] = HostRecord{HeardAt: now, Incarnation: hb.Incarnation, Revision: hb.Revision, Leaving: hb.Leaving, Loads: hb.Loads}
+	s.Hosts[hb.Seat] = HostRecord{ReceivedAt: now, Incarnation: hb.Incarnation, Revision: hb.Revision, Leaving: hb.Leaving, Loads: hb.Loads}
 	delete(s.Unreachable, hb.Seat)
 	reply := HeartbeatReply{Incarnation: s.Self.Incarnation, Revision: s.Revision(), Stamp: s.Seq, List: s.MembersVersion, Leaving: s.Leaving}
 	if s.IsRelay && !hb.Leaving {
@@ -132,7 +132,7 @@
 	var unavailable []string
 	for _, seat := range s.domainSeats() {
 		host, ok := s.Hosts[seat.Name]
-		if !ok || now.Sub(host.HeardAt) > SeatTimeout(len(s.domainSeats())) {
+		if !ok || now.Sub(host.ReceivedAt) > SeatTimeout(len(s.domainSeats())) {
 			unavailable = append(unavailable, seat.Name)
 			continue
 		}
--- a/internal/ctrl/state/news.go
+++ b/internal/ctrl/state/news.go
@@ -47,7 +47,7 @@
 		if summary.Domain == s.Self.Domain && s.IsRelay {
 			continue
 		}
-		if ok && summary.Version <= old.Version && now.Sub(old.HeardAt) < s.summaryTimeout() || summary.Same && !ok {
+		if ok && summary.Version <= old.Version && now.Sub(old.ReceivedAt) < s.summaryTimeout() || summary.Same && !ok {
 			continue
 		}
 		s.Seq++
@@ -57,7 +57,7 @@
 			summary, changedSeq = old.Summary, old.ChangedSeq
 			summary.Version = v
 		}
-		s.Summaries[summary.Domain] = SummaryRecord{Summary: summary, HeardAt: now, Seq: s.Seq, ChangedSeq: changedSeq, Source: from}
+		s.Summaries[summary.Domain] = SummaryRecord{Summary: summary, ReceivedAt: now, Seq: s.Seq, ChangedSeq: changedSeq, Source: from}
 	}
 }
 
@@ -65,7 +65,7 @@
 func (s *State) staleDomains(now time.Time) []string {
 	var out []string
 	for name, record := range s.Summaries {
-		if now.Sub(record.HeardAt) > s.summaryTimeout() {
+		if now.Sub(record.ReceivedAt) > s.summaryTimeout() {
 			out = append(out, name)
 		}
 	}
@@ -78,7 +78,7 @@
 func (s *State) refreshSummaries(stale []string, now time.Time) {
 	for name, record := range s.Summaries {
 		if !slices.Contains(stale, name) {
-			record.HeardAt = now
+			record.ReceivedAt = now
 			s.Summaries[name] = record
 		}
 	}
@@ -113,7 +113,7 @@
 			Domain: s.Self.Domain, Version: max(now.UnixMilli(), old.Version+1), Relay: s.Self.Seat,
 			Away: unavailable, Loads: loads,
 		},
-		HeardAt: now, Seq: s.Seq, ChangedSeq: changedSeq,
+		ReceivedAt: now, Seq: s.Seq, ChangedSeq: changedSeq,
 	}
 }
 
--- a/internal/ctrl/state/plan.go
+++ b/internal/ctrl/state/plan.go
@@ -91,7 +91,7 @@
 
 func (s *State) otherTarget(t plan.Domain, d spec.Domain, now time.Time) plan.Domain {
 	record, ok := s.Summaries[d.Name]
-	if !ok || now.Sub(record.HeardAt) > s.summaryTimeout() {
+	if !ok || now.Sub(record.ReceivedAt) > s.summaryTimeout() {
 		return t
 	}
 	t.Hosts = s.usableHosts(d, record.Away, now)
--- a/internal/ctrl/state/shift.go
+++ b/internal/ctrl/state/shift.go
@@ -73,7 +73,7 @@
 			continue
 		}
 		for _, d := range r.Domains {
-			if n, ok := s.Summaries[d.Name]; ok && now.Sub(n.HeardAt) < s.summaryTimeout() {
+			if n, ok := s.Summaries[d.Name]; ok && now.Sub(n.ReceivedAt) < s.summaryTimeout() {
 				sum = addLoads(sum, n.Loads[service])
 			}
 		}
--- a/internal/ctrl/state/state.go
+++ b/internal/ctrl/state/state.go
@@ -88,7 +88,7 @@
 
 // HostRecord is the last heartbeat that a relay received from a host of its failure domain.
 type HostRecord struct {
-	HeardAt     time.Time
+	ReceivedAt  time.Time
 	Incarnation string
 	Revision    uint64
 	Leaving     bool
@@ -110,8 +110,8 @@
 // SummaryRecord is a received summary with its source and its position in the order of this host's updates.
 type SummaryRecord struct {
 	Summary
-	HeardAt time.Time
-	Seq     uint64
+	ReceivedAt time.Time // When it was last received, published here, or confirmed as current by the relay.
+	Seq        uint64
 	// ChangedSeq is the sequence number at which anything besides the version last changed.
 	ChangedSeq uint64
 	Source     string // The host from which it was received.
--- a/internal/ctrl/state/status.go
+++ b/internal/ctrl/state/status.go
@@ -56,11 +56,11 @@
 	}
 	status.Relay = s.currentRelay(now).Name
 	for name, h := range s.Hosts {
-		status.Hosts = append(status.Hosts, HostStatus{Seat: name, Revision: h.Revision, Leaving: h.Leaving, Age: now.Sub(h.HeardAt)})
+		status.Hosts = append(status.Hosts, HostStatus{Seat: name, Revision: h.Revision, Leaving: h.Leaving, Age: now.Sub(h.ReceivedAt)})
 	}
 	for name, n := range s.Summaries {
 		for svc, l := range n.Loads {
-			status.Loads = append(status.Loads, LoadStatus{Domain: name, Service: svc, Load: l, Age: now.Sub(n.HeardAt)})
+			status.Loads = append(status.Loads, LoadStatus{Domain: name, Service: svc, Load: l, Age: now.Sub(n.ReceivedAt)})
 		}
 	}
 	for res := range s.Allocations {
--- a/internal/ctrl/state/takeover.go
+++ b/internal/ctrl/state/takeover.go
@@ -28,7 +28,7 @@
 	for _, d := range s.index.siblings {
 		takeover, ok := s.Takeovers[d.Name]
 		switch {
-		case !ok && s.isSilent(d.Name, now) && s.isFirstHeardDomain(d.Name, now):
+		case !ok && s.isSilent(d.Name, now) && s.isFirstLiveDomain(d.Name, now):
 			takeover.FirstRequestedAt = now
 		case !ok || !takeover.EndedAt.IsZero() || now.Sub(takeover.LastRequestedAt) < LeasePeriod(len(s.domainSeats())):
 			continue
@@ -40,8 +40,8 @@
 	return acts
 }
 
-// endTakeovers stops lending the pools of failure domains that are heard again, or of all if this host's own lease has
-// expired. It releases each lease once the last loan under it has expired.
+// endTakeovers stops lending the pools of failure domains that are no longer silent, or of all if this host's own lease
+// has expired. It releases each lease once the last loan under it has expired.
 func (s *State) endTakeovers(now time.Time) []Action {
 	var acts []Action
 	for name, takeover := range s.Takeovers {
@@ -87,12 +87,12 @@
 	if !ok {
 		return !s.firstRelayedAt.IsZero() && now.Sub(s.firstRelayedAt) > s.summaryTimeout()
 	}
-	return now.Sub(record.HeardAt) > s.summaryTimeout()
+	return now.Sub(record.ReceivedAt) > s.summaryTimeout()
 }
 
-// isFirstHeardDomain reports whether this failure domain is the first of the region, in document order, that is heard
-// from. It disregards the domain to take over.
-func (s *State) isFirstHeardDomain(silent string, now time.Time) bool {
+// isFirstLiveDomain reports whether no other live failure domain of the region precedes this one in document order. It
+// disregards the domain to take over.
+func (s *State) isFirstLiveDomain(silent string, now time.Time) bool {
 	for _, d := range s.index.regionDomains {
 		switch {
 		case d.Name == s.Self.Domain:
