--- a/internal/ctrl/state/limits_test.go
+++ b/internal/ctrl/state/limits_test.go
@@ -23,7 +23,7 @@
 			"":     func(t *rapid.T) { f.checkLimits(t) },
 			"tick": func(*rapid.T) { f.step(TickPeriod) },
 			"step": func(t *rapid.T) { f.step(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond) },
-			"deliver late": func(t *rapid.T) {
+			"late": func(t *rapid.T) {
 				if n := len(f.inFlight); n > 0 {
 					i := rapid.IntRange(0, n-1).Draw(t, "message")
 					run := f.inFlight[i]
@@ -31,23 +31,23 @@
 					run()
 				}
 			},
-			"pause":     func(t *rapid.T) { randomHost(t).paused = true },
-			"resume":    func(t *rapid.T) { f.resume(randomHost(t)) },
-			"isolate":   func(t *rapid.T) { h := randomHost(t); h.isolated = !h.isolated },
-			"outage":    func(*rapid.T) { f.platformDown = !f.platformDown },
-			"partition": func(*rapid.T) { f.partitioned = !f.partitioned },
+			"pause":  func(t *rapid.T) { randomHost(t).paused = true },
+			"wake":   func(t *rapid.T) { f.resume(randomHost(t)) },
+			"cut":    func(t *rapid.T) { h := randomHost(t); h.isolated = !h.isolated },
+			"outage": func(*rapid.T) { f.platformDown = !f.platformDown },
+			"apart":  func(*rapid.T) { f.partitioned = !f.partitioned },
 			"restart": func(t *rapid.T) {
 				i := rapid.IntRange(0, len(f.hosts)-1).Draw(t, "host")
 				f.hosts[i] = f.newHost(f.hosts[i].state.Self)
 			},
 			"change": func(*rapid.T) { f.doc.Revision++ },
-			"isolate d1": func(t *rapid.T) {
-				isolated := rapid.Bool().Draw(t, "isolated")
+			"alone": func(t *rapid.T) {
+				isolated := rapid.Bool().Draw(t, "cut")
 				for _, h := range f.hosts[2:] {
 					h.isolated = isolated
 				}
 			},
-			"run 20 s": func(t *rapid.T) {
+			"while": func(t *rapid.T) {
 				for range 40 {
 					f.step(2 * TickPeriod)
 					f.checkLimits(t)
