--- a/internal/ctrl/state/fleet_test.go
+++ b/internal/ctrl/state/fleet_test.go
@@ -8,22 +8,22 @@
 	"github.com/boragelane/boragelane/internal/core/spec"
 )
 
-// fleet is a few hosts' control states, the messages between them, and the platform's part. Messages
-// may be lost, late or doubled; hosts may be paused, restarted and cut off; the platform may be out.
+// fleet simulates the control states of several hosts, the messages between them and the platform. Messages may be
+// lost, delayed or duplicated; hosts may be paused, restarted or isolated; the platform may be down.
 type fleet struct {
-	now      time.Time
-	doc      spec.Document
-	members  []Member
-	hosts    []*fakeHost
-	flight   []func()
-	lease    map[string]fakeLease // By failure domain.
-	want     map[string]fakeLease // The same, for hosts that were refused their own domain's lease.
-	asks     map[string]int       // Requests for leases by host.
-	sessions int
-	ended    map[int]bool // Sessions that were given back.
-	out      bool
-	apart    bool // The failure domains do not reach each other.
-	chaos    func() (lost, late, twice bool)
+	now              time.Time
+	doc              spec.Document
+	members          []Member
+	hosts            []*fakeHost
+	inFlight         []func()
+	leases           map[string]fakeLease // By failure domain.
+	claims           map[string]fakeLease // By failure domain; set when a host is refused its own domain's lease.
+	leaseRequests    map[string]int       // The number of lease requests by host.
+	lastSession      int
+	releasedSessions map[int]bool
+	platformDown     bool
+	partitioned      bool // The failure domains cannot reach each other.
+	faults           func() (lost, late, twice bool)
 }
 
 type fakeLease struct {
@@ -32,15 +32,15 @@
 }
 
 type fakeHost struct {
-	state   *State
-	session map[string]int // By failure domain.
-	paused  bool
-	cut     bool // From all other hosts and the platform.
-	highest uint64
-	inbox   []Event // What came while it was paused.
+	state       *State
+	sessions    map[string]int // By failure domain.
+	paused      bool
+	isolated    bool // Cut off from all other hosts and the platform.
+	maxRevision uint64
+	inbox       []Event // Events received while it was paused.
 }
 
-const fakeLife = 10 * time.Second
+const fakeLeaseTTL = 10 * time.Second
 
 func fakeDocument(domains, seats int) spec.Document {
 	d := spec.Document{
@@ -63,32 +63,32 @@
 }
 
 func newFleet(domains, seats int) *fleet {
-	f := &fleet{now: time.Unix(10_000, 0), doc: fakeDocument(domains, seats), lease: map[string]fakeLease{}, want: map[string]fakeLease{}, ended: map[int]bool{}, asks: map[string]int{}}
-	f.chaos = func() (bool, bool, bool) { return false, false, false }
+	f := &fleet{now: time.Unix(10_000, 0), doc: fakeDocument(domains, seats), leases: map[string]fakeLease{}, claims: map[string]fakeLease{}, releasedSessions: map[int]bool{}, leaseRequests: map[string]int{}}
+	f.faults = func() (bool, bool, bool) { return false, false, false }
 	for i := range domains {
 		f.members = append(f.members, Member{ID: fmt.Sprint("u", i), Service: "s", Domain: fmt.Sprint("d", i), Address: "a"})
 	}
 	for _, d := range f.doc.Regions[0].Domains {
 		for _, s := range d.Seats {
-			f.hosts = append(f.hosts, f.boot(plan.Self{Seat: s.Name, Domain: d.Name, Region: "r"}))
+			f.hosts = append(f.hosts, f.newHost(plan.Self{Seat: s.Name, Domain: d.Name, Region: "r"}))
 		}
 	}
 	return f
 }
 
-func (f *fleet) boot(self plan.Self) *fakeHost {
-	f.sessions++
-	self.Incarnation = fmt.Sprint("i", f.sessions)
-	return &fakeHost{state: New(self), session: map[string]int{}}
+func (f *fleet) newHost(self plan.Self) *fakeHost {
+	f.lastSession++
+	self.Incarnation = fmt.Sprint("i", f.lastSession)
+	return &fakeHost{state: New(self), sessions: map[string]int{}}
 }
 
-func (f *fleet) fold(h *fakeHost, ev Event) {
+func (f *fleet) apply(h *fakeHost, ev Event) {
 	if h.paused {
 		h.inbox = append(h.inbox, ev)
 		return
 	}
 	for _, act := range Fold(h.state, ev, f.now) {
-		f.do(h, act)
+		f.execute(h, act)
 	}
 }
 
@@ -101,31 +101,31 @@
 	return nil
 }
 
-// send delivers now, later, twice or never.
-func (f *fleet) send(run func()) {
-	lost, late, twice := f.chaos()
+// deliver runs the delivery of a message now, later, twice or never, depending on the injected faults.
+func (f *fleet) deliver(run func()) {
+	lost, late, twice := f.faults()
 	switch {
 	case lost:
 	case late:
-		f.flight = append(f.flight, run)
+		f.inFlight = append(f.inFlight, run)
 	default:
 		run()
 	}
 	if twice && !lost {
-		f.flight = append(f.flight, run)
+		f.inFlight = append(f.inFlight, run)
 	}
 }
 
-func (f *fleet) do(h *fakeHost, act Action) {
+func (f *fleet) execute(h *fakeHost, act Action) {
 	switch a := act.(type) {
 	case SendHeartbeat:
-		f.heartbeat(h, a)
+		f.sendHeartbeat(h, a)
 	case SendExchange:
-		f.exchange(h, a)
+		f.sendExchange(h, a)
 	case SendNotice:
 		for _, s := range a.To {
-			if to := f.host(s.Name); f.joined(h, to) {
-				f.send(func() { f.fold(to, Notice{Seat: h.state.Self.Seat, Revision: a.Revision, Changes: a.Changes}) })
+			if to := f.host(s.Name); f.canReach(h, to) {
+				f.deliver(func() { f.apply(to, Notice{Seat: h.state.Self.Seat, Revision: a.Revision, Changes: a.Changes}) })
 			}
 		}
 	case AskLease:
@@ -134,37 +134,37 @@
 		f.releaseLease(h, a.Domain)
 	case Relay:
 		if a.On {
-			f.follow(h)
+			f.deliverPlatformState(h)
 		}
 	case Fetch:
 		to := f.host(a.From.Name)
-		if f.joined(h, to) && to.state.Doc != nil {
+		if f.canReach(h, to) && to.state.Doc != nil {
 			doc := *to.state.Doc
-			f.send(func() { f.fold(h, Adopt{Doc: doc}) })
+			f.deliver(func() { f.apply(h, Adopt{Doc: doc}) })
 		}
 	}
 }
 
-func (f *fleet) joined(a, b *fakeHost) bool {
-	if b == nil || a.cut || b.cut {
+func (f *fleet) canReach(a, b *fakeHost) bool {
+	if b == nil || a.isolated || b.isolated {
 		return false
 	}
-	return !f.apart || a.state.Self.Domain == b.state.Self.Domain
+	return !f.partitioned || a.state.Self.Domain == b.state.Self.Domain
 }
 
-func (f *fleet) heartbeat(h *fakeHost, a SendHeartbeat) {
-	to, asked := f.host(a.To.Name), f.now
-	if !f.joined(h, to) || to.paused {
-		f.fold(h, HeartbeatOut{Seat: a.To.Name, Asked: asked, Err: fmt.Errorf("down")})
+func (f *fleet) sendHeartbeat(h *fakeHost, a SendHeartbeat) {
+	to, requestedAt := f.host(a.To.Name), f.now
+	if !f.canReach(h, to) || to.paused {
+		f.apply(h, HeartbeatOut{Seat: a.To.Name, Asked: requestedAt, Err: fmt.Errorf("host unreachable")})
 		return
 	}
-	f.send(func() {
+	f.deliver(func() {
 		reply := make(chan HeartbeatReply, 1)
-		f.fold(to, HeartbeatIn{Heartbeat: a.Heartbeat, Reply: reply})
-		f.send(func() {
+		f.apply(to, HeartbeatIn{Heartbeat: a.Heartbeat, Reply: reply})
+		f.deliver(func() {
 			select {
 			case r := <-reply:
-				f.fold(h, HeartbeatOut{Seat: a.To.Name, Asked: asked, Sent: a.Heartbeat, Reply: r})
+				f.apply(h, HeartbeatOut{Seat: a.To.Name, Asked: requestedAt, Sent: a.Heartbeat, Reply: r})
 				reply <- r
 			default:
 			}
@@ -172,81 +172,81 @@
 	})
 }
 
-func (f *fleet) exchange(h *fakeHost, a SendExchange) {
+func (f *fleet) sendExchange(h *fakeHost, a SendExchange) {
 	to := f.host(a.To.Name)
-	if !f.joined(h, to) || to.paused {
-		f.fold(h, ExchangeOut{Seat: a.To.Name, Domain: a.Domain, Err: fmt.Errorf("down")})
+	if !f.canReach(h, to) || to.paused {
+		f.apply(h, ExchangeOut{Seat: a.To.Name, Domain: a.Domain, Err: fmt.Errorf("host unreachable")})
 		return
 	}
-	f.send(func() {
+	f.deliver(func() {
 		reply := make(chan ExchangeReply, 1)
-		f.fold(to, ExchangeIn{Exchange: a.Exchange, Reply: reply})
+		f.apply(to, ExchangeIn{Exchange: a.Exchange, Reply: reply})
 		select {
 		case r := <-reply:
-			f.send(func() { f.fold(h, ExchangeOut{Seat: a.To.Name, Domain: a.Domain, Sent: a.Sent, Reply: r}) })
+			f.deliver(func() { f.apply(h, ExchangeOut{Seat: a.To.Name, Domain: a.Domain, Sent: a.Sent, Reply: r}) })
 		default:
 		}
 	})
 }
 
-// askLease plays the platform and the host's part in front of it: a session a lease.
-func (f *fleet) askLease(h *fakeHost, d string) {
-	asked := f.now
-	f.asks[h.state.Self.Seat]++
-	if f.out || h.cut {
-		f.fold(h, LeaseOut{Domain: d, Asked: asked, Err: fmt.Errorf("out")})
+// askLease simulates the platform's leases and the host's client of them, with one session per lease.
+func (f *fleet) askLease(h *fakeHost, domain string) {
+	requestedAt := f.now
+	f.leaseRequests[h.state.Self.Seat]++
+	if f.platformDown || h.isolated {
+		f.apply(h, LeaseOut{Domain: domain, Asked: requestedAt, Err: fmt.Errorf("platform unreachable")})
 		return
 	}
-	if h.session[d] == 0 {
-		f.sessions++
-		h.session[d] = f.sessions
+	if h.sessions[domain] == 0 {
+		f.lastSession++
+		h.sessions[domain] = f.lastSession
 	}
-	session, own := h.session[d], d == h.state.Self.Domain
-	f.send(func() {
-		if w := f.want[d]; !own && f.now.Before(w.until) {
-			f.send(func() { f.fold(h, LeaseOut{Domain: d, Asked: asked}) })
+	session, ownDomain := h.sessions[domain], domain == h.state.Self.Domain
+	f.deliver(func() {
+		if claim := f.claims[domain]; !ownDomain && f.now.Before(claim.until) {
+			f.deliver(func() { f.apply(h, LeaseOut{Domain: domain, Asked: requestedAt}) })
 			return
 		}
-		l := f.lease[d]
-		held := (l.session == session || !f.now.Before(l.until)) && !f.ended[session]
+		l := f.leases[domain]
+		held := (l.session == session || !f.now.Before(l.until)) && !f.releasedSessions[session]
 		switch {
 		case held:
-			f.lease[d] = fakeLease{session: session, until: f.now.Add(fakeLife)}
-		case own:
-			f.want[d] = fakeLease{session: session, until: f.now.Add(fakeLife)}
+			f.leases[domain] = fakeLease{session: session, until: f.now.Add(fakeLeaseTTL)}
+		case ownDomain:
+			f.claims[domain] = fakeLease{session: session, until: f.now.Add(fakeLeaseTTL)}
 		}
-		f.send(func() { f.fold(h, LeaseOut{Domain: d, Asked: asked, Life: fakeLife, Held: held}) })
+		f.deliver(func() { f.apply(h, LeaseOut{Domain: domain, Asked: requestedAt, Life: fakeLeaseTTL, Held: held}) })
 	})
 }
 
-// releaseLease ends a session, which is never used again; a late request for it finds nothing.
-func (f *fleet) releaseLease(h *fakeHost, d string) {
-	session := h.session[d]
-	delete(h.session, d)
-	if f.out || h.cut {
+// releaseLease ends a session, which is never reused. A delayed request with it does not acquire the lease.
+func (f *fleet) releaseLease(h *fakeHost, domain string) {
+	session := h.sessions[domain]
+	delete(h.sessions, domain)
+	if f.platformDown || h.isolated {
 		return
 	}
-	f.send(func() {
-		f.ended[session] = true
-		if f.lease[d].session == session {
-			f.lease[d] = fakeLease{}
+	f.deliver(func() {
+		f.releasedSessions[session] = true
+		if f.leases[domain].session == session {
+			f.leases[domain] = fakeLease{}
 		}
 	})
 }
 
-// follow gives a relay what the platform holds.
-func (f *fleet) follow(h *fakeHost) {
-	if f.out || h.cut {
+// deliverPlatformState gives a relay the platform's document and its list of upstreams.
+func (f *fleet) deliverPlatformState(h *fakeHost) {
+	if f.platformDown || h.isolated {
 		return
 	}
-	f.fold(h, Adopt{Doc: f.doc.Clone()})
-	var mine []Member
+	f.apply(h, Adopt{Doc: f.doc.Clone()})
+	var members []Member
 	for _, m := range f.members {
 		if m.Domain == h.state.Self.Domain {
-			mine = append(mine, m)
+			members = append(members, m)
 		}
 	}
-	f.fold(h, ListOut{Members: mine})
+	f.apply(h, ListOut{Members: members})
 }
 
 func (f *fleet) step(d time.Duration) {
@@ -254,53 +254,54 @@
 	for _, h := range f.hosts {
 		if !h.paused {
 			if h.state.IsRelay {
-				f.follow(h)
+				f.deliverPlatformState(h)
 			}
-			f.fold(h, Tick{Loads: map[string]plan.Load{"s": {Slots: 1}}})
+			f.apply(h, Tick{Loads: map[string]plan.Load{"s": {Slots: 1}}})
 		}
 	}
 }
 
-func (f *fleet) wake(h *fakeHost) {
+func (f *fleet) resume(h *fakeHost) {
 	h.paused = false
-	box := h.inbox
+	inbox := h.inbox
 	h.inbox = nil
-	for _, ev := range box {
-		f.fold(h, ev)
+	for _, ev := range inbox {
+		f.apply(h, ev)
 	}
 }
 
-type failer interface {
+type testingT interface {
 	Helper()
 	Fatalf(format string, args ...any)
 }
 
-// check adds up what all hosts would use now, paused ones too: traffic reads plans by itself.
-func (f *fleet) check(t failer) {
+// checkLimits fails if the units that all hosts may use now exceed a limit, or if a host's revision decreased. Paused
+// hosts count too, since the data path keeps using their last plan.
+func (f *fleet) checkLimits(t testingT) {
 	t.Helper()
-	sums := map[string]int64{}
+	inUse := map[string]int64{}
 	for _, h := range f.hosts {
-		if r := h.state.Revision(); r < h.highest {
-			t.Fatalf("%s went back from revision %d to %d", h.state.Self.Seat, h.highest, r)
+		if r := h.state.Revision(); r < h.maxRevision {
+			t.Fatalf("host %s went back from revision %d to %d", h.state.Self.Seat, h.maxRevision, r)
 		}
-		h.highest = h.state.Revision()
+		h.maxRevision = h.state.Revision()
 		if h.state.Doc == nil {
 			continue
 		}
-		for res := range h.state.Parts {
+		for res := range h.state.Allocations {
 			if isPool(res) {
 				continue
 			}
-			sums[res] += h.state.amount(res).At(f.now)
+			inUse[res] += h.state.amount(res).At(f.now)
 		}
 	}
-	limits := map[string]int64{resCapacity: 11, resLink + "q": 1000}
+	limits := map[string]int64{resourceCapacity: 11, resourceLinkPrefix + "q": 1000}
 	for _, m := range f.members {
-		limits[resSlot+m.ID] = 5
+		limits[resourceSlotPrefix+m.ID] = 5
 	}
-	for res, sum := range sums {
+	for res, sum := range inUse {
 		if sum > limits[res] {
-			t.Fatalf("%s: %d in use of %d", res, sum, limits[res])
+			t.Fatalf("resource %s: %d units in use, limit is %d", res, sum, limits[res])
 		}
 	}
 }
