deal, enrol: plain names and comments

A deal was "dealt", regions "lacked" and "spared" slots, and a table had "ups", "has" and "left". The loans are now planned: planner with upstreams, supply, need and moves; returnLoans, lendOne, shortage, pickUpstream. A keeper "entered" and "quit"; it now registers and deregisters, with LeaseTTL and timeouts by their usual names, and tells an Observer.

Two tests got clear names. The comment of TestLoansAreValidAndDeterministic (was TestDealsAreSound) claimed that lending strips no region below its need; the test has never checked that, so the comment no longer says it.

--- a/internal/ctrl/deal/deal.go
+++ b/internal/ctrl/deal/deal.go
@@ -8,79 +8,79 @@
 	"github.com/boragelane/boragelane/internal/core/roster"
 )
 
-// Demand is the work that is offered in one region, in slots, by service.
+// Demand is the load offered in one region, in slots, by service.
 type Demand map[string]float64
 
-// Loans says which region uses an upstream that is not its own, by upstream.
+// Loans maps the ID of each lent upstream to the region that uses it.
 type Loans map[string]string
 
-// Input is what a deal depends on.
+// Input is the input of a plan.
 type Input struct {
-	Regions   []string                      // Those with live hosts, sorted.
+	Regions   []string                      // Regions with live hosts, sorted.
 	Upstreams map[string][]*roster.Upstream // By service.
 	Demand    map[string]Demand             // By region.
-	Held      Loans                         // The loans in force; they change as little as need be.
-	Down      map[string]bool               // Upstreams that can't be used.
+	Held      Loans                         // Current loans; the plan changes as few of them as possible.
+	Down      map[string]bool               // Upstreams that can't serve requests, by ID.
 }
 
 const (
-	// headroom is how many slots a region needs for each slot of its demand, so that few jobs wait.
+	// headroom is the number of slots a region needs per slot of demand, so that few jobs wait.
 	headroom = 1.25
-	// needLeast is the need of a region without demand, in slots.
-	needLeast = 1
-	// moveMost is the part of its need that a region may gain or lose in one deal; one upstream at the least.
-	moveMost = 0.06
-	// busyStart is how busy a service is taken to be, by all regions alike, before any demand is known.
-	busyStart = 0.8
-	// keepMargin is how far over its need a borrower is when it gives an upstream back, in slots.
-	keepMargin = 1.5
+	// minNeed is the number of slots that a region needs without demand.
+	minNeed = 1
+	// maxMoveShare is the share of its need that a region may gain or lose in one plan, but at least one upstream.
+	maxMoveShare = 0.06
+	// initialUtilization is the assumed utilization of a service, spread evenly over the regions, until demand is known.
+	initialUtilization = 0.8
+	// returnMargin is the surplus, in slots, that a borrower must keep when it returns an upstream unasked.
+	returnMargin = 1.5
 )
 
-// Deal returns the loans that cover the regions' needs. Once there are callers, each deal moves a small part of
-// what a region uses: its callers must not move to another region all at once.
+// Deal plans the loans that cover the regions' needs. Once demand is known, each plan moves only a small share of a
+// region's slots, so that its callers don't move to another region all at once.
 func Deal(in Input) Loans {
 	out := Loans{}
 	for _, service := range slices.Sorted(maps.Keys(in.Upstreams)) {
-		t := newTable(&in, service)
-		t.giveBack()
-		for t.lend() {
+		p := newPlanner(&in, service)
+		p.returnLoans()
+		for p.lendOne() {
 			continue
 		}
-		maps.Copy(out, t.loans)
+		maps.Copy(out, p.loans)
 	}
 	return out
 }
 
-// table is the deal of one service.
-type table struct {
-	regions []string
-	ups     []*roster.Upstream
-	loans   Loans
-	has     map[string]float64 // Slots in use by region.
-	need    map[string]float64
-	left    map[string]int // Upstreams that a region may still gain or lose.
+// planner plans the loans of one service.
+type planner struct {
+	regions   []string
+	upstreams []*roster.Upstream
+	loans     Loans
+	supply    map[string]float64 // Slots that a region can use, by region.
+	need      map[string]float64 // Slots that a region should have, by region.
+	moves     map[string]int     // Upstreams that a region may still gain or lose, by region.
 }
 
-func newTable(in *Input, service string) *table {
-	t := &table{regions: in.Regions, loans: Loans{}, has: map[string]float64{}, need: map[string]float64{}, left: map[string]int{}}
-	t.needs(in, service)
+func newPlanner(in *Input, service string) *planner {
+	p := &planner{regions: in.Regions, loans: Loans{}, supply: map[string]float64{}, need: map[string]float64{}, moves: map[string]int{}}
+	p.computeNeeds(in, service)
 	for _, u := range in.Upstreams[service] {
 		if in.Down[u.ID] {
 			continue
 		}
-		t.ups = append(t.ups, u)
-		to := u.Region
+		p.upstreams = append(p.upstreams, u)
+		user := u.Region
 		if held, ok := in.Held[u.ID]; ok && slices.Contains(in.Regions, held) && held != u.Region {
-			t.loans[u.ID] = held
-			to = held
+			p.loans[u.ID] = held
+			user = held
 		}
-		t.has[to] += float64(u.Slots)
+		p.supply[user] += float64(u.Slots)
 	}
-	return t
+	return p
 }
 
-// needs works out what each region needs of a service, and how much of it may change.
-func (t *table) needs(in *Input, service string) {
+// computeNeeds sets the slots that each region needs and the number of upstreams that it may gain or lose.
+func (p *planner) computeNeeds(in *Input, service string) {
 	slots, known := 0.0, false
 	for _, u := range in.Upstreams[service] {
 		slots += float64(u.Slots)
@@ -92,85 +92,88 @@
 	mean := slots / float64(max(1, len(in.Upstreams[service])))
 	for _, r := range in.Regions {
 		if !known {
-			t.need[r] = busyStart * slots / float64(len(in.Regions))
-			t.left[r] = len(in.Upstreams[service])
+			p.need[r] = initialUtilization * slots / float64(len(in.Regions))
+			p.moves[r] = len(in.Upstreams[service])
 			continue
 		}
-		t.need[r] = headroom*in.Demand[r][service] + needLeast
-		t.left[r] = max(1, int(moveMost*t.need[r]/max(1, mean)))
+		p.need[r] = headroom*in.Demand[r][service] + minNeed
+		p.moves[r] = max(1, int(maxMoveShare*p.need[r]/max(1, mean)))
 	}
 }
 
-// giveBack ends loans that the borrower does not need any more, or that the lender needs more.
-func (t *table) giveBack() {
-	for _, u := range t.ups {
-		to, lent := t.loans[u.ID]
+// returnLoans ends loans that the borrower no longer needs, or that the lender needs more.
+func (p *planner) returnLoans() {
+	for _, u := range p.upstreams {
+		borrower, lent := p.loans[u.ID]
 		if !lent {
 			continue
 		}
 		slots := float64(u.Slots)
-		spare := t.has[to] - slots - t.need[to]
-		short := t.need[u.Region] - t.has[u.Region]
-		if t.left[to] == 0 || spare < keepMargin && (short <= 0 || t.lack(u.Region) <= t.lack(to)) {
+		surplus := p.supply[borrower] - slots - p.need[borrower]
+		deficit := p.need[u.Region] - p.supply[u.Region]
+		if p.moves[borrower] == 0 || surplus < returnMargin && (deficit <= 0 || p.shortage(u.Region) <= p.shortage(borrower)) {
 			continue
 		}
-		t.left[to]--
-		delete(t.loans, u.ID)
-		t.has[to] -= slots
-		t.has[u.Region] += slots
+		p.moves[borrower]--
+		delete(p.loans, u.ID)
+		p.supply[borrower] -= slots
+		p.supply[u.Region] += slots
 	}
 }
 
-// lack returns how short of slots a region is, as a part of its need.
-func (t *table) lack(region string) float64 { return 1 - t.has[region]/max(needLeast, t.need[region]) }
+// shortage returns the share of a region's need that its supply doesn't cover.
+func (p *planner) shortage(region string) float64 {
+	return 1 - p.supply[region]/max(minNeed, p.need[region])
+}
 
-// lend gives the region that is shortest of slots an upstream of the region that can best spare it; it reports
+// lendOne lends the region with the largest shortage an upstream of the region with the largest surplus; it returns
 // false when there is nothing to lend.
-func (t *table) lend() bool {
-	to := ""
-	for _, r := range t.regions {
-		if t.left[r] > 0 && t.has[r] < t.need[r] && (to == "" || t.lack(r) > t.lack(to)) {
-			to = r
+func (p *planner) lendOne() bool {
+	borrower := ""
+	for _, r := range p.regions {
+		if p.moves[r] > 0 && p.supply[r] < p.need[r] && (borrower == "" || p.shortage(r) > p.shortage(borrower)) {
+			borrower = r
 		}
 	}
-	best := t.spare(to)
-	if to == "" || best == nil {
+	best := p.pickUpstream(borrower)
+	if borrower == "" || best == nil {
 		return false
 	}
-	t.left[to]--
-	t.loans[best.ID] = to
-	t.has[best.Region] -= float64(best.Slots)
-	t.has[to] += float64(best.Slots)
+	p.moves[borrower]--
+	p.loans[best.ID] = borrower
+	p.supply[best.Region] -= float64(best.Slots)
+	p.supply[borrower] += float64(best.Slots)
 	return true
 }
 
-// spare returns the upstream that a region can best spare for another, or nil.
-func (t *table) spare(to string) *roster.Upstream {
+// pickUpstream returns an upstream of the region with the largest surplus, or nil if no other region has one to spare.
+// Upstreams that are cold or already lent are left out.
+func (p *planner) pickUpstream(borrower string) *roster.Upstream {
 	var best *roster.Upstream
-	most := 0.0
-	for _, u := range t.ups {
-		if _, lent := t.loans[u.ID]; lent || u.Region == to || u.Cold > 0 {
+	bestScore := 0.0
+	for _, u := range p.upstreams {
+		if _, lent := p.loans[u.ID]; lent || u.Region == borrower || u.Cold > 0 {
 			continue
 		}
-		left := t.has[u.Region] - float64(u.Slots) - t.need[u.Region]
-		if left < 0 {
+		surplus := p.supply[u.Region] - float64(u.Slots) - p.need[u.Region]
+		if surplus < 0 {
 			continue
 		}
-		score := left + rendez.Score(rendez.Hash(to), rendez.NewSite(u.ID, 1))/scoreScale
-		if best == nil || score > most {
-			best, most = u, score
+		score := surplus + rendez.Score(rendez.Hash(borrower), rendez.NewSite(u.ID, 1))/scoreDivisor
+		if best == nil || score > bestScore {
+			best, bestScore = u, score
 		}
 	}
 	return best
 }
 
-// scoreScale makes a rendezvous score decide only between upstreams of one region.
-const scoreScale = 1e6
+// scoreDivisor scales rendezvous scores down, so that they only break ties between upstreams of one region.
+const scoreDivisor = 1e6
 
-// Ask is what a region tells when it asks for loans.
+// Ask is a host's request for loans, with the demand of its region.
 type Ask struct {
 	Region string   `json:"region"`
-	Demand Demand   `json:"demand"` // Of the services that the asking host places.
+	Demand Demand   `json:"demand"` // Only services whose jobs the requesting host places.
 	Down   []string `json:"down"`
 	Held   Loans    `json:"held"`
 }
--- a/internal/ctrl/deal/deal_test.go
+++ b/internal/ctrl/deal/deal_test.go
@@ -10,7 +10,7 @@
 	"github.com/boragelane/boragelane/internal/core/roster"
 )
 
-func ups(counts map[string]int) map[string][]*roster.Upstream {
+func newUpstreams(counts map[string]int) map[string][]*roster.Upstream {
 	var out []*roster.Upstream
 	for _, r := range []string{"east", "north", "west"} {
 		for i := range counts[r] {
@@ -22,34 +22,34 @@
 
 var regions = []string{"east", "north", "west"}
 
-func slots(in Input, l Loans) map[string]int {
+func slotsByRegion(in Input, l Loans) map[string]int {
 	out := map[string]int{}
 	for _, u := range in.Upstreams["s"] {
-		to := u.Region
+		user := u.Region
 		if r, lent := l[u.ID]; lent {
-			to = r
+			user = r
 		}
-		out[to] += u.Slots
+		out[user] += u.Slots
 	}
 	return out
 }
 
-func TestBeforeAnyDemandRegionsAreTakenForAlike(t *testing.T) {
-	in := Input{Regions: regions, Upstreams: ups(map[string]int{"east": 6, "north": 2, "west": 4})}
-	got := slots(in, Deal(in))
+func TestWithoutKnownDemandLoansEvenOutTheRegions(t *testing.T) {
+	in := Input{Regions: regions, Upstreams: newUpstreams(map[string]int{"east": 6, "north": 2, "west": 4})}
+	got := slotsByRegion(in, Deal(in))
 	assert.DeepEqual(t, got, map[string]int{"east": 12, "north": 12, "west": 12})
 }
 
 func TestARegionIsLentWhatItNeedsStepByStep(t *testing.T) {
 	in := Input{
-		Regions: regions, Upstreams: ups(map[string]int{"east": 60, "north": 20, "west": 40}),
+		Regions: regions, Upstreams: newUpstreams(map[string]int{"east": 60, "north": 20, "west": 40}),
 		Demand: map[string]Demand{"east": {"s": 60}, "north": {"s": 80}, "west": {"s": 60}},
 	}
 	had := 60
 	for range 20 {
 		in.Held = Deal(in)
-		got := slots(in, in.Held)["north"]
-		assert.Assert(t, float64(got-had) <= 0.15*100, "%d slots more in one deal", got-had)
+		got := slotsByRegion(in, in.Held)["north"]
+		assert.Assert(t, float64(got-had) <= 0.15*100, "%d more slots in one plan", got-had)
 		had = got
 	}
 	assert.Assert(t, had >= 100, "%d slots for a demand of 80", had)
@@ -57,7 +57,7 @@
 
 func TestLoansComeBackWhenTheLenderNeedsThemMore(t *testing.T) {
 	in := Input{
-		Regions: regions, Upstreams: ups(map[string]int{"east": 6, "north": 2, "west": 4}),
+		Regions: regions, Upstreams: newUpstreams(map[string]int{"east": 6, "north": 2, "west": 4}),
 		Demand: map[string]Demand{"east": {"s": 2}, "north": {"s": 9}, "west": {"s": 2}},
 	}
 	for range 5 {
@@ -74,21 +74,21 @@
 }
 
 func TestARegionWithoutHostsHoldsNoLoan(t *testing.T) {
-	in := Input{Regions: []string{"east"}, Upstreams: ups(map[string]int{"east": 2, "north": 2}), Held: Loans{"east0": "north"}}
+	in := Input{Regions: []string{"east"}, Upstreams: newUpstreams(map[string]int{"east": 2, "north": 2}), Held: Loans{"east0": "north"}}
 	assert.Equal(t, Deal(in)["east0"], "")
 }
 
-// Whatever is asked for, an upstream is lent to one living region other than its own, no region is stripped below
-// its need by lending, and the same input gives the same deal.
-func TestDealsAreSound(t *testing.T) {
+// For any demand, upstreams are lent only to known regions other than their own, upstreams that are down are not lent,
+// and equal inputs give equal plans.
+func TestLoansAreValidAndDeterministic(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		in := Input{Regions: regions, Upstreams: ups(map[string]int{
+		in := Input{Regions: regions, Upstreams: newUpstreams(map[string]int{
 			"east": rapid.IntRange(0, 12).Draw(t, "east"), "north": rapid.IntRange(0, 12).Draw(t, "north"), "west": rapid.IntRange(0, 12).Draw(t, "west"),
 		}), Down: map[string]bool{}}
-		for range rapid.IntRange(1, 8).Draw(t, "deals") {
+		for range rapid.IntRange(1, 8).Draw(t, "plans") {
 			in.Demand = map[string]Demand{}
 			for _, r := range regions {
-				if rapid.Bool().Draw(t, "told") {
+				if rapid.Bool().Draw(t, "reported") {
 					in.Demand[r] = Demand{"s": rapid.Float64Range(0, 60).Draw(t, "demand")}
 				}
 			}
@@ -99,16 +99,16 @@
 			before := in.Held
 			in.Held = Deal(in)
 			if fmt.Sprint(Deal(Input{Regions: in.Regions, Upstreams: in.Upstreams, Demand: in.Demand, Held: before, Down: in.Down})) != fmt.Sprint(in.Held) {
-				t.Fatal("the same input gave another deal")
+				t.Fatal("equal inputs gave different plans")
 			}
 			for id, to := range in.Held {
-				check(t, in, id, to)
+				checkLoan(t, in, id, to)
 			}
 		}
 	})
 }
 
-func check(t *rapid.T, in Input, id, to string) {
+func checkLoan(t *rapid.T, in Input, id, to string) {
 	for _, u := range in.Upstreams["s"] {
 		if u.ID == id && u.Region == to {
 			t.Fatalf("%s is lent to its own region", id)
--- a/internal/ctrl/deal/doc.go
+++ b/internal/ctrl/deal/doc.go
@@ -1,2 +1,2 @@
-// Package deal lends upstreams between regions by their demand. It is pure: the same input gives the same deal.
+// Package deal plans loans of upstreams between regions by demand. It is pure: equal inputs give equal plans.
 package deal
--- a/internal/ctrl/enrol/doc.go
+++ b/internal/ctrl/enrol/doc.go
@@ -1,2 +1,2 @@
-// Package enrol keeps this host's entry in the store alive, under a lease.
+// Package enrol registers this host in the store under a lease and keeps the lease alive.
 package enrol
--- a/internal/ctrl/enrol/enrol.go
+++ b/internal/ctrl/enrol/enrol.go
@@ -8,74 +8,75 @@
 	"github.com/boragelane/boragelane/internal/core/roster"
 )
 
-// Registry keeps entries of hosts under leases.
+// Registry stores host entries under leases.
 type Registry interface {
 	// Enter writes a host's entry under a new lease and returns the lease.
 	Enter(ctx context.Context, h roster.Host, life time.Duration) (int64, error)
-	// Renew renews a lease; it reports false if the lease has ended.
+	// Renew renews a lease; it returns false if the lease has expired.
 	Renew(ctx context.Context, lease int64) (bool, error)
 	// Quit removes a host's entry and ends its lease.
 	Quit(ctx context.Context, name string, lease int64) error
 }
 
-// Journal records the gain and loss of the entry.
-type Journal interface {
+// Observer is told of each registration and of each failure to register or deregister.
+type Observer interface {
 	Enrolled(now time.Time, lease int64, err error)
 }
 
 const (
-	// Life is the lease of an entry: a killed host leaves the directory within it.
-	Life = 3 * time.Second
-	// renewPeriod leaves time for two more tries within a lease.
-	renewPeriod = time.Second
-	// retryPeriod is the delay after a failed call.
-	retryPeriod = 500 * time.Millisecond
-	// callLife bounds a call, so that a silent connection costs less than a lease.
-	callLife = 900 * time.Millisecond
-	// quitLife bounds the last call of a planned stop.
-	quitLife = 2 * time.Second
+	// LeaseTTL is the lease of a host's entry; a host that was killed leaves the directory within that time.
+	LeaseTTL = 3 * time.Second
+	// renewInterval leaves time for two more attempts within a lease.
+	renewInterval = time.Second
+	// retryDelay is the delay after a failed call.
+	retryDelay = 500 * time.Millisecond
+	// callTimeout bounds a call, so that an unresponsive connection takes less time than the lease.
+	callTimeout = 900 * time.Millisecond
+	// deregisterTimeout bounds the call that removes the entry at a graceful shutdown.
+	deregisterTimeout = 2 * time.Second
 )
 
-// Keeper keeps one host's entry.
+// Keeper keeps the entry of one host registered.
 type Keeper struct {
 	Registry Registry
-	Journal  Journal
+	Journal  Observer
 	Host     roster.Host
 	Clock    func() time.Time
-	// Listed tells whether the newest view holds this host; an entry may vanish though its lease seems to live.
+	// Listed reports whether the latest view contains this host; an entry may be lost although its lease seems alive.
 	Listed func() bool
 	Done   chan struct{}
 
-	lease   atomic.Int64
-	entered time.Time
+	lease        atomic.Int64
+	registeredAt time.Time
 }
 
-// listGrace is how long after entering the entry may be missing from the view.
-const listGrace = 2 * time.Second
+// listingGrace is how long after registration the entry may be missing from the view.
+const listingGrace = 2 * time.Second
 
-// Lease returns the lease of the entry, or 0.
+// Lease returns the lease of the entry, or 0 if the host isn't registered.
 func (k *Keeper) Lease() int64 { return k.lease.Load() }
 
-// Run keeps the entry until the context ends, then removes it.
+// Run keeps the host registered until the context ends, then removes its entry.
 func (k *Keeper) Run(ctx context.Context) {
 	defer close(k.Done)
 	for ctx.Err() == nil {
-		wait := renewPeriod
-		if err := k.step(ctx); err != nil {
-			wait = retryPeriod
+		wait := renewInterval
+		if err := k.renewOrRegister(ctx); err != nil {
+			wait = retryDelay
 		}
 		select {
 		case <-time.After(wait):
 		case <-ctx.Done():
 		}
 	}
-	k.quit()
+	k.deregister()
 }
 
-func (k *Keeper) step(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, callLife)
+// renewOrRegister renews the lease, or registers the host again if its lease or entry was lost.
+func (k *Keeper) renewOrRegister(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if k.lease.Load() != 0 && k.Clock().Sub(k.entered) > listGrace && !k.Listed() {
+	if k.lease.Load() != 0 && k.Clock().Sub(k.registeredAt) > listingGrace && !k.Listed() {
 		k.lease.Store(0)
 	}
 	if k.lease.Load() != 0 {
@@ -85,17 +86,18 @@
 		}
 		k.lease.Store(0)
 	}
-	lease, err := k.Registry.Enter(ctx, k.Host, Life)
+	lease, err := k.Registry.Enter(ctx, k.Host, LeaseTTL)
 	k.Journal.Enrolled(k.Clock(), lease, err)
 	if err == nil {
 		k.lease.Store(lease)
-		k.entered = k.Clock()
+		k.registeredAt = k.Clock()
 	}
 	return err
 }
 
-func (k *Keeper) quit() {
-	ctx, cancel := context.WithTimeout(context.Background(), quitLife)
+// deregister removes the entry and reports a failure to the observer.
+func (k *Keeper) deregister() {
+	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
 	defer cancel()
 	if err := k.Registry.Quit(ctx, k.Host.Name, k.lease.Load()); err != nil {
 		k.Journal.Enrolled(k.Clock(), 0, err)
