watch: plain names and comments

Control "believed", "heard" and "was told"; entries "lapsed" and "came back". Constants are named by their kind (TTL, interval, delay, max) and keep their reasons. Log messages and metric labels are unchanged.

--- a/internal/ctrl/watch/doc.go
+++ b/internal/ctrl/watch/doc.go
@@ -1,2 +1,3 @@
-// Package watch follows the platform's store: one goroutine folds what it hears and publishes a view for traffic.
+// Package watch keeps a replica of the platform store: a single goroutine applies store changes and publishes
+// immutable views that request handling reads.
 package watch
--- a/internal/ctrl/watch/fold.go
+++ b/internal/ctrl/watch/fold.go
@@ -7,27 +7,27 @@
 	"github.com/boragelane/boragelane/internal/core/roster"
 )
 
-// Event is something that control learns.
+// Event is an input of the control loop.
 type Event interface{ event() }
 
-// Read is an answer of the store.
-type Read struct{ Batch roster.Batch }
+// StoreRead carries the result of a successful store read.
+type StoreRead struct{ Batch roster.Batch }
 
-// Lost is a call to the store that failed.
-type Lost struct{ Err error }
+// StoreFailed reports a failed store call.
+type StoreFailed struct{ Err error }
 
-// Leave is the start of a planned stop.
+// Leave starts the graceful shutdown of this host.
 type Leave struct{}
 
-// Tick is the passing of time.
+// Tick triggers the removal of expired entries.
 type Tick struct{}
 
-func (Read) event()  {}
-func (Lost) event()  {}
-func (Leave) event() {}
-func (Tick) event()  {}
+func (StoreRead) event()   {}
+func (StoreFailed) event() {}
+func (Leave) event()       {}
+func (Tick) event()        {}
 
-// Note is something that changed what this host believes, for the log.
+// Note describes one change of the state, for logs and metrics; What is the log message and the metric label.
 type Note struct {
 	What     string
 	Name     string
@@ -35,44 +35,45 @@
 	Err      error
 }
 
-// Fold takes an event into the state and returns what changed.
-func Fold(s *State, ev Event, now time.Time) []Note {
+// Apply updates the state with an event and returns the changes to log.
+func Apply(s *State, ev Event, now time.Time) []Note {
 	var notes []Note
 	switch ev := ev.(type) {
-	case Read:
-		notes = s.read(ev.Batch, now)
-	case Lost:
-		if !s.lost {
-			s.lost = true
+	case StoreRead:
+		notes = s.applyBatch(ev.Batch, now)
+	case StoreFailed:
+		if !s.disconnected {
+			s.disconnected = true
 			notes = append(notes, Note{What: "store lost", Err: ev.Err})
 		}
 	case Leave:
 		s.leaving = true
-	case Asked:
-		ev.Reply <- s.answer(ev.Ask, now)
-	case Follow:
-		ev.Reply <- s.news(ev.After, now)
+	case LoanRequest:
+		ev.Reply <- s.answerLoanRequest(ev.Request, now)
+	case UpdatesRequest:
+		ev.Reply <- s.updatesSince(ev.After, now)
 	case Lent:
-		s.loans, s.told = ev.Loans, now
+		s.active, s.activeAt = ev.Loans, now
 	}
 	return append(notes, s.expire(now)...)
 }
 
-func (s *State) read(b roster.Batch, now time.Time) []Note {
+// applyBatch applies the changes of a store read and records the effective ones for followers.
+func (s *State) applyBatch(b roster.Batch, now time.Time) []Note {
 	var notes []Note
-	if s.lost || now.Sub(s.heard) > awayAfter && !s.heard.IsZero() {
-		s.back = now
+	if s.disconnected || now.Sub(s.lastSync) > outageThreshold && !s.lastSync.IsZero() {
+		s.recoveredAt = now
 		notes = append(notes, Note{What: "store regained", Revision: b.Revision})
 	}
-	s.lost, s.heard = false, now.Add(-b.Age)
+	s.disconnected, s.lastSync = false, now.Add(-b.Age)
 	s.revision = max(s.revision, b.Revision)
 	if b.Full {
-		s.log, s.start = nil, b.Revision
-		b.Changes = append(b.Changes, s.missing(b)...)
+		s.changes, s.compactedTo = nil, b.Revision
+		b.Changes = append(b.Changes, s.removals(b)...)
 	}
 	for i := range b.Changes {
-		if n := s.change(&b.Changes[i], now); n.What != "" {
-			s.record(&b.Changes[i])
+		if n := s.applyChange(&b.Changes[i], now); n.What != "" {
+			s.recordChange(&b.Changes[i])
 			n.Name, n.Revision, n.Err = b.Changes[i].Name, b.Changes[i].Revision, b.Changes[i].Err
 			notes = append(notes, n)
 		}
@@ -80,48 +81,48 @@
 	return notes
 }
 
-// missing lists what this host knows and a whole reading of the store does not hold.
-func (s *State) missing(b roster.Batch) []roster.Change {
-	found := map[string]bool{}
+// removals returns a removal for each known entry that a full read of the store no longer contains.
+func (s *State) removals(b roster.Batch) []roster.Change {
+	present := map[string]bool{}
 	for i := range b.Changes {
-		found[b.Changes[i].Kind.String()+b.Changes[i].Name] = true
+		present[b.Changes[i].Kind.String()+b.Changes[i].Name] = true
 	}
 	var out []roster.Change
-	gone := func(k roster.Kind, name string) {
-		if !found[k.String()+name] {
+	addIfMissing := func(k roster.Kind, name string) {
+		if !present[k.String()+name] {
 			out = append(out, roster.Change{Kind: k, Name: name, Removed: true, Revision: b.Revision})
 		}
 	}
 	for name := range s.upstreams {
-		gone(roster.UpstreamKind, name)
+		addIfMissing(roster.UpstreamKind, name)
 	}
 	for name := range s.hosts {
-		gone(roster.HostKind, name)
+		addIfMissing(roster.HostKind, name)
 	}
 	for name := range s.evacuated {
-		gone(roster.EvacuationKind, name)
+		addIfMissing(roster.EvacuationKind, name)
 	}
 	return out
 }
 
-func (s *State) change(c *roster.Change, now time.Time) Note {
+func (s *State) applyChange(c *roster.Change, now time.Time) Note {
 	switch c.Kind {
 	case roster.PolicyKind:
-		return s.adopt(c)
+		return s.applyPolicy(c)
 	case roster.UpstreamKind:
-		return s.upstream(c, now)
+		return s.applyUpstream(c, now)
 	case roster.HostKind:
-		return s.host(c, now)
+		return s.applyHost(c, now)
 	case roster.EvacuationKind:
-		return s.evacuate(c, now)
+		return s.applyEvacuation(c, now)
 	case roster.CrashKind:
-		return s.crash(c)
+		return s.applyCrash(c)
 	}
 	return Note{}
 }
 
-// adopt takes a policy that is newer than the one in force; versions never go back.
-func (s *State) adopt(c *roster.Change) Note {
+// applyPolicy adopts a policy only if its version is newer than the active one, so that versions never go back.
+func (s *State) applyPolicy(c *roster.Change) Note {
 	switch {
 	case c.Err != nil:
 		return Note{What: "policy unreadable"}
@@ -132,69 +133,70 @@
 	return Note{What: "policy in force"}
 }
 
-// crash remembers a crash for as long as the process lives, the newest ones at least.
-func (s *State) crash(c *roster.Change) Note {
+// applyCrash records a crash report for the lifetime of the process, up to the newest maxCrashes.
+func (s *State) applyCrash(c *roster.Change) Note {
 	if c.Removed || c.Err != nil || slices.Contains(s.crashes, c.Crash) {
 		return Note{}
 	}
-	if len(s.crashes) >= crashesMost {
+	if len(s.crashes) >= maxCrashes {
 		s.crashes = slices.Clone(s.crashes[1:])
 	}
 	s.crashes = append(s.crashes, c.Crash)
 	return Note{What: "crash reported"}
 }
 
-func (s *State) evacuate(c *roster.Change, now time.Time) Note {
+func (s *State) applyEvacuation(c *roster.Change, now time.Time) Note {
 	switch {
 	case !c.Removed && !s.evacuated[c.Name]:
 		s.evacuated[c.Name] = true
 		return Note{What: "evacuation began"}
 	case c.Removed && s.evacuated[c.Name]:
 		delete(s.evacuated, c.Name)
-		s.returned[c.Name] = now
+		s.evacuationEndedAt[c.Name] = now
 		return Note{What: "evacuation ended"}
 	}
 	return Note{}
 }
 
-func (s *State) host(c *roster.Change, now time.Time) Note {
+func (s *State) applyHost(c *roster.Change, now time.Time) Note {
 	if c.Err != nil {
 		return Note{What: "host entry unreadable"}
 	}
 	if c.Removed {
-		return s.remove(c, now)
+		return s.removeOrDefer(c, now)
 	}
-	_, lapsed := s.lapsed[c.Kind.String()+c.Name]
-	delete(s.lapsed, c.Kind.String()+c.Name)
+	_, inGrace := s.graceUntil[c.Kind.String()+c.Name]
+	delete(s.graceUntil, c.Kind.String()+c.Name)
 	old, known := s.hosts[c.Name]
 	s.hosts[c.Name] = c.Host
-	if !known || lapsed || old.Incarnation != c.Host.Incarnation {
+	if !known || inGrace || old.Incarnation != c.Host.Incarnation {
 		return Note{What: "host joined"}
 	}
 	return Note{}
 }
 
-// upstream takes a report unless an older incarnation or an older report of the same one was written late.
-func (s *State) upstream(c *roster.Change, now time.Time) Note {
+// applyUpstream stores an upstream's report. A delayed write from an older incarnation, or with a lower sequence
+// number, is ignored.
+func (s *State) applyUpstream(c *roster.Change, now time.Time) Note {
 	old, known := s.upstreams[c.Name]
 	if c.Err != nil {
 		delete(s.upstreams, c.Name)
 		return Note{What: "upstream entry unreadable"}
 	}
 	if c.Removed {
-		return s.remove(c, now)
+		return s.removeOrDefer(c, now)
 	}
-	c.Upstream.Reported = now // Followers are told the rest of its cold time from here.
+	c.Upstream.Reported = now // Base for the remaining cold time that is sent to followers.
 	u := c.Upstream
-	if known && older(&u, &old) || u.Born < s.tombstones[u.ID].born {
+	if known && isOlder(&u, &old) || u.Born < s.tombstones[u.ID].born {
 		return Note{}
 	}
-	s.markLeaving(&u, now)
-	_, lapsed := s.lapsed[c.Kind.String()+c.Name]
-	delete(s.lapsed, c.Kind.String()+c.Name)
+	s.trackDraining(&u, now)
+	_, inGrace := s.graceUntil[c.Kind.String()+c.Name]
+	delete(s.graceUntil, c.Kind.String()+c.Name)
 	s.upstreams[c.Name] = u
 	switch {
-	case lapsed && !u.Draining:
+	case inGrace && !u.Draining:
 		return Note{What: "upstream back"}
 	case u.Draining && !old.Draining:
 		return Note{What: "upstream draining"}
@@ -206,39 +208,42 @@
 	return Note{}
 }
 
-// older tells whether a report was made before another one of the same upstream.
-func older(u, than *roster.Upstream) bool {
+// isOlder reports whether u was sent before than; both are reports of the same upstream.
+func isOlder(u, than *roster.Upstream) bool {
 	return u.Born < than.Born || u.Born == than.Born && u.Seq < than.Seq
 }
 
-// markLeaving remembers an incarnation that leaves; a report of it that is written late does not bring it back.
-func (s *State) markLeaving(u *roster.Upstream, now time.Time) {
-	if g := s.tombstones[u.ID]; g.left && u.Born == g.born {
+// trackDraining records a tombstone for a draining incarnation, and marks a delayed report of that incarnation as
+// draining, so that it does not become usable again.
+func (s *State) trackDraining(u *roster.Upstream, now time.Time) {
+	if t := s.tombstones[u.ID]; t.draining && u.Born == t.born {
 		u.Draining = true
 	}
 	if u.Draining {
-		s.tombstones[u.ID] = tombstone{born: u.Born, left: true, at: now}
+		s.tombstones[u.ID] = tombstone{born: u.Born, draining: true, recordedAt: now}
 	}
 }
 
-// remove drops a removed entry at once, or after a grace if it may have lapsed while the store was away.
-func (s *State) remove(c *roster.Change, now time.Time) Note {
-	until := s.back.Add(lapseGrace)
-	if s.back.IsZero() || !now.Before(until) {
-		return s.drop(c.Kind, c.Name, now)
+// removeOrDefer removes an entry at once, or after restoreGrace if its lease may have expired only because the store
+// was unavailable.
+func (s *State) removeOrDefer(c *roster.Change, now time.Time) Note {
+	until := s.recoveredAt.Add(restoreGrace)
+	if s.recoveredAt.IsZero() || !now.Before(until) {
+		return s.deleteEntry(c.Kind, c.Name, now)
 	}
-	if _, ok := s.lapsed[c.Kind.String()+c.Name]; ok {
+	if _, ok := s.graceUntil[c.Kind.String()+c.Name]; ok {
 		return Note{}
 	}
-	s.lapsed[c.Kind.String()+c.Name] = until
+	s.graceUntil[c.Kind.String()+c.Name] = until
 	return Note{What: c.Kind.String() + " lapsed"}
 }
 
-func (s *State) drop(k roster.Kind, name string, now time.Time) Note {
-	delete(s.lapsed, k.String()+name)
+// deleteEntry removes an upstream or host; an upstream leaves a tombstone.
+func (s *State) deleteEntry(k roster.Kind, name string, now time.Time) Note {
+	delete(s.graceUntil, k.String()+name)
 	if u, ok := s.upstreams[name]; ok && k == roster.UpstreamKind {
 		delete(s.upstreams, name)
-		s.tombstones[name] = tombstone{born: u.Born, left: u.Draining, at: now}
+		s.tombstones[name] = tombstone{born: u.Born, draining: u.Draining, recordedAt: now}
 		return Note{What: "upstream gone"}
 	}
 	if _, ok := s.hosts[name]; ok && k == roster.HostKind {
@@ -248,31 +253,33 @@
 	return Note{}
 }
 
-// expire drops entries whose grace has passed, and forgets what is old.
+// expire removes entries whose grace period has ended, and tombstones older than tombstoneTTL. Grace periods don't end
+// while the store is unavailable.
 func (s *State) expire(now time.Time) []Note {
 	var notes []Note
-	for key, until := range s.lapsed {
-		if now.Before(until) || s.lost {
+	for key, until := range s.graceUntil {
+		if now.Before(until) || s.disconnected {
 			continue
 		}
-		delete(s.lapsed, key)
+		delete(s.graceUntil, key)
 		for _, k := range []roster.Kind{roster.UpstreamKind, roster.HostKind} {
-			if name, ok := cut(key, k); ok {
-				n := s.drop(k, name, now)
+			if name, ok := cutKindPrefix(key, k); ok {
+				n := s.deleteEntry(k, name, now)
 				n.Name = name
 				notes = append(notes, n)
 			}
 		}
 	}
-	for name, g := range s.tombstones {
-		if now.Sub(g.at) > tombstoneLife {
+	for name, t := range s.tombstones {
+		if now.Sub(t.recordedAt) > tombstoneTTL {
 			delete(s.tombstones, name)
 		}
 	}
 	return notes
 }
 
-func cut(key string, k roster.Kind) (string, bool) {
+// cutKindPrefix returns the name in a key made of kind and name, and whether the key is of that kind.
+func cutKindPrefix(key string, k roster.Kind) (string, bool) {
 	prefix := k.String()
 	if len(key) < len(prefix) || key[:len(prefix)] != prefix {
 		return "", false
--- a/internal/ctrl/watch/loop.go
+++ b/internal/ctrl/watch/loop.go
@@ -9,28 +9,28 @@
 	"github.com/boragelane/boragelane/internal/ctrl/deal"
 )
 
-// Follower adopts each view before traffic reads it.
+// Follower is updated with each new view before the view is published.
 type Follower interface {
 	Update(now time.Time, v *roster.View)
 }
 
-// Journal records what changed a host's beliefs.
-type Journal interface {
+// Observer is told of each change of the state, for logs and metrics.
+type Observer interface {
 	Believe(now time.Time, n Note)
 }
 
 const (
-	// tickPeriod is how often entries past their grace are looked for; well below lapseGrace.
+	// tickPeriod is the interval between checks for expired entries; it must stay well below restoreGrace.
 	tickPeriod = 200 * time.Millisecond
-	// eventBuffer is room for events while a view is built.
+	// eventBuffer is the number of events that can queue while a view is built.
 	eventBuffer = 64
 )
 
-// Loop owns the control state; its goroutine alone changes it.
+// Loop owns the control state; only its goroutine accesses it.
 type Loop struct {
 	Clock     func() time.Time
 	Followers []Follower
-	Journal   Journal
+	Observer  Observer
 	Done      chan struct{}
 
 	state  *State
@@ -38,17 +38,17 @@
 	view   atomic.Pointer[roster.View]
 }
 
-// NewLoop returns a loop that does not run yet.
-func NewLoop(self roster.Host, clock func() time.Time, journal Journal) *Loop {
-	l := &Loop{Clock: clock, Journal: journal, Done: make(chan struct{}), state: NewState(self), events: make(chan Event, eventBuffer)}
+// NewLoop returns a loop with an empty state; call Run to start it.
+func NewLoop(self roster.Host, clock func() time.Time, observer Observer) *Loop {
+	l := &Loop{Clock: clock, Observer: observer, Done: make(chan struct{}), state: NewState(self), events: make(chan Event, eventBuffer)}
 	l.view.Store(l.state.View(clock()))
 	return l
 }
 
-// View returns the newest view.
+// View returns the latest published view.
 func (l *Loop) View() *roster.View { return l.view.Load() }
 
-// Send hands in an event; it reports false if the context or the loop ended first.
+// Send queues an event; it returns false if the context or the loop ended first.
 func (l *Loop) Send(ctx context.Context, ev Event) bool {
 	select {
 	case l.events <- ev:
@@ -59,7 +59,7 @@
 	return false
 }
 
-// Run folds events until the context ends.
+// Run applies events until the context ends.
 func (l *Loop) Run(ctx context.Context) {
 	defer close(l.Done)
 	tick := time.NewTicker(tickPeriod)
@@ -69,20 +69,21 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			l.fold(Tick{})
+			l.apply(Tick{})
 		case ev := <-l.events:
-			l.fold(ev)
+			l.apply(ev)
 		}
 	}
 }
 
-func (l *Loop) fold(ev Event) {
+// apply applies an event, reports the changes to the observer and publishes a new view if it may have changed.
+func (l *Loop) apply(ev Event) {
 	now := l.Clock()
-	notes := Fold(l.state, ev, now)
+	notes := Apply(l.state, ev, now)
 	for _, n := range notes {
-		l.Journal.Believe(now, n)
+		l.Observer.Believe(now, n)
 	}
-	if len(notes) == 0 && !visible(ev) {
+	if len(notes) == 0 && !affectsView(ev) {
 		return
 	}
 	v := l.state.View(now)
@@ -92,34 +93,34 @@
 	l.view.Store(v)
 }
 
-// visible tells whether an event changes the view even if it is not worth a note.
-func visible(ev Event) bool {
+// affectsView reports whether an event can change the view without producing a note.
+func affectsView(ev Event) bool {
 	switch ev.(type) {
-	case Tick, Asked, Follow:
+	case Tick, LoanRequest, UpdatesRequest:
 		return false
 	}
 	return true
 }
 
-// Ask hands in a region's demand and returns the loans; it reports false if the context ended first.
+// Ask submits a region's demand and returns the planned loans; it returns false if the context or the loop ended first.
 func (l *Loop) Ask(ctx context.Context, a deal.Ask) (deal.Loans, bool) {
 	reply := make(chan deal.Loans, 1)
-	if !l.Send(ctx, Asked{Ask: a, Reply: reply}) {
+	if !l.Send(ctx, LoanRequest{Request: a, Reply: reply}) {
 		return nil, false
 	}
 	select {
-	case s := <-reply:
-		return s, true
+	case loans := <-reply:
+		return loans, true
 	case <-ctx.Done():
 	case <-l.Done:
 	}
 	return nil, false
 }
 
-// News returns what a follower needs to know; it reports false if the context ended first.
+// News returns the store changes after a revision; it returns false if the context or the loop ended first.
 func (l *Loop) News(ctx context.Context, after int64) (News, bool) {
 	reply := make(chan News, 1)
-	if !l.Send(ctx, Follow{After: after, Reply: reply}) {
+	if !l.Send(ctx, UpdatesRequest{After: after, Reply: reply}) {
 		return News{}, false
 	}
 	select {
--- a/internal/ctrl/watch/reader.go
+++ b/internal/ctrl/watch/reader.go
@@ -13,47 +13,49 @@
 // Errors is the namespace of this package's errors.
 var Errors = errorx.NewNamespace("watch")
 
-// ErrCompacted means that the store no longer holds the changes after a revision.
+// ErrCompacted means that the store no longer holds the changes after the requested revision.
 var ErrCompacted = Errors.NewType("compacted")
 
 // Source reads the store.
 type Source interface {
-	// Load returns all entries.
+	// Load returns a full read of all entries.
 	Load(ctx context.Context) (roster.Batch, error)
-	// Next returns the changes after a revision; it waits up to the given time for one. It fails with
-	// ErrCompacted if they are no longer held.
+	// Next returns the changes after a revision and waits up to the given time for the first one. It fails with
+	// ErrCompacted if the store no longer holds them.
 	Next(ctx context.Context, after int64, wait time.Duration) (roster.Batch, error)
 }
 
-// Relay asks another host for news of the store.
+// Relay fetches store changes from another host.
 type Relay interface {
 	News(ctx context.Context, from roster.Host, after int64) (News, error)
 }
 
 const (
-	// readPeriod is the least time between two reads: reports of upstreams come all the time, each call is
-	// priced, and news must be in force within 2.5 s.
-	readPeriod = 500 * time.Millisecond
-	// readWait is how long a read waits for a change: less than newsLife, so that a quiet store is no lost one.
-	readWait = 800 * time.Millisecond
-	// retryLeast and retryMost bound the delay after a failed read, which doubles: with the time of a call they
-	// stay below the 3 s after which a host that was cut off counts as in touch again.
-	retryLeast = 250 * time.Millisecond
-	retryMost  = 500 * time.Millisecond
-	// retryFollower is the longest delay of a host that need not read: it hears through the hosts that do as soon as one
-	// of them has the store again, and each call is priced, also one that is refused.
-	retryFollower = 750 * time.Millisecond
-	// newsPeriod is the time between two questions to the host that reads for its region.
-	newsPeriod = 250 * time.Millisecond
-	// newsLife is the age of news after which a host reads the store itself: reports come more often than that.
-	newsLife = 1200 * time.Millisecond
-	// skipLife is how long a host that gave no news is not asked again.
-	skipLife = 2 * time.Second
-	// readersMost is how many hosts of a region are asked before a host reads the store itself.
-	readersMost = 2
+	// minReadInterval is the minimum time between two store reads. Upstream reports arrive continuously and each
+	// call has a price, but changes must take effect within 2.5 s.
+	minReadInterval = 500 * time.Millisecond
+	// longPollTimeout is how long a read waits for a change. It is less than maxUpdateAge, so that a store without
+	// changes isn't taken for an unreachable one.
+	longPollTimeout = 800 * time.Millisecond
+	// minRetryDelay and maxReaderRetryDelay bound the exponential backoff after a failed read. Together with the
+	// time of a call they stay below 3 s, when a host counts as connected again after a network partition.
+	minRetryDelay       = 250 * time.Millisecond
+	maxReaderRetryDelay = 500 * time.Millisecond
+	// maxFollowerRetryDelay bounds the backoff of a host that isn't one of the region's readers. It gets changes from
+	// a reader as soon as one can read the store again, and even a refused call has a price.
+	maxFollowerRetryDelay = 750 * time.Millisecond
+	// peerPollInterval is the time between two requests to the region's reader.
+	peerPollInterval = 250 * time.Millisecond
+	// maxUpdateAge is the age from which a reader's changes are ignored and a host reads the store itself. Upstream
+	// reports arrive more often than that.
+	maxUpdateAge = 1200 * time.Millisecond
+	// peerSkipPeriod is how long a host is skipped after a failed request.
+	peerSkipPeriod = 2 * time.Second
+	// maxReaders is the number of hosts of a region that read the store for the others.
+	maxReaders = 2
 )
 
-// Reader follows the store, or the host that reads it for its region, and feeds the loop.
+// Reader feeds the loop with store changes, from one of the region's readers or from the store itself.
 type Reader struct {
 	Source Source
 	Relay  Relay
@@ -61,97 +63,99 @@
 	Clock  func() time.Time
 	Done   chan struct{}
 
-	after   int64
-	delay   time.Duration
-	lost    bool                 // The last read failed.
-	duty    bool                 // This host is one of those that read for the region.
-	due     time.Time            // When the store may be read again.
-	skipped map[string]time.Time // Until when a host is not asked.
+	revision   int64
+	retryDelay time.Duration
+	failed     bool                 // The last store read failed.
+	designated bool                 // This host is one of the region's readers.
+	nextRead   time.Time            // Earliest time of the next store read.
+	skipUntil  map[string]time.Time // By host name.
 }
 
 // Run reads until the context ends.
 func (r *Reader) Run(ctx context.Context) {
 	defer close(r.Done)
-	r.delay, r.skipped = retryLeast, map[string]time.Time{}
+	r.retryDelay, r.skipUntil = minRetryDelay, map[string]time.Time{}
 	for ctx.Err() == nil {
 		start := r.Clock()
 		switch {
-		case r.ask(ctx):
-			sleep(ctx, newsPeriod-r.Clock().Sub(start))
-		case start.Before(r.due):
-			sleep(ctx, min(newsPeriod, r.due.Sub(start)))
+		case r.pollPeers(ctx):
+			sleep(ctx, peerPollInterval-r.Clock().Sub(start))
+		case start.Before(r.nextRead):
+			sleep(ctx, min(peerPollInterval, r.nextRead.Sub(start)))
 		default:
-			r.read(ctx)
+			r.readStore(ctx)
 		}
 	}
 }
 
-// ask asks the hosts that read for this region; it reports false if this host should read the store itself.
-func (r *Reader) ask(ctx context.Context) bool {
+// pollPeers requests changes from the region's readers; it returns false if this host should read the store itself.
+func (r *Reader) pollPeers(ctx context.Context) bool {
 	v := r.Loop.View()
-	r.duty = true
+	r.designated = true
 	for i, h := range v.Placers(v.Self.Region, readerRole) {
-		if r.duty = i < readersMost; !r.duty || h.Name == v.Self.Name {
+		if r.designated = i < maxReaders; !r.designated || h.Name == v.Self.Name {
 			return false
 		}
-		if r.Clock().Before(r.skipped[h.Name]) {
+		if r.Clock().Before(r.skipUntil[h.Name]) {
 			continue
 		}
-		n, err := r.Relay.News(ctx, h, r.after)
+		n, err := r.Relay.News(ctx, h, r.revision)
 		if err != nil {
-			r.skipped[h.Name] = r.Clock().Add(skipLife)
+			r.skipUntil[h.Name] = r.Clock().Add(peerSkipPeriod)
 			continue
 		}
-		if n.Age <= newsLife {
-			r.take(ctx, n)
+		if n.Age <= maxUpdateAge {
+			r.forward(ctx, n)
 			return true
 		}
 	}
 	return false
 }
 
-// readerRole spreads the duty of reading and the placing of services over a region's hosts.
+// readerRole is the duty of reading the store. It is hashed into the order of the hosts, so that reading and the
+// placement of services spread over a region's hosts.
 const readerRole = "reader"
 
-// take feeds news to the loop, unless this host has read the store itself a moment ago.
-func (r *Reader) take(ctx context.Context, n News) {
-	if n.Batch.Revision < r.after {
+// forward passes a peer's changes to the loop, unless this host has already read a later revision.
+func (r *Reader) forward(ctx context.Context, n News) {
+	if n.Batch.Revision < r.revision {
 		return
 	}
 	n.Batch.Age = n.Age
-	r.after = n.Batch.Revision
-	r.Loop.Send(ctx, Read{Batch: n.Batch})
+	r.revision = n.Batch.Revision
+	r.Loop.Send(ctx, StoreRead{Batch: n.Batch})
 }
 
-func (r *Reader) read(ctx context.Context) {
+// readStore reads the store once and schedules the next read; failed reads back off with jitter.
+func (r *Reader) readStore(ctx context.Context) {
 	start := r.Clock()
-	batch, err := r.next(ctx)
+	batch, err := r.fetch(ctx)
 	switch {
 	case errorx.IsOfType(err, ErrCompacted):
-		r.after = 0
+		r.revision = 0
 		return
 	case err != nil:
-		r.Loop.Send(ctx, Lost{Err: err})
-		r.lost, r.due = true, r.Clock().Add(r.delay/2+rand.N(r.delay))
-		most := retryFollower
-		if r.duty {
-			most = retryMost
+		r.Loop.Send(ctx, StoreFailed{Err: err})
+		r.failed, r.nextRead = true, r.Clock().Add(r.retryDelay/2+rand.N(r.retryDelay))
+		maxDelay := maxFollowerRetryDelay
+		if r.designated {
+			maxDelay = maxReaderRetryDelay
 		}
-		r.delay = min(2*r.delay, most)
+		r.retryDelay = min(2*r.retryDelay, maxDelay)
 		return
 	}
-	r.after, r.delay, r.lost, r.due = batch.Revision, retryLeast, false, start.Add(readPeriod)
-	r.Loop.Send(ctx, Read{Batch: batch})
+	r.revision, r.retryDelay, r.failed, r.nextRead = batch.Revision, minRetryDelay, false, start.Add(minReadInterval)
+	r.Loop.Send(ctx, StoreRead{Batch: batch})
 }
 
-func (r *Reader) next(ctx context.Context) (roster.Batch, error) {
-	if r.after == 0 {
+func (r *Reader) fetch(ctx context.Context) (roster.Batch, error) {
+	if r.revision == 0 {
 		return r.Source.Load(ctx)
 	}
-	if r.lost {
-		return r.Source.Next(ctx, r.after, 0) // A call that need not wait is given up sooner.
+	if r.failed {
+		return r.Source.Next(ctx, r.revision, 0) // Without a long poll, an unanswered call times out sooner.
 	}
-	return r.Source.Next(ctx, r.after, readWait)
+	return r.Source.Next(ctx, r.revision, longPollTimeout)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/ctrl/watch/reader_test.go
+++ b/internal/ctrl/watch/reader_test.go
@@ -12,26 +12,27 @@
 	"github.com/boragelane/boragelane/internal/core/roster"
 )
 
-// fakeNet is a store that can be cut off: a call that begins then hangs for its time, whatever happens meanwhile.
-type fakeNet struct {
-	mu       sync.Mutex
-	cut      bool
-	refuse   bool // Each call is refused at once.
-	revision int64
-	begun    chan struct{}
-	peers    map[string]News // What other hosts tell.
-	asked    map[string]int
-	reads    int
+// fakeStore is a store that can become unreachable. A call that starts while it is unreachable hangs until its timeout,
+// even if the store recovers meanwhile. It also plays the other hosts of the region.
+type fakeStore struct {
+	mu           sync.Mutex
+	unreachable  bool
+	refuse       bool // Calls fail immediately.
+	revision     int64
+	started      chan struct{}
+	peerUpdates  map[string]News // Answers of other hosts, by name; a host without one fails.
+	peerRequests map[string]int
+	reads        int
 }
 
-// callLife is what a call to the fake store takes besides its wait, when it gets no answer.
-const callLife = time.Second
+// hangTime is how long an unanswered call takes, in addition to its long poll.
+const hangTime = time.Second
 
-func (f *fakeNet) Load(ctx context.Context) (roster.Batch, error) { return f.Next(ctx, 0, 0) }
+func (f *fakeStore) Load(ctx context.Context) (roster.Batch, error) { return f.Next(ctx, 0, 0) }
 
-func (f *fakeNet) Next(ctx context.Context, _ int64, wait time.Duration) (roster.Batch, error) {
+func (f *fakeStore) Next(ctx context.Context, _ int64, wait time.Duration) (roster.Batch, error) {
 	f.mu.Lock()
-	cut := f.cut
+	unreachable := f.unreachable
 	if f.refuse {
 		f.reads++
 		f.mu.Unlock()
@@ -41,25 +42,25 @@
 	f.revision++
 	out := roster.Batch{Revision: f.revision}
 	f.mu.Unlock()
-	if !cut {
+	if !unreachable {
 		return out, nil
 	}
 	select {
-	case f.begun <- struct{}{}:
+	case f.started <- struct{}{}:
 	default:
 	}
 	select {
-	case <-time.After(wait + callLife):
+	case <-time.After(wait + hangTime):
 	case <-ctx.Done():
 	}
 	return roster.Batch{}, errors.New("no answer")
 }
 
-func (f *fakeNet) News(_ context.Context, from roster.Host, _ int64) (News, error) {
+func (f *fakeStore) News(_ context.Context, from roster.Host, _ int64) (News, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.asked[from.Name]++
-	n, ok := f.peers[from.Name]
+	f.peerRequests[from.Name]++
+	n, ok := f.peerUpdates[from.Name]
 	if !ok {
 		return News{}, errors.New("no answer")
 	}
@@ -67,13 +68,13 @@
 	return n, nil
 }
 
-type silent struct{}
+type noopObserver struct{}
 
-func (silent) Believe(time.Time, Note) {}
+func (noopObserver) Believe(time.Time, Note) {}
 
-func follow(t *testing.T, f *fakeNet, hosts ...roster.Host) *Loop {
-	f.begun, f.asked = make(chan struct{}, 1), map[string]int{}
-	l := NewLoop(roster.Host{Name: "self", Region: "east"}, time.Now, silent{})
+func startReader(t *testing.T, f *fakeStore, hosts ...roster.Host) *Loop {
+	f.started, f.peerRequests = make(chan struct{}, 1), map[string]int{}
+	l := NewLoop(roster.Host{Name: "self", Region: "east"}, time.Now, noopObserver{})
 	for _, h := range hosts {
 		l.state.hosts[h.Name] = h
 	}
@@ -86,83 +87,83 @@
 	return l
 }
 
-func await(t *testing.T, what string, holds func() bool) time.Duration {
+func waitFor(t *testing.T, what string, condition func() bool) time.Duration {
 	t.Helper()
 	begin := time.Now()
-	for !holds() {
+	for !condition() {
 		assert.Assert(t, time.Since(begin) < 10*time.Second, what)
 		time.Sleep(5 * time.Millisecond)
 	}
 	return time.Since(begin)
 }
 
-// A cut ends just after a call began, as seldom as that is: news must be in force again before a host counts as
-// in touch, 3 s after the cut.
-func TestAHostReadsOnSoonAfterACut(t *testing.T) {
-	f := &fakeNet{}
-	l := follow(t, f)
-	await(t, "read", func() bool { return !l.View().Synced.IsZero() })
+// Worst case of a partition: it ends just after a call started, which still hangs until its timeout. The host must have
+// new data before it counts as connected again, 3 s after the end of the partition.
+func TestReadsResumeSoonAfterAPartition(t *testing.T) {
+	f := &fakeStore{}
+	l := startReader(t, f)
+	waitFor(t, "read", func() bool { return !l.View().Synced.IsZero() })
 	f.mu.Lock()
-	f.cut = true
+	f.unreachable = true
 	f.mu.Unlock()
-	time.Sleep(3 * time.Second) // The delay between tries has grown to its most.
-	<-f.begun
-	<-f.begun
+	time.Sleep(3 * time.Second) // The retry delay has reached its maximum.
+	<-f.started                 // May be an earlier call.
+	<-f.started
 	healed := time.Now()
 	f.mu.Lock()
-	f.cut = false
+	f.unreachable = false
 	f.mu.Unlock()
-	took := await(t, "read again", func() bool { return l.View().Synced.After(healed) })
+	took := waitFor(t, "read again", func() bool { return l.View().Synced.After(healed) })
 	assert.Assert(t, took < 2*time.Second, "%s", took)
 }
 
 func TestAFollowerAsksTheReaderAndLeavesTheStoreAlone(t *testing.T) {
-	f := &fakeNet{peers: map[string]News{"big": {}}}
-	l := follow(t, f, roster.Host{Name: "big", Region: "east", Cores: 2}, roster.Host{Name: "self", Region: "east", Cores: 1})
-	await(t, "news", func() bool { return !l.View().Synced.IsZero() })
+	f := &fakeStore{peerUpdates: map[string]News{"big": {}}}
+	l := startReader(t, f, roster.Host{Name: "big", Region: "east", Cores: 2}, roster.Host{Name: "self", Region: "east", Cores: 1})
+	waitFor(t, "changes", func() bool { return !l.View().Synced.IsZero() })
 	time.Sleep(time.Second)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	assert.Equal(t, f.reads, 0)
-	assert.Assert(t, f.asked["big"] >= 2)
+	assert.Assert(t, f.peerRequests["big"] >= 2)
 }
 
 func TestAFollowerReadsForItselfWhenNewsAreOldOrDoNotCome(t *testing.T) {
 	for name, peers := range map[string]map[string]News{"old": {"big": {Age: 3 * time.Second}}, "none": {}} {
 		t.Run(name, func(t *testing.T) {
-			f := &fakeNet{peers: peers}
-			l := follow(t, f, roster.Host{Name: "big", Region: "east", Cores: 2}, roster.Host{Name: "self", Region: "east", Cores: 1})
-			took := await(t, "read", func() bool { return time.Since(l.View().Synced) < time.Second })
+			f := &fakeStore{peerUpdates: peers}
+			l := startReader(t, f, roster.Host{Name: "big", Region: "east", Cores: 2}, roster.Host{Name: "self", Region: "east", Cores: 1})
+			took := waitFor(t, "read", func() bool { return time.Since(l.View().Synced) < time.Second })
 			assert.Assert(t, took < 2*time.Second, "%s", took)
 		})
 	}
 }
 
-// This host is cut off from the store, and the reader has it again: the news come through the reader, though a call
-// of this host's own still hangs.
+// The host can't reach the store, but the reader can again: changes must arrive through the reader, although one of the
+// host's own store calls may still hang.
 func TestAFollowerThatIsCutOffHearsThroughTheReader(t *testing.T) {
-	f := &fakeNet{cut: true, peers: map[string]News{"big": {Age: 3 * time.Second}}}
-	l := follow(t, f, roster.Host{Name: "big", Region: "east", Cores: 2}, roster.Host{Name: "self", Region: "east", Cores: 1})
-	<-f.begun
+	f := &fakeStore{unreachable: true, peerUpdates: map[string]News{"big": {Age: 3 * time.Second}}}
+	l := startReader(t, f, roster.Host{Name: "big", Region: "east", Cores: 2}, roster.Host{Name: "self", Region: "east", Cores: 1})
+	<-f.started
 	time.Sleep(2 * time.Second)
 	f.mu.Lock()
-	f.peers["big"] = News{}
+	f.peerUpdates["big"] = News{}
 	f.mu.Unlock()
-	took := await(t, "news", func() bool { return !l.View().Synced.IsZero() })
+	took := waitFor(t, "changes", func() bool { return !l.View().Synced.IsZero() })
 	assert.Assert(t, took < 2*time.Second, "%s", took)
 }
 
-// The store refuses all calls, and the hosts that read for the region have no news either. The others of a large region
-// call it less often than those two, and hear soon when one of them has it again.
-func TestFollowersSpareAStoreThatRefuses(t *testing.T) {
-	f := &fakeNet{refuse: true, peers: map[string]News{"big1": {Age: 9 * time.Second}, "big2": {Age: 9 * time.Second}}}
-	l := follow(t, f, roster.Host{Name: "big1", Region: "east", Cores: 2}, roster.Host{Name: "big2", Region: "east", Cores: 2}, roster.Host{Name: "self", Region: "east", Cores: 1})
+// The store refuses all calls and the region's two readers are stale. Other hosts must back off further than the
+// readers do, and still get changes soon after one of the readers recovers.
+func TestFollowersBackOffFromAStoreThatRefuses(t *testing.T) {
+	f := &fakeStore{refuse: true, peerUpdates: map[string]News{"big1": {Age: 9 * time.Second}, "big2": {Age: 9 * time.Second}}}
+	l := startReader(t, f, roster.Host{Name: "big1", Region: "east", Cores: 2}, roster.Host{Name: "big2", Region: "east", Cores: 2}, roster.Host{Name: "self", Region: "east", Cores: 1})
 	time.Sleep(6 * time.Second)
 	f.mu.Lock()
 	reads := f.reads
-	f.peers["big2"] = News{}
+	f.peerUpdates["big2"] = News{}
 	f.mu.Unlock()
 	assert.Assert(t, reads >= 4 && reads <= 10, "%d calls in 6 s", reads)
-	took := await(t, "news", func() bool { return !l.View().Synced.IsZero() })
+	took := waitFor(t, "changes", func() bool { return !l.View().Synced.IsZero() })
 	assert.Assert(t, took < time.Second, "%s", took)
 }
--- a/internal/ctrl/watch/relay.go
+++ b/internal/ctrl/watch/relay.go
@@ -6,70 +6,70 @@
 	"github.com/boragelane/boragelane/internal/core/roster"
 )
 
-// logMost bounds the changes that are kept for followers; one that is further behind gets the whole state.
-const logMost = 1000
+// maxLoggedChanges bounds the change log; a follower that is further behind gets a snapshot.
+const maxLoggedChanges = 1000
 
-// Follow is a host that follows this one instead of the store.
-type Follow struct {
+// UpdatesRequest is a request from a host that follows this host instead of reading the store.
+type UpdatesRequest struct {
 	After int64
 	Reply chan News
 }
 
-// News is what changed after a revision, and how old it is.
+// News holds the changes after a revision, or a snapshot of the state.
 type News struct {
 	Batch roster.Batch
-	Age   time.Duration // Since the store was last heard.
+	Age   time.Duration // Time since the last successful store read.
 }
 
-func (Follow) event() {}
+func (UpdatesRequest) event() {}
 
-// relay keeps what followers have not heard yet.
-type relay struct {
-	log      []roster.Change
-	revision int64 // Of the store, as last read.
-	start    int64 // The log holds all changes after this revision.
+// changeLog holds the recent changes for followers.
+type changeLog struct {
+	changes     []roster.Change
+	revision    int64 // Latest revision read from the store.
+	compactedTo int64 // The log is complete after this revision.
 }
 
-// record keeps a change for followers; reports that change nothing are left out.
-func (s *State) record(c *roster.Change) {
-	s.log = append(s.log, *c)
-	if len(s.log) > logMost {
-		s.start = s.log[0].Revision
-		s.log = s.log[1:]
+// recordChange appends an effective change to the log and drops the oldest one when the log is full.
+func (s *State) recordChange(c *roster.Change) {
+	s.changes = append(s.changes, *c)
+	if len(s.changes) > maxLoggedChanges {
+		s.compactedTo = s.changes[0].Revision
+		s.changes = s.changes[1:]
 	}
 }
 
-// news returns what a follower needs to know.
-func (s *State) news(after int64, now time.Time) News {
-	n := News{Batch: roster.Batch{Revision: s.revision}, Age: now.Sub(s.heard)}
-	if after == 0 || after < s.start {
+// updatesSince returns the changes after a revision, or a snapshot if the log doesn't reach back that far.
+func (s *State) updatesSince(after int64, now time.Time) News {
+	n := News{Batch: roster.Batch{Revision: s.revision}, Age: now.Sub(s.lastSync)}
+	if after == 0 || after < s.compactedTo {
 		n.Batch.Full = true
-		n.Batch.Changes = s.whole()
+		n.Batch.Changes = s.snapshot()
 		return n
 	}
-	for i := range s.log {
-		if s.log[i].Revision > after {
-			n.Batch.Changes = append(n.Batch.Changes, s.log[i])
+	for i := range s.changes {
+		if s.changes[i].Revision > after {
+			n.Batch.Changes = append(n.Batch.Changes, s.changes[i])
 		}
 	}
 	return n
 }
 
-// whole returns all that is known as changes, without entries that may yet come back: a follower gives them its
-// own grace.
-func (s *State) whole() []roster.Change {
+// snapshot returns the whole state as changes. Entries in their grace period are left out: the follower sees them as
+// removed and applies a grace period of its own.
+func (s *State) snapshot() []roster.Change {
 	var out []roster.Change
 	if s.policy != nil {
 		out = append(out, roster.Change{Kind: roster.PolicyKind, Name: "policy", Policy: s.policy})
 	}
 	for id, u := range s.upstreams {
-		if _, lapsed := s.lapsed[roster.UpstreamKind.String()+id]; lapsed {
+		if _, inGrace := s.graceUntil[roster.UpstreamKind.String()+id]; inGrace {
 			continue
 		}
 		out = append(out, roster.Change{Kind: roster.UpstreamKind, Name: id, Upstream: u})
 	}
 	for name, h := range s.hosts {
-		if _, lapsed := s.lapsed[roster.HostKind.String()+name]; lapsed {
+		if _, lapsed := s.graceUntil[roster.HostKind.String()+name]; lapsed {
 			continue
 		}
 		out = append(out, roster.Change{Kind: roster.HostKind, Name: name, Host: h})
--- a/internal/ctrl/watch/shares.go
+++ b/internal/ctrl/watch/shares.go
@@ -9,84 +9,86 @@
 )
 
 const (
-	// askLife is how long what a region told of its demand counts: several periods of asking.
-	askLife = 3 * time.Second
-	// dealPeriod is the least time between two deals. Each moves one upstream of a service to a region at the most.
-	dealPeriod = time.Second
-	// loansLife is how long loans hold without news; then each region uses its own upstreams.
-	loansLife = 3 * time.Second
+	// demandTTL is how long a region's reported demand stays valid: several report intervals.
+	demandTTL = 3 * time.Second
+	// minPlanInterval is the minimum time between two loan plans; each plan moves only a few upstreams, so it bounds
+	// how fast loans change.
+	minPlanInterval = time.Second
+	// loansTTL is how long loans stay valid without a refresh; after that each region uses its own upstreams.
+	loansTTL = 3 * time.Second
 )
 
-// Asked is a host that asks this one for its region's loans.
-type Asked struct {
-	Ask   deal.Ask
-	Reply chan deal.Loans
+// LoanRequest is a host's request for the current loans, with its region's demand.
+type LoanRequest struct {
+	Request deal.Ask
+	Reply   chan deal.Loans
 }
 
-// Lent is the loans that this host was told of.
+// Lent carries the loans that this host received from the planning host.
 type Lent struct{ Loans deal.Loans }
 
-func (Asked) event() {}
-func (Lent) event()  {}
+func (LoanRequest) event() {}
+func (Lent) event()        {}
 
-// asked is the demand of a region for a service, and when it was told.
-type asked struct {
-	slots float64
-	down  []string
-	at    time.Time
+// regionDemand is the last demand that a region reported for a service.
+type regionDemand struct {
+	slots       float64
+	unavailable []string
+	receivedAt  time.Time
 }
 
-// deals is what control knows of the loans between regions.
-type deals struct {
-	book   map[[2]string]asked // By region and service.
-	held   deal.Loans          // What this host dealt or, before its first deal, was told by others.
-	heldAt time.Time
-	loans  deal.Loans // In force here.
-	told   time.Time
+// loanState holds the reported demand and the loans of upstreams between regions.
+type loanState struct {
+	demands    map[[2]string]regionDemand // By region and service.
+	computed   deal.Loans                 // Result of this host's last plan, or the requester's loans before that.
+	computedAt time.Time
+	active     deal.Loans // Used by this host.
+	activeAt   time.Time
 }
 
-// answer notes a region's demand and returns the loans.
-func (s *State) answer(a deal.Ask, now time.Time) deal.Loans {
+// answerLoanRequest records a region's demand and returns the loans, which it plans anew after minPlanInterval.
+func (s *State) answerLoanRequest(a deal.Ask, now time.Time) deal.Loans {
 	for service, slots := range a.Demand {
-		s.book[[2]string{a.Region, service}] = asked{slots: slots, down: a.Down, at: now}
+		s.demands[[2]string{a.Region, service}] = regionDemand{slots: slots, unavailable: a.Down, receivedAt: now}
 	}
-	if now.Sub(s.heldAt) < dealPeriod {
-		return s.held
+	if now.Sub(s.computedAt) < minPlanInterval {
+		return s.computed
 	}
-	if now.Sub(s.heldAt) > loansLife {
-		s.held = a.Held // This host has not dealt for a while: it goes on from what is in force.
+	if now.Sub(s.computedAt) > loansTTL {
+		s.computed = a.Held // No recent plan on this host: continue from the loans that the requester uses.
 	}
-	s.held, s.heldAt = deal.Deal(s.input(now)), now
-	return s.held
+	s.computed, s.computedAt = deal.Deal(s.planInput(now)), now
+	return s.computed
 }
 
-func (s *State) input(now time.Time) deal.Input {
-	in := deal.Input{Upstreams: s.usable(now), Demand: map[string]deal.Demand{}, Held: s.held, Down: map[string]bool{}}
+// planInput builds the input of a plan from the current state and drops expired demand.
+func (s *State) planInput(now time.Time) deal.Input {
+	in := deal.Input{Upstreams: s.usableUpstreams(now), Demand: map[string]deal.Demand{}, Held: s.computed, Down: map[string]bool{}}
 	regions := map[string]bool{}
 	for _, h := range s.hosts {
 		regions[h.Region] = true
 	}
 	in.Regions = slices.Sorted(maps.Keys(regions))
-	for k, a := range s.book {
-		if now.Sub(a.at) > askLife {
-			delete(s.book, k)
+	for k, a := range s.demands {
+		if now.Sub(a.receivedAt) > demandTTL {
+			delete(s.demands, k)
 			continue
 		}
 		if in.Demand[k[0]] == nil {
 			in.Demand[k[0]] = deal.Demand{}
 		}
 		in.Demand[k[0]][k[1]] = a.slots
-		for _, id := range a.down {
+		for _, id := range a.unavailable {
 			in.Down[id] = true
 		}
 	}
 	return in
 }
 
-// current returns the loans in force: none while no host that deals is heard.
-func (s *State) current(now time.Time) deal.Loans {
-	if now.Sub(s.told) > loansLife {
+// activeLoans returns the loans in use, or none if they were not refreshed within loansTTL.
+func (s *State) activeLoans(now time.Time) deal.Loans {
+	if now.Sub(s.activeAt) > loansTTL {
 		return nil
 	}
-	return s.loans
+	return s.active
 }
--- a/internal/ctrl/watch/state.go
+++ b/internal/ctrl/watch/state.go
@@ -11,62 +11,62 @@
 )
 
 const (
-	// lapseGrace is how long an entry that was removed while the store was away may still come back. The
-	// platform restores live entries within about 2 s of the store's return.
-	lapseGrace = 2200 * time.Millisecond
-	// awayAfter is the silence of the store after which entries may have lapsed unseen: below the shortest
-	// lease of three heartbeats.
-	awayAfter = 2500 * time.Millisecond
-	// crashesMost bounds the crashes that are remembered.
-	crashesMost = 500
-	// tombstoneLife is how long a leaving incarnation is remembered, so that a late write cannot revive it.
-	tombstoneLife = time.Minute
-	// returnCold is added to the cold time of a failure domain that is taken back, for the delay of news.
-	returnCold = time.Second
+	// restoreGrace is how long an entry stays usable that was removed during a store outage. The platform restores
+	// live entries within about 2 s after the store recovers.
+	restoreGrace = 2200 * time.Millisecond
+	// outageThreshold is the time without a store read after which leases may have expired unnoticed. It is below
+	// the shortest lease, which is three heartbeats.
+	outageThreshold = 2500 * time.Millisecond
+	// maxCrashes bounds the crash reports that are kept.
+	maxCrashes = 500
+	// tombstoneTTL is how long a tombstone is kept, so that a delayed write can't bring back a drained incarnation.
+	tombstoneTTL = time.Minute
+	// coldMargin extends the assumed cold time after an evacuation ends, to cover the delay of store updates.
+	coldMargin = time.Second
 )
 
-// State is all that control believes; only the loop's goroutine touches it.
+// State is the replica of the store and the loan state; only the loop's goroutine accesses it.
 type State struct {
-	self       roster.Host
-	policy     *policy.Policy
-	upstreams  map[string]roster.Upstream
-	hosts      map[string]roster.Host
-	crashes    []roster.Crash
-	evacuated  map[string]bool
-	returned   map[string]time.Time // When a domain's evacuation ended.
-	lapsed     map[string]time.Time // Until when a removed entry may come back, by kind and name.
-	tombstones map[string]tombstone
-	heard      time.Time // When the store last answered.
-	back       time.Time // When the store last came back.
-	lost       bool
-	leaving    bool
-	deals
-	relay
+	self              roster.Host
+	policy            *policy.Policy
+	upstreams         map[string]roster.Upstream
+	hosts             map[string]roster.Host
+	crashes           []roster.Crash
+	evacuated         map[string]bool
+	evacuationEndedAt map[string]time.Time // By failure domain.
+	graceUntil        map[string]time.Time // Removed entries that may be restored until then, by kind and name.
+	tombstones        map[string]tombstone
+	lastSync          time.Time // Time of the last successful store read.
+	recoveredAt       time.Time // End of the last store outage.
+	disconnected      bool
+	leaving           bool
+	loanState
+	changeLog
 }
 
-// tombstone remembers an incarnation that was seen leaving, or whose entry was removed.
+// tombstone marks an incarnation that is draining or whose entry was removed.
 type tombstone struct {
-	born int64
-	left bool // It said that it leaves; it does not come back.
-	at   time.Time
+	born       int64
+	draining   bool // It reported draining, which is final for an incarnation.
+	recordedAt time.Time
 }
 
-// NewState returns the state of a host that has heard nothing yet.
+// NewState returns an empty state for a host.
 func NewState(self roster.Host) *State {
 	return &State{
 		self: self, upstreams: map[string]roster.Upstream{}, hosts: map[string]roster.Host{},
-		evacuated: map[string]bool{}, returned: map[string]time.Time{},
-		lapsed: map[string]time.Time{}, tombstones: map[string]tombstone{}, deals: deals{book: map[[2]string]asked{}},
+		evacuated: map[string]bool{}, evacuationEndedAt: map[string]time.Time{},
+		graceUntil: map[string]time.Time{}, tombstones: map[string]tombstone{}, loanState: loanState{demands: map[[2]string]regionDemand{}},
 	}
 }
 
-// View returns a snapshot for traffic.
+// View returns an immutable snapshot for request handling.
 func (s *State) View(now time.Time) *roster.View {
 	v := &roster.View{
-		Self: s.self, Policy: s.policy, Upstreams: s.usable(now), Hosts: s.list(), Leaving: s.leaving,
-		Crashes: slices.Clip(s.crashes), Evacuated: maps.Clone(s.evacuated), Synced: s.heard,
+		Self: s.self, Policy: s.policy, Upstreams: s.usableUpstreams(now), Hosts: s.sortedHosts(), Leaving: s.leaving,
+		Crashes: slices.Clip(s.crashes), Evacuated: maps.Clone(s.evacuated), Synced: s.lastSync,
 	}
-	v.Loans = s.current(now)
+	v.Loans = s.activeLoans(now)
 	v.Duties = map[string][]roster.Host{}
 	if s.policy != nil {
 		for service := range s.policy.Services {
@@ -76,8 +76,8 @@
 	return v
 }
 
-// usable lists the upstreams that may get work, by service.
-func (s *State) usable(now time.Time) map[string][]*roster.Upstream {
+// usableUpstreams returns the upstreams that are neither draining nor evacuated, by service and sorted by ID.
+func (s *State) usableUpstreams(now time.Time) map[string][]*roster.Upstream {
 	out := map[string][]*roster.Upstream{}
 	for _, u := range s.upstreams {
 		if u.Draining || s.evacuated[u.Domain] {
@@ -92,20 +92,20 @@
 	return out
 }
 
-// list returns the live hosts by name.
-func (s *State) list() []roster.Host {
+// sortedHosts returns the live hosts, sorted by name.
+func (s *State) sortedHosts() []roster.Host {
 	return slices.SortedFunc(maps.Values(s.hosts), func(a, b roster.Host) int { return strings.Compare(a.Name, b.Name) })
 }
 
-// assumeCold takes an upstream for cold just after its failure domain was taken back: its next report, which
-// would say so, comes later than the first requests.
+// assumeCold marks an upstream as cold just after the evacuation of its failure domain ended: requests reach it before
+// its next report, which would say so.
 func (s *State) assumeCold(u *roster.Upstream, now time.Time) {
-	end, ok := s.returned[u.Domain]
+	endedAt, ok := s.evacuationEndedAt[u.Domain]
 	if !ok || s.policy == nil {
 		return
 	}
-	life := s.policy.Services[u.Service].ColdLife + returnCold
-	if until := end.Add(life); now.Before(until) && u.ColdUntil().Before(until) {
+	coldPeriod := s.policy.Services[u.Service].ColdLife + coldMargin
+	if until := endedAt.Add(coldPeriod); now.Before(until) && u.ColdUntil().Before(until) {
 		u.Reported, u.Cold = now, until.Sub(now)
 	}
 }
