broker: plain names and comments

Peers were "lost", "kept" and "passed over", and calls were "take", "free", "drop" and "deal" in the code too. The code now acquires, releases, cancels and requests loans; the method names and tags on the wire stay. Errors of calls to other hosts name the request and the host.

--- a/internal/edge/broker/asker.go
+++ b/internal/edge/broker/asker.go
@@ -10,36 +10,36 @@
 )
 
 const (
-	// askPeriod is the time between two calls for loans: demand is followed that closely.
-	askPeriod = 500 * time.Millisecond
-	// askLife bounds a call; far regions answer in 110 ms.
-	askLife = 700 * time.Millisecond
+	// loanPollInterval is the time between two requests for loans, and so the delay with which loans follow demand.
+	loanPollInterval = 500 * time.Millisecond
+	// loanRequestTimeout bounds a request; distant regions answer in 110 ms.
+	loanRequestTimeout = 700 * time.Millisecond
 )
 
-// Needer tells what to ask for.
-type Needer interface {
+// DemandSource returns the loan request of this host.
+type DemandSource interface {
 	Ask(now time.Time) deal.Ask
 }
 
-// Asker asks for loans of upstreams, again and again.
+// Asker periodically requests the loans of upstreams from the host that plans them: the first live one by name.
 type Asker struct {
-	Needer Needer
-	Local  Dealer // This host as the one that deals.
+	Needer DemandSource
+	Local  LoanPlanner // Used when this host is the one that plans.
 	View   func() *roster.View
-	Give   func(l deal.Loans) // Takes the loans.
-	Lost   func(host string, err error)
+	Give   func(l deal.Loans)           // Called with the received loans.
+	Lost   func(host string, err error) // Called when a request failed.
 	Clock  func() time.Time
 	Done   chan struct{}
 
-	peers *peers
+	peers *peerPool
 }
 
-// Run asks until the context ends.
+// Run requests loans until the context ends.
 func (a *Asker) Run(ctx context.Context) {
 	defer close(a.Done)
-	a.peers = newPeers(a.Clock)
+	a.peers = newPeerPool(a.Clock)
 	defer a.peers.close()
-	t := time.NewTicker(askPeriod)
+	t := time.NewTicker(loanPollInterval)
 	defer t.Stop()
 	for {
 		select {
@@ -51,10 +51,10 @@
 			if a.peers.skipped(h) {
 				continue
 			}
-			loans, err := a.ask(ctx, h)
+			loans, err := a.requestLoans(ctx, h)
 			if err != nil {
 				a.Lost(h.Name, err)
-				a.peers.lose(h)
+				a.peers.markFailed(h)
 			} else {
 				a.Give(loans)
 			}
@@ -63,8 +63,9 @@
 	}
 }
 
-func (a *Asker) ask(ctx context.Context, h roster.Host) (deal.Loans, error) {
-	ctx, cancel := context.WithTimeout(ctx, askLife)
+// requestLoans requests loans from a host, or from this host's own planner.
+func (a *Asker) requestLoans(ctx context.Context, h roster.Host) (deal.Loans, error) {
+	ctx, cancel := context.WithTimeout(ctx, loanRequestTimeout)
 	defer cancel()
 	ask := a.Needer.Ask(a.Clock())
 	if h.Name == a.View().Self.Name {
@@ -79,40 +80,40 @@
 		return nil, err
 	}
 	var loans deal.Loans
-	if err := p.call(ctx, a.Clock, methodDeal, ask, &loans); err != nil {
-		return nil, ErrCall.Wrap(err, "asking %s for loans", h.Name)
+	if err := p.call(ctx, a.Clock, methodLoans, ask, &loans); err != nil {
+		return nil, ErrCall.Wrap(err, "requesting loans from host %s", h.Name)
 	}
 	return loans, nil
 }
 
-// newsLife bounds a question for news, within a region: a policy of a thousand routes over a link of 10 Mbit/s takes
-// half a second, and a host that can't be asked must leave time to read the store within 2.5 s.
-const newsLife = 1500 * time.Millisecond
+// updatesTimeout bounds a request for updates within a region. A policy of a thousand routes takes half a second over a
+// link of 10 Mbit/s, and after a timeout there must be time left to read the store within 2.5 s.
+const updatesTimeout = 1500 * time.Millisecond
 
-// Relay asks other hosts of the region for news of the store.
+// Relay fetches store changes from other hosts of the region.
 type Relay struct {
-	peers *peers
+	peers *peerPool
 	clock func() time.Time
 }
 
-// NewRelay returns a relay without connections.
-func NewRelay(clock func() time.Time) *Relay { return &Relay{peers: newPeers(clock), clock: clock} }
+// NewRelay returns a relay; connections are opened on demand.
+func NewRelay(clock func() time.Time) *Relay { return &Relay{peers: newPeerPool(clock), clock: clock} }
 
-// Close ends the connections.
+// Close closes all connections.
 func (r *Relay) Close() { r.peers.close() }
 
-// News asks a host what changed after a revision.
+// News fetches the store changes after a revision from a host.
 func (r *Relay) News(ctx context.Context, from roster.Host, after int64) (watch.News, error) {
-	ctx, cancel := context.WithTimeout(ctx, newsLife)
+	ctx, cancel := context.WithTimeout(ctx, updatesTimeout)
 	defer cancel()
 	p, err := r.peers.get(ctx, from)
 	if err != nil {
 		return watch.News{}, err
 	}
-	var w wireNews
-	if err := p.call(ctx, r.clock, methodNews, wireFollow{After: after}, &w); err != nil {
+	var w wireUpdates
+	if err := p.call(ctx, r.clock, methodUpdates, wireUpdatesRequest{After: after}, &w); err != nil {
 		_ = p.conn.Close()
-		return watch.News{}, ErrCall.Wrap(err, "asking %s for news", from.Name)
+		return watch.News{}, ErrCall.Wrap(err, "requesting store changes from host %s", from.Name)
 	}
 	return watch.News{Batch: roster.Batch{Changes: w.Changes, Revision: w.Revision, Full: w.Full}, Age: w.Age}, nil
 }
--- a/internal/edge/broker/broker_test.go
+++ b/internal/edge/broker/broker_test.go
@@ -16,29 +16,29 @@
 	"github.com/boragelane/boragelane/internal/flow/place"
 )
 
-// control answers as a host's control would.
-type control struct{ asked atomic.Int64 }
+// fakeControl is a LoanPlanner and an UpdateSource with fixed answers.
+type fakeControl struct{ loanRequests atomic.Int64 }
 
-func (c *control) Ask(_ context.Context, a deal.Ask) (deal.Loans, bool) {
-	c.asked.Add(1)
+func (c *fakeControl) Ask(_ context.Context, a deal.Ask) (deal.Loans, bool) {
+	c.loanRequests.Add(1)
 	return deal.Loans{"u1": a.Region}, true
 }
 
-func (c *control) News(_ context.Context, after int64) (watch.News, bool) {
+func (c *fakeControl) News(_ context.Context, after int64) (watch.News, bool) {
 	u := roster.Upstream{ID: "u9", Cold: 5 * time.Second, Reported: time.Now().Add(-time.Second)}
 	return watch.News{Batch: roster.Batch{Revision: after + 1, Changes: []roster.Change{{Kind: roster.UpstreamKind, Name: "u9", Upstream: u}}}, Age: time.Second}, true
 }
 
-// pair is a host that places, and one that asks it.
-type pair struct {
-	view   *roster.View
-	tables [2]*place.Table
-	placer *Placer
-	ln     net.Listener
-	kill   context.CancelFunc
+// hostPair is a host that places jobs and a host that acquires upstreams through it.
+type hostPair struct {
+	view       *roster.View
+	tables     [2]*place.Table
+	placer     *Placer
+	ln         net.Listener
+	stopServer context.CancelFunc
 }
 
-func newPair(t *testing.T) *pair {
+func newHostPair(t *testing.T) *hostPair {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	first := roster.Host{Name: "h1", Domain: "a", Region: "east", Peer: ln.Addr().String(), Cores: 2}
@@ -48,7 +48,7 @@
 		Hosts: []roster.Host{first, second}, Upstreams: map[string][]*roster.Upstream{"s": {u}}, Policy: &policy.Policy{},
 	}
 	v.Duties = map[string][]roster.Host{"s": v.Placers("east", "s")}
-	p := &pair{ln: ln}
+	p := &hostPair{ln: ln}
 	for i, self := range []roster.Host{first, second} {
 		own := v
 		own.Self = self
@@ -56,31 +56,31 @@
 		p.tables[i].Update(time.Now(), &own)
 		p.view = &own
 	}
-	ctx, kill := context.WithCancel(context.Background())
-	p.kill = kill
-	c := &control{}
+	ctx, stopServer := context.WithCancel(context.Background())
+	p.stopServer = stopServer
+	c := &fakeControl{}
 	s := &Server{Dealer: c, Teller: c, Admit: p.tables[0], Table: p.tables[0], Clock: time.Now, Done: make(chan struct{})}
 	go s.Serve(ctx, ln)
 	p.placer = NewPlacer(p.tables[1], func() *roster.View { return p.view }, time.Now, func(string, error) {})
-	t.Cleanup(func() { kill(); p.placer.Close() })
+	t.Cleanup(func() { stopServer(); p.placer.Close() })
 	return p
 }
 
-func (p *pair) ask() place.Ask {
+func (p *hostPair) newAsk() place.Ask {
 	now := time.Now()
 	return place.Ask{Host: p.view.Self, Service: "s", Objective: now.Add(5 * time.Second), Deadline: now.Add(9 * time.Second)}
 }
 
-func (p *pair) take(ctx context.Context) *place.Grant {
-	return p.placer.Acquire(ctx, time.Now(), p.ask())
+func (p *hostPair) acquire(ctx context.Context) *place.Grant {
+	return p.placer.Acquire(ctx, time.Now(), p.newAsk())
 }
 
 func TestOneHostPlacesTheJobsOfItsRegion(t *testing.T) {
-	p := newPair(t)
-	a, b := p.take(context.Background()), p.take(context.Background())
+	p := newHostPair(t)
+	a, b := p.acquire(context.Background()), p.acquire(context.Background())
 	assert.Assert(t, a != nil && b != nil)
 	got := make(chan *place.Grant)
-	go func() { got <- p.take(context.Background()) }()
+	go func() { got <- p.acquire(context.Background()) }()
 	select {
 	case <-got:
 		t.Fatal("a third job on two slots")
@@ -91,29 +91,29 @@
 }
 
 func TestAWaitThatIsGivenUpTakesNoSlot(t *testing.T) {
-	p := newPair(t)
-	a := p.take(context.Background())
-	_ = p.take(context.Background())
+	p := newHostPair(t)
+	a := p.acquire(context.Background())
+	_ = p.acquire(context.Background())
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
-	assert.Assert(t, p.take(ctx) == nil)
+	assert.Assert(t, p.acquire(ctx) == nil)
 	p.placer.Release(time.Now(), a, place.Result{Quiet: true})
-	assert.Assert(t, p.take(context.Background()) != nil)
+	assert.Assert(t, p.acquire(context.Background()) != nil)
 }
 
 func TestTheNextHostPlacesWhenTheFirstIsGone(t *testing.T) {
-	p := newPair(t)
-	_ = p.take(context.Background())
-	p.kill()
+	p := newHostPair(t)
+	_ = p.acquire(context.Background())
+	p.stopServer()
 	time.Sleep(50 * time.Millisecond)
 	for range 2 {
-		assert.Assert(t, p.take(context.Background()) != nil)
+		assert.Assert(t, p.acquire(context.Background()) != nil)
 	}
 }
 
 func TestAHostThatCanReachNoPlacerGoesOnAlone(t *testing.T) {
-	p := newPair(t)
-	p.kill()
+	p := newHostPair(t)
+	p.stopServer()
 	v := *p.view
 	v.Hosts = append([]roster.Host{
 		{Name: "x1", Region: "east", Peer: "127.0.0.1:1", Cores: 9}, {Name: "x2", Region: "east", Peer: "127.0.0.1:2", Cores: 9},
@@ -121,16 +121,16 @@
 	v.Duties = map[string][]roster.Host{"s": v.Placers("east", "s")}
 	p.view = &v
 	begin := time.Now()
-	assert.Assert(t, p.take(context.Background()) != nil)
+	assert.Assert(t, p.acquire(context.Background()) != nil)
 	assert.Assert(t, time.Since(begin) < 2*time.Second)
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
-	assert.Assert(t, p.take(ctx) == nil, "one job at an upstream, and no more, while alone")
+	assert.Assert(t, p.acquire(ctx) == nil, "more than one job at an upstream while isolated")
 }
 
-// A host that is frozen keeps its connections and answers nothing.
+// A frozen host keeps its connections open but answers nothing.
 func TestAPlacerThatAnswersNothingIsLeft(t *testing.T) {
-	p := newPair(t)
+	p := newHostPair(t)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer func() { _ = ln.Close() }()
@@ -145,25 +145,25 @@
 	v.Hosts = []roster.Host{{Name: "h1", Region: "east", Peer: ln.Addr().String(), Cores: 2}, v.Self}
 	p.view = &v
 	begin := time.Now()
-	assert.Assert(t, p.take(context.Background()) != nil)
+	assert.Assert(t, p.acquire(context.Background()) != nil)
 	assert.Assert(t, time.Since(begin) < 5*time.Second)
 }
 
 func TestAnUpstreamThatThisHostKnowsToLeaveIsGivenBack(t *testing.T) {
-	p := newPair(t)
+	p := newHostPair(t)
 	v := *p.view
 	v.Upstreams = map[string][]*roster.Upstream{}
 	p.view = &v
-	assert.Assert(t, p.take(context.Background()) == nil)
+	assert.Assert(t, p.acquire(context.Background()) == nil)
 	u := &roster.Upstream{ID: "u1", Service: "s", Slots: 2}
 	v.Upstreams = map[string][]*roster.Upstream{"s": {u}}
 	for range 2 {
-		assert.Assert(t, p.take(context.Background()) != nil)
+		assert.Assert(t, p.acquire(context.Background()) != nil)
 	}
 }
 
-func TestNewsAndLoansCross(t *testing.T) {
-	p := newPair(t)
+func TestHostsExchangeStoreChangesAndLoans(t *testing.T) {
+	p := newHostPair(t)
 	r := NewRelay(time.Now)
 	defer r.Close()
 	n, err := r.News(context.Background(), p.view.Hosts[0], 41)
@@ -175,7 +175,7 @@
 	given := make(chan deal.Loans, 1)
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &Asker{
-		Needer: p.tables[1], Local: &control{}, View: func() *roster.View { return p.view }, Clock: time.Now, Done: make(chan struct{}),
+		Needer: p.tables[1], Local: &fakeControl{}, View: func() *roster.View { return p.view }, Clock: time.Now, Done: make(chan struct{}),
 		Give: func(l deal.Loans) {
 			select {
 			case given <- l:
--- a/internal/edge/broker/peer.go
+++ b/internal/edge/broker/peer.go
@@ -13,40 +13,40 @@
 )
 
 const (
-	// dialLife bounds a connection to another host of the region, a few milliseconds away.
-	dialLife = 300 * time.Millisecond
-	// quietLife is the silence after which a host that owes answers is asked whether it lives.
-	quietLife = 150 * time.Millisecond
-	// pingLife is how long it may take to say so: more than a pause of its processor, less than a freeze.
-	pingLife = 300 * time.Millisecond
-	// watchPeriod is how often silence is looked for.
-	watchPeriod = 50 * time.Millisecond
-	// skipLife is how long a host that did not answer is passed over.
-	skipLife = 1500 * time.Millisecond
+	// dialTimeout bounds connecting to another host; hosts of a region are a few milliseconds apart.
+	dialTimeout = 300 * time.Millisecond
+	// silenceLimit is the time without an answer after which a host with pending calls is pinged.
+	silenceLimit = 150 * time.Millisecond
+	// pingTimeout bounds a ping. It is longer than a short pause of the other host's processor and shorter than a freeze.
+	pingTimeout = 300 * time.Millisecond
+	// monitorInterval is the interval between checks for silent hosts.
+	monitorInterval = 50 * time.Millisecond
+	// skipPeriod is how long a host is skipped after a failure.
+	skipPeriod = 1500 * time.Millisecond
 )
 
 // peer is a connection to another host.
 type peer struct {
-	host    roster.Host
-	conn    *jsonrpc2.Conn
-	pending atomic.Int64
-	heard   atomic.Int64 // Unix nanoseconds.
+	host      roster.Host
+	conn      *jsonrpc2.Conn
+	pending   atomic.Int64
+	lastReply atomic.Int64 // Unix time in nanoseconds.
 }
 
-// call makes a call and returns when its answer is there or the connection is lost.
+// call makes a call and returns when it is answered, its context ends or the connection is lost.
 func (p *peer) call(ctx context.Context, clock func() time.Time, method string, in, out any) error {
 	p.pending.Add(1)
 	defer p.pending.Add(-1)
 	err := p.conn.Call(ctx, method, in, out)
 	if err == nil {
-		p.heard.Store(clock().UnixNano())
+		p.lastReply.Store(clock().UnixNano())
 	}
 	return err
 }
 
-// watch closes the connection when the host owes answers and does not answer a ping.
-func (p *peer) watch(clock func() time.Time) {
-	t := time.NewTicker(watchPeriod)
+// monitor closes the connection when a host with pending calls doesn't answer a ping.
+func (p *peer) monitor(clock func() time.Time) {
+	t := time.NewTicker(monitorInterval)
 	defer t.Stop()
 	for {
 		select {
@@ -54,10 +54,10 @@
 			return
 		case <-t.C:
 		}
-		if p.pending.Load() == 0 || clock().Sub(time.Unix(0, p.heard.Load())) < quietLife {
+		if p.pending.Load() == 0 || clock().Sub(time.Unix(0, p.lastReply.Load())) < silenceLimit {
 			continue
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), pingLife)
+		ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
 		err := p.call(ctx, clock, methodPing, true, nil)
 		cancel()
 		if err != nil {
@@ -67,46 +67,47 @@
 	}
 }
 
-// peers holds the connections to other hosts, one for each.
-type peers struct {
+// peerPool holds one connection per host.
+type peerPool struct {
 	clock func() time.Time
 
-	mu    sync.Mutex
-	conns map[string]*peer // By address.
-	skip  map[string]time.Time
+	mu        sync.Mutex
+	conns     map[string]*peer     // By address.
+	skipUntil map[string]time.Time // By address.
 }
 
-func newPeers(clock func() time.Time) *peers {
-	return &peers{clock: clock, conns: map[string]*peer{}, skip: map[string]time.Time{}}
+func newPeerPool(clock func() time.Time) *peerPool {
+	return &peerPool{clock: clock, conns: map[string]*peer{}, skipUntil: map[string]time.Time{}}
 }
 
-// get returns a connection to a host, or an error if it can't be reached or was lost a moment ago.
-func (ps *peers) get(ctx context.Context, h roster.Host) (*peer, error) {
+// get returns a connection to a host, or an error if the host can't be reached or is skipped after a failure.
+func (ps *peerPool) get(ctx context.Context, h roster.Host) (*peer, error) {
 	ps.mu.Lock()
 	if p := ps.conns[h.Peer]; p != nil && p.host.Incarnation == h.Incarnation {
 		ps.mu.Unlock()
 		return p, nil
 	}
-	if ps.clock().Before(ps.skip[h.Peer]) {
+	if ps.clock().Before(ps.skipUntil[h.Peer]) {
 		ps.mu.Unlock()
-		return nil, ErrCall.New("host %s was lost a moment ago", h.Name)
+		return nil, ErrCall.New("host %s failed recently and is skipped", h.Name)
 	}
 	ps.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, dialLife)
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", h.Peer)
 	if err != nil {
-		ps.lose(h)
-		return nil, ErrCall.Wrap(err, "connecting to %s", h.Name)
+		ps.markFailed(h)
+		return nil, ErrCall.Wrap(err, "connecting to host %s", h.Name)
 	}
 	p := &peer{host: h}
-	p.heard.Store(ps.clock().UnixNano())
-	p.conn = jsonrpc2.NewConn(context.Background(), stream(nc), noCalls{})
-	return ps.keep(p), nil
+	p.lastReply.Store(ps.clock().UnixNano())
+	p.conn = jsonrpc2.NewConn(context.Background(), newStream(nc), ignoreRequests{})
+	return ps.add(p), nil
 }
 
-// keep books a connection, unless another one was opened meanwhile.
-func (ps *peers) keep(p *peer) *peer {
+// add adds a connection to the pool and returns it, or the existing one if another was opened meanwhile. It closes a
+// connection to an earlier incarnation of the host.
+func (ps *peerPool) add(p *peer) *peer {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	if old := ps.conns[p.host.Peer]; old != nil {
@@ -117,35 +118,35 @@
 		_ = old.conn.Close()
 	}
 	ps.conns[p.host.Peer] = p
-	go p.watch(ps.clock)
+	go p.monitor(ps.clock)
 	go func() {
 		<-p.conn.DisconnectNotify()
 		ps.mu.Lock()
 		defer ps.mu.Unlock()
 		if ps.conns[p.host.Peer] == p {
 			delete(ps.conns, p.host.Peer)
-			ps.skip[p.host.Peer] = ps.clock().Add(skipLife)
+			ps.skipUntil[p.host.Peer] = ps.clock().Add(skipPeriod)
 		}
 	}()
 	return p
 }
 
-// lose passes over a host for a while.
-func (ps *peers) lose(h roster.Host) {
+// markFailed skips a host for skipPeriod.
+func (ps *peerPool) markFailed(h roster.Host) {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
-	ps.skip[h.Peer] = ps.clock().Add(skipLife)
+	ps.skipUntil[h.Peer] = ps.clock().Add(skipPeriod)
 }
 
-// skipped tells whether a host is passed over.
-func (ps *peers) skipped(h roster.Host) bool {
+// skipped reports whether a host is skipped after a failure.
+func (ps *peerPool) skipped(h roster.Host) bool {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
-	return ps.clock().Before(ps.skip[h.Peer])
+	return ps.clock().Before(ps.skipUntil[h.Peer])
 }
 
-// close ends all connections.
-func (ps *peers) close() {
+// close closes all connections.
+func (ps *peerPool) close() {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	for _, p := range ps.conns {
@@ -153,8 +154,8 @@
 	}
 }
 
-// noCalls ignores calls from the other side, which makes none.
-type noCalls struct{}
+// ignoreRequests ignores requests from the server side, which sends none.
+type ignoreRequests struct{}
 
-// Handle ignores a call.
-func (noCalls) Handle(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) {}
+// Handle ignores a request.
+func (ignoreRequests) Handle(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) {}
--- a/internal/edge/broker/placer.go
+++ b/internal/edge/broker/placer.go
@@ -10,116 +10,119 @@
 	"github.com/boragelane/boragelane/internal/flow/place"
 )
 
-// Placer places this host's jobs: through its own table if this host places for its region, through the host that
-// does otherwise, and by itself if none can be reached.
+// Placer places this host's jobs: with its own table if this host places jobs for its region, otherwise through the
+// host that does, and in isolated mode if no such host can be reached.
 type Placer struct {
-	Table *place.Table
-	Admit Admitter // Asks the table.
-	View  func() *roster.View
-	Clock func() time.Time
-	Lost  func(host string, err error) // Told of a host that could not be asked.
+	Table         *place.Table
+	Admit         Admitter // Acquires from Table.
+	View          func() *roster.View
+	Clock         func() time.Time
+	OnUnreachable func(host string, err error) // Called for a host that could not be reached.
 
-	peers  *peers
-	calls  atomic.Uint64
-	mu     sync.Mutex
-	remote map[*place.Grant]*peer
+	peers    *peerPool
+	lastCall atomic.Uint64
+	mu       sync.Mutex
+	remote   map[*place.Grant]*peer
 }
 
-// NewPlacer returns a placer without connections.
-func NewPlacer(t *place.Table, view func() *roster.View, clock func() time.Time, lost func(host string, err error)) *Placer {
-	return &Placer{Table: t, Admit: t, View: view, Clock: clock, Lost: lost, peers: newPeers(clock), remote: map[*place.Grant]*peer{}}
+// NewPlacer returns a placer; connections are opened on demand.
+func NewPlacer(table *place.Table, view func() *roster.View, clock func() time.Time, onUnreachable func(host string, err error)) *Placer {
+	return &Placer{Table: table, Admit: table, View: view, Clock: clock, OnUnreachable: onUnreachable, peers: newPeerPool(clock), remote: map[*place.Grant]*peer{}}
 }
 
-// Close ends the connections to other hosts.
+// Close closes the connections to other hosts.
 func (p *Placer) Close() { p.peers.close() }
 
-// triesMost is how many hosts are asked to place one job; the one after them places if they can't be reached.
-const triesMost = 2
+// maxRemoteTries is the number of hosts that are tried to place one job; if none can be reached, the host after them in
+// the order places jobs itself.
+const maxRemoteTries = 2
 
 // Acquire returns an upstream for a job, or nil if none is free in time.
 func (p *Placer) Acquire(ctx context.Context, now time.Time, ask place.Ask) *place.Grant {
 	v := p.View()
 	tries := 0
 	for i, h := range v.Duties[ask.Service] {
-		if i > triesMost {
-			break // Were all hosts to place when they can reach no other, they would fill each slot many times.
+		if i > maxRemoteTries {
+			break // Further hosts are isolated: if each of them placed freely, each slot would be filled many times.
 		}
 		if h.Name == v.Self.Name {
 			return p.Admit.Acquire(ctx, now, ask)
 		}
-		if tries == triesMost || p.peers.skipped(h) {
+		if tries == maxRemoteTries || p.peers.skipped(h) {
 			continue
 		}
 		tries++
-		g, err := p.take(ctx, now, h, ask)
+		g, err := p.acquireFrom(ctx, now, h, ask)
 		if err == nil || ctx.Err() != nil {
 			return g
 		}
-		p.Lost(h.Name, err)
+		p.OnUnreachable(h.Name, err)
 		now = p.Clock()
 	}
 	ask.Isolated = true
 	return p.Admit.Acquire(ctx, now, ask)
 }
 
-// take asks another host. An upstream that this host knows to be leaving is given back.
-func (p *Placer) take(ctx context.Context, now time.Time, h roster.Host, ask place.Ask) (*place.Grant, error) {
+// acquireFrom acquires an upstream through another host. A grant for an upstream that this host no longer considers
+// usable is released, and another one requested.
+func (p *Placer) acquireFrom(ctx context.Context, now time.Time, h roster.Host, ask place.Ask) (*place.Grant, error) {
 	to, err := p.peers.get(ctx, h)
 	if err != nil {
 		return nil, err
 	}
 	for {
-		w, err := p.grant(ctx, to, toWire(&ask, p.calls.Add(1), now))
+		w, err := p.requestGrant(ctx, to, newWireAcquire(&ask, p.lastCall.Add(1), now))
 		if err != nil || w == nil {
 			return nil, err
 		}
-		g := &place.Grant{Number: w.Number, Upstream: find(p.View(), ask.Service, w)}
+		g := &place.Grant{Number: w.Number, Upstream: findUpstream(p.View(), ask.Service, w)}
 		if g.Upstream != nil {
 			p.mu.Lock()
 			p.remote[g] = to
 			p.mu.Unlock()
 			return g, nil
 		}
-		_ = to.conn.Notify(ctx, methodFree, wireFree{Number: w.Number, Quiet: true})
+		_ = to.conn.Notify(ctx, methodRelease, wireRelease{Number: w.Number, Quiet: true})
 		ask.Tried = append(ask.Tried, w.Upstream)
 		now = p.Clock()
 	}
 }
 
-// taken is the answer to a call for a grant.
-type taken struct {
+// grantReply is the result of a request for a grant.
+type grantReply struct {
 	grant *wireGrant
 	err   error
 }
 
-// grant makes one call for a grant. If the caller leaves, the call is dropped; a grant that crosses the drop is
-// given back.
-func (p *Placer) grant(ctx context.Context, to *peer, w wireTake) (*wireGrant, error) {
-	answer := make(chan taken, 1)
-	life := context.WithoutCancel(ctx)
+// requestGrant makes one call for a grant. If the context ends first, the call is canceled on the other host; a grant
+// that arrives after that is released.
+func (p *Placer) requestGrant(ctx context.Context, to *peer, w wireAcquire) (*wireGrant, error) {
+	answer := make(chan grantReply, 1)
+	callCtx := context.WithoutCancel(ctx)
 	go func() {
-		var t taken
-		t.err = to.call(life, p.Clock, methodTake, w, &t.grant)
+		var t grantReply
+		t.err = to.call(callCtx, p.Clock, methodAcquire, w, &t.grant)
 		answer <- t
 	}()
 	select {
 	case t := <-answer:
 		if t.err != nil {
-			return nil, ErrCall.Wrap(t.err, "asking %s", to.host.Name)
+			return nil, ErrCall.Wrap(t.err, "requesting an upstream from host %s", to.host.Name)
 		}
 		return t.grant, nil
 	case <-ctx.Done():
 	}
-	_ = to.conn.Notify(life, methodDrop, wireDrop{Call: w.Call})
+	_ = to.conn.Notify(callCtx, methodCancel, wireCancel{Call: w.Call})
 	go func() {
 		if t := <-answer; t.err == nil && t.grant != nil {
-			_ = to.conn.Notify(life, methodFree, wireFree{Number: t.grant.Number, Quiet: true})
+			_ = to.conn.Notify(callCtx, methodRelease, wireRelease{Number: t.grant.Number, Quiet: true})
 		}
 	}()
 	return nil, ctx.Err()
 }
 
-func find(v *roster.View, service string, w *wireGrant) *roster.Upstream {
+// findUpstream returns the granted incarnation of an upstream, or nil if the view doesn't contain it.
+func findUpstream(v *roster.View, service string, w *wireGrant) *roster.Upstream {
 	for _, u := range v.Upstreams[service] {
 		if u.ID == w.Upstream && u.Born == w.Born {
 			return u
@@ -128,7 +131,7 @@
 	return nil
 }
 
-// Release ends a job's stay at an upstream.
+// Release ends a grant with the result of its job.
 func (p *Placer) Release(now time.Time, g *place.Grant, r place.Result) {
 	p.mu.Lock()
 	to := p.remote[g]
@@ -138,6 +141,6 @@
 		p.Table.Release(now, g, r)
 		return
 	}
-	// A host that is lost meanwhile ends the grant by itself.
-	_ = to.conn.Notify(context.Background(), methodFree, fromResult(g.Number, r))
+	// If the notification is lost, the placing host ends the grant when it expires.
+	_ = to.conn.Notify(context.Background(), methodRelease, newWireRelease(g.Number, r))
 }
--- a/internal/edge/broker/server.go
+++ b/internal/edge/broker/server.go
@@ -15,32 +15,32 @@
 	"github.com/boragelane/boragelane/internal/flow/place"
 )
 
-// Dealer lends upstreams between regions.
-type Dealer interface {
+// LoanPlanner records a region's demand and returns the loans of upstreams between regions.
+type LoanPlanner interface {
 	Ask(ctx context.Context, a deal.Ask) (deal.Loans, bool)
 }
 
-// Teller passes on what this host read from the store.
-type Teller interface {
+// UpdateSource returns the changes that this host read from the store.
+type UpdateSource interface {
 	News(ctx context.Context, after int64) (watch.News, bool)
 }
 
-// Admitter admits jobs to upstreams.
+// Admitter admits jobs to upstreams and waits for a free slot.
 type Admitter interface {
 	Acquire(ctx context.Context, now time.Time, ask place.Ask) *place.Grant
 }
 
-// Server places the jobs of other hosts of its region.
+// Server answers other hosts: it places the jobs of its region, plans loans and passes on store changes.
 type Server struct {
-	Dealer Dealer
-	Teller Teller
-	Admit  Admitter // Asks the table.
+	Dealer LoanPlanner
+	Teller UpdateSource
+	Admit  Admitter // Acquires from Table.
 	Table  *place.Table
 	Clock  func() time.Time
 	Done   chan struct{}
 }
 
-// Serve accepts connections until the listener is closed.
+// Serve accepts connections until the context ends or the listener is closed.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) {
 	defer close(s.Done)
 	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
@@ -50,9 +50,9 @@
 		if err != nil {
 			return
 		}
-		ses := &session{server: s, drops: map[uint64]context.CancelFunc{}}
-		life, cancel := context.WithCancel(ctx)
-		conn := jsonrpc2.NewConn(life, stream(c), jsonrpc2.AsyncHandler(ses))
+		sess := &session{server: s, cancels: map[uint64]context.CancelFunc{}}
+		connCtx, cancel := context.WithCancel(ctx)
+		conn := jsonrpc2.NewConn(connCtx, newStream(c), jsonrpc2.AsyncHandler(sess))
 		go func() {
 			<-conn.DisconnectNotify()
 			cancel()
@@ -60,33 +60,33 @@
 	}
 }
 
-func stream(c net.Conn) jsonrpc2.ObjectStream {
+func newStream(c net.Conn) jsonrpc2.ObjectStream {
 	return jsonrpc2.NewBufferedStream(c, jsonrpc2.VarintObjectCodec{})
 }
 
-// session is one host's connection.
+// session is the connection of one host.
 type session struct {
-	server *Server
-	mu     sync.Mutex
-	drops  map[uint64]context.CancelFunc // Calls that wait, by the number that the host gave them.
+	server  *Server
+	mu      sync.Mutex
+	cancels map[uint64]context.CancelFunc // Waiting calls, by the number that the other host assigned.
 }
 
-// Handle answers one call.
+// Handle serves one request.
 func (s *session) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
 	var err error
 	switch req.Method {
-	case methodTake:
-		err = handle(req, func(w *wireTake) error { return s.take(ctx, conn, req.ID, w) })
-	case methodFree:
-		err = handle(req, s.free)
-	case methodDrop:
-		err = handle(req, s.drop)
+	case methodAcquire:
+		err = decodeParams(req, func(w *wireAcquire) error { return s.acquire(ctx, conn, req.ID, w) })
+	case methodRelease:
+		err = decodeParams(req, s.release)
+	case methodCancel:
+		err = decodeParams(req, s.cancel)
 	case methodPing:
 		err = conn.Reply(ctx, req.ID, true)
-	case methodNews:
-		err = handle(req, func(w *wireFollow) error { return s.news(ctx, conn, req.ID, w) })
-	case methodDeal:
-		err = handle(req, func(a *deal.Ask) error { return s.deal(ctx, conn, req.ID, a) })
+	case methodUpdates:
+		err = decodeParams(req, func(w *wireUpdatesRequest) error { return s.updates(ctx, conn, req.ID, w) })
+	case methodLoans:
+		err = decodeParams(req, func(a *deal.Ask) error { return s.loans(ctx, conn, req.ID, a) })
 	default:
 		err = ErrCall.New("no method %q", req.Method)
 	}
@@ -95,7 +95,8 @@
 	}
 }
 
-func handle[T any](req *jsonrpc2.Request, do func(*T) error) error {
+// decodeParams decodes the parameters of a request and passes them to do.
+func decodeParams[T any](req *jsonrpc2.Request, do func(*T) error) error {
 	var in T
 	if req.Params == nil {
 		return ErrCall.New("%s has no parameters", req.Method)
@@ -106,21 +107,22 @@
 	return do(&in)
 }
 
-func (s *session) take(ctx context.Context, conn *jsonrpc2.Conn, id jsonrpc2.ID, w *wireTake) error {
+// acquire waits for an upstream and replies with a grant, or with null if there is none.
+func (s *session) acquire(ctx context.Context, conn *jsonrpc2.Conn, id jsonrpc2.ID, w *wireAcquire) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.mu.Lock()
-	s.drops[w.Call] = cancel
+	s.cancels[w.Call] = cancel
 	s.mu.Unlock()
 	now := s.server.Clock()
-	g := s.server.Admit.Acquire(ctx, now, w.ask(now))
+	g := s.server.Admit.Acquire(ctx, now, w.toAsk(now))
 	s.mu.Lock()
-	delete(s.drops, w.Call)
+	delete(s.cancels, w.Call)
 	s.mu.Unlock()
 	if g == nil {
 		return conn.Reply(ctx, id, nil)
 	}
-	err := ctx.Err() // A dropped call gets no grant.
+	err := ctx.Err() // A canceled call gets no grant.
 	if err == nil {
 		err = conn.Reply(ctx, id, wireGrant{Number: g.Number, Upstream: g.Upstream.ID, Born: g.Upstream.Born})
 	}
@@ -130,23 +132,26 @@
 	return err
 }
 
-func (s *session) free(w *wireFree) error {
+// release ends a grant; an unknown grant is ignored, since it may have expired.
+func (s *session) release(w *wireRelease) error {
 	if g := s.server.Table.Find(w.Number); g != nil {
-		s.server.Table.Release(s.server.Clock(), g, w.result())
+		s.server.Table.Release(s.server.Clock(), g, w.toResult())
 	}
 	return nil
 }
 
-func (s *session) drop(w *wireDrop) error {
+// cancel ends the wait of a call; an unknown call is ignored, since it may have been answered.
+func (s *session) cancel(w *wireCancel) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if cancel := s.drops[w.Call]; cancel != nil {
+	if cancel := s.cancels[w.Call]; cancel != nil {
 		cancel()
 	}
 	return nil
 }
 
-func (s *session) deal(ctx context.Context, conn *jsonrpc2.Conn, id jsonrpc2.ID, a *deal.Ask) error {
+// loans records a region's demand and replies with the loans.
+func (s *session) loans(ctx context.Context, conn *jsonrpc2.Conn, id jsonrpc2.ID, a *deal.Ask) error {
 	loans, ok := s.server.Dealer.Ask(ctx, *a)
 	if !ok {
 		return ErrCall.New("this host is stopping")
@@ -154,8 +159,9 @@
 	return conn.Reply(ctx, id, loans)
 }
 
-// news tells what changed; the time left of a cold upstream is what matters to the other host, not its clock.
-func (s *session) news(ctx context.Context, conn *jsonrpc2.Conn, id jsonrpc2.ID, w *wireFollow) error {
+// updates replies with the store changes after a revision. Cold times are sent as the time left, because the clocks of
+// hosts differ.
+func (s *session) updates(ctx context.Context, conn *jsonrpc2.Conn, id jsonrpc2.ID, w *wireUpdatesRequest) error {
 	n, ok := s.server.Teller.News(ctx, w.After)
 	if !ok {
 		return ErrCall.New("this host is stopping")
@@ -167,8 +173,8 @@
 		u.Cold = max(0, u.ColdUntil().Sub(now))
 		u.Reported = time.Time{}
 		if changes[i].Err != nil {
-			changes[i].Err, changes[i].Removed = nil, true // An entry that can't be read names nothing to use.
+			changes[i].Err, changes[i].Removed = nil, true // An unreadable entry can't be used, so it counts as removed.
 		}
 	}
-	return conn.Reply(ctx, id, wireNews{Revision: n.Batch.Revision, Full: n.Batch.Full, Age: n.Age, Changes: changes})
+	return conn.Reply(ctx, id, wireUpdates{Revision: n.Batch.Revision, Full: n.Batch.Full, Age: n.Age, Changes: changes})
 }
--- a/internal/edge/broker/wire.go
+++ b/internal/edge/broker/wire.go
@@ -12,21 +12,21 @@
 // Errors is the namespace of this package's errors.
 var Errors = errorx.NewNamespace("broker")
 
-// ErrCall is a host that gave no answer.
+// ErrCall is a failed call to another host, or a call that this host rejects.
 var ErrCall = Errors.NewType("call")
 
-// Methods between hosts.
+// JSON-RPC methods between hosts.
 const (
-	methodTake = "take" // Asks for an upstream; the answer is a grant, or null.
-	methodFree = "free" // Ends a grant.
-	methodDrop = "drop" // Ends the wait for a grant.
-	methodPing = "ping"
-	methodNews = "news" // Asks what changed in the store.
-	methodDeal = "deal" // Tells a region's demand; the answer is the loans.
+	methodAcquire = "take" // Requests an upstream; the reply is a grant, or null.
+	methodRelease = "free" // Ends a grant.
+	methodCancel  = "drop" // Cancels a waiting acquire call.
+	methodPing    = "ping"
+	methodUpdates = "news" // Requests the store changes after a revision.
+	methodLoans   = "deal" // Sends a region's demand; the reply is the loans.
 )
 
-type wireTake struct {
-	Call      uint64   `json:"n"` // Names the call, to drop it.
+type wireAcquire struct {
+	Call      uint64   `json:"n"` // Number of the call, used to cancel it.
 	Host      string   `json:"host"`
 	Domain    string   `json:"dom"`
 	Region    string   `json:"reg"`
@@ -35,14 +35,14 @@
 	Object    string   `json:"obj,omitempty"`
 	Homes     []string `json:"homes,omitempty"`
 	Tried     []string `json:"tried,omitempty"`
-	Objective int64    `json:"aim"` // Milliseconds left.
-	Deadline  int64    `json:"end"` // Milliseconds left.
+	Objective int64    `json:"aim"` // Time left in milliseconds, since the clocks of hosts differ.
+	Deadline  int64    `json:"end"` // Time left in milliseconds.
 
 	Trace map[string]string `json:"span,omitempty"`
 }
 
-func toWire(a *place.Ask, call uint64, now time.Time) wireTake {
-	return wireTake{
+func newWireAcquire(a *place.Ask, call uint64, now time.Time) wireAcquire {
+	return wireAcquire{
 		Call: call, Host: a.Host.Name, Domain: a.Host.Domain, Region: a.Host.Region, Service: a.Service, Rank: a.Rank,
 		Object: a.Object, Homes: a.Homes, Tried: a.Tried,
 		Objective: a.Objective.Sub(now).Milliseconds(), Deadline: a.Deadline.Sub(now).Milliseconds(),
@@ -50,7 +50,7 @@
 	}
 }
 
-func (w *wireTake) ask(now time.Time) place.Ask {
+func (w *wireAcquire) toAsk(now time.Time) place.Ask {
 	return place.Ask{
 		Host: roster.Host{Name: w.Host, Domain: w.Domain, Region: w.Region}, Service: w.Service, Rank: w.Rank,
 		Object: w.Object, Homes: w.Homes, Tried: w.Tried,
@@ -66,7 +66,7 @@
 	Born     int64  `json:"born"`
 }
 
-type wireFree struct {
+type wireRelease struct {
 	Number  uint64        `json:"n"`
 	Took    time.Duration `json:"took"`
 	Dial    time.Duration `json:"dial,omitempty"`
@@ -78,29 +78,29 @@
 	Broken  bool          `json:"broken,omitempty"`
 }
 
-func fromResult(number uint64, r place.Result) wireFree {
-	return wireFree{
+func newWireRelease(number uint64, r place.Result) wireRelease {
+	return wireRelease{
 		Number: number, Took: r.Took, Dial: r.Dial, Waiting: r.Waiting, Good: r.Good, Quiet: r.Quiet, Shed: r.Shed,
 		Moved: r.Moved, Broken: r.Broken,
 	}
 }
 
-func (w *wireFree) result() place.Result {
+func (w *wireRelease) toResult() place.Result {
 	return place.Result{
 		Took: w.Took, Dial: w.Dial, Waiting: w.Waiting, Good: w.Good, Quiet: w.Quiet, Shed: w.Shed, Moved: w.Moved, Broken: w.Broken,
 	}
 }
 
-type wireDrop struct {
+type wireCancel struct {
 	Call uint64 `json:"n"`
 }
 
-type wireFollow struct {
+type wireUpdatesRequest struct {
 	After int64 `json:"after"`
 }
 
-// wireNews carries the store's changes in the form that control folds: both ends are the same program.
-type wireNews struct {
+// wireUpdates carries store changes in the control loop's own types: both ends run the same program.
+type wireUpdates struct {
 	Revision int64           `json:"rev"`
 	Full     bool            `json:"full,omitempty"`
 	Age      time.Duration   `json:"age"`
