watch: state the 3 s limit on retries and the rare partition plainly

Two comments had lost a little of their meaning: that a host counts as connected 3 s after a partition ends, and that the worst case in the test is rare.

--- a/internal/ctrl/watch/reader.go
+++ b/internal/ctrl/watch/reader.go
@@ -37,8 +37,8 @@
 	// longPollTimeout is how long a read waits for a change. It is less than maxUpdateAge, so that a store without
 	// changes isn't taken for an unreachable one.
 	longPollTimeout = 800 * time.Millisecond
-	// minRetryDelay and maxReaderRetryDelay bound the exponential backoff after a failed read. Together with the
-	// time of a call they stay below 3 s, when a host counts as connected again after a network partition.
+	// minRetryDelay and maxReaderRetryDelay bound the exponential backoff after a failed read. Together with the time
+	// of a call they stay below the 3 s after which a host counts as connected again when a partition ends.
 	minRetryDelay       = 250 * time.Millisecond
 	maxReaderRetryDelay = 500 * time.Millisecond
 	// maxFollowerRetryDelay bounds the backoff of a host that isn't one of the region's readers. It gets changes from
--- a/internal/ctrl/watch/reader_test.go
+++ b/internal/ctrl/watch/reader_test.go
@@ -97,7 +97,7 @@
 	return time.Since(begin)
 }
 
-// Worst case of a partition: it ends just after a call started, which still hangs until its timeout. The host must have
+// Rare worst case of a partition: it ends just after a call started, which still hangs until its timeout. The host must have
 // new data before it counts as connected again, 3 s after the end of the partition.
 func TestReadsResumeSoonAfterAPartition(t *testing.T) {
 	f := &fakeStore{}
--- a/internal/ctrl/watch/shares.go
+++ b/internal/ctrl/watch/shares.go
@@ -69,16 +69,16 @@
 		regions[h.Region] = true
 	}
 	in.Regions = slices.Sorted(maps.Keys(regions))
-	for k, a := range s.demands {
-		if now.Sub(a.receivedAt) > demandTTL {
+	for k, d := range s.demands {
+		if now.Sub(d.receivedAt) > demandTTL {
 			delete(s.demands, k)
 			continue
 		}
 		if in.Demand[k[0]] == nil {
 			in.Demand[k[0]] = deal.Demand{}
 		}
-		in.Demand[k[0]][k[1]] = a.slots
-		for _, id := range a.unavailable {
+		in.Demand[k[0]][k[1]] = d.slots
+		for _, id := range d.unavailable {
 			in.Down[id] = true
 		}
 	}
