docs: plain wording in the dialer package

Names such as strays, keep, quiet, fill, link and the Life suffix did not say what they held; they are now maxStaleResponses, reuseTimeout, reusable, fillReply, upstreamConn and Timeout. Comments and errors speak of responses, keep-alive and incarnations instead of answers, silence and ends. Tests with riddling names are renamed; they check what they checked before.

--- a/internal/edge/dialer/dialer.go
+++ b/internal/edge/dialer/dialer.go
@@ -21,29 +21,29 @@
 // Errors is the namespace of this package's errors.
 var Errors = errorx.NewNamespace("dialer")
 
-// ErrAnswer is an answer that can't be passed on.
-var ErrAnswer = Errors.NewType("answer")
+// ErrResponse marks a response that can't be used as the job's answer.
+var ErrResponse = Errors.NewType("answer")
 
-// Names are the headers that the platform and boragelane agree on.
+// Names holds the names of the HTTP headers that boragelane exchanges with upstreams.
 type Names struct {
-	ID          string // The caller's id of the request, echoed in its answer.
-	Deadline    string // Milliseconds left.
-	Target      string // The id of the upstream that is meant.
-	Signature   string // Marks an answer that an upstream made.
-	NotExecuted string // The upstream did not run the request.
-	Load        string // Running, waiting, slots.
+	ID          string // The caller's request id, which the upstream echoes in its response.
+	Deadline    string // Milliseconds until the deadline.
+	Target      string // Id of the upstream that the request is addressed to.
+	Signature   string // Marks a response that an upstream itself produced.
+	NotExecuted string // Present if the upstream did not run the request.
+	Load        string // Running requests, waiting requests and slots, separated by commas.
 }
 
 const (
-	// maxAnswer is the largest answer, in bytes.
-	maxAnswer = 64 << 20
-	// strays is how many answers to other requests are skipped before a connection is given up.
-	strays = 4
-	// backMargin is the time that an answer takes on its way back: the upstream's own deadline ends before the job's.
-	backMargin = 10 * time.Millisecond
+	// maxResponseBody is the largest accepted response body, in bytes.
+	maxResponseBody = 64 << 20
+	// maxStaleResponses is how many responses are read from a connection while looking for the job's.
+	maxStaleResponses = 4
+	// deadlineMargin is subtracted from the deadline sent to the upstream, so that its response arrives before the job's deadline.
+	deadlineMargin = 10 * time.Millisecond
 )
 
-// Sender sends jobs to upstreams.
+// Sender sends jobs to upstreams over pooled connections.
 type Sender struct {
 	Names Names
 	Clock func() time.Time
@@ -51,88 +51,88 @@
 	pool pool
 }
 
-// New returns a sender without connections.
+// New returns a sender with an empty connection pool.
 func New(names Names, clock func() time.Time) *Sender {
-	return &Sender{Names: names, Clock: clock, pool: pool{idle: map[string][]*link{}}}
+	return &Sender{Names: names, Clock: clock, pool: pool{idle: map[string][]*upstreamConn{}}}
 }
 
-// Sweep closes connections that have been idle for too long.
-func (s *Sender) Sweep(now time.Time) { s.pool.sweep(now) }
+// Sweep closes pooled connections whose idle timeout has passed.
+func (s *Sender) Sweep(now time.Time) { s.pool.closeExpired(now) }
 
-// key tells incarnations apart: a connection to an older one must not be used.
-func key(u *roster.Upstream) string {
+// poolKey includes the upstream's incarnation, so that a connection to an earlier one is never reused.
+func poolKey(u *roster.Upstream) string {
 	return u.ID + " " + u.Address + " " + strconv.FormatInt(u.Born, 36)
 }
 
-// Send sends a job to an upstream once and reads the whole answer.
+// Send sends a job to an upstream exactly once and reads the full response.
 func (s *Sender) Send(ctx context.Context, now time.Time, job *pipe.Job, u *roster.Upstream) pipe.Reply {
 	var r pipe.Reply
-	l := s.pool.get(now, key(u))
-	if l == nil {
-		if l, r.Err = dial(ctx, u.Address); r.Err != nil {
+	c := s.pool.get(now, poolKey(u))
+	if c == nil {
+		if c, r.Err = dial(ctx, u.Address); r.Err != nil {
 			r.Late = ctx.Err() != nil
 			return r
 		}
 		r.Dial = s.Clock().Sub(now)
 	}
-	stop := context.AfterFunc(ctx, func() { _ = l.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	r.Sent = true
-	life, err := s.exchange(job, u, l, &r)
-	if !stop() || err != nil || life <= 0 {
-		_ = l.Close()
+	reuse, err := s.roundTrip(job, u, c, &r)
+	if !stop() || err != nil || reuse <= 0 {
+		_ = c.Close()
 	} else {
-		s.pool.put(s.Clock(), key(u), l, life)
+		s.pool.put(s.Clock(), poolKey(u), c, reuse)
 	}
 	if err != nil {
 		r.Err = err
 		r.Late = ctx.Err() != nil
-		r.Crash = !r.Late && !errorx.IsOfType(err, ErrAnswer) && !egress.Reachable(u.Address)
+		r.Crash = !r.Late && !errorx.IsOfType(err, ErrResponse) && !egress.Reachable(u.Address)
 	}
 	return r
 }
 
-// exchange writes the request and reads its answer; it returns how long the connection may be used again.
-func (s *Sender) exchange(job *pipe.Job, u *roster.Upstream, l *link, r *pipe.Reply) (time.Duration, error) {
-	req := s.request(job, u)
-	wrote := make(chan error, 1)
+// roundTrip writes the request and reads the response; it returns how long the connection may be reused, or 0.
+func (s *Sender) roundTrip(job *pipe.Job, u *roster.Upstream, c *upstreamConn, r *pipe.Reply) (time.Duration, error) {
+	req := s.newRequest(job, u)
+	writeErr := make(chan error, 1)
 	if len(job.Body) == 0 {
-		wrote <- req.Write(l)
+		writeErr <- req.Write(c)
 	} else {
-		// An upstream may answer before it has read a long body.
-		go func() { wrote <- req.Write(l) }()
+		// An upstream may respond before it has read all of a long body.
+		go func() { writeErr <- req.Write(c) }()
 	}
-	head, body, err := s.read(req, job.ID, l)
+	head, body, err := s.readResponse(req, job.ID, c)
 	if err != nil {
 		return 0, err
 	}
-	s.fill(head, body, r)
+	s.fillReply(head, body, r)
 	select {
-	case err := <-wrote:
+	case err := <-writeErr:
 		if err == nil && !head.Close {
-			return keep(head.Header), nil
+			return reuseTimeout(head.Header), nil
 		}
-	default: // The rest of the body is due on this connection, and nothing else.
+	default: // The body is still being written, so the connection can't be reused.
 	}
 	return 0, nil
 }
 
-func (s *Sender) request(job *pipe.Job, u *roster.Upstream) *http.Request {
-	fields := http.Header(maps.Clone(job.Header))
-	if fields == nil {
-		fields = http.Header{}
+func (s *Sender) newRequest(job *pipe.Job, u *roster.Upstream) *http.Request {
+	header := http.Header(maps.Clone(job.Header))
+	if header == nil {
+		header = http.Header{}
 	}
-	fields.Set(s.Names.Target, u.ID)
-	left := job.Deadline.Sub(s.Clock()) - backMargin
-	fields.Set(s.Names.Deadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	header.Set(s.Names.Target, u.ID)
+	remaining := job.Deadline.Sub(s.Clock()) - deadlineMargin
+	header.Set(s.Names.Deadline, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
 	for name, value := range job.Trace {
-		fields.Set(name, value)
+		header.Set(name, value)
 	}
-	if _, ok := fields["User-Agent"]; !ok {
-		fields["User-Agent"] = nil // Keeps the library from adding one.
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = nil // Stops net/http from adding its own.
 	}
 	req := &http.Request{
 		Method: job.Method, URL: &url.URL{Scheme: "http", Host: job.Host, Opaque: job.Path}, Host: job.Host,
-		Header: fields, ContentLength: int64(len(job.Body)), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: header, ContentLength: int64(len(job.Body)), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	if len(job.Body) > 0 {
 		req.Body = io.NopCloser(bytes.NewReader(job.Body))
@@ -140,12 +140,12 @@
 	return req
 }
 
-// read returns the job's answer; late answers to earlier requests come first and are skipped.
-func (s *Sender) read(req *http.Request, id string, l *link) (head, []byte, error) {
-	for range strays {
-		h, body, err := next(req, l)
+// readResponse returns the response to the job. It skips informational responses and late responses to earlier requests.
+func (s *Sender) readResponse(req *http.Request, id string, c *upstreamConn) (responseHead, []byte, error) {
+	for range maxStaleResponses {
+		h, body, err := readOne(req, c)
 		if err != nil {
-			return head{}, nil, err
+			return responseHead{}, nil, err
 		}
 		if h.Status < http.StatusOK {
 			continue
@@ -154,58 +154,58 @@
 			return h, body, nil
 		}
 		if h.Close {
-			return head{}, nil, ErrAnswer.New("an answer to another request came in place of %s", id)
+			return responseHead{}, nil, ErrResponse.New("received the response to another request instead of %s", id)
 		}
 	}
-	return head{}, nil, ErrAnswer.New("too many answers to other requests")
+	return responseHead{}, nil, ErrResponse.New("too many responses to other requests")
 }
 
-// head is an answer without its body.
-type head struct {
+// responseHead is a response without its body.
+type responseHead struct {
 	Status int
 	Header http.Header
-	Close  bool // The connection ends with it.
+	Close  bool // The upstream closes the connection after this response.
 }
 
-// next reads the next answer on a connection to its end.
-func next(req *http.Request, l *link) (head, []byte, error) {
-	resp, err := http.ReadResponse(l.reader, req)
+// readOne reads one full response from a connection.
+func readOne(req *http.Request, c *upstreamConn) (responseHead, []byte, error) {
+	resp, err := http.ReadResponse(c.reader, req)
 	if err != nil {
-		return head{}, nil, err
+		return responseHead{}, nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
-	if err == nil && len(body) > maxAnswer {
-		err = ErrAnswer.New("an answer has over %d bytes", maxAnswer)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBody+1))
+	if err == nil && len(body) > maxResponseBody {
+		err = ErrResponse.New("response body exceeds %d bytes", maxResponseBody)
 	}
-	return head{Status: resp.StatusCode, Header: resp.Header, Close: resp.Close}, body, err
+	return responseHead{Status: resp.StatusCode, Header: resp.Header, Close: resp.Close}, body, err
 }
 
-// fill takes over what an answer says.
-func (s *Sender) fill(a head, body []byte, r *pipe.Reply) {
-	h := a.Header
+// fillReply translates an HTTP response into a reply.
+func (s *Sender) fillReply(resp responseHead, body []byte, r *pipe.Reply) {
+	h := resp.Header
 	r.ID = h.Get(s.Names.ID)
-	r.Report = report(h.Get(s.Names.Load))
-	r.Draining = a.Close
+	r.Report = parseLoad(h.Get(s.Names.Load))
+	r.Draining = resp.Close
 	switch {
-	case a.Status == http.StatusMisdirectedRequest:
+	case resp.Status == http.StatusMisdirectedRequest:
 		r.Moved = true
 		return
 	case h.Get(s.Names.NotExecuted) != "":
 		r.Shed = true
 		return
 	}
-	good := a.Status < http.StatusMultipleChoices
+	success := resp.Status < http.StatusMultipleChoices
 	signed := h.Get(s.Names.Signature) != "" && r.ID != ""
-	r.Whole = signed || !good
-	if good && !signed {
-		r.Err = ErrAnswer.New("an answer bears no signature")
+	r.Whole = signed || !success
+	if success && !signed {
+		r.Err = ErrResponse.New("response is not signed")
 	}
-	r.Answer = pipe.Answer{Status: a.Status, Type: h.Get("Content-Type"), Header: h, Body: body}
+	r.Answer = pipe.Answer{Status: resp.Status, Type: h.Get("Content-Type"), Header: h, Body: body}
 }
 
-// report reads an upstream's load: running, waiting, slots.
-func report(text string) *pipe.Report {
+// parseLoad parses the load header: running, waiting and slots; it returns nil if the value is malformed.
+func parseLoad(text string) *pipe.Report {
 	parts := strings.Split(text, ",")
 	if len(parts) != 3 {
 		return nil
@@ -221,16 +221,16 @@
 	return &pipe.Report{Running: n[0], Waiting: n[1], Slots: n[2]}
 }
 
-// keep returns how long a connection may be used again after an answer.
-func keep(h http.Header) time.Duration {
+// reuseTimeout returns how long a connection may stay idle, according to the Keep-Alive header.
+func reuseTimeout(h http.Header) time.Duration {
 	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
 		name, value, ok := strings.Cut(strings.TrimSpace(field), "=")
 		if !ok || !strings.EqualFold(name, "timeout") {
 			continue
 		}
 		if n, err := strconv.Atoi(value); err == nil {
-			return min(idleLife, time.Duration(n)*time.Second-idleMargin)
+			return min(idleTimeout, time.Duration(n)*time.Second-idleMargin)
 		}
 	}
-	return idleLife
+	return idleTimeout
 }
--- a/internal/edge/dialer/dialer_test.go
+++ b/internal/edge/dialer/dialer_test.go
@@ -18,9 +18,9 @@
 
 var testNames = Names{ID: "X-Id", Deadline: "X-Left", Target: "X-Target", Signature: "X-Sig", NotExecuted: "X-Not", Load: "X-Load"}
 
-// fake is an upstream that answers each request with the raw bytes that a function returns; it closes the
-// connection after an answer that ends in "!".
-func fake(t *testing.T, answer func(n int, r *http.Request) string) *roster.Upstream {
+// startUpstream starts an upstream that writes the bytes returned by respond as its response to each request; a trailing "!"
+// is left out and makes it close the connection.
+func startUpstream(t *testing.T, respond func(n int, r *http.Request) string) *roster.Upstream {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = ln.Close() })
@@ -36,7 +36,7 @@
 				if err != nil {
 					break
 				}
-				text := answer(n, r)
+				text := respond(n, r)
 				n++
 				end := strings.HasSuffix(text, "!")
 				_, _ = c.Write([]byte(strings.TrimSuffix(text, "!")))
@@ -50,7 +50,7 @@
 	return &roster.Upstream{ID: "u1", Address: ln.Addr().String(), Slots: 2}
 }
 
-func ok(id, body string) string {
+func okResponse(id, body string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Sig: s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
 
@@ -64,11 +64,11 @@
 	return s.Send(ctx, time.Now(), job, u)
 }
 
-func TestWhatIsSentAndWhatComesBack(t *testing.T) {
+func TestSendMapsTheRequestAndTheResponse(t *testing.T) {
 	var got *http.Request
-	u := fake(t, func(_ int, r *http.Request) string {
+	u := startUpstream(t, func(_ int, r *http.Request) string {
 		got = r
-		return strings.Replace(ok("7", "whole"), "X-Sig", "X-Load: 1, 2,3\r\nX-Sig", 1)
+		return strings.Replace(okResponse("7", "whole"), "X-Sig", "X-Load: 1, 2,3\r\nX-Sig", 1)
 	})
 	s := New(testNames, time.Now)
 	r := send(s, u, "7")
@@ -81,28 +81,28 @@
 	assert.Equal(t, got.Host, "h.example")
 }
 
-func TestOnlyWholeSignedAnswersOfTheJobArePassedOn(t *testing.T) {
+func TestOnlyCompleteSignedResponsesToTheJobAreAccepted(t *testing.T) {
 	for _, c := range []struct {
 		name, answer             string
 		whole, shed, moved, sent bool
 	}{
-		{name: "whole", answer: ok("7", "body"), whole: true, sent: true},
-		{name: "cut short", answer: "HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Sig: s\r\nContent-Length: 9\r\n\r\nbod!", sent: true},
-		{name: "cut in a chunk", answer: "HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Sig: s\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nbod!", sent: true},
-		{name: "without a length, to its end", answer: "HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Sig: s\r\n\r\nbody!", whole: true, sent: true},
+		{name: "complete", answer: okResponse("7", "body"), whole: true, sent: true},
+		{name: "truncated body", answer: "HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Sig: s\r\nContent-Length: 9\r\n\r\nbod!", sent: true},
+		{name: "truncated chunk", answer: "HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Sig: s\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nbod!", sent: true},
+		{name: "no length, delimited by close", answer: "HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Sig: s\r\n\r\nbody!", whole: true, sent: true},
 		{name: "no signature", answer: "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 1\r\n\r\nx", sent: true},
 		{name: "no id", answer: "HTTP/1.1 200 OK\r\nX-Sig: s\r\nContent-Length: 1\r\n\r\nx", sent: true},
-		{name: "another request's answer, then the job's", answer: ok("6", "late") + ok("7", "body"), whole: true, sent: true},
-		{name: "another request's answer alone", answer: ok("6", "late") + "!", sent: true},
+		{name: "response to another request, then to the job", answer: okResponse("6", "late") + okResponse("7", "body"), whole: true, sent: true},
+		{name: "response to another request only", answer: okResponse("6", "late") + "!", sent: true},
 		{name: "not HTTP", answer: "\x00\x01garbage\r\n\r\n!", sent: true},
-		{name: "nothing", answer: "!", sent: true},
-		{name: "a failure", answer: "HTTP/1.1 500 Oops\r\nX-Id: 7\r\nContent-Length: 0\r\n\r\n", whole: true, sent: true},
+		{name: "empty response", answer: "!", sent: true},
+		{name: "server error", answer: "HTTP/1.1 500 Oops\r\nX-Id: 7\r\nContent-Length: 0\r\n\r\n", whole: true, sent: true},
 		{name: "shed", answer: "HTTP/1.1 503 Busy\r\nX-Not: 1\r\nContent-Length: 0\r\n\r\n", shed: true, sent: true},
-		{name: "503 without the promise", answer: "HTTP/1.1 503 Busy\r\nX-Id: 7\r\nContent-Length: 0\r\n\r\n", whole: true, sent: true},
-		{name: "another upstream", answer: "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n", moved: true, sent: true},
+		{name: "503 without the not-executed header", answer: "HTTP/1.1 503 Busy\r\nX-Id: 7\r\nContent-Length: 0\r\n\r\n", whole: true, sent: true},
+		{name: "misdirected to another upstream", answer: "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n", moved: true, sent: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			u := fake(t, func(int, *http.Request) string { return c.answer })
+			u := startUpstream(t, func(int, *http.Request) string { return c.answer })
 			r := send(New(testNames, time.Now), u, "7")
 			assert.Equal(t, r.Whole, c.whole, "%v", r.Err)
 			assert.Equal(t, r.Shed, c.shed)
@@ -113,12 +113,12 @@
 	}
 }
 
-func TestBytesAfterAnAnswerReachNobody(t *testing.T) {
-	u := fake(t, func(n int, r *http.Request) string {
+func TestBytesAfterAResponseAreDiscarded(t *testing.T) {
+	u := startUpstream(t, func(n int, r *http.Request) string {
 		if n == 0 {
-			return ok("1", "first") + ok("1", "extra")
+			return okResponse("1", "first") + okResponse("1", "extra")
 		}
-		return ok(r.Header.Get("X-Id"), "own")
+		return okResponse(r.Header.Get("X-Id"), "own")
 	})
 	s := New(testNames, time.Now)
 	assert.Equal(t, string(send(s, u, "1").Answer.Body), "first")
@@ -126,8 +126,8 @@
 	assert.Equal(t, string(send(s, u, "2").Answer.Body), "own")
 }
 
-func TestAnIdleConnectionThatWasClosedCostsNoJob(t *testing.T) {
-	u := fake(t, func(_ int, r *http.Request) string { return ok(r.Header.Get("X-Id"), "b") + "!" })
+func TestAClosedIdleConnectionFailsNoJob(t *testing.T) {
+	u := startUpstream(t, func(_ int, r *http.Request) string { return okResponse(r.Header.Get("X-Id"), "b") + "!" })
 	s := New(testNames, time.Now)
 	for _, id := range []string{"1", "2", "3"} {
 		r := send(s, u, id)
@@ -136,9 +136,9 @@
 	}
 }
 
-func TestAConnectionIsUsedAgainOnlyForItsIncarnation(t *testing.T) {
+func TestAConnectionIsNotReusedForAnotherIncarnation(t *testing.T) {
 	opened := 0
-	u := fake(t, func(_ int, r *http.Request) string { return ok(r.Header.Get("X-Id"), "b") })
+	u := startUpstream(t, func(_ int, r *http.Request) string { return okResponse(r.Header.Get("X-Id"), "b") })
 	s := New(testNames, time.Now)
 	for _, born := range []int64{1, 1, 2} {
 		v := *u
@@ -150,7 +150,7 @@
 	assert.Equal(t, opened, 2)
 }
 
-func TestAnUpstreamThatIsDownIsToldFromOneThatLostAnAnswer(t *testing.T) {
+func TestACrashWhileRunningDiffersFromAnUnreachableUpstream(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	addr := ln.Addr().String()
@@ -170,8 +170,8 @@
 	assert.Assert(t, !r.Sent && !r.Crash)
 }
 
-func TestACallerThatLeavesEndsTheWork(t *testing.T) {
-	ended := make(chan struct{})
+func TestACallerThatDisconnectsCancelsItsRequest(t *testing.T) {
+	connClosed := make(chan struct{})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer func() { _ = ln.Close() }()
@@ -183,7 +183,7 @@
 		br := bufio.NewReader(c)
 		_, _ = http.ReadRequest(br)
 		_, _ = br.ReadByte()
-		close(ended)
+		close(connClosed)
 	}()
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(50*time.Millisecond, cancel)
@@ -191,8 +191,8 @@
 	r := New(testNames, time.Now).Send(ctx, time.Now(), job, &roster.Upstream{ID: "u", Address: ln.Addr().String()})
 	assert.Assert(t, r.Sent && r.Late)
 	select {
-	case <-ended:
+	case <-connClosed:
 	case <-time.After(5 * time.Second):
-		t.Fatal("the upstream's connection stays open")
+		t.Fatal("the connection to the upstream was not closed")
 	}
 }
--- a/internal/edge/dialer/doc.go
+++ b/internal/edge/dialer/doc.go
@@ -1,2 +1,2 @@
-// Package dialer sends jobs to upstreams over HTTP/1.1, one at a time on a connection, and never sends one twice.
+// Package dialer sends jobs to upstreams over pooled HTTP/1.1 connections, without pipelining and without retries.
 package dialer
--- a/internal/edge/dialer/pool.go
+++ b/internal/edge/dialer/pool.go
@@ -11,73 +11,73 @@
 )
 
 const (
-	// dialLife bounds a new connection: far regions are 55 ms away, and a lost packet is sent again after 1 s.
-	dialLife = 1200 * time.Millisecond
-	// idleLife is how long a connection is kept without a job; upstreams say less in Keep-Alive, or nothing.
-	idleLife = 4 * time.Second
-	// idleMargin is the time in which a job could cross the upstream's close.
+	// dialTimeout leaves time for one retransmission, which takes 1 s, at 55 ms of latency to a far region.
+	dialTimeout = 1200 * time.Millisecond
+	// idleTimeout is how long an idle connection is kept, unless the upstream's Keep-Alive asks for less.
+	idleTimeout = 4 * time.Second
+	// idleMargin is subtracted from a Keep-Alive timeout, so that no job is sent while the upstream closes the connection.
 	idleMargin = 500 * time.Millisecond
-	// userTimeout ends connections to hosts that went silent while something is unacknowledged.
+	// userTimeout closes a connection whose peer has not acknowledged sent data for this long.
 	userTimeout = 3 * time.Second
-	// idleMost is how many idle connections to one upstream are kept.
-	idleMost = 8
-	// readBuffer is the buffer of a connection, in bytes; most answers fit.
-	readBuffer = 4096
+	// maxIdlePerUpstream bounds the idle connections to one upstream.
+	maxIdlePerUpstream = 8
+	// readBufferSize is the size of a connection's read buffer in bytes; most responses fit.
+	readBufferSize = 4096
 )
 
-// link is a connection to an upstream.
-type link struct {
+// upstreamConn is a keep-alive connection to an upstream.
+type upstreamConn struct {
 	net.Conn
-	reader *bufio.Reader
-	until  time.Time // It is not used again after this.
+	reader  *bufio.Reader
+	expires time.Time // The connection is not reused after this time.
 }
 
-// pool keeps the idle connections, by upstream.
+// pool holds idle connections, keyed by upstream and incarnation.
 type pool struct {
 	mu   sync.Mutex
-	idle map[string][]*link
+	idle map[string][]*upstreamConn
 }
 
-// get returns an idle connection that is still open and silent, or nil.
-func (p *pool) get(now time.Time, key string) *link {
+// get takes an idle connection that is still usable out of the pool, or returns nil.
+func (p *pool) get(now time.Time, key string) *upstreamConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[key]
 	for len(list) > 0 {
-		l := list[len(list)-1]
+		c := list[len(list)-1]
 		list = list[:len(list)-1]
 		p.idle[key] = list
-		if now.Before(l.until) && quiet(l) {
-			return l
+		if now.Before(c.expires) && reusable(c) {
+			return c
 		}
-		_ = l.Close()
+		_ = c.Close()
 	}
 	delete(p.idle, key)
 	return nil
 }
 
-// put keeps a connection for the next job.
-func (p *pool) put(now time.Time, key string, l *link, keep time.Duration) {
-	l.until = now.Add(keep)
+// put returns a connection to the pool, or closes it if the pool is full.
+func (p *pool) put(now time.Time, key string, c *upstreamConn, timeout time.Duration) {
+	c.expires = now.Add(timeout)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[key]) >= idleMost {
-		_ = l.Close()
+	if len(p.idle[key]) >= maxIdlePerUpstream {
+		_ = c.Close()
 		return
 	}
-	p.idle[key] = append(p.idle[key], l)
+	p.idle[key] = append(p.idle[key], c)
 }
 
-// sweep closes connections that have been idle for too long.
-func (p *pool) sweep(now time.Time) {
+// closeExpired closes connections whose idle timeout has passed.
+func (p *pool) closeExpired(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for key, list := range p.idle {
-		list = slices.DeleteFunc(list, func(l *link) bool {
-			if now.Before(l.until) {
+		list = slices.DeleteFunc(list, func(c *upstreamConn) bool {
+			if now.Before(c.expires) {
 				return false
 			}
-			_ = l.Close()
+			_ = c.Close()
 			return true
 		})
 		p.idle[key] = list
@@ -87,13 +87,13 @@
 	}
 }
 
-// quiet tells whether nothing has arrived on an idle connection: bytes there belong to no job, and an end
-// means that the upstream has closed it.
-func quiet(l *link) bool {
-	if l.reader.Buffered() > 0 {
+// reusable reports whether an idle connection is open and has no unread bytes: such bytes belong to no job,
+// and end of file means that the upstream has closed the connection.
+func reusable(c *upstreamConn) bool {
+	if c.reader.Buffered() > 0 {
 		return false
 	}
-	sc, ok := l.Conn.(syscall.Conn)
+	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
@@ -101,36 +101,36 @@
 	if err != nil {
 		return false
 	}
-	silent := false
+	open := false
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
 		_, err := syscall.Read(int(fd), b[:])
-		silent = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+		open = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
 		return true
 	})
-	return err == nil && silent
+	return err == nil && open
 }
 
 // dial opens a connection to an upstream.
-func dial(ctx context.Context, address string) (*link, error) {
-	d := net.Dialer{Timeout: dialLife, KeepAlive: -1, Control: control}
+func dial(ctx context.Context, address string) (*upstreamConn, error) {
+	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
 	c, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	return &link{Conn: c, reader: bufio.NewReaderSize(c, readBuffer)}, nil
+	return &upstreamConn{Conn: c, reader: bufio.NewReaderSize(c, readBufferSize)}, nil
 }
 
-// tcpUserTimeout is TCP_USER_TIMEOUT, which package syscall does not name.
+// tcpUserTimeout is the socket option TCP_USER_TIMEOUT, which package syscall does not define.
 const tcpUserTimeout = 0x12
 
-func control(_, _ string, raw syscall.RawConn) error {
-	var set error
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var optErr error
 	err := raw.Control(func(fd uintptr) {
-		set = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
+		optErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
 	})
 	if err != nil {
 		return err
 	}
-	return set
+	return optErr
 }
