docs: plain wording in the callers' front end

run, ticket, parse, reply, refuse, path, caller and the Life suffix are now handleRun, handleTicket, parseRequest, writeOutcome, writeProblem, upstreamPath, callerName and Timeout. Comments name look-ups, problem details and limits. No text on the wire has changed.

--- a/internal/edge/front/doc.go
+++ b/internal/edge/front/doc.go
@@ -1,2 +1,2 @@
-// Package front is the HTTP front end for callers: look-ups, tickets and requests.
+// Package front implements the HTTP interface for callers: host look-ups, tickets and requests.
 package front
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -21,7 +21,7 @@
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
-// Headers of callers' requests and of the answers.
+// HTTP headers of callers' requests and of responses to them.
 const (
 	HeaderTicket  = "Idempotency-Key"
 	HeaderRank    = "Boragelane-Rank"
@@ -34,40 +34,40 @@
 	HeaderServed  = "Boragelane-Upstream"
 )
 
-// Bounds of the front end.
+// Limits of the front end.
 const (
-	maxHeader  = 16 << 10
-	headerLife = 5 * time.Second
-	bodyLife   = 10 * time.Second
-	idleLife   = 60 * time.Second
-	maxID      = 128
-	maxFlight  = 20_000
+	maxHeaderBytes = 16 << 10
+	headerTimeout  = 5 * time.Second
+	bodyTimeout    = 10 * time.Second
+	idleTimeout    = 60 * time.Second
+	maxIDBytes     = 128
+	maxInFlight    = 20_000
 )
 
-// Host is what the front end needs of its host.
+// Host runs requests and issues tickets.
 type Host interface {
 	Plan() *plan.Plan
 	Intake(ctx context.Context, job *pipe.Job)
 	Issue(now time.Time) once.Ticket
 }
 
-// Front answers callers.
+// Front serves the callers' HTTP interface.
 type Front struct {
-	Host    Host
-	Clock   func() time.Time
-	Refused func(reason pipe.Reason)
-	Looked  atomic.Int64
-	flight  atomic.Int64
+	Host     Host
+	Clock    func() time.Time
+	Refused  func(reason pipe.Reason) // Called for each request that is not answered, if set.
+	Looked   atomic.Int64             // Number of look-ups.
+	inFlight atomic.Int64
 }
 
-// Server returns the HTTP server of the front end.
+// Server returns an HTTP server with the front end's routes and timeouts.
 func (f *Front) Server() *http.Server {
 	mux := http.NewServeMux()
-	mux.HandleFunc("/v1/run/{service}/{path...}", f.run)
-	mux.HandleFunc("GET /v1/lookup", f.lookup)
-	mux.HandleFunc("POST /v1/ticket", f.ticket)
+	mux.HandleFunc("/v1/run/{service}/{path...}", f.handleRun)
+	mux.HandleFunc("GET /v1/lookup", f.handleLookup)
+	mux.HandleFunc("POST /v1/ticket", f.handleTicket)
 	return &http.Server{
-		Handler: mux, MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerLife, IdleTimeout: idleLife,
+		Handler: mux, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 	}
 }
 
@@ -79,33 +79,33 @@
 type wireLookup struct {
 	Revision uint64     `json:"revision"`
 	Hosts    []wireHost `json:"hosts"`
-	Life     int64      `json:"life"` // Milliseconds.
+	Life     int64      `json:"life"` // In milliseconds.
 	Ticket   string     `json:"ticket"`
 }
 
-// lookup tells a caller which hosts to use, the best first.
-func (f *Front) lookup(w http.ResponseWriter, r *http.Request) {
+// handleLookup responds with the hosts that a caller should use, in order of preference, and a new ticket.
+func (f *Front) handleLookup(w http.ResponseWriter, r *http.Request) {
 	f.Looked.Add(1)
 	p := f.Host.Plan()
 	if p.Doc == nil {
-		f.refuse(w, &pipe.Job{Outcome: pipe.Outcome{Kind: pipe.NotRun, Reason: pipe.NoTarget, Detail: "this host has no configuration yet"}})
+		f.writeProblem(w, &pipe.Job{Outcome: pipe.Outcome{Kind: pipe.NotRun, Reason: pipe.NoTarget, Detail: "this host has no configuration yet"}})
 		return
 	}
 	out := wireLookup{Revision: p.Doc.Revision, Life: p.Lookup.Life.Milliseconds(), Hosts: []wireHost{}, Ticket: f.Host.Issue(f.Clock()).String()}
 	var buf [plan.LookupHosts]int
-	for _, i := range p.Lookup.Pick(rendez.Hash(caller(r)), buf[:0]) {
+	for _, i := range p.Lookup.Pick(rendez.Hash(callerName(r)), buf[:0]) {
 		h := p.Lookup.Hosts[i]
 		out.Hosts = append(out.Hosts, wireHost{Name: h.Name, Address: h.Front})
 	}
 	writeJSON(w, http.StatusOK, out)
 }
 
-func (f *Front) ticket(w http.ResponseWriter, _ *http.Request) {
+func (f *Front) handleTicket(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, http.StatusOK, map[string]string{"ticket": f.Host.Issue(f.Clock()).String()})
 }
 
-// caller returns the name by which a request's caller is known: a header, or its address.
-func caller(r *http.Request) string {
+// callerName returns the caller's name from the header or the query, or its IP address.
+func callerName(r *http.Request) string {
 	if c := r.Header.Get(HeaderCaller); c != "" {
 		return c
 	}
@@ -116,40 +116,40 @@
 	return host
 }
 
-// run serves one request of a caller.
-func (f *Front) run(w http.ResponseWriter, r *http.Request) {
-	defer f.flight.Add(-1)
+// handleRun runs one request of a caller.
+func (f *Front) handleRun(w http.ResponseWriter, r *http.Request) {
+	defer f.inFlight.Add(-1)
 	job := &pipe.Job{
 		ID: r.Header.Get(HeaderID), Service: r.PathValue("service"), Rank: r.Header.Get(HeaderRank),
-		Caller: caller(r), Method: r.Method, Path: path(r), Type: r.Header.Get("Content-Type"),
+		Caller: callerName(r), Method: r.Method, Path: upstreamPath(r), Type: r.Header.Get("Content-Type"),
 		Ticket: r.Header.Get(HeaderTicket), Trace: map[string]string{},
 	}
-	if f.flight.Add(1) > maxFlight {
+	if f.inFlight.Add(1) > maxInFlight {
 		job.Reject(pipe.QueueFull, "this host serves too many requests")
-		f.refuse(w, job)
+		f.writeProblem(w, job)
 		return
 	}
 	propagation.TraceContext{}.Inject(propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header)), propagation.MapCarrier(job.Trace))
-	if !f.parse(w, r, job) {
-		f.refuse(w, job)
+	if !f.parseRequest(w, r, job) {
+		f.writeProblem(w, job)
 		return
 	}
 	f.Host.Intake(r.Context(), job)
-	f.reply(w, job)
+	f.writeOutcome(w, job)
 }
 
-func path(r *http.Request) string {
+func upstreamPath(r *http.Request) string {
 	p := "/" + r.PathValue("path")
 	u := *r.URL
 	u.Path, u.RawPath = p, ""
 	return u.RequestURI()
 }
 
-// parse reads what the headers say and the body; it refuses the job if they can't be used.
-func (f *Front) parse(w http.ResponseWriter, r *http.Request, job *pipe.Job) bool {
-	if len(job.ID) > maxID {
+// parseRequest reads the headers and the body into the job; it rejects the job and returns false if one is invalid.
+func (f *Front) parseRequest(w http.ResponseWriter, r *http.Request, job *pipe.Job) bool {
+	if len(job.ID) > maxIDBytes {
 		job.ID = ""
-		job.Reject(pipe.BadRequest, "an id in "+HeaderID+" has at most "+strconv.Itoa(maxID)+" bytes")
+		job.Reject(pipe.BadRequest, "an id in "+HeaderID+" has at most "+strconv.Itoa(maxIDBytes)+" bytes")
 		return false
 	}
 	now := f.Clock()
@@ -161,7 +161,7 @@
 		}
 		job.Deadline = now.Add(d)
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(now.Add(bodyLife))
+	_ = http.NewResponseController(w).SetReadDeadline(now.Add(bodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, accept.MaxBody))
 	var large *http.MaxBytesError
 	switch {
@@ -177,9 +177,9 @@
 	return true
 }
 
-func (f *Front) reply(w http.ResponseWriter, job *pipe.Job) {
+func (f *Front) writeOutcome(w http.ResponseWriter, job *pipe.Job) {
 	if job.Outcome.Kind != pipe.Answered {
-		f.refuse(w, job)
+		f.writeProblem(w, job)
 		return
 	}
 	h := w.Header()
@@ -194,7 +194,7 @@
 	_, _ = w.Write(job.Answer.Body)
 }
 
-// wireProblem is a refusal in the form of RFC 9457.
+// wireProblem is a problem details object (RFC 9457) for a request that was not answered.
 type wireProblem struct {
 	Title   string      `json:"title"`
 	Status  int         `json:"status"`
@@ -204,7 +204,7 @@
 	ID      string      `json:"id,omitempty"`
 }
 
-func (f *Front) refuse(w http.ResponseWriter, job *pipe.Job) {
+func (f *Front) writeProblem(w http.ResponseWriter, job *pipe.Job) {
 	o := job.Outcome
 	if f.Refused != nil {
 		f.Refused(o.Reason)
