docs: plain wording in the HTTP server

Names such as meter, order, hop, await, begin, end, gone, idle and the Life suffix are now byteLimiter, pipeline, hopByHop, awaitRequest, addPending, removePending, callerGone, nonePending and Timeout. Comments speak of pending requests, responses and closing instead of what is under way, told or ended. The internal read-limit error covers bodies too, and its text now says so. Tests with riddling names are renamed; they check what they checked before.

--- a/internal/edge/httpd/conn.go
+++ b/internal/edge/httpd/conn.go
@@ -13,157 +13,157 @@
 )
 
 const (
-	// pipelineMost is how many requests of one connection are worked on at the same time.
-	pipelineMost = 16
-	// readBuffer is the buffer of a connection, in bytes.
-	readBuffer = 4096
-	// bodyLife is how long a body may take; callers send theirs at once.
-	bodyLife = 15 * time.Second
-	// writeLife is how long a caller may take to read an answer.
-	writeLife = 10 * time.Second
-	// lingerLife is how long a closed connection is read on, so that its last answer is not lost to a reset.
-	lingerLife = 500 * time.Millisecond
+	// maxPipelined bounds the requests of one connection that run concurrently.
+	maxPipelined = 16
+	// readBufferSize is the size of a connection's read buffer in bytes.
+	readBufferSize = 4096
+	// bodyTimeout bounds reading a body, which callers send without pauses.
+	bodyTimeout = 15 * time.Second
+	// writeTimeout bounds writing a response to a slow caller.
+	writeTimeout = 10 * time.Second
+	// lingerTimeout bounds draining the read side before a close, so that a reset can't discard the last response.
+	lingerTimeout = 500 * time.Millisecond
 )
 
-// conn is one connection of a caller.
+// conn is a connection from a caller.
 type conn struct {
-	server *Server
-	net    net.Conn
-	meter  *meter
-	reader *bufio.Reader
-	writer *bufio.Writer
-	order  chan *exchange
+	server   *Server
+	net      net.Conn
+	limiter  *byteLimiter
+	reader   *bufio.Reader
+	writer   *bufio.Writer
+	pipeline chan *exchange
 
 	mu      sync.Mutex
 	pending int
-	closing bool // No further request is taken.
+	closing bool // No further request is accepted.
 }
 
-// exchange is a request under way, and its answer.
+// exchange is a request in progress and its response.
 type exchange struct {
-	req    *Request
-	answer chan Answer
-	last   bool // The connection ends with it.
+	req        *Request
+	response   chan Answer
+	closeAfter bool // The connection is closed after this response.
 }
 
-// meter bounds the bytes that are read for one header.
-type meter struct {
+// byteLimiter bounds the bytes read for one header or body.
+type byteLimiter struct {
 	io.Reader
-	left int64
-	err  error // The last error; the library's parser hides those in the middle of a line.
+	remaining int64
+	lastErr   error // The last read error; http.ReadRequest hides errors in the middle of a line.
 }
 
-var errHeaderSize = errors.New("header too large")
+var errReadLimit = errors.New("read limit exceeded")
 
-// Read reads from the connection within the bound.
-func (m *meter) Read(b []byte) (int, error) {
-	if m.left <= 0 {
-		m.err = errHeaderSize
-		return 0, m.err
+// Read reads from the connection until the limit is reached.
+func (m *byteLimiter) Read(b []byte) (int, error) {
+	if m.remaining <= 0 {
+		m.lastErr = errReadLimit
+		return 0, m.lastErr
 	}
 	n, err := m.Reader.Read(b)
-	m.left -= int64(n)
-	m.err = err
+	m.remaining -= int64(n)
+	m.lastErr = err
 	return n, err
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	m := &meter{Reader: nc}
+	limiter := &byteLimiter{Reader: nc}
 	return &conn{
-		server: s, net: nc, meter: m, reader: bufio.NewReaderSize(m, readBuffer), writer: bufio.NewWriter(nc),
-		order: make(chan *exchange, pipelineMost),
+		server: s, net: nc, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferSize), writer: bufio.NewWriter(nc),
+		pipeline: make(chan *exchange, maxPipelined),
 	}
 }
 
-// run reads requests and writes their answers until the connection ends.
+// run reads requests and writes responses until the connection ends.
 func (c *conn) run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	wrote := make(chan struct{})
+	writerDone := make(chan struct{})
 	go func() {
-		defer close(wrote)
-		if !c.write() {
+		defer close(writerDone)
+		if !c.writeResponses() {
 			cancel()
 			_ = c.net.Close()
 		}
 	}()
-	gone := c.read(ctx)
-	close(c.order)
-	if gone {
+	callerGone := c.readRequests(ctx)
+	close(c.pipeline)
+	if callerGone {
 		cancel()
 	}
-	<-wrote
+	<-writerDone
 	c.linger()
 	_ = c.net.Close()
 }
 
-// linger lets the caller read the last answer: closing a socket with unread bytes would reset it.
+// linger closes the write side and drains the read side, because closing a socket with unread bytes sends a reset.
 func (c *conn) linger() {
 	if tcp, ok := c.net.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
-		_ = c.net.SetReadDeadline(c.server.Clock().Add(lingerLife))
+		_ = c.net.SetReadDeadline(c.server.Clock().Add(lingerTimeout))
 		_, _ = io.Copy(io.Discard, c.net)
 	}
 }
 
-// read takes requests until the connection ends; it reports whether the caller has gone.
-func (c *conn) read(ctx context.Context) bool {
+// readRequests starts requests until the connection ends; it reports whether the caller has disconnected.
+func (c *conn) readRequests(ctx context.Context) bool {
 	for {
-		req, status, err := c.next()
+		req, status, err := c.readRequest()
 		if err != nil {
 			return !errors.Is(err, os.ErrDeadlineExceeded)
 		}
-		ex := &exchange{req: req, answer: make(chan Answer, 1)}
-		if !c.begin(ex, status != 0) {
+		ex := &exchange{req: req, response: make(chan Answer, 1)}
+		if !c.addPending(ex, status != 0) {
 			return false
 		}
-		c.order <- ex
+		c.pipeline <- ex
 		if status != 0 {
-			ex.answer <- Answer{Status: status}
+			ex.response <- Answer{Status: status}
 			return false
 		}
-		go func() { ex.answer <- c.server.Handler.Serve(ctx, req) }()
-		if ex.last {
-			// The caller may still leave before its answer.
+		go func() { ex.response <- c.server.Handler.Serve(ctx, req) }()
+		if ex.closeAfter {
+			// The caller may still disconnect before its response.
 			_ = c.net.SetReadDeadline(time.Time{})
-			c.meter.left = 1
+			c.limiter.remaining = 1
 			_, err := c.reader.Peek(1)
-			return err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errHeaderSize)
+			return err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errReadLimit)
 		}
 	}
 }
 
-// begin books a request; it reports false if the connection takes none any more.
-func (c *conn) begin(ex *exchange, last bool) bool {
+// addPending registers a request; it returns false if the connection accepts no more.
+func (c *conn) addPending(ex *exchange, closeAfter bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closing {
 		return false
 	}
 	c.pending++
-	ex.last = last || ex.req.Header.Get("Connection") == "close"
-	c.closing = ex.last
+	ex.closeAfter = closeAfter || ex.req.Header.Get("Connection") == "close"
+	c.closing = ex.closeAfter
 	return true
 }
 
-// next reads a request. A status other than 0 refuses it and ends the connection.
-func (c *conn) next() (*Request, int, error) {
-	b := c.server.Bounds()
-	c.meter.left = b.Header + readBuffer
-	if err := c.await(b.IdleLife); err != nil {
+// readRequest reads a request; a status other than 0 refuses it and closes the connection.
+func (c *conn) readRequest() (*Request, int, error) {
+	limits := c.server.Limits()
+	c.limiter.remaining = limits.Header + readBufferSize
+	if err := c.awaitRequest(limits.IdleLife); err != nil {
 		return nil, 0, err
 	}
 	arrived := c.server.Clock()
-	_ = c.net.SetReadDeadline(arrived.Add(b.HeaderLife))
+	_ = c.net.SetReadDeadline(arrived.Add(limits.HeaderLife))
 	hr, err := http.ReadRequest(c.reader)
-	if err != nil && c.meter.err != nil {
-		err = c.meter.err
+	if err != nil && c.limiter.lastErr != nil {
+		err = c.limiter.lastErr
 	}
 	switch {
-	case errors.Is(err, errHeaderSize):
+	case errors.Is(err, errReadLimit):
 		return &Request{}, http.StatusRequestHeaderFieldsTooLarge, nil
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &Request{}, http.StatusRequestTimeout, nil
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isNet(err):
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isNetError(err):
 		return nil, 0, err
 	case err != nil:
 		return &Request{}, http.StatusBadRequest, nil
@@ -172,14 +172,14 @@
 	if hr.Close || !hr.ProtoAtLeast(1, 1) && hr.Header.Get("Connection") != "keep-alive" {
 		req.Header.Set("Connection", "close")
 	}
-	status, err := c.body(hr, req, b.Body)
+	status, err := c.readBody(hr, req, limits.Body)
 	return req, status, err
 }
 
-// await waits for the first byte of a request. The idle time starts anew with each answer.
-func (c *conn) await(idle time.Duration) error {
+// awaitRequest waits for the first byte of a request; the idle timeout does not apply while responses are pending.
+func (c *conn) awaitRequest(timeout time.Duration) error {
 	for {
-		_ = c.net.SetReadDeadline(c.server.Clock().Add(idle))
+		_ = c.net.SetReadDeadline(c.server.Clock().Add(timeout))
 		_, err := c.reader.Peek(1)
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return err
@@ -196,27 +196,27 @@
 	}
 }
 
-func (c *conn) body(hr *http.Request, req *Request, most int64) (int, error) {
+func (c *conn) readBody(hr *http.Request, req *Request, maxSize int64) (int, error) {
 	if hr.Body == nil || hr.Body == http.NoBody {
 		return 0, nil
 	}
-	if hr.ContentLength > most {
+	if hr.ContentLength > maxSize {
 		return http.StatusRequestEntityTooLarge, nil
 	}
-	if hr.Header.Get("Expect") != "" && c.idle() {
+	if hr.Header.Get("Expect") != "" && c.nonePending() {
 		if _, err := io.WriteString(c.net, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return 0, err
 		}
 	}
-	_ = c.net.SetReadDeadline(c.server.Clock().Add(bodyLife))
-	c.meter.left = most + most/2 + readBuffer // Chunks have lines of their own.
-	data, err := io.ReadAll(io.LimitReader(hr.Body, most+1))
+	_ = c.net.SetReadDeadline(c.server.Clock().Add(bodyTimeout))
+	c.limiter.remaining = maxSize + maxSize/2 + readBufferSize // Room for the framing of chunks.
+	data, err := io.ReadAll(io.LimitReader(hr.Body, maxSize+1))
 	switch {
-	case int64(len(data)) > most || errors.Is(err, errHeaderSize):
+	case int64(len(data)) > maxSize || errors.Is(err, errReadLimit):
 		return http.StatusRequestEntityTooLarge, nil
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return http.StatusRequestTimeout, nil
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isNet(err):
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isNetError(err):
 		return 0, err
 	case err != nil:
 		return http.StatusBadRequest, nil
@@ -225,18 +225,18 @@
 	return 0, nil
 }
 
-func isNet(err error) bool {
+func isNetError(err error) bool {
 	var ne net.Error
 	return errors.As(err, &ne)
 }
 
-func (c *conn) idle() bool {
+func (c *conn) nonePending() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.pending == 0
 }
 
-// closeIdle ends the connection if nothing is under way.
+// closeIdle closes the connection if no request is pending.
 func (c *conn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -246,13 +246,13 @@
 	}
 }
 
-// end books an answer and tells whether the connection ends with it.
-func (c *conn) end(ex *exchange) bool {
+// removePending unregisters a request and reports whether the connection must close after its response.
+func (c *conn) removePending(ex *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending--
 	if c.server.draining.Load() && c.pending == 0 {
 		c.closing = true
 	}
-	return ex.last || c.closing && c.pending == 0
+	return ex.closeAfter || c.closing && c.pending == 0
 }
--- a/internal/edge/httpd/doc.go
+++ b/internal/edge/httpd/doc.go
@@ -1,3 +1,3 @@
-// Package httpd serves callers over HTTP/1.1. Unlike the library's server it works on pipelined requests at the
-// same time, answers them in order, and takes its bounds from the policy in force.
+// Package httpd serves callers over HTTP/1.1. Unlike net/http's server it runs pipelined requests concurrently, responds
+// in the order of the requests, and takes its limits from the policy in force.
 package httpd
--- a/internal/edge/httpd/httpd_test.go
+++ b/internal/edge/httpd/httpd_test.go
@@ -14,33 +14,34 @@
 	"gotest.tools/v3/assert"
 )
 
-// handler answers with the request's path; paths that begin with /wait end when the channel closes.
+// handler responds with the request's path; requests for paths that begin with /wait block until release is closed or
+// their context ends.
 type handler struct {
-	release chan struct{}
-	begun   chan string
-	left    atomic.Int64
+	release  chan struct{}
+	started  chan string
+	canceled atomic.Int64
 }
 
 func (h *handler) Serve(ctx context.Context, r *Request) Answer {
-	if h.begun != nil {
-		h.begun <- r.Target
+	if h.started != nil {
+		h.started <- r.Target
 	}
 	if strings.HasPrefix(r.Target, "/wait") {
 		select {
 		case <-h.release:
 		case <-ctx.Done():
-			h.left.Add(1)
+			h.canceled.Add(1)
 		}
 	}
 	return Answer{Status: 200, Header: http.Header{"X-Body": {string(r.Body)}}, Body: []byte(r.Target)}
 }
 
-var bounds = Bounds{Header: 2048, Body: 100, HeaderLife: 300 * time.Millisecond, IdleLife: 400 * time.Millisecond}
+var testLimits = Bounds{Header: 2048, Body: 100, HeaderLife: 300 * time.Millisecond, IdleLife: 400 * time.Millisecond}
 
-func serve(t *testing.T, h *handler) string {
+func startServer(t *testing.T, h *handler) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	s := New(h, func() Bounds { return bounds }, time.Now)
+	s := New(h, func() Bounds { return testLimits }, time.Now)
 	go s.Serve(context.Background(), ln)
 	t.Cleanup(func() { _ = ln.Close() })
 	return ln.Addr().String()
@@ -67,7 +68,7 @@
 
 func (c *client) get(path string) { c.send("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n") }
 
-func (c *client) answer() (*http.Response, string) {
+func (c *client) readResponse() (*http.Response, string) {
 	resp, err := http.ReadResponse(c.r, nil)
 	assert.NilError(c.t, err)
 	body, err := io.ReadAll(resp.Body)
@@ -75,38 +76,38 @@
 	return resp, string(body)
 }
 
-func (c *client) ended() {
+func (c *client) assertClosed() {
 	_, err := c.r.ReadByte()
 	assert.Assert(c.t, err != nil)
 }
 
-func TestPipelinedRequestsAreWorkedOnTogetherAndAnsweredInOrder(t *testing.T) {
-	h := &handler{release: make(chan struct{}), begun: make(chan string, 9)}
-	addr := serve(t, h)
+func TestPipelinedRequestsRunConcurrentlyAndAreAnsweredInOrder(t *testing.T) {
+	h := &handler{release: make(chan struct{}), started: make(chan string, 9)}
+	addr := startServer(t, h)
 	c := dial(t, addr)
 	c.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\nGET /c HTTP/1.1\r\nHost: h\r\n\r\n")
 	for range 3 {
-		<-h.begun
+		<-h.started
 	}
 	close(h.release)
 	for _, want := range []string{"/wait", "/b", "/c"} {
-		_, body := c.answer()
+		_, body := c.readResponse()
 		assert.Equal(t, body, want)
 	}
 }
 
 func TestBodiesWithALengthAndInChunks(t *testing.T) {
-	addr := serve(t, &handler{})
+	addr := startServer(t, &handler{})
 	c := dial(t, addr)
 	c.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc")
-	resp, _ := c.answer()
+	resp, _ := c.readResponse()
 	assert.Equal(t, resp.Header.Get("X-Body"), "abc")
 	c.send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n")
-	resp, _ = c.answer()
+	resp, _ = c.readResponse()
 	assert.Equal(t, resp.Header.Get("X-Body"), "abc")
 }
 
-func TestWhatIsTooMuchOrWrongIsRefusedAndEndsTheConnection(t *testing.T) {
+func TestInvalidOrOversizedRequestsAreRefusedAndCloseTheConnection(t *testing.T) {
 	for _, c := range []struct {
 		name, send string
 		status     int
@@ -114,78 +115,78 @@
 		{"long header", "GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 20_000) + "\r\n\r\n", 431},
 		{"long body", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n", 413},
 		{"long chunks", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n" + strings.Repeat("x", 101) + "\r\n0\r\n\r\n", 413},
-		{"no HTTP", "nonsense\r\n\r\n", 400},
+		{"not HTTP", "nonsense\r\n\r\n", 400},
 		{"two lengths", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400},
 		{"slow header", "GET / HT", 408},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			addr := serve(t, &handler{})
+			addr := startServer(t, &handler{})
 			cl := dial(t, addr)
 			cl.send(c.send)
-			resp, _ := cl.answer()
+			resp, _ := cl.readResponse()
 			assert.Equal(t, resp.StatusCode, c.status)
 			assert.Assert(t, resp.Close)
-			cl.ended()
+			cl.assertClosed()
 		})
 	}
 }
 
 func TestAnIdleConnectionIsClosedButNotOneThatWaitsForItsAnswer(t *testing.T) {
 	h := &handler{release: make(chan struct{})}
-	addr := serve(t, h)
+	addr := startServer(t, h)
 	idle, busy := dial(t, addr), dial(t, addr)
 	busy.get("/wait")
-	idle.ended()
-	time.Sleep(2 * bounds.IdleLife)
+	idle.assertClosed()
+	time.Sleep(2 * testLimits.IdleLife)
 	close(h.release)
-	_, body := busy.answer()
+	_, body := busy.readResponse()
 	assert.Equal(t, body, "/wait")
 }
 
-func TestACallerThatLeavesEndsItsRequests(t *testing.T) {
-	h := &handler{release: make(chan struct{}), begun: make(chan string, 9)}
-	addr := serve(t, h)
+func TestACallerThatDisconnectsCancelsItsRequests(t *testing.T) {
+	h := &handler{release: make(chan struct{}), started: make(chan string, 9)}
+	addr := startServer(t, h)
 	c := dial(t, addr)
 	c.send("GET /wait1 HTTP/1.1\r\nHost: h\r\n\r\nGET /wait2 HTTP/1.1\r\nHost: h\r\n\r\n")
-	<-h.begun
-	<-h.begun
+	<-h.started
+	<-h.started
 	_ = c.Close()
-	for i := 0; h.left.Load() < 2; i++ {
-		assert.Assert(t, i < 500, "the work goes on")
+	for i := 0; h.canceled.Load() < 2; i++ {
+		assert.Assert(t, i < 500, "the requests were not canceled")
 		time.Sleep(10 * time.Millisecond)
 	}
 }
 
-// A planned stop: requests under way are answered, the last answer says that the connection ends, and idle
-// connections are closed when told.
-func TestAStopCutsOffNothing(t *testing.T) {
-	h := &handler{release: make(chan struct{}), begun: make(chan string, 9)}
+// Guards against a planned stop that drops requests: pending requests are answered, the last response announces the
+// close, and CloseIdle closes idle connections.
+func TestDrainingAnswersAllPendingRequests(t *testing.T) {
+	h := &handler{release: make(chan struct{}), started: make(chan string, 9)}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	s := New(h, func() Bounds { return Bounds{Header: 2048, Body: 100, HeaderLife: time.Minute, IdleLife: time.Minute} }, time.Now)
 	go s.Serve(context.Background(), ln)
 	busy, idle, later := dial(t, ln.Addr().String()), dial(t, ln.Addr().String()), dial(t, ln.Addr().String())
 	busy.get("/wait")
-	<-h.begun
+	<-h.started
 	idle.get("/x")
-	<-h.begun
-	_, _ = idle.answer()
+	<-h.started
+	_, _ = idle.readResponse()
 	s.Drain()
-	later.get("/late") // Callers that have not heard of the stop are served.
-	resp, body := later.answer()
+	later.get("/late") // A connection that was open before the stop still serves a request.
+	resp, body := later.readResponse()
 	assert.Equal(t, body, "/late")
 	assert.Assert(t, resp.Close)
 	_ = ln.Close()
 	s.CloseIdle()
-	idle.ended()
+	idle.assertClosed()
 	close(h.release)
-	resp, body = busy.answer()
+	resp, body = busy.readResponse()
 	assert.Equal(t, body, "/wait")
 	assert.Assert(t, resp.Close)
 	select {
 	case <-s.Done:
 	case <-time.After(5 * time.Second):
-		t.Fatal("the server does not end")
+		t.Fatal("the server did not stop")
 	}
 }
 
@@ -212,7 +213,7 @@
 		select {
 		case <-done:
 		case <-time.After(10 * time.Second):
-			t.Fatal("the connection does not end")
+			t.Fatal("the connection was not closed")
 		}
 	})
 }
--- a/internal/edge/httpd/server.go
+++ b/internal/edge/httpd/server.go
@@ -10,82 +10,82 @@
 	"time"
 )
 
-// Request is one request of a caller, read to its end.
+// Request is a fully read request of a caller.
 type Request struct {
 	Method  string
-	Target  string // Path and query as they were sent.
+	Target  string // Path and query as sent.
 	Host    string
 	Header  http.Header
 	Body    []byte
-	Arrived time.Time // When its first byte was read.
+	Arrived time.Time // Time at which the first byte was read.
 }
 
-// Answer is what a caller gets.
+// Answer is the response to a request.
 type Answer struct {
 	Status int
 	Header http.Header
 	Body   []byte
 }
 
-// Handler answers requests; the context ends when the caller leaves.
+// Handler responds to requests; the context is canceled when the caller disconnects.
 type Handler interface {
 	Serve(ctx context.Context, r *Request) Answer
 }
 
-// Bounds limits what a caller may send.
+// Bounds holds the size limits and timeouts that apply to a request.
 type Bounds struct {
-	Header     int64 // Bytes.
-	Body       int64 // Bytes.
+	Header     int64 // In bytes.
+	Body       int64 // In bytes.
 	HeaderLife time.Duration
 	IdleLife   time.Duration
 }
 
-// Server serves callers until it is closed.
+// Server accepts and serves connections from callers.
 type Server struct {
 	Handler Handler
-	Bounds  func() Bounds
+	Limits  func() Bounds
 	Clock   func() time.Time
 	Done    chan struct{} // Closed when the last connection has ended.
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
-	work     sync.WaitGroup
+	active   sync.WaitGroup
 	draining atomic.Bool
 }
 
-// New returns a server that does not run yet.
-func New(h Handler, bounds func() Bounds, clock func() time.Time) *Server {
-	return &Server{Handler: h, Bounds: bounds, Clock: clock, Done: make(chan struct{}), conns: map[*conn]struct{}{}}
+// New returns a server that is not running yet.
+func New(h Handler, limits func() Bounds, clock func() time.Time) *Server {
+	return &Server{Handler: h, Limits: limits, Clock: clock, Done: make(chan struct{}), conns: map[*conn]struct{}{}}
 }
 
-// acceptDelay is the pause after a failed accept, such as when descriptors run out.
-const acceptDelay = 20 * time.Millisecond
+// acceptRetryDelay is the pause after a failed accept, for example when file descriptors run out.
+const acceptRetryDelay = 20 * time.Millisecond
 
-// Serve accepts connections until the listener is closed, and waits for the last one to end.
+// Serve accepts connections until the listener is closed, then waits for all of them to end.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) {
 	defer close(s.Done)
-	defer s.work.Wait()
+	defer s.active.Wait()
 	for {
 		c, err := ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
-			time.Sleep(acceptDelay)
+			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		s.start(ctx, c)
+		s.startConn(ctx, c)
 	}
 }
 
-func (s *Server) start(ctx context.Context, nc net.Conn) {
+func (s *Server) startConn(ctx context.Context, nc net.Conn) {
 	c := newConn(s, nc)
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
-	s.work.Add(1)
+	s.active.Add(1)
 	go func() {
-		defer s.work.Done()
+		defer s.active.Done()
 		c.run(ctx)
 		s.mu.Lock()
 		delete(s.conns, c)
@@ -93,10 +93,10 @@
 	}()
 }
 
-// Drain makes each connection close with its next answer that has no other behind it.
+// Drain makes each connection close after the response that leaves no other request pending.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// CloseIdle closes the connections on which nothing is under way.
+// CloseIdle closes the connections without pending requests.
 func (s *Server) CloseIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/edge/httpd/write.go
+++ b/internal/edge/httpd/write.go
@@ -6,56 +6,56 @@
 	"time"
 )
 
-// write sends the answers in the order of their requests; it reports false if the caller can't be reached.
-func (c *conn) write() bool {
+// writeResponses writes the responses in the order of the requests; it returns false if a write failed.
+func (c *conn) writeResponses() bool {
 	ok := true
-	for ex := range c.order {
-		a := <-ex.answer
+	for ex := range c.pipeline {
+		resp := <-ex.response
 		if !ok {
 			continue
 		}
-		last := c.end(ex)
-		_ = c.net.SetWriteDeadline(c.server.Clock().Add(writeLife))
-		if err := c.send(ex.req, a, last); err != nil {
+		closeAfter := c.removePending(ex)
+		_ = c.net.SetWriteDeadline(c.server.Clock().Add(writeTimeout))
+		if err := c.writeResponse(ex.req, resp, closeAfter); err != nil {
 			ok = false
 			_ = c.net.SetDeadline(time.Unix(1, 0))
 			continue
 		}
-		if last {
+		if closeAfter {
 			_ = c.net.SetReadDeadline(time.Unix(1, 0))
 		}
 	}
 	return ok
 }
 
-// hop lists the headers that concern one connection only.
-var hop = map[string]bool{
+// hopByHop lists the header fields that are not forwarded, because they concern one connection only.
+var hopByHop = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
 	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Expect": true,
 }
 
-// Through tells whether a header is passed through.
-func Through(name string) bool { return !hop[http.CanonicalHeaderKey(name)] }
+// Through reports whether a header field is end-to-end and therefore forwarded.
+func Through(name string) bool { return !hopByHop[http.CanonicalHeaderKey(name)] }
 
-func (c *conn) send(req *Request, a Answer, last bool) error {
+func (c *conn) writeResponse(req *Request, resp Answer, closeAfter bool) error {
 	w := c.writer
-	_, _ = w.WriteString("HTTP/1.1 " + strconv.Itoa(a.Status) + " " + http.StatusText(a.Status) + "\r\n")
-	head := a.Header
-	if head == nil {
-		head = http.Header{}
+	_, _ = w.WriteString("HTTP/1.1 " + strconv.Itoa(resp.Status) + " " + http.StatusText(resp.Status) + "\r\n")
+	header := resp.Header
+	if header == nil {
+		header = http.Header{}
 	}
-	if err := head.WriteSubset(w, hop); err != nil {
+	if err := header.WriteSubset(w, hopByHop); err != nil {
 		return err
 	}
-	if a.Status != http.StatusNoContent && a.Status != http.StatusNotModified {
-		_, _ = w.WriteString("Content-Length: " + strconv.Itoa(len(a.Body)) + "\r\n")
+	if resp.Status != http.StatusNoContent && resp.Status != http.StatusNotModified {
+		_, _ = w.WriteString("Content-Length: " + strconv.Itoa(len(resp.Body)) + "\r\n")
 	}
-	if last {
+	if closeAfter {
 		_, _ = w.WriteString("Connection: close\r\n")
 	}
 	_, _ = w.WriteString("\r\n")
 	if req.Method != http.MethodHead {
-		_, _ = w.Write(a.Body)
+		_, _ = w.Write(resp.Body)
 	}
 	return w.Flush()
 }
