docs: plain wording in the egress sender

onceBody, fail, begun, read, hang and the Life suffix are now unreplayableBody, classifyError, established, fillReply, writeRawAndClose and Timeout; cancelLife is cancelGrace. Comments say timeout, cancellation, crash probe and retry where they spoke of hearing and sending again. Tests check what they checked before.

--- a/internal/edge/egress/doc.go
+++ b/internal/edge/egress/doc.go
@@ -1,2 +1,2 @@
-// Package egress speaks HTTP/1.1 to upstreams.
+// Package egress sends jobs to upstreams over HTTP/1.1 and validates their responses.
 package egress
--- a/internal/edge/egress/egress.go
+++ b/internal/edge/egress/egress.go
@@ -17,10 +17,10 @@
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
-// MaxAnswer is the largest answer of an upstream, in bytes.
-const MaxAnswer = 4 << 20
+// MaxResponseBody is the maximum size of an upstream's response body, in bytes.
+const MaxResponseBody = 4 << 20
 
-// Headers between an entry host and an upstream.
+// HTTP headers exchanged with upstreams.
 const (
 	HeaderID      = "X-Request-Id"
 	HeaderTimeout = "Request-Timeout-Ms"
@@ -29,18 +29,18 @@
 	stateDraining = "draining"
 )
 
-// Time limits towards upstreams.
+// Timeouts for upstreams.
 const (
-	dialLife = time.Second
-	idleLife = 30 * time.Second
-	// cancelLife is how long an upstream may take to hear that its caller has gone. The job keeps its slot
-	// meanwhile, or the next one would run beside it.
-	cancelLife = 20 * time.Millisecond
-	// probeLife is how long the check may take that tells a crash from a closed idle connection.
-	probeLife = 100 * time.Millisecond
+	dialTimeout = time.Second
+	idleTimeout = 30 * time.Second
+	// cancelGrace is the time allowed for a cancellation to reach the upstream. The job keeps its slot meanwhile;
+	// otherwise the next job would run beside the canceled one and exceed the upstream's slots.
+	cancelGrace = 20 * time.Millisecond
+	// probeTimeout bounds the probe connection that tells a crash from a closed idle connection.
+	probeTimeout = 100 * time.Millisecond
 )
 
-// Sender sends jobs to upstreams. It never sends a job twice.
+// Sender sends jobs to upstreams; it never sends a job twice.
 type Sender struct {
 	mu         sync.Mutex
 	transports map[string]*transport
@@ -51,10 +51,10 @@
 	conns int64
 }
 
-// New returns a sender without connections.
+// New returns a sender with no open connections.
 func New() *Sender { return &Sender{transports: map[string]*transport{}} }
 
-// Close ends idle connections.
+// Close closes idle connections.
 func (s *Sender) Close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -63,7 +63,7 @@
 	}
 }
 
-// transport returns the connections to an upstream, at most as many as the place allows.
+// transport returns the transport for an upstream, limited to the configured number of connections.
 func (s *Sender) transport(p pipe.Place) *http.Transport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -76,53 +76,53 @@
 		t.http.CloseIdleConnections()
 	}
 	t = &transport{conns: conns, http: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialLife}).DialContext,
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxConnsPerHost:     int(conns),
 		MaxIdleConnsPerHost: int(conns),
-		IdleConnTimeout:     idleLife,
+		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}}
 	s.transports[p.Address] = t
 	return t.http
 }
 
-// onceBody hides its kind from the transport, which could otherwise send the request again.
-type onceBody struct{ io.Reader }
+// unreplayableBody hides the concrete reader type, so that net/http can't rewind the body and retry the request.
+type unreplayableBody struct{ io.Reader }
 
-// Close does nothing.
-func (onceBody) Close() error { return nil }
+// Close implements io.Closer; there is nothing to release.
+func (unreplayableBody) Close() error { return nil }
 
-// Send sends a job to its upstream and reads the whole answer.
+// Send sends a job to its upstream once and reads the full response.
 func (s *Sender) Send(ctx context.Context, job *pipe.Job) pipe.Reply {
 	var r pipe.Reply
 	var reused bool
 	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { r.Sent, reused = true, i.Reused }}
-	req, err := request(httptrace.WithClientTrace(ctx, trace), job)
+	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), job)
 	if err != nil {
-		r.Err = ErrRequest.Wrap(err, "making a request for %s", job.Upstream.ID)
+		r.Err = ErrRequest.Wrap(err, "building the request for upstream %s", job.Upstream.ID)
 		return r
 	}
 	resp, err := s.transport(job.Upstream).RoundTrip(req)
 	if err != nil {
-		s.fail(ctx, &r, err, reused, job)
+		s.classifyError(ctx, &r, err, reused, job)
 		return r
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswer+1))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxResponseBody+1))
 	if err != nil {
-		s.fail(ctx, &r, err, true, job)
+		s.classifyError(ctx, &r, err, true, job)
 		return r
 	}
-	read(&r, resp, body)
+	fillReply(&r, resp, body)
 	return r
 }
 
-func request(ctx context.Context, job *pipe.Job) (*http.Request, error) {
+func newRequest(ctx context.Context, job *pipe.Job) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, job.Method, "http://"+job.Upstream.Address+job.Path, nil)
 	if err != nil {
 		return nil, err
 	}
-	req.Body = onceBody{bytes.NewReader(job.Body)}
+	req.Body = unreplayableBody{bytes.NewReader(job.Body)}
 	req.ContentLength = int64(len(job.Body))
 	req.GetBody = nil
 	if job.Type != "" {
@@ -136,27 +136,27 @@
 	return req, nil
 }
 
-// fail says what an error means: late, or a connection that broke. It was the upstream that crashed
-// if it accepts no more connections, or if it broke a new one before it answered; begun tells that
-// the connection had worked before.
-func (s *Sender) fail(ctx context.Context, r *pipe.Reply, err error, begun bool, job *pipe.Job) {
+// classifyError records an error in the reply as a timeout, a broken connection or a crash. A crash is assumed if
+// the upstream no longer accepts connections, or if a new connection broke before the response began; established
+// is set if the connection was reused or a response had begun.
+func (s *Sender) classifyError(ctx context.Context, r *pipe.Reply, err error, established bool, job *pipe.Job) {
 	r.Err = ErrConnection.Wrap(err, "upstream %s", job.Upstream.ID)
 	if ctx.Err() != nil || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
 		r.Late = true
 		if r.Sent {
-			time.Sleep(cancelLife)
+			time.Sleep(cancelGrace)
 		}
 		return
 	}
 	if !r.Sent {
 		return
 	}
-	r.Crash = !begun || !Reachable(job.Upstream.Address)
+	r.Crash = !established || !Reachable(job.Upstream.Address)
 }
 
-// Reachable tells whether an upstream accepts connections.
+// Reachable reports whether an upstream accepts TCP connections.
 func Reachable(addr string) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), probeLife)
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
 	if err != nil {
@@ -166,7 +166,7 @@
 	return true
 }
 
-func read(r *pipe.Reply, resp *http.Response, body []byte) {
+func fillReply(r *pipe.Reply, resp *http.Response, body []byte) {
 	r.ID = resp.Header.Get(HeaderID)
 	r.Draining = resp.Header.Get(HeaderState) == stateDraining
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") != "" {
@@ -174,11 +174,11 @@
 		return
 	}
 	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	r.Whole = framed && len(body) <= MaxAnswer && digestMatches(resp.Header.Get(HeaderDigest), body)
+	r.Whole = framed && len(body) <= MaxResponseBody && digestMatches(resp.Header.Get(HeaderDigest), body)
 	r.Answer = pipe.Answer{Status: resp.StatusCode, Type: resp.Header.Get("Content-Type"), Body: body}
 }
 
-// digestMatches checks the SHA-256 form of a Content-Digest (RFC 9530); without one it holds.
+// digestMatches verifies a sha-256 Content-Digest field (RFC 9530); it accepts a missing field and any other form.
 func digestMatches(field string, body []byte) bool {
 	const prefix, suffix = "sha-256=:", ":"
 	if field == "" {
--- a/internal/edge/egress/egress_test.go
+++ b/internal/edge/egress/egress_test.go
@@ -17,8 +17,8 @@
 	"github.com/boragelane/boragelane/internal/flow/reply"
 )
 
-// hang closes the connection after writing raw bytes.
-func hang(w http.ResponseWriter, raw string) {
+// writeRawAndClose writes raw bytes to the connection and closes it.
+func writeRawAndClose(w http.ResponseWriter, raw string) {
 	c, _, err := w.(http.Hijacker).Hijack()
 	if err != nil {
 		return
@@ -40,32 +40,32 @@
 		answer http.HandlerFunc
 		want   string
 	}{
-		"whole":        {func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }, "answered "},
-		"its own id":   {func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(HeaderID, "job-1") }, "answered "},
-		"another's id": {func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(HeaderID, "job-2") }, "unknown answer-mismatch"},
-		"no length":    {func(w http.ResponseWriter, _ *http.Request) { hang(w, "HTTP/1.1 200 OK\r\n\r\nhalf") }, "unknown answer-mismatch"},
-		"cut by length": {func(w http.ResponseWriter, _ *http.Request) {
-			hang(w, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+		"complete":    {func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }, "answered "},
+		"matching id": {func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(HeaderID, "job-1") }, "answered "},
+		"wrong id":    {func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(HeaderID, "job-2") }, "unknown answer-mismatch"},
+		"no length":   {func(w http.ResponseWriter, _ *http.Request) { writeRawAndClose(w, "HTTP/1.1 200 OK\r\n\r\nhalf") }, "unknown answer-mismatch"},
+		"truncated body": {func(w http.ResponseWriter, _ *http.Request) {
+			writeRawAndClose(w, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
 		}, "unknown connection-lost"},
-		"cut in chunks": {func(w http.ResponseWriter, _ *http.Request) {
-			hang(w, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf")
+		"truncated chunk": {func(w http.ResponseWriter, _ *http.Request) {
+			writeRawAndClose(w, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf")
 		}, "unknown connection-lost"},
 		"wrong digest": {func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(HeaderDigest, "sha-256=:AAAA:") }, "unknown answer-mismatch"},
-		"right digest": {func(w http.ResponseWriter, _ *http.Request) {
+		"matching digest": {func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set(HeaderDigest, "sha-256=:47DEQpj8HBSa+/TImW+5JCeuQeRkm5NMpJWZG3hSuFU=:")
 		}, "answered "},
-		"too large":         {func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, MaxAnswer+1)) }, "unknown answer-mismatch"},
-		"shed":              {func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Retry-After", "1"); w.WriteHeader(503) }, "not-run shed"},
-		"503 of its own":    {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, "answered "},
-		"no answer":         {func(w http.ResponseWriter, _ *http.Request) { hang(w, "") }, "unknown connection-lost"},
-		"no answer in time": {func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, "unknown expired"},
+		"too large":               {func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, MaxResponseBody+1)) }, "unknown answer-mismatch"},
+		"shed":                    {func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Retry-After", "1"); w.WriteHeader(503) }, "not-run shed"},
+		"503 without Retry-After": {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, "answered "},
+		"no response":             {func(w http.ResponseWriter, _ *http.Request) { writeRawAndClose(w, "") }, "unknown connection-lost"},
+		"no response in time":     {func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, "unknown expired"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			up := httptest.NewServer(c.answer)
 			defer up.Close()
 			j := job(up.URL)
 			life := 30 * time.Second
-			if name == "no answer in time" {
+			if name == "no response in time" {
 				life = 300 * time.Millisecond
 			}
 			ctx, cancel := context.WithTimeout(context.Background(), life)
@@ -86,13 +86,13 @@
 	assert.Equal(t, j.Outcome.Kind, pipe.NotRun)
 }
 
-// TestTheTransportNeverSendsAgain breaks a connection that was used before, at which net/http by itself
-// sends a GET again.
+// TestTheTransportNeverSendsAgain guards against net/http's own retry: it resends a GET if a reused connection breaks
+// before the response.
 func TestTheTransportNeverSendsAgain(t *testing.T) {
 	var requests atomic.Int64
 	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if requests.Add(1) > 1 {
-			hang(w, "")
+			writeRawAndClose(w, "")
 		}
 	}))
 	defer up.Close()
@@ -104,11 +104,11 @@
 	assert.Equal(t, requests.Load(), int64(2))
 }
 
-func TestALateJobReturnsOnlyWhenItsUpstreamHasHadTimeToHearOfIt(t *testing.T) {
-	heard := make(chan time.Time, 1)
+func TestALateJobReturnsAfterTheCancellationGrace(t *testing.T) {
+	canceled := make(chan time.Time, 1)
 	srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		<-r.Context().Done()
-		heard <- time.Now()
+		canceled <- time.Now()
 	}))
 	defer srv.Close()
 	j := job(srv.Listener.Addr().String())
@@ -117,6 +117,6 @@
 	defer cancel()
 	r := New().Send(ctx, j)
 	assert.Assert(t, r.Late && r.Sent, "%+v", r)
-	assert.Assert(t, !time.Now().Before(deadline.Add(cancelLife)), "its slot would be free too early")
-	t.Logf("the upstream heard of it %s after the deadline", (<-heard).Sub(deadline))
+	assert.Assert(t, !time.Now().Before(deadline.Add(cancelGrace)), "the slot would be released too early")
+	t.Logf("the upstream saw the cancellation %s after the deadline", (<-canceled).Sub(deadline))
 }
--- a/internal/edge/egress/errors.go
+++ b/internal/edge/egress/errors.go
@@ -7,8 +7,8 @@
 
 // Types of error.
 var (
-	// ErrRequest is a request that can't be made.
+	// ErrRequest marks a job that can't be turned into an HTTP request.
 	ErrRequest = Errors.NewType("request")
-	// ErrConnection is a connection that can't be made or broke.
+	// ErrConnection marks a connection that could not be opened or that broke.
 	ErrConnection = Errors.NewType("connection")
 )
