docs: plain wording in the protocol between hosts

lane, dialed, forget, refuseAll, quiet, frames, cut, enter, leave, greet, answer, hand, settle, news and the Life suffix are now connClass, connEntry, removeConn, rejectCalls, discardLogger, frameCodec, disconnect, beginCall, endCall, handleHello, handleCall, handOver, applyTo, summaries and Timeout. Comments say call, frame, limit and hand-over. Reasons in the log of a disconnect are reworded; the messages and texts on the wire stay.

--- a/internal/edge/peer/client.go
+++ b/internal/edge/peer/client.go
@@ -18,64 +18,64 @@
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
-// Time limits of a client.
+// Timeouts of a client.
 const (
-	// DialLife is how long a new connection and its hello may take.
-	DialLife = 500 * time.Millisecond
-	// CallLife is how long a call for control may take.
-	CallLife = 700 * time.Millisecond
-	// FetchLife is how long a document may take.
-	FetchLife = 2 * time.Second
+	// DialTimeout bounds dialing a connection and its hello.
+	DialTimeout = 500 * time.Millisecond
+	// CallTimeout bounds a control call.
+	CallTimeout = 700 * time.Millisecond
+	// FetchTimeout bounds a call that transfers a document or ticket records.
+	FetchTimeout = 2 * time.Second
 )
 
-// lane keeps control, which must not wait for large bodies, apart from traffic.
-type lane int
+// connClass separates control messages from traffic, because control must not queue behind large bodies.
+type connClass int
 
 const (
-	laneControl lane = iota
-	laneTraffic
+	controlConn connClass = iota
+	trafficConn
 )
 
 type connKey struct {
-	addr string
-	lane lane
+	addr  string
+	class connClass
 }
 
-// Client calls other hosts over one connection for control and one for traffic to each.
+// Client calls other hosts; it keeps one connection for control and one for traffic to each of them.
 type Client struct {
 	Seat  string
 	Clock func() time.Time
 	Dial  func(ctx context.Context, network, addr string) (net.Conn, error)
-	// Control and Traffic count the bytes of each lane.
+	// Control and Traffic count the bytes of each class of connection.
 	Control Meter
 	Traffic Meter
 
 	mu     sync.Mutex
-	conns  map[connKey]*dialed
+	conns  map[connKey]*connEntry
 	nextID atomic.Uint64
 	closed bool
 }
 
-type dialed struct {
+type connEntry struct {
 	ready chan struct{}
 	rpc   *jsonrpc2.Conn
 	err   error
 }
 
-// NewClient returns a client without connections.
+// NewClient returns a client that connects on the first call to a host.
 func NewClient(seat string, clock func() time.Time) *Client {
-	return &Client{Seat: seat, Clock: clock, Dial: (&net.Dialer{}).DialContext, conns: map[connKey]*dialed{}}
+	return &Client{Seat: seat, Clock: clock, Dial: (&net.Dialer{}).DialContext, conns: map[connKey]*connEntry{}}
 }
 
-// Close ends all connections.
+// Close closes all connections and refuses further calls.
 func (c *Client) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closed = true
-	c.reset()
+	c.closeConns()
 }
 
-// conn returns the connection to an address, dialing it once for all that wait.
+// conn returns the connection to an address; concurrent callers share one dial.
 func (c *Client) conn(ctx context.Context, k connKey) (*jsonrpc2.Conn, error) {
 	c.mu.Lock()
 	if c.closed {
@@ -84,7 +84,7 @@
 	}
 	d := c.conns[k]
 	if d == nil {
-		d = &dialed{ready: make(chan struct{})}
+		d = &connEntry{ready: make(chan struct{})}
 		c.conns[k] = d
 		go c.dial(k, d)
 	}
@@ -97,44 +97,46 @@
 	}
 }
 
-func (c *Client) dial(k connKey, d *dialed) {
+func (c *Client) dial(k connKey, d *connEntry) {
 	d.rpc, d.err = c.connect(k)
 	close(d.ready)
 	if d.err != nil {
-		c.forget(k, d)
+		c.removeConn(k, d)
 		return
 	}
 	<-d.rpc.DisconnectNotify()
-	c.forget(k, d)
+	c.removeConn(k, d)
 }
 
 func (c *Client) connect(k connKey) (*jsonrpc2.Conn, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), DialLife)
+	ctx, cancel := context.WithTimeout(context.Background(), DialTimeout)
 	defer cancel()
 	raw, err := c.Dial(ctx, "tcp", k.addr)
 	if err != nil {
 		return nil, ErrDown.Wrap(err, "connecting to %s", k.addr)
 	}
 	meter := &c.Control
-	if k.lane == laneTraffic {
+	if k.class == trafficConn {
 		meter = &c.Traffic
 	}
-	rpc := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(raw, frames{meter}), refuseAll{}, jsonrpc2.SetLogger(quiet{}))
-	var hi wireHello
-	if err := rpc.Call(ctx, methodHello, wireHello{Version: version, Seat: c.Seat}, &hi); err != nil {
+	rpc := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(raw, frameCodec{meter}), rejectCalls{}, jsonrpc2.SetLogger(discardLogger{}))
+	var hello wireHello
+	if err := rpc.Call(ctx, methodHello, wireHello{Version: protocolVersion, Seat: c.Seat}, &hello); err != nil {
 		_ = rpc.Close()
-		return nil, ErrDown.Wrap(err, "greeting %s", k.addr)
+		return nil, ErrDown.Wrap(err, "hello to %s", k.addr)
 	}
 	return rpc, nil
 }
 
-// refuseAll cuts off a server that calls its client.
-type refuseAll struct{}
+// rejectCalls disconnects from a server that calls its client, which the protocol does not allow.
+type rejectCalls struct{}
 
 // Handle closes the connection.
-func (refuseAll) Handle(_ context.Context, rpc *jsonrpc2.Conn, _ *jsonrpc2.Request) { _ = rpc.Close() }
+func (rejectCalls) Handle(_ context.Context, rpc *jsonrpc2.Conn, _ *jsonrpc2.Request) {
+	_ = rpc.Close()
+}
 
-func (c *Client) forget(k connKey, d *dialed) {
+func (c *Client) removeConn(k connKey, d *connEntry) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.conns[k] == d {
@@ -142,9 +144,9 @@
 	}
 }
 
-// call makes one call, and cancels it on the other side if its context ends first.
-func (c *Client) call(ctx context.Context, addr string, ln lane, method string, params, result any) error {
-	rpc, err := c.conn(ctx, connKey{addr, ln})
+// call makes one call, and sends a cancel message if its context ends first.
+func (c *Client) call(ctx context.Context, addr string, class connClass, method string, params, result any) error {
+	rpc, err := c.conn(ctx, connKey{addr, class})
 	if err != nil {
 		return err
 	}
@@ -160,26 +162,26 @@
 		return ErrLost.Wrap(err, "%s at %s", method, addr)
 	}
 	if ctx.Err() != nil {
-		late := context.WithoutCancel(ctx)
-		go func() { _ = rpc.Notify(late, methodCancel, wireCancel{ID: id.Num}) }()
+		detached := context.WithoutCancel(ctx)
+		go func() { _ = rpc.Notify(detached, methodCancel, wireCancel{ID: id.Num}) }()
 	}
 	return ErrLost.Wrap(err, "%s at %s", method, addr)
 }
 
-func (c *Client) control(ctx context.Context, life time.Duration, addr, method string, params, result any) error {
-	ctx, cancel := context.WithTimeout(ctx, life)
+func (c *Client) callControl(ctx context.Context, timeout time.Duration, addr, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return c.call(ctx, addr, laneControl, method, params, result)
+	return c.call(ctx, addr, controlConn, method, params, result)
 }
 
-// Run takes a job to another host, and ends it with that host's outcome.
+// Run sends a job to another host and applies the outcome that it returns.
 func (c *Client) Run(ctx context.Context, t pipe.Target, job *pipe.Job) {
-	c.send(ctx, t.Peer, methodRun, job)
+	c.runRemote(ctx, t.Peer, methodRun, job)
 }
 
-// Forward takes a job to the owner of its ticket; it reports false if nothing was sent.
+// Forward sends a job to the owner of its ticket; it returns false if nothing was sent.
 func (c *Client) Forward(ctx context.Context, _ time.Time, seat spec.Seat, job *pipe.Job) bool {
-	c.send(ctx, seat.Peer, methodOwn, job)
+	c.runRemote(ctx, seat.Peer, methodOwn, job)
 	if job.Outcome.Reason == pipe.PeerDown {
 		job.Outcome = pipe.Outcome{}
 		return false
@@ -187,12 +189,12 @@
 	return true
 }
 
-func (c *Client) send(ctx context.Context, addr, method string, job *pipe.Job) {
+func (c *Client) runRemote(ctx context.Context, addr, method string, job *pipe.Job) {
 	var out wireOutcome
-	err := c.call(ctx, addr, laneTraffic, method, fromJob(job, c.Clock()), &out)
+	err := c.call(ctx, addr, trafficConn, method, fromJob(job, c.Clock()), &out)
 	switch {
 	case err == nil:
-		out.settle(job)
+		out.applyTo(job)
 	case errorx.IsOfType(err, ErrDown):
 		job.Refuse(pipe.PeerDown, "host "+addr+" can't be reached")
 	case ctx.Err() != nil:
@@ -202,57 +204,57 @@
 	}
 }
 
-// Heartbeat tells a relay of this host.
+// Heartbeat sends a heartbeat of this host to a relay.
 func (c *Client) Heartbeat(ctx context.Context, addr string, b state.Heartbeat) (state.HeartbeatReply, error) {
 	var w wireHeartbeatReply
-	err := c.control(ctx, CallLife, addr, methodHeartbeat, fromHeartbeat(b), &w)
+	err := c.callControl(ctx, CallTimeout, addr, methodHeartbeat, fromHeartbeat(b), &w)
 	return w.reply(), err
 }
 
-// Exchange exchanges news with another relay.
+// Exchange exchanges load summaries with another relay.
 func (c *Client) Exchange(ctx context.Context, addr string, s state.Exchange) (state.ExchangeReply, error) {
 	var w wireExchangeReply
-	err := c.control(ctx, CallLife, addr, methodExchange, fromExchange(s), &w)
-	return state.ExchangeReply{Incarnation: w.Incarnation, Revision: w.Revision, Stamp: w.Stamp, News: toNews(w.News)}, err
+	err := c.callControl(ctx, CallTimeout, addr, methodExchange, fromExchange(s), &w)
+	return state.ExchangeReply{Incarnation: w.Incarnation, Revision: w.Revision, Stamp: w.Stamp, News: toSummaries(w.News)}, err
 }
 
-// Notice tells a host of a revision.
+// Notice notifies a host of a new revision.
 func (c *Client) Notice(ctx context.Context, addr string, n state.SendNotice) error {
-	return c.control(ctx, CallLife, addr, methodNotice, wireNotice{Seat: c.Seat, Revision: n.Revision, Changes: n.Changes}, nil)
+	return c.callControl(ctx, CallTimeout, addr, methodNotice, wireNotice{Seat: c.Seat, Revision: n.Revision, Changes: n.Changes}, nil)
 }
 
-// Fetch returns a host's document, or false if it has none; of a known one it fetches the changes.
+// Fetch returns a host's document, or false if it has none; with known set it fetches only the changes since then.
 func (c *Client) Fetch(ctx context.Context, addr string, known *spec.Document) (spec.Document, bool, error) {
 	var ask wireFetch
 	if known != nil {
 		ask.Have = known.Revision
 	}
-	var w wireFetched
-	if err := c.control(ctx, FetchLife, addr, methodFetch, ask, &w); err != nil {
+	var w wireFetchReply
+	if err := c.callControl(ctx, FetchTimeout, addr, methodFetch, ask, &w); err != nil {
 		return spec.Document{}, false, err
 	}
 	d, ok := w.document(known)
 	return d, ok, nil
 }
 
-// Crash tells a host of a crash; a host that is to spread it tells its failure domain.
+// Crash reports a crash to a host; with spread set the host forwards it to its failure domain.
 func (c *Client) Crash(ctx context.Context, addr string, cr guard.Crash, spread bool) error {
 	w := wireCrash{Digest: cr.Digest, Upstream: cr.Upstream, Age: c.Clock().Sub(cr.At).Microseconds(), Spread: spread}
-	return c.control(ctx, CallLife, addr, methodCrash, w, nil)
+	return c.callControl(ctx, CallTimeout, addr, methodCrash, w, nil)
 }
 
-// handBatch is the most records in one message of a hand-over.
-const handBatch = 64
+// handOverBatch is the maximum number of records in one hand-over message.
+const handOverBatch = 64
 
-// Hand gives a stopped incarnation's records to its successor.
+// Hand transfers the ticket records of a stopped incarnation to its successor, in batches.
 func (c *Client) Hand(ctx context.Context, addr, incarnation string, until time.Time, records []once.Record) error {
 	for {
-		n := min(handBatch, len(records))
-		w := wireHand{Incarnation: incarnation, Until: until.Unix(), Last: n == len(records)}
+		n := min(handOverBatch, len(records))
+		w := wireHandOver{Incarnation: incarnation, Until: until.Unix(), Last: n == len(records)}
 		for _, r := range records[:n] {
 			w.Records = append(w.Records, fromRecord(r))
 		}
-		if err := c.control(ctx, FetchLife, addr, methodHand, w, nil); err != nil {
+		if err := c.callControl(ctx, FetchTimeout, addr, methodHandOver, w, nil); err != nil {
 			return err
 		}
 		records = records[n:]
@@ -262,14 +264,14 @@
 	}
 }
 
-// Reset ends all connections; the next call makes a new one.
+// Reset closes all connections; the next call opens a new one.
 func (c *Client) Reset() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reset()
+	c.closeConns()
 }
 
-func (c *Client) reset() {
+func (c *Client) closeConns() {
 	for k, d := range c.conns {
 		select {
 		case <-d.ready:
--- a/internal/edge/peer/doc.go
+++ b/internal/edge/peer/doc.go
@@ -1,2 +1,2 @@
-// Package peer is the protocol between entry hosts: JSON-RPC 2.0 in bounded frames over TCP.
+// Package peer implements the protocol between entry hosts: JSON-RPC 2.0 in length-prefixed frames over TCP.
 package peer
--- a/internal/edge/peer/errors.go
+++ b/internal/edge/peer/errors.go
@@ -7,12 +7,12 @@
 
 // Types of error.
 var (
-	// ErrFrame is a message that breaks the protocol.
+	// ErrFrame marks a message that violates the protocol.
 	ErrFrame = Errors.NewType("frame")
-	// ErrDown means that a host can't be reached: nothing was sent.
+	// ErrDown means that a host can't be reached and nothing was sent.
 	ErrDown = Errors.NewType("down")
-	// ErrLost means that a connection ended or the time was over after something was sent.
+	// ErrLost means that the connection broke or the call timed out after something may have been sent.
 	ErrLost = Errors.NewType("lost")
-	// ErrRefused is an error that the other host answered.
+	// ErrRefused marks an error response of the other host.
 	ErrRefused = Errors.NewType("refused")
 )
--- a/internal/edge/peer/frame.go
+++ b/internal/edge/peer/frame.go
@@ -8,28 +8,28 @@
 	"sync/atomic"
 )
 
-// MaxFrame is the largest message between hosts, in bytes.
+// MaxFrame is the maximum size of a message between hosts, in bytes.
 const MaxFrame = 8 << 20
 
-// Meter counts the bytes of messages.
+// Meter counts the bytes of received and sent messages, including frame headers.
 type Meter struct {
 	In  atomic.Int64
 	Out atomic.Int64
 }
 
-// frames writes each message as a length of four bytes and its JSON text.
-type frames struct {
+// frameCodec encodes a message as JSON behind a big-endian length of four bytes.
+type frameCodec struct {
 	meter *Meter
 }
 
-// WriteObject writes one frame.
-func (f frames) WriteObject(w io.Writer, obj any) error {
+// WriteObject encodes a message and writes it as one frame.
+func (f frameCodec) WriteObject(w io.Writer, obj any) error {
 	data, err := json.Marshal(obj)
 	if err != nil {
 		return ErrFrame.Wrap(err, "encoding a message")
 	}
 	if len(data) > MaxFrame {
-		return ErrFrame.New("a message of %d bytes is over %d", len(data), MaxFrame)
+		return ErrFrame.New("message of %d bytes exceeds the limit of %d", len(data), MaxFrame)
 	}
 	buf := make([]byte, 4, 4+len(data))
 	binary.BigEndian.PutUint32(buf, uint32(len(data)))
@@ -40,18 +40,18 @@
 	return nil
 }
 
-// ReadObject reads one frame.
-func (f frames) ReadObject(r *bufio.Reader, v any) error {
-	var head [4]byte
-	if _, err := io.ReadFull(r, head[:]); err != nil {
+// ReadObject reads one frame and decodes its message.
+func (f frameCodec) ReadObject(r *bufio.Reader, v any) error {
+	var header [4]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return err
 	}
-	n := binary.BigEndian.Uint32(head[:])
+	n := binary.BigEndian.Uint32(header[:])
 	if n > MaxFrame {
-		return ErrFrame.New("a message of %d bytes is over %d", n, MaxFrame)
+		return ErrFrame.New("message of %d bytes exceeds the limit of %d", n, MaxFrame)
 	}
 	data := make([]byte, 0, min(n, 64<<10))
-	data, err := readGrowing(r, data, int(n))
+	data, err := readInChunks(r, data, int(n))
 	if err != nil {
 		return err
 	}
@@ -62,14 +62,14 @@
 	return nil
 }
 
-// readGrowing reads n bytes without trusting n for the size of its first buffer.
-func readGrowing(r io.Reader, data []byte, n int) ([]byte, error) {
-	const step = 64 << 10
+// readInChunks reads n bytes and grows its buffer as they arrive, so that a false length can't exhaust memory.
+func readInChunks(r io.Reader, data []byte, n int) ([]byte, error) {
+	const chunkSize = 64 << 10
 	for len(data) < n {
-		want := min(step, n-len(data))
-		at := len(data)
+		want := min(chunkSize, n-len(data))
+		offset := len(data)
 		data = append(data, make([]byte, want)...)
-		if _, err := io.ReadFull(r, data[at:]); err != nil {
+		if _, err := io.ReadFull(r, data[offset:]); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/edge/peer/frame_test.go
+++ b/internal/edge/peer/frame_test.go
@@ -11,9 +11,9 @@
 	"pgregory.net/rapid"
 )
 
-func TestFramesComeBackAsTheyWere(t *testing.T) {
+func TestFramesRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		f := frames{&Meter{}}
+		f := frameCodec{&Meter{}}
 		want := rapid.SliceOf(rapid.MapOf(rapid.String(), rapid.String())).Draw(t, "messages")
 		var buf bytes.Buffer
 		for _, m := range want {
@@ -26,7 +26,7 @@
 			assert.NilError(t, f.ReadObject(r, &got))
 			assert.DeepEqual(t, got, m)
 		}
-		assert.Assert(t, f.ReadObject(r, &json.RawMessage{}) != nil, "the stream has ended")
+		assert.Assert(t, f.ReadObject(r, &json.RawMessage{}) != nil, "a read past the last frame must fail")
 	})
 }
 
@@ -36,7 +36,7 @@
 	f.Add([]byte("\x00\x00"))
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		var v any
-		_ = frames{&Meter{}}.ReadObject(bufio.NewReader(bytes.NewReader(data)), &v)
+		_ = frameCodec{&Meter{}}.ReadObject(bufio.NewReader(bytes.NewReader(data)), &v)
 	})
 }
 
@@ -52,7 +52,7 @@
 		var o wireOutcome
 		if json.Unmarshal(data, &o) == nil {
 			j := w.job(testNow)
-			o.settle(j)
+			o.applyTo(j)
 			assert.Assert(t, j.Ended())
 		}
 	})
--- a/internal/edge/peer/server.go
+++ b/internal/edge/peer/server.go
@@ -16,17 +16,17 @@
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
-// Bounds of a server.
+// Limits of a server.
 const (
-	// helloLife is how long a new connection may take to say hello.
-	helloLife = 5 * time.Second
-	// maxCalls is the most calls in flight on one connection.
+	// helloTimeout bounds the time until the first message of a new connection, its hello.
+	helloTimeout = 5 * time.Second
+	// maxCalls bounds the calls in flight on one connection.
 	maxCalls = 4096
-	// maxConns is the most connections of a server.
+	// maxConns bounds the open connections of a server.
 	maxConns = 8192
 )
 
-// Host is what a server needs of the host it stands before.
+// Host handles the calls of other hosts.
 type Host interface {
 	Serve(ctx context.Context, job *pipe.Job)
 	Own(ctx context.Context, job *pipe.Job)
@@ -38,25 +38,25 @@
 	Adopt(incarnation string, until time.Time, last bool, records []once.Record)
 }
 
-// Server answers other hosts.
+// Server serves the calls of other hosts.
 type Server struct {
 	Host  Host
 	Clock func() time.Time
 	Log   *zap.Logger
 	Meter *Meter
-	Done  chan struct{}
+	Done  chan struct{} // Closed when the last connection has ended.
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
 	wg    sync.WaitGroup
 }
 
-// NewServer returns a server that does not listen yet.
+// NewServer returns a server that serves no listener yet.
 func NewServer(h Host, clock func() time.Time, log *zap.Logger, meter *Meter) *Server {
 	return &Server{Host: h, Clock: clock, Log: log, Meter: meter, Done: make(chan struct{}), conns: map[net.Conn]struct{}{}}
 }
 
-// Serve accepts connections until the listener is closed.
+// Serve accepts connections until the listener is closed, then closes them and waits for their calls to end.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) {
 	defer close(s.Done)
 	for {
@@ -64,7 +64,7 @@
 		if err != nil {
 			break
 		}
-		if !s.track(c) {
+		if !s.addConn(c) {
 			_ = c.Close()
 			continue
 		}
@@ -75,7 +75,7 @@
 	s.wg.Wait()
 }
 
-func (s *Server) track(c net.Conn) bool {
+func (s *Server) addConn(c net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.conns) >= maxConns {
@@ -98,17 +98,17 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	h := &session{server: s, conn: c, calls: map[uint64]context.CancelFunc{}}
-	_ = c.SetReadDeadline(s.Clock().Add(helloLife))
-	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(c, frames{s.Meter}), h, jsonrpc2.SetLogger(quiet{}))
+	_ = c.SetReadDeadline(s.Clock().Add(helloTimeout))
+	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(c, frameCodec{s.Meter}), h, jsonrpc2.SetLogger(discardLogger{}))
 	<-rpc.DisconnectNotify()
 	_ = c.Close()
 	cancel()
-	h.end()
+	h.closeCalls()
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
 }
 
-type quiet struct{}
+type discardLogger struct{}
 
-func (quiet) Printf(string, ...any) {}
+func (discardLogger) Printf(string, ...any) {}
--- a/internal/edge/peer/session.go
+++ b/internal/edge/peer/session.go
@@ -15,56 +15,56 @@
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
-// session is one connection of another host.
+// session is the server's side of a connection.
 type session struct {
-	server *Server
-	conn   net.Conn
-	hello  bool
-	mu     sync.Mutex
-	calls  map[uint64]context.CancelFunc
-	ended  bool
-	wg     sync.WaitGroup
+	server        *Server
+	conn          net.Conn
+	helloReceived bool
+	mu            sync.Mutex
+	calls         map[uint64]context.CancelFunc
+	ended         bool
+	wg            sync.WaitGroup
 }
 
-// Handle takes one message; it runs in the order of arrival and leaves the work to goroutines.
+// Handle processes one message; it is called in the order of arrival and runs each call in a goroutine of its own.
 func (h *session) Handle(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request) {
-	if !h.hello && req.Method != methodHello {
-		h.cut("a message came before hello", req.Method)
+	if !h.helloReceived && req.Method != methodHello {
+		h.disconnect("message before hello", req.Method)
 		return
 	}
 	if req.Method == methodCancel {
-		h.cancel(req)
+		h.cancelCall(req)
 		return
 	}
 	if req.Notif {
-		h.cut("an unknown notification", req.Method)
+		h.disconnect("unknown notification", req.Method)
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	if !h.enter(req.ID.Num, cancel) {
+	if !h.beginCall(req.ID.Num, cancel) {
 		cancel()
 		_ = rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: "too many calls"})
 		return
 	}
 	if req.Method == methodHello {
-		h.greet(ctx, rpc, req)
-		h.leave(req.ID.Num)
+		h.handleHello(ctx, rpc, req)
+		h.endCall(req.ID.Num)
 		return
 	}
 	go func() {
-		defer h.leave(req.ID.Num)
-		h.answer(ctx, rpc, req)
+		defer h.endCall(req.ID.Num)
+		h.handleCall(ctx, rpc, req)
 	}()
 }
 
-func (h *session) cut(why, method string) {
+func (h *session) disconnect(why, method string) {
 	h.server.Log.Warn("cutting off a peer connection", zap.String("reason", why), zap.String("method", method),
 		zap.Stringer("remote", h.conn.RemoteAddr()))
 	_ = h.conn.Close()
 }
 
-// enter books a call, unless there are too many or the connection has ended.
-func (h *session) enter(id uint64, cancel context.CancelFunc) bool {
+// beginCall registers a call; it returns false for a duplicate id, for too many calls and on a closed connection.
+func (h *session) beginCall(id uint64, cancel context.CancelFunc) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if _, taken := h.calls[id]; taken || h.ended || len(h.calls) >= maxCalls {
@@ -75,15 +75,15 @@
 	return true
 }
 
-// end waits for the calls under way and lets no more begin.
-func (h *session) end() {
+// closeCalls refuses further calls and waits for those in flight.
+func (h *session) closeCalls() {
 	h.mu.Lock()
 	h.ended = true
 	h.mu.Unlock()
 	h.wg.Wait()
 }
 
-func (h *session) leave(id uint64) {
+func (h *session) endCall(id uint64) {
 	defer h.wg.Done()
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -93,10 +93,10 @@
 	delete(h.calls, id)
 }
 
-func (h *session) cancel(req *jsonrpc2.Request) {
+func (h *session) cancelCall(req *jsonrpc2.Request) {
 	var w wireCancel
-	if decode(req, &w) != nil {
-		h.cut("an unreadable cancel", req.Method)
+	if decodeParams(req, &w) != nil {
+		h.disconnect("malformed cancel message", req.Method)
 		return
 	}
 	h.mu.Lock()
@@ -106,19 +106,19 @@
 	}
 }
 
-func (h *session) greet(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request) {
+func (h *session) handleHello(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request) {
 	var w wireHello
-	if decode(req, &w) != nil || w.Version != version {
+	if decodeParams(req, &w) != nil || w.Version != protocolVersion {
 		_ = rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "this host speaks version 1"})
-		h.cut("another version of the protocol", req.Method)
+		h.disconnect("invalid hello or unsupported protocol version", req.Method)
 		return
 	}
-	h.hello = true
+	h.helloReceived = true
 	_ = h.conn.SetReadDeadline(time.Time{})
-	_ = rpc.Reply(ctx, req.ID, wireHello{Version: version})
+	_ = rpc.Reply(ctx, req.ID, wireHello{Version: protocolVersion})
 }
 
-func decode(req *jsonrpc2.Request, v any) error {
+func decodeParams(req *jsonrpc2.Request, v any) error {
 	if req.Params == nil {
 		return ErrFrame.New("method %s has no parameters", req.Method)
 	}
@@ -128,8 +128,8 @@
 	return nil
 }
 
-// answer runs one call and sends its result.
-func (h *session) answer(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request) {
+// handleCall runs one call and sends its result or its error.
+func (h *session) handleCall(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request) {
 	result, err := h.dispatch(ctx, req)
 	if err != nil {
 		_ = rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()})
@@ -142,59 +142,59 @@
 	host, now := h.server.Host, h.server.Clock()
 	switch req.Method {
 	case methodRun:
-		return h.run(ctx, req, host.Serve)
+		return h.runJob(ctx, req, host.Serve)
 	case methodOwn:
-		return h.run(ctx, req, host.Own)
+		return h.runJob(ctx, req, host.Own)
 	case methodHeartbeat:
 		var w wireHeartbeat
-		if err := decode(req, &w); err != nil {
+		if err := decodeParams(req, &w); err != nil {
 			return nil, err
 		}
 		r, ok := host.HeartbeatIn(ctx, w.heartbeat())
-		return fromHeartbeatReply(r), stopped(ok)
+		return fromHeartbeatReply(r), stoppingError(ok)
 	case methodExchange:
 		var w wireExchange
-		if err := decode(req, &w); err != nil {
+		if err := decodeParams(req, &w); err != nil {
 			return nil, err
 		}
 		r, ok := host.ExchangeIn(ctx, w.exchange())
-		return wireExchangeReply{Incarnation: r.Incarnation, Revision: r.Revision, Stamp: r.Stamp, News: fromNews(r.News)}, stopped(ok)
+		return wireExchangeReply{Incarnation: r.Incarnation, Revision: r.Revision, Stamp: r.Stamp, News: fromSummaries(r.News)}, stoppingError(ok)
 	case methodNotice:
 		var w wireNotice
-		if err := decode(req, &w); err != nil {
+		if err := decodeParams(req, &w); err != nil {
 			return nil, err
 		}
 		host.Notice(state.Notice(w))
 		return struct{}{}, nil
 	case methodFetch:
 		var w wireFetch
-		if err := decode(req, &w); err != nil {
+		if err := decodeParams(req, &w); err != nil {
 			return nil, err
 		}
-		return fetched(host.Document(), w.Have), nil
+		return newFetchReply(host.Document(), w.Have), nil
 	case methodCrash:
 		var w wireCrash
-		if err := decode(req, &w); err != nil {
+		if err := decodeParams(req, &w); err != nil {
 			return nil, err
 		}
 		host.Crashed(w.crash(now), w.Spread)
 		return struct{}{}, nil
-	case methodHand:
-		return struct{}{}, h.hand(req)
+	case methodHandOver:
+		return struct{}{}, h.handOver(req)
 	}
 	return nil, ErrFrame.New("there is no method %q", req.Method)
 }
 
-func stopped(ok bool) error {
+func stoppingError(ok bool) error {
 	if ok {
 		return nil
 	}
 	return ErrRefused.New("this host is stopping")
 }
 
-func (h *session) run(ctx context.Context, req *jsonrpc2.Request, serve func(context.Context, *pipe.Job)) (any, error) {
+func (h *session) runJob(ctx context.Context, req *jsonrpc2.Request, serve func(context.Context, *pipe.Job)) (any, error) {
 	var w wireJob
-	if err := decode(req, &w); err != nil {
+	if err := decodeParams(req, &w); err != nil {
 		return nil, err
 	}
 	job := w.job(h.server.Clock())
@@ -202,9 +202,9 @@
 	return fromOutcome(job), nil
 }
 
-func (h *session) hand(req *jsonrpc2.Request) error {
-	var w wireHand
-	if err := decode(req, &w); err != nil {
+func (h *session) handOver(req *jsonrpc2.Request) error {
+	var w wireHandOver
+	if err := decodeParams(req, &w); err != nil {
 		return err
 	}
 	records := make([]once.Record, 0, len(w.Records))
--- a/internal/edge/peer/size.go
+++ b/internal/edge/peer/size.go
@@ -8,7 +8,7 @@
 	"github.com/boragelane/boragelane/internal/ctrl/state"
 )
 
-// Size returns the bytes on the wire of a message for control: its frame, its envelope and itself.
+// Size returns the encoded size of a control message in bytes, including its frame header and JSON-RPC envelope.
 func Size(message any) int64 {
 	var m Meter
 	req := jsonrpc2.Request{Method: methodHeartbeat, ID: jsonrpc2.ID{Num: 1_000_000}}
@@ -25,12 +25,12 @@
 	case state.HeartbeatReply:
 		err = resp.SetResult(fromHeartbeatReply(v))
 	case state.ExchangeReply:
-		err = resp.SetResult(wireExchangeReply{Incarnation: v.Incarnation, Revision: v.Revision, Stamp: v.Stamp, News: fromNews(v.News)})
+		err = resp.SetResult(wireExchangeReply{Incarnation: v.Incarnation, Revision: v.Revision, Stamp: v.Stamp, News: fromSummaries(v.News)})
 	}
 	if err != nil {
 		return 0
 	}
-	if err := (frames{&m}).WriteObject(&bytes.Buffer{}, obj); err != nil {
+	if err := (frameCodec{&m}).WriteObject(&bytes.Buffer{}, obj); err != nil {
 		return 0
 	}
 	return m.Out.Load()
--- a/internal/edge/peer/wire.go
+++ b/internal/edge/peer/wire.go
@@ -8,10 +8,10 @@
 	"github.com/boragelane/boragelane/internal/ctrl/state"
 )
 
-// version is the protocol's version; hosts of other versions are refused.
-const version = 1
+// protocolVersion is sent in hello; a server refuses any other value.
+const protocolVersion = 1
 
-// Methods of the protocol.
+// Names of the RPC methods.
 const (
 	methodHello     = "hello"
 	methodRun       = "run"
@@ -22,7 +22,7 @@
 	methodNotice    = "notice"
 	methodFetch     = "fetch"
 	methodCrash     = "crash"
-	methodHand      = "hand"
+	methodHandOver  = "hand"
 )
 
 type wireHello struct {
@@ -34,7 +34,7 @@
 	ID uint64 `json:"id"`
 }
 
-// wireLoad is slots, busy ones, queued jobs, and the latency in microseconds.
+// wireLoad holds slots, busy slots, queued jobs and the latency in microseconds, in this order.
 type wireLoad [4]int64
 
 func fromLoads(m map[string]plan.Load) map[string]wireLoad {
@@ -62,7 +62,7 @@
 	Same    bool                `json:"s,omitempty"`
 }
 
-func fromNews(list []state.Summary) []wireSummary {
+func fromSummaries(list []state.Summary) []wireSummary {
 	out := make([]wireSummary, 0, len(list))
 	for _, s := range list {
 		out = append(out, wireSummary{Domain: s.Domain, Version: s.Version, Relay: s.Relay, Away: s.Away, Loads: fromLoads(s.Loads), Same: s.Same})
@@ -70,7 +70,7 @@
 	return out
 }
 
-func toNews(list []wireSummary) []state.Summary {
+func toSummaries(list []wireSummary) []state.Summary {
 	out := make([]state.Summary, 0, len(list))
 	for _, s := range list {
 		out = append(out, state.Summary{Domain: s.Domain, Version: s.Version, Relay: s.Relay, Away: s.Away, Loads: toLoads(s.Loads), Same: s.Same})
@@ -119,7 +119,7 @@
 	Leaving     bool             `json:"leaving,omitempty"`
 	Stamp       uint64           `json:"stamp"`
 	Units       map[string]int64 `json:"units,omitempty"`
-	Left        int64            `json:"left,omitempty"` // Microseconds.
+	Left        int64            `json:"left,omitempty"` // In microseconds.
 	Hash        uint64           `json:"mark,omitempty"`
 	News        []wireSummary    `json:"news,omitempty"`
 	Stale       []string         `json:"stale,omitempty"`
@@ -130,7 +130,7 @@
 func fromHeartbeatReply(r state.HeartbeatReply) wireHeartbeatReply {
 	w := wireHeartbeatReply{
 		Incarnation: r.Incarnation, Revision: r.Revision, Leaving: r.Leaving, Stamp: r.Stamp, Units: r.Units,
-		Left: r.Left.Microseconds(), Hash: r.Hash, News: fromNews(r.News), Stale: r.Stale, List: r.List,
+		Left: r.Left.Microseconds(), Hash: r.Hash, News: fromSummaries(r.News), Stale: r.Stale, List: r.List,
 	}
 	for _, m := range r.Members {
 		w.Members = append(w.Members, wireMember(m))
@@ -141,7 +141,7 @@
 func (w wireHeartbeatReply) reply() state.HeartbeatReply {
 	r := state.HeartbeatReply{
 		Incarnation: w.Incarnation, Revision: w.Revision, Leaving: w.Leaving, Stamp: w.Stamp, Units: w.Units,
-		Left: time.Duration(w.Left) * time.Microsecond, Hash: w.Hash, News: toNews(w.News), Stale: w.Stale, List: w.List,
+		Left: time.Duration(w.Left) * time.Microsecond, Hash: w.Hash, News: toSummaries(w.News), Stale: w.Stale, List: w.List,
 	}
 	for _, m := range w.Members {
 		r.Members = append(r.Members, state.Member(m))
@@ -162,14 +162,14 @@
 func fromExchange(s state.Exchange) wireExchange {
 	return wireExchange{
 		Domain: s.Domain, Seat: s.Seat, Incarnation: s.Incarnation, Revision: s.Revision,
-		Peer: s.Peer, Got: s.Got, News: fromNews(s.News),
+		Peer: s.Peer, Got: s.Got, News: fromSummaries(s.News),
 	}
 }
 
 func (w wireExchange) exchange() state.Exchange {
 	return state.Exchange{
 		Domain: w.Domain, Seat: w.Seat, Incarnation: w.Incarnation, Revision: w.Revision,
-		Peer: w.Peer, Got: w.Got, News: toNews(w.News),
+		Peer: w.Peer, Got: w.Got, News: toSummaries(w.News),
 	}
 }
 
@@ -190,25 +190,26 @@
 	Have uint64 `json:"have"`
 }
 
-// wireFetched holds the changes since the revision that the asker has, or the whole document.
-type wireFetched struct {
+// wireFetchReply holds the changes since the requested revision, or the full document.
+type wireFetchReply struct {
 	Changes  []spec.Entry   `json:"changes,omitempty"`
 	Document *spec.Document `json:"doc,omitempty"`
 }
 
-// fetched answers with the changes, as long as they are all there.
-func fetched(doc *spec.Document, have uint64) wireFetched {
+// newFetchReply returns the changes since a revision, or the full document if not all of them are retained.
+func newFetchReply(doc *spec.Document, since uint64) wireFetchReply {
 	if doc == nil {
-		return wireFetched{}
+		return wireFetchReply{}
 	}
-	if list, ok := doc.Since(have); ok && have > 0 {
-		return wireFetched{Changes: list}
+	if changes, ok := doc.Since(since); ok && since > 0 {
+		return wireFetchReply{Changes: changes}
 	}
-	return wireFetched{Document: doc}
+	return wireFetchReply{Document: doc}
 }
 
-// document returns the newer document, or false if there is none.
-func (w wireFetched) document(known *spec.Document) (spec.Document, bool) {
+// document returns the fetched document, or the known one with the changes applied; it returns false without either,
+// or if the changes don't apply.
+func (w wireFetchReply) document(known *spec.Document) (spec.Document, bool) {
 	if w.Document != nil {
 		return *w.Document, w.Document.Revision > 0
 	}
--- a/internal/edge/peer/wirejob.go
+++ b/internal/edge/peer/wirejob.go
@@ -17,7 +17,7 @@
 	Path    string            `json:"path"`
 	Type    string            `json:"type,omitempty"`
 	Body    []byte            `json:"body,omitempty"`
-	Left    int64             `json:"left"` // Microseconds to the deadline.
+	Left    int64             `json:"left"` // Time to the deadline in microseconds.
 	Ticket  string            `json:"ticket,omitempty"`
 	Hop     int               `json:"hop"`
 	From    string            `json:"from"`
@@ -27,13 +27,13 @@
 func fromJob(j *pipe.Job, now time.Time) wireJob {
 	return wireJob{
 		ID: j.ID, Service: j.Service, Rank: j.Rank, Caller: j.Caller, Method: j.Method, Path: j.Path,
-		Type: j.Type, Body: j.Body, Left: j.Deadline.Sub(now).Microseconds(), Ticket: ticket(j),
+		Type: j.Type, Body: j.Body, Left: j.Deadline.Sub(now).Microseconds(), Ticket: forwardedTicket(j),
 		Hop: j.Hop + 1, From: j.Plan.Self.Region, Trace: j.Trace,
 	}
 }
 
-// ticket returns the ticket of a job on its way to its owner; past the owner it plays no part.
-func ticket(j *pipe.Job) string {
+// forwardedTicket returns a job's ticket until its owner has claimed it; a claimed job is sent on without one.
+func forwardedTicket(j *pipe.Job) string {
 	if j.Claimed {
 		return ""
 	}
@@ -66,8 +66,8 @@
 	}
 }
 
-// settle ends a job by another host's outcome, if that is readable and of this job.
-func (w wireOutcome) settle(j *pipe.Job) {
+// applyTo ends a job with another host's outcome; an unreadable outcome or one of another job counts as a mismatch.
+func (w wireOutcome) applyTo(j *pipe.Job) {
 	kind, ok := pipe.ParseKind(w.Kind)
 	if !ok || kind == pipe.Pending || w.ID != j.ID {
 		j.Lose(pipe.Mismatch, "another host sent an outcome that is not this job's")
@@ -81,7 +81,7 @@
 type wireCrash struct {
 	Digest   uint64 `json:"digest"`
 	Upstream string `json:"up"`
-	Age      int64  `json:"age"` // Microseconds.
+	Age      int64  `json:"age"` // In microseconds.
 	Spread   bool   `json:"spread,omitempty"`
 }
 
@@ -91,15 +91,15 @@
 
 type wireRecord struct {
 	Ticket string      `json:"ticket"`
-	Expiry int64       `json:"expiry"` // Seconds since 1970.
+	Expiry int64       `json:"expiry"` // Unix time in seconds.
 	Digest uint64      `json:"digest"`
 	Kept   bool        `json:"kept,omitempty"`
 	End    wireOutcome `json:"end"`
 }
 
-type wireHand struct {
+type wireHandOver struct {
 	Incarnation string       `json:"inc"`
-	Until       int64        `json:"until"` // Seconds since 1970.
+	Until       int64        `json:"until"` // Unix time in seconds.
 	Last        bool         `json:"last"`
 	Records     []wireRecord `json:"records,omitempty"`
 }
@@ -111,7 +111,7 @@
 
 func (w wireRecord) record() once.Record {
 	j := pipe.Job{}
-	w.End.settle(&j)
+	w.End.applyTo(&j)
 	return once.Record{
 		Ticket: w.Ticket, Expiry: time.Unix(w.Expiry, 0), Digest: w.Digest, Kept: w.Kept,
 		Outcome: j.Outcome, Answer: j.Answer,
