refactor(config): plain terms for the settings reader

Comments described types and fields figuratively ("keeps all that is wrong with it", "says where each setting goes"); they now say what is decoded, validated and recorded. TestGoodSettings is now TestLoadValidSettings and TestAllErrorsAtOnce is TestParseReportsAllErrors; both check what they did.

--- a/internal/host/config/config.go
+++ b/internal/host/config/config.go
@@ -16,33 +16,33 @@
 // Errors is the namespace of this package's errors.
 var Errors = errorx.NewNamespace("config")
 
-// Types of error.
+// Error types of this package.
 var (
-	// ErrRead is a file that can't be read.
+	// ErrRead is returned when the settings file cannot be read.
 	ErrRead = Errors.NewType("read")
-	// ErrInvalid is a file with one or more settings that are not allowed.
+	// ErrInvalid is returned when a settings file has syntax errors or invalid settings.
 	ErrInvalid = Errors.NewType("invalid")
 )
 
-// Settings is what an entry host must know before it starts.
+// Settings holds the settings that an entry host reads at startup.
 type Settings struct {
-	Seat     string        // Name of this host's seat in the configuration.
-	Domain   string        // Failure domain.
-	Region   string        // Region.
-	Front    string        // Address for callers.
-	Peer     string        // Address for other entry hosts.
-	Admin    string        // Address for operators.
+	Seat     string        // Name of this host's seat in the configuration document.
+	Domain   string        // Name of this host's failure domain.
+	Region   string        // Name of this host's region.
+	Front    string        // Listen address for callers, as IP:port.
+	Peer     string        // Listen address for other entry hosts, as IP:port.
+	Admin    string        // Listen address for operators, as IP:port.
 	Platform string        // Base URL of the platform.
-	Seeds    []string      // Peer addresses of hosts to ask for the configuration at a start.
-	Log      string        // Level: debug, info, warn or error.
-	Trace    string        // URL of an OTLP collector; empty for none.
-	Stop     time.Duration // Longest time of a planned stop.
+	Seeds    []string      // Peer addresses of hosts to fetch the configuration from at startup.
+	Log      string        // Log level: debug, info, warn or error.
+	Trace    string        // URL of an OTLP collector; tracing is off if it is empty.
+	Stop     time.Duration // Maximum duration of a planned stop.
 }
 
-// Default returns the settings that a file may leave out.
+// Default returns the default values of the optional settings.
 func Default() Settings { return Settings{Log: "info", Stop: 30 * time.Second} }
 
-// Load reads and checks a file. The error lists all that is wrong with it, a line each.
+// Load reads and validates a settings file; the error lists every problem on a line of its own.
 func Load(file string) (Settings, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
@@ -51,52 +51,54 @@
 	return Parse(file, data)
 }
 
-// Parse reads and checks the text of a file.
+// Parse decodes and validates the contents of a settings file; file is its name in error messages.
 func Parse(file string, data []byte) (Settings, error) {
 	s := Default()
-	r := &reader{file: file, data: data, seen: map[string]int{}}
-	r.read(&s)
-	if len(r.found) == 0 {
-		r.check(s)
+	r := &reader{file: file, data: data, offsets: map[string]int{}}
+	r.decode(&s)
+	if len(r.problems) == 0 {
+		r.validate(s)
 	}
-	if len(r.found) > 0 {
-		return Settings{}, ErrInvalid.New("%s", strings.Join(r.found, "\n"))
+	if len(r.problems) > 0 {
+		return Settings{}, ErrInvalid.New("%s", strings.Join(r.problems, "\n"))
 	}
 	return s, nil
 }
 
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
 
-var levels = []string{"debug", "info", "warn", "error"}
+var logLevels = []string{"debug", "info", "warn", "error"}
 
-// maxStop is the longest time that a planned stop may be given.
-const maxStop = 10 * time.Minute
+// maxStopTimeout is the maximum of the setting stop.
+const maxStopTimeout = 10 * time.Minute
 
-func (r *reader) check(s Settings) {
+// validate checks the values of all settings and sorts the problems, since maps have a random order.
+func (r *reader) validate(s Settings) {
 	for name, v := range map[string]string{"seat": s.Seat, "domain": s.Domain, "region": s.Region} {
-		r.assert(namePattern.MatchString(v), name, v, "1 to 63 of a-z, 0-9, '.' and '-'")
+		r.require(namePattern.MatchString(v), name, v, "1 to 63 of a-z, 0-9, '.' and '-'")
 	}
 	for name, v := range map[string]string{"front": s.Front, "peer": s.Peer, "admin": s.Admin} {
 		_, err := netip.ParseAddrPort(v)
-		r.assert(err == nil, name, v, "an IP number and a port, such as 127.0.0.1:7001")
+		r.require(err == nil, name, v, "an IP number and a port, such as 127.0.0.1:7001")
 	}
 	u, err := url.Parse(s.Platform)
-	r.assert(err == nil && u.Scheme == "http" && u.Host != "", "platform", s.Platform, "a URL such as http://127.0.0.1:8500")
+	r.require(err == nil && u.Scheme == "http" && u.Host != "", "platform", s.Platform, "a URL such as http://127.0.0.1:8500")
 	for _, v := range s.Seeds {
 		_, err := netip.ParseAddrPort(v)
-		r.assert(err == nil, "seeds", v, "a list of addresses such as 127.0.0.1:7002")
+		r.require(err == nil, "seeds", v, "a list of addresses such as 127.0.0.1:7002")
 	}
-	r.assert(slices.Contains(levels, s.Log), "log", s.Log, strings.Join(levels, ", "))
+	r.require(slices.Contains(logLevels, s.Log), "log", s.Log, strings.Join(logLevels, ", "))
 	if s.Trace != "" {
 		u, err := url.Parse(s.Trace)
-		r.assert(err == nil && u.Host != "", "trace", s.Trace, "a URL such as http://127.0.0.1:4318/v1/traces")
+		r.require(err == nil && u.Host != "", "trace", s.Trace, "a URL such as http://127.0.0.1:4318/v1/traces")
 	}
-	r.assert(s.Stop >= time.Second && s.Stop <= maxStop, "stop", s.Stop.String(), "1s to 10m")
-	slices.Sort(r.found)
+	r.require(s.Stop >= time.Second && s.Stop <= maxStopTimeout, "stop", s.Stop.String(), "1s to 10m")
+	slices.Sort(r.problems)
 }
 
-func (r *reader) assert(ok bool, name, value, allowed string) {
+// require records a problem at the setting's line unless ok is true.
+func (r *reader) require(ok bool, name, value, allowed string) {
 	if !ok {
-		r.add(r.seen[name], fmt.Sprintf("%s: %q is not allowed; allowed: %s", name, value, allowed))
+		r.addProblem(r.offsets[name], fmt.Sprintf("%s: %q is not allowed; allowed: %s", name, value, allowed))
 	}
 }
--- a/internal/host/config/config_test.go
+++ b/internal/host/config/config_test.go
@@ -8,7 +8,7 @@
 	"gotest.tools/v3/golden"
 )
 
-func TestGoodSettings(t *testing.T) {
+func TestLoadValidSettings(t *testing.T) {
 	s, err := Load("testdata/good.json")
 	assert.NilError(t, err)
 	assert.Equal(t, s.Seat, "dar-a-1")
@@ -17,7 +17,7 @@
 	assert.DeepEqual(t, s.Seeds, []string{"127.0.0.2:7002"})
 }
 
-func TestAllErrorsAtOnce(t *testing.T) {
+func TestParseReportsAllErrors(t *testing.T) {
 	for _, name := range []string{"types", "values", "syntax", "list"} {
 		t.Run(name, func(t *testing.T) {
 			data, err := os.ReadFile("testdata/" + name + ".json")
--- a/internal/host/config/doc.go
+++ b/internal/host/config/doc.go
@@ -1,2 +1,2 @@
-// Package config reads an entry host's settings from JSON with comments.
+// Package config reads and validates an entry host's settings file, which is JSON with comments.
 package config
--- a/internal/host/config/reader.go
+++ b/internal/host/config/reader.go
@@ -12,85 +12,89 @@
 	"github.com/tailscale/hujson"
 )
 
-// reader reads one file and keeps all that is wrong with it.
+// reader decodes one settings file and collects its problems.
 type reader struct {
-	file  string
-	data  []byte
-	found []string
-	seen  map[string]int // The offset of each setting's value.
+	file     string
+	data     []byte
+	problems []string
+	offsets  map[string]int // Byte offset of each setting's value.
 }
 
-func (r *reader) add(offset int, text string) {
+// addProblem records a problem with the file name and the line of a byte offset.
+func (r *reader) addProblem(offset int, text string) {
 	line := 1 + bytes.Count(r.data[:min(offset, len(r.data))], []byte("\n"))
-	r.found = append(r.found, fmt.Sprintf("%s:%d: %s", r.file, line, text))
+	r.problems = append(r.problems, fmt.Sprintf("%s:%d: %s", r.file, line, text))
 }
 
-// fields says where each setting goes.
-func fields(s *Settings) map[string]any {
+// fieldsByName maps the name of each setting to a pointer to its field.
+func fieldsByName(s *Settings) map[string]any {
 	return map[string]any{
 		"seat": &s.Seat, "domain": &s.Domain, "region": &s.Region, "front": &s.Front, "peer": &s.Peer,
 		"admin": &s.Admin, "platform": &s.Platform, "seeds": &s.Seeds, "log": &s.Log, "trace": &s.Trace, "stop": &s.Stop,
 	}
 }
 
-func (r *reader) read(s *Settings) {
+// decode decodes the file into s.
+func (r *reader) decode(s *Settings) {
 	root, err := hujson.Parse(r.data)
 	if err != nil {
-		r.syntax(err)
+		r.addSyntaxError(err)
 		return
 	}
 	obj, ok := root.Value.(*hujson.Object)
 	if !ok {
-		r.add(root.StartOffset, "the settings are not an object in braces")
+		r.addProblem(root.StartOffset, "the settings are not an object in braces")
 		return
 	}
-	known := fields(s)
+	fields := fieldsByName(s)
 	for _, m := range obj.Members {
-		r.member(m, known)
+		r.decodeMember(m, fields)
 	}
 }
 
-func (r *reader) syntax(err error) {
+func (r *reader) addSyntaxError(err error) {
 	var se *json.SyntaxError
 	if errors.As(err, &se) {
-		r.add(int(se.Offset), err.Error())
+		r.addProblem(int(se.Offset), err.Error())
 		return
 	}
-	r.found = append(r.found, r.file+": "+err.Error())
+	r.problems = append(r.problems, r.file+": "+err.Error())
 }
 
-func (r *reader) member(m hujson.ObjectMember, known map[string]any) {
+// decodeMember decodes one setting into the field of its name.
+func (r *reader) decodeMember(m hujson.ObjectMember, fields map[string]any) {
 	lit, ok := m.Name.Value.(hujson.Literal)
 	if !ok {
 		return
 	}
 	name := lit.String()
-	into, ok := known[name]
+	target, ok := fields[name]
 	if !ok {
-		names := make([]string, 0, len(known))
-		for k := range known {
+		names := make([]string, 0, len(fields))
+		for k := range fields {
 			names = append(names, k)
 		}
 		slices.Sort(names)
-		r.add(m.Name.StartOffset, fmt.Sprintf("there is no setting %q; allowed: %s", name, strings.Join(names, ", ")))
+		r.addProblem(m.Name.StartOffset, fmt.Sprintf("there is no setting %q; allowed: %s", name, strings.Join(names, ", ")))
 		return
 	}
-	if _, twice := r.seen[name]; twice {
-		r.add(m.Name.StartOffset, fmt.Sprintf("%s is set twice", name))
+	if _, repeated := r.offsets[name]; repeated {
+		r.addProblem(m.Name.StartOffset, fmt.Sprintf("%s is set twice", name))
 	}
-	r.seen[name] = m.Value.StartOffset
+	r.offsets[name] = m.Value.StartOffset
 	v := m.Value.Clone()
 	v.Standardize()
 	text := bytes.TrimSpace(v.Pack())
-	if err := set(into, text); err != nil {
-		r.add(m.Value.StartOffset, fmt.Sprintf("%s: %s is not allowed; allowed: %s", name, text, kind(into)))
+	if err := decodeValue(target, text); err != nil {
+		r.addProblem(m.Value.StartOffset, fmt.Sprintf("%s: %s is not allowed; allowed: %s", name, text, expectedType(target)))
 	}
 }
 
-func set(into any, text []byte) error {
-	d, ok := into.(*time.Duration)
+// decodeValue decodes a JSON value; a duration is a string such as "30s".
+func decodeValue(target any, text []byte) error {
+	d, ok := target.(*time.Duration)
 	if !ok {
-		return json.Unmarshal(text, into)
+		return json.Unmarshal(text, target)
 	}
 	var s string
 	if err := json.Unmarshal(text, &s); err != nil {
@@ -101,8 +105,9 @@
 	return err
 }
 
-func kind(into any) string {
-	switch into.(type) {
+// expectedType describes the values that a field accepts.
+func expectedType(target any) string {
+	switch target.(type) {
 	case *[]string:
 		return "a list of texts"
 	case *time.Duration:
