--- a/internal/host/entry/bench_test.go
+++ b/internal/host/entry/bench_test.go
@@ -24,7 +24,7 @@
 	"github.com/boragelane/boragelane/internal/host/trace"
 )
 
-// benchPlan has one service on a number of upstreams, and sites in other failure domains.
+// benchPlan returns a plan with one service that has upstreams in this failure domain and sites in others.
 func benchPlan(upstreams, sites int) *plan.Plan {
 	p := &plan.Plan{
 		Self:     plan.Self{Seat: "h", Domain: "d0", Region: "r0"},
@@ -48,11 +48,11 @@
 	return p
 }
 
-// BenchmarkDecision is one whole decision: where a job goes, and which upstream takes it.
+// BenchmarkDecision measures a complete routing decision: the selection of a target and of an upstream.
 func BenchmarkDecision(b *testing.B) {
-	for _, z := range []struct{ upstreams, sites int }{{14, 10}, {14, 100}, {14, 890}} {
-		b.Run(fmt.Sprintf("%d-upstreams-%d-sites", z.upstreams, z.sites), func(b *testing.B) {
-			p, a, now := benchPlan(z.upstreams, z.sites), admit.New(), time.Unix(1000, 0)
+	for _, size := range []struct{ upstreams, sites int }{{14, 10}, {14, 100}, {14, 890}} {
+		b.Run(fmt.Sprintf("%d-upstreams-%d-sites", size.upstreams, size.sites), func(b *testing.B) {
+			p, a, now := benchPlan(size.upstreams, size.sites), admit.New(), time.Unix(1000, 0)
 			a.Update(now, p)
 			r := route.New(a)
 			b.ReportAllocs()
@@ -69,7 +69,7 @@
 	}
 }
 
-// BenchmarkLookup is a look-up with its HTTP handling.
+// BenchmarkLookup measures a look-up with its HTTP handling.
 func BenchmarkLookup(b *testing.B) {
 	for _, n := range []int{4, 132} {
 		b.Run(fmt.Sprintf("%d-hosts", n), func(b *testing.B) {
@@ -79,7 +79,7 @@
 				p.Lookup.Hosts = append(p.Lookup.Hosts, spec.Seat{Name: fmt.Sprint("h", i), Front: "127.0.0.1:7001"})
 				p.Lookup.Sites = append(p.Lookup.Sites, rendez.NewSite(fmt.Sprint("h", i), 1))
 			}
-			h.front.Host = fixed{h, p}
+			h.front.Host = fixedPlanHost{h, p}
 			handler := h.front.Server().Handler
 			req := httptest.NewRequestWithContext(context.Background(), http.MethodGet, "/v1/lookup?caller=grace", nil)
 			b.ReportAllocs()
@@ -90,30 +90,31 @@
 	}
 }
 
-type fixed struct {
+// fixedPlanHost is a host that always returns the same plan.
+type fixedPlanHost struct {
 	*Host
 	plan *plan.Plan
 }
 
-func (f fixed) Plan() *plan.Plan { return f.plan }
+func (f fixedPlanHost) Plan() *plan.Plan { return f.plan }
 
-// BenchmarkEntryPath compares a request through an entry host with a direct one; it reports both, and
-// what the host adds at the median and the 99th percentile.
+// BenchmarkEntryPath compares requests through an entry host with direct ones; it reports the direct median, and the
+// latency that the host adds at the median and at the 99th percentile.
 func BenchmarkEntryPath(b *testing.B) {
-	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		_, _ = io.WriteString(w, strings.Repeat("x", 500))
 	}))
-	defer up.Close()
+	defer upstream.Close()
 	h := New(config.Settings{Seat: "h"}, time.Now, zap.NewNop(), trace.None())
 	p := benchPlan(1, 1)
-	p.Services["s"].Upstreams[0].Address = strings.TrimPrefix(up.URL, "http://")
+	p.Services["s"].Upstreams[0].Address = strings.TrimPrefix(upstream.URL, "http://")
 	h.admit.Update(time.Now(), p)
-	h.front.Host = planned{fixed{h, p}}
+	h.front.Host = fixedPlanIntake{fixedPlanHost{h, p}}
 	front := httptest.NewServer(h.front.Server().Handler)
 	defer front.Close()
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
-	ask := func(url string) time.Duration {
+	post := func(url string) time.Duration {
 		begin := time.Now()
 		resp, err := client.Post(url, "text/plain", strings.NewReader("hello"))
 		if err != nil || resp.StatusCode != http.StatusOK {
@@ -125,21 +126,21 @@
 	}
 	var direct, through []time.Duration
 	for b.Loop() {
-		direct = append(direct, ask(up.URL))
-		through = append(through, ask(front.URL+"/v1/run/s/x"))
+		direct = append(direct, post(upstream.URL))
+		through = append(through, post(front.URL+"/v1/run/s/x"))
 	}
 	slices.Sort(direct)
 	slices.Sort(through)
-	at := func(l []time.Duration, q float64) float64 { return float64(l[int(q*float64(len(l)-1))].Microseconds()) }
-	b.ReportMetric(at(direct, 0.5), "direct-p50-us")
-	b.ReportMetric(at(through, 0.5)-at(direct, 0.5), "added-p50-us")
-	b.ReportMetric(at(through, 0.99)-at(direct, 0.99), "added-p99-us")
+	quantile := func(l []time.Duration, q float64) float64 { return float64(l[int(q*float64(len(l)-1))].Microseconds()) }
+	b.ReportMetric(quantile(direct, 0.5), "direct-p50-us")
+	b.ReportMetric(quantile(through, 0.5)-quantile(direct, 0.5), "added-p50-us")
+	b.ReportMetric(quantile(through, 0.99)-quantile(direct, 0.99), "added-p99-us")
 }
 
-// planned gives each job the fixed plan.
-type planned struct{ fixed }
+// fixedPlanIntake runs each job with the fixed plan.
+type fixedPlanIntake struct{ fixedPlanHost }
 
-func (p planned) Intake(ctx context.Context, job *pipe.Job) {
+func (p fixedPlanIntake) Intake(ctx context.Context, job *pipe.Job) {
 	job.Plan = p.plan
 	p.intake.Run(ctx, job)
 }
--- a/internal/host/entry/doc.go
+++ b/internal/host/entry/doc.go
@@ -1,2 +1,2 @@
-// Package entry puts the parts of an entry host together, and starts and stops them in order.
+// Package entry assembles the components of an entry host, and starts and stops them in order.
 package entry
--- a/internal/host/entry/doer.go
+++ b/internal/host/entry/doer.go
@@ -11,167 +11,173 @@
 	"github.com/boragelane/boragelane/internal/ctrl/state"
 )
 
-// doer does what control wants done.
-type doer struct {
+// executor executes the actions of the control loop.
+type executor struct {
 	host   *Host
-	leases leases
+	leases leaseManager
 }
 
-// Do does one action.
-func (d *doer) Do(ctx context.Context, act state.Action, feed func(state.Event)) {
-	h := d.host
-	switch a := act.(type) {
+// Do executes one action and emits the events that result from it.
+func (e *executor) Do(ctx context.Context, action state.Action, emit func(state.Event)) {
+	h := e.host
+	switch a := action.(type) {
 	case state.SendHeartbeat:
-		asked := h.Clock()
-		r, err := h.peers.Heartbeat(ctx, a.To.Peer, a.Heartbeat)
-		feed(state.HeartbeatOut{Seat: a.To.Name, Asked: asked, Sent: a.Heartbeat, Reply: r, Err: err})
+		requestedAt := h.Clock()
+		r, err := h.peerClient.Heartbeat(ctx, a.To.Peer, a.Heartbeat)
+		emit(state.HeartbeatOut{Seat: a.To.Name, Asked: requestedAt, Sent: a.Heartbeat, Reply: r, Err: err})
 	case state.SendExchange:
-		r, err := h.peers.Exchange(ctx, a.To.Peer, a.Exchange)
-		feed(state.ExchangeOut{Seat: a.To.Name, Domain: a.Domain, Sent: a.Sent, Reply: r, Err: err})
+		r, err := h.peerClient.Exchange(ctx, a.To.Peer, a.Exchange)
+		emit(state.ExchangeOut{Seat: a.To.Name, Domain: a.Domain, Sent: a.Sent, Reply: r, Err: err})
 	case state.SendNotice:
-		d.notice(ctx, a)
+		e.sendNotice(ctx, a)
 	case state.Fetch:
-		d.fetch(ctx, a.From, feed)
+		e.fetchDocument(ctx, a.From, emit)
 	case state.AskLease:
-		feed(d.leases.ask(ctx, h, a))
+		emit(e.leases.request(ctx, h, a))
 	case state.ReleaseLease:
-		d.leases.release(ctx, h, a.Domain)
+		e.leases.release(ctx, h, a.Domain)
 	case state.Relay:
-		h.follow.set(ctx, a.On, feed)
+		h.watcher.setActive(ctx, a.On, emit)
 		if !a.On {
-			d.leases.releaseAll(ctx, h)
+			e.leases.releaseAll(ctx, h)
 		}
 	}
 }
 
-func (d *doer) notice(ctx context.Context, a state.SendNotice) {
+// sendNotice sends a notice to several hosts in parallel.
+func (e *executor) sendNotice(ctx context.Context, notice state.SendNotice) {
 	var wg sync.WaitGroup
-	for _, seat := range a.To {
-		wg.Go(func() { _ = d.host.peers.Notice(ctx, seat.Peer, a) })
+	for _, seat := range notice.To {
+		wg.Go(func() { _ = e.host.peerClient.Notice(ctx, seat.Peer, notice) })
 	}
 	wg.Wait()
 }
 
-func (d *doer) fetch(ctx context.Context, from spec.Seat, feed func(state.Event)) {
-	doc, ok, err := d.host.peers.Fetch(ctx, from.Peer, d.host.loop.Plan().Doc)
+// fetchDocument fetches a newer document from another host.
+func (e *executor) fetchDocument(ctx context.Context, from spec.Seat, emit func(state.Event)) {
+	doc, ok, err := e.host.peerClient.Fetch(ctx, from.Peer, e.host.loop.Plan().Doc)
 	if err != nil || !ok {
-		feed(state.FetchOut{})
+		emit(state.FetchOut{})
 		return
 	}
-	feed(state.Adopt{Doc: doc})
+	emit(state.Adopt{Doc: doc})
 }
 
-// follower follows the platform for this host's failure domain while it relays.
-type follower struct {
+// platformWatcher watches the platform's configuration and upstream list while this host is a relay of its
+// failure domain.
+type platformWatcher struct {
 	host *Host
 
 	mu   sync.Mutex
 	stop context.CancelFunc
 }
 
-func (f *follower) active() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.stop != nil
+// active reports whether the watches are running.
+func (w *platformWatcher) active() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.stop != nil
 }
 
-// set starts or stops following.
-func (f *follower) set(ctx context.Context, on bool, feed func(state.Event)) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if on == (f.stop != nil) {
+// setActive starts or stops the watches.
+func (w *platformWatcher) setActive(ctx context.Context, active bool, emit func(state.Event)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if active == (w.stop != nil) {
 		return
 	}
-	if !on {
-		f.stop()
-		f.stop = nil
+	if !active {
+		w.stop()
+		w.stop = nil
 		return
 	}
-	ctx, f.stop = context.WithCancel(ctx)
-	go f.document(ctx, feed)
-	go f.list(ctx, feed)
+	ctx, w.stop = context.WithCancel(ctx)
+	go w.watchDocument(ctx, emit)
+	go w.watchUpstreams(ctx, emit)
 }
 
-// Periods of following.
+// Timing of the watches and of their retries.
 const (
-	watchLife = 30 * time.Second
-	waitMin   = 250 * time.Millisecond
-	waitMax   = 3 * time.Second
-	// seekSpread spreads the first calls of hosts that start at once.
-	seekSpread = time.Second
+	longPollTimeout = 30 * time.Second
+	minRetryDelay   = 250 * time.Millisecond
+	maxRetryDelay   = 3 * time.Second
+	// startJitter is the maximum random delay before the first call to the platform; it spreads the calls of hosts that start together.
+	startJitter = time.Second
 )
 
-// document asks other hosts for the document first, then watches the platform's.
-func (f *follower) document(ctx context.Context, feed func(state.Event)) {
-	h := f.host
-	if h.loop.Plan().Doc == nil && !f.seeds(ctx, feed) {
-		pause(ctx, rand.N(seekSpread))
+// watchDocument fetches the configuration document from the seeds if this host has none, then watches the platform's.
+func (w *platformWatcher) watchDocument(ctx context.Context, emit func(state.Event)) {
+	h := w.host
+	if h.loop.Plan().Doc == nil && !w.fetchFromSeeds(ctx, emit) {
+		sleep(ctx, rand.N(startJitter))
 	}
 	var index uint64
-	wait := waitMin
+	delay := minRetryDelay
 	for ctx.Err() == nil {
-		v, err := h.store.Get(ctx, commit.Key, index, watchLife)
+		v, err := h.store.Get(ctx, commit.Key, index, longPollTimeout)
 		if err != nil {
-			h.Log.Debug("watching the configuration failed", reason(err))
-			wait = backOff(ctx, wait)
+			h.Log.Debug("cannot watch the configuration on the platform", errorField(err))
+			delay = backOff(ctx, delay)
 			continue
 		}
-		wait = waitMin
+		delay = minRetryDelay
 		if v.Data != nil && v.Index != index {
-			f.adopt(ctx, v.Data, feed)
+			w.applyDocument(ctx, v.Data, emit)
 		}
 		if index = v.Index; v.Index == 0 {
-			pause(ctx, waitMin)
+			sleep(ctx, minRetryDelay)
 		}
 	}
 }
 
-func (f *follower) adopt(ctx context.Context, data []byte, feed func(state.Event)) {
-	doc, err := commit.Parse(ctx, f.host.store, data, f.host.loop.Plan().Doc)
+// applyDocument emits the document that the platform holds, or logs an error if it is invalid.
+func (w *platformWatcher) applyDocument(ctx context.Context, data []byte, emit func(state.Event)) {
+	doc, err := commit.Parse(ctx, w.host.store, data, w.host.loop.Plan().Doc)
 	if err == nil {
 		err = doc.Check()
 	}
 	if err != nil {
-		f.host.Log.Error("the platform holds a document that can't be used", reason(err))
+		w.host.Log.Error("the platform holds a document that can't be used", errorField(err))
 		return
 	}
-	feed(state.Adopt{Doc: doc})
+	emit(state.Adopt{Doc: doc})
 }
 
-// seeds asks the seeds for their document, in random order.
-func (f *follower) seeds(ctx context.Context, feed func(state.Event)) bool {
-	list := f.host.Settings.Seeds
-	for _, i := range rand.Perm(len(list)) {
-		doc, ok, err := f.host.peers.Fetch(ctx, list[i], nil)
+// fetchFromSeeds asks the seeds in random order for their document, and reports whether one of them returned it.
+func (w *platformWatcher) fetchFromSeeds(ctx context.Context, emit func(state.Event)) bool {
+	seeds := w.host.Settings.Seeds
+	for _, i := range rand.Perm(len(seeds)) {
+		doc, ok, err := w.host.peerClient.Fetch(ctx, seeds[i], nil)
 		if err == nil && ok {
-			feed(state.Adopt{Doc: doc})
+			emit(state.Adopt{Doc: doc})
 			return true
 		}
 	}
 	return false
 }
 
-// list watches the platform's list of upstreams.
-func (f *follower) list(ctx context.Context, feed func(state.Event)) {
-	h := f.host
+// watchUpstreams watches the platform's list of upstreams once this host has a configuration.
+func (w *platformWatcher) watchUpstreams(ctx context.Context, emit func(state.Event)) {
+	h := w.host
 	for h.loop.Plan().Doc == nil && ctx.Err() == nil {
-		pause(ctx, waitMin)
+		sleep(ctx, minRetryDelay)
 	}
 	var index uint64
-	wait := waitMin
+	delay := minRetryDelay
 	for ctx.Err() == nil {
-		members, next, err := h.store.Upstreams(ctx, h.Self.Domain, index, watchLife)
+		members, next, err := h.store.Upstreams(ctx, h.Self.Domain, index, longPollTimeout)
 		if err != nil {
-			h.Log.Debug("watching the list failed", reason(err))
-			wait = backOff(ctx, wait)
+			h.Log.Debug("cannot watch the list of upstreams on the platform", errorField(err))
+			delay = backOff(ctx, delay)
 			continue
 		}
-		wait, index = waitMin, next
-		feed(state.ListOut{Members: members})
+		delay, index = minRetryDelay, next
+		emit(state.ListOut{Members: members})
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
+// sleep waits for a duration or until the context is canceled.
+func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
@@ -180,7 +186,8 @@
 	}
 }
 
-func backOff(ctx context.Context, wait time.Duration) time.Duration {
-	pause(ctx, wait/2+rand.N(wait))
-	return min(waitMax, wait*2)
+// backOff sleeps for 0.5 to 1.5 times the delay, and returns the delay of the next retry.
+func backOff(ctx context.Context, delay time.Duration) time.Duration {
+	sleep(ctx, delay/2+rand.N(delay))
+	return min(maxRetryDelay, delay*2)
 }
--- a/internal/host/entry/host.go
+++ b/internal/host/entry/host.go
@@ -40,10 +40,10 @@
 // Errors is the namespace of this package's errors.
 var Errors = errorx.NewNamespace("entry")
 
-// ErrListen is an address that can't be listened on.
+// ErrListen is returned when the host cannot listen on one of its addresses.
 var ErrListen = Errors.NewType("listen")
 
-// Host is one entry host.
+// Host is an entry host: its control loop, its filter pipelines and its servers.
 type Host struct {
 	Settings config.Settings
 	Self     plan.Self
@@ -53,26 +53,26 @@
 	Trace    trace.Provider
 	Done     chan struct{}
 
-	loop    *loop.Loop
-	store   *store.Client
-	peers   *peer.Client
-	server  *peer.Server
-	front   *front.Front
-	sender  *egress.Sender
-	admit   *admit.Pipe
-	once    once.Pipe
-	crashes *guard.Table
-	pacer   *carry.Pacer
-	intake  trace.Hop
-	serve   trace.Hop
-	explain pipe.Line
-	follow  *follower
-	http    [2]*http.Server // For callers and for operators.
-	life    context.Context // Ends when the host does, after the planned stop.
-	kill    context.CancelFunc
+	loop        *loop.Loop
+	store       *store.Client
+	peerClient  *peer.Client
+	peerServer  *peer.Server
+	front       *front.Front
+	sender      *egress.Sender
+	admit       *admit.Pipe
+	once        once.Pipe
+	crashes     *guard.Table
+	pacer       *carry.Pacer
+	intake      trace.Hop
+	serve       trace.Hop
+	explain     pipe.Line
+	watcher     *platformWatcher
+	httpServers [2]*http.Server // Servers for callers and for operators, in this order.
+	runCtx      context.Context // Canceled when the host ends, after the planned stop.
+	cancelRun   context.CancelFunc
 }
 
-// New returns a host that does not run yet.
+// New returns a host that is not running yet.
 func New(s config.Settings, clock func() time.Time, log *zap.Logger, tr trace.Provider) *Host {
 	h := &Host{
 		Settings: s, Clock: clock, Log: log, Trace: tr, Stats: stats.New(), Done: make(chan struct{}),
@@ -80,36 +80,37 @@
 	}
 	h.loop = loop.New(h.Self, clock)
 	h.store = store.New(s.Platform)
-	h.peers = peer.NewClient(s.Seat, clock)
+	h.peerClient = peer.NewClient(s.Seat, clock)
 	h.sender = egress.New()
 	h.admit = admit.New()
 	h.crashes = &guard.Table{}
 	h.pacer = carry.NewPacer(clock)
-	h.once = once.Pipe{Table: once.NewTable(), Owner: owners{h}, NewID: newID}
-	h.follow = &follower{host: h}
-	h.lines()
-	h.loop.Doer = &doer{host: h}
+	h.once = once.Pipe{Table: once.NewTable(), Owner: ownerForwarder{h}, NewID: newID}
+	h.watcher = &platformWatcher{host: h}
+	h.buildPipelines()
+	h.loop.Doer = &executor{host: h}
 	h.loop.Loader = h.admit
-	h.loop.Followers = []loop.Follower{h.admit, h.pacer, &journal{log: h.Log}}
-	h.server = peer.NewServer(&remote{h}, clock, log, &h.peers.Control)
+	h.loop.Followers = []loop.Follower{h.admit, h.pacer, &revisionLogger{log: h.Log}}
+	h.peerServer = peer.NewServer(&peerHandler{h}, clock, log, &h.peerClient.Control)
 	h.front = &front.Front{Host: h, Clock: clock, Refused: h.Stats.Refused}
-	h.http = [2]*http.Server{h.front.Server(), h.adminServer()}
-	h.life, h.kill = context.WithCancel(context.Background())
-	h.gauges()
+	h.httpServers = [2]*http.Server{h.front.Server(), h.adminServer()}
+	h.runCtx, h.cancelRun = context.WithCancel(context.Background())
+	h.registerGauges()
 	return h
 }
 
-// lines lists the filters of both hops. They are this program's table of contents.
-func (h *Host) lines() {
+// buildPipelines builds the filter pipelines: intake for the first hop, serve for the second hop, and explain,
+// which routes a job without running it.
+func (h *Host) buildPipelines() {
 	tracer := h.Trace.Tracer("boragelane")
-	guarded := guard.Pipe{Table: h.crashes, Teller: &teller{host: h}}
+	crashGuard := guard.Pipe{Table: h.crashes, Teller: &crashNotifier{host: h}}
 	serve := pipe.Line{Clock: h.Clock, Filters: []pipe.Filter{
 		carry.Back{Pacer: h.pacer},
 		accept.Pipe{},
 		ident.Pipe{NewID: newID},
-		guarded,
+		crashGuard,
 		h.admit,
-		relay.Pipe{Sender: sender{h.sender, tracer}},
+		relay.Pipe{Sender: tracingSender{h.sender, tracer}},
 		reply.Pipe{},
 	}}
 	h.serve = trace.Hop{Tracer: tracer, Name: "serve", Next: serve}
@@ -119,9 +120,9 @@
 		accept.Pipe{},
 		ident.Pipe{NewID: newID},
 		h.once,
-		guarded,
+		crashGuard,
 		router,
-		carry.New(h.serve, router, h.peers, h.pacer, h, h.Clock),
+		carry.New(h.serve, router, h.peerClient, h.pacer, h, h.Clock),
 	}}
 	h.intake = trace.Hop{Tracer: tracer, Name: "intake", Next: intake}
 	h.explain = pipe.Line{Clock: h.Clock, Filters: []pipe.Filter{
@@ -132,63 +133,66 @@
 	}}
 }
 
-// sender makes a span of each job's way to an upstream.
-type sender struct {
+// tracingSender records a span for each try of a job at an upstream.
+type tracingSender struct {
 	next   relay.Sender
 	tracer otel.Tracer
 }
 
+// newID returns a random identifier of 16 hexadecimal digits.
 func newID() string {
 	var b [8]byte
 	_, _ = rand.Read(b[:])
 	return hex.EncodeToString(b[:])
 }
 
-// Run starts the host and serves until the context ends, then stops it as planned.
+// Run starts the host and serves until the context is canceled, then performs a planned stop.
 func (h *Host) Run(ctx context.Context) error {
 	defer close(h.Done)
-	lns, err := h.listen(ctx)
+	listeners, err := h.listen(ctx)
 	if err != nil {
 		return err
 	}
-	defer h.kill()
-	go h.loop.Run(h.life)
-	go h.server.Serve(h.life, lns[1])
-	go h.sweep(h.life)
-	go func() { _ = h.http[0].Serve(lns[0]) }()
-	go func() { _ = h.http[1].Serve(lns[2]) }()
+	defer h.cancelRun()
+	go h.loop.Run(h.runCtx)
+	go h.peerServer.Serve(h.runCtx, listeners[1])
+	go h.runMaintenance(h.runCtx)
+	go func() { _ = h.httpServers[0].Serve(listeners[0]) }()
+	go func() { _ = h.httpServers[1].Serve(listeners[2]) }()
 	h.Log.Info("serving", zap.String("seat", h.Self.Seat), zap.String("incarnation", h.Self.Incarnation),
 		zap.String("front", h.Settings.Front), zap.String("intake", h.intake.Next.(pipe.Line).String()))
 	select {
 	case <-ctx.Done():
-		h.stop(h.life)
-	case <-h.life.Done():
+		h.shutdown(h.runCtx)
+	case <-h.runCtx.Done():
 	}
-	h.kill()
+	h.cancelRun()
 	<-h.loop.Done
-	_ = lns[1].Close()
-	<-h.server.Done
-	h.peers.Close()
+	_ = listeners[1].Close()
+	<-h.peerServer.Done
+	h.peerClient.Close()
 	h.sender.Close()
 	h.Log.Info("stopped", zap.String("seat", h.Self.Seat))
 	return nil
 }
 
+// listen opens the listeners for callers, hosts and operators, in this order.
 func (h *Host) listen(ctx context.Context) ([]net.Listener, error) {
-	var lns []net.Listener
+	var listeners []net.Listener
 	for _, addr := range []string{h.Settings.Front, h.Settings.Peer, h.Settings.Admin} {
 		ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp", addr)
 		if err != nil {
-			for _, o := range lns {
-				_ = o.Close()
+			for _, opened := range listeners {
+				_ = opened.Close()
 			}
 			return nil, ErrListen.Wrap(err, "listening on %s", addr)
 		}
-		lns = append(lns, ln)
+		listeners = append(listeners, ln)
 	}
-	return lns, nil
+	return listeners, nil
 }
 
+// adminServer returns the server of the operators' API and of /debug/vars.
 func (h *Host) adminServer() *http.Server {
 	mux := goahttp.NewMuxer()
 	endpoints := genadmin.NewEndpoints(&admin.Service{Host: h})
@@ -200,11 +204,13 @@
 	return &http.Server{Handler: root, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 15 * time.Second, MaxHeaderBytes: 16 << 10}
 }
 
-// sweepPeriod is how often old records are forgotten and upstreams that are down looked at.
-const sweepPeriod = 100 * time.Millisecond
+// maintenancePeriod is the interval at which expired ticket records are removed and upstreams that are down are probed.
+const maintenancePeriod = 100 * time.Millisecond
 
-func (h *Host) sweep(ctx context.Context) {
-	t := time.NewTicker(sweepPeriod)
+// runMaintenance removes expired ticket records, runs the periodic work of admission and probes upstreams that are
+// down, until the context is canceled.
+func (h *Host) runMaintenance(ctx context.Context) {
+	t := time.NewTicker(maintenancePeriod)
 	defer t.Stop()
 	for {
 		select {
@@ -221,14 +227,15 @@
 	}
 }
 
-// probe gives an upstream that was down work again if it accepts connections.
+// probe marks an upstream as up again if it accepts connections.
 func (h *Host) probe(u plan.Upstream) {
 	if egress.Reachable(u.Address) {
 		h.admit.Revive(h.Clock(), u.ID)
 	}
 }
 
-func (h *Host) gauges() {
+// registerGauges registers the gauges that /debug/vars reports.
+func (h *Host) registerGauges() {
 	s := h.Stats
 	s.Gauge("revision", func() any {
 		if d := h.loop.Plan().Doc; d != nil {
@@ -241,6 +248,6 @@
 	s.Gauge("links", func() any { return h.pacer.Spent() })
 	s.Gauge("platform", func() any { return h.store.Calls.Load() })
 	s.Gauge("dropped", func() any { return h.loop.Dropped() })
-	s.Gauge("control", func() any { return [2]int64{h.peers.Control.In.Load(), h.peers.Control.Out.Load()} })
-	s.Gauge("traffic", func() any { return [2]int64{h.peers.Traffic.In.Load(), h.peers.Traffic.Out.Load()} })
+	s.Gauge("control", func() any { return [2]int64{h.peerClient.Control.In.Load(), h.peerClient.Control.Out.Load()} })
+	s.Gauge("traffic", func() any { return [2]int64{h.peerClient.Traffic.In.Load(), h.peerClient.Traffic.Out.Load()} })
 }
--- a/internal/host/entry/lease.go
+++ b/internal/host/entry/lease.go
@@ -11,79 +11,80 @@
 	"github.com/boragelane/boragelane/internal/ctrl/state"
 )
 
-// Keys of the lenders in the platform's service, one a failure domain.
+// Prefixes of the lease keys in the platform's key-value store; the name of the failure domain follows them.
 const (
-	// leadPrefix is where the holder of a failure domain's lease is kept.
-	leadPrefix = "boragelane/lead/"
-	// wantPrefix is where a failure domain's own host is kept that was refused its domain's lease.
-	wantPrefix = "boragelane/want/"
+	// leaseKeyPrefix is the prefix of the key that names the holder of a failure domain's lease.
+	leaseKeyPrefix = "boragelane/lead/"
+	// reclaimKeyPrefix is the prefix of the key that a host of the failure domain locks when it is refused the
+	// domain's lease, so that hosts of other domains neither acquire nor renew it.
+	reclaimKeyPrefix = "boragelane/want/"
 )
 
-// leaseCall bounds one call for a lease.
-const leaseCall = 2 * time.Second
+// leaseCallTimeout is the timeout of all calls to the platform for one lease request or release.
+const leaseCallTimeout = 2 * time.Second
 
-// leases are the leases that this host asked for. Each has a session of its own, which is never used again
-// once the lease is given back, so that a late call for it cannot end a newer lease.
-type leases struct {
-	mu   sync.Mutex
-	list map[string]*leaseSession
+// leaseManager acquires, renews and releases this host's leases. Each lease has its own session, which is not reused
+// after the lease is released, so that a delayed call for it cannot end a newer lease.
+type leaseManager struct {
+	mu       sync.Mutex
+	sessions map[string]*leaseSession
 }
 
-// leaseSession is a session in the platform's service, for one failure domain's lease.
+// leaseSession is a session on the platform for one failure domain's lease.
 type leaseSession struct {
-	id     string
-	life   time.Duration
-	held   bool
-	wanted bool // This host's wish for its own domain's lease is noted.
+	id         string
+	ttl        time.Duration
+	held       bool
+	reclaiming bool // The reclaim key of this host's own domain is locked.
 }
 
-// ask opens or renews the session for a failure domain's lease, and takes the lease with it.
-func (l *leases) ask(ctx context.Context, h *Host, a state.AskLease) state.Event {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, leaseCall)
+// request opens or renews the session for a failure domain's lease and acquires the lease with it.
+func (m *leaseManager) request(ctx context.Context, h *Host, action state.AskLease) state.Event {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
 	defer cancel()
-	asked := h.Clock()
-	own := a.Domain == h.Self.Domain
+	requestedAt := h.Clock()
+	own := action.Domain == h.Self.Domain
 	if !own {
-		// Its own hosts go first.
-		v, err := h.store.Get(ctx, wantPrefix+a.Domain, 0, 0)
+		// The failure domain's own hosts take precedence.
+		v, err := h.store.Get(ctx, reclaimKeyPrefix+action.Domain, 0, 0)
 		if err != nil || v.Held {
-			return state.LeaseOut{Domain: a.Domain, Asked: asked, Err: err}
+			return state.LeaseOut{Domain: action.Domain, Asked: requestedAt, Err: err}
 		}
 	}
-	s, err := l.session(ctx, h, a)
+	s, err := m.openOrRenew(ctx, h, action)
 	if err == nil && !s.held {
-		err = l.acquire(ctx, h, a.Domain, s, own)
+		err = m.acquire(ctx, h, action.Domain, s, own)
 	}
 	if err != nil {
-		return state.LeaseOut{Domain: a.Domain, Asked: asked, Err: err}
+		return state.LeaseOut{Domain: action.Domain, Asked: requestedAt, Err: err}
 	}
-	return state.LeaseOut{Domain: a.Domain, Asked: asked, Life: s.life, Held: s.held}
+	return state.LeaseOut{Domain: action.Domain, Asked: requestedAt, Life: s.ttl, Held: s.held}
 }
 
-// session returns a live session for a failure domain's lease.
-func (l *leases) session(ctx context.Context, h *Host, a state.AskLease) (*leaseSession, error) {
-	if s := l.list[a.Domain]; s != nil {
+// openOrRenew renews the session for a failure domain's lease, or opens a new one if there is none or it has expired.
+func (m *leaseManager) openOrRenew(ctx context.Context, h *Host, action state.AskLease) (*leaseSession, error) {
+	if s := m.sessions[action.Domain]; s != nil {
 		if ok, err := h.store.Renew(ctx, s.id); err != nil || ok {
 			return s, err
 		}
 	}
-	id, err := h.store.Session(ctx, h.Self.Seat, a.Life)
+	id, err := h.store.Session(ctx, h.Self.Seat, action.Life)
 	if err != nil {
 		return nil, err
 	}
-	if l.list == nil {
-		l.list = map[string]*leaseSession{}
+	if m.sessions == nil {
+		m.sessions = map[string]*leaseSession{}
 	}
-	s := &leaseSession{id: id, life: a.Life}
-	l.list[a.Domain] = s
+	s := &leaseSession{id: id, ttl: action.Life}
+	m.sessions[action.Domain] = s
 	return s, nil
 }
 
-// acquire takes the lease; a host that is refused its own domain's notes that it wants it.
-func (l *leases) acquire(ctx context.Context, h *Host, domain string, s *leaseSession, own bool) error {
-	ok, err := h.store.Acquire(ctx, leadPrefix+domain, s.id, h.Self.Seat)
+// acquire acquires the lease; if this host is refused its own failure domain's lease, it locks the reclaim key.
+func (m *leaseManager) acquire(ctx context.Context, h *Host, domain string, s *leaseSession, own bool) error {
+	ok, err := h.store.Acquire(ctx, leaseKeyPrefix+domain, s.id, h.Self.Seat)
 	if err != nil {
 		return err
 	}
@@ -91,50 +92,51 @@
 	switch {
 	case ok && !own:
 		h.Log.Info("lending the pools of a silent failure domain", zap.String("domain", domain))
-	case !ok && own && !s.wanted:
-		s.wanted, err = h.store.Acquire(ctx, wantPrefix+domain, s.id, h.Self.Seat)
+	case !ok && own && !s.reclaiming:
+		s.reclaiming, err = h.store.Acquire(ctx, reclaimKeyPrefix+domain, s.id, h.Self.Seat)
 	}
 	return err
 }
 
-// release gives a lease back by ending its session.
-func (l *leases) release(ctx context.Context, h *Host, domain string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.destroy(ctx, h, domain)
+// release releases a lease by ending its session.
+func (m *leaseManager) release(ctx context.Context, h *Host, domain string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.endSession(ctx, h, domain)
 }
 
-func (l *leases) destroy(ctx context.Context, h *Host, domain string) {
-	s := l.list[domain]
+// endSession destroys the session for a failure domain's lease; m.mu must be held.
+func (m *leaseManager) endSession(ctx context.Context, h *Host, domain string) {
+	s := m.sessions[domain]
 	if s == nil {
 		return
 	}
-	delete(l.list, domain)
-	ctx, cancel := context.WithTimeout(ctx, leaseCall)
+	delete(m.sessions, domain)
+	ctx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
 	defer cancel()
 	if s.held && domain != h.Self.Domain {
 		h.Log.Info("giving back the pools of another failure domain", zap.String("domain", domain))
 	}
 	if err := h.store.Destroy(ctx, s.id); err != nil {
-		h.Log.Debug("a session was left to run out", zap.String("domain", domain), reason(err))
+		h.Log.Debug("cannot destroy a lease session, it will expire", zap.String("domain", domain), errorField(err))
 	}
 }
 
-// releaseAll gives all leases back once the last loan has run out, unless this host relays again.
-func (l *leases) releaseAll(ctx context.Context, h *Host) {
-	pause(ctx, h.term()+share.Margin)
-	if ctx.Err() != nil || h.follow.active() {
+// releaseAll releases all leases after the last loan has expired, unless this host has become a relay again.
+func (m *leaseManager) releaseAll(ctx context.Context, h *Host) {
+	sleep(ctx, h.loanTTL()+share.Margin)
+	if ctx.Err() != nil || h.watcher.active() {
 		return
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for domain := range l.list {
-		l.destroy(ctx, h, domain)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for domain := range m.sessions {
+		m.endSession(ctx, h, domain)
 	}
 }
 
-// term returns how long the last loans may run.
-func (h *Host) term() time.Duration {
+// loanTTL returns the maximum time to live of the loans of this failure domain.
+func (h *Host) loanTTL() time.Duration {
 	doc := h.loop.Plan().Doc
 	if doc == nil {
 		return share.Term
--- a/internal/host/entry/link_test.go
+++ b/internal/host/entry/link_test.go
@@ -14,15 +14,16 @@
 	"github.com/boragelane/boragelane/internal/stand/layout"
 )
 
-// TestNoSecondOfALinkExceedsItsLimit floods a narrow link both ways, and adds up the bytes on the wire.
+// TestNoSecondOfALinkExceedsItsLimit floods a narrow link in both directions and checks the bytes that its hosts send
+// and receive in every second.
 func TestNoSecondOfALinkExceedsItsLimit(t *testing.T) {
 	t.Parallel()
-	o := options(119)
+	o := testOptions(119)
 	o.Rate = 400_000
 	o.Skip = func(domain, service string) bool {
 		return service == layout.Catalog && strings.HasPrefix(domain, "dar")
 	}
-	s := start(t, o, trace.None())
+	s := startSystem(t, o, trace.None())
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	var wg sync.WaitGroup
@@ -31,7 +32,7 @@
 	for i := range 40 {
 		wg.Go(func() {
 			for n := 0; ctx.Err() == nil; n++ {
-				_, _ = s.try(call{
+				_, _ = s.tryCall(call{
 					host: hosts[i%4], service: layout.Catalog, path: "?size=4000", timeout: "1s",
 					body: append([]byte(fmt.Sprintf("k%d-%d\n", i, n)), body...),
 				})
@@ -42,26 +43,26 @@
 		at      time.Time
 		out, in int64
 	}
-	var list []sample
+	var samples []sample
 	for ctx.Err() == nil {
 		var sm sample
 		for _, h := range hosts {
-			sm.out += s.hosts[h].peers.Traffic.Out.Load()
-			sm.in += s.hosts[h].peers.Traffic.In.Load()
+			sm.out += s.hosts[h].peerClient.Traffic.Out.Load()
+			sm.in += s.hosts[h].peerClient.Traffic.In.Load()
 		}
 		sm.at = time.Now()
-		list = append(list, sm)
+		samples = append(samples, sm)
 		time.Sleep(20 * time.Millisecond)
 	}
 	wg.Wait()
 	var out, in int64
-	for i, first := 0, 0; i < len(list); i++ {
-		for list[i].at.Sub(list[first].at) > time.Second {
+	for i, first := 0, 0; i < len(samples); i++ {
+		for samples[i].at.Sub(samples[first].at) > time.Second {
 			first++
 		}
-		out, in = max(out, list[i].out-list[first].out), max(in, list[i].in-list[first].in)
+		out, in = max(out, samples[i].out-samples[first].out), max(in, samples[i].in-samples[first].in)
 	}
-	t.Logf("most in a second: %d bytes out, %d bytes in, of %d each", out, in, o.Rate)
+	t.Logf("maximum in a second: %d bytes out, %d bytes in; limit %d for each direction", out, in, o.Rate)
 	assert.Assert(t, out <= o.Rate && in <= o.Rate, "%d out, %d in", out, in)
-	assert.Assert(t, in > o.Rate/4, "the link was hardly used: %d", in)
+	assert.Assert(t, in > o.Rate/4, "the link carried only %d bytes in a second", in)
 }
--- a/internal/host/entry/roles.go
+++ b/internal/host/entry/roles.go
@@ -19,32 +19,32 @@
 	"github.com/boragelane/boragelane/internal/host/trace"
 )
 
-// Send sends a job to its upstream in a span of its own.
-func (s sender) Send(ctx context.Context, job *pipe.Job) pipe.Reply {
+// Send sends a job to its upstream and records a span for it.
+func (s tracingSender) Send(ctx context.Context, job *pipe.Job) pipe.Reply {
 	ctx, end := trace.Start(ctx, s.tracer, "upstream", job)
 	defer end()
 	return s.next.Send(ctx, job)
 }
 
-// Plan returns the newest plan.
+// Plan returns the latest published plan.
 func (h *Host) Plan() *plan.Plan { return h.loop.Plan() }
 
-// Intake takes a job of a caller through the first hop.
+// Intake runs a caller's job through the pipeline of the first hop.
 func (h *Host) Intake(ctx context.Context, job *pipe.Job) {
 	job.Plan = h.loop.Plan()
 	h.intake.Run(ctx, job)
 	h.Stats.Ended(job)
 }
 
-// Issue returns a ticket owned by this host.
+// Issue returns a new ticket that this host owns.
 func (h *Host) Issue(now time.Time) once.Ticket {
 	return h.once.Issue(now, h.Self.Seat, h.Self.Incarnation)
 }
 
-// Status returns the control state.
+// Status returns the control state; it reports false if the control loop did not answer.
 func (h *Host) Status(ctx context.Context) (state.Status, bool) { return h.loop.Status(ctx) }
 
-// Explain routes a job without running it.
+// Explain selects the targets of a job without running it.
 func (h *Host) Explain(job *pipe.Job) {
 	job.Plan = h.loop.Plan()
 	h.explain.Run(context.Background(), job)
@@ -53,7 +53,7 @@
 	}
 }
 
-// Commit applies an operator's change and brings it into force here at once.
+// Commit commits an operator's change to the platform and adopts the new document on this host at once.
 func (h *Host) Commit(ctx context.Context, ch spec.Change, expect *uint64) (spec.Document, error) {
 	doc, err := commit.Commit(ctx, h.store, ch, expect, newID())
 	if err == nil {
@@ -63,114 +63,117 @@
 	return doc, err
 }
 
-// journal logs each revision that comes into force here.
-type journal struct {
+// revisionLogger logs each configuration revision that comes into force on this host.
+type revisionLogger struct {
 	log      *zap.Logger
 	revision uint64
 }
 
-// Update notes the revision of a plan.
-func (j *journal) Update(_ time.Time, p *plan.Plan) {
-	if p.Doc != nil && p.Doc.Revision != j.revision {
-		j.revision = p.Doc.Revision
-		j.log.Info("configuration in force", zap.Uint64("revision", j.revision))
+// Update logs the revision of a plan if it is new.
+func (r *revisionLogger) Update(_ time.Time, p *plan.Plan) {
+	if p.Doc != nil && p.Doc.Revision != r.revision {
+		r.revision = p.Doc.Revision
+		r.log.Info("configuration in force", zap.Uint64("revision", r.revision))
 	}
 }
 
-// ReportUnreachable tells control of a host that can't be reached.
+// ReportUnreachable reports an unreachable host to the control loop, without waiting.
 func (h *Host) ReportUnreachable(_ time.Time, seat string) {
 	h.loop.Offer(state.Unreachable{Seat: seat})
 }
 
-// remote is the host as other hosts see it.
-type remote struct{ *Host }
+// peerHandler handles the requests of other hosts.
+type peerHandler struct{ *Host }
 
-// Serve takes a job of another host through the second hop.
-func (r *remote) Serve(ctx context.Context, job *pipe.Job) {
-	job.Plan = r.loop.Plan()
-	r.serve.Run(ctx, job)
+// Serve runs a job that another host forwarded through the pipeline of the second hop.
+func (p *peerHandler) Serve(ctx context.Context, job *pipe.Job) {
+	job.Plan = p.loop.Plan()
+	p.serve.Run(ctx, job)
 }
 
-// Own takes a job whose ticket this host owns through the first hop.
-func (r *remote) Own(ctx context.Context, job *pipe.Job) {
-	r.Intake(ctx, job)
+// Own runs a job whose ticket this host owns through the pipeline of the first hop.
+func (p *peerHandler) Own(ctx context.Context, job *pipe.Job) {
+	p.Intake(ctx, job)
 }
 
-// owners takes jobs to the owners of their tickets, within the share of the link.
-type owners struct{ *Host }
+// ownerForwarder forwards jobs to the owners of their tickets, within this host's share of the link.
+type ownerForwarder struct{ *Host }
 
-// Forward takes a job to a host; it reports false if nothing was sent.
-func (o owners) Forward(ctx context.Context, now time.Time, seat spec.Seat, job *pipe.Job) bool {
-	region, _, _, _ := job.Plan.Doc.Find(seat.Name) //nolint:dogsled // Only the region counts.
+// Forward forwards a job to a host; it reports false if nothing was sent.
+func (o ownerForwarder) Forward(ctx context.Context, now time.Time, seat spec.Seat, job *pipe.Job) bool {
+	region, _, _, _ := job.Plan.Doc.Find(seat.Name) //nolint:dogsled // Only the region is needed.
 	if region.Name != o.Self.Region && !o.pacer.Wait(ctx, now, region.Name, job.Level, carry.Size(len(job.Body)), job.WaitUntil(now)) {
 		return false
 	}
-	return o.peers.Forward(ctx, now, seat, job)
+	return o.peerClient.Forward(ctx, now, seat, job)
 }
 
-// HeartbeatIn hands a heartbeat to control.
-func (r *remote) HeartbeatIn(ctx context.Context, b state.Heartbeat) (state.HeartbeatReply, bool) {
-	return r.loop.HeartbeatIn(ctx, b)
+// HeartbeatIn passes a heartbeat to the control loop and returns its reply.
+func (p *peerHandler) HeartbeatIn(ctx context.Context, b state.Heartbeat) (state.HeartbeatReply, bool) {
+	return p.loop.HeartbeatIn(ctx, b)
 }
 
-// ExchangeIn hands an exchange to control.
-func (r *remote) ExchangeIn(ctx context.Context, s state.Exchange) (state.ExchangeReply, bool) {
-	return r.loop.ExchangeIn(ctx, s)
+// ExchangeIn passes an exchange to the control loop and returns its reply.
+func (p *peerHandler) ExchangeIn(ctx context.Context, s state.Exchange) (state.ExchangeReply, bool) {
+	return p.loop.ExchangeIn(ctx, s)
 }
 
-// Notice hands another host's notice to control.
-func (r *remote) Notice(n state.Notice) { r.loop.Offer(n) }
+// Notice passes another host's notice to the control loop, without waiting.
+func (p *peerHandler) Notice(n state.Notice) { p.loop.Offer(n) }
 
-// Document returns the document in force.
-func (r *remote) Document() *spec.Document { return r.loop.Plan().Doc }
+// Document returns the document in force, or nil if there is none yet.
+func (p *peerHandler) Document() *spec.Document { return p.loop.Plan().Doc }
 
-// Crashed books a crash, and tells this failure domain of it if asked to.
-func (r *remote) Crashed(c guard.Crash, spread bool) {
-	r.crashes.Add(c)
-	if spread {
-		(&teller{host: r.Host}).domain(c)
+// Crashed records a crash and, if propagate is set, notifies the other hosts of this failure domain.
+func (p *peerHandler) Crashed(c guard.Crash, propagate bool) {
+	p.crashes.Add(c)
+	if propagate {
+		(&crashNotifier{host: p.Host}).notifyDomain(c)
 	}
 }
 
-// Adopt takes over records and tickets of a stopped host.
-func (r *remote) Adopt(incarnation string, until time.Time, last bool, records []once.Record) {
-	r.once.Table.Adopt(incarnation, until, last, records)
+// Adopt takes over the ticket records of a stopped host.
+func (p *peerHandler) Adopt(incarnation string, until time.Time, last bool, records []once.Record) {
+	p.once.Table.Adopt(incarnation, until, last, records)
 }
 
-// teller spreads crashes.
-type teller struct{ host *Host }
+// crashNotifier notifies other hosts of crashes.
+type crashNotifier struct{ host *Host }
 
-// tellLife bounds how long a caller's answer waits until other hosts know of a crash.
-const tellLife = 200 * time.Millisecond
+// notifyTimeout limits how long a caller's answer is delayed while other hosts are notified of a crash.
+const notifyTimeout = 200 * time.Millisecond
 
-// Tell tells this failure domain's hosts, and one host of each other, which tells its own.
-func (t *teller) Tell(_ time.Time, c guard.Crash) {
+// Tell notifies the hosts of this failure domain, and one host of each other domain, which notifies the rest of its
+// domain.
+func (n *crashNotifier) Tell(_ time.Time, c guard.Crash) {
 	var wg sync.WaitGroup
-	wg.Go(func() { t.domain(c) })
-	for _, d := range t.host.loop.Plan().Domains {
-		if d.Name == t.host.Self.Domain || len(d.Hosts) == 0 {
+	wg.Go(func() { n.notifyDomain(c) })
+	for _, d := range n.host.loop.Plan().Domains {
+		if d.Name == n.host.Self.Domain || len(d.Hosts) == 0 {
 			continue
 		}
-		wg.Go(func() { t.one(d.Hosts[0], c, true) })
+		wg.Go(func() { n.notifyHost(d.Hosts[0], c, true) })
 	}
 	wg.Wait()
 }
 
-func (t *teller) domain(c guard.Crash) {
+// notifyDomain notifies the other hosts of this failure domain.
+func (n *crashNotifier) notifyDomain(c guard.Crash) {
 	var wg sync.WaitGroup
-	for _, d := range t.host.loop.Plan().Domains {
-		if d.Name != t.host.Self.Domain || d.Self {
+	for _, d := range n.host.loop.Plan().Domains {
+		if d.Name != n.host.Self.Domain || d.Self {
 			continue
 		}
 		for _, seat := range d.Hosts {
-			wg.Go(func() { t.one(seat, c, false) })
+			wg.Go(func() { n.notifyHost(seat, c, false) })
 		}
 	}
 	wg.Wait()
 }
 
-func (t *teller) one(seat spec.Seat, c guard.Crash, spread bool) {
-	ctx, cancel := context.WithTimeout(context.Background(), tellLife)
+// notifyHost notifies one host; errors are ignored.
+func (n *crashNotifier) notifyHost(seat spec.Seat, c guard.Crash, propagate bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
 	defer cancel()
-	_ = t.host.peers.Crash(ctx, seat.Peer, c, spread)
+	_ = n.host.peerClient.Crash(ctx, seat.Peer, c, propagate)
 }
--- a/internal/host/entry/session_test.go
+++ b/internal/host/entry/session_test.go
@@ -19,8 +19,8 @@
 	"github.com/boragelane/boragelane/internal/stand/layout"
 )
 
-// unsteady is what differs from run to run in an answer.
-var unsteady = []struct {
+// normalizations replaces the parts of an answer that differ from run to run.
+var normalizations = []struct {
 	pattern *regexp.Regexp
 	text    string
 }{
@@ -33,13 +33,14 @@
 	{regexp.MustCompile(`"seat":"dar-[ab]-\d","domain":"dar-[ab]","region":"dar"`), `"seat":"SEAT","domain":"DOMAIN","region":"dar"`},
 }
 
-type session struct {
+// transcript records requests and their responses for comparison with a golden file.
+type transcript struct {
 	t   *testing.T
 	out strings.Builder
 }
 
-// step sends a request and writes down what came back.
-func (s *session) step(name, method, url, body string, head ...string) {
+// record sends a request and appends it and its response to the transcript.
+func (s *transcript) record(name, method, url, body string, head ...string) {
 	s.t.Helper()
 	req, err := http.NewRequestWithContext(context.Background(), method, url, strings.NewReader(body))
 	assert.NilError(s.t, err)
@@ -62,44 +63,45 @@
 	fmt.Fprintf(&s.out, "%s\n\n", bytes.TrimSpace(data))
 }
 
+// TestSession compares the answers to a caller's and an operator's requests with testdata/session.golden.
 func TestSession(t *testing.T) {
 	t.Parallel()
-	sys := start(t, options(120), trace.None())
+	sys := startSystem(t, testOptions(120), trace.None())
 	host := sys.hosts["dar-a-1"]
 	call, admin := "http://"+host.Settings.Front, "http://"+host.Settings.Admin
 	ticket := sys.ticket("dar-a-1")
-	s := &session{t: t}
+	s := &transcript{t: t}
 
-	s.step("a look-up", "GET", call+"/v1/lookup?caller=grace", "")
-	s.step("a price", "POST", call+"/v1/run/price/pegboard/hooks?page=1", "hooks\n", "X-Request-Id", "job-1")
-	s.step("an order without a ticket", "POST", call+"/v1/run/orders/pick", "pick 7\n", "X-Request-Id", "job-2")
-	s.step("the order with a ticket", "POST", call+"/v1/run/orders/pick", "pick 7\n", "X-Request-Id", "job-3", "Idempotency-Key", ticket)
-	s.step("the order again", "POST", call+"/v1/run/orders/pick", "pick 7\n", "X-Request-Id", "job-4", "Idempotency-Key", ticket)
-	s.step("another order with that ticket", "POST", call+"/v1/run/orders/pick", "pick 8\n", "X-Request-Id", "job-5", "Idempotency-Key", ticket)
-	s.step("a ticket that is none", "POST", call+"/v1/run/orders/pick", "pick 9\n", "X-Request-Id", "job-6", "Idempotency-Key", "nonsense")
-	s.step("an unknown service", "POST", call+"/v1/run/prices/x", "x\n", "X-Request-Id", "job-7")
-	s.step("an unknown rank", "POST", call+"/v1/run/price/x", "x\n", "X-Request-Id", "job-8", "Boragelane-Rank", "vip")
-	s.step("a negative time", "POST", call+"/v1/run/price/x", "x\n", "X-Request-Id", "job-9", "Boragelane-Timeout", "-1s")
-	s.step("a time that is none", "POST", call+"/v1/run/price/x", "x\n", "X-Request-Id", "job-10", "Boragelane-Timeout", "soon")
-	s.step("no time left", "POST", call+"/v1/run/price/x", "x\n", "X-Request-Id", "job-11", "Boragelane-Timeout", "1ns")
-	s.step("a long id", "POST", call+"/v1/run/price/x", "x\n", "X-Request-Id", strings.Repeat("i", 129))
-	s.step("a large body", "POST", call+"/v1/run/price/x", strings.Repeat("b", 1<<20+1), "X-Request-Id", "job-12")
-	s.step("a large header", "POST", call+"/v1/run/price/x", "x\n", "X-Long", strings.Repeat("h", 64<<10))
+	s.record("a look-up", "GET", call+"/v1/lookup?caller=grace", "")
+	s.record("a price", "POST", call+"/v1/run/price/pegboard/hooks?page=1", "hooks\n", "X-Request-Id", "job-1")
+	s.record("an order without a ticket", "POST", call+"/v1/run/orders/pick", "pick 7\n", "X-Request-Id", "job-2")
+	s.record("the order with a ticket", "POST", call+"/v1/run/orders/pick", "pick 7\n", "X-Request-Id", "job-3", "Idempotency-Key", ticket)
+	s.record("the order again", "POST", call+"/v1/run/orders/pick", "pick 7\n", "X-Request-Id", "job-4", "Idempotency-Key", ticket)
+	s.record("another order with that ticket", "POST", call+"/v1/run/orders/pick", "pick 8\n", "X-Request-Id", "job-5", "Idempotency-Key", ticket)
+	s.record("a ticket that is none", "POST", call+"/v1/run/orders/pick", "pick 9\n", "X-Request-Id", "job-6", "Idempotency-Key", "nonsense")
+	s.record("an unknown service", "POST", call+"/v1/run/prices/x", "x\n", "X-Request-Id", "job-7")
+	s.record("an unknown rank", "POST", call+"/v1/run/price/x", "x\n", "X-Request-Id", "job-8", "Boragelane-Rank", "vip")
+	s.record("a negative time", "POST", call+"/v1/run/price/x", "x\n", "X-Request-Id", "job-9", "Boragelane-Timeout", "-1s")
+	s.record("a time that is none", "POST", call+"/v1/run/price/x", "x\n", "X-Request-Id", "job-10", "Boragelane-Timeout", "soon")
+	s.record("no time left", "POST", call+"/v1/run/price/x", "x\n", "X-Request-Id", "job-11", "Boragelane-Timeout", "1ns")
+	s.record("a long id", "POST", call+"/v1/run/price/x", "x\n", "X-Request-Id", strings.Repeat("i", 129))
+	s.record("a large body", "POST", call+"/v1/run/price/x", strings.Repeat("b", 1<<20+1), "X-Request-Id", "job-12")
+	s.record("a large header", "POST", call+"/v1/run/price/x", "x\n", "X-Long", strings.Repeat("h", 64<<10))
 
 	json := []string{"Content-Type", "application/json"}
-	s.step("an explanation", "GET", admin+"/v1/admin/explain?service=price&caller=grace", "")
-	s.step("a drain", "POST", admin+"/v1/admin/drains", `{"kind":"upstream","name":"price-dar-b-1","expect":1}`, json...)
-	s.step("a lost race", "POST", admin+"/v1/admin/drains", `{"kind":"upstream","name":"price-dar-a-1","expect":1}`, json...)
-	s.step("a drain of nothing known", "POST", admin+"/v1/admin/drains", `{"kind":"rack","name":"x"}`, json...)
-	s.step("the end of a drain", "DELETE", admin+"/v1/admin/drains/upstream/price-dar-b-1?expect=2", "")
-	s.step("the end of a drain that is none", "DELETE", admin+"/v1/admin/drains/upstream/price-dar-b-1", "")
-	s.step("a change that breaks rules", "POST", admin+"/v1/admin/document",
+	s.record("an explanation", "GET", admin+"/v1/admin/explain?service=price&caller=grace", "")
+	s.record("a drain", "POST", admin+"/v1/admin/drains", `{"kind":"upstream","name":"price-dar-b-1","expect":1}`, json...)
+	s.record("a lost race", "POST", admin+"/v1/admin/drains", `{"kind":"upstream","name":"price-dar-a-1","expect":1}`, json...)
+	s.record("a drain of nothing known", "POST", admin+"/v1/admin/drains", `{"kind":"rack","name":"x"}`, json...)
+	s.record("the end of a drain", "DELETE", admin+"/v1/admin/drains/upstream/price-dar-b-1?expect=2", "")
+	s.record("the end of a drain that is none", "DELETE", admin+"/v1/admin/drains/upstream/price-dar-b-1", "")
+	s.record("a change that breaks rules", "POST", admin+"/v1/admin/document",
 		`{"expect":3,"services":[{"name":"stock","rank":"vip","timeout":"2s","once":false,"slots":9,"conns":3}]}`, json...)
-	s.step("a change that is not JSON", "POST", admin+"/v1/admin/document", `{"expect":`, json...)
-	s.step("the configuration", "GET", admin+"/v1/admin/document", "")
+	s.record("a change that is not JSON", "POST", admin+"/v1/admin/document", `{"expect":`, json...)
+	s.record("the configuration", "GET", admin+"/v1/admin/document", "")
 
 	text := s.out.String()
-	for _, u := range unsteady {
+	for _, u := range normalizations {
 		text = u.pattern.ReplaceAllString(text, u.text)
 	}
 	golden.Assert(t, text, "session.golden")
@@ -107,7 +109,7 @@
 
 func TestACallerThatStopsMidBodyIsRefusedAndCounted(t *testing.T) {
 	t.Parallel()
-	s := start(t, options(121), trace.None())
+	s := startSystem(t, testOptions(121), trace.None())
 	front := s.hosts["dar-a-1"].Settings.Front
 	c, err := net.Dial("tcp", front)
 	assert.NilError(t, err)
@@ -119,12 +121,12 @@
 	assert.Assert(t, strings.Contains(string(data), "bad-request"), "%s", data)
 	counted := s.hosts["dar-a-1"].Stats.Reasons.Get("front/bad-request")
 	assert.Equal(t, counted.String(), "1")
-	assert.Equal(t, s.runs("half"), 0)
+	assert.Equal(t, s.countRuns("half"), 0)
 }
 
 func TestASlowSenderIsRefused(t *testing.T) {
 	t.Parallel()
-	s := start(t, options(123), trace.None())
+	s := startSystem(t, testOptions(123), trace.None())
 	c, err := net.Dial("tcp", s.hosts["dar-a-1"].Settings.Front)
 	assert.NilError(t, err)
 	defer func() { _ = c.Close() }()
@@ -134,23 +136,23 @@
 	data := make([]byte, 4096)
 	n, _ := c.Read(data)
 	assert.Assert(t, strings.Contains(string(data[:n]), "bad-request"), "%s", data[:n])
-	assert.Equal(t, s.runs("slow"), 0)
+	assert.Equal(t, s.countRuns("slow"), 0)
 }
 
-// framed puts a message into a frame.
-func framed(message string) string {
+// frame prefixes a message with its length.
+func frame(message string) string {
 	return string([]byte{0, 0, 0, byte(len(message))}) + message
 }
 
-func TestAPeerThatSpeaksNonsenseIsCutOff(t *testing.T) {
+func TestAPeerThatBreaksTheProtocolIsDisconnected(t *testing.T) {
 	t.Parallel()
-	s := start(t, options(122), trace.None())
+	s := startSystem(t, testOptions(122), trace.None())
 	for name, bytes := range map[string]string{
 		"text":                "GET / HTTP/1.1\r\n\r\n",
 		"a huge frame":        "\xff\xff\xff\xff",
 		"no JSON":             "\x00\x00\x00\x03abc",
-		"a call before hello": framed(`{"jsonrpc":"2.0","id":1,"method":"fetch","params":{"have":0}}`),
-		"another version":     framed(`{"jsonrpc":"2.0","id":1,"method":"hello","params":{"version":99}}`),
+		"a call before hello": frame(`{"jsonrpc":"2.0","id":1,"method":"fetch","params":{"have":0}}`),
+		"another version":     frame(`{"jsonrpc":"2.0","id":1,"method":"hello","params":{"version":99}}`),
 	} {
 		c, err := net.Dial("tcp", s.hosts["dar-a-1"].Settings.Peer)
 		assert.NilError(t, err)
--- a/internal/host/entry/stop.go
+++ b/internal/host/entry/stop.go
@@ -10,43 +10,43 @@
 	"github.com/boragelane/boragelane/internal/flow/once"
 )
 
-// newsSpread is how long other hosts may take to hear that this one leaves.
-const newsSpread = 2 * time.Second
+// leavePropagation is the time within which all other hosts learn that this one is leaving.
+const leavePropagation = 2 * time.Second
 
-// stop is the planned stop: leave the look-ups, serve until callers have forgotten this host,
-// finish all jobs, and hand over the tickets.
-func (h *Host) stop(ctx context.Context) {
+// shutdown performs the planned stop: it removes this host from look-up answers, serves until the answers that callers
+// have cached expire, finishes all jobs and hands over the tickets.
+func (h *Host) shutdown(ctx context.Context) {
 	h.Log.Info("stopping", zap.String("seat", h.Self.Seat))
 	ctx, cancel := context.WithTimeout(ctx, h.Settings.Stop)
 	defer cancel()
 	h.loop.Send(ctx, state.Leave{})
-	pause(ctx, state.LookupLife+newsSpread)
+	sleep(ctx, state.LookupLife+leavePropagation)
 	h.once.Table.Refuse()
-	for _, s := range h.http {
+	for _, s := range h.httpServers {
 		if err := s.Shutdown(ctx); err != nil {
-			h.Log.Warn("jobs were still running at the end of the planned stop", reason(err))
+			h.Log.Warn("jobs were still running at the end of the planned stop", errorField(err))
 		}
 	}
-	h.handOver(ctx)
+	h.handOverTickets(ctx)
 	if err := h.Trace.Shutdown(ctx); err != nil {
-		h.Log.Warn("spans were lost", reason(err))
+		h.Log.Warn("spans were lost", errorField(err))
 	}
 }
 
-// handOver gives the records to the first successor that takes them.
-func (h *Host) handOver(ctx context.Context) {
+// handOverTickets sends the ticket records to the first successor that accepts them.
+func (h *Host) handOverTickets(ctx context.Context) {
 	records := h.once.Table.Close()
 	until := h.Clock().Add(once.TicketLife)
-	p := h.loop.Plan()
-	if p.Doc == nil {
+	current := h.loop.Plan()
+	if current.Doc == nil {
 		return
 	}
-	for _, seat := range once.Successors(p.Doc, h.Self.Seat) {
+	for _, seat := range once.Successors(current.Doc, h.Self.Seat) {
 		if seat.Name == h.Self.Seat {
 			continue
 		}
-		if err := h.peers.Hand(ctx, seat.Peer, h.Self.Incarnation, until, records); err != nil {
-			h.Log.Warn("a successor did not take the tickets", zap.String("successor", seat.Name), reason(err))
+		if err := h.peerClient.Hand(ctx, seat.Peer, h.Self.Incarnation, until, records); err != nil {
+			h.Log.Warn("a successor did not take the tickets", zap.String("successor", seat.Name), errorField(err))
 			continue
 		}
 		h.Log.Info("handed over the tickets", zap.String("successor", seat.Name), zap.Int("records", len(records)))
@@ -54,5 +54,5 @@
 	}
 }
 
-// reason is an error's text as a field; the whole chain of causes is in it, stack traces are not.
-func reason(err error) zap.Field { return zap.String("error", err.Error()) }
+// errorField returns a log field with the error's text, which has the whole chain of causes but no stack traces.
+func errorField(err error) zap.Field { return zap.String("error", err.Error()) }
--- a/internal/host/entry/system_test.go
+++ b/internal/host/entry/system_test.go
@@ -27,25 +27,27 @@
 	"github.com/boragelane/boragelane/internal/stand/upstr"
 )
 
-// system is a small system in one process, on loopback addresses of its own.
+// system is a small system that runs in one process, on loopback addresses of its own.
 type system struct {
-	t        *testing.T
-	layout   layout.Layout
-	platform *platf.Platform
-	hosts    map[string]*running
-	ups      map[string]*fakeUpstream
-	trace    trace.Provider
-	gauges   map[string]*upstr.Gauge // Of the jobs in each region.
+	t         *testing.T
+	layout    layout.Layout
+	platform  *platf.Platform
+	hosts     map[string]*runningHost
+	upstreams map[string]*fakeUpstream
+	trace     trace.Provider
+	gauges    map[string]*upstr.Gauge // Concurrent jobs, by region.
 
-	mu  sync.Mutex
-	cut map[string]bool // Failure domains and seats that are cut off from the others.
+	mu       sync.Mutex
+	isolated map[string]bool // Failure domains and seats that are isolated from all others.
 }
 
-type running struct {
+// runningHost is a host with the function that starts its planned stop.
+type runningHost struct {
 	*Host
-	stop context.CancelFunc
+	cancel context.CancelFunc
 }
 
+// fakeUpstream is a simulated upstream with its server, which a job can crash.
 type fakeUpstream struct {
 	*upstr.Upstream
 	server  *http.Server
@@ -53,37 +55,40 @@
 	crashed atomic.Bool
 }
 
-func options(net int) layout.Options {
+// testOptions returns the options of a system of 2 regions with 2 failure domains of 2 hosts each; net is the second
+// byte of its loopback addresses, which no other test may use.
+func testOptions(net int) layout.Options {
 	return layout.Options{
 		Net: net, Regions: []string{"dar", "mwanza"}, Domains: 2, Hosts: 2, Upstreams: 1,
 		Slots: 4, Capacity: 200, Rate: 35_000_000, Delay: 20 * time.Millisecond,
 	}
 }
 
-// start runs a whole system and waits until each host has the configuration and the news.
-func start(t *testing.T, o layout.Options, tr trace.Provider) *system {
+// startSystem starts a system and waits until each host has the configuration and the loads of all failure domains.
+func startSystem(t *testing.T, o layout.Options, tr trace.Provider) *system {
 	s := &system{
 		t: t, layout: layout.Build(o), platform: platf.New(time.Now), trace: tr,
-		hosts: map[string]*running{}, ups: map[string]*fakeUpstream{}, gauges: map[string]*upstr.Gauge{}, cut: map[string]bool{},
+		hosts: map[string]*runningHost{}, upstreams: map[string]*fakeUpstream{}, gauges: map[string]*upstr.Gauge{}, isolated: map[string]bool{},
 	}
 	for _, r := range o.Regions {
 		s.gauges[r] = &upstr.Gauge{}
 	}
-	s.serve(s.layout.Platform, s.platform.Handler(), nil)
+	s.startServer(s.layout.Platform, s.platform.Handler(), nil)
 	for _, u := range s.layout.Upstreams {
-		s.upstream(u, upstr.Options{Clock: time.Now, ID: u.ID, Slots: o.Slots, Time: 3 * time.Millisecond, Size: 100})
+		s.startUpstream(u, upstr.Options{Clock: time.Now, ID: u.ID, Slots: o.Slots, Time: 3 * time.Millisecond, Size: 100})
 	}
 	s.platform.SetUpstreams(s.layout.Upstreams)
 	_, err := commit.Commit(context.Background(), store.New("http://"+s.layout.Platform), s.layout.Change(), nil, "first")
 	assert.NilError(t, err)
 	for _, c := range s.layout.Settings {
-		s.boot(c.Seat)
+		s.startHost(c.Seat)
 	}
-	s.ready()
+	s.waitReady()
 	return s
 }
 
-func (s *system) serve(addr string, h http.Handler, state func(net.Conn, http.ConnState)) *http.Server {
+// startServer serves HTTP until the test ends; it retries while the address is still in use.
+func (s *system) startServer(addr string, h http.Handler, state func(net.Conn, http.ConnState)) *http.Server {
 	var ln net.Listener
 	var err error
 	for range 50 {
@@ -99,7 +104,7 @@
 	return srv
 }
 
-func (s *system) upstream(u platf.Upstream, o upstr.Options) {
+func (s *system) startUpstream(u platf.Upstream, o upstr.Options) {
 	region, _, _ := s.layout.Document.Locate(u.Domain)
 	o.Gauge = s.gauges[region.Name]
 	f := &fakeUpstream{addr: fmt.Sprintf("%s:%d", u.Address, u.Port)}
@@ -108,73 +113,75 @@
 		_ = f.server.Close()
 	}
 	f.Upstream = upstr.New(o)
-	f.server = s.serve(f.addr, f.Handler(), f.Conn)
-	s.ups[u.ID] = f
+	f.server = s.startServer(f.addr, f.Handler(), f.Conn)
+	s.upstreams[u.ID] = f
 }
 
-func (s *system) log() *zap.Logger {
+func (s *system) logger() *zap.Logger {
 	return zaptest.NewLogger(s.t, zaptest.Level(zap.WarnLevel))
 }
 
-// boot starts the host of a seat, or replaces it.
-func (s *system) boot(seat string) {
+// startHost starts the host of a seat, or a replacement for it.
+func (s *system) startHost(seat string) {
 	for _, c := range s.layout.Settings {
 		if c.Seat != seat {
 			continue
 		}
-		h := New(c, time.Now, s.log(), s.trace)
-		h.peers.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
-			if s.separated(c, addr) {
-				return nil, fmt.Errorf("cut off")
+		h := New(c, time.Now, s.logger(), s.trace)
+		h.peerClient.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if s.unreachable(c, addr) {
+				return nil, fmt.Errorf("the host is isolated")
 			}
 			return (&net.Dialer{}).DialContext(ctx, network, addr)
 		}
-		ctx, stop := context.WithCancel(context.Background())
-		r := &running{Host: h, stop: stop}
+		ctx, cancel := context.WithCancel(context.Background())
+		r := &runningHost{Host: h, cancel: cancel}
 		s.hosts[seat] = r
-		ran := make(chan error, 1)
-		go func() { ran <- h.Run(ctx) }()
+		runErr := make(chan error, 1)
+		go func() { runErr <- h.Run(ctx) }()
 		s.t.Cleanup(func() {
-			s.end(r)
-			assert.NilError(s.t, <-ran)
+			s.killHost(r)
+			assert.NilError(s.t, <-runErr)
 		})
 	}
 }
 
-// separated tells whether a cut lies between a host and the host at an address.
-func (s *system) separated(from config.Settings, addr string) bool {
+// unreachable reports whether isolation separates a host from the host at an address.
+func (s *system) unreachable(from config.Settings, addr string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, to := range s.layout.Settings {
 		if to.Peer == addr && to.Seat != from.Seat {
-			return s.cut[to.Seat] || s.cut[from.Seat] || to.Domain != from.Domain && (s.cut[to.Domain] || s.cut[from.Domain])
+			return s.isolated[to.Seat] || s.isolated[from.Seat] || to.Domain != from.Domain && (s.isolated[to.Domain] || s.isolated[from.Domain])
 		}
 	}
 	return false
 }
 
-// cutOff separates failure domains, or the hosts of seats, from all others, and ends their connections.
-func (s *system) cutOff(names ...string) {
+// isolate isolates failure domains or the hosts of seats from all others, ends earlier isolation and closes all
+// connections between hosts.
+func (s *system) isolate(names ...string) {
 	s.mu.Lock()
-	s.cut = map[string]bool{}
+	s.isolated = map[string]bool{}
 	for _, n := range names {
-		s.cut[n] = true
+		s.isolated[n] = true
 	}
 	s.mu.Unlock()
 	for _, h := range s.hosts {
-		h.peers.Reset()
+		h.peerClient.Reset()
 	}
 }
 
-// end kills a host: its connections break, and what it ran is cut off.
-func (s *system) end(r *running) {
-	r.kill()
-	for _, srv := range r.http {
+// killHost stops a host without a planned stop: its connections break and its jobs are aborted.
+func (s *system) killHost(r *runningHost) {
+	r.cancelRun()
+	for _, srv := range r.httpServers {
 		_ = srv.Close()
 	}
 }
 
-func (s *system) ready() {
+// waitReady waits until each host knows the hosts and loads of all failure domains.
+func (s *system) waitReady() {
 	s.t.Helper()
 	s.eventually(15*time.Second, "all hosts are ready", func() bool {
 		for _, h := range s.hosts {
@@ -202,44 +209,46 @@
 	return out
 }
 
-func (s *system) eventually(limit time.Duration, what string, ok func() bool) time.Duration {
+// eventually waits until a condition holds and returns the time it took; the test fails after the limit.
+func (s *system) eventually(limit time.Duration, condition string, ok func() bool) time.Duration {
 	s.t.Helper()
 	begin := time.Now()
 	for !ok() {
 		if time.Since(begin) > limit {
-			s.t.Fatalf("not within %s: %s", limit, what)
+			s.t.Fatalf("not within %s: %s", limit, condition)
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
 	return time.Since(begin)
 }
 
-// call is one request of a caller.
+// call describes a request of a caller.
 type call struct {
 	host, service, key, ticket, rank, timeout string
 	method, path, id                          string
 	body                                      []byte
 }
 
+// answer is what a caller receives.
 type answer struct {
-	status          int
-	outcome, reason string
-	fresh, upstream string
-	body            string
+	status              int
+	outcome, reason     string
+	newTicket, upstream string
+	body                string
 }
 
 func (s *system) call(c call) answer {
 	s.t.Helper()
-	a, err := s.try(c)
+	a, err := s.tryCall(c)
 	assert.NilError(s.t, err)
 	return a
 }
 
-func (s *system) try(c call) (answer, error) {
-	return s.tryAt(s.hosts[c.host].Settings.Front, c)
+func (s *system) tryCall(c call) (answer, error) {
+	return s.callAt(s.hosts[c.host].Settings.Front, c)
 }
 
-func (s *system) tryAt(addr string, c call) (answer, error) {
+func (s *system) callAt(addr string, c call) (answer, error) {
 	if c.body == nil {
 		c.body = []byte(c.key + "\n")
 	}
@@ -265,16 +274,16 @@
 	body, err := io.ReadAll(resp.Body)
 	return answer{
 		status: resp.StatusCode, outcome: resp.Header.Get(front.HeaderOutcome), reason: resp.Header.Get(front.HeaderReason),
-		fresh: resp.Header.Get(front.HeaderFresh), upstream: resp.Header.Get(front.HeaderServed), body: string(body),
+		newTicket: resp.Header.Get(front.HeaderFresh), upstream: resp.Header.Get(front.HeaderServed), body: string(body),
 	}, err
 }
 
 func (s *system) ticket(host string) string { return s.hosts[host].Issue(time.Now()).String() }
 
-// runs counts the executions of a key in the logs of all upstreams.
-func (s *system) runs(key string) int {
+// countRuns returns how often a key was executed, as all upstreams recorded it.
+func (s *system) countRuns(key string) int {
 	n := 0
-	for _, u := range s.ups {
+	for _, u := range s.upstreams {
 		for _, r := range u.Report().Runs {
 			if r.Key == key {
 				n++
@@ -284,10 +293,10 @@
 	return n
 }
 
-// crashed counts the upstreams that a job has crashed, as they recorded it themselves.
-func (s *system) crashed() int {
+// countCrashed returns how many upstreams have crashed, as they recorded it themselves.
+func (s *system) countCrashed() int {
 	n := 0
-	for _, u := range s.ups {
+	for _, u := range s.upstreams {
 		if u.crashed.Load() {
 			n++
 		}
@@ -296,14 +305,14 @@
 }
 
 func TestAJobCrossesRegions(t *testing.T) {
-	o := options(100)
+	o := testOptions(100)
 	o.Skip = func(domain, service string) bool {
 		return service == layout.Catalog && strings.HasPrefix(domain, "dar")
 	}
-	s := start(t, o, trace.None())
+	s := startSystem(t, o, trace.None())
 	a := s.call(call{host: "dar-a-1", service: layout.Catalog, key: "far"})
 	assert.Equal(t, a.outcome, "answered")
 	assert.Assert(t, strings.HasPrefix(a.upstream, "catalog-mwanza"), a.upstream)
 	assert.Assert(t, strings.HasPrefix(a.body, "far\n"))
-	assert.Equal(t, s.runs("far"), 1)
+	assert.Equal(t, s.countRuns("far"), 1)
 }
--- a/internal/host/entry/takeover_test.go
+++ b/internal/host/entry/takeover_test.go
@@ -12,8 +12,8 @@
 	"github.com/boragelane/boragelane/internal/host/trace"
 )
 
-// toMwanza adds up what hosts may use of the link to Mwanza.
-func (s *system) toMwanza(seats ...string) int64 {
+// mwanzaLinkQuota returns the sum of the hosts' quotas of the link to Mwanza.
+func (s *system) mwanzaLinkQuota(seats ...string) int64 {
 	s.t.Helper()
 	var sum int64
 	for _, seat := range seats {
@@ -33,30 +33,32 @@
 	return st
 }
 
+// TestADeadDomainsPoolsAreUsedUntilItIsBack kills all hosts of a failure domain. The other domain must take over the
+// dead domain's pools, but not its floors, and must give them back when the domain returns, without exceeding the limit.
 func TestADeadDomainsPoolsAreUsedUntilItIsBack(t *testing.T) {
 	t.Parallel()
-	o := options(124)
-	s := start(t, o, trace.None())
+	o := testOptions(124)
+	s := startSystem(t, o, trace.None())
 	own := []string{"dar-a-1", "dar-a-2"}
-	s.eventually(15*time.Second, "dar-a has its even part", func() bool { return s.toMwanza(own...) == o.Rate/2 })
+	s.eventually(15*time.Second, "dar-a has its even part of the link", func() bool { return s.mwanzaLinkQuota(own...) == o.Rate/2 })
 	for _, seat := range []string{"dar-b-1", "dar-b-2"} {
-		s.end(s.hosts[seat])
+		s.killHost(s.hosts[seat])
 	}
-	floors := o.Rate / 4 // Of the even part, half belongs to the hosts themselves.
-	took := s.eventually(40*time.Second, "dar-a has the dead domain's pool too", func() bool {
-		return s.toMwanza(own...) == o.Rate-floors
+	floors := o.Rate / 4 // Half of an even part is the floors of the domain's own hosts, which are never lent.
+	took := s.eventually(40*time.Second, "dar-a also has the dead domain's pool", func() bool {
+		return s.mwanzaLinkQuota(own...) == o.Rate-floors
 	})
 	t.Logf("the dead domain's pool was in use after %s", took)
 	assert.Assert(t, slices.ContainsFunc(own, func(seat string) bool {
 		return slices.Equal(s.status(seat).Takeovers, []string{"dar-b"})
 	}))
-	s.boot("dar-b-1")
-	s.boot("dar-b-2")
-	took = s.eventually(30*time.Second, "both have their even parts", func() bool {
-		b := s.toMwanza("dar-b-1", "dar-b-2") // First, since it grows after the other has shrunk.
-		a := s.toMwanza(own...)
+	s.startHost("dar-b-1")
+	s.startHost("dar-b-2")
+	took = s.eventually(30*time.Second, "both domains have their even parts", func() bool {
+		b := s.mwanzaLinkQuota("dar-b-1", "dar-b-2") // Read first: it grows only after the other has shrunk.
+		a := s.mwanzaLinkQuota(own...)
 		assert.Assert(t, a+b <= o.Rate, "%d and %d of %d", a, b, o.Rate)
 		return a == o.Rate/2 && b == o.Rate/2
 	})
-	t.Logf("it was back after %s", took)
+	t.Logf("both domains had their even parts again after %s", took)
 }
