--- a/internal/host/config/config.go
+++ b/internal/host/config/config.go
@@ -65,6 +65,7 @@
 	return s, nil
 }
 
+// namePattern matches the names of seats, failure domains and regions.
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
 
 var logLevels = []string{"debug", "info", "warn", "error"}
