refactor: plain names and comments in the claim benchmark, the run checks and the test layout

The ways to claim a job were called tickets, single and group, with verbs such as offer and gather; they are now ticketClaimer, jobClaimer and batchClaimer. The checks of a run collect violations, and their messages say complete instead of whole. Comments say what each part does.

--- a/internal/stand/claims/doc.go
+++ b/internal/stand/claims/doc.go
@@ -1,2 +1,2 @@
-// Package claims compares ways to let a job run at most once: tickets, and claims in the platform's service.
+// Package claims benchmarks at-most-once execution: tickets in host memory against claims written to the platform.
 package claims
--- a/internal/stand/claims/measure.go
+++ b/internal/stand/claims/measure.go
@@ -16,110 +16,112 @@
 	"github.com/boragelane/boragelane/internal/stand/platf"
 )
 
-// Sizes of the comparison.
+// Parameters of the benchmark.
 const (
-	hosts  = 8
-	length = 3 * time.Second
-	// claimTimeout is how long a job may wait for its claim.
+	hostCount   = 8
+	runDuration = 3 * time.Second
+	// claimTimeout bounds how long a job waits for its claim.
 	claimTimeout = time.Second
-	// writes is what the platform takes in a second.
-	writes = 400
+	// writesPerSecond is the platform's write limit.
+	writesPerSecond = 400
 )
 
-// Way is a way to let a job run at most once.
+// Way is a strategy for running a job at most once.
 type Way string
 
-// Ways.
+// Strategies.
 const (
-	Ticket Way = "ticket"
-	Single Way = "claim a job"
-	Group  Way = "claim a group"
+	Ticket Way = "ticket"        // A ticket held in the memory of its host.
+	Single Way = "claim a job"   // One write to the platform per job.
+	Group  Way = "claim a group" // One write to the platform per batch of jobs.
 )
 
-// Result is what a way cost.
+// Result holds the throughput and latency of one strategy.
 type Result struct {
-	Way     Way
-	Rate    float64       // Jobs a second of all hosts.
-	Delay   time.Duration // Of one call to the platform.
-	P50     time.Duration
-	P99     time.Duration
-	Claimed int64
-	Missed  int64 // Jobs that could not be claimed in time.
-	Writes  int64 // Calls to the platform.
+	Strategy      Way
+	Rate          float64       // Jobs per second over all hosts.
+	PlatformDelay time.Duration // Latency of one call to the platform.
+	P50           time.Duration
+	P99           time.Duration
+	Claimed       int64
+	Missed        int64 // Jobs not claimed within the timeout.
+	Writes        int64 // Write calls to the platform.
 }
 
-// String returns the result as a line of a table.
+// String formats the result as a table row.
 func (r Result) String() string {
 	return fmt.Sprintf("%-14s %6.0f jobs/s  platform %6s  p50 %10s  p99 %10s  claimed %6d  missed %6d  writes/s %6.0f",
-		r.Way, r.Rate, r.Delay, r.P50.Round(time.Microsecond), r.P99.Round(time.Microsecond), r.Claimed, r.Missed,
-		float64(r.Writes)/length.Seconds())
+		r.Strategy, r.Rate, r.PlatformDelay, r.P50.Round(time.Microsecond), r.P99.Round(time.Microsecond), r.Claimed, r.Missed,
+		float64(r.Writes)/runDuration.Seconds())
 }
 
+// claimer claims the right to run a job.
 type claimer interface {
 	Claim(ctx context.Context, id string) bool
 }
 
-// Measure sends jobs at a rate to hosts that claim each in one way, and returns what that cost.
-func Measure(ctx context.Context, clock func() time.Time, way Way, rate float64, delay time.Duration) (Result, error) {
+// Measure offers jobs at a total rate per second to hosts that claim them with one strategy, and reports the claim latency.
+func Measure(ctx context.Context, clock func() time.Time, strategy Way, rate float64, delay time.Duration) (Result, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	p := platf.New(clock)
-	p.SetFaults(platf.Faults{Delay: delay, Writes: writes})
-	ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.83.0.1:0")
+	platform := platf.New(clock)
+	platform.SetFaults(platf.Faults{Delay: delay, Writes: writesPerSecond})
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.83.0.1:0")
 	if err != nil {
 		return Result{}, err
 	}
-	srv := &http.Server{Handler: p.Handler(), ReadHeaderTimeout: time.Second}
-	go func() { _ = srv.Serve(ln) }()
-	defer func() { _ = srv.Close() }()
-	res := Result{Way: way, Rate: rate, Delay: delay}
+	server := &http.Server{Handler: platform.Handler(), ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(listener) }()
+	defer func() { _ = server.Close() }()
+	result := Result{Strategy: strategy, Rate: rate, PlatformDelay: delay}
 	var mu sync.Mutex
-	hist := hdrhistogram.New(1, int64(10*time.Second/time.Microsecond), 3)
+	latencies := hdrhistogram.New(1, int64(10*time.Second/time.Microsecond), 3)
 	var missed atomic.Int64
 	var wg sync.WaitGroup
-	for h := range hosts {
-		c := claims(ctx, clock, way, store.New("http://"+ln.Addr().String()), h)
+	for host := range hostCount {
+		claimer := newClaimer(ctx, clock, strategy, store.New("http://"+listener.Addr().String()), host)
 		wg.Go(func() {
-			offer(clock, rate/hosts, func(n int) {
+			runOpenLoop(clock, rate/hostCount, func(n int) {
 				ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 				defer cancel()
 				begin := clock()
-				if !c.Claim(ctx, fmt.Sprintf("%d-%d", h, n)) {
+				if !claimer.Claim(ctx, fmt.Sprintf("%d-%d", host, n)) {
 					missed.Add(1)
 					return
 				}
 				mu.Lock()
 				defer mu.Unlock()
-				_ = hist.RecordValue(max(1, clock().Sub(begin).Microseconds()))
+				_ = latencies.RecordValue(max(1, clock().Sub(begin).Microseconds()))
 			})
 		})
 	}
 	wg.Wait()
-	res.P50 = time.Duration(hist.ValueAtQuantile(50)) * time.Microsecond
-	res.P99 = time.Duration(hist.ValueAtQuantile(99)) * time.Microsecond
-	res.Claimed, res.Missed, res.Writes = hist.TotalCount(), missed.Load(), p.Counts().Writes
-	return res, nil
+	result.P50 = time.Duration(latencies.ValueAtQuantile(50)) * time.Microsecond
+	result.P99 = time.Duration(latencies.ValueAtQuantile(99)) * time.Microsecond
+	result.Claimed, result.Missed, result.Writes = latencies.TotalCount(), missed.Load(), platform.Counts().Writes
+	return result, nil
 }
 
-func claims(ctx context.Context, clock func() time.Time, way Way, c *store.Client, host int) claimer {
-	switch way {
+// newClaimer returns the claimer of a strategy for one host.
+func newClaimer(ctx context.Context, clock func() time.Time, strategy Way, client *store.Client, host int) claimer {
+	switch strategy {
 	case Single:
-		return &single{store: c}
+		return &jobClaimer{store: client}
 	case Group:
-		return newGroup(ctx, c, host)
+		return newBatchClaimer(ctx, client, host)
 	default:
 		var n atomic.Int64
-		return &tickets{clock: clock, pipe: once.Pipe{Table: once.NewTable(), NewID: func() string { return fmt.Sprintf("%016x", n.Add(1)) }}}
+		return &ticketClaimer{clock: clock, filter: once.Pipe{Table: once.NewTable(), NewID: func() string { return fmt.Sprintf("%016x", n.Add(1)) }}}
 	}
 }
 
-// offer begins a job at each step of time, whatever became of the ones before.
-func offer(clock func() time.Time, rate float64, run func(n int)) {
+// runOpenLoop starts jobs at a fixed rate, without waiting for earlier ones to finish.
+func runOpenLoop(clock func() time.Time, rate float64, run func(n int)) {
 	begin := clock()
 	var wg sync.WaitGroup
 	for n := 0; ; n++ {
 		at := time.Duration(float64(n) / rate * float64(time.Second))
-		if at >= length {
+		if at >= runDuration {
 			break
 		}
 		time.Sleep(begin.Add(at).Sub(clock()))
--- a/internal/stand/claims/ways.go
+++ b/internal/stand/claims/ways.go
@@ -13,122 +13,125 @@
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
-// retryPause is how long a claim that the platform refused waits for its next try.
-const retryPause = 20 * time.Millisecond
+// retryDelay is the delay before a failed write is retried.
+const retryDelay = 20 * time.Millisecond
 
-// tickets are records in the memory of the host that issued them.
-type tickets struct {
-	pipe  once.Pipe
-	clock func() time.Time
+// ticketClaimer issues tickets, which are recorded in the memory of the issuing host.
+type ticketClaimer struct {
+	filter once.Pipe
+	clock  func() time.Time
 }
 
-// Claim takes a job through the filter that knows tickets.
-func (t *tickets) Claim(ctx context.Context, id string) bool {
+// Claim issues a ticket and runs the job through the at-most-once filter.
+func (t *ticketClaimer) Claim(ctx context.Context, id string) bool {
 	now := t.clock()
 	self := plan.Self{Seat: "host", Incarnation: "0123456789abcdef"}
 	job := &pipe.Job{
 		ID: id, Once: true, Deadline: now.Add(time.Second), Plan: &plan.Plan{Self: self},
-		Ticket: t.pipe.Issue(now, self.Seat, self.Incarnation).String(),
+		Ticket: t.filter.Issue(now, self.Seat, self.Incarnation).String(),
 	}
-	t.pipe.Run(ctx, now, job)
+	t.filter.Run(ctx, now, job)
 	return !job.Ended()
 }
 
-// single claims each job by a write of its own.
-type single struct{ store *store.Client }
+// jobClaimer claims each job with a separate write.
+type jobClaimer struct{ store *store.Client }
 
-// Claim creates the job's key, which only one host can do.
-func (s *single) Claim(ctx context.Context, id string) bool {
-	return create(ctx, s.store, "claim/"+id, nil)
+// Claim creates the job's key, which succeeds for one host only.
+func (c *jobClaimer) Claim(ctx context.Context, id string) bool {
+	return createKey(ctx, c.store, "claim/"+id, nil)
 }
 
-// create creates a key, again and again until the context ends.
-func create(ctx context.Context, c *store.Client, key string, data []byte) bool {
+// createKey creates a key and retries failed calls until the context ends.
+func createKey(ctx context.Context, client *store.Client, key string, data []byte) bool {
 	for ctx.Err() == nil {
-		if ok, err := c.Swap(ctx, key, data, 0); err == nil {
+		if ok, err := client.Swap(ctx, key, data, 0); err == nil {
 			return ok
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(retryPause):
+		case <-time.After(retryDelay):
 		}
 	}
 	return false
 }
 
-// group claims all jobs of a host that wait by one write, and begins the next when that is done.
-type group struct {
-	store *store.Client
-	host  int
-	queue chan waiter
-	sent  atomic.Int64
+// batchClaimer claims all waiting jobs of a host with one write at a time.
+type batchClaimer struct {
+	store   *store.Client
+	host    int
+	queue   chan pendingClaim
+	batches atomic.Int64
 }
 
-type waiter struct {
+// pendingClaim is a job that waits for its batch to be written.
+type pendingClaim struct {
 	id   string
 	done chan bool
 }
 
-// groupPause is how long a group gathers, and groupMost how many jobs it takes.
+// batchWindow is how long a batch collects jobs, and maxBatch the most jobs in a batch.
 const (
-	groupPause = 10 * time.Millisecond
-	groupMost  = 1000
+	batchWindow = 10 * time.Millisecond
+	maxBatch    = 1000
 )
 
-func newGroup(ctx context.Context, c *store.Client, host int) *group {
-	g := &group{store: c, host: host, queue: make(chan waiter, groupMost)}
-	go g.run(ctx)
-	return g
+func newBatchClaimer(ctx context.Context, client *store.Client, host int) *batchClaimer {
+	c := &batchClaimer{store: client, host: host, queue: make(chan pendingClaim, maxBatch)}
+	go c.run(ctx)
+	return c
 }
 
-// Claim waits until the job's group is written.
-func (g *group) Claim(ctx context.Context, id string) bool {
-	w := waiter{id: id, done: make(chan bool, 1)}
+// Claim waits until the job's batch is written.
+func (c *batchClaimer) Claim(ctx context.Context, id string) bool {
+	claim := pendingClaim{id: id, done: make(chan bool, 1)}
 	select {
-	case g.queue <- w:
+	case c.queue <- claim:
 	case <-ctx.Done():
 		return false
 	}
 	select {
-	case ok := <-w.done:
+	case ok := <-claim.done:
 		return ok
 	case <-ctx.Done():
 		return false
 	}
 }
 
-func (g *group) run(ctx context.Context) {
+func (c *batchClaimer) run(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case w := <-g.queue:
-			g.commit(ctx, g.gather(w))
+		case claim := <-c.queue:
+			c.writeBatch(ctx, c.collect(claim))
 		}
 	}
 }
 
-func (g *group) gather(first waiter) []waiter {
-	list := []waiter{first}
-	over := time.After(groupPause)
-	for len(list) < groupMost {
+// collect returns a batch of claims that starts with first.
+func (c *batchClaimer) collect(first pendingClaim) []pendingClaim {
+	batch := []pendingClaim{first}
+	timeout := time.After(batchWindow)
+	for len(batch) < maxBatch {
 		select {
-		case w := <-g.queue:
-			list = append(list, w)
-		case <-over:
-			return list
+		case claim := <-c.queue:
+			batch = append(batch, claim)
+		case <-timeout:
+			return batch
 		}
 	}
-	return list
+	return batch
 }
 
-func (g *group) commit(ctx context.Context, list []waiter) {
+// writeBatch writes one key for the batch and reports the result to each claim.
+func (c *batchClaimer) writeBatch(ctx context.Context, batch []pendingClaim) {
 	var ids strings.Builder
-	for _, w := range list {
-		ids.WriteString(w.id + "\n")
+	for _, claim := range batch {
+		ids.WriteString(claim.id + "\n")
 	}
-	ok := create(ctx, g.store, fmt.Sprintf("claims/%d/%d", g.host, g.sent.Add(1)), []byte(ids.String()))
-	for _, w := range list {
-		w.done <- ok
+	ok := createKey(ctx, c.store, fmt.Sprintf("claims/%d/%d", c.host, c.batches.Add(1)), []byte(ids.String()))
+	for _, claim := range batch {
+		claim.done <- ok
 	}
 }
--- a/internal/stand/judge/doc.go
+++ b/internal/stand/judge/doc.go
@@ -1,2 +1,2 @@
-// Package judge checks a run against the upstreams' own logs.
+// Package judge verifies the report of a load run against the upstreams' logs.
 package judge
--- a/internal/stand/judge/judge.go
+++ b/internal/stand/judge/judge.go
@@ -8,103 +8,106 @@
 	"github.com/boragelane/boragelane/internal/stand/upstr"
 )
 
-// Case is what a run must fulfil.
+// Case holds the reports of a run and the parameters they are checked against.
 type Case struct {
 	Report  loadg.Report
 	Logs    []upstr.Report
-	Slots   int
-	Drained string    // An upstream that was drained, if any.
-	At      time.Time // When its drain was accepted.
-	Stopped string    // Front address of a host that was stopped as planned, if any.
-	Least   int64     // The least number of whole answers.
+	Slots   int       // Slots of each upstream.
+	Drained string    // ID of the drained upstream, if any.
+	At      time.Time // When the drain was accepted.
+	Stopped string    // Front address of the host with a planned stop, if any.
+	Least   int64     // Minimum number of complete answers.
 }
 
-// drainLife is how long after a drain new work may still come.
-const drainLife = 2 * time.Second
+// drainGrace is how long a drained upstream may still receive new jobs.
+const drainGrace = 2 * time.Second
 
-// Verdict returns a line for each promise that the run broke.
+// Verdict returns a message for each guarantee that the run violated.
 func Verdict(c Case) []string {
-	bad := c.runs()
-	bad = append(bad, c.answers()...)
-	bad = append(bad, c.upstreams()...)
+	violations := c.checkRuns()
+	violations = append(violations, c.checkAnswers()...)
+	violations = append(violations, c.checkUpstreams()...)
 	if n := c.Report.Lost[c.Stopped]; c.Stopped != "" && n > 0 {
-		bad = append(bad, fmt.Sprintf("the planned stop of %s cut off %d tries", c.Stopped, n))
+		violations = append(violations, fmt.Sprintf("the planned stop of %s broke %d connections", c.Stopped, n))
 	}
-	return bad
+	return violations
 }
 
-// runs checks what the upstreams ran against what the callers were told.
-func (c Case) runs() []string {
-	var bad []string
+// checkRuns compares the jobs that upstreams ran with the outcomes that callers received.
+func (c Case) checkRuns() []string {
+	var violations []string
 	runs := map[string]int{}
-	for _, l := range c.Logs {
-		for _, r := range l.Runs {
-			runs[r.Key]++
+	for _, log := range c.Logs {
+		for _, run := range log.Runs {
+			runs[run.Key]++
 		}
 	}
-	for _, k := range c.Report.OnceKeys {
-		if runs[k] > 1 {
-			bad = append(bad, fmt.Sprintf("job %s ran %d times", k, runs[k]))
+	for _, key := range c.Report.OnceKeys {
+		if runs[key] > 1 {
+			violations = append(violations, fmt.Sprintf("job %s ran %d times", key, runs[key]))
 		}
 	}
-	for _, k := range c.Report.NotRunKeys {
-		if runs[k] > 0 {
-			bad = append(bad, fmt.Sprintf("job %s was refused as not run, but ran", k))
+	for _, key := range c.Report.NotRunKeys {
+		if runs[key] > 0 {
+			violations = append(violations, fmt.Sprintf("job %s was refused as not run, but ran", key))
 		}
 	}
-	for _, k := range c.Report.Answered {
-		if runs[k] == 0 && c.complete() {
-			bad = append(bad, fmt.Sprintf("job %s was answered, but no upstream ran it", k))
+	for _, key := range c.Report.Answered {
+		if runs[key] == 0 && c.allLogsPresent() {
+			violations = append(violations, fmt.Sprintf("job %s was answered, but no upstream ran it", key))
 		}
 	}
-	return bad
+	return violations
 }
 
-func (c Case) answers() []string {
-	var bad []string
-	whole := int64(0)
-	for _, cl := range c.Report.Classes {
-		whole += cl.Answered
-		if cl.Wrong > 0 {
-			bad = append(bad, fmt.Sprintf("class %s got %d answers that were not its own or not whole", cl.Name, cl.Wrong))
+// checkAnswers checks the number of complete answers and that none is wrong.
+func (c Case) checkAnswers() []string {
+	var violations []string
+	complete := int64(0)
+	for _, class := range c.Report.Classes {
+		complete += class.Answered
+		if class.Wrong > 0 {
+			violations = append(violations, fmt.Sprintf("class %s got %d wrong or incomplete answers", class.Name, class.Wrong))
 		}
 	}
-	if whole < c.Least {
-		bad = append(bad, fmt.Sprintf("%d whole answers, at least %d were due", whole, c.Least))
+	if complete < c.Least {
+		violations = append(violations, fmt.Sprintf("%d complete answers, want at least %d", complete, c.Least))
 	}
-	return bad
+	return violations
 }
 
-func (c Case) upstreams() []string {
-	var bad []string
-	for _, l := range c.Logs {
-		if l.Most > c.Slots {
-			bad = append(bad, fmt.Sprintf("upstream %s ran %d jobs at once with %d slots", l.ID, l.Most, c.Slots))
+// checkUpstreams checks that no upstream was sent more jobs than it has slots.
+func (c Case) checkUpstreams() []string {
+	var violations []string
+	for _, log := range c.Logs {
+		if log.Most > c.Slots {
+			violations = append(violations, fmt.Sprintf("upstream %s ran %d jobs at once with %d slots", log.ID, log.Most, c.Slots))
 		}
-		if l.Shed > 0 {
-			bad = append(bad, fmt.Sprintf("upstream %s was sent %d jobs above its slots", l.ID, l.Shed))
+		if log.Shed > 0 {
+			violations = append(violations, fmt.Sprintf("upstream %s was sent %d jobs in excess of its slots", log.ID, log.Shed))
 		}
-		if l.ID == c.Drained {
-			bad = append(bad, drained(l, c.At)...)
+		if log.ID == c.Drained {
+			violations = append(violations, checkDrain(log, c.At)...)
 		}
 	}
-	return bad
+	return violations
 }
 
-// complete tells whether each upstream's log is there: one that crashed has lost its own.
-func (c Case) complete() bool {
-	for _, l := range c.Logs {
-		if l.ID == "" {
+// allLogsPresent reports whether every upstream's log is available; a crash loses the log.
+func (c Case) allLogsPresent() bool {
+	for _, log := range c.Logs {
+		if log.ID == "" {
 			return false
 		}
 	}
 	return true
 }
 
-func drained(l upstr.Report, at time.Time) []string {
-	for _, r := range l.Runs {
-		if r.Start.After(at.Add(drainLife)) {
-			return []string{fmt.Sprintf("upstream %s got work %s after its drain", l.ID, r.Start.Sub(at).Round(time.Millisecond))}
+// checkDrain returns a violation if an upstream got a job after the grace period of its drain.
+func checkDrain(log upstr.Report, drainedAt time.Time) []string {
+	for _, run := range log.Runs {
+		if run.Start.After(drainedAt.Add(drainGrace)) {
+			return []string{fmt.Sprintf("upstream %s got a job %s after its drain", log.ID, run.Start.Sub(drainedAt).Round(time.Millisecond))}
 		}
 	}
 	return nil
--- a/internal/stand/layout/doc.go
+++ b/internal/stand/layout/doc.go
@@ -1,2 +1,2 @@
-// Package layout makes the settings, configuration and upstreams of a small system on loopback.
+// Package layout generates the settings, configuration and upstreams of a small test system on loopback addresses.
 package layout
--- a/internal/stand/layout/layout.go
+++ b/internal/stand/layout/layout.go
@@ -9,7 +9,7 @@
 	"github.com/boragelane/boragelane/internal/stand/platf"
 )
 
-// Ports of a small system.
+// Ports of the hosts and upstreams.
 const (
 	FrontPort    = 7001
 	PeerPort     = 7002
@@ -17,36 +17,37 @@
 	UpstreamPort = 8000
 )
 
-// Options say how large a system is.
+// Options holds the size and limits of a test system.
 type Options struct {
-	Net       int      // Second number of its loopback addresses, so that systems do not meet.
-	Regions   []string // Names of its regions.
-	Domains   int      // Failure domains for each region.
-	Hosts     int      // Entry hosts for each failure domain.
-	Upstreams int      // Upstreams for each service and failure domain.
-	Slots     int      // Slots of each upstream.
-	Capacity  int      // Jobs in flight for each region.
-	Rate      int64    // Bytes a second of each link.
+	Net       int      // Second octet of the loopback addresses, different for systems that run at the same time.
+	Regions   []string // Names of the regions.
+	Domains   int      // Failure domains per region.
+	Hosts     int      // Entry hosts per failure domain.
+	Upstreams int      // Upstreams per service and failure domain.
+	Slots     int      // Slots per upstream.
+	Capacity  int      // Jobs in flight per region.
+	Rate      int64    // Bytes per second of each link.
 	Delay     time.Duration
-	Skip      func(domain, service string) bool
+	// Skip reports whether a failure domain has no upstreams of a service; nil skips none.
+	Skip func(domain, service string) bool
 }
 
-// Layout is a small system.
+// Layout holds the configuration of a test system.
 type Layout struct {
 	Document  spec.Document
 	Upstreams []platf.Upstream
 	Settings  []config.Settings
-	Platform  string
+	Platform  string // Address of the platform.
 }
 
-// Services of a small system: the most urgent look-ups, orders that run at most once, and bulk.
+// Services: urgent price look-ups, orders that run at most once, and bulk catalog requests.
 const (
 	Price   = "price"
 	Orders  = "orders"
 	Catalog = "catalog"
 )
 
-func ranks() []spec.Rank {
+func defaultRanks() []spec.Rank {
 	return []spec.Rank{
 		{Name: "urgent", Minimum: 0, Queue: 2000, Retry: 0.2},
 		{Name: "normal", Minimum: 0.2, Queue: 1000, Retry: 0.1},
@@ -54,7 +55,7 @@
 	}
 }
 
-func services(slots int) []spec.Service {
+func defaultServices(slots int) []spec.Service {
 	timeout := spec.Duration(2 * time.Second)
 	return []spec.Service{
 		{Name: Price, Rank: "urgent", Timeout: timeout, Slots: slots, Conns: 400},
@@ -63,54 +64,56 @@
 	}
 }
 
-// Build returns a system of the given size.
+// Build returns a test system of the given size.
 func Build(o Options) Layout {
-	l := Layout{Platform: fmt.Sprintf("127.%d.0.1:8500", o.Net)}
-	l.Document = spec.Document{Floor: 0.5, Ranks: ranks(), Services: services(o.Slots)}
-	host, up := 0, 0
+	layout := Layout{Platform: fmt.Sprintf("127.%d.0.1:8500", o.Net)}
+	layout.Document = spec.Document{Floor: 0.5, Ranks: defaultRanks(), Services: defaultServices(o.Slots)}
+	host, upstream := 0, 0
 	for _, region := range o.Regions {
-		r := spec.Region{Name: region, Capacity: o.Capacity}
-		for d := range o.Domains {
-			dom := spec.Domain{Name: fmt.Sprintf("%s-%c", region, 'a'+d)}
+		regionSpec := spec.Region{Name: region, Capacity: o.Capacity}
+		for i := range o.Domains {
+			domain := spec.Domain{Name: fmt.Sprintf("%s-%c", region, 'a'+i)}
 			for range o.Hosts {
 				host++
-				dom.Seats = append(dom.Seats, seat(o.Net, host, dom.Name, len(dom.Seats)+1))
+				domain.Seats = append(domain.Seats, newSeat(o.Net, host, domain.Name, len(domain.Seats)+1))
 			}
-			r.Domains = append(r.Domains, dom)
-			l.Upstreams = append(l.Upstreams, upstreams(o, dom.Name, &up)...)
+			regionSpec.Domains = append(regionSpec.Domains, domain)
+			layout.Upstreams = append(layout.Upstreams, newUpstreams(o, domain.Name, &upstream)...)
 		}
-		l.Document.Regions = append(l.Document.Regions, r)
+		layout.Document.Regions = append(layout.Document.Regions, regionSpec)
 	}
-	l.links(o)
-	l.settings()
-	return l
+	layout.addLinks(o)
+	layout.addSettings()
+	return layout
 }
 
-func seat(net, n int, domain string, at int) spec.Seat {
-	ip := fmt.Sprintf("127.%d.1.%d", net, n)
+func newSeat(network, host int, domain string, index int) spec.Seat {
+	ip := fmt.Sprintf("127.%d.1.%d", network, host)
 	return spec.Seat{
-		Name: fmt.Sprintf("%s-%d", domain, at), Front: fmt.Sprintf("%s:%d", ip, FrontPort), Peer: fmt.Sprintf("%s:%d", ip, PeerPort),
+		Name: fmt.Sprintf("%s-%d", domain, index), Front: fmt.Sprintf("%s:%d", ip, FrontPort), Peer: fmt.Sprintf("%s:%d", ip, PeerPort),
 	}
 }
 
-func upstreams(o Options, domain string, n *int) []platf.Upstream {
-	var out []platf.Upstream
-	for _, svc := range []string{Price, Orders, Catalog} {
-		if o.Skip != nil && o.Skip(domain, svc) {
+// newUpstreams returns the upstreams of a failure domain; count numbers the upstreams of all domains.
+func newUpstreams(o Options, domain string, count *int) []platf.Upstream {
+	var list []platf.Upstream
+	for _, service := range []string{Price, Orders, Catalog} {
+		if o.Skip != nil && o.Skip(domain, service) {
 			continue
 		}
 		for i := range o.Upstreams {
-			*n++
-			out = append(out, platf.Upstream{
-				ID: fmt.Sprintf("%s-%s-%d", svc, domain, i+1), Address: fmt.Sprintf("127.%d.2.%d", o.Net, *n),
-				Port: UpstreamPort, Service: svc, Domain: domain,
+			*count++
+			list = append(list, platf.Upstream{
+				ID: fmt.Sprintf("%s-%s-%d", service, domain, i+1), Address: fmt.Sprintf("127.%d.2.%d", o.Net, *count),
+				Port: UpstreamPort, Service: service, Domain: domain,
 			})
 		}
 	}
-	return out
+	return list
 }
 
-func (l *Layout) links(o Options) {
+// addLinks adds a link in each direction between every two regions.
+func (l *Layout) addLinks(o Options) {
 	for _, from := range o.Regions {
 		for _, to := range o.Regions {
 			if from != to {
@@ -120,27 +123,28 @@
 	}
 }
 
-func (l *Layout) settings() {
-	for _, r := range l.Document.Regions {
-		for _, d := range r.Domains {
+// addSettings adds the settings of every host, with the hosts of its failure domain as seeds.
+func (l *Layout) addSettings() {
+	for _, region := range l.Document.Regions {
+		for _, domain := range region.Domains {
 			var seeds []string
-			for _, s := range d.Seats {
-				seeds = append(seeds, s.Peer)
+			for _, seat := range domain.Seats {
+				seeds = append(seeds, seat.Peer)
 			}
-			for _, s := range d.Seats {
-				c := config.Default()
-				c.Seat, c.Domain, c.Region = s.Name, d.Name, r.Name
-				c.Front, c.Peer = s.Front, s.Peer
-				c.Admin = fmt.Sprintf("%s:%d", s.Front[:len(s.Front)-5], AdminPort)
-				c.Platform, c.Seeds = "http://"+l.Platform, seeds
-				l.Settings = append(l.Settings, c)
+			for _, seat := range domain.Seats {
+				settings := config.Default()
+				settings.Seat, settings.Domain, settings.Region = seat.Name, domain.Name, region.Name
+				settings.Front, settings.Peer = seat.Front, seat.Peer
+				settings.Admin = fmt.Sprintf("%s:%d", seat.Front[:len(seat.Front)-5], AdminPort)
+				settings.Platform, settings.Seeds = "http://"+l.Platform, seeds
+				l.Settings = append(l.Settings, settings)
 			}
 		}
 	}
 }
 
-// Change returns the change that brings the whole document into an empty platform.
+// Change returns the change that sets the whole document on an empty platform.
 func (l *Layout) Change() spec.Change {
-	d := l.Document
-	return spec.Change{Ranks: d.Ranks, Services: d.Services, Regions: d.Regions, Links: d.Links, Floor: &d.Floor}
+	doc := l.Document
+	return spec.Change{Ranks: doc.Ranks, Services: doc.Services, Regions: doc.Regions, Links: doc.Links, Floor: &doc.Floor}
 }
