refactor: plain names and comments in the load generator and the platform's fake

Tries, tallies, dice and marks are now attempts, class runs, a random number generator and recent failures. The fake's handlers are named after the call they serve; watch, wake and bump are waitForChange, notifyWatches and advanceIndex. Comments name the blocking query and the injected faults.

--- a/internal/stand/loadg/doc.go
+++ b/internal/stand/loadg/doc.go
@@ -1,3 +1,3 @@
-// Package loadg is an open-loop load generator: callers of several ranks that look up hosts, keep
-// the answers, send jobs at a given rate whatever the answers do, and send lost ones again.
+// Package loadg is an open-loop load generator: callers of several ranks look up hosts, cache the answers, send jobs at
+// a rate that does not depend on the responses, and resend jobs without an answer.
 package loadg
--- a/internal/stand/loadg/hosts.go
+++ b/internal/stand/loadg/hosts.go
@@ -8,12 +8,14 @@
 	"time"
 )
 
-type cached struct {
+// cachedLookup is a look-up answer with its expiry time.
+type cachedLookup struct {
 	hosts []string
 	until time.Time
 }
 
-func (g *Generator) ticket(ctx context.Context, host string) string {
+// issueTicket requests an idempotency ticket, and returns "" if the request fails.
+func (g *Generator) issueTicket(ctx context.Context, host string) string {
 	var out struct{ Ticket string }
 	if g.getJSON(ctx, http.MethodPost, "http://"+host+"/v1/ticket", &out) != nil {
 		return ""
@@ -39,74 +41,76 @@
 	return json.NewDecoder(resp.Body).Decode(v)
 }
 
-// markLife is how long a caller avoids a host that failed.
-const markLife = 2 * time.Second
+// avoidPeriod is how long callers avoid a host after a failure.
+const avoidPeriod = 2 * time.Second
 
-func (g *Generator) mark(host string) {
+func (g *Generator) markFailed(host string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.down[host] = g.clock()
+	g.failedAt[host] = g.clock()
 }
 
-// lose books a try whose connection failed.
-func (g *Generator) lose(host string) {
-	g.mark(host)
+// recordLostConnection counts an attempt whose connection failed.
+func (g *Generator) recordLostConnection(host string) {
+	g.markFailed(host)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.lost[host]++
+	g.lostByHost[host]++
 }
 
-func (g *Generator) avoided(host string) bool {
+func (g *Generator) recentlyFailed(host string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.clock().Sub(g.down[host]) < markLife
+	return g.clock().Sub(g.failedAt[host]) < avoidPeriod
 }
 
-// host returns the host for a try, from the caller's cached look-up.
-func (g *Generator) host(ctx context.Context, caller string, try int) string {
-	hosts := g.hosts(ctx, caller)
+// pickHost returns the host for an attempt, and prefers those without a recent failure.
+func (g *Generator) pickHost(ctx context.Context, caller string, attempt int) string {
+	hosts := g.lookupHosts(ctx, caller)
 	for i := range hosts {
-		if h := hosts[(try+i)%len(hosts)]; !g.avoided(h) {
-			return h
+		if host := hosts[(attempt+i)%len(hosts)]; !g.recentlyFailed(host) {
+			return host
 		}
 	}
-	return hosts[try%len(hosts)]
+	return hosts[attempt%len(hosts)]
 }
 
-func (g *Generator) hosts(ctx context.Context, caller string) []string {
+// lookupHosts returns the caller's hosts from the cache or a new look-up. If that fails, it returns the expired answer
+// or all front addresses.
+func (g *Generator) lookupHosts(ctx context.Context, caller string) []string {
 	g.mu.Lock()
-	c, ok := g.cache[caller]
+	entry, ok := g.lookups[caller]
 	g.mu.Unlock()
-	if ok && g.clock().Before(c.until) {
-		return c.hosts
+	if ok && g.clock().Before(entry.until) {
+		return entry.hosts
 	}
 	var out struct {
 		Hosts []struct{ Address string }
 		Life  int64
 	}
-	at := int(g.clock().UnixNano()) + len(caller)
+	start := int(g.clock().UnixNano()) + len(caller)
 	for i := range g.cfg.Fronts {
-		h := g.cfg.Fronts[(at/1000+i)%len(g.cfg.Fronts)]
-		if g.avoided(h) {
+		host := g.cfg.Fronts[(start/1000+i)%len(g.cfg.Fronts)]
+		if g.recentlyFailed(host) {
 			continue
 		}
-		if g.getJSON(ctx, http.MethodGet, "http://"+h+"/v1/lookup?caller="+caller, &out) == nil && len(out.Hosts) > 0 {
+		if g.getJSON(ctx, http.MethodGet, "http://"+host+"/v1/lookup?caller="+caller, &out) == nil && len(out.Hosts) > 0 {
 			break
 		}
-		g.mark(h)
+		g.markFailed(host)
 	}
 	if len(out.Hosts) == 0 {
 		if ok {
-			return c.hosts
+			return entry.hosts
 		}
 		return g.cfg.Fronts
 	}
-	c = cached{until: g.clock().Add(time.Duration(out.Life) * time.Millisecond)}
-	for _, h := range out.Hosts {
-		c.hosts = append(c.hosts, h.Address)
+	entry = cachedLookup{until: g.clock().Add(time.Duration(out.Life) * time.Millisecond)}
+	for _, host := range out.Hosts {
+		entry.hosts = append(entry.hosts, host.Address)
 	}
 	g.mu.Lock()
-	g.cache[caller] = c
+	g.lookups[caller] = entry
 	g.mu.Unlock()
-	return c.hosts
+	return entry.hosts
 }
--- a/internal/stand/loadg/loadg.go
+++ b/internal/stand/loadg/loadg.go
@@ -14,211 +14,214 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
-// Class is one kind of callers.
+// Class describes the load of one class of callers.
 type Class struct {
 	Name    string        `json:"name"`
 	Service string        `json:"service"`
 	Rank    string        `json:"rank"`
-	Rate    float64       `json:"rate"` // Jobs a second.
+	Rate    float64       `json:"rate"` // Jobs per second.
 	Timeout time.Duration `json:"timeout"`
 	Once    bool          `json:"once"`
-	Resend  int           `json:"resend"` // How often a job without an answer is sent again.
-	Size    int           `json:"size"`   // Bytes of the answer.
-	Body    int           `json:"body"`   // Bytes of the job besides its key.
-	Start   time.Duration `json:"start"`
-	Stop    time.Duration `json:"stop"` // 0 for the end of the run.
+	Resend  int           `json:"resend"` // Maximum resends of a job without an answer.
+	Size    int           `json:"size"`   // Size of the answer in bytes.
+	Body    int           `json:"body"`   // Size of the job's body in bytes, without its key.
+	Start   time.Duration `json:"start"`  // Offset from the start of the run.
+	Stop    time.Duration `json:"stop"`   // Offset from the start of the run; 0 means its end.
 }
 
-// Config is one run.
+// Config describes one load run.
 type Config struct {
-	Fronts  []string      `json:"fronts"` // Front addresses to begin with.
+	Fronts  []string      `json:"fronts"` // Front addresses of entry hosts, used for look-ups.
 	Classes []Class       `json:"classes"`
 	Length  time.Duration `json:"length"`
 	Callers int           `json:"callers"`
 	Seed    uint64        `json:"seed"`
 }
 
-type tally struct {
+// classRun is a class with its results.
+type classRun struct {
 	Class
-	mu   sync.Mutex
-	res  Result
-	hist *hdrhistogram.Histogram
+	mu        sync.Mutex
+	result    Result
+	latencies *hdrhistogram.Histogram
 }
 
-// Generator runs a config.
+// Generator sends the load of a Config and collects the results.
 type Generator struct {
-	clock  func() time.Time
-	cfg    Config
-	client *http.Client
-	mu     sync.Mutex
-	cache  map[string]cached
-	down   map[string]time.Time
-	once   []string
-	notRun []string
-	done   []string
-	lost   map[string]int
+	clock        func() time.Time
+	cfg          Config
+	client       *http.Client
+	mu           sync.Mutex
+	lookups      map[string]cachedLookup
+	failedAt     map[string]time.Time
+	onceKeys     []string
+	notRunKeys   []string
+	answeredKeys []string
+	lostByHost   map[string]int
 }
 
-// New returns a generator that reads the time from a clock.
+// New returns a generator for one run.
 func New(cfg Config, clock func() time.Time) *Generator {
-	t := &http.Transport{Proxy: nil, MaxIdleConnsPerHost: 512, IdleConnTimeout: 20 * time.Second}
-	return &Generator{cfg: cfg, clock: clock, client: &http.Client{Transport: t}, cache: map[string]cached{}, down: map[string]time.Time{}, lost: map[string]int{}}
+	transport := &http.Transport{Proxy: nil, MaxIdleConnsPerHost: 512, IdleConnTimeout: 20 * time.Second}
+	return &Generator{cfg: cfg, clock: clock, client: &http.Client{Transport: transport}, lookups: map[string]cachedLookup{}, failedAt: map[string]time.Time{}, lostByHost: map[string]int{}}
 }
 
-// Run sends the load until its length is over or the context ends, and returns when each job has ended.
+// Run sends load for the configured time or until the context ends, waits for the jobs in flight and returns the report.
 func (g *Generator) Run(ctx context.Context) Report {
 	var wg sync.WaitGroup
-	tallies := make([]*tally, len(g.cfg.Classes))
-	for i, c := range g.cfg.Classes {
-		t := &tally{Class: c, hist: hdrhistogram.New(1, 60_000_000, 3)}
-		t.res = Result{Name: c.Name, Rank: c.Rank, Reasons: map[string]int{}}
-		tallies[i] = t
-		wg.Go(func() { g.class(ctx, t, uint64(i)) })
+	runs := make([]*classRun, len(g.cfg.Classes))
+	for i, class := range g.cfg.Classes {
+		run := &classRun{Class: class, latencies: hdrhistogram.New(1, 60_000_000, 3)}
+		run.result = Result{Name: class.Name, Rank: class.Rank, Reasons: map[string]int{}}
+		runs[i] = run
+		wg.Go(func() { g.runClass(ctx, run, uint64(i)) })
 	}
 	wg.Wait()
 	g.client.CloseIdleConnections()
-	rep := Report{OnceKeys: g.once, NotRunKeys: g.notRun, Answered: g.done, Lost: g.lost}
-	for _, t := range tallies {
-		t.res.P50 = time.Duration(t.hist.ValueAtQuantile(50)) * time.Microsecond
-		t.res.P99 = time.Duration(t.hist.ValueAtQuantile(99)) * time.Microsecond
-		rep.Classes = append(rep.Classes, t.res)
+	report := Report{OnceKeys: g.onceKeys, NotRunKeys: g.notRunKeys, Answered: g.answeredKeys, Lost: g.lostByHost}
+	for _, run := range runs {
+		run.result.P50 = time.Duration(run.latencies.ValueAtQuantile(50)) * time.Microsecond
+		run.result.P99 = time.Duration(run.latencies.ValueAtQuantile(99)) * time.Microsecond
+		report.Classes = append(report.Classes, run.result)
 	}
-	return rep
+	return report
 }
 
-// class sends the jobs of one class at times that do not depend on the answers.
-func (g *Generator) class(ctx context.Context, t *tally, stream uint64) {
-	dice := rand.New(rand.NewPCG(g.cfg.Seed, stream))
+// runClass sends the jobs of one class with exponentially distributed gaps, independent of the responses.
+func (g *Generator) runClass(ctx context.Context, run *classRun, stream uint64) {
+	rng := rand.New(rand.NewPCG(g.cfg.Seed, stream))
 	begin := g.clock()
 	stop := g.cfg.Length
-	if t.Stop > 0 {
-		stop = min(stop, t.Stop)
+	if run.Stop > 0 {
+		stop = min(stop, run.Stop)
 	}
-	next := t.Start
+	next := run.Start
 	var wg sync.WaitGroup
-	for n := 0; next < stop && t.Rate > 0; n++ {
+	for n := 0; next < stop && run.Rate > 0; n++ {
 		select {
 		case <-ctx.Done():
 			wg.Wait()
 			return
 		case <-time.After(begin.Add(next).Sub(g.clock())):
 		}
-		caller := fmt.Sprintf("caller-%d", dice.IntN(max(1, g.cfg.Callers)))
-		key := fmt.Sprintf("%s-%d-%d", t.Name, g.cfg.Seed, n)
+		caller := fmt.Sprintf("caller-%d", rng.IntN(max(1, g.cfg.Callers)))
+		key := fmt.Sprintf("%s-%d-%d", run.Name, g.cfg.Seed, n)
 		due := begin.Add(next)
-		wg.Go(func() { g.job(context.WithoutCancel(ctx), t, caller, key, due) })
-		next += time.Duration(dice.ExpFloat64() / t.Rate * float64(time.Second))
+		wg.Go(func() { g.runJob(context.WithoutCancel(ctx), run, caller, key, due) })
+		next += time.Duration(rng.ExpFloat64() / run.Rate * float64(time.Second))
 	}
 	wg.Wait()
 }
 
-// try is the result of sending a job once.
-type try struct {
-	outcome string
-	reason  string
-	fresh   string
-	body    []byte
-	err     error
+// attempt is the result of one attempt to send a job.
+type attempt struct {
+	outcome   string
+	reason    string
+	newTicket string
+	body      []byte
+	err       error
 }
 
-func (g *Generator) job(ctx context.Context, t *tally, caller, key string, due time.Time) {
-	t.mu.Lock()
-	t.res.Sent++
-	t.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(t.Resend+1)*(t.Timeout+time.Second))
+// runJob sends a job and resends it until it is answered or its resends are used up.
+func (g *Generator) runJob(ctx context.Context, run *classRun, caller, key string, due time.Time) {
+	run.mu.Lock()
+	run.result.Sent++
+	run.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(run.Resend+1)*(run.Timeout+time.Second))
 	defer cancel()
-	if t.Once {
-		g.note(&g.once, key)
+	if run.Once {
+		g.appendKey(&g.onceKeys, key)
 	}
-	ticket, sure := "", true
-	var last try
-	for i := 0; i <= t.Resend; i++ {
-		host := g.host(ctx, caller, i)
-		if t.Once && ticket == "" {
-			if ticket = g.ticket(ctx, host); ticket == "" {
-				g.mark(host)
+	ticket, neverRan := "", true
+	var last attempt
+	for i := 0; i <= run.Resend; i++ {
+		host := g.pickHost(ctx, caller, i)
+		if run.Once && ticket == "" {
+			if ticket = g.issueTicket(ctx, host); ticket == "" {
+				g.markFailed(host)
 				continue
 			}
 		}
-		last = g.send(ctx, t, host, caller, key, ticket)
+		last = g.sendOnce(ctx, run, host, caller, key, ticket)
 		if last.outcome == "answered" {
 			break
 		}
-		sure = sure && last.outcome == "not-run"
+		neverRan = neverRan && last.outcome == "not-run"
 		if last.err != nil {
-			g.lose(host)
-			t.mu.Lock()
-			t.res.Cut++
-			t.mu.Unlock()
+			g.recordLostConnection(host)
+			run.mu.Lock()
+			run.result.ConnectionsLost++
+			run.mu.Unlock()
 		}
-		if last.outcome == "not-run" && last.fresh != "" {
-			ticket = last.fresh
+		if last.outcome == "not-run" && last.newTicket != "" {
+			ticket = last.newTicket
 		}
 	}
-	g.count(t, key, last, sure, g.clock().Sub(due))
+	g.recordResult(run, key, last, neverRan, g.clock().Sub(due))
 }
 
-func (g *Generator) count(t *tally, key string, last try, sure bool, took time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+// recordResult counts the outcome of a job's last attempt; neverRan means that every attempt was refused as not run.
+func (g *Generator) recordResult(run *classRun, key string, last attempt, neverRan bool, elapsed time.Duration) {
+	run.mu.Lock()
+	defer run.mu.Unlock()
 	if last.reason != "" {
-		t.res.Reasons[last.reason]++
+		run.result.Reasons[last.reason]++
 	}
 	switch last.outcome {
 	case "answered":
-		if !bytes.HasPrefix(last.body, []byte(key+"\n")) || len(last.body) < t.Size {
-			t.res.Wrong++
+		if !bytes.HasPrefix(last.body, []byte(key+"\n")) || len(last.body) < run.Size {
+			run.result.Wrong++
 			return
 		}
-		t.res.Answered++
-		_ = t.hist.RecordValue(max(1, took.Microseconds()))
-		if t.Once {
-			g.note(&g.done, key)
+		run.result.Answered++
+		_ = run.latencies.RecordValue(max(1, elapsed.Microseconds()))
+		if run.Once {
+			g.appendKey(&g.answeredKeys, key)
 		}
 	case "not-run":
-		t.res.NotRun++
-		if t.Once && sure {
-			g.note(&g.notRun, key)
+		run.result.NotRun++
+		if run.Once && neverRan {
+			g.appendKey(&g.notRunKeys, key)
 		}
 	case "unknown":
-		t.res.Unknown++
+		run.result.Unknown++
 	default:
-		t.res.Failed++
+		run.result.Failed++
 	}
 }
 
-func (g *Generator) note(list *[]string, key string) {
+func (g *Generator) appendKey(list *[]string, key string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	*list = append(*list, key)
 }
 
-func (g *Generator) send(ctx context.Context, t *tally, host, caller, key, ticket string) try {
-	ctx, cancel := context.WithTimeout(ctx, t.Timeout+500*time.Millisecond)
+func (g *Generator) sendOnce(ctx context.Context, run *classRun, host, caller, key, ticket string) attempt {
+	ctx, cancel := context.WithTimeout(ctx, run.Timeout+500*time.Millisecond)
 	defer cancel()
-	url := fmt.Sprintf("http://%s/v1/run/%s/item?size=%d", host, t.Service, t.Size)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(key+"\n"+strings.Repeat("b", t.Body)))
+	url := fmt.Sprintf("http://%s/v1/run/%s/item?size=%d", host, run.Service, run.Size)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(key+"\n"+strings.Repeat("b", run.Body)))
 	if err != nil {
-		return try{err: err}
+		return attempt{err: err}
 	}
 	req.GetBody = nil
-	req.Header.Set("Boragelane-Rank", t.Rank)
-	req.Header.Set("Boragelane-Timeout", t.Timeout.String())
+	req.Header.Set("Boragelane-Rank", run.Rank)
+	req.Header.Set("Boragelane-Timeout", run.Timeout.String())
 	req.Header.Set("Boragelane-Caller", caller)
 	if ticket != "" {
 		req.Header.Set("Idempotency-Key", ticket)
 	}
 	resp, err := g.client.Do(req)
 	if err != nil {
-		return try{err: err, reason: "connection"}
+		return attempt{err: err, reason: "connection"}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return try{err: err, reason: "cut"}
+		return attempt{err: err, reason: "cut"}
 	}
-	return try{
+	return attempt{
 		outcome: resp.Header.Get("Boragelane-Outcome"), reason: resp.Header.Get("Boragelane-Reason"),
-		fresh: resp.Header.Get("Boragelane-Ticket"), body: body,
+		newTicket: resp.Header.Get("Boragelane-Ticket"), body: body,
 	}
 }
--- a/internal/stand/platf/doc.go
+++ b/internal/stand/platf/doc.go
@@ -1,3 +1,3 @@
-// Package platf is a stand-in for the platform: the parts of Consul's published HTTP interface
-// that boragelane uses, in memory, with faults that a control call switches on.
+// Package platf is a fake of the platform: an in-memory implementation of the parts of Consul's HTTP API that boragelane
+// uses, with fault injection through control calls.
 package platf
--- a/internal/stand/platf/kv.go
+++ b/internal/stand/platf/kv.go
@@ -10,59 +10,62 @@
 	"time"
 )
 
-type value struct {
-	data    []byte
-	index   uint64
-	session string
+// kvEntry is a value, the index of its last change and the session that holds its lock.
+type kvEntry struct {
+	data        []byte
+	modifyIndex uint64
+	session     string
 }
 
-type session struct {
-	ttl   time.Duration
-	until time.Time
+// kvSession is a session that expires unless it is renewed.
+type kvSession struct {
+	ttl       time.Duration
+	expiresAt time.Time
 }
 
-// Put writes a key without a condition.
+// Put writes a key unconditionally.
 func (p *Platform) Put(key string, data []byte) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.put(key, value{data: data})
+	p.put(key, kvEntry{data: data})
 }
 
-func (p *Platform) put(key string, v value) {
-	p.bump()
-	v.index = p.index
-	p.kv[key] = v
+func (p *Platform) put(key string, entry kvEntry) {
+	p.advanceIndex()
+	entry.modifyIndex = p.index
+	p.kv[key] = entry
 }
 
-// expire ends the sessions that were not renewed, and what they hold.
-func (p *Platform) expire() {
+// expireSessions ends the sessions whose TTL has passed.
+func (p *Platform) expireSessions() {
 	now := p.clock()
 	for id, s := range p.sessions {
-		if now.After(s.until) {
-			p.end(id)
+		if now.After(s.expiresAt) {
+			p.endSession(id)
 		}
 	}
 }
 
-func (p *Platform) end(id string) {
+// endSession deletes a session and releases the keys it holds.
+func (p *Platform) endSession(id string) {
 	delete(p.sessions, id)
-	for k, v := range p.kv {
-		if v.session == id {
-			v.session = ""
-			p.put(k, v)
+	for key, entry := range p.kv {
+		if entry.session == id {
+			entry.session = ""
+			p.put(key, entry)
 		}
 	}
 }
 
-func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
+func (p *Platform) serveGet(w http.ResponseWriter, r *http.Request) {
 	key := r.PathValue("key")
 	after, _ := strconv.ParseUint(r.URL.Query().Get("index"), 10, 64)
-	if !p.watch(r, func() bool { return p.kv[key].index > after }) {
-		drop(w)
+	if !p.waitForChange(r, func() bool { return p.kv[key].modifyIndex > after }) {
+		closeConnection(w)
 		return
 	}
 	p.mu.Lock()
-	v, ok := p.kv[key]
+	entry, ok := p.kv[key]
 	index := p.index
 	p.mu.Unlock()
 	w.Header().Set("X-Consul-Index", strconv.FormatUint(index, 10))
@@ -70,14 +73,14 @@
 		http.Error(w, "", http.StatusNotFound)
 		return
 	}
-	writeJSON(w, []map[string]any{{"Key": key, "Value": v.data, "ModifyIndex": v.index, "Session": v.session}})
+	writeJSON(w, []map[string]any{{"Key": key, "Value": entry.data, "ModifyIndex": entry.modifyIndex, "Session": entry.session}})
 }
 
-// maxValue is the largest value, in bytes.
-const maxValue = 1 << 20
+// maxValueSize is the largest value that is accepted, in bytes.
+const maxValueSize = 1 << 20
 
-func (p *Platform) set(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxValue))
+func (p *Platform) servePut(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxValueSize))
 	if err != nil {
 		http.Error(w, "value too large", http.StatusRequestEntityTooLarge)
 		return
@@ -88,8 +91,8 @@
 	old := p.kv[key]
 	switch {
 	case q.Has("cas"):
-		at, _ := strconv.ParseUint(q.Get("cas"), 10, 64)
-		if old.index != at {
+		index, _ := strconv.ParseUint(q.Get("cas"), 10, 64)
+		if old.modifyIndex != index {
 			writeJSON(w, false)
 			return
 		}
@@ -101,19 +104,19 @@
 		}
 		old.session = id
 	}
-	p.put(key, value{data: data, session: old.session})
+	p.put(key, kvEntry{data: data, session: old.session})
 	writeJSON(w, true)
 }
 
-func (p *Platform) remove(w http.ResponseWriter, r *http.Request) {
+func (p *Platform) serveDelete(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.kv, r.PathValue("key"))
-	p.bump()
+	p.advanceIndex()
 	writeJSON(w, true)
 }
 
-func (p *Platform) create(w http.ResponseWriter, r *http.Request) {
+func (p *Platform) serveSessionCreate(w http.ResponseWriter, r *http.Request) {
 	var req struct{ TTL string }
 	_ = json.NewDecoder(r.Body).Decode(&req)
 	ttl, err := time.ParseDuration(req.TTL)
@@ -126,11 +129,11 @@
 	id := hex.EncodeToString(b[:])
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.sessions[id] = session{ttl: ttl, until: p.clock().Add(ttl)}
+	p.sessions[id] = kvSession{ttl: ttl, expiresAt: p.clock().Add(ttl)}
 	writeJSON(w, map[string]string{"ID": id})
 }
 
-func (p *Platform) renew(w http.ResponseWriter, r *http.Request) {
+func (p *Platform) serveSessionRenew(w http.ResponseWriter, r *http.Request) {
 	id := r.PathValue("id")
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -139,14 +142,14 @@
 		http.Error(w, "no such session", http.StatusNotFound)
 		return
 	}
-	s.until = p.clock().Add(s.ttl)
+	s.expiresAt = p.clock().Add(s.ttl)
 	p.sessions[id] = s
 	writeJSON(w, []map[string]string{{"ID": id}})
 }
 
-func (p *Platform) destroy(w http.ResponseWriter, r *http.Request) {
+func (p *Platform) serveSessionDestroy(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.end(r.PathValue("id"))
+	p.endSession(r.PathValue("id"))
 	writeJSON(w, true)
 }
--- a/internal/stand/platf/list.go
+++ b/internal/stand/platf/list.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// Upstream is an entry of the list.
+// Upstream is an entry of the list of upstreams.
 type Upstream struct {
 	ID      string `json:"id"`
 	Address string `json:"address"`
@@ -17,50 +17,52 @@
 	State   string `json:"state"`
 }
 
-type version struct {
-	at   time.Time // When it shows.
-	list []Upstream
+// listVersion is a list of upstreams and the time from which readers see it.
+type listVersion struct {
+	visibleFrom time.Time
+	list        []Upstream
 }
 
-// SetUpstreams replaces the list.
+// SetUpstreams replaces the list of upstreams; readers see the new list after the lag.
 func (p *Platform) SetUpstreams(list []Upstream) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lists = append(p.lists, version{at: p.clock().Add(p.faults.Lag), list: list})
-	p.bump()
+	p.listVersions = append(p.listVersions, listVersion{visibleFrom: p.clock().Add(p.faults.Lag), list: list})
+	p.advanceIndex()
 }
 
 var domainFilter = regexp.MustCompile(`^ServiceMeta\.domain == "([^"]*)"$`)
 
-// visible returns the newest list whose lag is over.
-func (p *Platform) visible() version {
-	limit := p.clock()
-	v := p.lists[0]
-	for _, l := range p.lists {
-		if !l.at.After(limit) {
-			v = l
+// visibleVersion returns the newest list that readers see.
+func (p *Platform) visibleVersion() listVersion {
+	now := p.clock()
+	newest := p.listVersions[0]
+	for _, version := range p.listVersions {
+		if !version.visibleFrom.After(now) {
+			newest = version
 		}
 	}
-	return v
+	return newest
 }
 
-func (p *Platform) catalog(w http.ResponseWriter, r *http.Request) {
-	m := domainFilter.FindStringSubmatch(r.URL.Query().Get("filter"))
-	if m == nil {
-		http.Error(w, "this stand-in knows only a filter by ServiceMeta.domain", http.StatusBadRequest)
+// serveUpstreams lists the upstreams of one failure domain and supports blocking queries.
+func (p *Platform) serveUpstreams(w http.ResponseWriter, r *http.Request) {
+	match := domainFilter.FindStringSubmatch(r.URL.Query().Get("filter"))
+	if match == nil {
+		http.Error(w, "this stand-in supports only a filter by ServiceMeta.domain", http.StatusBadRequest)
 		return
 	}
 	after, _ := strconv.ParseInt(r.URL.Query().Get("index"), 10, 64)
-	if !p.watch(r, func() bool { return p.listIndex() != after }) {
-		drop(w)
+	if !p.waitForChange(r, func() bool { return p.listIndex() != after }) {
+		closeConnection(w)
 		return
 	}
 	p.mu.Lock()
-	v, index := p.visible(), p.listIndex()
+	version, index := p.visibleVersion(), p.listIndex()
 	p.mu.Unlock()
 	out := []map[string]any{}
-	for _, u := range v.list {
-		if u.Domain == m[1] {
+	for _, u := range version.list {
+		if u.Domain == match[1] {
 			out = append(out, map[string]any{
 				"ServiceID": u.ID, "ServiceAddress": u.Address, "ServicePort": u.Port,
 				"ServiceMeta": map[string]string{"service": u.Service, "domain": u.Domain, "state": u.State},
@@ -71,12 +73,12 @@
 	writeJSON(w, out)
 }
 
-// listIndex numbers the visible versions of the list from 1.
+// listIndex returns the number of list versions that readers have seen so far, at least 1.
 func (p *Platform) listIndex() int64 {
-	limit := p.clock()
+	now := p.clock()
 	n := int64(0)
-	for _, l := range p.lists {
-		if !l.at.After(limit) {
+	for _, version := range p.listVersions {
+		if !version.visibleFrom.After(now) {
 			n++
 		}
 	}
--- a/internal/stand/platf/platf.go
+++ b/internal/stand/platf/platf.go
@@ -11,48 +11,48 @@
 	"golang.org/x/time/rate"
 )
 
-// Faults are the platform's present faults, and its limits.
+// Faults holds the injected faults and the rate limits.
 type Faults struct {
-	Down   bool          `json:"down"`   // Each call fails.
-	Delay  time.Duration `json:"delay"`  // Each call is slow.
-	Lose   bool          `json:"lose"`   // Writes take effect, but their answers are lost.
-	Lag    time.Duration `json:"lag"`    // The list shows the past.
-	Reads  float64       `json:"reads"`  // Reads a second, 0 for no limit.
-	Writes float64       `json:"writes"` // Writes a second, 0 for no limit.
+	Down   bool          `json:"down"`   // Every call fails.
+	Delay  time.Duration `json:"delay"`  // Added to the latency of every call.
+	Lose   bool          `json:"lose"`   // Writes take effect, but their responses are lost.
+	Lag    time.Duration `json:"lag"`    // Delay until readers see a new list of upstreams.
+	Reads  float64       `json:"reads"`  // Reads per second; 0 means no limit.
+	Writes float64       `json:"writes"` // Writes per second; 0 means no limit.
 }
 
-// Counts is how many calls came.
+// Counts holds the number of calls by kind.
 type Counts struct {
 	Reads   int64 `json:"reads"`
 	Writes  int64 `json:"writes"`
 	Watches int64 `json:"watches"`
-	Refused int64 `json:"refused"`
+	Refused int64 `json:"refused"` // Calls above the rate limits.
 }
 
-// Platform is the stand-in's state.
+// Platform is the in-memory platform.
 type Platform struct {
 	clock func() time.Time
 
-	mu       sync.Mutex
-	faults   Faults
-	lose     int // Writes whose answers are still to be lost.
-	counts   Counts
-	kv       map[string]value
-	sessions map[string]session
-	lists    []version
-	index    uint64
-	changed  chan struct{}
-	reads    *rate.Limiter
-	writes   *rate.Limiter
+	mu            sync.Mutex
+	faults        Faults
+	answersToLose int // Number of further writes whose responses are lost.
+	counts        Counts
+	kv            map[string]kvEntry
+	sessions      map[string]kvSession
+	listVersions  []listVersion
+	index         uint64
+	changed       chan struct{} // Closed and replaced on each change.
+	readLimiter   *rate.Limiter
+	writeLimiter  *rate.Limiter
 }
 
-// New returns an empty platform without faults, which reads the time from a clock.
+// New returns an empty platform without faults.
 func New(clock func() time.Time) *Platform {
 	return &Platform{
 		clock: clock,
-		kv:    map[string]value{}, sessions: map[string]session{}, changed: make(chan struct{}), index: 1,
-		reads: rate.NewLimiter(rate.Inf, 0), writes: rate.NewLimiter(rate.Inf, 0),
-		lists: []version{{}},
+		kv:    map[string]kvEntry{}, sessions: map[string]kvSession{}, changed: make(chan struct{}), index: 1,
+		readLimiter: rate.NewLimiter(rate.Inf, 0), writeLimiter: rate.NewLimiter(rate.Inf, 0),
+		listVersions: []listVersion{{}},
 	}
 }
 
@@ -61,52 +61,52 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.faults = f
-	p.reads, p.writes = limiter(f.Reads), limiter(f.Writes)
-	p.wake()
+	p.readLimiter, p.writeLimiter = newLimiter(f.Reads), newLimiter(f.Writes)
+	p.notifyWatches()
 }
 
-func limiter(r float64) *rate.Limiter {
+func newLimiter(r float64) *rate.Limiter {
 	if r <= 0 {
 		return rate.NewLimiter(rate.Inf, 0)
 	}
 	return rate.NewLimiter(rate.Limit(r), int(r)+1)
 }
 
-// Lose loses the answers of the next writes, which take effect.
+// Lose drops the responses of the next writes, which still take effect.
 func (p *Platform) Lose(writes int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lose = writes
+	p.answersToLose = writes
 }
 
-// Counts returns the calls so far.
+// Counts returns the number of calls so far.
 func (p *Platform) Counts() Counts {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.counts
 }
 
-// bump moves the index and wakes the watches.
-func (p *Platform) bump() {
+// advanceIndex increments the index and wakes the blocking queries.
+func (p *Platform) advanceIndex() {
 	p.index++
-	p.wake()
+	p.notifyWatches()
 }
 
-func (p *Platform) wake() {
+func (p *Platform) notifyWatches() {
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
 
-// Handler serves the published interface and the control calls.
+// Handler serves Consul's API and the control calls.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/kv/{key...}", p.guard(false, p.get))
-	mux.HandleFunc("PUT /v1/kv/{key...}", p.guard(true, p.set))
-	mux.HandleFunc("DELETE /v1/kv/{key...}", p.guard(true, p.remove))
-	mux.HandleFunc("PUT /v1/session/create", p.guard(true, p.create))
-	mux.HandleFunc("PUT /v1/session/renew/{id}", p.guard(true, p.renew))
-	mux.HandleFunc("PUT /v1/session/destroy/{id}", p.guard(true, p.destroy))
-	mux.HandleFunc("GET /v1/catalog/service/upstream", p.guard(false, p.catalog))
+	mux.HandleFunc("GET /v1/kv/{key...}", p.withFaults(false, p.serveGet))
+	mux.HandleFunc("PUT /v1/kv/{key...}", p.withFaults(true, p.servePut))
+	mux.HandleFunc("DELETE /v1/kv/{key...}", p.withFaults(true, p.serveDelete))
+	mux.HandleFunc("PUT /v1/session/create", p.withFaults(true, p.serveSessionCreate))
+	mux.HandleFunc("PUT /v1/session/renew/{id}", p.withFaults(true, p.serveSessionRenew))
+	mux.HandleFunc("PUT /v1/session/destroy/{id}", p.withFaults(true, p.serveSessionDestroy))
+	mux.HandleFunc("GET /v1/catalog/service/upstream", p.withFaults(false, p.serveUpstreams))
 	mux.HandleFunc("POST /control/faults", func(_ http.ResponseWriter, r *http.Request) {
 		var f Faults
 		if json.NewDecoder(r.Body).Decode(&f) == nil {
@@ -128,46 +128,47 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-// guard counts and limits calls and brings the faults about.
-func (p *Platform) guard(write bool, next http.HandlerFunc) http.HandlerFunc {
+// withFaults counts and rate-limits calls and injects the faults.
+func (p *Platform) withFaults(write bool, next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		f, ok := p.enter(write)
-		if !sleep(r.Context(), f.Delay) {
+		faults, admitted := p.countCall(write)
+		if !sleep(r.Context(), faults.Delay) {
 			return
 		}
 		switch {
-		case f.Down:
-			drop(w)
-		case !ok:
+		case faults.Down:
+			closeConnection(w)
+		case !admitted:
 			http.Error(w, "too many calls", http.StatusTooManyRequests)
-		case write && f.Lose:
-			next(discard{header: http.Header{}}, r)
-			drop(w)
+		case write && faults.Lose:
+			next(discardWriter{header: http.Header{}}, r)
+			closeConnection(w)
 		default:
 			next(w, r)
 		}
 	}
 }
 
-func (p *Platform) enter(write bool) (Faults, bool) {
+// countCall counts a call and returns the faults to inject and whether the rate limit admits the call.
+func (p *Platform) countCall(write bool) (Faults, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.expire()
-	limit, count := p.reads, &p.counts.Reads
+	p.expireSessions()
+	limiter, count := p.readLimiter, &p.counts.Reads
 	if write {
-		limit, count = p.writes, &p.counts.Writes
+		limiter, count = p.writeLimiter, &p.counts.Writes
 	}
 	*count++
-	ok := limit.Allow()
-	if !ok {
+	admitted := limiter.Allow()
+	if !admitted {
 		p.counts.Refused++
 	}
-	f := p.faults
-	if write && p.lose > 0 {
-		p.lose--
-		f.Lose = true
+	faults := p.faults
+	if write && p.answersToLose > 0 {
+		p.answersToLose--
+		faults.Lose = true
 	}
-	return f, ok
+	return faults, admitted
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
@@ -182,8 +183,8 @@
 	}
 }
 
-// drop closes the connection without an answer.
-func drop(w http.ResponseWriter) {
+// closeConnection closes the connection without a response.
+func closeConnection(w http.ResponseWriter) {
 	if h, ok := w.(http.Hijacker); ok {
 		if c, _, err := h.Hijack(); err == nil {
 			_ = c.Close()
@@ -191,16 +192,18 @@
 	}
 }
 
-type discard struct{ header http.Header }
+// discardWriter is a response writer that discards the response.
+type discardWriter struct{ header http.Header }
 
-func (d discard) Header() http.Header { return d.header }
+func (d discardWriter) Header() http.Header { return d.header }
 
-func (discard) Write(b []byte) (int, error) { return len(b), nil }
+func (discardWriter) Write(b []byte) (int, error) { return len(b), nil }
 
-func (discard) WriteHeader(int) {}
+func (discardWriter) WriteHeader(int) {}
 
-// watch waits until ready reports true, the call's wait is over, or the platform is down.
-func (p *Platform) watch(r *http.Request, ready func() bool) bool {
+// waitForChange implements a blocking query: it waits until ready reports true or the query's wait time is over, and
+// returns false if the platform goes down or the request ends.
+func (p *Platform) waitForChange(r *http.Request, ready func() bool) bool {
 	after, _ := strconv.ParseUint(r.URL.Query().Get("index"), 10, 64)
 	wait, _ := time.ParseDuration(r.URL.Query().Get("wait"))
 	if after == 0 {
@@ -209,10 +212,10 @@
 	p.mu.Lock()
 	p.counts.Watches++
 	p.mu.Unlock()
-	end := time.After(wait)
+	timeout := time.After(wait)
 	for {
 		p.mu.Lock()
-		ok, down, ch := ready(), p.faults.Down, p.changed
+		ok, down, changed := ready(), p.faults.Down, p.changed
 		p.mu.Unlock()
 		if down {
 			return false
@@ -221,9 +224,9 @@
 			return true
 		}
 		select {
-		case <-ch:
-		case <-time.After(100 * time.Millisecond): // The list shows up after its lag.
-		case <-end:
+		case <-changed:
+		case <-time.After(100 * time.Millisecond): // A lagging list becomes visible without a notification.
+		case <-timeout:
 			return true
 		case <-r.Context().Done():
 			return false
