refactor: plain names and comments in the capacity measurements and the fake upstream

The simulated fleet folded, spent and did; it now applies events, records messages and executes actions. The fake upstream's faults are fractions of crossed and truncated responses, and its gauge records transitions. Comments say in which unit and over which size a value is measured.

--- a/internal/stand/sizes/doc.go
+++ b/internal/stand/sizes/doc.go
@@ -1,2 +1,3 @@
-// Package sizes measures what an entry host's roles cost as the system grows.
+// Package sizes measures the CPU, traffic and memory of an entry host at growing system sizes, and projects them onto the
+// users' two-year plan.
 package sizes
--- a/internal/stand/sizes/fleet.go
+++ b/internal/stand/sizes/fleet.go
@@ -11,93 +11,93 @@
 	"github.com/boragelane/boragelane/internal/edge/peer"
 )
 
-// Size is how large a system is.
+// Size holds the dimensions of a system.
 type Size struct {
 	Regions   int
 	Domains   int
-	Hosts     int // For each failure domain.
+	Hosts     int // Per failure domain.
 	Services  int
-	Upstreams int // For each failure domain.
+	Upstreams int // Per failure domain.
 }
 
-// Cost is what one host spent on control in one second, by role.
-type Cost struct {
-	CPU   time.Duration
-	Sent  int64 // Bytes.
-	Got   int64
-	Kinds map[string]int64 // Bytes both ways by kind of message.
-	Plan  time.Duration    // The time of one plan, which is not in CPU.
+// ControlCost holds the control-plane cost of one host, summed up or per second.
+type ControlCost struct {
+	CPU            time.Duration
+	Sent           int64 // Bytes.
+	Received       int64
+	BytesByMessage map[string]int64 // Bytes sent and received, by message type.
+	PlanTime       time.Duration    // Time to build a plan, not included in CPU.
 }
 
-// host is one host's control state with what it spent.
-type host struct {
-	state   *state.State
-	watched bool // Its spending is measured.
-	cost    Cost
-	rand    *rand.Rand
+// simHost is a simulated host: its control state and its measured cost.
+type simHost struct {
+	state    *state.State
+	measured bool // Whether the cost is recorded.
+	cost     ControlCost
+	rng      *rand.Rand
 }
 
-// fleet plays the control of a whole system in virtual time: real folds, plans and encodings, and no
-// network.
+// fleet simulates the control plane of a whole system in virtual time, with the real state machine, planner and message
+// encoding, but without a network.
 type fleet struct {
-	size  Size
-	now   time.Time
-	doc   spec.Document
-	hosts map[string]*host
-	order []*host
-	lease map[string]string
+	size         Size
+	now          time.Time
+	doc          spec.Document
+	hosts        map[string]*simHost
+	hostList     []*simHost
+	leaseHolders map[string]string
 }
 
-// Document returns the configuration of a system of a size.
-func Document(z Size) spec.Document {
-	d := spec.Document{Revision: 1, Floor: 0.5, Ranks: []spec.Rank{
+// Document returns the configuration of a system of the given size.
+func Document(size Size) spec.Document {
+	doc := spec.Document{Revision: 1, Floor: 0.5, Ranks: []spec.Rank{
 		{Name: "urgent", Queue: 1000}, {Name: "normal", Minimum: 0.2, Queue: 1000}, {Name: "bulk", Minimum: 0.1, Queue: 1000},
 	}}
-	for i := range z.Services {
-		d.Services = append(d.Services, spec.Service{
+	for i := range size.Services {
+		doc.Services = append(doc.Services, spec.Service{
 			Name: fmt.Sprint("svc-", i), Rank: "urgent", Timeout: spec.Duration(time.Second), Slots: 5, Conns: 400,
 		})
 	}
-	for i := range z.Regions {
-		d.Regions = append(d.Regions, spec.Region{Name: fmt.Sprint("region-", i), Capacity: 100_000})
+	for i := range size.Regions {
+		doc.Regions = append(doc.Regions, spec.Region{Name: fmt.Sprint("region-", i), Capacity: 100_000})
 	}
-	for i := range z.Domains {
-		dom := spec.Domain{Name: fmt.Sprint("domain-", i)}
-		for k := range z.Hosts {
+	for i := range size.Domains {
+		domain := spec.Domain{Name: fmt.Sprint("domain-", i)}
+		for k := range size.Hosts {
 			ip := fmt.Sprintf("127.200.%d.%d", i, k+1)
-			dom.Seats = append(dom.Seats, spec.Seat{Name: fmt.Sprintf("d%d-%d", i, k), Front: ip + ":7001", Peer: ip + ":7002"})
+			domain.Seats = append(domain.Seats, spec.Seat{Name: fmt.Sprintf("d%d-%d", i, k), Front: ip + ":7001", Peer: ip + ":7002"})
 		}
-		r := &d.Regions[i%z.Regions]
-		r.Domains = append(r.Domains, dom)
+		region := &doc.Regions[i%size.Regions]
+		region.Domains = append(region.Domains, domain)
 	}
-	for _, a := range d.Regions {
-		for _, b := range d.Regions {
-			if a.Name != b.Name {
-				d.Links = append(d.Links, spec.Link{From: a.Name, To: b.Name, Rate: 500_000_000, Delay: spec.Duration(20 * time.Millisecond)})
+	for _, from := range doc.Regions {
+		for _, to := range doc.Regions {
+			if from.Name != to.Name {
+				doc.Links = append(doc.Links, spec.Link{From: from.Name, To: to.Name, Rate: 500_000_000, Delay: spec.Duration(20 * time.Millisecond)})
 			}
 		}
 	}
-	return d
+	return doc
 }
 
-func newFleet(z Size) *fleet {
-	f := &fleet{size: z, now: time.Unix(100_000, 0), doc: Document(z), hosts: map[string]*host{}, lease: map[string]string{}}
-	for _, r := range f.doc.Regions {
-		for _, d := range r.Domains {
-			for i, s := range d.Seats {
-				h := &host{
-					state: state.New(plan.Self{Seat: s.Name, Domain: d.Name, Region: r.Name, Incarnation: "0123456789abcdef"}),
-					rand:  rand.New(rand.NewPCG(uint64(i), uint64(len(f.order)))),
+func newFleet(size Size) *fleet {
+	f := &fleet{size: size, now: time.Unix(100_000, 0), doc: Document(size), hosts: map[string]*simHost{}, leaseHolders: map[string]string{}}
+	for _, region := range f.doc.Regions {
+		for _, domain := range region.Domains {
+			for i, seat := range domain.Seats {
+				h := &simHost{
+					state: state.New(plan.Self{Seat: seat.Name, Domain: domain.Name, Region: region.Name, Incarnation: "0123456789abcdef"}),
+					rng:   rand.New(rand.NewPCG(uint64(i), uint64(len(f.hostList)))),
 				}
-				f.hosts[s.Name] = h
-				f.order = append(f.order, h)
+				f.hosts[seat.Name] = h
+				f.hostList = append(f.hostList, h)
 			}
 		}
 	}
 	return f
 }
 
-func (f *fleet) members(domain string) []state.Member {
+func (f *fleet) upstreamList(domain string) []state.Member {
 	var out []state.Member
 	for i := range f.size.Upstreams {
 		out = append(out, state.Member{
@@ -107,39 +107,40 @@
 	return out
 }
 
-// fold folds an event, and measures it at the watched host.
-func (f *fleet) fold(h *host, ev state.Event) {
+// apply applies an event to a host's state and executes the resulting actions.
+func (f *fleet) apply(h *simHost, event state.Event) {
 	begin := time.Now()
-	acts := state.Fold(h.state, ev, f.now)
-	if h.watched {
+	actions := state.Fold(h.state, event, f.now)
+	if h.measured {
 		h.cost.CPU += time.Since(begin)
 	}
-	for _, a := range acts {
-		f.do(h, a)
+	for _, action := range actions {
+		f.execute(h, action)
 	}
 }
 
-func (f *fleet) spend(from, to *host, ask, answer any) {
-	if !from.watched && !to.watched {
+// recordMessage adds the cost of a request and its reply to both hosts.
+func (f *fleet) recordMessage(from, to *simHost, request, reply any) {
+	if !from.measured && !to.measured {
 		return
 	}
 	begin := time.Now()
-	a, b := peer.Size(ask), peer.Size(answer)
-	took := time.Since(begin) // Encoding costs about what decoding does.
-	from.cost.add(a, b, took, ask, answer)
-	to.cost.add(b, a, took, ask, answer)
+	requestSize, replySize := peer.Size(request), peer.Size(reply)
+	elapsed := time.Since(begin) // Decoding takes about as long as encoding.
+	from.cost.addMessage(requestSize, replySize, elapsed, request, reply)
+	to.cost.addMessage(replySize, requestSize, elapsed, request, reply)
 }
 
-func (c *Cost) add(sent, got int64, took time.Duration, ask, answer any) {
-	c.Sent, c.Got, c.CPU = c.Sent+sent, c.Got+got, c.CPU+took
-	if c.Kinds == nil {
-		c.Kinds = map[string]int64{}
+func (c *ControlCost) addMessage(sent, received int64, elapsed time.Duration, request, reply any) {
+	c.Sent, c.Received, c.CPU = c.Sent+sent, c.Received+received, c.CPU+elapsed
+	if c.BytesByMessage == nil {
+		c.BytesByMessage = map[string]int64{}
 	}
-	c.Kinds[kind(ask)] += peer.Size(ask)
-	c.Kinds[kind(answer)] += peer.Size(answer)
+	c.BytesByMessage[messageType(request)] += peer.Size(request)
+	c.BytesByMessage[messageType(reply)] += peer.Size(reply)
 }
 
-func kind(message any) string {
+func messageType(message any) string {
 	switch message.(type) {
 	case state.Heartbeat:
 		return "heartbeat"
@@ -151,86 +152,88 @@
 	return "exchange answer"
 }
 
-func (f *fleet) do(h *host, act state.Action) {
-	switch a := act.(type) {
+// execute delivers an action's effect at once, as an event at this host or another.
+func (f *fleet) execute(h *simHost, action state.Action) {
+	switch a := action.(type) {
 	case state.SendHeartbeat:
 		to, reply := f.hosts[a.To.Name], make(chan state.HeartbeatReply, 1)
-		f.fold(to, state.HeartbeatIn{Heartbeat: a.Heartbeat, Reply: reply})
-		r := <-reply
-		f.spend(h, to, a.Heartbeat, r)
-		f.fold(h, state.HeartbeatOut{Seat: a.To.Name, Asked: f.now, Sent: a.Heartbeat, Reply: r})
+		f.apply(to, state.HeartbeatIn{Heartbeat: a.Heartbeat, Reply: reply})
+		answer := <-reply
+		f.recordMessage(h, to, a.Heartbeat, answer)
+		f.apply(h, state.HeartbeatOut{Seat: a.To.Name, Asked: f.now, Sent: a.Heartbeat, Reply: answer})
 	case state.SendExchange:
 		to, reply := f.hosts[a.To.Name], make(chan state.ExchangeReply, 1)
-		f.fold(to, state.ExchangeIn{Exchange: a.Exchange, Reply: reply})
-		r := <-reply
-		f.spend(h, to, a.Exchange, r)
-		f.fold(h, state.ExchangeOut{Seat: a.To.Name, Domain: a.Domain, Sent: a.Sent, Reply: r})
+		f.apply(to, state.ExchangeIn{Exchange: a.Exchange, Reply: reply})
+		answer := <-reply
+		f.recordMessage(h, to, a.Exchange, answer)
+		f.apply(h, state.ExchangeOut{Seat: a.To.Name, Domain: a.Domain, Sent: a.Sent, Reply: answer})
 	case state.SendNotice:
 		for _, s := range a.To {
-			f.fold(f.hosts[s.Name], state.Notice{Seat: h.state.Self.Seat, Revision: a.Revision})
+			f.apply(f.hosts[s.Name], state.Notice{Seat: h.state.Self.Seat, Revision: a.Revision})
 		}
 	case state.Fetch:
-		f.fold(h, state.Adopt{Doc: *f.hosts[a.From.Name].state.Doc})
+		f.apply(h, state.Adopt{Doc: *f.hosts[a.From.Name].state.Doc})
 	case state.AskLease:
-		d := a.Domain
-		if f.lease[d] == "" {
-			f.lease[d] = h.state.Self.Seat
+		domain := a.Domain
+		if f.leaseHolders[domain] == "" {
+			f.leaseHolders[domain] = h.state.Self.Seat
 		}
-		f.fold(h, state.LeaseOut{Domain: d, Asked: f.now, Life: a.Life, Held: f.lease[d] == h.state.Self.Seat})
+		f.apply(h, state.LeaseOut{Domain: domain, Asked: f.now, Life: a.Life, Held: f.leaseHolders[domain] == h.state.Self.Seat})
 	case state.Relay:
 		if a.On {
-			f.fold(h, state.Adopt{Doc: f.doc})
-			f.fold(h, state.ListOut{Members: f.members(h.state.Self.Domain)})
+			f.apply(h, state.Adopt{Doc: f.doc})
+			f.apply(h, state.ListOut{Members: f.upstreamList(h.state.Self.Domain)})
 		}
 	}
 }
 
-// loads plays a host that is half busy, with chance.
-func (f *fleet) loads(h *host) map[string]plan.Load {
-	out := make(map[string]plan.Load, f.size.Services)
+// randomLoads returns random loads that average half of the slots.
+func (f *fleet) randomLoads(h *simHost) map[string]plan.Load {
+	loads := make(map[string]plan.Load, f.size.Services)
 	for i := range f.size.Services {
-		out[fmt.Sprint("svc-", i)] = plan.Load{Slots: 4, Busy: int64(h.rand.IntN(5)), Latency: 5 * time.Millisecond}
+		loads[fmt.Sprint("svc-", i)] = plan.Load{Slots: 4, Busy: int64(h.rng.IntN(5)), Latency: 5 * time.Millisecond}
 	}
-	return out
+	return loads
 }
 
-// second plays one second.
-func (f *fleet) second() {
+// simulateSecond advances all hosts by one second and measures the plans of the measured ones.
+func (f *fleet) simulateSecond() {
 	for range time.Second / state.TickPeriod {
 		f.now = f.now.Add(state.TickPeriod)
-		for _, h := range f.order {
-			f.fold(h, state.Tick{Loads: f.loads(h)})
-			if h.watched {
+		for _, h := range f.hostList {
+			f.apply(h, state.Tick{Loads: f.randomLoads(h)})
+			if h.measured {
 				begin := time.Now()
 				state.Plan(h.state, f.now)
-				h.cost.Plan += time.Since(begin)
+				h.cost.PlanTime += time.Since(begin)
 			}
 		}
 	}
 }
 
-// Control measures one second of control on a relay and on another host, as a mean over a while.
-func Control(z Size, warm, measured int) (relay, member Cost) {
-	f := newFleet(z)
-	for range warm {
-		f.second()
+// SimulateControl returns the mean control-plane cost per second of a relay and of another host, measured over a number
+// of seconds after a warm-up.
+func SimulateControl(size Size, warmup, seconds int) (relay, member ControlCost) {
+	f := newFleet(size)
+	for range warmup {
+		f.simulateSecond()
 	}
-	a, b := f.order[0], f.order[min(1, len(f.order)-1)]
-	a.watched, b.watched = true, true
-	for range measured {
-		f.second()
+	relayHost, otherHost := f.hostList[0], f.hostList[min(1, len(f.hostList)-1)]
+	relayHost.measured, otherHost.measured = true, true
+	for range seconds {
+		f.simulateSecond()
 	}
-	return a.cost.mean(int64(measured)), b.cost.mean(int64(measured))
+	return relayHost.cost.perSecond(int64(seconds)), otherHost.cost.perSecond(int64(seconds))
 }
 
-// mean returns the cost of one second, and of one plan.
-func (c Cost) mean(seconds int64) Cost {
-	kinds := map[string]int64{}
-	for k, n := range c.Kinds {
-		kinds[k] = n / seconds
+// perSecond returns the mean cost of one second, and of one plan.
+func (c ControlCost) perSecond(seconds int64) ControlCost {
+	byMessage := map[string]int64{}
+	for k, n := range c.BytesByMessage {
+		byMessage[k] = n / seconds
 	}
-	return Cost{
-		CPU: c.CPU / time.Duration(seconds), Sent: c.Sent / seconds, Got: c.Got / seconds, Kinds: kinds,
-		Plan: c.Plan / time.Duration(seconds*int64(time.Second/state.TickPeriod)),
+	return ControlCost{
+		CPU: c.CPU / time.Duration(seconds), Sent: c.Sent / seconds, Received: c.Received / seconds, BytesByMessage: byMessage,
+		PlanTime: c.PlanTime / time.Duration(seconds*int64(time.Second/state.TickPeriod)),
 	}
 }
--- a/internal/stand/upstr/doc.go
+++ b/internal/stand/upstr/doc.go
@@ -1,3 +1,3 @@
-// Package upstr is a stand-in for an upstream: slots, cold start, load shedding, drain, crashes,
-// health and load endpoints that lie, and a log of what it ran.
+// Package upstr is a fake upstream with slots, a cold start, load shedding, drains, crashes, health and load endpoints
+// that always report a healthy and idle upstream, and a log of the jobs it ran.
 package upstr
--- a/internal/stand/upstr/gauge.go
+++ b/internal/stand/upstr/gauge.go
@@ -6,42 +6,43 @@
 	"time"
 )
 
-// Gauge tells how many jobs several upstreams ran at once. Jobs whose caller left are not counted: an upstream
-// hears of that later than the host that sent them.
+// Gauge measures how many jobs several upstreams ran at once, without canceled jobs: an upstream notices a cancellation
+// later than the host that sent the job.
 type Gauge struct {
-	mu    sync.Mutex
-	edges []edge
+	mu          sync.Mutex
+	transitions []transition
 }
 
-// edge is the begin or the end of a job.
-type edge struct {
-	at   time.Time
-	step int
+// transition is the start or the end of a job; delta is 1 or -1.
+type transition struct {
+	at    time.Time
+	delta int
 }
 
-func (g *Gauge) add(begin, end time.Time) {
+// addJob records a finished job; it does nothing on a nil gauge.
+func (g *Gauge) addJob(begin, end time.Time) {
 	if g == nil {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.edges = append(g.edges, edge{begin, 1}, edge{end, -1})
+	g.transitions = append(g.transitions, transition{begin, 1}, transition{end, -1})
 }
 
-// Most returns the most jobs that ran at once.
+// Most returns the maximum number of jobs that ran at once.
 func (g *Gauge) Most() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	slices.SortFunc(g.edges, func(a, b edge) int {
+	slices.SortFunc(g.transitions, func(a, b transition) int {
 		if c := a.at.Compare(b.at); c != 0 {
 			return c
 		}
-		return a.step - b.step
+		return a.delta - b.delta
 	})
-	busy, most := 0, 0
-	for _, e := range g.edges {
-		busy += e.step
-		most = max(most, busy)
+	running, most := 0, 0
+	for _, t := range g.transitions {
+		running += t.delta
+		most = max(most, running)
 	}
 	return most
 }
--- a/internal/stand/upstr/upstr.go
+++ b/internal/stand/upstr/upstr.go
@@ -16,27 +16,27 @@
 	"time"
 )
 
-// CrashMark in a body makes an upstream crash while it runs the request.
+// CrashMark in a request body makes the upstream crash while it runs the request.
 const CrashMark = "crash-this-upstream"
 
-// Options say what an upstream is like.
+// Options configures an upstream.
 type Options struct {
-	ID      string
-	Slots   int           // Jobs it runs at once; more are shed.
-	Time    time.Duration // Mean time of a job.
-	Cold    int           // Jobs until it is warm; cold ones take three times as long.
-	Size    int           // Bytes of an answer without a size parameter.
-	Crash   func()        // What a crash does.
-	Overrun bool          // Run jobs above the slots instead of shedding them.
-	Cross   float64       // Part of answers that carry another job's content.
-	Cut     float64       // Part of answers that are cut off.
-	Seed    uint64
-	Clock   func() time.Time // Tells when jobs begin and end.
-	Gauge   *Gauge           // Counts the jobs of several upstreams, or is nil.
-	Log     io.Writer        // Gets the key of each job, a line each, before it runs.
-}
-
-// Run is one execution in the log.
+	ID                string
+	Slots             int           // Maximum concurrent jobs; more are shed.
+	Time              time.Duration // Mean run time of a job.
+	Cold              int           // Number of jobs after a start that take three times as long.
+	Size              int           // Response size in bytes for requests without a size parameter.
+	Crash             func()        // Called for a request that carries CrashMark; nil runs it as a normal job.
+	Oversubscribe     bool          // Run jobs in excess of the slots, more slowly, instead of shedding them.
+	CrossedFraction   float64       // Fraction of responses that carry another job's content.
+	TruncatedFraction float64       // Fraction of responses that are truncated.
+	Seed              uint64
+	Clock             func() time.Time // Source of the start and end times of jobs.
+	Gauge             *Gauge           // Measures the concurrent jobs of several upstreams; may be nil.
+	Log               io.Writer        // Receives the key of each job, one per line, before it runs; may be nil.
+}
+
+// Run is the log entry of one execution of a job.
 type Run struct {
 	ID    string    `json:"id"`
 	Key   string    `json:"key"`
@@ -44,65 +44,65 @@
 	Done  bool      `json:"done"`
 }
 
-// Report is what an upstream saw.
+// Report holds the counts and the log of an upstream.
 type Report struct {
 	ID       string `json:"id"`
-	Most     int    `json:"most"` // Most jobs at once.
-	Conns    int    `json:"conns"`
-	Shed     int    `json:"shed"`
-	Refused  int    `json:"refused"` // Jobs that came while it drained.
-	Canceled int    `json:"canceled"`
+	Most     int    `json:"most"`     // Maximum concurrent jobs.
+	Conns    int    `json:"conns"`    // Maximum open connections.
+	Shed     int    `json:"shed"`     // Jobs refused because all slots were in use.
+	Refused  int    `json:"refused"`  // Jobs refused because the upstream was draining.
+	Canceled int    `json:"canceled"` // Jobs whose request ended before they did.
 	Runs     []Run  `json:"runs"`
 }
 
-// Upstream is the stand-in's state.
+// Upstream is a fake upstream.
 type Upstream struct {
 	Options
 
-	mu       sync.Mutex
-	draining bool
-	busy     int
-	warm     int
-	open     int
-	report   Report
-	dice     *rand.Rand
-	last     []byte
+	mu        sync.Mutex
+	draining  bool
+	running   int
+	warmJobs  int
+	openConns int
+	report    Report
+	rng       *rand.Rand
+	lastKey   []byte
 }
 
 // New returns an idle upstream.
 func New(o Options) *Upstream {
-	return &Upstream{Options: o, report: Report{ID: o.ID, Runs: []Run{}}, dice: rand.New(rand.NewPCG(o.Seed, 1))}
+	return &Upstream{Options: o, report: Report{ID: o.ID, Runs: []Run{}}, rng: rand.New(rand.NewPCG(o.Seed, 1))}
 }
 
-// Drain makes the upstream refuse new work and say that it leaves.
+// Drain turns draining on or off; a draining upstream refuses new jobs and announces its state.
 func (u *Upstream) Drain(on bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.draining = on
 }
 
-// Faulty makes parts of the answers carry another job's content, or end early.
-func (u *Upstream) Faulty(cross, cut float64) {
+// Faulty sets the fractions of responses that carry another job's content or are truncated.
+func (u *Upstream) Faulty(crossed, truncated float64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.Cross, u.Cut = cross, cut
+	u.CrossedFraction, u.TruncatedFraction = crossed, truncated
 }
 
-// Slow changes the mean time of a job.
+// Slow sets the mean run time of a job.
 func (u *Upstream) Slow(d time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.Time = d
 }
 
-// Chill makes the next jobs cold, as after a start.
+// Chill makes the next jobs run as slowly as after a start.
 func (u *Upstream) Chill(jobs int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.Cold, u.warm = jobs, 0
+	u.Cold, u.warmJobs = jobs, 0
 }
 
-// Report returns what the upstream saw so far.
+// Report returns a copy of the current report.
 func (u *Upstream) Report() Report {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -111,49 +111,49 @@
 	return r
 }
 
-// Conn counts connections; use it as an http.Server's ConnState.
+// Conn counts open connections; it is meant for http.Server.ConnState.
 func (u *Upstream) Conn(_ net.Conn, s http.ConnState) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	switch s {
 	case http.StateNew:
-		u.open++
-		u.report.Conns = max(u.report.Conns, u.open)
+		u.openConns++
+		u.report.Conns = max(u.report.Conns, u.openConns)
 	case http.StateClosed, http.StateHijacked:
-		u.open--
+		u.openConns--
 	case http.StateActive, http.StateIdle:
 	}
 }
 
-// Handler serves jobs, health, load and the control calls.
+// Handler serves jobs, the health and load endpoints and the control calls.
 func (u *Upstream) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "0\n") })
 	mux.HandleFunc("POST /control/drain", func(http.ResponseWriter, *http.Request) { u.Drain(true) })
 	mux.HandleFunc("GET /control/report", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(u.Report()) })
-	mux.HandleFunc("/", u.serve)
+	mux.HandleFunc("/", u.serveJob)
 	return mux
 }
 
-// serve runs one job: it echoes the key that its body begins with, padded to the size asked for.
-func (u *Upstream) serve(w http.ResponseWriter, r *http.Request) {
+// serveJob runs one job and responds with the first line of its body, the key, padded to the requested size.
+func (u *Upstream) serveJob(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
 	key, _, _ := bytes.Cut(body, []byte("\n"))
-	at, took, refusal := u.begin(r.Header.Get("X-Request-Id"), string(key))
+	index, runTime, refusal := u.beginJob(r.Header.Get("X-Request-Id"), string(key))
 	if refusal != "" {
-		u.shed(w, refusal)
+		u.refuse(w, refusal)
 		return
 	}
 	if bytes.Contains(body, []byte(CrashMark)) && u.Crash != nil {
 		u.Crash()
 		return
 	}
-	done := wait(r.Context(), took)
-	answer, crossed, cut := u.end(at, done, key)
+	done := sleep(r.Context(), runTime)
+	answer, crossed, truncated := u.endJob(index, done, key)
 	if !done {
 		return
 	}
@@ -161,10 +161,11 @@
 	if n, err := strconv.Atoi(r.URL.Query().Get("size")); err == nil {
 		size = n
 	}
-	u.answer(w, r, answer, size, crossed, cut)
+	u.writeAnswer(w, r, answer, size, crossed, truncated)
 }
 
-func (u *Upstream) shed(w http.ResponseWriter, state string) {
+// refuse responds with 503, and with the header Upstream-State if the upstream is draining.
+func (u *Upstream) refuse(w http.ResponseWriter, state string) {
 	if state == "draining" {
 		w.Header().Set("Upstream-State", state)
 	}
@@ -172,7 +173,8 @@
 	http.Error(w, state, http.StatusServiceUnavailable)
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
+// sleep waits for d and reports false if the context ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
@@ -183,70 +185,72 @@
 	}
 }
 
-func (u *Upstream) begin(id, key string) (at int, took time.Duration, refusal string) {
+// beginJob takes a slot and logs the job, or returns the reason for a refusal.
+func (u *Upstream) beginJob(id, key string) (index int, runTime time.Duration, refusal string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.draining {
 		u.report.Refused++
 		return 0, 0, "draining"
 	}
-	if u.busy >= u.Slots && !u.Overrun {
+	if u.running >= u.Slots && !u.Oversubscribe {
 		u.report.Shed++
 		return 0, 0, "full"
 	}
-	u.busy++
-	u.report.Most = max(u.report.Most, u.busy)
+	u.running++
+	u.report.Most = max(u.report.Most, u.running)
 	u.report.Runs = append(u.report.Runs, Run{ID: id, Key: key, Start: u.Clock()})
 	if u.Log != nil {
 		_, _ = io.WriteString(u.Log, key+"\n")
 	}
-	took = time.Duration(float64(u.Time) * (0.5 + u.dice.Float64()))
-	if u.warm < u.Cold {
-		u.warm++
-		took *= 3
+	runTime = time.Duration(float64(u.Time) * (0.5 + u.rng.Float64()))
+	if u.warmJobs < u.Cold {
+		u.warmJobs++
+		runTime *= 3
 	}
-	if u.Overrun && u.busy > u.Slots {
-		took = took * time.Duration(u.busy) / time.Duration(u.Slots)
+	if u.Oversubscribe && u.running > u.Slots {
+		runTime = runTime * time.Duration(u.running) / time.Duration(u.Slots)
 	}
-	return len(u.report.Runs) - 1, took, ""
+	return len(u.report.Runs) - 1, runTime, ""
 }
 
-func (u *Upstream) end(at int, done bool, key []byte) (answer []byte, crossed, cut bool) {
+// endJob frees the slot and chooses the response of a job that was not canceled.
+func (u *Upstream) endJob(index int, done bool, key []byte) (answer []byte, crossed, truncated bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.busy--
+	u.running--
 	if !done {
 		u.report.Canceled++
 		return nil, false, false
 	}
-	u.report.Runs[at].Done = true
-	u.Gauge.add(u.report.Runs[at].Start, u.Clock())
-	answer, crossed, cut = key, u.dice.Float64() < u.Cross && u.last != nil, u.dice.Float64() < u.Cut
+	u.report.Runs[index].Done = true
+	u.Gauge.addJob(u.report.Runs[index].Start, u.Clock())
+	answer, crossed, truncated = key, u.rng.Float64() < u.CrossedFraction && u.lastKey != nil, u.rng.Float64() < u.TruncatedFraction
 	if crossed {
-		answer = u.last
+		answer = u.lastKey
 	}
-	u.last = key
-	return answer, crossed, cut
+	u.lastKey = key
+	return answer, crossed, truncated
 }
 
-func (u *Upstream) answer(w http.ResponseWriter, r *http.Request, key []byte, size int, crossed, cut bool) {
-	out := make([]byte, max(size, len(key)+1))
-	copy(out, key)
-	out[len(key)] = '\n'
-	for i := len(key) + 1; i < len(out); i++ {
-		out[i] = '.'
+func (u *Upstream) writeAnswer(w http.ResponseWriter, r *http.Request, key []byte, size int, crossed, truncated bool) {
+	body := make([]byte, max(size, len(key)+1))
+	copy(body, key)
+	body[len(key)] = '\n'
+	for i := len(key) + 1; i < len(body); i++ {
+		body[i] = '.'
 	}
 	id := r.Header.Get("X-Request-Id")
 	if crossed {
 		id = "crossed-" + id
 	}
-	sum := sha256.Sum256(out)
+	sum := sha256.Sum256(body)
 	w.Header().Set("X-Request-Id", id)
 	w.Header().Set("Content-Type", "text/plain")
-	w.Header().Set("Content-Length", strconv.Itoa(len(out)))
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.Header().Set("Content-Digest", fmt.Sprintf("sha-256=:%s:", base64.StdEncoding.EncodeToString(sum[:])))
-	if cut {
-		out = out[:len(out)/2]
+	if truncated {
+		body = body[:len(body)/2]
 	}
-	_, _ = w.Write(out)
+	_, _ = w.Write(body)
 }
