refactor: plain names and comments in the command line and the scripts

Error types and exit codes said bad input and a lost race; their comments now say which case they report. Locals of one letter in the commands have names, and the heads of the scripts say what each script runs and prints.

--- a/cmd/admin.go
+++ b/cmd/admin.go
@@ -46,7 +46,7 @@
 	}
 )
 
-// run does the subcommand that was given.
+// run sends the subcommand's request to a host and prints the answer as indented JSON.
 func (a *adminArgs) run(ctx context.Context, out, _ io.Writer) error {
 	method, path, body, err := a.request()
 	if err != nil {
@@ -64,6 +64,7 @@
 	return nil
 }
 
+// request returns the HTTP request of the given subcommand.
 func (a *adminArgs) request() (method, path string, body []byte, err error) {
 	switch {
 	case a.Show != nil:
@@ -83,19 +84,19 @@
 		}
 		return http.MethodDelete, path, nil, nil
 	case a.Explain != nil:
-		q := url.Values{"service": {a.Explain.Service}}
+		query := url.Values{"service": {a.Explain.Service}}
 		if a.Explain.Rank != "" {
-			q.Set("rank", a.Explain.Rank)
+			query.Set("rank", a.Explain.Rank)
 		}
 		if a.Explain.Caller != "" {
-			q.Set("caller", a.Explain.Caller)
+			query.Set("caller", a.Explain.Caller)
 		}
-		return http.MethodGet, "/explain?" + q.Encode(), nil, nil
+		return http.MethodGet, "/explain?" + query.Encode(), nil, nil
 	}
 	return "", "", nil, ErrUsage.New("a command is missing; see boragelane admin --help")
 }
 
-// change reads the file and sets the expected revision.
+// change reads the file and overrides its expected revision if the flag is given.
 func (a *applyArgs) change() ([]byte, error) {
 	data, err := os.ReadFile(a.File)
 	if err != nil {
--- a/cmd/call.go
+++ b/cmd/call.go
@@ -8,10 +8,10 @@
 	"time"
 )
 
-// maxAnswer is the most bytes of an answer that are read.
-const maxAnswer = 4 << 20
+// maxAnswerSize limits the bytes read of a response.
+const maxAnswerSize = 4 << 20
 
-// call makes one HTTP request and turns a refusal into an error by its status.
+// call makes one HTTP request and returns the response body, or an error whose type depends on the response status.
 func call(ctx context.Context, wait time.Duration, method, url string, body []byte) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
@@ -27,7 +27,7 @@
 		return nil, ErrUnavailable.Wrap(err, "asking the host")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	out, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	out, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerSize))
 	if err != nil {
 		return nil, ErrUnavailable.Wrap(err, "reading the answer")
 	}
--- a/cmd/doc.go
+++ b/cmd/doc.go
@@ -1,2 +1,2 @@
-// Package cmd is the command line, a file for each command.
+// Package cmd implements the command line, with one file per command.
 package cmd
--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -17,32 +17,33 @@
 }
 
 func (a *entryArgs) run(ctx context.Context, _, _ io.Writer) error {
-	s, err := config.Load(a.Settings)
+	settings, err := config.Load(a.Settings)
 	if err != nil {
 		return ErrUsage.Wrap(err, "%s", a.Settings)
 	}
-	log, err := logger(s.Log)
+	log, err := newLogger(settings.Log)
 	if err != nil {
 		return ErrFailed.Wrap(err, "setting up the log")
 	}
 	defer func() { _ = log.Sync() }()
-	tr, err := trace.Setup(ctx, s.Trace, s.Seat)
+	provider, err := trace.Setup(ctx, settings.Trace, settings.Seat)
 	if err != nil {
 		return ErrFailed.Wrap(err, "setting up traces")
 	}
-	if err := entry.New(s, time.Now, log, tr).Run(ctx); err != nil {
+	if err := entry.New(settings, time.Now, log, provider).Run(ctx); err != nil {
 		return ErrFailed.Wrap(err, "running the entry host")
 	}
 	return nil
 }
 
-func logger(level string) (*zap.Logger, error) {
-	c := zap.NewProductionConfig()
-	l, err := zap.ParseAtomicLevel(level)
+// newLogger returns a JSON logger that writes lines of the given level and above.
+func newLogger(level string) (*zap.Logger, error) {
+	cfg := zap.NewProductionConfig()
+	parsed, err := zap.ParseAtomicLevel(level)
 	if err != nil {
 		return nil, err
 	}
-	c.Level = l
-	c.DisableStacktrace = true
-	return c.Build()
+	cfg.Level = parsed
+	cfg.DisableStacktrace = true
+	return cfg.Build()
 }
--- a/cmd/lookup.go
+++ b/cmd/lookup.go
@@ -15,14 +15,14 @@
 }
 
 func (a *lookupArgs) run(ctx context.Context, out, _ io.Writer) error {
-	var last error
-	for _, h := range a.Host {
-		body, err := call(ctx, a.Wait, "GET", "http://"+h+"/v1/lookup?caller="+url.QueryEscape(a.Caller), nil)
+	var lastErr error
+	for _, host := range a.Host {
+		body, err := call(ctx, a.Wait, "GET", "http://"+host+"/v1/lookup?caller="+url.QueryEscape(a.Caller), nil)
 		if err == nil {
 			_, _ = fmt.Fprintf(out, "%s", body)
 			return nil
 		}
-		last = err
+		lastErr = err
 	}
-	return last
+	return lastErr
 }
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -14,30 +14,30 @@
 
 // Exit codes of the program.
 const (
-	// ExitOK means that the command did what was asked.
+	// ExitOK means that the command succeeded.
 	ExitOK = 0
-	// ExitFailed means that it failed for another reason than the ones below.
+	// ExitFailed means that the command failed for a reason without its own code.
 	ExitFailed = 1
-	// ExitUsage means bad arguments, settings or input.
+	// ExitUsage means invalid arguments, settings or input.
 	ExitUsage = 2
-	// ExitConflict means that another operator's change came first.
+	// ExitConflict means that the configuration is not at the expected revision, because another change came first.
 	ExitConflict = 3
-	// ExitUnavailable means that a host or the platform did not answer.
+	// ExitUnavailable means that a host or the platform did not answer or was unavailable.
 	ExitUnavailable = 4
 )
 
 // Errors is the namespace of this package's errors.
 var Errors = errorx.NewNamespace("cmd")
 
-// Types of error, by exit code.
+// Error types, one per exit code.
 var (
-	// ErrUsage is bad input.
+	// ErrUsage reports invalid arguments, settings or input.
 	ErrUsage = Errors.NewType("usage")
-	// ErrConflict is a lost race.
+	// ErrConflict reports a revision conflict with another change.
 	ErrConflict = Errors.NewType("conflict")
-	// ErrUnavailable is a host that did not answer.
+	// ErrUnavailable reports that a host or the platform was unavailable.
 	ErrUnavailable = Errors.NewType("unavailable")
-	// ErrFailed is any other failure.
+	// ErrFailed reports any other failure.
 	ErrFailed = Errors.NewType("failed")
 )
 
@@ -50,12 +50,12 @@
 	Version *versionArgs `arg:"subcommand:version" help:"print the version"`
 }
 
-// Description says what the program is, for --help.
+// Description returns the text above the usage in --help.
 func (arguments) Description() string {
 	return "boragelane decides for each request which region and upstream serve it"
 }
 
-// Epilogue lists the exit codes, for --help.
+// Epilogue returns the text below the usage in --help.
 func (arguments) Epilogue() string {
 	return "exit codes: 0 done, 1 failed, 2 bad arguments, settings or input, 3 another change came first, 4 no answer"
 }
@@ -64,7 +64,7 @@
 	run(ctx context.Context, out, errs io.Writer) error
 }
 
-// command returns the command that was given, or nil.
+// command returns the command given on the command line, or nil.
 func (a *arguments) command() command {
 	switch {
 	case a.Serve != nil:
@@ -86,14 +86,14 @@
 // Execute runs the program and returns its exit code.
 func Execute(args []string, out, errs io.Writer) int {
 	var a arguments
-	p, err := arg.NewParser(arg.Config{Program: "boragelane"}, &a)
+	parser, err := arg.NewParser(arg.Config{Program: "boragelane"}, &a)
 	if err != nil {
 		_, _ = fmt.Fprintln(errs, "boragelane:", err)
 		return ExitFailed
 	}
-	switch err := p.Parse(args); {
+	switch err := parser.Parse(args); {
 	case errors.Is(err, arg.ErrHelp):
-		_ = p.WriteHelpForSubcommand(out, p.SubcommandNames()...)
+		_ = parser.WriteHelpForSubcommand(out, parser.SubcommandNames()...)
 		return ExitOK
 	case err != nil:
 		_, _ = fmt.Fprintln(errs, "boragelane:", err)
@@ -101,7 +101,7 @@
 	}
 	cmd := a.command()
 	if cmd == nil {
-		_ = p.WriteHelpForSubcommand(errs, p.SubcommandNames()...)
+		_ = parser.WriteHelpForSubcommand(errs, parser.SubcommandNames()...)
 		return ExitUsage
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
@@ -113,6 +113,7 @@
 	return ExitOK
 }
 
+// exitCode returns the exit code for an error, by its type.
 func exitCode(err error) int {
 	switch {
 	case errorx.IsOfType(err, ErrUsage):
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -23,11 +23,11 @@
 	Settings string `arg:"positional" help:"file of the platform's settings; by default the one that the environment names"`
 }
 
-// traceFlush bounds how long the last spans may take at the end.
-const traceFlush = 500 * time.Millisecond
+// traceFlushTimeout limits how long the export of the remaining spans may delay the exit.
+const traceFlushTimeout = 500 * time.Millisecond
 
-// logFlush bounds how long the last lines may take at the end.
-const logFlush = 100 * time.Millisecond
+// logFlushTimeout limits how long writing the remaining log lines may delay the exit.
+const logFlushTimeout = 100 * time.Millisecond
 
 func (a *serveArgs) run(ctx context.Context, out, errs io.Writer) error {
 	path := a.Settings
@@ -35,38 +35,38 @@
 		path = os.Getenv(platform.EnvSettings)
 	}
 	loader := &platform.Loader{Path: path}
-	s, _, err := loader.Load()
+	settings, _, err := loader.Load()
 	if err != nil {
 		return ErrUsage.Wrap(err, "settings")
 	}
-	m := meters.New()
-	w := lines.NewWriter(out, m.Dropped.Inc)
-	defer w.Close(logFlush)
-	store := platform.NewStore(s.Store, s.Regions, func(call, result string) { m.Calls.WithLabelValues(call, result).Inc() })
-	host := steer.New(s, store, platform.Front{}, platform.Names, time.Now, lines.New(w, zapcore.InfoLevel), m)
+	metrics := meters.New()
+	writer := lines.NewWriter(out, metrics.Dropped.Inc)
+	defer writer.Close(logFlushTimeout)
+	store := platform.NewStore(settings.Store, settings.Regions, func(call, result string) { metrics.Calls.WithLabelValues(call, result).Inc() })
+	host := steer.New(settings, store, platform.Front{}, platform.Names, time.Now, lines.New(writer, zapcore.InfoLevel), metrics)
 	host.Loader = loader
 	if a.Trace != "" {
-		tr, err := trace.Setup(ctx, a.Trace, s.Host.Name)
+		provider, err := trace.Setup(ctx, a.Trace, settings.Host.Name)
 		if err != nil {
 			return ErrUsage.Wrap(err, "traces")
 		}
-		defer flushTraces(tr, errs)
-		host.Tracer = tr.Tracer("boragelane")
+		defer flushTraces(provider, errs)
+		host.Tracer = provider.Tracer("boragelane")
 	}
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
-	if err := host.Run(ctx, hangup); err != nil {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	if err := host.Run(ctx, reload); err != nil {
 		return ErrFailed.Wrap(err, "serving")
 	}
 	return nil
 }
 
-// flushTraces sends the last spans.
-func flushTraces(tr trace.Provider, errs io.Writer) {
-	ctx, cancel := context.WithTimeout(context.Background(), traceFlush)
+// flushTraces exports the remaining spans and shuts the tracer provider down.
+func flushTraces(provider trace.Provider, errs io.Writer) {
+	ctx, cancel := context.WithTimeout(context.Background(), traceFlushTimeout)
 	defer cancel()
-	if err := tr.Shutdown(ctx); err != nil {
+	if err := provider.Shutdown(ctx); err != nil {
 		_, _ = fmt.Fprintln(errs, "boragelane: the last spans were not sent:", err)
 	}
 }
--- a/cmd/version.go
+++ b/cmd/version.go
@@ -7,7 +7,7 @@
 	"runtime/debug"
 )
 
-// Version is set by the build, as in -ldflags "-X …/cmd.Version=v1.2.3".
+// Version is the program's version; builds set it with -ldflags "-X …/cmd.Version=v1.2.3".
 var Version = "development"
 
 type versionArgs struct{}
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs the benchmarks and prints each figure beside the committed baseline, as a ratio.
+# Runs the benchmarks and prints each result with its ratio to the committed baseline; -update replaces the baseline.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 out=$(mktemp)
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,11 +1,11 @@
 #!/usr/bin/env bash
-# Runs a small system as separate processes, under load, and checks what it promises.
+# Runs a small system as separate processes under load, drains, stops and kills parts of it, and checks its guarantees.
 set -euo pipefail
 source "$(dirname "$0")/fleet.sh"
 fleet demo
 echo "demo: ${#front[@]} entry hosts serve; $("$bin/boragelane" lookup "${front[0]}" --caller grace)"
 
-# The operators' commands, as docs/OPERATING.md has them.
+# The operator commands in docs/OPERATING.md must succeed.
 "$bin/boragelane" version
 for c in show status "explain price --caller grace --rank urgent" "drain host mwanza-b-2" "undrain host mwanza-b-2"; do
   # shellcheck disable=SC2086
@@ -13,7 +13,7 @@
 done
 code=0
 "$bin/boragelane" admin --host "${admin[0]}" drain host mwanza-b-2 --expect 1 >/dev/null 2>&1 || code=$?
-[ "$code" -eq 3 ] || { echo "demo: a lost race ended with exit code $code"; exit 1; }
+[ "$code" -eq 3 ] || { echo "demo: a conflicting drain ended with exit code $code"; exit 1; }
 
 "$bin/standin" load "$dir/load.json" --report "$dir/report.json" >"$dir/table" &
 load=$!
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,4 +1,4 @@
-# Starts a small system as separate processes; sourced by the other scripts.
+# Functions that start a small system as separate processes; sourced by the other scripts.
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 bin=$PWD/bin
 dir=$(mktemp -d)
--- a/scripts/floods.sh
+++ b/scripts/floods.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Plays floods of the least and of the most urgent rank against a small system, and prints tables. The first calm
-# phase meets cold upstreams; the others are what the floods are compared with.
+# Floods a small system with requests of the least urgent rank, of the most urgent rank and of both, and prints a table
+# per phase. The first calm phase warms up the upstreams; the later ones are the baseline for the floods.
 set -euo pipefail
 source "$(dirname "$0")/fleet.sh"
 fleet floods
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the linter that tools/go.mod declares, and runs it with the formatters.
+# Builds the linter declared in tools/go.mod if it is missing, and runs its linters and formatters.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 lint=$PWD/bin/golangci-lint
--- a/scripts/many.sh
+++ b/scripts/many.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Runs 99 hosts as separate processes, and prints how fast changes come into force and how fast hosts are back when
-# those of a failure domain, and then all, are killed and started at once.
+# Runs 99 hosts as separate processes, and prints how long changes take to come into force and how long hosts take to
+# recover when all hosts of a failure domain, and then all hosts, are killed and restarted at once.
 set -euo pipefail
 source "$(dirname "$0")/fleet.sh"
 
