refactor: plain names and comments in the stand-in programs and their tests

The chaos test disturbed a fleet with dice and naps, and the link test pressed on; they now inject faults with a random number generator and keep sending. The head of the link test says which failure it guards against. Both tests check the same values as before.

--- a/standin/capacity.go
+++ b/standin/capacity.go
@@ -21,45 +21,45 @@
 	Quick bool   `help:"leave out the largest systems"`
 }
 
-// run measures, and writes a table, a plot and a projection.
+// run measures the capacity, writes a table and a plot, and prints the projection.
 func (a *capacityArgs) run(context.Context) error {
 	rows := sizes.Measure(a.Quick)
-	f, err := os.Create(filepath.Join(a.Dir, "capacity.csv"))
+	file, err := os.Create(filepath.Join(a.Dir, "capacity.csv"))
 	if err != nil {
 		return err
 	}
-	w := csv.NewWriter(f)
+	w := csv.NewWriter(file)
 	_ = w.Write([]string{"measure", "size", "value", "unit"})
 	for _, r := range rows {
 		_ = w.Write([]string{r.Measure, strconv.FormatFloat(r.Size, 'g', -1, 64), strconv.FormatFloat(r.Value, 'g', 6, 64), r.Unit})
 	}
 	w.Flush()
-	if err := f.Close(); err != nil {
+	if err := file.Close(); err != nil {
 		return err
 	}
-	if err := draw(rows, filepath.Join(a.Dir, "capacity.svg")); err != nil {
+	if err := plotControlCost(rows, filepath.Join(a.Dir, "capacity.svg")); err != nil {
 		return err
 	}
-	for _, p := range sizes.Project(rows) {
-		fmt.Println(p)
+	for _, line := range sizes.Project(rows) {
+		fmt.Println(line)
 	}
 	return nil
 }
 
-// draw plots control's cost for a host over the hosts of the system.
-func draw(rows []sizes.Row, file string) error {
+// plotControlCost plots the control-plane cost of a host against the number of hosts in the system.
+func plotControlCost(rows []sizes.Row, file string) error {
 	p := plot.New()
 	p.Title.Text = "Control for one host, each second"
 	p.X.Label.Text, p.Y.Label.Text = "hosts", "bytes both ways, and microseconds of a core"
 	var lines []any
-	for _, m := range []string{"relay bytes", "host bytes", "relay cpu", "host cpu"} {
-		var pts plotter.XYs
+	for _, measure := range []string{"relay bytes", "host bytes", "relay cpu", "host cpu"} {
+		var points plotter.XYs
 		for _, r := range rows {
-			if r.Measure == m {
-				pts = append(pts, plotter.XY{X: r.Size, Y: r.Value})
+			if r.Measure == measure {
+				points = append(points, plotter.XY{X: r.Size, Y: r.Value})
 			}
 		}
-		lines = append(lines, m, pts)
+		lines = append(lines, measure, points)
 	}
 	if err := plotutil.AddLinePoints(p, lines...); err != nil {
 		return err
--- a/standin/chaos_test.go
+++ b/standin/chaos_test.go
@@ -22,7 +22,7 @@
 	"github.com/boragelane/boragelane/internal/stand/platf"
 )
 
-// fleet is a system of real processes, which can be killed, frozen and replaced.
+// fleet is a system of separate processes that can be killed, frozen and restarted.
 type fleet struct {
 	t      *testing.T
 	dir    string
@@ -46,21 +46,21 @@
 	f.start("platform", "standin", "platform", "--listen", f.layout.Platform)
 	for _, u := range f.layout.Upstreams {
 		f.start(u.ID, "standin", "upstream", "--listen", fmt.Sprintf("%s:%d", u.Address, u.Port), "--id", u.ID,
-			"--slots", fmt.Sprint(o.Slots), "--time", "3ms", "--log", f.log(u.ID))
+			"--slots", fmt.Sprint(o.Slots), "--time", "3ms", "--log", f.runLogPath(u.ID))
 	}
 	for _, s := range f.layout.Settings {
 		file := filepath.Join(f.dir, s.Seat+".json")
 		assert.NilError(t, os.WriteFile(file, []byte(settingsText(s)), 0o600))
 		f.start(s.Seat, "boragelane", "entry", file)
 	}
-	f.post("upstreams", f.layout.Upstreams)
+	f.postControl("upstreams", f.layout.Upstreams)
 	f.configure()
 	return f
 }
 
-func (f *fleet) log(id string) string { return filepath.Join(f.dir, id+".ran") }
+func (f *fleet) runLogPath(id string) string { return filepath.Join(f.dir, id+".ran") }
 
-// start starts a process, or replaces a dead one by the same name.
+// start starts a process; without arguments it restarts the process of that name.
 func (f *fleet) start(name string, args ...string) {
 	if args == nil {
 		args = f.args[name]
@@ -81,7 +81,7 @@
 
 func (f *fleet) signal(name string, s syscall.Signal) { _ = f.procs[name].Process.Signal(s) }
 
-func (f *fleet) post(path string, v any) {
+func (f *fleet) postControl(path string, v any) {
 	data, err := json.Marshal(v)
 	assert.NilError(f.t, err)
 	for range 100 {
@@ -111,11 +111,11 @@
 	f.t.Fatalf("%v: %s", err, out)
 }
 
-// runs counts how often each key was run, by the logs that upstreams wrote before they ran a job.
-func (f *fleet) runs() map[string]int {
+// countRuns returns the number of runs of each key, from the logs that upstreams write before they run a job.
+func (f *fleet) countRuns() map[string]int {
 	runs := map[string]int{}
 	for _, u := range f.layout.Upstreams {
-		data, _ := os.ReadFile(f.log(u.ID))
+		data, _ := os.ReadFile(f.runLogPath(u.ID))
 		for _, k := range strings.Fields(string(data)) {
 			runs[k]++
 		}
@@ -123,46 +123,46 @@
 	return runs
 }
 
-// disturb does one thing after the other to the fleet until the context ends.
-func (f *fleet) disturb(ctx context.Context, dice *rand.Rand) []string {
+// injectFaults injects one random fault after the other until the context ends, and returns what it did.
+func (f *fleet) injectFaults(ctx context.Context, rng *rand.Rand) []string {
 	var done []string
-	nap := func(d time.Duration) {
+	pause := func(d time.Duration) {
 		select {
 		case <-ctx.Done():
 		case <-time.After(d):
 		}
 	}
 	for ctx.Err() == nil {
-		seat := f.layout.Settings[dice.IntN(len(f.layout.Settings))].Seat
-		up := f.layout.Upstreams[dice.IntN(len(f.layout.Upstreams))].ID
-		switch n := dice.IntN(6); n {
+		seat := f.layout.Settings[rng.IntN(len(f.layout.Settings))].Seat
+		upstream := f.layout.Upstreams[rng.IntN(len(f.layout.Upstreams))].ID
+		switch n := rng.IntN(6); n {
 		case 0, 1:
 			done = append(done, "kill "+seat)
 			f.kill(seat)
-			nap(500 * time.Millisecond)
+			pause(500 * time.Millisecond)
 			f.start(seat)
 		case 2:
 			done = append(done, "freeze "+seat)
 			f.signal(seat, syscall.SIGSTOP)
-			nap(time.Duration(1+dice.IntN(6)) * time.Second)
+			pause(time.Duration(1+rng.IntN(6)) * time.Second)
 			f.signal(seat, syscall.SIGCONT)
 		case 3:
-			done = append(done, "kill "+up)
-			f.kill(up)
-			nap(300 * time.Millisecond)
-			f.start(up)
+			done = append(done, "kill "+upstream)
+			f.kill(upstream)
+			pause(300 * time.Millisecond)
+			f.start(upstream)
 		case 4:
 			done = append(done, "platform down")
-			f.post("faults", platf.Faults{Down: true})
-			nap(2 * time.Second)
-			f.post("faults", platf.Faults{})
+			f.postControl("faults", platf.Faults{Down: true})
+			pause(2 * time.Second)
+			f.postControl("faults", platf.Faults{})
 		case 5:
 			done = append(done, "platform slow, answers lost")
-			f.post("faults", platf.Faults{Delay: 500 * time.Millisecond, Lose: true})
-			nap(2 * time.Second)
-			f.post("faults", platf.Faults{})
+			f.postControl("faults", platf.Faults{Delay: 500 * time.Millisecond, Lose: true})
+			pause(2 * time.Second)
+			f.postControl("faults", platf.Faults{})
 		}
-		nap(time.Second)
+		pause(time.Second)
 	}
 	return done
 }
@@ -184,28 +184,28 @@
 		{Name: "orders", Service: layout.Orders, Rank: "normal", Rate: 400, Timeout: time.Second, Once: true, Resend: 4, Size: 100},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	disturbed := make(chan []string, 1)
-	go func() { disturbed <- f.disturb(ctx, rand.New(rand.NewPCG(42, 42))) }()
-	rep := loadg.New(cfg, time.Now).Run(context.Background())
+	faults := make(chan []string, 1)
+	go func() { faults <- f.injectFaults(ctx, rand.New(rand.NewPCG(42, 42))) }()
+	report := loadg.New(cfg, time.Now).Run(context.Background())
 	cancel()
-	t.Log(strings.Join(<-disturbed, "; "))
+	t.Log(strings.Join(<-faults, "; "))
 	var table strings.Builder
-	rep.Table(&table)
-	t.Logf("\n%s%v", table.String(), rep.Classes[1].Reasons)
+	report.Table(&table)
+	t.Logf("\n%s%v", table.String(), report.Classes[1].Reasons)
 
-	runs := f.runs()
-	assert.Assert(t, len(rep.OnceKeys) > 10_000, "%d jobs", len(rep.OnceKeys))
-	for _, k := range rep.OnceKeys {
-		assert.Assert(t, runs[k] <= 1, "%s ran %d times", k, runs[k])
+	runs := f.countRuns()
+	assert.Assert(t, len(report.OnceKeys) > 10_000, "%d jobs", len(report.OnceKeys))
+	for _, key := range report.OnceKeys {
+		assert.Assert(t, runs[key] <= 1, "%s ran %d times", key, runs[key])
 	}
-	for _, k := range rep.NotRunKeys {
-		assert.Assert(t, runs[k] == 0, "%s was refused as not run, but ran", k)
+	for _, key := range report.NotRunKeys {
+		assert.Assert(t, runs[key] == 0, "%s was refused as not run, but ran", key)
 	}
-	for _, k := range rep.Answered {
-		assert.Assert(t, runs[k] == 1, "%s was answered, but ran %d times", k, runs[k])
+	for _, key := range report.Answered {
+		assert.Assert(t, runs[key] == 1, "%s was answered, but ran %d times", key, runs[key])
 	}
-	for _, c := range rep.Classes {
-		assert.Equal(t, c.Wrong, int64(0))
-		assert.Assert(t, c.Answered > c.Sent/2, "%s: %d of %d", c.Name, c.Answered, c.Sent)
+	for _, class := range report.Classes {
+		assert.Equal(t, class.Wrong, int64(0))
+		assert.Assert(t, class.Answered > class.Sent/2, "%s: %d of %d", class.Name, class.Answered, class.Sent)
 	}
 }
--- a/standin/claims.go
+++ b/standin/claims.go
@@ -10,16 +10,16 @@
 
 type claimsArgs struct{}
 
-// run compares the ways to let a job run at most once, at two rates and three distances of the platform.
+// run benchmarks the at-most-once strategies at two rates and three latencies of the platform.
 func (claimsArgs) run(ctx context.Context) error {
 	for _, rate := range []float64{100, 960} {
 		for _, delay := range []time.Duration{2 * time.Millisecond, 42 * time.Millisecond, 112 * time.Millisecond} {
-			for _, way := range []claims.Way{claims.Ticket, claims.Single, claims.Group} {
-				r, err := claims.Measure(ctx, time.Now, way, rate, delay)
+			for _, strategy := range []claims.Way{claims.Ticket, claims.Single, claims.Group} {
+				result, err := claims.Measure(ctx, time.Now, strategy, rate, delay)
 				if err != nil {
 					return err
 				}
-				fmt.Println(r)
+				fmt.Println(result)
 			}
 		}
 	}
--- a/standin/demo.go
+++ b/standin/demo.go
@@ -20,12 +20,12 @@
 	"github.com/boragelane/boragelane/internal/stand/upstr"
 )
 
-// Sizes of the demo.
+// Parameters of the demo.
 const (
-	demoNet   = 77
-	demoSlots = 4
-	demoLoad  = 20 * time.Second
-	demoLeast = 10_000
+	demoSubnet      = 77
+	demoSlots       = 4
+	demoDuration    = 20 * time.Second
+	demoMinAnswered = 10_000
 )
 
 type (
@@ -49,7 +49,7 @@
 
 func demoLayout() layout.Layout {
 	return layout.Build(layout.Options{
-		Net: demoNet, Regions: []string{"dar", "mwanza"}, Domains: 2, Hosts: 2, Upstreams: 1,
+		Net: demoSubnet, Regions: []string{"dar", "mwanza"}, Domains: 2, Hosts: 2, Upstreams: 1,
 		Slots: demoSlots, Capacity: 200, Rate: 35_000_000, Delay: 20 * time.Millisecond,
 		Skip: func(domain, service string) bool {
 			return service == layout.Catalog && strings.HasPrefix(domain, "dar")
@@ -58,9 +58,9 @@
 }
 
 func demoConfig(l layout.Layout) loadg.Config {
-	cfg := loadg.Config{Length: demoLoad, Callers: 200, Seed: 1}
-	for _, s := range l.Settings {
-		cfg.Fronts = append(cfg.Fronts, s.Front)
+	cfg := loadg.Config{Length: demoDuration, Callers: 200, Seed: 1}
+	for _, settings := range l.Settings {
+		cfg.Fronts = append(cfg.Fronts, settings.Front)
 	}
 	cfg.Classes = []loadg.Class{
 		{Name: "price", Service: layout.Price, Rank: "urgent", Rate: 350, Timeout: time.Second, Resend: 2, Size: 500},
@@ -70,14 +70,14 @@
 	return cfg
 }
 
-// run writes the files of the demo, and a list of its processes.
+// run writes the files of a scene and the list of its processes.
 func (a *layoutArgs) run(context.Context) error {
-	l, loads, took := demoLayout(), map[string]loadg.Config{}, "5ms"
+	l, loads, jobTime := demoLayout(), map[string]loadg.Config{}, "5ms"
 	switch a.Scene {
 	case "demo":
 		loads["load.json"] = demoConfig(l)
 	case "floods":
-		l, took = floodLayout(), floodTime.String()
+		l, jobTime = floodLayout(), floodJobTime.String()
 		loads = floodConfigs(l)
 	case "many":
 		l = manyLayout()
@@ -86,14 +86,14 @@
 	default:
 		return fmt.Errorf("there is no scene %q; allowed: demo, floods, many, full", a.Scene)
 	}
-	var list strings.Builder
-	fmt.Fprintf(&list, "platform %s\n", l.Platform)
-	for _, u := range l.Upstreams {
-		fmt.Fprintf(&list, "upstream %s %s:%d %d %s\n", u.ID, u.Address, u.Port, demoSlots, took)
+	var processes strings.Builder
+	fmt.Fprintf(&processes, "platform %s\n", l.Platform)
+	for _, upstream := range l.Upstreams {
+		fmt.Fprintf(&processes, "upstream %s %s:%d %d %s\n", upstream.ID, upstream.Address, upstream.Port, demoSlots, jobTime)
 	}
-	for _, s := range l.Settings {
-		fmt.Fprintf(&list, "entry %s %s %s\n", s.Seat, s.Front, s.Admin)
-		if err := os.WriteFile(filepath.Join(a.Dir, s.Seat+".json"), []byte(settingsText(s)), 0o600); err != nil {
+	for _, settings := range l.Settings {
+		fmt.Fprintf(&processes, "entry %s %s %s\n", settings.Seat, settings.Front, settings.Admin)
+		if err := os.WriteFile(filepath.Join(a.Dir, settings.Seat+".json"), []byte(settingsText(settings)), 0o600); err != nil {
 			return err
 		}
 	}
@@ -106,24 +106,24 @@
 			return err
 		}
 	}
-	return os.WriteFile(filepath.Join(a.Dir, "processes"), []byte(list.String()), 0o600)
+	return os.WriteFile(filepath.Join(a.Dir, "processes"), []byte(processes.String()), 0o600)
 }
 
-// settingsText writes a host's settings as an operator would.
+// settingsText returns a host's settings as JSON with comments, the form that operators write.
 func settingsText(s config.Settings) string {
 	return fmt.Sprintf("{\n\t// Settings of seat %s, written by the demo.\n\t\"seat\": %q, \"domain\": %q, \"region\": %q,\n"+
 		"\t\"front\": %q, \"peer\": %q, \"admin\": %q,\n\t\"platform\": %q,\n\t\"seeds\": [%s],\n\t\"log\": \"info\",\n}\n",
 		s.Seat, s.Seat, s.Domain, s.Region, s.Front, s.Peer, s.Admin, s.Platform, `"`+strings.Join(s.Seeds, `", "`)+`"`)
 }
 
-// firstChange is the change that brings the whole document into an empty platform.
+// firstChange returns the change that sets the whole document on an empty platform, in the API's form.
 func firstChange(l layout.Layout) map[string]any {
-	d := l.Document
-	return map[string]any{"expect": 0, "floor": d.Floor, "ranks": d.Ranks, "services": services(d.Services), "regions": d.Regions, "links": d.Links}
+	doc := l.Document
+	return map[string]any{"expect": 0, "floor": doc.Floor, "ranks": doc.Ranks, "services": apiServices(doc.Services), "regions": doc.Regions, "links": doc.Links}
 }
 
-// services writes each service in the API's form, which has no default for once.
-func services(list []spec.Service) []map[string]any {
+// apiServices returns the services in the API's form, where once has no default and is always written.
+func apiServices(list []spec.Service) []map[string]any {
 	out := make([]map[string]any, 0, len(list))
 	for _, s := range list {
 		out = append(out, map[string]any{
@@ -141,19 +141,19 @@
 	return os.WriteFile(name, data, 0o600)
 }
 
-// run makes one HTTP call, and prints the answer.
+// run makes one HTTP call, retries it for the given time, and prints the response body.
 func (a *callArgs) run(ctx context.Context) error {
-	end := time.Now().Add(a.Retry)
+	deadline := time.Now().Add(a.Retry)
 	for {
-		err := a.once(ctx)
-		if err == nil || time.Now().After(end) {
+		err := a.callOnce(ctx)
+		if err == nil || time.Now().After(deadline) {
 			return err
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
 }
 
-func (a *callArgs) once(ctx context.Context) error {
+func (a *callArgs) callOnce(ctx context.Context) error {
 	var body []byte
 	if a.File != "" {
 		var err error
@@ -177,10 +177,10 @@
 	return err
 }
 
-// run checks the demo, and prints the last line.
+// run checks the demo's report against the upstreams' logs and prints the result.
 func (a *judgeArgs) run(ctx context.Context) error {
 	l := demoLayout()
-	c := judge.Case{Slots: demoSlots, Drained: a.Drained, Stopped: a.Stopped, Least: demoLeast}
+	c := judge.Case{Slots: demoSlots, Drained: a.Drained, Stopped: a.Stopped, Least: demoMinAnswered}
 	data, err := os.ReadFile(filepath.Join(a.Dir, "report.json"))
 	if err != nil {
 		return err
@@ -191,19 +191,19 @@
 	if c.At, err = time.Parse(time.RFC3339Nano, a.At); err != nil {
 		return err
 	}
-	for _, u := range l.Upstreams {
-		var r upstr.Report
-		if err := getJSON(ctx, fmt.Sprintf("http://%s:%d/control/report", u.Address, u.Port), &r); err != nil {
+	for _, upstream := range l.Upstreams {
+		var report upstr.Report
+		if err := getJSON(ctx, fmt.Sprintf("http://%s:%d/control/report", upstream.Address, upstream.Port), &report); err != nil {
 			return err
 		}
-		c.Logs = append(c.Logs, r)
+		c.Logs = append(c.Logs, report)
 	}
-	bad := judge.Verdict(c)
-	for _, b := range bad {
-		fmt.Println("demo: broken:", b)
+	violations := judge.Verdict(c)
+	for _, violation := range violations {
+		fmt.Println("demo: broken:", violation)
 	}
-	if len(bad) > 0 {
-		return fmt.Errorf("%d promises broken", len(bad))
+	if len(violations) > 0 {
+		return fmt.Errorf("%d guarantees violated", len(violations))
 	}
 	fmt.Println("demo: ok")
 	return nil
--- a/standin/link_test.go
+++ b/standin/link_test.go
@@ -17,33 +17,34 @@
 	"github.com/boragelane/boragelane/internal/stand/loadg"
 )
 
-// sample is the bytes that a host had sent to other hosts at some time between begin and end.
-type sample struct {
+// trafficSample is a host's count of bytes sent to other hosts, read at some time between begin and end.
+type trafficSample struct {
 	begin, end time.Time
 	sent       int64
 }
 
-// meter reads how much each host has sent, from outside.
-type meter struct {
+// trafficMeter samples the hosts' byte counters through their admin addresses.
+type trafficMeter struct {
 	mu      sync.Mutex
-	samples map[string][]sample
+	samples map[string][]trafficSample
 }
 
-func (m *meter) add(seat string, s sample) {
+func (m *trafficMeter) add(seat string, s trafficSample) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.samples[seat] = append(m.samples[seat], s)
 }
 
-// frozen books that a host which is about to wake up has sent nothing since its last sample.
-func (m *meter) frozen(seat string, now time.Time) {
+// recordFrozen repeats the last sample of a frozen host just before it continues, since it sent nothing meanwhile.
+func (m *trafficMeter) recordFrozen(seat string, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	list := m.samples[seat]
-	m.samples[seat] = append(list, sample{now, now, list[len(list)-1].sent})
+	m.samples[seat] = append(list, trafficSample{now, now, list[len(list)-1].sent})
 }
 
-func (m *meter) watch(ctx context.Context, s config.Settings) {
+// poll samples one host until the context ends.
+func (m *trafficMeter) poll(ctx context.Context, s config.Settings) {
 	client := &http.Client{Timeout: 100 * time.Millisecond}
 	for ctx.Err() == nil {
 		begin := time.Now()
@@ -55,22 +56,22 @@
 			err = json.NewDecoder(resp.Body).Decode(&vars)
 			_ = resp.Body.Close()
 			if err == nil {
-				m.add(s.Seat, sample{begin, time.Now(), vars.Boragelane.Gauges.Traffic[1]})
+				m.add(s.Seat, trafficSample{begin, time.Now(), vars.Boragelane.Gauges.Traffic[1]})
 			}
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
 }
 
-// most returns the most bytes that all hosts together sent within a second.
-func (m *meter) most(from, to time.Time) int64 {
+// maxPerSecond returns the maximum number of bytes that all hosts together sent within one second.
+func (m *trafficMeter) maxPerSecond(from, to time.Time) int64 {
 	var most int64
-	for a := from; a.Before(to); a = a.Add(10 * time.Millisecond) {
+	for start := from; start.Before(to); start = start.Add(10 * time.Millisecond) {
 		var sum int64
 		for _, list := range m.samples {
 			first, last := int64(-1), int64(-1)
 			for _, s := range list {
-				if s.begin.Before(a) || s.end.After(a.Add(time.Second)) {
+				if s.begin.Before(start) || s.end.After(start.Add(time.Second)) {
 					continue
 				}
 				if first < 0 {
@@ -85,8 +86,8 @@
 	return most
 }
 
-// pressOn sends jobs to one host without waiting for anything, also while it is frozen.
-func pressOn(ctx context.Context, front string) {
+// keepSending sends jobs to one host until the context ends, also while the host is frozen.
+func keepSending(ctx context.Context, front string) {
 	client := &http.Client{Timeout: 500 * time.Millisecond}
 	body := "press\n" + strings.Repeat("b", 60_000)
 	for ctx.Err() == nil {
@@ -98,8 +99,9 @@
 	}
 }
 
-// TestALinkKeepsItsLimitWhileItsHoldersAreFrozen freezes a host of each domain for longer than its grant lasts,
-// then the lenders for longer than their lease, while callers offer the link more than it carries.
+// A host that continues after its grant or lease has expired must not use its old quota of the link. The test freezes a
+// host of each failure domain for longer than its grant and then the lenders for longer than their lease, while callers
+// offer more traffic than the link's limit.
 func TestALinkKeepsItsLimitWhileItsHoldersAreFrozen(t *testing.T) {
 	if testing.Short() {
 		t.Skip("starts processes")
@@ -115,15 +117,15 @@
 	cfg := loadg.Config{Length: 24 * time.Second, Callers: 200, Seed: 7, Classes: []loadg.Class{
 		{Name: "pull", Service: layout.Catalog, Rank: "bulk", Rate: 700, Timeout: time.Second, Size: 100, Body: 60_000},
 	}}
-	m := &meter{samples: map[string][]sample{}}
+	m := &trafficMeter{samples: map[string][]trafficSample{}}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	for _, s := range f.layout.Settings {
 		if s.Region == "dar" {
 			cfg.Fronts = append(cfg.Fronts, s.Front)
-			wg.Go(func() { m.watch(ctx, s) })
+			wg.Go(func() { m.poll(ctx, s) })
 			for range 20 {
-				wg.Go(func() { pressOn(ctx, s.Front) })
+				wg.Go(func() { keepSending(ctx, s.Front) })
 			}
 		}
 	}
@@ -134,7 +136,7 @@
 		}
 		time.Sleep(length)
 		for _, seat := range seats {
-			m.frozen(seat, time.Now())
+			m.recordFrozen(seat, time.Now())
 			f.signal(seat, syscall.SIGCONT)
 		}
 	}
@@ -143,14 +145,14 @@
 		freeze(2*time.Second, 11*time.Second, "dar-a-1", "dar-b-1")
 	})
 	begin := time.Now()
-	rep := loadg.New(cfg, time.Now).Run(context.Background())
+	report := loadg.New(cfg, time.Now).Run(context.Background())
 	end := time.Now()
 	cancel()
 	wg.Wait()
-	most := m.most(begin, end)
+	most := m.maxPerSecond(begin, end)
 	t.Logf("most in a second: %d bytes of %d; %d of %d jobs answered, %v",
-		most, rate, rep.Classes[0].Answered, rep.Classes[0].Sent, rep.Classes[0].Reasons)
+		most, rate, report.Classes[0].Answered, report.Classes[0].Sent, report.Classes[0].Reasons)
 	assert.Assert(t, most <= rate, "%d bytes in a second", most)
-	assert.Assert(t, rep.Classes[0].Answered > 0) // How much a busy machine can send is not judged here.
-	assert.Equal(t, rep.Classes[0].Wrong, int64(0))
+	assert.Assert(t, report.Classes[0].Answered > 0) // The throughput depends on the load of the machine.
+	assert.Equal(t, report.Classes[0].Wrong, int64(0))
 }
--- a/standin/main.go
+++ b/standin/main.go
@@ -1,4 +1,4 @@
-// Command standin plays the systems around boragelane in tests: the platform, upstreams and callers.
+// Command standin provides the systems around boragelane for tests: a fake platform, fake upstreams and a load generator.
 package main
 
 import (
@@ -68,7 +68,8 @@
 	}
 }
 
-func listen(ctx context.Context, s *http.Server) error {
+// serveUntilDone serves until the context ends.
+func serveUntilDone(ctx context.Context, s *http.Server) error {
 	s.ReadHeaderTimeout = 5 * time.Second
 	go func() {
 		<-ctx.Done()
@@ -83,7 +84,7 @@
 func (a *platformArgs) run(ctx context.Context) error {
 	p := platf.New(time.Now)
 	p.SetFaults(platf.Faults{Lag: a.Lag, Reads: a.Reads, Writes: a.Writes})
-	return listen(ctx, &http.Server{Addr: a.Listen, Handler: p.Handler()}) //nolint:gosec // listen sets the time limit.
+	return serveUntilDone(ctx, &http.Server{Addr: a.Listen, Handler: p.Handler()}) //nolint:gosec // serveUntilDone sets the timeout.
 }
 
 func (a *upstreamArgs) run(ctx context.Context) error {
@@ -96,7 +97,7 @@
 		o.Log = f
 	}
 	u := upstr.New(o)
-	return listen(ctx, &http.Server{Addr: a.Listen, Handler: u.Handler(), ConnState: u.Conn}) //nolint:gosec // listen sets the time limit.
+	return serveUntilDone(ctx, &http.Server{Addr: a.Listen, Handler: u.Handler(), ConnState: u.Conn}) //nolint:gosec // serveUntilDone sets the timeout.
 }
 
 func (a *loadArgs) run(ctx context.Context) error {
@@ -108,12 +109,12 @@
 	if err := json.Unmarshal(data, &cfg); err != nil {
 		return fmt.Errorf("%s: %w", a.Config, err)
 	}
-	rep := loadg.New(cfg, time.Now).Run(ctx)
-	rep.Table(os.Stdout)
+	report := loadg.New(cfg, time.Now).Run(ctx)
+	report.Table(os.Stdout)
 	if a.Report == "" {
 		return nil
 	}
-	out, err := json.Marshal(rep)
+	out, err := json.Marshal(report)
 	if err != nil {
 		return err
 	}
--- a/standin/report.go
+++ b/standin/report.go
@@ -18,10 +18,10 @@
 	Dir     string `arg:"positional,required" help:"folder for the plots"`
 }
 
-// reported are the days whose figures are drawn; days that were drawn by chance differ from run to run.
-var reported = []string{"quiet-1", "trouble-1", "trouble-2", "trouble-3", "scale-1", "scale-2"}
+// fixedDays are the days that are plotted; randomly generated days differ between runs and can't be compared.
+var fixedDays = []string{"quiet-1", "trouble-1", "trouble-2", "trouble-3", "scale-1", "scale-2"}
 
-// run draws, for each site, what the standard days were worth over the rounds and how many calls to the store they made.
+// run plots the worth and the store calls of the fixed days over the rounds, for each site.
 func (a *reportArgs) run(context.Context) error {
 	rounds, err := platform.Rounds(a.Journal)
 	if err != nil {
@@ -36,10 +36,10 @@
 	for site, list := range sites {
 		worth := func(r platform.Round) float64 { return r.Worth }
 		calls := func(r platform.Round) float64 { return r.Calls }
-		if err := chart("Worth of the days of "+site, "worth", list, worth, filepath.Join(a.Dir, "worth-"+site+".svg")); err != nil {
+		if err := plotRounds("Worth of the days of "+site, "worth", list, worth, filepath.Join(a.Dir, "worth-"+site+".svg")); err != nil {
 			return err
 		}
-		if err := chart("Calls to the store, "+site, "calls a day", list, calls, filepath.Join(a.Dir, "calls-"+site+".svg")); err != nil {
+		if err := plotRounds("Calls to the store, "+site, "calls a day", list, calls, filepath.Join(a.Dir, "calls-"+site+".svg")); err != nil {
 			return err
 		}
 		fmt.Println(site+":", len(list), "days")
@@ -47,21 +47,21 @@
 	return nil
 }
 
-// chart draws one value by day over the rounds.
-func chart(title, label string, rounds []platform.Round, value func(platform.Round) float64, file string) error {
+// plotRounds plots a value over the rounds, with one line per day.
+func plotRounds(title, label string, rounds []platform.Round, value func(platform.Round) float64, file string) error {
 	p := plot.New()
 	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, "round", label
 	p.Legend.Top = true
 	var lines []any
-	for _, day := range reported {
-		var pts plotter.XYs
+	for _, day := range fixedDays {
+		var points plotter.XYs
 		for i, r := range rounds {
 			if r.Day == day {
-				pts = append(pts, plotter.XY{X: float64(i), Y: value(r)})
+				points = append(points, plotter.XY{X: float64(i), Y: value(r)})
 			}
 		}
-		if len(pts) > 0 {
-			lines = append(lines, day, pts)
+		if len(points) > 0 {
+			lines = append(lines, day, points)
 		}
 	}
 	if err := plotutil.AddLinePoints(p, lines...); err != nil {
--- a/standin/spread.go
+++ b/standin/spread.go
@@ -15,13 +15,13 @@
 	"github.com/boragelane/boragelane/internal/stand/layout"
 )
 
-// manyNet is the loopback network of the system of many hosts.
-const manyNet = 79
+// manySubnet is the second octet of the loopback addresses of the system of many hosts.
+const manySubnet = 79
 
-// manyLayout is three failure domains as large as those of the two-year size.
+// manyLayout returns three failure domains, each as large as one in the two-year plan.
 func manyLayout() layout.Layout {
 	return layout.Build(layout.Options{
-		Net: manyNet, Regions: []string{"dar", "arusha", "mwanza"}, Domains: 1, Hosts: 33, Upstreams: 1,
+		Net: manySubnet, Regions: []string{"dar", "arusha", "mwanza"}, Domains: 1, Hosts: 33, Upstreams: 1,
 		Slots: demoSlots, Capacity: 400, Rate: 35_000_000, Delay: 20 * time.Millisecond,
 	})
 }
@@ -31,17 +31,17 @@
 	Files string `default:"*.log" help:"which logs"`
 }
 
-// event is a line of a host's log.
+// event is a line in the log of a host.
 type event struct {
 	TS       float64
 	Msg      string
 	Revision uint64
 }
 
-func (e event) at() time.Time { return time.UnixMicro(int64(math.Round(e.TS * 1e6))) }
+func (e event) time() time.Time { return time.UnixMicro(int64(math.Round(e.TS * 1e6))) }
 
-// run prints how long changes took until they were in force on all hosts, and hosts until they had the
-// configuration after they began to serve.
+// run prints how long changes took to come into force on all hosts, and how long hosts took from the start of serving to
+// their first configuration.
 func (a *spreadArgs) run(context.Context) error {
 	files, err := filepath.Glob(filepath.Join(a.Dir, a.Files))
 	if err != nil {
@@ -49,56 +49,58 @@
 	}
 	accepted, last, hosts := map[uint64]time.Time{}, map[uint64]time.Time{}, map[uint64]int{}
 	var starts []time.Duration
-	for _, f := range files {
-		begin := time.Time{}
-		events, err := events(f)
+	for _, file := range files {
+		servingSince := time.Time{}
+		events, err := readEvents(file)
 		if err != nil {
 			return err
 		}
 		for _, e := range events {
 			switch e.Msg {
 			case "accepted a change":
-				accepted[e.Revision] = e.at()
+				accepted[e.Revision] = e.time()
 			case "serving":
-				begin = e.at()
+				servingSince = e.time()
 			case "configuration in force":
 				hosts[e.Revision]++
-				if e.at().After(last[e.Revision]) {
-					last[e.Revision] = e.at()
+				if e.time().After(last[e.Revision]) {
+					last[e.Revision] = e.time()
 				}
-				if !begin.IsZero() {
-					starts = append(starts, e.at().Sub(begin))
-					begin = time.Time{}
+				if !servingSince.IsZero() {
+					starts = append(starts, e.time().Sub(servingSince))
+					servingSince = time.Time{}
 				}
 			}
 		}
 	}
-	var took []time.Duration
-	least := math.MaxInt
+	var delays []time.Duration
+	minHosts := math.MaxInt
 	for rev, at := range accepted {
-		took = append(took, last[rev].Sub(at))
-		least = min(least, hosts[rev])
+		delays = append(delays, last[rev].Sub(at))
+		minHosts = min(minHosts, hosts[rev])
 	}
-	summary("a change in force on all hosts", took)
-	if len(took) > 0 {
-		fmt.Printf("  on at least %d hosts each\n", least)
+	printSummary("a change in force on all hosts", delays)
+	if len(delays) > 0 {
+		fmt.Printf("  on at least %d hosts each\n", minHosts)
 	}
-	summary("a host's first configuration after it began to serve", starts)
+	printSummary("a host's first configuration after it began to serve", starts)
 	return nil
 }
 
-func summary(what string, list []time.Duration) {
+// printSummary prints the median, the 95th percentile and the maximum of a list of durations.
+func printSummary(what string, list []time.Duration) {
 	if len(list) == 0 {
 		return
 	}
 	slices.Sort(list)
-	at := func(part float64) time.Duration {
-		return list[int(part*float64(len(list)-1))].Round(100 * time.Microsecond)
+	quantile := func(q float64) time.Duration {
+		return list[int(q*float64(len(list)-1))].Round(100 * time.Microsecond)
 	}
-	fmt.Printf("%s: %d times, median %s, 95%% %s, most %s\n", what, len(list), at(0.5), at(0.95), at(1))
+	fmt.Printf("%s: %d times, median %s, 95%% %s, most %s\n", what, len(list), quantile(0.5), quantile(0.95), quantile(1))
 }
 
-func events(file string) ([]event, error) {
+// readEvents returns the JSON lines of a log file.
+func readEvents(file string) ([]event, error) {
 	f, err := os.Open(file)
 	if err != nil {
 		return nil, err
