--- a/internal/core/credit/credit.go
+++ b/internal/core/credit/credit.go
@@ -3,15 +3,15 @@
 // maxSavedCosts bounds the balance of a rank, as a multiple of the cost of one of its jobs.
 const maxSavedCosts = 2
 
-// Credit decides which rank is served next. Costs are in a unit of the resource, such as seconds of a slot or bytes on
+// RankSelector decides which rank is served next. Costs are in a unit of the resource, such as seconds of a slot or bytes on
 // a link.
-type Credit struct {
+type RankSelector struct {
 	Minimum []float64 // Guaranteed fraction of the resource, by rank.
 	Balance []float64 // Credit earned and not spent, by rank.
 }
 
-// Resize sets the guaranteed minimum of each rank, as a fraction of the resource from 0 to 1.
-func (c *Credit) Resize(minimum []float64) {
+// SetMinimums sets the guaranteed minimum of each rank, as a fraction of the resource from 0 to 1.
+func (c *RankSelector) SetMinimums(minimum []float64) {
 	c.Minimum = minimum
 	for len(c.Balance) < len(minimum) {
 		c.Balance = append(c.Balance, 0)
@@ -20,7 +20,7 @@
 
 // Pick returns the ready rank to serve next, or -1 if there is none: the most urgent one, unless a less urgent one has
 // the balance for its cost.
-func (c *Credit) Pick(ready func(level int) bool, cost func(level int) float64) int {
+func (c *RankSelector) Pick(ready func(level int) bool, cost func(level int) float64) int {
 	mostUrgent := -1
 	for level := range c.Minimum {
 		if !ready(level) {
@@ -38,7 +38,7 @@
 }
 
 // Charge deducts the cost of a served job from its rank; this rank and those that wait earn their minimum of the cost.
-func (c *Credit) Charge(level int, waiting func(level int) bool, cost func(level int) float64) {
+func (c *RankSelector) Charge(level int, waiting func(level int) bool, cost func(level int) float64) {
 	spent := cost(level)
 	for l := range c.Minimum {
 		if l == level || waiting(l) {
--- a/internal/core/plan/plan.go
+++ b/internal/core/plan/plan.go
@@ -8,8 +8,8 @@
 	"github.com/boragelane/boragelane/internal/core/spec"
 )
 
-// Self identifies this entry host.
-type Self struct {
+// Identity identifies this entry host.
+type Identity struct {
 	Seat        string
 	Region      string
 	Domain      string
@@ -18,15 +18,15 @@
 
 // Plan holds everything that routing and admission read; it is immutable once published.
 type Plan struct {
-	Self     Self
-	Doc      *spec.Document
-	Services map[string]*Service
-	Capacity share.Amount            // This host's share of its region's capacity.
-	Links    map[string]share.Amount // This host's share of each link, by destination region.
-	Domains  []Domain
-	Shifts   []Shift
-	Lookup   Lookup
-	Leaving  bool // This host is shutting down.
+	Self         Identity
+	Doc          *spec.Document
+	Services     map[string]*Service
+	Capacity     share.Quota            // This host's share of its region's capacity.
+	Links        map[string]share.Quota // This host's share of each link, by destination region.
+	Domains      []Domain
+	Shifts       []Shift
+	Lookup       Lookup
+	ShuttingDown bool // This host is shutting down.
 }
 
 // Service is a service with its upstreams in this host's failure domain.
@@ -35,27 +35,27 @@
 	Level     int // Index of the service's rank; 0 is the most urgent.
 	Upstreams []Upstream
 	Sites     []Site
-	Self      *Site // The element of Sites for this host alone, or nil.
+	LocalSite *Site // The element of Sites for this host alone, or nil.
 }
 
 // Site is a failure domain, or this host alone, that can serve a service now.
 type Site struct {
 	Domain *Domain
 	Load   Load
-	Link   share.Amount // This host's share of the link to the site's region; unused within the same region.
+	Link   share.Quota // This host's share of the link to the site's region; unused within the same region.
 }
 
 // SetSites derives the sites of each service from the domains; call it once, before the plan is published.
 func (p *Plan) SetSites() {
 	for name, svc := range p.Services {
-		svc.Sites, svc.Self = make([]Site, 0, len(p.Domains)), nil
+		svc.Sites, svc.LocalSite = make([]Site, 0, len(p.Domains)), nil
 		for i := range p.Domains {
 			d := &p.Domains[i]
 			load, ok := d.Loads[name]
 			if ok && load.Slots > 0 && !d.Drained && len(d.Hosts) > 0 {
 				svc.Sites = append(svc.Sites, Site{Domain: d, Load: load, Link: p.Links[d.Region]})
 				if d.Self {
-					svc.Self = &svc.Sites[len(svc.Sites)-1]
+					svc.LocalSite = &svc.Sites[len(svc.Sites)-1]
 				}
 			}
 		}
@@ -66,7 +66,7 @@
 type Upstream struct {
 	ID      string
 	Address string
-	Slots   share.Amount
+	Slots   share.Quota
 	Conns   int64
 }
 
@@ -89,27 +89,27 @@
 	Latency time.Duration `json:"latency"`
 }
 
-// Room returns the number of free slots less the jobs that wait; it may be negative.
-func (l Load) Room() int64 { return l.Slots - l.Busy - l.Queued }
+// Headroom returns the number of free slots less the jobs that wait; it may be negative.
+func (l Load) Headroom() int64 { return l.Slots - l.Busy - l.Queued }
 
 // Shift is the fraction of a service's traffic that moves to another region now, and this host's share of its cap.
 type Shift struct {
-	Name    string
-	Service string
-	To      string
-	Part    float64 // 0 to 1.
-	Rate    float64 // This host's share of the cap, in jobs a second.
+	Name     string
+	Service  string
+	To       string
+	Fraction float64 // 0 to 1.
+	Rate     float64 // This host's share of the cap, in jobs a second.
 }
 
 // Lookup lists the entry hosts for callers' look-ups.
 type Lookup struct {
 	Hosts []spec.Seat
 	Sites []rendez.Site
-	Life  time.Duration // How long callers may keep an answer.
+	TTL   time.Duration // How long callers may keep an answer.
 }
 
-// LookupHosts is the maximum number of hosts in the answer to a look-up.
-const LookupHosts = 4
+// MaxLookupHosts is the maximum number of hosts in the answer to a look-up.
+const MaxLookupHosts = 4
 
 // Pick returns the indexes of a caller's entry hosts in buf, best first, up to the capacity of buf.
 func (l *Lookup) Pick(caller uint64, buf []int) []int { return rendez.Top(caller, l.Sites, buf) }
--- a/internal/core/share/amount.go
+++ b/internal/core/share/amount.go
@@ -2,16 +2,16 @@
 
 import "time"
 
-// Amount is a holder's share of a limit: a permanent floor plus units on loan until a deadline. Readers pass the current
+// Quota is a holder's share of a limit: a permanent floor plus units on loan until a deadline. Readers pass the current
 // time, so that a process that resumes after a pause no longer uses a loan that has expired.
-type Amount struct {
+type Quota struct {
 	Floor int64
 	Lent  int64
 	Until time.Time
 }
 
 // At returns the units that may be used at the given time.
-func (a Amount) At(now time.Time) int64 {
+func (a Quota) At(now time.Time) int64 {
 	if a.Lent > 0 && now.Before(a.Until) {
 		return a.Floor + a.Lent
 	}
--- a/internal/core/share/floor.go
+++ b/internal/core/share/floor.go
@@ -36,8 +36,8 @@
 	return max(f, min(int64(holders), limit))
 }
 
-// Parts returns each holder's floor and the rest of the limit, the pool.
-func Parts(resource string, limit int64, fraction float64, holders []string) (floors []int64, pool int64) {
+// FloorsAndPool returns each holder's floor and the rest of the limit, the pool.
+func FloorsAndPool(resource string, limit int64, fraction float64, holders []string) (floors []int64, pool int64) {
 	total := FloorTotal(limit, fraction, len(holders))
 	return Split(resource, total, holders), max(0, limit-total)
 }
--- a/internal/core/share/ledger.go
+++ b/internal/core/share/ledger.go
@@ -6,13 +6,13 @@
 	"time"
 )
 
-// Term is the default for Ledger.Term.
-const Term = 4 * time.Second
+// DefaultLoanTTL is the default for Ledger.DefaultLoanTTL.
+const DefaultLoanTTL = 4 * time.Second
 
 // Grant is a loan of units by resource, with the time until it expires, counted from when it was granted.
 type Grant struct {
 	Units map[string]int64
-	Left  time.Duration
+	TTL   time.Duration
 }
 
 // loan is a grant with its deadline on the lender's clock.
@@ -24,14 +24,14 @@
 // Ledger records the loans from the pools of one failure domain. A new lender starts with an empty ledger: each loan
 // ends within its lender's lease, and a new lease begins only after the previous one has ended.
 type Ledger struct {
-	Pools map[string]int64 // Units by resource.
-	Term  time.Duration    // The longest duration of a loan.
-	loans map[string][]loan
+	Pools   map[string]int64 // Units by resource.
+	LoanTTL time.Duration    // The longest duration of a loan.
+	loans   map[string][]loan
 }
 
 // NewLedger returns a ledger without pools or loans.
 func NewLedger() *Ledger {
-	return &Ledger{Pools: map[string]int64{}, Term: Term, loans: map[string][]loan{}}
+	return &Ledger{Pools: map[string]int64{}, LoanTTL: DefaultLoanTTL, loans: map[string][]loan{}}
 }
 
 // SetPools replaces the pools; loans that exceed a smaller pool stay until they expire.
@@ -59,14 +59,14 @@
 // Lend grants a holder an even share of each pool, limited to the units that are not on loan to others. It lends
 // nothing without a valid lease, and for no longer than the lease lasts.
 func (l *Ledger) Lend(holder string, lease Lease, now time.Time) Grant {
-	left := min(l.Term, lease.Left(now))
+	left := min(l.LoanTTL, lease.Remaining(now))
 	if left <= 0 {
 		return Grant{}
 	}
 	l.removeExpired(now)
 	names := l.holderNames(holder)
 	index := slices.Index(names, holder)
-	g := Grant{Units: make(map[string]int64, len(l.Pools)), Left: left}
+	g := Grant{Units: make(map[string]int64, len(l.Pools)), TTL: left}
 	for res, pool := range l.Pools {
 		evenShare := Split(res, pool, names)[index]
 		g.Units[res] = max(0, min(evenShare, pool-l.Outstanding(res, holder, now)))
--- a/internal/core/share/share_test.go
+++ b/internal/core/share/share_test.go
@@ -17,7 +17,7 @@
 		for i := range holders {
 			holders[i] = fmt.Sprint("h", i)
 		}
-		floors, pool := Parts("r", limit, fraction, holders)
+		floors, pool := FloorsAndPool("r", limit, fraction, holders)
 		sum := pool
 		for _, f := range floors {
 			assert.Assert(t, f >= 0)
@@ -49,7 +49,7 @@
 }
 
 type holder struct {
-	amount Amount
+	amount Quota
 	asked  time.Time
 }
 
@@ -95,7 +95,7 @@
 	if rapid.Bool().Draw(t, "lost") {
 		return
 	}
-	if !l.lease.Held(asked) {
+	if !l.lease.Valid(asked) {
 		l.ledger = NewLedger()
 		l.ledger.SetPools(map[string]int64{"r": w.pool})
 	}
@@ -103,7 +103,7 @@
 }
 
 // pauses are the durations by which time advances, up to the ends of loans and leases.
-var pauses = []time.Duration{0, 0, time.Millisecond, time.Second, Term - time.Millisecond, Term, leaseDuration - time.Second, leaseDuration - time.Millisecond, leaseDuration}
+var pauses = []time.Duration{0, 0, time.Millisecond, time.Second, DefaultLoanTTL - time.Millisecond, DefaultLoanTTL, leaseDuration - time.Second, leaseDuration - time.Millisecond, leaseDuration}
 
 // advance lets time pass while the acting process is paused.
 func (w *poolModel) advance(t *rapid.T) {
@@ -134,11 +134,11 @@
 	w.advance(t)
 	r := w.replies[i]
 	h := &w.holders[r.holder]
-	if r.grant.Left <= 0 || r.at.Before(h.asked) {
+	if r.grant.TTL <= 0 || r.at.Before(h.asked) {
 		return
 	}
 	h.asked = r.at
-	h.amount = Amount{Lent: r.grant.Units["r"], Until: r.at.Add(r.grant.Left - Margin)}
+	h.amount = Quota{Lent: r.grant.Units["r"], Until: r.at.Add(r.grant.TTL - ClockDriftMargin)}
 }
 
 // Guards against pools that are lent twice after pauses, restarts of lenders, and late, lost or repeated replies.
@@ -172,13 +172,13 @@
 	assert.Equal(t, l.Lend("b", lease, now.Add(time.Second)).Units["r"], int64(0))
 	assert.Equal(t, l.Lend("a", lease, now.Add(2*time.Second)).Units["r"], int64(2))
 	assert.Equal(t, l.Lend("b", lease, now.Add(3*time.Second)).Units["r"], int64(0))
-	assert.Equal(t, l.Lend("b", lease, now.Add(Term)).Units["r"], int64(2))
+	assert.Equal(t, l.Lend("b", lease, now.Add(DefaultLoanTTL)).Units["r"], int64(2))
 }
 
 // A process that resumes after its loan has expired may use its floor only.
 func TestAPausedHolderFallsBackToItsFloor(t *testing.T) {
 	now := time.Unix(1000, 0)
-	a := Amount{Floor: 1, Lent: 3, Until: now.Add(time.Second)}
+	a := Quota{Floor: 1, Lent: 3, Until: now.Add(time.Second)}
 	assert.Equal(t, a.At(now), int64(4))
 	assert.Equal(t, a.At(now.Add(time.Second)), int64(1))
 }
@@ -186,5 +186,5 @@
 func TestNoLeaseLendsNothing(t *testing.T) {
 	l := NewLedger()
 	l.SetPools(map[string]int64{"r": 4})
-	assert.Equal(t, l.Lend("a", Lease{}, time.Unix(1000, 0)).Left, time.Duration(0))
+	assert.Equal(t, l.Lend("a", Lease{}, time.Unix(1000, 0)).TTL, time.Duration(0))
 }
--- a/internal/core/spec/change.go
+++ b/internal/core/spec/change.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		return d, err
 	}
-	if err := n.Check(); err != nil {
+	if err := n.Validate(); err != nil {
 		return d, err
 	}
 	return n, nil
@@ -78,9 +78,9 @@
 // MaxRecentChanges is the length of the change history that a document carries.
 const MaxRecentChanges = 64
 
-// Follow replays accepted changes in order of revision; it skips revisions that the document already has and returns
+// Replay replays accepted changes in order of revision; it skips revisions that the document already has and returns
 // ErrMissing at a gap.
-func (d Document) Follow(list []Entry) (Document, error) {
+func (d Document) Replay(list []Entry) (Document, error) {
 	for _, e := range list {
 		if e.Revision <= d.Revision {
 			continue
--- a/internal/core/spec/check.go
+++ b/internal/core/spec/check.go
@@ -46,8 +46,8 @@
 	v.require(err == nil, path, fmt.Sprintf("%q", addr), "an IP number and a port, such as 127.0.0.1:8080")
 }
 
-// Check validates the document; the ErrInvalid that it returns lists every violation, one a line.
-func (d Document) Check() error {
+// Validate validates the document; the ErrInvalid that it returns lists every violation, one a line.
+func (d Document) Validate() error {
 	v := &validator{}
 	v.require(d.Floor >= 0 && d.Floor <= 1, "floor", d.Floor, "0 to 1")
 	d.validateRanks(v)
--- a/internal/core/spec/document.go
+++ b/internal/core/spec/document.go
@@ -134,8 +134,8 @@
 	return c
 }
 
-// Locate returns the failure domain of the given name and its region.
-func (d Document) Locate(domain string) (Region, Domain, bool) {
+// FindDomain returns the failure domain of the given name and its region.
+func (d Document) FindDomain(domain string) (Region, Domain, bool) {
 	for _, r := range d.Regions {
 		for _, dom := range r.Domains {
 			if dom.Name == domain {
@@ -146,8 +146,8 @@
 	return Region{}, Domain{}, false
 }
 
-// Find returns the seat of the given name with its region and failure domain.
-func (d Document) Find(seat string) (Region, Domain, Seat, bool) {
+// FindSeat returns the seat of the given name with its region and failure domain.
+func (d Document) FindSeat(seat string) (Region, Domain, Seat, bool) {
 	for _, r := range d.Regions {
 		for _, dom := range r.Domains {
 			for _, s := range dom.Seats {
--- a/internal/ctrl/commit/commit.go
+++ b/internal/ctrl/commit/commit.go
@@ -173,7 +173,7 @@
 			return doc, err
 		}
 	}
-	doc, err := doc.Follow(head.Changes)
+	doc, err := doc.Replay(head.Changes)
 	if err != nil {
 		return doc, ErrInvalid.Wrap(err, "following the changes since revision %d", head.Base)
 	}
--- a/internal/ctrl/loop/loop.go
+++ b/internal/ctrl/loop/loop.go
@@ -47,7 +47,7 @@
 }
 
 // New returns a loop, which processes events once Run is called.
-func New(self plan.Self, clock func() time.Time) *Loop {
+func New(self plan.Identity, clock func() time.Time) *Loop {
 	l := &Loop{Clock: clock, Done: make(chan struct{}), state: state.New(self), events: make(chan state.Event, eventQueueSize)}
 	l.plan.Store(&plan.Plan{Self: self})
 	return l
--- a/internal/ctrl/state/election_test.go
+++ b/internal/ctrl/state/election_test.go
@@ -23,7 +23,7 @@
 	run(20 * time.Second)
 	delete(f.leaseRequests, "d0-0")
 	assert.Equal(t, len(f.leaseRequests), 1, "after the loss of the relay: %v", f.leaseRequests)
-	assert.Assert(t, f.hosts[1].state.Lease.Held(f.now))
+	assert.Assert(t, f.hosts[1].state.Lease.Valid(f.now))
 }
 
 // A failed heartbeat to the relay triggers another tick. Guards against a host without a seat, which is never elected,
--- a/internal/ctrl/state/fleet_test.go
+++ b/internal/ctrl/state/fleet_test.go
@@ -70,13 +70,13 @@
 	}
 	for _, d := range f.doc.Regions[0].Domains {
 		for _, s := range d.Seats {
-			f.hosts = append(f.hosts, f.newHost(plan.Self{Seat: s.Name, Domain: d.Name, Region: "r"}))
+			f.hosts = append(f.hosts, f.newHost(plan.Identity{Seat: s.Name, Domain: d.Name, Region: "r"}))
 		}
 	}
 	return f
 }
 
-func (f *fleet) newHost(self plan.Self) *fakeHost {
+func (f *fleet) newHost(self plan.Identity) *fakeHost {
 	f.lastSession++
 	self.Incarnation = fmt.Sprint("i", f.lastSession)
 	return &fakeHost{state: New(self), sessions: map[string]int{}}
--- a/internal/ctrl/state/fold.go
+++ b/internal/ctrl/state/fold.go
@@ -133,7 +133,7 @@
 const leaseRetryPeriod = time.Second
 
 func (s *State) leaseRequestPeriod(now time.Time) time.Duration {
-	if !s.Lease.Held(now) {
+	if !s.Lease.Valid(now) {
 		return leaseRetryPeriod
 	}
 	return LeasePeriod(len(s.domainSeats()))
--- a/internal/ctrl/state/grant.go
+++ b/internal/ctrl/state/grant.go
@@ -21,7 +21,7 @@
 		}
 		units = s.Grant.Units
 	}
-	s.Grant = Grant{Units: units, Hash: reply.Hash, RequestedAt: requestedAt, ExpiresAt: requestedAt.Add(reply.Left - share.Margin)}
+	s.Grant = Grant{Units: units, Hash: reply.Hash, RequestedAt: requestedAt, ExpiresAt: requestedAt.Add(reply.Left - share.ClockDriftMargin)}
 }
 
 // hashUnits returns a hash of the units of a grant. It is never 0, which stands for no known grant.
--- a/internal/ctrl/state/heartbeat.go
+++ b/internal/ctrl/state/heartbeat.go
@@ -73,7 +73,7 @@
 			s.updateLedgerPools(now)
 		}
 		g := s.Ledger.Lend(hb.Seat, s.lendingLease(now), now)
-		reply.Units, reply.Left, reply.Hash = g.Units, g.Left, hashUnits(g.Units)
+		reply.Units, reply.Left, reply.Hash = g.Units, g.TTL, hashUnits(g.Units)
 		if hb.Hash == reply.Hash {
 			reply.Units = nil // The host already holds the same grant.
 		}
--- a/internal/ctrl/state/limits.go
+++ b/internal/ctrl/state/limits.go
@@ -18,7 +18,7 @@
 
 // regionLimits returns a failure domain's part of each limit that is split among the domains of its region.
 func (s *State) regionLimits(domain string) map[string]int64 {
-	region, _, ok := s.Doc.Locate(domain)
+	region, _, ok := s.Doc.FindDomain(domain)
 	if !ok {
 		return nil
 	}
@@ -81,7 +81,7 @@
 	names, self := s.domainSeatNames()
 	seen := map[string]bool{}
 	for res, limit := range s.domainLimits() {
-		floors, pool := share.Parts(res, limit, s.Doc.Floor, names)
+		floors, pool := share.FloorsAndPool(res, limit, s.Doc.Floor, names)
 		floor := int64(0)
 		if self >= 0 {
 			floor = floors[self]
@@ -148,8 +148,8 @@
 }
 
 // amount returns this host's share of a limit: its floor and what is lent to it.
-func (s *State) amount(res string) share.Amount {
-	return share.Amount{Floor: s.Allocations[res].Units, Lent: s.Grant.Units[res], Until: s.Grant.ExpiresAt}
+func (s *State) amount(res string) share.Quota {
+	return share.Quota{Floor: s.Allocations[res].Units, Lent: s.Grant.Units[res], Until: s.Grant.ExpiresAt}
 }
 
 // connectionLimit returns this host's part of the connections that an upstream allows.
--- a/internal/ctrl/state/news.go
+++ b/internal/ctrl/state/news.go
@@ -126,7 +126,7 @@
 	}
 	for svc, l := range loads {
 		o := old[svc]
-		change := float64(l.Room() - o.Room())
+		change := float64(l.Headroom() - o.Headroom())
 		if o.Slots != l.Slots || max(change, -change) > loadChangeThreshold*float64(max(1, l.Slots)) {
 			return true
 		}
--- a/internal/ctrl/state/plan.go
+++ b/internal/ctrl/state/plan.go
@@ -15,7 +15,7 @@
 
 // Plan returns an immutable snapshot of the state for the data path.
 func Plan(s *State, now time.Time) *plan.Plan {
-	p := &plan.Plan{Self: s.Self, Doc: s.Doc, Leaving: s.Leaving}
+	p := &plan.Plan{Self: s.Self, Doc: s.Doc, ShuttingDown: s.Leaving}
 	if s.Doc == nil {
 		return p
 	}
@@ -29,8 +29,8 @@
 	return p
 }
 
-func (s *State) links() map[string]share.Amount {
-	out := map[string]share.Amount{}
+func (s *State) links() map[string]share.Quota {
+	out := map[string]share.Quota{}
 	for _, l := range s.Doc.Links {
 		if l.From == s.Self.Region {
 			out[l.To] = s.amount(resourceLinkPrefix + l.To)
@@ -139,7 +139,7 @@
 
 // lookup returns the hosts of this region that callers may use.
 func (s *State) lookup(p *plan.Plan) plan.Lookup {
-	lookup := plan.Lookup{Life: LookupLife}
+	lookup := plan.Lookup{TTL: LookupLife}
 	for _, d := range p.Domains {
 		if d.Region != s.Self.Region || d.Drained {
 			continue
--- a/internal/ctrl/state/shift.go
+++ b/internal/ctrl/state/shift.go
@@ -90,7 +90,7 @@
 			continue
 		}
 		out = append(out, plan.Shift{
-			Name: sh.Name, Service: sh.Service, To: sh.To, Part: sh.Part * p.Done,
+			Name: sh.Name, Service: sh.Service, To: sh.To, Fraction: sh.Part * p.Done,
 			Rate: sh.Cap / float64(max(1, s.regionSeats(sh.From))),
 		})
 	}
--- a/internal/ctrl/state/state.go
+++ b/internal/ctrl/state/state.go
@@ -42,7 +42,9 @@
 }
 
 // Term returns the duration of a grant, which survives the loss of two heartbeats.
-func Term(hosts int) time.Duration { return max(share.Term, 2*HeartbeatPeriod(hosts)+time.Second) }
+func Term(hosts int) time.Duration {
+	return max(share.DefaultLoanTTL, 2*HeartbeatPeriod(hosts)+time.Second)
+}
 
 // LeaseLife returns the duration of the lender's lease. After the loss of two renewals it still covers a whole grant.
 func LeaseLife(hosts int) time.Duration { return max(10*time.Second, 2*Term(hosts)) }
@@ -55,7 +57,7 @@
 
 // State is the control state of one entry host. Only events modify it.
 type State struct {
-	Self    plan.Self
+	Self    plan.Identity
 	Doc     *spec.Document
 	Leaving bool
 
@@ -149,7 +151,7 @@
 }
 
 // New returns the initial state of a host.
-func New(self plan.Self) *State {
+func New(self plan.Identity) *State {
 	return &State{
 		Self:         self,
 		Hosts:        map[string]HostRecord{},
@@ -185,7 +187,7 @@
 	linkDelays map[string]time.Duration
 }
 
-func newDocumentIndex(doc *spec.Document, self plan.Self) *documentIndex {
+func newDocumentIndex(doc *spec.Document, self plan.Identity) *documentIndex {
 	ix := &documentIndex{seats: map[string]spec.Seat{}, selfIndex: -1, linkDelays: map[string]time.Duration{}}
 	for _, r := range doc.Regions {
 		for _, d := range r.Domains {
--- a/internal/ctrl/state/status.go
+++ b/internal/ctrl/state/status.go
@@ -11,7 +11,7 @@
 
 // Status is a report of a host's control state for operators.
 type Status struct {
-	Self      plan.Self
+	Self      plan.Identity
 	Revision  uint64
 	Relay     string
 	Lender    bool
@@ -42,13 +42,13 @@
 // ShareStatus is this host's share of a limit.
 type ShareStatus struct {
 	Resource string
-	Amount   share.Amount
+	Amount   share.Quota
 	Lent     int64
 }
 
 func (s *State) status(now time.Time) Status {
 	status := Status{
-		Self: s.Self, Revision: s.Revision(), Lender: s.IsRelay && s.Lease.Held(now),
+		Self: s.Self, Revision: s.Revision(), Lender: s.IsRelay && s.Lease.Valid(now),
 		Leaving: s.Leaving, Shifts: map[string]Progress{},
 	}
 	if s.Doc == nil {
--- a/internal/ctrl/state/takeover.go
+++ b/internal/ctrl/state/takeover.go
@@ -22,7 +22,7 @@
 // that are no longer needed.
 func (s *State) requestTakeovers(now time.Time) []Action {
 	acts := s.endTakeovers(now)
-	if !s.Lease.Held(now) {
+	if !s.Lease.Valid(now) {
 		return acts
 	}
 	for _, d := range s.index.siblings {
@@ -46,9 +46,9 @@
 	var acts []Action
 	for name, takeover := range s.Takeovers {
 		switch {
-		case takeover.EndedAt.IsZero() && (!s.Lease.Held(now) || !s.isSibling(name) || !s.isSilent(name, now)):
+		case takeover.EndedAt.IsZero() && (!s.Lease.Valid(now) || !s.isSibling(name) || !s.isSilent(name, now)):
 			s.endTakeover(name, now)
-		case !takeover.EndedAt.IsZero() && now.Sub(takeover.EndedAt) > s.Ledger.Term+share.Margin:
+		case !takeover.EndedAt.IsZero() && now.Sub(takeover.EndedAt) > s.Ledger.LoanTTL+share.ClockDriftMargin:
 			delete(s.Takeovers, name)
 			acts = append(acts, ReleaseLease{Domain: name})
 		}
@@ -111,7 +111,7 @@
 // isLending reports whether a silent domain's pools are being lent. With too little time left on its lease they are not,
 // since new loans, which must end within every lease, would become too short.
 func (s *State) isLending(t Takeover, now time.Time) bool {
-	return t.EndedAt.IsZero() && t.Lease.Left(now) > 2*HeartbeatPeriod(len(s.domainSeats()))
+	return t.EndedAt.IsZero() && t.Lease.Remaining(now) > 2*HeartbeatPeriod(len(s.domainSeats()))
 }
 
 // lendingLease returns the lease that bounds new loans: the one that expires first.
@@ -142,7 +142,7 @@
 		}
 	}
 	s.Ledger.SetPools(pools)
-	s.Ledger.Term = Term(len(s.domainSeats()))
+	s.Ledger.LoanTTL = Term(len(s.domainSeats()))
 }
 
 // isPool reports whether an allocation is a pool rather than a share of this host.
--- a/internal/ctrl/state/takeover_test.go
+++ b/internal/ctrl/state/takeover_test.go
@@ -70,7 +70,7 @@
 	}
 	lender := f.hosts[0].state
 	taken, ok := lender.Takeovers["d1"]
-	assert.Assert(t, ok && taken.Lease.Held(f.now))
+	assert.Assert(t, ok && taken.Lease.Valid(f.now))
 	taken.Lease.Until = f.now.Add(3 * time.Second) // As if only the lender's own lease could be renewed.
 	lender.Takeovers["d1"] = taken
 	reply := make(chan HeartbeatReply, 1)
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -91,8 +91,8 @@
 		f.writeProblem(w, &pipe.Job{Outcome: pipe.Outcome{Kind: pipe.NotRun, Reason: pipe.NoTarget, Detail: "this host has no configuration yet"}})
 		return
 	}
-	out := wireLookup{Revision: p.Doc.Revision, Life: p.Lookup.Life.Milliseconds(), Hosts: []wireHost{}, Ticket: f.Host.Issue(f.Clock()).String()}
-	var buf [plan.LookupHosts]int
+	out := wireLookup{Revision: p.Doc.Revision, Life: p.Lookup.TTL.Milliseconds(), Hosts: []wireHost{}, Ticket: f.Host.Issue(f.Clock()).String()}
+	var buf [plan.MaxLookupHosts]int
 	for _, i := range p.Lookup.Pick(rendez.Hash(callerName(r)), buf[:0]) {
 		h := p.Lookup.Hosts[i]
 		out.Hosts = append(out.Hosts, wireHost{Name: h.Name, Address: h.Front})
--- a/internal/edge/peer/wire.go
+++ b/internal/edge/peer/wire.go
@@ -216,6 +216,6 @@
 	if known == nil || len(w.Changes) == 0 {
 		return spec.Document{}, false
 	}
-	doc, err := known.Follow(w.Changes)
+	doc, err := known.Replay(w.Changes)
 	return doc, err == nil
 }
--- a/internal/flow/admit/flood_test.go
+++ b/internal/flow/admit/flood_test.go
@@ -75,13 +75,13 @@
 }
 
 func simPlan(minimum []float64, queue int) *plan.Plan {
-	p := &plan.Plan{Doc: &spec.Document{}, Services: map[string]*plan.Service{}, Capacity: share.Amount{Floor: 1 << 30}}
+	p := &plan.Plan{Doc: &spec.Document{}, Services: map[string]*plan.Service{}, Capacity: share.Quota{Floor: 1 << 30}}
 	for i, m := range minimum {
 		p.Doc.Ranks = append(p.Doc.Ranks, spec.Rank{Name: fmt.Sprint("r", i), Minimum: m, Queue: queue})
 	}
 	svc := &plan.Service{Service: spec.Service{Name: "s"}}
 	for i := range simUpstreams {
-		svc.Upstreams = append(svc.Upstreams, plan.Upstream{ID: fmt.Sprintf("u%02d", i), Slots: share.Amount{Floor: simSlots}})
+		svc.Upstreams = append(svc.Upstreams, plan.Upstream{ID: fmt.Sprintf("u%02d", i), Slots: share.Quota{Floor: simSlots}})
 	}
 	p.Services["s"] = svc
 	return p
--- a/internal/flow/admit/pool.go
+++ b/internal/flow/admit/pool.go
@@ -14,12 +14,12 @@
 	queues    []queue
 	upstreams map[string]*upstreamState
 	sorted    []*upstreamState
-	credits   credit.Credit
+	credits   credit.RankSelector
 	costs     costs
 }
 
 func (po *pool) update(ups []plan.Upstream, minimum []float64) {
-	po.credits.Resize(minimum)
+	po.credits.SetMinimums(minimum)
 	po.costs.resize(len(minimum))
 	for len(po.queues) < len(minimum) {
 		po.queues = append(po.queues, queue{})
--- a/internal/flow/admit/scheduler.go
+++ b/internal/flow/admit/scheduler.go
@@ -12,9 +12,9 @@
 
 // Scheduler assigns the slots of upstreams to waiting jobs. It reads no clock and does no I/O.
 type Scheduler struct {
-	capacity     share.Amount
+	capacity     share.Quota
 	inFlight     int64
-	credits      credit.Credit
+	credits      credit.RankSelector
 	costs        costs
 	queueLimits  []int
 	services     map[string]*pool
@@ -32,7 +32,7 @@
 	for i, r := range p.Doc.Ranks {
 		minimum[i], s.queueLimits[i] = r.Minimum, r.Queue
 	}
-	s.credits.Resize(minimum)
+	s.credits.SetMinimums(minimum)
 	s.costs.resize(len(minimum))
 	for name, svc := range p.Services {
 		s.ensurePool(name).update(svc.Upstreams, minimum)
--- a/internal/flow/admit/scheduler_test.go
+++ b/internal/flow/admit/scheduler_test.go
@@ -16,13 +16,13 @@
 func testPlan(capacity, slots int64, until time.Time) *plan.Plan {
 	p := &plan.Plan{
 		Doc:      &spec.Document{Ranks: []spec.Rank{{Name: "a", Queue: 5}, {Name: "b", Queue: 5, Minimum: 0.3}}},
-		Capacity: share.Amount{Floor: capacity}, Services: map[string]*plan.Service{},
+		Capacity: share.Quota{Floor: capacity}, Services: map[string]*plan.Service{},
 	}
 	for _, name := range []string{"s", "t"} {
 		svc := &plan.Service{Service: spec.Service{Name: name}}
 		for i := range 2 {
 			svc.Upstreams = append(svc.Upstreams, plan.Upstream{
-				ID: fmt.Sprint(name, i), Slots: share.Amount{Floor: 1, Lent: slots, Until: until},
+				ID: fmt.Sprint(name, i), Slots: share.Quota{Floor: 1, Lent: slots, Until: until},
 			})
 		}
 		p.Services[name] = svc
--- a/internal/flow/carry/pacer.go
+++ b/internal/flow/carry/pacer.go
@@ -26,9 +26,9 @@
 
 // link is the link to one region with the messages that wait for it.
 type link struct {
-	share     share.Amount
+	share     share.Quota
 	bucket    bucket.Bucket
-	credit    credit.Credit
+	credit    credit.RankSelector
 	queues    [][]*message
 	timer     *time.Timer
 	sentBytes int64
@@ -69,7 +69,7 @@
 	}
 	for region, ln := range p.links {
 		if _, ok := pl.Links[region]; !ok {
-			ln.share = share.Amount{}
+			ln.share = share.Quota{}
 		}
 	}
 }
@@ -84,7 +84,7 @@
 }
 
 func (ln *link) resize(minimum []float64) {
-	ln.credit.Resize(minimum)
+	ln.credit.SetMinimums(minimum)
 	for len(ln.queues) < len(minimum) {
 		ln.queues = append(ln.queues, nil)
 	}
@@ -133,7 +133,7 @@
 	for l := range level {
 		ahead += ln.queuedBytes(l)
 	}
-	rate := ln.bucket.Limit * (1 - bucket.BurstPart)
+	rate := ln.bucket.Limit * (1 - bucket.BurstFraction)
 	seconds := max(0, ahead) / rate
 	if minimum := ln.credit.Minimum[level]; minimum > 0 {
 		seconds = min(seconds, own/(rate*minimum))
--- a/internal/flow/carry/pacer_test.go
+++ b/internal/flow/carry/pacer_test.go
@@ -44,7 +44,7 @@
 		var list []spending
 		for range rapid.IntRange(1, 300).Draw(t, "messages") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
-			n := rapid.Float64Range(1, limit*bucket.BurstPart).Draw(t, "bytes")
+			n := rapid.Float64Range(1, limit*bucket.BurstFraction).Draw(t, "bytes")
 			if wait := b.Take(n, now); wait > 0 {
 				now = now.Add(wait)
 				assert.Equal(t, b.Take(n, now), time.Duration(0))
@@ -63,7 +63,7 @@
 		var list []spending
 		for range rapid.IntRange(1, 500).Draw(t, "jobs") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond)
-			if b.TakeWhole(now) {
+			if b.TakeOne(now) {
 				list = append(list, spending{now, 1})
 			}
 		}
@@ -73,16 +73,16 @@
 	})
 }
 
-func pacerPlan(a share.Amount) *plan.Plan {
+func pacerPlan(a share.Quota) *plan.Plan {
 	return &plan.Plan{
 		Doc:   &spec.Document{Ranks: []spec.Rank{{Name: "top"}, {Name: "low", Minimum: 0.1}}},
-		Links: map[string]share.Amount{"far": a},
+		Links: map[string]share.Quota{"far": a},
 	}
 }
 
 func TestUrgentMessagesGoFirstAndOthersKeepTheirMinimum(t *testing.T) {
 	p := NewPacer(time.Now)
-	p.Update(time.Now(), pacerPlan(share.Amount{Floor: 200_000}))
+	p.Update(time.Now(), pacerPlan(share.Quota{Floor: 200_000}))
 	begin := time.Now()
 	var mu sync.Mutex
 	bytes := [2]int{}
@@ -108,7 +108,7 @@
 func TestExpiredShareFallsBackToItsFloor(t *testing.T) {
 	now := time.Unix(1000, 0)
 	p := NewPacer(func() time.Time { return now })
-	p.Update(now, pacerPlan(share.Amount{Lent: 1_000_000, Until: now.Add(time.Second)}))
+	p.Update(now, pacerPlan(share.Quota{Lent: 1_000_000, Until: now.Add(time.Second)}))
 	now = now.Add(time.Second) // No newer plan has arrived, as after a pause of the process.
 	ok := p.Wait(context.Background(), now, "far", 0, 100, now.Add(time.Hour))
 	assert.Assert(t, !ok, "the grant has run out, and the floor is 0")
@@ -139,7 +139,7 @@
 
 func TestJobIsRefusedAtOnceIfTheLinkWaitIsTooLong(t *testing.T) {
 	pacer := NewPacer(time.Now)
-	pl := pacerPlan(share.Amount{Floor: 10_000})
+	pl := pacerPlan(share.Quota{Floor: 10_000})
 	pacer.Update(time.Now(), pl)
 	peers := &recordingPeers{}
 	p := New(nil, noRouter{}, peers, pacer, nil, time.Now)
--- a/internal/flow/once/once.go
+++ b/internal/flow/once/once.go
@@ -130,7 +130,7 @@
 
 // Successors returns a seat and the seats that take over its tickets, in order of preference.
 func Successors(doc *spec.Document, seat string) []spec.Seat {
-	_, d, s, ok := doc.Find(seat)
+	_, d, s, ok := doc.FindSeat(seat)
 	if !ok {
 		return nil
 	}
--- a/internal/flow/route/route.go
+++ b/internal/flow/route/route.go
@@ -73,7 +73,7 @@
 func (p *Pipe) shiftRegion(now time.Time, job *pipe.Job) string {
 	for i := range job.Plan.Shifts {
 		sh := &job.Plan.Shifts[i]
-		if sh.Service == job.Service && hashFraction(job.Digest^job.Block) < sh.Part && p.takeShiftToken(now, sh) {
+		if sh.Service == job.Service && hashFraction(job.Digest^job.Block) < sh.Fraction && p.takeShiftToken(now, sh) {
 			return sh.To
 		}
 	}
@@ -94,7 +94,7 @@
 	if b.Limit != sh.Rate {
 		b.SetLimit(sh.Rate, now)
 	}
-	return b.TakeWhole(now)
+	return b.TakeOne(now)
 }
 
 // Query holds the properties of a job that Decide uses.
@@ -159,10 +159,10 @@
 
 // idleLocalSite returns this host's own site if the job need not wait there, which no other site can beat.
 func idleLocalSite(svc *plan.Service, q Query) *plan.Site {
-	if q.LocalWait > 0 || q.ShiftRegion != "" || svc.Self == nil {
+	if q.LocalWait > 0 || q.ShiftRegion != "" || svc.LocalSite == nil {
 		return nil
 	}
-	return svc.Self
+	return svc.LocalSite
 }
 
 // isTarget reports whether a site is already a target.
@@ -185,7 +185,7 @@
 	if !d.Self {
 		wait = 2*d.Delay + remoteWait(s.Load)
 	}
-	c := candidate{site: s, weight: float64(max(1, s.Load.Room())), cost: int64((wait + costResolution - 1) / costResolution)}
+	c := candidate{site: s, weight: float64(max(1, s.Load.Headroom())), cost: int64((wait + costResolution - 1) / costResolution)}
 	if q.ShiftRegion != "" && d.Region == q.ShiftRegion {
 		c.cost = -1
 	}
@@ -194,10 +194,10 @@
 
 // remoteWait estimates a job's wait from the load that another host reported.
 func remoteWait(l plan.Load) time.Duration {
-	if l.Room() > 0 {
+	if l.Headroom() > 0 {
 		return 0
 	}
-	return l.Latency * time.Duration(1-l.Room()) / time.Duration(l.Slots)
+	return l.Latency * time.Duration(1-l.Headroom()) / time.Duration(l.Slots)
 }
 
 func newTarget(p *plan.Plan, s *plan.Site, q Query) pipe.Target {
--- a/internal/flow/route/route_test.go
+++ b/internal/flow/route/route_test.go
@@ -18,12 +18,12 @@
 
 func drawPlan(t *rapid.T) *plan.Plan {
 	p := &plan.Plan{
-		Self: plan.Self{Seat: "self", Domain: "d0", Region: "r0"}, Links: map[string]share.Amount{},
+		Self: plan.Identity{Seat: "self", Domain: "d0", Region: "r0"}, Links: map[string]share.Quota{},
 		Services: map[string]*plan.Service{"s": {}},
 	}
 	for i := range rapid.IntRange(1, 9).Draw(t, "domains") {
 		r := fmt.Sprint("r", i/2)
-		p.Links[r] = share.Amount{Floor: rapid.Int64Range(0, 1).Draw(t, "link")}
+		p.Links[r] = share.Quota{Floor: rapid.Int64Range(0, 1).Draw(t, "link")}
 		p.Domains = append(p.Domains, plan.Domain{
 			Name: fmt.Sprint("d", i), Region: r, Self: i == 0, Drained: rapid.Bool().Draw(t, "drained"),
 			Delay: time.Duration(i) * 10 * time.Millisecond, Hosts: []spec.Seat{{Name: fmt.Sprint("h", i)}},
@@ -57,7 +57,7 @@
 			assert.Assert(t, !d.Drained && d.Loads["s"].Slots > 0)
 			assert.Assert(t, d.Region == "r0" || p.Links[d.Region].Floor > 0, "no link to %s", d.Region)
 			if i == 0 && target.Reason == ReasonOtherRegion {
-				assert.Assert(t, q.LocalWait > 0 || p.Services["s"].Self == nil, "left a free host")
+				assert.Assert(t, q.LocalWait > 0 || p.Services["s"].LocalSite == nil, "left a free host")
 			}
 			seen[target.Domain] = true
 		}
@@ -71,9 +71,9 @@
 
 func TestAShiftStaysUnderItsCap(t *testing.T) {
 	p := &plan.Plan{
-		Self: plan.Self{Seat: "self", Domain: "d0", Region: "r0"}, Links: map[string]share.Amount{"r1": {Floor: 1}},
+		Self: plan.Identity{Seat: "self", Domain: "d0", Region: "r0"}, Links: map[string]share.Quota{"r1": {Floor: 1}},
 		Services: map[string]*plan.Service{"s": {}},
-		Shifts:   []plan.Shift{{Name: "move", Service: "s", To: "r1", Part: 0.5, Rate: 20}},
+		Shifts:   []plan.Shift{{Name: "move", Service: "s", To: "r1", Fraction: 0.5, Rate: 20}},
 	}
 	for i, r := range []string{"r0", "r1"} {
 		p.Domains = append(p.Domains, plan.Domain{
--- a/internal/host/entry/bench_test.go
+++ b/internal/host/entry/bench_test.go
@@ -27,18 +27,18 @@
 // benchPlan returns a plan with one service that has upstreams in this failure domain and sites in others.
 func benchPlan(upstreams, sites int) *plan.Plan {
 	p := &plan.Plan{
-		Self:     plan.Self{Seat: "h", Domain: "d0", Region: "r0"},
+		Self:     plan.Identity{Seat: "h", Domain: "d0", Region: "r0"},
 		Doc:      &spec.Document{Ranks: []spec.Rank{{Name: "top", Queue: 100}}},
-		Capacity: share.Amount{Floor: 1000}, Links: map[string]share.Amount{}, Services: map[string]*plan.Service{},
+		Capacity: share.Quota{Floor: 1000}, Links: map[string]share.Quota{}, Services: map[string]*plan.Service{},
 	}
 	svc := &plan.Service{Service: spec.Service{Name: "s", Rank: "top", Timeout: spec.Duration(time.Second)}}
 	for i := range upstreams {
-		svc.Upstreams = append(svc.Upstreams, plan.Upstream{ID: fmt.Sprintf("u%02d", i), Address: "a", Slots: share.Amount{Floor: 4}, Conns: 400})
+		svc.Upstreams = append(svc.Upstreams, plan.Upstream{ID: fmt.Sprintf("u%02d", i), Address: "a", Slots: share.Quota{Floor: 4}, Conns: 400})
 	}
 	p.Services["s"] = svc
 	for i := range max(1, sites/9) { // Nine services in each failure domain.
 		r := fmt.Sprint("r", i%25)
-		p.Links[r] = share.Amount{Floor: 1}
+		p.Links[r] = share.Quota{Floor: 1}
 		p.Domains = append(p.Domains, plan.Domain{
 			Name: fmt.Sprint("d", i), Region: r, Self: i == 0, Delay: time.Duration(i) * time.Millisecond,
 			Hosts: []spec.Seat{{Name: "h"}}, Loads: map[string]plan.Load{"s": {Slots: 50, Busy: 10}},
@@ -73,7 +73,7 @@
 func BenchmarkLookup(b *testing.B) {
 	for _, n := range []int{4, 132} {
 		b.Run(fmt.Sprintf("%d-hosts", n), func(b *testing.B) {
-			h := New(config.Settings{Seat: "h"}, time.Now, zap.NewNop(), trace.None())
+			h := New(config.Settings{Seat: "h"}, time.Now, zap.NewNop(), trace.Noop())
 			p := benchPlan(1, 1)
 			for i := range n {
 				p.Lookup.Hosts = append(p.Lookup.Hosts, spec.Seat{Name: fmt.Sprint("h", i), Front: "127.0.0.1:7001"})
@@ -106,7 +106,7 @@
 		_, _ = io.WriteString(w, strings.Repeat("x", 500))
 	}))
 	defer upstream.Close()
-	h := New(config.Settings{Seat: "h"}, time.Now, zap.NewNop(), trace.None())
+	h := New(config.Settings{Seat: "h"}, time.Now, zap.NewNop(), trace.Noop())
 	p := benchPlan(1, 1)
 	p.Services["s"].Upstreams[0].Address = strings.TrimPrefix(upstream.URL, "http://")
 	h.admit.Update(time.Now(), p)
--- a/internal/host/entry/doer.go
+++ b/internal/host/entry/doer.go
@@ -134,7 +134,7 @@
 func (w *platformWatcher) applyDocument(ctx context.Context, data []byte, emit func(state.Event)) {
 	doc, err := commit.Parse(ctx, w.host.store, data, w.host.loop.Plan().Doc)
 	if err == nil {
-		err = doc.Check()
+		err = doc.Validate()
 	}
 	if err != nil {
 		w.host.Log.Error("the platform holds a document that can't be used", errorField(err))
--- a/internal/host/entry/fault_test.go
+++ b/internal/host/entry/fault_test.go
@@ -29,7 +29,7 @@
 	t.Parallel()
 	o := testOptions(110)
 	o.Upstreams = 3
-	s := startSystem(t, o, trace.None())
+	s := startSystem(t, o, trace.Noop())
 	body := []byte("poison\n" + upstr.CrashMark)
 	var last answer
 	for range 3 {
@@ -50,7 +50,7 @@
 	t.Parallel()
 	o := testOptions(111)
 	o.Upstreams = 4
-	s := startSystem(t, o, trace.None())
+	s := startSystem(t, o, trace.Noop())
 	keys := []string{}
 	var wg sync.WaitGroup
 	for i := range 24 {
@@ -82,7 +82,7 @@
 // drain only from the upstream's own answers.
 func TestADrainingUpstreamGetsNoNewJobs(t *testing.T) {
 	t.Parallel()
-	s := startSystem(t, testOptions(112), trace.None())
+	s := startSystem(t, testOptions(112), trace.Noop())
 	s.platform.SetFaults(platf.Faults{Lag: 30 * time.Second})
 	u := s.upstreams["price-dar-a-1"]
 	ctx, cancel := context.WithCancel(context.Background())
@@ -110,7 +110,7 @@
 
 func TestAnOperatorsDrainIsInForceEverywhere(t *testing.T) {
 	t.Parallel()
-	s := startSystem(t, testOptions(113), trace.None())
+	s := startSystem(t, testOptions(113), trace.Noop())
 	var took []time.Duration
 	for i := range 10 {
 		host := s.hosts[[]string{"dar-a-1", "mwanza-b-2", "dar-b-2"}[i%3]]
@@ -128,7 +128,7 @@
 // loses some of its answers. One change must win; the others must get a conflict with the new revision.
 func TestConcurrentChangesCommitOnlyOne(t *testing.T) {
 	t.Parallel()
-	s := startSystem(t, testOptions(114), trace.None())
+	s := startSystem(t, testOptions(114), trace.Noop())
 	begin := s.hosts["dar-a-1"].Plan().Doc.Revision
 	var mu sync.Mutex
 	won, lost := 0, 0
@@ -161,7 +161,7 @@
 // serve its callers from its own upstreams, within their slots, and converge again once the isolation ends.
 func TestAnIsolatedDomainServesItsCallers(t *testing.T) {
 	t.Parallel()
-	s := startSystem(t, testOptions(115), trace.None())
+	s := startSystem(t, testOptions(115), trace.Noop())
 	s.isolate(s.domains()...)
 	s.platform.SetFaults(platf.Faults{Down: true})
 	time.Sleep(6 * time.Second) // All grants have expired.
@@ -191,7 +191,7 @@
 // from their seeds.
 func TestAHostStartsFromItsPeersDuringAnOutage(t *testing.T) {
 	t.Parallel()
-	s := startSystem(t, testOptions(116), trace.None())
+	s := startSystem(t, testOptions(116), trace.Noop())
 	doc, err := s.hosts["dar-a-1"].Commit(context.Background(), spec.Change{Drains: []spec.Drain{{Kind: "upstream", Name: "x"}}}, nil)
 	assert.NilError(t, err)
 	s.eventually(3*time.Second, "the revision is in force", func() bool { return s.allHostsReached(doc.Revision) })
@@ -222,7 +222,7 @@
 	rec := tracetest.NewInMemoryExporter()
 	o := testOptions(117)
 	o.Skip = func(domain, service string) bool { return service == layout.Catalog && domain != "mwanza-a" }
-	s := startSystem(t, o, trace.With(sdk.NewSimpleSpanProcessor(rec), "test"))
+	s := startSystem(t, o, trace.NewProvider(sdk.NewSimpleSpanProcessor(rec), "test"))
 	a := s.call(call{host: "dar-a-1", service: layout.Catalog, key: "traced", id: "traced-job"})
 	assert.Equal(t, a.outcome, "answered")
 	time.Sleep(100 * time.Millisecond)
@@ -242,7 +242,7 @@
 	t.Parallel()
 	o := testOptions(118)
 	o.Regions, o.Hosts = []string{"dar", "arusha", "mwanza"}, 5
-	s := startSystem(t, o, trace.None())
+	s := startSystem(t, o, trace.Noop())
 	var took []time.Duration
 	for i := range 60 { // More changes than a head holds, so that new bases are written.
 		begin := time.Now()
--- a/internal/host/entry/host.go
+++ b/internal/host/entry/host.go
@@ -46,7 +46,7 @@
 // Host is an entry host: its control loop, its filter pipelines and its servers.
 type Host struct {
 	Settings config.Settings
-	Self     plan.Self
+	Self     plan.Identity
 	Clock    func() time.Time
 	Log      *zap.Logger
 	Stats    *stats.Stats
@@ -76,7 +76,7 @@
 func New(s config.Settings, clock func() time.Time, log *zap.Logger, tr trace.Provider) *Host {
 	h := &Host{
 		Settings: s, Clock: clock, Log: log, Trace: tr, Stats: stats.New(), Done: make(chan struct{}),
-		Self: plan.Self{Seat: s.Seat, Region: s.Region, Domain: s.Domain, Incarnation: newID()},
+		Self: plan.Identity{Seat: s.Seat, Region: s.Region, Domain: s.Domain, Incarnation: newID()},
 	}
 	h.loop = loop.New(h.Self, clock)
 	h.store = store.New(s.Platform)
@@ -92,7 +92,7 @@
 	h.loop.Loader = h.admit
 	h.loop.Followers = []loop.Follower{h.admit, h.pacer, &revisionLogger{log: h.Log}}
 	h.peerServer = peer.NewServer(&peerHandler{h}, clock, log, &h.peerClient.Control)
-	h.front = &front.Front{Host: h, Clock: clock, Refused: h.Stats.Refused}
+	h.front = &front.Front{Host: h, Clock: clock, Refused: h.Stats.CountRefusal}
 	h.httpServers = [2]*http.Server{h.front.Server(), h.adminServer()}
 	h.runCtx, h.cancelRun = context.WithCancel(context.Background())
 	h.registerGauges()
--- a/internal/host/entry/lease.go
+++ b/internal/host/entry/lease.go
@@ -124,7 +124,7 @@
 
 // releaseAll releases all leases after the last loan has expired, unless this host has become a relay again.
 func (m *leaseManager) releaseAll(ctx context.Context, h *Host) {
-	sleep(ctx, h.loanTTL()+share.Margin)
+	sleep(ctx, h.loanTTL()+share.ClockDriftMargin)
 	if ctx.Err() != nil || h.watcher.active() {
 		return
 	}
@@ -139,8 +139,8 @@
 func (h *Host) loanTTL() time.Duration {
 	doc := h.loop.Plan().Doc
 	if doc == nil {
-		return share.Term
+		return share.DefaultLoanTTL
 	}
-	_, dom, _ := doc.Locate(h.Self.Domain)
+	_, dom, _ := doc.FindDomain(h.Self.Domain)
 	return state.Term(len(dom.Seats))
 }
--- a/internal/host/entry/link_test.go
+++ b/internal/host/entry/link_test.go
@@ -23,7 +23,7 @@
 	o.Skip = func(domain, service string) bool {
 		return service == layout.Catalog && strings.HasPrefix(domain, "dar")
 	}
-	s := startSystem(t, o, trace.None())
+	s := startSystem(t, o, trace.Noop())
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	var wg sync.WaitGroup
--- a/internal/host/entry/once_test.go
+++ b/internal/host/entry/once_test.go
@@ -18,7 +18,7 @@
 
 func TestATicketRunsOnceThroughAnyHost(t *testing.T) {
 	t.Parallel()
-	s := startSystem(t, testOptions(101), trace.None())
+	s := startSystem(t, testOptions(101), trace.Noop())
 	tk := s.ticket("dar-a-1")
 	for _, host := range []string{"mwanza-b-2", "dar-a-1", "dar-b-1", "mwanza-a-1", "dar-a-2"} {
 		a := s.call(call{host: host, service: layout.Orders, key: "order", ticket: tk})
@@ -34,7 +34,7 @@
 
 func TestTriesAtTheSameTimeRunOnce(t *testing.T) {
 	t.Parallel()
-	s := startSystem(t, testOptions(102), trace.None())
+	s := startSystem(t, testOptions(102), trace.Noop())
 	seats := []string{"mwanza-b-2", "dar-a-1", "dar-b-1", "mwanza-a-1", "dar-a-2"}
 	for i := range 20 {
 		tk, key := s.ticket("dar-a-1"), fmt.Sprint("same-", i)
@@ -54,7 +54,7 @@
 
 func TestAPlannedStopHandsTheTicketsOver(t *testing.T) {
 	t.Parallel()
-	s := startSystem(t, testOptions(103), trace.None())
+	s := startSystem(t, testOptions(103), trace.Noop())
 	used, unused := s.ticket("dar-a-1"), s.ticket("dar-a-1")
 	a := s.call(call{host: "dar-a-2", service: layout.Orders, key: "before", ticket: used})
 	assert.Equal(t, a.outcome, "answered")
@@ -75,7 +75,7 @@
 // so neither another host nor the next incarnation may run it.
 func TestATicketOfAKilledHostIsNeverRun(t *testing.T) {
 	t.Parallel()
-	s := startSystem(t, testOptions(104), trace.None())
+	s := startSystem(t, testOptions(104), trace.Noop())
 	tk := s.ticket("dar-a-1")
 	s.killHost(s.hosts["dar-a-1"])
 	<-s.hosts["dar-a-1"].Done
@@ -95,7 +95,7 @@
 func TestARefusalAsNotRunVoidsTheTicket(t *testing.T) {
 	t.Parallel()
 	o := testOptions(105)
-	s := startSystem(t, o, trace.None())
+	s := startSystem(t, o, trace.Noop())
 	for _, u := range s.upstreams {
 		u.Drain(true)
 	}
@@ -113,7 +113,7 @@
 
 func TestALostUpstreamConnectionIsUnknownAndNotRetried(t *testing.T) {
 	t.Parallel()
-	s := startSystem(t, testOptions(106), trace.None())
+	s := startSystem(t, testOptions(106), trace.Noop())
 	tk := s.ticket("dar-a-1")
 	body := []byte("boom\n" + upstr.CrashMark)
 	a := s.call(call{host: "dar-a-1", service: layout.Orders, body: body, ticket: tk})
@@ -125,7 +125,7 @@
 
 func TestMismatchedAndTruncatedAnswersAreNotPassedOn(t *testing.T) {
 	t.Parallel()
-	s := startSystem(t, testOptions(107), trace.None())
+	s := startSystem(t, testOptions(107), trace.Noop())
 	for _, u := range s.upstreams {
 		u.Faulty(0.3, 0.3)
 	}
@@ -153,7 +153,7 @@
 // out that its change is in force and must not apply it twice.
 func TestALostAnswerOfThePlatformIsResolved(t *testing.T) {
 	t.Parallel()
-	s := startSystem(t, testOptions(108), trace.None())
+	s := startSystem(t, testOptions(108), trace.Noop())
 	before := s.hosts["dar-a-1"].Plan().Doc.Revision
 	s.platform.Lose(2)
 	doc, err := s.hosts["dar-a-1"].Commit(context.Background(), spec.Change{Drains: []spec.Drain{{Kind: "upstream", Name: "x"}}}, nil)
--- a/internal/host/entry/roles.go
+++ b/internal/host/entry/roles.go
@@ -21,7 +21,7 @@
 
 // Send sends a job to its upstream and records a span for it.
 func (s tracingSender) Send(ctx context.Context, job *pipe.Job) pipe.Reply {
-	ctx, end := trace.Start(ctx, s.tracer, "upstream", job)
+	ctx, end := trace.StartJob(ctx, s.tracer, "upstream", job)
 	defer end()
 	return s.next.Send(ctx, job)
 }
@@ -33,7 +33,7 @@
 func (h *Host) Intake(ctx context.Context, job *pipe.Job) {
 	job.Plan = h.loop.Plan()
 	h.intake.Run(ctx, job)
-	h.Stats.Ended(job)
+	h.Stats.CountJob(job)
 }
 
 // Issue returns a new ticket that this host owns.
@@ -101,7 +101,7 @@
 
 // Forward forwards a job to a host; it reports false if nothing was sent.
 func (o ownerForwarder) Forward(ctx context.Context, now time.Time, seat spec.Seat, job *pipe.Job) bool {
-	region, _, _, _ := job.Plan.Doc.Find(seat.Name) //nolint:dogsled // Only the region is needed.
+	region, _, _, _ := job.Plan.Doc.FindSeat(seat.Name) //nolint:dogsled // Only the region is needed.
 	if region.Name != o.Self.Region && !o.pacer.Wait(ctx, now, region.Name, job.Level, carry.Size(len(job.Body)), job.WaitUntil(now)) {
 		return false
 	}
--- a/internal/host/entry/session_test.go
+++ b/internal/host/entry/session_test.go
@@ -66,7 +66,7 @@
 // TestSession compares the answers to a caller's and an operator's requests with testdata/session.golden.
 func TestSession(t *testing.T) {
 	t.Parallel()
-	sys := startSystem(t, testOptions(120), trace.None())
+	sys := startSystem(t, testOptions(120), trace.Noop())
 	host := sys.hosts["dar-a-1"]
 	call, admin := "http://"+host.Settings.Front, "http://"+host.Settings.Admin
 	ticket := sys.ticket("dar-a-1")
@@ -109,7 +109,7 @@
 
 func TestACallerThatStopsMidBodyIsRefusedAndCounted(t *testing.T) {
 	t.Parallel()
-	s := startSystem(t, testOptions(121), trace.None())
+	s := startSystem(t, testOptions(121), trace.Noop())
 	front := s.hosts["dar-a-1"].Settings.Front
 	c, err := net.Dial("tcp", front)
 	assert.NilError(t, err)
@@ -126,7 +126,7 @@
 
 func TestASlowSenderIsRefused(t *testing.T) {
 	t.Parallel()
-	s := startSystem(t, testOptions(123), trace.None())
+	s := startSystem(t, testOptions(123), trace.Noop())
 	c, err := net.Dial("tcp", s.hosts["dar-a-1"].Settings.Front)
 	assert.NilError(t, err)
 	defer func() { _ = c.Close() }()
@@ -146,7 +146,7 @@
 
 func TestAPeerThatBreaksTheProtocolIsDisconnected(t *testing.T) {
 	t.Parallel()
-	s := startSystem(t, testOptions(122), trace.None())
+	s := startSystem(t, testOptions(122), trace.Noop())
 	for name, bytes := range map[string]string{
 		"text":                "GET / HTTP/1.1\r\n\r\n",
 		"a huge frame":        "\xff\xff\xff\xff",
--- a/internal/host/entry/system_test.go
+++ b/internal/host/entry/system_test.go
@@ -105,7 +105,7 @@
 }
 
 func (s *system) startUpstream(u platf.Upstream, o upstr.Options) {
-	region, _, _ := s.layout.Document.Locate(u.Domain)
+	region, _, _ := s.layout.Document.FindDomain(u.Domain)
 	o.Gauge = s.gauges[region.Name]
 	f := &fakeUpstream{addr: fmt.Sprintf("%s:%d", u.Address, u.Port)}
 	o.Crash = func() {
@@ -309,7 +309,7 @@
 	o.Skip = func(domain, service string) bool {
 		return service == layout.Catalog && strings.HasPrefix(domain, "dar")
 	}
-	s := startSystem(t, o, trace.None())
+	s := startSystem(t, o, trace.Noop())
 	a := s.call(call{host: "dar-a-1", service: layout.Catalog, key: "far"})
 	assert.Equal(t, a.outcome, "answered")
 	assert.Assert(t, strings.HasPrefix(a.upstream, "catalog-mwanza"), a.upstream)
--- a/internal/host/entry/takeover_test.go
+++ b/internal/host/entry/takeover_test.go
@@ -38,7 +38,7 @@
 func TestADeadDomainsPoolsAreUsedUntilItIsBack(t *testing.T) {
 	t.Parallel()
 	o := testOptions(124)
-	s := startSystem(t, o, trace.None())
+	s := startSystem(t, o, trace.Noop())
 	own := []string{"dar-a-1", "dar-a-2"}
 	s.eventually(15*time.Second, "dar-a has its even part of the link", func() bool { return s.mwanzaLinkQuota(own...) == o.Rate/2 })
 	for _, seat := range []string{"dar-b-1", "dar-b-2"} {
--- a/internal/host/entry/whole_test.go
+++ b/internal/host/entry/whole_test.go
@@ -38,7 +38,7 @@
 func TestAPlannedStopCutsOffNoRequest(t *testing.T) {
 	t.Parallel()
 	o := testOptions(125)
-	s := startSystem(t, o, trace.None())
+	s := startSystem(t, o, trace.Noop())
 	for id, u := range s.upstreams {
 		if strings.HasPrefix(id, layout.Catalog) {
 			u.Slow(700 * time.Millisecond)
@@ -77,7 +77,7 @@
 	t.Parallel()
 	o := testOptions(126)
 	o.Upstreams, o.Capacity = 2, 8
-	s := startSystem(t, o, trace.None())
+	s := startSystem(t, o, trace.Noop())
 	for _, u := range s.upstreams {
 		u.Slow(30 * time.Millisecond)
 	}
@@ -185,7 +185,7 @@
 	const waitLimit = time.Minute // Under load from other tests the target appears slow and the shift pauses as designed.
 	o := testOptions(127)
 	spans := tracetest.NewInMemoryExporter()
-	s := startSystem(t, o, trace.With(sdk.NewSimpleSpanProcessor(spans), "test"))
+	s := startSystem(t, o, trace.NewProvider(sdk.NewSimpleSpanProcessor(spans), "test"))
 	var target []*fakeUpstream
 	for id, u := range s.upstreams {
 		if strings.HasPrefix(id, layout.Price+"-mwanza") {
--- a/internal/host/meters/meters.go
+++ b/internal/host/meters/meters.go
@@ -10,14 +10,14 @@
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
-// Meters holds the metrics of one host.
-type Meters struct {
+// Metrics holds the metrics of one host.
+type Metrics struct {
 	Registry       *prometheus.Registry
 	Requests       *prometheus.CounterVec   // By route, outcome and reason.
 	RequestLatency *prometheus.HistogramVec // Seconds from the first byte of a request to its answer, by route.
 	Tries          *prometheus.CounterVec   // By service and reason.
 	TryLatency     *prometheus.HistogramVec // Seconds that a try at an upstream took, by service.
-	Notes          *prometheus.CounterVec   // Changes in the host's view of the system, by kind.
+	ViewChanges    *prometheus.CounterVec   // Changes in the host's view of the system, by kind.
 	Calls          *prometheus.CounterVec   // Calls to the store, by call and result.
 	Dropped        prometheus.Counter       // Log lines that were dropped.
 }
@@ -26,18 +26,18 @@
 var latencyBuckets = []float64{.01, .025, .05, .1, .15, .25, .4, .6, 1, 1.5, 2.5, 4, 6, 12}
 
 // New returns registered metrics with all values at zero.
-func New() *Meters {
-	m := &Meters{
+func New() *Metrics {
+	m := &Metrics{
 		Registry:       prometheus.NewRegistry(),
 		Requests:       counter("requests_total", "Requests of callers by how they ended.", "route", "outcome", "reason"),
 		RequestLatency: histogram("request_seconds", "Time from a request's first byte to its answer.", "route"),
 		Tries:          counter("tries_total", "Tries at upstreams by how they ended.", "service", "reason"),
 		TryLatency:     histogram("try_seconds", "Time of a try at an upstream.", "service"),
-		Notes:          counter("beliefs_total", "Changes of what the host believes.", "what"),
+		ViewChanges:    counter("beliefs_total", "Changes of what the host believes.", "what"),
 		Calls:          counter("store_calls_total", "Calls to the platform's store.", "call", "result"),
 		Dropped:        prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_dropped_total", Help: "Log lines dropped."}),
 	}
-	m.Registry.MustRegister(m.Requests, m.RequestLatency, m.Tries, m.TryLatency, m.Notes, m.Calls, m.Dropped)
+	m.Registry.MustRegister(m.Requests, m.RequestLatency, m.Tries, m.TryLatency, m.ViewChanges, m.Calls, m.Dropped)
 	return m
 }
 
@@ -51,8 +51,8 @@
 	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: latencyBuckets}, labels)
 }
 
-// Ended records the outcome and the latency of an answered request.
-func (m *Meters) Ended(job *pipe.Job, took time.Duration) {
+// ObserveRequest records the outcome and the latency of an answered request.
+func (m *Metrics) ObserveRequest(job *pipe.Job, took time.Duration) {
 	route := "none"
 	if job.Route != nil {
 		route = job.Route.Name
@@ -61,8 +61,8 @@
 	m.RequestLatency.WithLabelValues(route).Observe(took.Seconds())
 }
 
-// Tried records the outcome and the duration of one try at an upstream.
-func (m *Meters) Tried(job *pipe.Job, service string, took time.Duration) {
+// ObserveAttempt records the outcome and the duration of one try at an upstream.
+func (m *Metrics) ObserveAttempt(job *pipe.Job, service string, took time.Duration) {
 	reason := string(job.Outcome.Reason)
 	if job.Outcome.Kind == pipe.Answered {
 		reason = "answered"
@@ -72,6 +72,6 @@
 }
 
 // Handler serves the metrics in the Prometheus text format, uncompressed.
-func (m *Meters) Handler() http.Handler {
+func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.Registry, promhttp.HandlerOpts{DisableCompression: true})
 }
--- a/internal/host/stats/stats.go
+++ b/internal/host/stats/stats.go
@@ -27,8 +27,8 @@
 
 func newMap() *expvar.Map { return new(expvar.Map).Init() }
 
-// Ended counts a job that this host accepted from a caller.
-func (s *Stats) Ended(job *pipe.Job) {
+// CountJob counts a job that this host accepted from a caller.
+func (s *Stats) CountJob(job *pipe.Job) {
 	rank := job.Rank
 	if job.Level < 0 || rank == "" {
 		rank = "none"
@@ -39,8 +39,8 @@
 	}
 }
 
-// Refused counts a request that was refused before it reached the filters.
-func (s *Stats) Refused(reason pipe.Reason) { s.Reasons.Add("front/"+string(reason), 1) }
+// CountRefusal counts a request that was refused before it reached the filters.
+func (s *Stats) CountRefusal(reason pipe.Reason) { s.Reasons.Add("front/"+string(reason), 1) }
 
 // Gauge publishes the value that a function returns on each read.
 func (s *Stats) Gauge(name string, value func() any) { s.Gauges.Set(name, expvar.Func(value)) }
--- a/internal/host/steer/hops.go
+++ b/internal/host/steer/hops.go
@@ -20,7 +20,7 @@
 	if h.host.Tracer == nil {
 		return h.host.placer.Acquire(ctx, now, ask)
 	}
-	carrier, end := trace.Begin(ctx, h.host.Tracer, "ask", ask.Trace, attribute.String("boragelane.service", ask.Service))
+	carrier, end := trace.StartFromCarrier(ctx, h.host.Tracer, "ask", ask.Trace, attribute.String("boragelane.service", ask.Service))
 	ask.Trace = carrier
 	g := h.host.placer.Acquire(ctx, now, ask)
 	end(grantAttributes(g)...)
@@ -38,7 +38,7 @@
 		return h.host.sender.Send(ctx, now, job, u)
 	}
 	parent := job.Trace
-	carrier, end := trace.Begin(ctx, h.host.Tracer, "upstream", parent,
+	carrier, end := trace.StartFromCarrier(ctx, h.host.Tracer, "upstream", parent,
 		attribute.String("boragelane.job", job.ID), attribute.String("boragelane.upstream", u.ID), attribute.Int("boragelane.try", job.Tries))
 	job.Trace = carrier
 	r := h.host.sender.Send(ctx, now, job, u)
@@ -55,7 +55,7 @@
 	if p.host.Tracer == nil {
 		return p.host.table.Acquire(ctx, now, ask)
 	}
-	_, end := trace.Begin(ctx, p.host.Tracer, "place", ask.Trace,
+	_, end := trace.StartFromCarrier(ctx, p.host.Tracer, "place", ask.Trace,
 		attribute.String("boragelane.service", ask.Service), attribute.String("boragelane.host", ask.Host.Name))
 	g := p.host.table.Acquire(ctx, now, ask)
 	end(grantAttributes(g)...)
--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -57,7 +57,7 @@
 	Settings Settings
 	Clock    func() time.Time
 	Log      *zap.Logger
-	Metrics  *meters.Meters
+	Metrics  *meters.Metrics
 	Loader   Loader
 	Tracer   otel.Tracer // Records a span for each hop of a job; nil disables tracing.
 	Done     chan struct{}
@@ -83,14 +83,14 @@
 }
 
 // New returns a host; Run starts it.
-func New(s Settings, store Store, front Frontend, names dialer.Names, clock func() time.Time, log *zap.Logger, metrics *meters.Meters) *Host {
+func New(s Settings, store Store, front Frontend, names dialer.Names, clock func() time.Time, log *zap.Logger, metrics *meters.Metrics) *Host {
 	s.Host.Incarnation = newID()
 	h := &Host{
 		Settings: s, Clock: clock, Log: log, Metrics: metrics, Done: make(chan struct{}), front: front, store: store,
 		table: place.NewTable(), sender: dialer.New(names, clock), budget: serve.NewBudget(s.Retry),
 		crashes: &guard.Table{}, crashReports: make(chan roster.Crash, crashReportBuffer),
 	}
-	h.table.SetShift(s.Shift)
+	h.table.SetShift(s.MaxShift)
 	events := &eventLog{log: log, metrics: h.Metrics}
 	h.loop = watch.NewLoop(s.Host, clock, events)
 	h.loop.Followers = []watch.Follower{h.table, &crashReceiver{crashes: h.crashes}}
@@ -161,7 +161,7 @@
 // recordRequest records a finished job in the metrics and the log.
 func (h *Host) recordRequest(job *pipe.Job) {
 	took := h.Clock().Sub(job.Started)
-	h.Metrics.Ended(job, took)
+	h.Metrics.ObserveRequest(job, took)
 	(&eventLog{log: h.Log, metrics: h.Metrics}).logRequest(job, took)
 }
 
--- a/internal/host/steer/journal.go
+++ b/internal/host/steer/journal.go
@@ -16,7 +16,7 @@
 // eventLog records events of the control loop and of jobs in the log and the metrics.
 type eventLog struct {
 	log     *zap.Logger
-	metrics *meters.Meters
+	metrics *meters.Metrics
 }
 
 // millisField returns a log field with a duration in milliseconds.
@@ -34,7 +34,7 @@
 
 // Believe logs and counts a change in this host's view of the system.
 func (l *eventLog) Believe(_ time.Time, n watch.Note) {
-	l.metrics.Notes.WithLabelValues(n.What).Inc()
+	l.metrics.ViewChanges.WithLabelValues(n.What).Inc()
 	l.log.Info(n.What, zap.String("name", n.Name), zap.Int64("revision", n.Revision), errorField(n.Err))
 }
 
@@ -59,7 +59,7 @@
 
 // Tried counts one try of a job and logs it unless it was the first and got a whole reply.
 func (l *eventLog) Tried(now time.Time, job *pipe.Job, u *roster.Upstream, d time.Duration) {
-	l.metrics.Tried(job, u.Service, d)
+	l.metrics.ObserveAttempt(job, u.Service, d)
 	if job.Reply.Whole && job.Tries == 1 {
 		return // The log line at the end of the job has all of it.
 	}
--- a/internal/host/trace/trace.go
+++ b/internal/host/trace/trace.go
@@ -28,25 +28,25 @@
 	Shutdown func(context.Context) error
 }
 
-// None returns a provider that discards all spans.
-func None() Provider {
+// Noop returns a provider that discards all spans.
+func Noop() Provider {
 	return Provider{TracerProvider: noop.NewTracerProvider(), Shutdown: func(context.Context) error { return nil }}
 }
 
 // Setup returns a provider that exports spans to the OTLP collector at url; for an empty url it returns None.
 func Setup(ctx context.Context, url, instance string) (Provider, error) {
 	if url == "" {
-		return None(), nil
+		return Noop(), nil
 	}
 	exp, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(url))
 	if err != nil {
 		return Provider{}, ErrExporter.Wrap(err, "setting up %s", url)
 	}
-	return With(sdk.NewBatchSpanProcessor(exp), instance), nil
+	return NewProvider(sdk.NewBatchSpanProcessor(exp), instance), nil
 }
 
-// With returns a provider that passes its spans to a processor.
-func With(p sdk.SpanProcessor, instance string) Provider {
+// NewProvider returns a provider that passes its spans to a processor.
+func NewProvider(p sdk.SpanProcessor, instance string) Provider {
 	res := resource.NewSchemaless(attribute.String("service.name", "boragelane"), attribute.String("service.instance.id", instance))
 	tp := sdk.NewTracerProvider(sdk.WithSpanProcessor(p), sdk.WithResource(res))
 	return Provider{TracerProvider: tp, Shutdown: tp.Shutdown}
@@ -66,14 +66,14 @@
 
 // Run starts the span as a child of the span in the job's trace context.
 func (h Hop) Run(ctx context.Context, job *pipe.Job) {
-	ctx, end := Start(ctx, h.Tracer, h.Name, job)
+	ctx, end := StartJob(ctx, h.Tracer, h.Name, job)
 	h.Next.Run(ctx, job)
 	end()
 }
 
-// Begin starts a span as a child of the span in the parent carrier. It returns the carrier to propagate downstream, and a
+// StartFromCarrier starts a span as a child of the span in the parent carrier. It returns the carrier to propagate downstream, and a
 // function that adds attributes and ends the span.
-func Begin(ctx context.Context, tracer otel.Tracer, name string, parent map[string]string, attrs ...attribute.KeyValue) (map[string]string, func(attrs ...attribute.KeyValue)) {
+func StartFromCarrier(ctx context.Context, tracer otel.Tracer, name string, parent map[string]string, attrs ...attribute.KeyValue) (map[string]string, func(attrs ...attribute.KeyValue)) {
 	ctx = propagation.TraceContext{}.Extract(ctx, propagation.MapCarrier(parent))
 	ctx, span := tracer.Start(ctx, name, otel.WithAttributes(attrs...))
 	carrier := map[string]string{}
@@ -84,8 +84,8 @@
 	}
 }
 
-// Start starts a span for a job; the returned function records the job's outcome and ends the span.
-func Start(ctx context.Context, tracer otel.Tracer, name string, job *pipe.Job) (context.Context, func()) {
+// StartJob starts a span for a job; the returned function records the job's outcome and ends the span.
+func StartJob(ctx context.Context, tracer otel.Tracer, name string, job *pipe.Job) (context.Context, func()) {
 	parent := job.Trace
 	ctx = propagation.TraceContext{}.Extract(ctx, propagation.MapCarrier(parent))
 	ctx, span := tracer.Start(ctx, name, otel.WithAttributes(
--- a/internal/stand/claims/ways.go
+++ b/internal/stand/claims/ways.go
@@ -25,7 +25,7 @@
 // Claim issues a ticket and runs the job through the at-most-once filter.
 func (t *ticketClaimer) Claim(ctx context.Context, id string) bool {
 	now := t.clock()
-	self := plan.Self{Seat: "host", Incarnation: "0123456789abcdef"}
+	self := plan.Identity{Seat: "host", Incarnation: "0123456789abcdef"}
 	job := &pipe.Job{
 		ID: id, Once: true, Deadline: now.Add(time.Second), Plan: &plan.Plan{Self: self},
 		Ticket: t.filter.Issue(now, self.Seat, self.Incarnation).String(),
--- a/internal/stand/sizes/fleet.go
+++ b/internal/stand/sizes/fleet.go
@@ -86,7 +86,7 @@
 		for _, domain := range region.Domains {
 			for i, seat := range domain.Seats {
 				h := &simHost{
-					state: state.New(plan.Self{Seat: seat.Name, Domain: domain.Name, Region: region.Name, Incarnation: "0123456789abcdef"}),
+					state: state.New(plan.Identity{Seat: seat.Name, Domain: domain.Name, Region: region.Name, Incarnation: "0123456789abcdef"}),
 					rng:   rand.New(rand.NewPCG(uint64(i), uint64(len(f.hostList)))),
 				}
 				f.hosts[seat.Name] = h
--- a/internal/stand/sizes/measure.go
+++ b/internal/stand/sizes/measure.go
@@ -112,7 +112,7 @@
 	add("change", hosts, float64(len(entry)), "B")
 	notice := peer.Size(state.Notice{Seat: "d0-0", Revision: next.Revision, Changes: changes})
 	add("relay change", hosts, float64(size.Hosts-1)*float64(notice+emptyAnswerSize), "B")
-	self := plan.Self{Seat: "d0-0", Domain: "domain-0", Region: "region-0"}
+	self := plan.Identity{Seat: "d0-0", Domain: "domain-0", Region: "region-0"}
 	kept, bytes := heapGrowth(func() any {
 		st := state.New(self)
 		state.Fold(st, state.Adopt{Doc: Document(size)}, time.Unix(100_000, 0))
@@ -141,12 +141,12 @@
 		lookup.Sites = append(lookup.Sites, rendez.NewSite(fmt.Sprint("site-", i), 1))
 	}
 	sum := 0
-	buf := make([]int, 0, plan.LookupHosts)
+	buf := make([]int, 0, plan.MaxLookupHosts)
 	add("look-up", float64(sites), nanosPerCall(200_000_000/sites/1000, func(i int) { sum += lookup.Pick(uint64(i), buf)[0] }), "ns")
-	p := &plan.Plan{Self: plan.Self{Region: "r0"}, Links: map[string]share.Amount{}}
+	p := &plan.Plan{Self: plan.Identity{Region: "r0"}, Links: map[string]share.Quota{}}
 	for i := range max(1, sites/9) {
 		region := fmt.Sprint("r", i%25)
-		p.Links[region] = share.Amount{Floor: 1}
+		p.Links[region] = share.Quota{Floor: 1}
 		p.Domains = append(p.Domains, plan.Domain{
 			Name: fmt.Sprint("d", i), Region: region, Delay: time.Duration(i) * time.Millisecond, Hosts: []spec.Seat{{Name: "h"}},
 			Loads: map[string]plan.Load{"svc": {Slots: 100, Busy: 50}},
