--- a/internal/edge/dialer/dialer.go
+++ b/internal/edge/dialer/dialer.go
@@ -73,7 +73,7 @@
 			r.Late = ctx.Err() != nil
 			return r
 		}
-		r.Dial = s.Clock().Sub(now)
+		r.DialTime = s.Clock().Sub(now)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	r.Sent = true
@@ -86,7 +86,7 @@
 	if err != nil {
 		r.Err = err
 		r.Late = ctx.Err() != nil
-		r.Crash = !r.Late && !errorx.IsOfType(err, ErrResponse) && !egress.Reachable(u.Address)
+		r.Crashed = !r.Late && !errorx.IsOfType(err, ErrResponse) && !egress.Reachable(u.Address)
 	}
 	return r
 }
@@ -189,7 +189,7 @@
 	r.Draining = resp.Close
 	switch {
 	case resp.Status == http.StatusMisdirectedRequest:
-		r.Moved = true
+		r.AddressReused = true
 		return
 	case h.Get(s.Names.NotExecuted) != "":
 		r.Shed = true
@@ -197,15 +197,15 @@
 	}
 	success := resp.Status < http.StatusMultipleChoices
 	signed := h.Get(s.Names.Signature) != "" && r.ID != ""
-	r.Whole = signed || !success
+	r.Complete = signed || !success
 	if success && !signed {
 		r.Err = ErrResponse.New("response is not signed")
 	}
-	r.Answer = pipe.Answer{Status: resp.Status, Type: h.Get("Content-Type"), Header: h, Body: body}
+	r.Answer = pipe.Answer{Status: resp.Status, ContentType: h.Get("Content-Type"), Header: h, Body: body}
 }
 
 // parseLoad parses the load header: running, waiting and slots; it returns nil if the value is malformed.
-func parseLoad(text string) *pipe.Report {
+func parseLoad(text string) *pipe.LoadReport {
 	parts := strings.Split(text, ",")
 	if len(parts) != 3 {
 		return nil
@@ -218,7 +218,7 @@
 		}
 		n[i] = v
 	}
-	return &pipe.Report{Running: n[0], Waiting: n[1], Slots: n[2]}
+	return &pipe.LoadReport{Running: n[0], Waiting: n[1], Slots: n[2]}
 }
 
 // reuseTimeout returns how long a connection may stay idle, according to the Keep-Alive header.
--- a/internal/edge/dialer/dialer_test.go
+++ b/internal/edge/dialer/dialer_test.go
@@ -72,9 +72,9 @@
 	})
 	s := New(testNames, time.Now)
 	r := send(s, u, "7")
-	assert.Assert(t, r.Whole && r.Sent)
+	assert.Assert(t, r.Complete && r.Sent)
 	assert.Equal(t, string(r.Answer.Body), "whole")
-	assert.DeepEqual(t, *r.Report, pipe.Report{Running: 1, Waiting: 2, Slots: 3})
+	assert.DeepEqual(t, *r.Report, pipe.LoadReport{Running: 1, Waiting: 2, Slots: 3})
 	assert.Equal(t, got.RequestURI, "/a/b?c=%20d")
 	assert.Equal(t, got.Header.Get("X-Target"), "u1")
 	assert.Equal(t, got.Header.Get("User-Agent"), "")
@@ -104,11 +104,11 @@
 		t.Run(c.name, func(t *testing.T) {
 			u := startUpstream(t, func(int, *http.Request) string { return c.answer })
 			r := send(New(testNames, time.Now), u, "7")
-			assert.Equal(t, r.Whole, c.whole, "%v", r.Err)
+			assert.Equal(t, r.Complete, c.whole, "%v", r.Err)
 			assert.Equal(t, r.Shed, c.shed)
-			assert.Equal(t, r.Moved, c.moved)
+			assert.Equal(t, r.AddressReused, c.moved)
 			assert.Equal(t, r.Sent, c.sent)
-			assert.Assert(t, !r.Crash)
+			assert.Assert(t, !r.Crashed)
 		})
 	}
 }
@@ -131,7 +131,7 @@
 	s := New(testNames, time.Now)
 	for _, id := range []string{"1", "2", "3"} {
 		r := send(s, u, id)
-		assert.Assert(t, r.Whole, "%s: %v", id, r.Err)
+		assert.Assert(t, r.Complete, "%s: %v", id, r.Err)
 		time.Sleep(20 * time.Millisecond)
 	}
 }
@@ -143,7 +143,7 @@
 	for _, born := range []int64{1, 1, 2} {
 		v := *u
 		v.Born = born
-		if r := send(s, &v, "1"); r.Dial > 0 {
+		if r := send(s, &v, "1"); r.DialTime > 0 {
 			opened++
 		}
 	}
@@ -165,9 +165,9 @@
 	}()
 	s := New(testNames, time.Now)
 	r := send(s, &roster.Upstream{ID: "u", Address: addr}, "1")
-	assert.Assert(t, r.Sent && r.Crash, "%v", r.Err)
+	assert.Assert(t, r.Sent && r.Crashed, "%v", r.Err)
 	r = send(s, &roster.Upstream{ID: "u", Address: addr}, "2")
-	assert.Assert(t, !r.Sent && !r.Crash)
+	assert.Assert(t, !r.Sent && !r.Crashed)
 }
 
 func TestACallerThatDisconnectsCancelsItsRequest(t *testing.T) {
--- a/internal/edge/egress/egress.go
+++ b/internal/edge/egress/egress.go
@@ -64,7 +64,7 @@
 }
 
 // transport returns the transport for an upstream, limited to the configured number of connections.
-func (s *Sender) transport(p pipe.Place) *http.Transport {
+func (s *Sender) transport(p pipe.UpstreamRef) *http.Transport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	conns := max(1, p.Conns)
@@ -125,8 +125,8 @@
 	req.Body = unreplayableBody{bytes.NewReader(job.Body)}
 	req.ContentLength = int64(len(job.Body))
 	req.GetBody = nil
-	if job.Type != "" {
-		req.Header.Set("Content-Type", job.Type)
+	if job.ContentType != "" {
+		req.Header.Set("Content-Type", job.ContentType)
 	}
 	req.Header.Set(HeaderID, job.ID)
 	req.Header.Set(HeaderTimeout, strconv.FormatInt(job.Deadline.Sub(job.Started).Milliseconds(), 10))
@@ -151,7 +151,7 @@
 	if !r.Sent {
 		return
 	}
-	r.Crash = !established || !Reachable(job.Upstream.Address)
+	r.Crashed = !established || !Reachable(job.Upstream.Address)
 }
 
 // Reachable reports whether an upstream accepts TCP connections.
@@ -174,8 +174,8 @@
 		return
 	}
 	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	r.Whole = framed && len(body) <= MaxResponseBody && digestMatches(resp.Header.Get(HeaderDigest), body)
-	r.Answer = pipe.Answer{Status: resp.StatusCode, Type: resp.Header.Get("Content-Type"), Body: body}
+	r.Complete = framed && len(body) <= MaxResponseBody && digestMatches(resp.Header.Get(HeaderDigest), body)
+	r.Answer = pipe.Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}
 }
 
 // digestMatches verifies a sha-256 Content-Digest field (RFC 9530); it accepts a missing field and any other form.
--- a/internal/edge/egress/egress_test.go
+++ b/internal/edge/egress/egress_test.go
@@ -30,7 +30,7 @@
 func job(addr string) *pipe.Job {
 	return &pipe.Job{
 		ID: "job-1", Method: http.MethodGet, Path: "/x", Once: true,
-		Upstream: pipe.Place{ID: "u", Address: strings.TrimPrefix(addr, "http://"), Conns: 2},
+		Upstream: pipe.UpstreamRef{ID: "u", Address: strings.TrimPrefix(addr, "http://"), Conns: 2},
 		Started:  time.Now(), Deadline: time.Now().Add(2 * time.Second),
 	}
 }
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -121,11 +121,11 @@
 	defer f.inFlight.Add(-1)
 	job := &pipe.Job{
 		ID: r.Header.Get(HeaderID), Service: r.PathValue("service"), Rank: r.Header.Get(HeaderRank),
-		Caller: callerName(r), Method: r.Method, Path: upstreamPath(r), Type: r.Header.Get("Content-Type"),
+		Caller: callerName(r), Method: r.Method, Path: upstreamPath(r), ContentType: r.Header.Get("Content-Type"),
 		Ticket: r.Header.Get(HeaderTicket), Trace: map[string]string{},
 	}
 	if f.inFlight.Add(1) > maxInFlight {
-		job.Reject(pipe.QueueFull, "this host serves too many requests")
+		job.RefuseUnclaimed(pipe.QueueFull, "this host serves too many requests")
 		f.writeProblem(w, job)
 		return
 	}
@@ -149,14 +149,14 @@
 func (f *Front) parseRequest(w http.ResponseWriter, r *http.Request, job *pipe.Job) bool {
 	if len(job.ID) > maxIDBytes {
 		job.ID = ""
-		job.Reject(pipe.BadRequest, "an id in "+HeaderID+" has at most "+strconv.Itoa(maxIDBytes)+" bytes")
+		job.RefuseUnclaimed(pipe.BadRequest, "an id in "+HeaderID+" has at most "+strconv.Itoa(maxIDBytes)+" bytes")
 		return false
 	}
 	now := f.Clock()
 	if text := r.Header.Get(HeaderTimeout); text != "" {
 		d, err := time.ParseDuration(text)
 		if err != nil || d <= 0 {
-			job.Reject(pipe.BadRequest, HeaderTimeout+" is a time above 0 such as 250ms, got "+strconv.Quote(text))
+			job.RefuseUnclaimed(pipe.BadRequest, HeaderTimeout+" is a time above 0 such as 250ms, got "+strconv.Quote(text))
 			return false
 		}
 		job.Deadline = now.Add(d)
@@ -166,10 +166,10 @@
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
-		job.Reject(pipe.TooLarge, "a body has at most "+strconv.Itoa(accept.MaxBody)+" bytes")
+		job.RefuseUnclaimed(pipe.TooLarge, "a body has at most "+strconv.Itoa(accept.MaxBody)+" bytes")
 		return false
 	case err != nil:
-		job.Reject(pipe.BadRequest, "the body did not arrive whole")
+		job.RefuseUnclaimed(pipe.BadRequest, "the body did not arrive whole")
 		return false
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
@@ -186,8 +186,8 @@
 	h.Set(HeaderOutcome, job.Outcome.Kind.String())
 	h.Set(HeaderID, job.ID)
 	h.Set(HeaderServed, job.Upstream.ID)
-	if job.Answer.Type != "" {
-		h.Set("Content-Type", job.Answer.Type)
+	if job.Answer.ContentType != "" {
+		h.Set("Content-Type", job.Answer.ContentType)
 	}
 	h.Set("Content-Length", strconv.Itoa(len(job.Answer.Body)))
 	w.WriteHeader(job.Answer.Status)
--- a/internal/edge/peer/client.go
+++ b/internal/edge/peer/client.go
@@ -198,9 +198,9 @@
 	case errorx.IsOfType(err, ErrDown):
 		job.Refuse(pipe.PeerDown, "host "+addr+" can't be reached")
 	case ctx.Err() != nil:
-		job.Lose(pipe.Expired, "host "+addr+" did not answer in time")
+		job.EndUnknown(pipe.Expired, "host "+addr+" did not answer in time")
 	default:
-		job.Lose(pipe.PeerLost, "the connection to host "+addr+" was lost")
+		job.EndUnknown(pipe.PeerLost, "the connection to host "+addr+" was lost")
 	}
 }
 
--- a/internal/edge/peer/wirejob.go
+++ b/internal/edge/peer/wirejob.go
@@ -27,7 +27,7 @@
 func fromJob(j *pipe.Job, now time.Time) wireJob {
 	return wireJob{
 		ID: j.ID, Service: j.Service, Rank: j.Rank, Caller: j.Caller, Method: j.Method, Path: j.Path,
-		Type: j.Type, Body: j.Body, Left: j.Deadline.Sub(now).Microseconds(), Ticket: forwardedTicket(j),
+		Type: j.ContentType, Body: j.Body, Left: j.Deadline.Sub(now).Microseconds(), Ticket: forwardedTicket(j),
 		Hop: j.Hop + 1, From: j.Plan.Self.Region, Trace: j.Trace,
 	}
 }
@@ -43,8 +43,8 @@
 func (w wireJob) job(now time.Time) *pipe.Job {
 	return &pipe.Job{
 		ID: w.ID, Service: w.Service, Rank: w.Rank, Caller: w.Caller, Method: w.Method, Path: w.Path,
-		Type: w.Type, Body: w.Body, Deadline: now.Add(time.Duration(w.Left) * time.Microsecond),
-		Ticket: w.Ticket, Hop: w.Hop, From: w.From, Trace: w.Trace,
+		ContentType: w.Type, Body: w.Body, Deadline: now.Add(time.Duration(w.Left) * time.Microsecond),
+		Ticket: w.Ticket, Hop: w.Hop, FromRegion: w.From, Trace: w.Trace,
 	}
 }
 
@@ -62,7 +62,7 @@
 func fromOutcome(j *pipe.Job) wireOutcome {
 	return wireOutcome{
 		ID: j.ID, Kind: j.Outcome.Kind.String(), Reason: j.Outcome.Reason, Detail: j.Outcome.Detail,
-		Upstream: j.Upstream.ID, Status: j.Answer.Status, Type: j.Answer.Type, Body: j.Answer.Body,
+		Upstream: j.Upstream.ID, Status: j.Answer.Status, Type: j.Answer.ContentType, Body: j.Answer.Body,
 	}
 }
 
@@ -70,12 +70,12 @@
 func (w wireOutcome) applyTo(j *pipe.Job) {
 	kind, ok := pipe.ParseKind(w.Kind)
 	if !ok || kind == pipe.Pending || w.ID != j.ID {
-		j.Lose(pipe.Mismatch, "another host sent an outcome that is not this job's")
+		j.EndUnknown(pipe.AnswerMismatch, "another host sent an outcome that is not this job's")
 		return
 	}
 	j.Outcome = pipe.Outcome{Kind: kind, Reason: w.Reason, Detail: w.Detail}
 	j.Upstream.ID = w.Upstream
-	j.Answer = pipe.Answer{Status: w.Status, Type: w.Type, Body: w.Body}
+	j.Answer = pipe.Answer{Status: w.Status, ContentType: w.Type, Body: w.Body}
 }
 
 type wireCrash struct {
@@ -106,14 +106,14 @@
 
 func fromRecord(r once.Record) wireRecord {
 	j := pipe.Job{Outcome: r.Outcome, Answer: r.Answer}
-	return wireRecord{Ticket: r.Ticket, Expiry: r.Expiry.Unix(), Digest: r.Digest, Kept: r.Kept, End: fromOutcome(&j)}
+	return wireRecord{Ticket: r.Ticket, Expiry: r.Expiry.Unix(), Digest: r.Digest, Kept: r.AnswerKept, End: fromOutcome(&j)}
 }
 
 func (w wireRecord) record() once.Record {
 	j := pipe.Job{}
 	w.End.applyTo(&j)
 	return once.Record{
-		Ticket: w.Ticket, Expiry: time.Unix(w.Expiry, 0), Digest: w.Digest, Kept: w.Kept,
+		Ticket: w.Ticket, Expiry: time.Unix(w.Expiry, 0), Digest: w.Digest, AnswerKept: w.Kept,
 		Outcome: j.Outcome, Answer: j.Answer,
 	}
 }
--- a/internal/flow/accept/accept.go
+++ b/internal/flow/accept/accept.go
@@ -20,16 +20,16 @@
 // Run rejects invalid jobs and fills in the rank, the deadline and whether the job runs at most once.
 func (Pipe) Run(_ context.Context, now time.Time, job *pipe.Job) {
 	if job.Plan == nil || job.Plan.Doc == nil {
-		job.Reject(pipe.NoTarget, "this host has no configuration yet")
+		job.RefuseUnclaimed(pipe.NoTarget, "this host has no configuration yet")
 		return
 	}
 	svc, ok := job.Plan.Services[job.Service]
 	if !ok {
-		job.Reject(pipe.NoService, fmt.Sprintf("there is no service %q", job.Service))
+		job.RefuseUnclaimed(pipe.NoService, fmt.Sprintf("there is no service %q", job.Service))
 		return
 	}
 	if len(job.Body) > MaxBody {
-		job.Reject(pipe.BadRequest, fmt.Sprintf("a body of %d bytes is over %d", len(job.Body), MaxBody))
+		job.RefuseUnclaimed(pipe.BadRequest, fmt.Sprintf("a body of %d bytes is over %d", len(job.Body), MaxBody))
 		return
 	}
 	if job.Rank == "" {
@@ -37,7 +37,7 @@
 	}
 	job.Level = job.Plan.Doc.RankIndex(job.Rank)
 	if job.Level < 0 {
-		job.Reject(pipe.NoRank, fmt.Sprintf("there is no rank %q", job.Rank))
+		job.RefuseUnclaimed(pipe.NoRank, fmt.Sprintf("there is no rank %q", job.Rank))
 		return
 	}
 	limit := now.Add(time.Duration(svc.Timeout))
@@ -45,7 +45,7 @@
 		job.Deadline = limit
 	}
 	if !job.Deadline.After(now) {
-		job.Reject(pipe.Expired, "the deadline has passed")
+		job.RefuseUnclaimed(pipe.Expired, "the deadline has passed")
 		return
 	}
 	job.Once = svc.Once || job.Ticket != ""
--- a/internal/flow/admit/admit.go
+++ b/internal/flow/admit/admit.go
@@ -33,22 +33,22 @@
 	p.sched.Update(now, pl)
 }
 
-// Pump does the scheduler's time-driven work.
-func (p *Pipe) Pump(now time.Time) {
+// Tick does the scheduler's time-driven work.
+func (p *Pipe) Tick(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sched.Tick(now)
 }
 
-// Due returns the upstreams to probe now.
-func (p *Pipe) Due(now time.Time) []plan.Upstream {
+// DueProbes returns the upstreams to probe now.
+func (p *Pipe) DueProbes(now time.Time) []plan.Upstream {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.sched.DueProbes(now)
 }
 
-// Revive makes an upstream that a probe has reached available again.
-func (p *Pipe) Revive(now time.Time, id string) {
+// MarkUp makes an upstream that a probe has reached available again.
+func (p *Pipe) MarkUp(now time.Time, id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sched.MarkUp(now, id)
@@ -61,8 +61,8 @@
 	return p.sched.Load(now)
 }
 
-// Expect returns the expected wait of a new job on this host.
-func (p *Pipe) Expect(now time.Time, service string, level int) time.Duration {
+// EstimateWait returns the expected wait of a new job on this host.
+func (p *Pipe) EstimateWait(now time.Time, service string, level int) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.sched.EstimateWait(now, service, level)
@@ -129,7 +129,7 @@
 func (p *Pipe) assignUpstream(job *pipe.Job, upstream string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	job.Upstream = pipe.Place{ID: upstream}
+	job.Upstream = pipe.UpstreamRef{ID: upstream}
 	if up := p.sched.services[job.Service].upstreams[upstream]; up != nil {
 		job.Upstream.Address, job.Upstream.Conns = up.Address, up.Conns
 	}
@@ -163,9 +163,9 @@
 	switch job.Outcome.Reason {
 	case pipe.Shed, pipe.Expired:
 		return Overload
-	case pipe.Refused:
+	case pipe.ConnectFailed:
 		return Failed
-	case pipe.Lost:
+	case pipe.ConnectionLost:
 		if job.Crashed {
 			return Failed
 		}
--- a/internal/flow/admit/scheduler.go
+++ b/internal/flow/admit/scheduler.go
@@ -66,7 +66,7 @@
 	if q.len() >= s.queueLimits[w.Level] {
 		return QueueFull
 	}
-	if wait := po.estimateWait(now, w.Level); wait > time.Duration(pipe.WaitPart*float64(w.Deadline.Sub(now)-po.costs[w.Level].mean)) {
+	if wait := po.estimateWait(now, w.Level); wait > time.Duration(pipe.MaxWaitFraction*float64(w.Deadline.Sub(now)-po.costs[w.Level].mean)) {
 		return TooLate
 	}
 	w.Since = now
--- a/internal/flow/carry/carry.go
+++ b/internal/flow/carry/carry.go
@@ -20,7 +20,7 @@
 
 // Router adds targets to a job that its first target did not answer.
 type Router interface {
-	More(now time.Time, job *pipe.Job)
+	AddTargets(now time.Time, job *pipe.Job)
 }
 
 // Reporter is notified of unreachable hosts, so that the next plan avoids them.
@@ -72,20 +72,20 @@
 // is tried again, since it will use another upstream.
 func (p *Pipe) addTargets(job *pipe.Job) {
 	switch job.Outcome.Reason {
-	case pipe.Refused, pipe.Shed, pipe.Lost, pipe.Mismatch:
+	case pipe.ConnectFailed, pipe.Shed, pipe.ConnectionLost, pipe.AnswerMismatch:
 		job.Targets = append(job.Targets, job.Targets[0])
 	}
-	p.Router.More(p.Clock(), job)
+	p.Router.AddTargets(p.Clock(), job)
 }
 
 func (p *Pipe) tryTarget(ctx context.Context, t pipe.Target, job *pipe.Job) {
-	job.Outcome, job.Upstream, job.Reply, job.Crashed = pipe.Outcome{}, pipe.Place{}, pipe.Reply{}, false
+	job.Outcome, job.Upstream, job.Reply, job.Crashed = pipe.Outcome{}, pipe.UpstreamRef{}, pipe.Reply{}, false
 	now := p.Clock()
 	if t.Self {
 		p.Local.Run(ctx, job)
 		return
 	}
-	if t.Region != job.Plan.Self.Region && !p.Pacer.Wait(ctx, now, t.Region, job.Level, Size(len(job.Body)), job.WaitUntil(now)) {
+	if t.Region != job.Plan.Self.Region && !p.Pacer.Wait(ctx, now, t.Region, job.Level, MessageSize(len(job.Body)), job.QueueDeadline(now)) {
 		job.Refuse(pipe.LinkFull, "the link to region "+t.Region+" has no room in time")
 		return
 	}
@@ -98,8 +98,8 @@
 // MessageOverhead is the maximum size, in bytes, of a message between hosts without its body.
 const MessageOverhead = 1024
 
-// Size returns the size in bytes of a message with a body, which is sent in base64.
-func Size(body int) int64 { return int64(body+2)/3*4 + MessageOverhead }
+// MessageSize returns the size in bytes of a message with a body, which is sent in base64.
+func MessageSize(body int) int64 { return int64(body+2)/3*4 + MessageOverhead }
 
 func (p *Pipe) recordFirstTry(job *pipe.Job) {
 	p.mu.Lock()
--- a/internal/flow/carry/pacer.go
+++ b/internal/flow/carry/pacer.go
@@ -211,8 +211,8 @@
 	ln.sentBytes += bytes
 }
 
-// Spent returns the number of bytes sent to each region.
-func (p *Pacer) Spent() map[string]int64 {
+// SentBytes returns the number of bytes sent to each region.
+func (p *Pacer) SentBytes() map[string]int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out := make(map[string]int64, len(p.links))
--- a/internal/flow/carry/pacer_test.go
+++ b/internal/flow/carry/pacer_test.go
@@ -130,12 +130,12 @@
 
 func (p *recordingPeers) Run(_ context.Context, _ pipe.Target, job *pipe.Job) {
 	p.sent++
-	job.Finish(pipe.Answer{Status: 200})
+	job.EndAnswered(pipe.Answer{Status: 200})
 }
 
 type noRouter struct{}
 
-func (noRouter) More(time.Time, *pipe.Job) {}
+func (noRouter) AddTargets(time.Time, *pipe.Job) {}
 
 func TestJobIsRefusedAtOnceIfTheLinkWaitIsTooLong(t *testing.T) {
 	pacer := NewPacer(time.Now)
--- a/internal/flow/guard/guard.go
+++ b/internal/flow/guard/guard.go
@@ -33,7 +33,7 @@
 
 // Notifier tells other hosts about a crash, and returns when they know or the time limit is reached.
 type Notifier interface {
-	Tell(now time.Time, c Crash)
+	NotifyCrash(now time.Time, c Crash)
 }
 
 // Table stores recent crashes.
@@ -88,8 +88,8 @@
 
 // Pipe refuses jobs in quarantine.
 type Pipe struct {
-	Table  *Table
-	Teller Notifier
+	Table    *Table
+	Notifier Notifier
 }
 
 // String names the filter.
@@ -104,13 +104,13 @@
 
 // Finish records the crashes and tells the other hosts before the caller gets the outcome and can retry.
 func (p Pipe) Finish(now time.Time, job *pipe.Job) {
-	upstreams := job.Crashes
+	upstreams := job.CrashedUpstreams
 	if job.Crashed {
 		upstreams = append(slices.Clone(upstreams), job.Upstream.ID)
 	}
 	for _, u := range upstreams {
 		c := Crash{Digest: job.Digest, Upstream: u, At: now}
 		p.Table.Add(c)
-		p.Teller.Tell(now, c)
+		p.Notifier.NotifyCrash(now, c)
 	}
 }
--- a/internal/flow/ident/ident.go
+++ b/internal/flow/ident/ident.go
@@ -22,7 +22,7 @@
 	if job.ID == "" {
 		job.ID = p.NewID()
 	}
-	job.Block = xxhash.Sum64String(job.Caller)
+	job.CallerHash = xxhash.Sum64String(job.Caller)
 	job.Digest = Digest(job)
 }
 
--- a/internal/flow/once/once.go
+++ b/internal/flow/once/once.go
@@ -9,8 +9,8 @@
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
-// TicketLife is how long a ticket is valid.
-const TicketLife = 10 * time.Minute
+// TicketLifetime is how long a ticket is valid.
+const TicketLifetime = 10 * time.Minute
 
 // Forwarder sends a job to the entry host that owns its ticket; it reports false if the job provably did not
 // reach that host.
@@ -21,9 +21,9 @@
 // Pipe runs the job of each ticket at most once: only the process that the ticket names, or the successor that
 // took over its tickets, runs it.
 type Pipe struct {
-	Table *Table
-	Owner Forwarder
-	NewID func() string
+	Table     *Table
+	Forwarder Forwarder
+	NewID     func() string
 }
 
 // String names the filter.
@@ -31,7 +31,7 @@
 
 // Issue returns a new ticket that this host owns.
 func (p Pipe) Issue(now time.Time, seat, incarnation string) Ticket {
-	return Ticket{Seat: seat, Incarnation: incarnation, Expiry: now.Add(TicketLife).Truncate(time.Second), Nonce: p.NewID()}
+	return Ticket{Seat: seat, Incarnation: incarnation, Expiry: now.Add(TicketLifetime).Truncate(time.Second), Nonce: p.NewID()}
 }
 
 // Run passes on the first try of a job and answers later tries with the recorded outcome; it forwards jobs whose
@@ -55,7 +55,7 @@
 		return
 	}
 	if !now.Before(tk.Expiry) {
-		job.Lose(pipe.BadTicket, "the ticket has expired; it will not be run by this try, an earlier try may have run")
+		job.EndUnknown(pipe.BadTicket, "the ticket has expired; it will not be run by this try, an earlier try may have run")
 		return
 	}
 	p.claim(ctx, tk, job)
@@ -68,22 +68,22 @@
 		job.Claimed = true
 		return
 	case claimTableFull:
-		job.Lose(pipe.QueueFull, "this host remembers too many jobs; this try was not run")
+		job.EndUnknown(pipe.QueueFull, "this host remembers too many jobs; this try was not run")
 		return
 	case claimTableClosed:
-		job.Lose(pipe.Stopping, "this host is stopping; try again: the ticket goes to its successor")
+		job.EndUnknown(pipe.Stopping, "this host is stopping; try again: the ticket goes to its successor")
 		return
 	case claimKnown:
 	}
 	if e.Digest != job.Digest {
-		job.Lose(pipe.BadTicket, "the ticket was used for a job with other content")
+		job.EndUnknown(pipe.BadTicket, "the ticket was used for a job with other content")
 		return
 	}
 	select {
 	case <-e.done:
 		replay(e, job)
 	case <-ctx.Done():
-		job.Lose(pipe.Expired, "an earlier try still runs")
+		job.EndUnknown(pipe.Expired, "an earlier try still runs")
 	}
 }
 
@@ -91,10 +91,10 @@
 	switch {
 	case e.Outcome.Kind != pipe.Answered:
 		job.Outcome = e.Outcome
-	case e.Kept:
-		job.Finish(e.Answer)
+	case e.AnswerKept:
+		job.EndAnswered(e.Answer)
 	default:
-		job.Lose(pipe.AnswerGone, "the job ran, its answer is no longer kept")
+		job.EndUnknown(pipe.AnswerGone, "the job ran, its answer is no longer kept")
 	}
 }
 
@@ -108,14 +108,14 @@
 // forward sends the job to the owner of its ticket, or to the hosts that take over tickets from the owner.
 func (p Pipe) forward(ctx context.Context, now time.Time, tk Ticket, job *pipe.Job) {
 	if job.Hop > 0 {
-		job.Lose(pipe.OwnerGone, "the ticket's owner is gone; it will not be run by this try, an earlier try may have run")
+		job.EndUnknown(pipe.OwnerGone, "the ticket's owner is gone; it will not be run by this try, an earlier try may have run")
 		return
 	}
 	for _, seat := range Successors(job.Plan.Doc, tk.Seat) {
 		if seat.Name == job.Plan.Self.Seat {
 			continue
 		}
-		if !p.Owner.Forward(ctx, now, seat, job) {
+		if !p.Forwarder.Forward(ctx, now, seat, job) {
 			continue
 		}
 		if job.Outcome.Reason == pipe.OwnerGone || job.Outcome.Reason == pipe.Stopping {
@@ -124,7 +124,7 @@
 		return
 	}
 	if !job.Ended() || job.Outcome.Kind == pipe.NotRun {
-		job.Lose(pipe.OwnerGone, "the ticket's owner can't be reached; it will not be run by this try, an earlier try may have run")
+		job.EndUnknown(pipe.OwnerGone, "the ticket's owner can't be reached; it will not be run by this try, an earlier try may have run")
 	}
 }
 
--- a/internal/flow/once/table.go
+++ b/internal/flow/once/table.go
@@ -19,12 +19,12 @@
 
 // Record is the state of one job with a ticket; Kept tells whether it holds the answer.
 type Record struct {
-	Ticket  string
-	Expiry  time.Time
-	Digest  uint64
-	Outcome pipe.Outcome
-	Answer  pipe.Answer
-	Kept    bool
+	Ticket     string
+	Expiry     time.Time
+	Digest     uint64
+	Outcome    pipe.Outcome
+	Answer     pipe.Answer
+	AnswerKept bool
 }
 
 type entry struct {
@@ -85,7 +85,7 @@
 	e.Outcome = o
 	if o.Kind == pipe.Answered && len(a.Body) <= MaxKeptAnswer && t.keptBytes+len(a.Body) <= MaxKeptBytes {
 		t.keptBytes += len(a.Body)
-		e.Answer, e.Kept = a, true
+		e.Answer, e.AnswerKept = a, true
 	}
 	close(e.done)
 }
@@ -98,7 +98,7 @@
 		if e.Outcome.Kind == pipe.Pending || now.Before(e.Expiry) {
 			continue
 		}
-		if e.Kept {
+		if e.AnswerKept {
 			t.keptBytes -= len(e.Answer.Body)
 		}
 		delete(t.records, k)
@@ -127,8 +127,8 @@
 	return out
 }
 
-// Refuse refuses new claims from now on; tries of known tickets still get their record.
-func (t *Table) Refuse() {
+// StopClaims refuses new claims from now on; tries of known tickets still get their record.
+func (t *Table) StopClaims() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.closed = true
@@ -145,8 +145,8 @@
 		if _, ok := t.records[r.Ticket]; ok {
 			continue
 		}
-		if r.Kept && t.keptBytes+len(r.Answer.Body) > MaxKeptBytes {
-			r.Answer, r.Kept = pipe.Answer{}, false
+		if r.AnswerKept && t.keptBytes+len(r.Answer.Body) > MaxKeptBytes {
+			r.Answer, r.AnswerKept = pipe.Answer{}, false
 		}
 		t.keptBytes += len(r.Answer.Body)
 		e := &entry{Record: r, done: make(chan struct{})}
--- a/internal/flow/once/ticket_test.go
+++ b/internal/flow/once/ticket_test.go
@@ -50,7 +50,7 @@
 		want    pipe.Kind
 	}{{"", false, pipe.NotRun}, {"t", false, pipe.Unknown}, {"t", true, pipe.NotRun}} {
 		j := &pipe.Job{Ticket: c.ticket, Claimed: c.claimed}
-		j.Reject(pipe.Expired, "")
+		j.RefuseUnclaimed(pipe.Expired, "")
 		assert.Equal(t, j.Outcome.Kind, c.want, "%+v", c)
 	}
 }
--- a/internal/flow/pipe/job.go
+++ b/internal/flow/pipe/job.go
@@ -10,45 +10,45 @@
 
 // Job is a request of a caller together with the state that the filters add to it.
 type Job struct {
-	ID       string
-	Service  string
-	Rank     string
-	Level    int
-	Caller   string
-	Block    uint64
-	Method   string
-	Path     string
-	Type     string
-	Body     []byte
-	Deadline time.Time
-	Ticket   string
-	Once     bool
-	Digest   uint64
-	Trace    map[string]string
-
-	Plan     *plan.Plan
-	Targets  []Target
-	Upstream Place
-	Started  time.Time
-	Reply    Reply
-	Outcome  Outcome
-	Answer   Answer
-	Crashed  bool
-	Draining bool
-	Claimed  bool
-	Hop      int
-	From     string // The region of the host that forwarded the job, or "" on its first hop.
-
-	Host       string              // The authority that the caller requested.
-	Header     map[string][]string // The header fields passed on to the upstream.
-	Object     string              // The affinity key: jobs with the same key run fastest on the same upstream.
-	View       *roster.View
-	Route      *policy.Route
-	Objective  time.Time     // The target time of the answer; a later answer is worth less.
-	Crashes    []string      // The upstreams that crashed during earlier tries.
-	MayHaveRun bool          // Some try may have run, whatever the result of later tries.
-	Tries      int           // The number of upstreams that the job was sent to.
-	RetryAfter time.Duration // How long a refused caller should wait before it retries.
+	ID          string
+	Service     string
+	Rank        string
+	Level       int
+	Caller      string
+	CallerHash  uint64
+	Method      string
+	Path        string
+	ContentType string
+	Body        []byte
+	Deadline    time.Time
+	Ticket      string
+	Once        bool
+	Digest      uint64
+	Trace       map[string]string
+
+	Plan       *plan.Plan
+	Targets    []Target
+	Upstream   UpstreamRef
+	Started    time.Time
+	Reply      Reply
+	Outcome    Outcome
+	Answer     Answer
+	Crashed    bool
+	Draining   bool
+	Claimed    bool
+	Hop        int
+	FromRegion string // The region of the host that forwarded the job, or "" on its first hop.
+
+	Host             string              // The authority that the caller requested.
+	Header           map[string][]string // The header fields passed on to the upstream.
+	Object           string              // The affinity key: jobs with the same key run fastest on the same upstream.
+	View             *roster.View
+	Route            *policy.Route
+	Objective        time.Time     // The target time of the answer; a later answer is worth less.
+	CrashedUpstreams []string      // The upstreams that crashed during earlier tries.
+	MayHaveRun       bool          // Some try may have run, whatever the result of later tries.
+	Tries            int           // The number of upstreams that the job was sent to.
+	RetryAfter       time.Duration // How long a refused caller should wait before it retries.
 }
 
 // Target is an entry host that may serve a job, and the reason for its selection.
@@ -61,8 +61,8 @@
 	Reason string
 }
 
-// Place identifies the upstream that a job was admitted to and bounds the connections to it.
-type Place struct {
+// UpstreamRef identifies the upstream that a job was admitted to and bounds the connections to it.
+type UpstreamRef struct {
 	ID      string
 	Address string
 	Conns   int64
@@ -70,14 +70,14 @@
 
 // Answer is the complete response of an upstream.
 type Answer struct {
-	Status int
-	Type   string
-	Header map[string][]string // The header fields passed on to the caller.
-	Body   []byte
+	Status      int
+	ContentType string
+	Header      map[string][]string // The header fields passed on to the caller.
+	Body        []byte
 }
 
-// Report is the load that an upstream reports about itself.
-type Report struct {
+// LoadReport is the load that an upstream reports about itself.
+type LoadReport struct {
 	Running int
 	Waiting int
 	Slots   int
@@ -85,18 +85,18 @@
 
 // Reply is the unchecked result of sending a job to an upstream.
 type Reply struct {
-	Answer   Answer
-	ID       string // The job ID that the upstream echoed, if any.
-	Sent     bool   // Some bytes of the job may have reached the upstream.
-	Whole    bool   // The answer is complete by its length and digest.
-	Shed     bool   // The upstream reported that it did not run the job.
-	Draining bool   // The upstream announced that it is draining.
-	Late     bool   // The deadline passed or the caller disconnected.
-	Crash    bool   // The upstream seems to have crashed.
-	Moved    bool   // Another upstream now has the address and did not run the job.
-	Report   *Report
-	Dial     time.Duration // The time taken to open a new connection; 0 if none was opened.
-	Err      error
+	Answer        Answer
+	ID            string // The job ID that the upstream echoed, if any.
+	Sent          bool   // Some bytes of the job may have reached the upstream.
+	Complete      bool   // The answer is complete by its length and digest.
+	Shed          bool   // The upstream reported that it did not run the job.
+	Draining      bool   // The upstream announced that it is draining.
+	Late          bool   // The deadline passed or the caller disconnected.
+	Crashed       bool   // The upstream seems to have crashed.
+	AddressReused bool   // Another upstream now has the address and did not run the job.
+	Report        *LoadReport
+	DialTime      time.Duration // The time taken to open a new connection; 0 if none was opened.
+	Err           error
 }
 
 // Kind classifies how a job ended.
@@ -140,35 +140,35 @@
 
 // Reasons for ending a job without an answer.
 const (
-	BadRequest  Reason = "bad-request"
-	NoService   Reason = "no-service"
-	NoRank      Reason = "no-rank"
-	NoTicket    Reason = "no-ticket"
-	BadTicket   Reason = "bad-ticket"
-	OwnerGone   Reason = "owner-gone"
-	AnswerGone  Reason = "answer-gone"
-	Quarantined Reason = "quarantined"
-	NoTarget    Reason = "no-target"
-	NoUpstream  Reason = "no-upstream"
-	QueueFull   Reason = "queue-full"
-	TooLate     Reason = "too-late"
-	Expired     Reason = "expired"
-	LinkFull    Reason = "link-full"
-	PeerDown    Reason = "peer-down"
-	PeerLost    Reason = "peer-lost"
-	Shed        Reason = "shed"
-	Refused     Reason = "connect-failed"
-	Lost        Reason = "connection-lost"
-	Mismatch    Reason = "answer-mismatch"
-	TooLarge    Reason = "too-large"
-	Stopping    Reason = "stopping"
-	NoPolicy    Reason = "no-policy"
-	NoRoute     Reason = "no-route"
-	NoBudget    Reason = "no-retry-budget"
-	Moved       Reason = "address-reused"
-	TimedOut    Reason = "timed-out"
-	CallerGone  Reason = "caller-gone"
-	Failed      Reason = "upstream-failed"
+	BadRequest     Reason = "bad-request"
+	NoService      Reason = "no-service"
+	NoRank         Reason = "no-rank"
+	NoTicket       Reason = "no-ticket"
+	BadTicket      Reason = "bad-ticket"
+	OwnerGone      Reason = "owner-gone"
+	AnswerGone     Reason = "answer-gone"
+	Quarantined    Reason = "quarantined"
+	NoTarget       Reason = "no-target"
+	NoUpstream     Reason = "no-upstream"
+	QueueFull      Reason = "queue-full"
+	TooLate        Reason = "too-late"
+	Expired        Reason = "expired"
+	LinkFull       Reason = "link-full"
+	PeerDown       Reason = "peer-down"
+	PeerLost       Reason = "peer-lost"
+	Shed           Reason = "shed"
+	ConnectFailed  Reason = "connect-failed"
+	ConnectionLost Reason = "connection-lost"
+	AnswerMismatch Reason = "answer-mismatch"
+	TooLarge       Reason = "too-large"
+	Stopping       Reason = "stopping"
+	NoPolicy       Reason = "no-policy"
+	NoRoute        Reason = "no-route"
+	NoRetryBudget  Reason = "no-retry-budget"
+	AddressReused  Reason = "address-reused"
+	TimedOut       Reason = "timed-out"
+	CallerGone     Reason = "caller-gone"
+	UpstreamFailed Reason = "upstream-failed"
 )
 
 // Outcome is the result of a job with its reason and a message for the caller.
@@ -178,13 +178,13 @@
 	Detail string
 }
 
-// WaitPart is the fraction of its remaining time that a job may spend in one queue. Longer waits don't
+// MaxWaitFraction is the fraction of its remaining time that a job may spend in one queue. Longer waits don't
 // raise throughput; they only delay jobs, many of them past their deadline.
-const WaitPart = 0.25
+const MaxWaitFraction = 0.25
 
-// WaitUntil returns the time at which a job that is queued now must leave the queue.
-func (j *Job) WaitUntil(now time.Time) time.Time {
-	return now.Add(time.Duration(WaitPart * float64(j.Deadline.Sub(now))))
+// QueueDeadline returns the time at which a job that is queued now must leave the queue.
+func (j *Job) QueueDeadline(now time.Time) time.Time {
+	return now.Add(time.Duration(MaxWaitFraction * float64(j.Deadline.Sub(now))))
 }
 
 // Ended reports whether the job has an outcome.
@@ -195,23 +195,23 @@
 	j.Outcome = Outcome{Kind: NotRun, Reason: r, Detail: detail}
 }
 
-// Reject ends the job as not run, or as unknown if its ticket was not claimed yet and an earlier try may
+// RefuseUnclaimed ends the job as not run, or as unknown if its ticket was not claimed yet and an earlier try may
 // have run.
-func (j *Job) Reject(r Reason, detail string) {
+func (j *Job) RefuseUnclaimed(r Reason, detail string) {
 	if j.Ticket != "" && !j.Claimed {
-		j.Lose(r, detail)
+		j.EndUnknown(r, detail)
 		return
 	}
 	j.Refuse(r, detail)
 }
 
-// Lose ends the job as one that may have run.
-func (j *Job) Lose(r Reason, detail string) {
+// EndUnknown ends the job as one that may have run.
+func (j *Job) EndUnknown(r Reason, detail string) {
 	j.Outcome = Outcome{Kind: Unknown, Reason: r, Detail: detail}
 }
 
-// Finish ends the job with a complete answer.
-func (j *Job) Finish(a Answer) {
+// EndAnswered ends the job with a complete answer.
+func (j *Job) EndAnswered(a Answer) {
 	j.Answer = a
 	j.Outcome = Outcome{Kind: Answered}
 }
@@ -220,9 +220,9 @@
 // it, or its answer was lost and the job may run more than once.
 func (j *Job) Retryable() bool {
 	switch j.Outcome.Reason {
-	case NoUpstream, QueueFull, TooLate, LinkFull, PeerDown, Shed, Refused, Stopping:
+	case NoUpstream, QueueFull, TooLate, LinkFull, PeerDown, Shed, ConnectFailed, Stopping:
 		return j.Outcome.Kind == NotRun
-	case Lost, Mismatch, PeerLost:
+	case ConnectionLost, AnswerMismatch, PeerLost:
 		return !j.Once
 	}
 	return false
--- a/internal/flow/pipe/line.go
+++ b/internal/flow/pipe/line.go
@@ -17,14 +17,14 @@
 	Finish(now time.Time, job *Job)
 }
 
-// Line is a pipeline: it runs its filters in order and their Finish methods in reverse order.
-type Line struct {
+// Pipeline is a pipeline: it runs its filters in order and their Finish methods in reverse order.
+type Pipeline struct {
 	Filters []Filter
 	Clock   func() time.Time
 }
 
 // String lists the names of the filters in order.
-func (l Line) String() string {
+func (l Pipeline) String() string {
 	names := make([]string, len(l.Filters))
 	for i, f := range l.Filters {
 		names[i] = f.String()
@@ -33,7 +33,7 @@
 }
 
 // Run passes the job through the filters until one of them ends it, then calls Finish on those that ran.
-func (l Line) Run(ctx context.Context, job *Job) {
+func (l Pipeline) Run(ctx context.Context, job *Job) {
 	passed := 0
 	for _, f := range l.Filters {
 		if job.Ended() {
--- a/internal/flow/reply/reply.go
+++ b/internal/flow/reply/reply.go
@@ -22,19 +22,19 @@
 	case !r.Sent && r.Late:
 		job.Refuse(pipe.TooLate, "the deadline passed before the job was sent")
 	case !r.Sent:
-		job.Refuse(pipe.Refused, "no connection to upstream "+job.Upstream.ID)
+		job.Refuse(pipe.ConnectFailed, "no connection to upstream "+job.Upstream.ID)
 	case r.Shed:
 		job.Refuse(pipe.Shed, "upstream "+job.Upstream.ID+" refused the job without running it")
 	case r.Late:
-		job.Lose(pipe.Expired, "the deadline passed while upstream "+job.Upstream.ID+" ran the job")
+		job.EndUnknown(pipe.Expired, "the deadline passed while upstream "+job.Upstream.ID+" ran the job")
 	case r.Err != nil:
-		job.Crashed = r.Crash
-		job.Lose(pipe.Lost, "the connection to upstream "+job.Upstream.ID+" was lost while it ran the job")
-	case !r.Whole:
-		job.Lose(pipe.Mismatch, "upstream "+job.Upstream.ID+" sent an answer that is not whole")
+		job.Crashed = r.Crashed
+		job.EndUnknown(pipe.ConnectionLost, "the connection to upstream "+job.Upstream.ID+" was lost while it ran the job")
+	case !r.Complete:
+		job.EndUnknown(pipe.AnswerMismatch, "upstream "+job.Upstream.ID+" sent an answer that is not whole")
 	case r.ID != "" && r.ID != job.ID:
-		job.Lose(pipe.Mismatch, "upstream "+job.Upstream.ID+" sent the answer of another job")
+		job.EndUnknown(pipe.AnswerMismatch, "upstream "+job.Upstream.ID+" sent the answer of another job")
 	default:
-		job.Finish(r.Answer)
+		job.EndAnswered(r.Answer)
 	}
 }
--- a/internal/flow/route/route.go
+++ b/internal/flow/route/route.go
@@ -26,7 +26,7 @@
 
 // WaitEstimator estimates how long a new job would wait on this host.
 type WaitEstimator interface {
-	Expect(now time.Time, service string, level int) time.Duration
+	EstimateWait(now time.Time, service string, level int) time.Duration
 }
 
 // Pipe selects the targets of jobs.
@@ -49,22 +49,22 @@
 func (p *Pipe) Run(_ context.Context, now time.Time, job *pipe.Job) {
 	q := p.query(now, job)
 	q.ShiftRegion = p.shiftRegion(now, job)
-	job.Targets = Decide(now, job.Plan, q, job.Targets, 1)
+	job.Targets = SelectTargets(now, job.Plan, q, job.Targets, 1)
 	if len(job.Targets) == 0 {
 		job.Refuse(pipe.NoTarget, "no failure domain serves "+job.Service+" now")
 	}
 }
 
-// More appends further targets, up to MaxTargets, for a job that its first target did not answer.
-func (p *Pipe) More(now time.Time, job *pipe.Job) {
-	job.Targets = Decide(now, job.Plan, p.query(now, job), job.Targets, MaxTargets)
+// AddTargets appends further targets, up to MaxTargets, for a job that its first target did not answer.
+func (p *Pipe) AddTargets(now time.Time, job *pipe.Job) {
+	job.Targets = SelectTargets(now, job.Plan, p.query(now, job), job.Targets, MaxTargets)
 }
 
 func (p *Pipe) query(now time.Time, job *pipe.Job) Query {
 	return Query{
 		Service:   job.Service,
-		Hash:      job.Digest ^ job.Block,
-		LocalWait: p.Estimator.Expect(now, job.Service, job.Level),
+		Hash:      job.Digest ^ job.CallerHash,
+		LocalWait: p.Estimator.EstimateWait(now, job.Service, job.Level),
 	}
 }
 
@@ -73,7 +73,7 @@
 func (p *Pipe) shiftRegion(now time.Time, job *pipe.Job) string {
 	for i := range job.Plan.Shifts {
 		sh := &job.Plan.Shifts[i]
-		if sh.Service == job.Service && hashFraction(job.Digest^job.Block) < sh.Fraction && p.takeShiftToken(now, sh) {
+		if sh.Service == job.Service && hashFraction(job.Digest^job.CallerHash) < sh.Fraction && p.takeShiftToken(now, sh) {
 			return sh.To
 		}
 	}
@@ -111,9 +111,9 @@
 	weight float64
 }
 
-// Decide appends targets, best first, until there are limit of them or no site is left. It is a pure
+// SelectTargets appends targets, best first, until there are limit of them or no site is left. It is a pure
 // function of its arguments.
-func Decide(now time.Time, p *plan.Plan, q Query, targets []pipe.Target, limit int) []pipe.Target {
+func SelectTargets(now time.Time, p *plan.Plan, q Query, targets []pipe.Target, limit int) []pipe.Target {
 	svc := p.Services[q.Service]
 	if svc == nil {
 		return targets
--- a/internal/flow/route/route_test.go
+++ b/internal/flow/route/route_test.go
@@ -44,7 +44,7 @@
 			Service: "s", Hash: rapid.Uint64().Draw(t, "hash"), LocalWait: time.Duration(rapid.IntRange(0, 100).Draw(t, "wait")) * time.Millisecond,
 			ShiftRegion: rapid.SampledFrom([]string{"", "r1", "r2"}).Draw(t, "shift"),
 		}
-		out := Decide(now, p, q, nil, MaxTargets)
+		out := SelectTargets(now, p, q, nil, MaxTargets)
 		seen := map[string]bool{}
 		for i, target := range out {
 			var d plan.Domain
@@ -61,13 +61,13 @@
 			}
 			seen[target.Domain] = true
 		}
-		assert.DeepEqual(t, Decide(now, p, q, Decide(now, p, q, nil, 1), 1), out[:min(1, len(out))])
+		assert.DeepEqual(t, SelectTargets(now, p, q, SelectTargets(now, p, q, nil, 1), 1), out[:min(1, len(out))])
 	})
 }
 
 type zeroWait struct{}
 
-func (zeroWait) Expect(time.Time, string, int) time.Duration { return 0 }
+func (zeroWait) EstimateWait(time.Time, string, int) time.Duration { return 0 }
 
 func TestAShiftStaysUnderItsCap(t *testing.T) {
 	p := &plan.Plan{
@@ -86,7 +86,7 @@
 	var moved []time.Time
 	for i := range 5000 {
 		at := now.Add(time.Duration(i) * 2 * time.Millisecond)
-		job := &pipe.Job{Service: "s", Plan: p, Block: uint64(i) * 0x9e3779b97f4a7c15}
+		job := &pipe.Job{Service: "s", Plan: p, CallerHash: uint64(i) * 0x9e3779b97f4a7c15}
 		r.Run(t.Context(), at, job)
 		if job.Targets[0].Reason == ReasonShift {
 			moved = append(moved, at)
--- a/internal/flow/serve/serve.go
+++ b/internal/flow/serve/serve.go
@@ -71,9 +71,9 @@
 	}
 	switch {
 	case job.Outcome.Kind != pipe.Answered && lastAnswer != nil:
-		job.Finish(*lastAnswer)
+		job.EndAnswered(*lastAnswer)
 	case job.Outcome.Kind == pipe.NotRun && job.MayHaveRun:
-		job.Lose(job.Outcome.Reason, job.Outcome.Detail)
+		job.EndUnknown(job.Outcome.Reason, job.Outcome.Detail)
 	}
 }
 
@@ -110,10 +110,10 @@
 	u := g.Upstream
 	start := p.Clock()
 	if job.Crashed {
-		job.Crashes = append(job.Crashes, job.Upstream.ID)
+		job.CrashedUpstreams = append(job.CrashedUpstreams, job.Upstream.ID)
 	}
 	job.Tries++
-	job.Upstream = pipe.Place{ID: u.ID, Address: u.Address}
+	job.Upstream = pipe.UpstreamRef{ID: u.ID, Address: u.Address}
 	job.Reply = p.Sender.Send(ctx, start, job, u)
 	now := p.Clock()
 	setOutcome(ctx, job)
@@ -125,8 +125,8 @@
 // result converts a reply to the result that the placer records for the upstream.
 func result(r *pipe.Reply, took time.Duration) place.Result {
 	out := place.Result{
-		Took: took, Dial: r.Dial, Quiet: r.Late, Shed: r.Shed, Moved: r.Moved, Broken: !r.Sent && !r.Late || r.Crash,
-		Good: r.Whole && r.Answer.Status < http.StatusInternalServerError,
+		Took: took, Dial: r.DialTime, Quiet: r.Late, Shed: r.Shed, Moved: r.AddressReused, Broken: !r.Sent && !r.Late || r.Crashed,
+		Good: r.Complete && r.Answer.Status < http.StatusInternalServerError,
 	}
 	if r.Report != nil {
 		out.Waiting = r.Report.Waiting
@@ -137,24 +137,24 @@
 // setOutcome derives the job's outcome from its reply.
 func setOutcome(ctx context.Context, job *pipe.Job) {
 	r := &job.Reply
-	job.Crashed = r.Crash
+	job.Crashed = r.Crashed
 	switch {
-	case r.Moved:
-		job.Refuse(pipe.Moved, "another upstream has the address")
+	case r.AddressReused:
+		job.Refuse(pipe.AddressReused, "another upstream has the address")
 	case r.Shed:
 		job.Refuse(pipe.Shed, "the upstream did not run the job")
-	case r.Whole:
-		job.Finish(r.Answer)
+	case r.Complete:
+		job.EndAnswered(r.Answer)
 	case !r.Sent && ctx.Err() == nil:
-		job.Refuse(pipe.Refused, "no connection to the upstream")
+		job.Refuse(pipe.ConnectFailed, "no connection to the upstream")
 	case !r.Sent:
 		job.Refuse(pipe.Expired, "the job's time ended before it was sent")
 	case errors.Is(context.Cause(ctx), context.Canceled):
-		job.Lose(pipe.CallerGone, "the caller left")
+		job.EndUnknown(pipe.CallerGone, "the caller left")
 	case ctx.Err() != nil:
-		job.Lose(pipe.TimedOut, "no answer in the job's time")
+		job.EndUnknown(pipe.TimedOut, "no answer in the job's time")
 	default:
-		job.Lose(pipe.Lost, "the upstream gave no whole answer")
+		job.EndUnknown(pipe.ConnectionLost, "the upstream gave no whole answer")
 	}
 }
 
@@ -169,14 +169,14 @@
 			return false
 		}
 	case pipe.Unknown:
-		if job.Once || job.Outcome.Reason != pipe.Lost {
+		if job.Once || job.Outcome.Reason != pipe.ConnectionLost {
 			return false
 		}
 	case pipe.NotRun:
 		if job.Outcome.Reason == pipe.Expired {
 			return false
 		}
-		if job.Outcome.Reason == pipe.Refused {
+		if job.Outcome.Reason == pipe.ConnectFailed {
 			return true
 		}
 	}
--- a/internal/flow/serve/serve_test.go
+++ b/internal/flow/serve/serve_test.go
@@ -57,10 +57,10 @@
 }
 
 var (
-	whole   = pipe.Reply{Sent: true, Whole: true, Answer: pipe.Answer{Status: 200}}
-	failed  = pipe.Reply{Sent: true, Whole: true, Answer: pipe.Answer{Status: 500}}
+	whole   = pipe.Reply{Sent: true, Complete: true, Answer: pipe.Answer{Status: 200}}
+	failed  = pipe.Reply{Sent: true, Complete: true, Answer: pipe.Answer{Status: 500}}
 	shed    = pipe.Reply{Sent: true, Shed: true}
-	moved   = pipe.Reply{Sent: true, Moved: true}
+	moved   = pipe.Reply{Sent: true, AddressReused: true}
 	refused = pipe.Reply{}
 	lost    = pipe.Reply{Sent: true}
 )
--- a/internal/host/entry/bench_test.go
+++ b/internal/host/entry/bench_test.go
@@ -59,7 +59,7 @@
 			var targets [1]pipe.Target
 			job := &pipe.Job{}
 			for i := range b.N {
-				*job = pipe.Job{Service: "s", Plan: p, Block: uint64(i), Deadline: now.Add(time.Second), Targets: targets[:0]}
+				*job = pipe.Job{Service: "s", Plan: p, CallerHash: uint64(i), Deadline: now.Add(time.Second), Targets: targets[:0]}
 				r.Run(context.Background(), now, job)
 				a.Run(context.Background(), now, job)
 				job.Outcome.Kind = pipe.Answered
--- a/internal/host/entry/host.go
+++ b/internal/host/entry/host.go
@@ -65,7 +65,7 @@
 	pacer       *carry.Pacer
 	intake      trace.Hop
 	serve       trace.Hop
-	explain     pipe.Line
+	explain     pipe.Pipeline
 	watcher     *platformWatcher
 	httpServers [2]*http.Server // Servers for callers and for operators, in this order.
 	runCtx      context.Context // Canceled when the host ends, after the planned stop.
@@ -85,7 +85,7 @@
 	h.admit = admit.New()
 	h.crashes = &guard.Table{}
 	h.pacer = carry.NewPacer(clock)
-	h.once = once.Pipe{Table: once.NewTable(), Owner: ownerForwarder{h}, NewID: newID}
+	h.once = once.Pipe{Table: once.NewTable(), Forwarder: ownerForwarder{h}, NewID: newID}
 	h.watcher = &platformWatcher{host: h}
 	h.buildPipelines()
 	h.loop.Doer = &executor{host: h}
@@ -103,9 +103,9 @@
 // which routes a job without running it.
 func (h *Host) buildPipelines() {
 	tracer := h.Trace.Tracer("boragelane")
-	crashGuard := guard.Pipe{Table: h.crashes, Teller: &crashNotifier{host: h}}
-	serve := pipe.Line{Clock: h.Clock, Filters: []pipe.Filter{
-		carry.Back{Pacer: h.pacer},
+	crashGuard := guard.Pipe{Table: h.crashes, Notifier: &crashNotifier{host: h}}
+	serve := pipe.Pipeline{Clock: h.Clock, Filters: []pipe.Filter{
+		carry.AnswerPacer{Pacer: h.pacer},
 		accept.Pipe{},
 		ident.Pipe{NewID: newID},
 		crashGuard,
@@ -115,8 +115,8 @@
 	}}
 	h.serve = trace.Hop{Tracer: tracer, Name: "serve", Next: serve}
 	router := route.New(h.admit)
-	intake := pipe.Line{Clock: h.Clock, Filters: []pipe.Filter{
-		carry.Back{Pacer: h.pacer},
+	intake := pipe.Pipeline{Clock: h.Clock, Filters: []pipe.Filter{
+		carry.AnswerPacer{Pacer: h.pacer},
 		accept.Pipe{},
 		ident.Pipe{NewID: newID},
 		h.once,
@@ -125,7 +125,7 @@
 		carry.New(h.serve, router, h.peerClient, h.pacer, h, h.Clock),
 	}}
 	h.intake = trace.Hop{Tracer: tracer, Name: "intake", Next: intake}
-	h.explain = pipe.Line{Clock: h.Clock, Filters: []pipe.Filter{
+	h.explain = pipe.Pipeline{Clock: h.Clock, Filters: []pipe.Filter{
 		accept.Pipe{},
 		ident.Pipe{NewID: newID},
 		guard.Pipe{Table: h.crashes},
@@ -160,7 +160,7 @@
 	go func() { _ = h.httpServers[0].Serve(listeners[0]) }()
 	go func() { _ = h.httpServers[1].Serve(listeners[2]) }()
 	h.Log.Info("serving", zap.String("seat", h.Self.Seat), zap.String("incarnation", h.Self.Incarnation),
-		zap.String("front", h.Settings.Front), zap.String("intake", h.intake.Next.(pipe.Line).String()))
+		zap.String("front", h.Settings.Front), zap.String("intake", h.intake.Next.(pipe.Pipeline).String()))
 	select {
 	case <-ctx.Done():
 		h.shutdown(h.runCtx)
@@ -219,8 +219,8 @@
 		case <-t.C:
 			now := h.Clock()
 			h.once.Table.Sweep(now)
-			h.admit.Pump(now)
-			for _, u := range h.admit.Due(now) {
+			h.admit.Tick(now)
+			for _, u := range h.admit.DueProbes(now) {
 				go h.probe(u)
 			}
 		}
@@ -230,7 +230,7 @@
 // probe marks an upstream as up again if it accepts connections.
 func (h *Host) probe(u plan.Upstream) {
 	if egress.Reachable(u.Address) {
-		h.admit.Revive(h.Clock(), u.ID)
+		h.admit.MarkUp(h.Clock(), u.ID)
 	}
 }
 
@@ -245,7 +245,7 @@
 	})
 	s.Gauge("lookups", func() any { return h.front.Looked.Load() })
 	s.Gauge("records", func() any { return h.once.Table.Len() })
-	s.Gauge("links", func() any { return h.pacer.Spent() })
+	s.Gauge("links", func() any { return h.pacer.SentBytes() })
 	s.Gauge("platform", func() any { return h.store.Calls.Load() })
 	s.Gauge("dropped", func() any { return h.loop.Dropped() })
 	s.Gauge("control", func() any { return [2]int64{h.peerClient.Control.In.Load(), h.peerClient.Control.Out.Load()} })
--- a/internal/host/entry/roles.go
+++ b/internal/host/entry/roles.go
@@ -49,7 +49,7 @@
 	job.Plan = h.loop.Plan()
 	h.explain.Run(context.Background(), job)
 	if !job.Ended() {
-		route.New(h.admit).More(h.Clock(), job)
+		route.New(h.admit).AddTargets(h.Clock(), job)
 	}
 }
 
@@ -102,7 +102,7 @@
 // Forward forwards a job to a host; it reports false if nothing was sent.
 func (o ownerForwarder) Forward(ctx context.Context, now time.Time, seat spec.Seat, job *pipe.Job) bool {
 	region, _, _, _ := job.Plan.Doc.FindSeat(seat.Name) //nolint:dogsled // Only the region is needed.
-	if region.Name != o.Self.Region && !o.pacer.Wait(ctx, now, region.Name, job.Level, carry.Size(len(job.Body)), job.WaitUntil(now)) {
+	if region.Name != o.Self.Region && !o.pacer.Wait(ctx, now, region.Name, job.Level, carry.MessageSize(len(job.Body)), job.QueueDeadline(now)) {
 		return false
 	}
 	return o.peerClient.Forward(ctx, now, seat, job)
@@ -143,9 +143,9 @@
 // notifyTimeout limits how long a caller's answer is delayed while other hosts are notified of a crash.
 const notifyTimeout = 200 * time.Millisecond
 
-// Tell notifies the hosts of this failure domain, and one host of each other domain, which notifies the rest of its
+// NotifyCrash notifies the hosts of this failure domain, and one host of each other domain, which notifies the rest of its
 // domain.
-func (n *crashNotifier) Tell(_ time.Time, c guard.Crash) {
+func (n *crashNotifier) NotifyCrash(_ time.Time, c guard.Crash) {
 	var wg sync.WaitGroup
 	wg.Go(func() { n.notifyDomain(c) })
 	for _, d := range n.host.loop.Plan().Domains {
--- a/internal/host/entry/stop.go
+++ b/internal/host/entry/stop.go
@@ -21,7 +21,7 @@
 	defer cancel()
 	h.loop.Send(ctx, state.Leave{})
 	sleep(ctx, state.LookupLife+leavePropagation)
-	h.once.Table.Refuse()
+	h.once.Table.StopClaims()
 	for _, s := range h.httpServers {
 		if err := s.Shutdown(ctx); err != nil {
 			h.Log.Warn("jobs were still running at the end of the planned stop", errorField(err))
@@ -36,7 +36,7 @@
 // handOverTickets sends the ticket records to the first successor that accepts them.
 func (h *Host) handOverTickets(ctx context.Context) {
 	records := h.once.Table.Close()
-	until := h.Clock().Add(once.TicketLife)
+	until := h.Clock().Add(once.TicketLifetime)
 	current := h.loop.Plan()
 	if current.Doc == nil {
 		return
--- a/internal/host/steer/hops.go
+++ b/internal/host/steer/hops.go
@@ -43,7 +43,7 @@
 	job.Trace = carrier
 	r := h.host.sender.Send(ctx, now, job, u)
 	job.Trace = parent
-	end(attribute.Int("boragelane.status", r.Answer.Status), attribute.Bool("boragelane.whole", r.Whole))
+	end(attribute.Int("boragelane.status", r.Answer.Status), attribute.Bool("boragelane.whole", r.Complete))
 	return r
 }
 
--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -71,7 +71,7 @@
 	sender       *dialer.Sender
 	budget       *serve.Budget
 	crashes      *guard.Table
-	filters      pipe.Line
+	filters      pipe.Pipeline
 	server       *httpd.Server
 	stopping     atomic.Bool
 	crashReports chan roster.Crash
@@ -99,9 +99,9 @@
 	h.keeper = &enrol.Keeper{Registry: store, Journal: events, Host: s.Host, Clock: clock, Listed: h.isRegistered, Done: make(chan struct{})}
 	h.placer = broker.NewPlacer(h.table, h.loop.View, clock, events.logPlacingFailure)
 	h.placer.Admit = &placeTracer{host: h}
-	h.filters = pipe.Line{Clock: clock, Filters: []pipe.Filter{
+	h.filters = pipe.Pipeline{Clock: clock, Filters: []pipe.Filter{
 		match.New(),
-		guard.Pipe{Table: h.crashes, Teller: &crashReporter{host: h}},
+		guard.Pipe{Table: h.crashes, Notifier: &crashReporter{host: h}},
 		&serve.Pipe{Placer: &hopTracer{host: h}, Sender: &hopTracer{host: h}, Budget: h.budget, Journal: events, Clock: clock},
 	}}
 	h.server = httpd.New(h, h.requestBounds, clock)
--- a/internal/host/steer/journal.go
+++ b/internal/host/steer/journal.go
@@ -60,7 +60,7 @@
 // Tried counts one try of a job and logs it unless it was the first and got a whole reply.
 func (l *eventLog) Tried(now time.Time, job *pipe.Job, u *roster.Upstream, d time.Duration) {
 	l.metrics.ObserveAttempt(job, u.Service, d)
-	if job.Reply.Whole && job.Tries == 1 {
+	if job.Reply.Complete && job.Tries == 1 {
 		return // The log line at the end of the job has all of it.
 	}
 	l.log.Info("try", zap.String("id", job.ID), zap.Int("number", job.Tries), zap.String("upstream", u.ID),
@@ -106,8 +106,8 @@
 // crashReporter queues crashes for the goroutine that reports them.
 type crashReporter struct{ host *Host }
 
-// Tell queues a crash; it drops the crash and logs a warning if the queue is full.
-func (r *crashReporter) Tell(_ time.Time, c guard.Crash) {
+// NotifyCrash queues a crash; it drops the crash and logs a warning if the queue is full.
+func (r *crashReporter) NotifyCrash(_ time.Time, c guard.Crash) {
 	select {
 	case r.host.crashReports <- roster.Crash{Digest: c.Digest, Upstream: c.Upstream}:
 	default:
--- a/internal/stand/sizes/measure.go
+++ b/internal/stand/sizes/measure.go
@@ -157,7 +157,7 @@
 	now := time.Unix(100_000, 0)
 	var out []pipe.Target
 	add("route", float64(sites), nanosPerCall(200_000, func(i int) {
-		out = route.Decide(now, p, route.Query{Service: "svc", Hash: uint64(i)}, out[:0], 1)
+		out = route.SelectTargets(now, p, route.Query{Service: "svc", Hash: uint64(i)}, out[:0], 1)
 		sum += len(out)
 	}), "ns")
 	runtime.KeepAlive(sum)
