--- a/internal/core/rendez/rendez.go
+++ b/internal/core/rendez/rendez.go
@@ -40,8 +40,8 @@
 	return -s.Weight / math.Log(u)
 }
 
-// Even returns a site's score among sites of equal weight; it orders them as Score does but needs no logarithm.
-func Even(key, site uint64) uint64 { return mixHashes(key, site) >> 11 }
+// UnweightedScore returns a site's score among sites of equal weight; it orders them as Score does but needs no logarithm.
+func UnweightedScore(key, site uint64) uint64 { return mixHashes(key, site) >> 11 }
 
 // maxWinners is the most sites that Top returns.
 const maxWinners = 8
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -46,16 +46,16 @@
 
 // View is an immutable snapshot of the state that requests are handled by.
 type View struct {
-	Self      Host
-	Policy    *policy.Policy
-	Upstreams map[string][]*Upstream // By service; excludes upstreams that are draining or evacuated.
-	Hosts     []Host                 // Live hosts, sorted by name.
-	Duties    map[string][]Host      // The hosts of this region that may perform a duty, in order of preference, by duty.
-	Loans     map[string]string      // The region that borrows an upstream, by upstream ID.
-	Crashes   []Crash
-	Evacuated map[string]bool // Failure domains that get no jobs.
-	Leaving   bool            // This host is shutting down.
-	Synced    time.Time       // Time of the newest data from the store.
+	Self         Host
+	Policy       *policy.Policy
+	Upstreams    map[string][]*Upstream // By service; excludes upstreams that are draining or evacuated.
+	Hosts        []Host                 // Live hosts, sorted by name.
+	DutyHosts    map[string][]Host      // The hosts of this region that may perform a duty, in order of preference, by duty.
+	Loans        map[string]string      // The region that borrows an upstream, by upstream ID.
+	Crashes      []Crash
+	Evacuated    map[string]bool // Failure domains that get no jobs.
+	ShuttingDown bool            // This host is shutting down.
+	SyncedAt     time.Time       // Time of the newest data from the store.
 }
 
 // User returns the region that uses an upstream: the borrower of a loaned one, or else its own.
@@ -131,7 +131,7 @@
 type Batch struct {
 	Changes  []Change
 	Revision int64         // The store's revision after the changes.
-	Full     bool          // The changes are a full snapshot of the store, not an increment.
+	Snapshot bool          // The changes are a full snapshot of the store, not an increment.
 	Age      time.Duration // Time since the store sent the changes, if another host forwarded them.
 }
 
@@ -143,13 +143,13 @@
 	for _, h := range v.Hosts {
 		if h.Name == v.Self.Name {
 			self = true
-			if v.Leaving {
+			if v.ShuttingDown {
 				continue
 			}
 		}
 		near, same, far = appendByLocality(h, region, domain, near, same, far)
 	}
-	if !self && !v.Leaving {
+	if !self && !v.ShuttingDown {
 		near, same, far = appendByLocality(v.Self, region, domain, near, same, far)
 	}
 	if len(near)+len(same) > 0 {
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -22,14 +22,14 @@
 	assert.DeepEqual(t, names(v.Nearest("east", "b")), []string{"b1", "a1", "a2"})
 	assert.DeepEqual(t, names(v.Nearest("west", "c")), []string{"c1"})
 	assert.DeepEqual(t, names(v.Nearest("north", "n")), []string{"a1", "a2", "b1", "c1"})
-	v.Leaving = true
+	v.ShuttingDown = true
 	assert.DeepEqual(t, names(v.Nearest("east", "a")), []string{"a2", "b1"})
 }
 
 func TestNearestReturnsSelfWithoutOtherHosts(t *testing.T) {
 	v := &View{Self: Host{Name: "a1", Domain: "a", Region: "east"}}
 	assert.DeepEqual(t, names(v.Nearest("west", "c")), []string{"a1"})
-	v.Leaving = true
+	v.ShuttingDown = true
 	assert.DeepEqual(t, names(v.Nearest("west", "c")), []string{})
 }
 
--- a/internal/ctrl/watch/fold.go
+++ b/internal/ctrl/watch/fold.go
@@ -67,7 +67,7 @@
 	}
 	s.disconnected, s.lastSync = false, now.Add(-b.Age)
 	s.revision = max(s.revision, b.Revision)
-	if b.Full {
+	if b.Snapshot {
 		s.changes, s.compactedTo = nil, b.Revision
 		b.Changes = append(b.Changes, s.removals(b)...)
 	}
--- a/internal/ctrl/watch/fold_test.go
+++ b/internal/ctrl/watch/fold_test.go
@@ -135,7 +135,7 @@
 	s := newState()
 	applyChanges(s, at(0), upstreamChange("u", 1, 1), upstreamChange("v", 1, 1), roster.Change{Kind: roster.EvacuationKind, Name: "b"},
 		roster.Change{Kind: roster.HostKind, Name: "h2", Host: roster.Host{Name: "h2"}})
-	Apply(s, StoreRead{Batch: roster.Batch{Full: true, Revision: 9, Changes: []roster.Change{upstreamChange("v", 1, 2)}}}, at(time.Second))
+	Apply(s, StoreRead{Batch: roster.Batch{Snapshot: true, Revision: 9, Changes: []roster.Change{upstreamChange("v", 1, 2)}}}, at(time.Second))
 	v := s.View(at(time.Second))
 	assert.DeepEqual(t, usableIDs(s, at(time.Second)), []string{"v"})
 	assert.Equal(t, len(v.Hosts), 0)
@@ -206,7 +206,7 @@
 func TestAFollowerHearsWhatBecameOfEntriesThatLapsed(t *testing.T) {
 	reader, follower := newState(), newState()
 	whole := func(now time.Time, revision int64, changes ...roster.Change) {
-		Apply(reader, StoreRead{Batch: roster.Batch{Full: true, Revision: revision, Changes: changes}}, now)
+		Apply(reader, StoreRead{Batch: roster.Batch{Snapshot: true, Revision: revision, Changes: changes}}, now)
 	}
 	ask := func(now time.Time, after int64) int64 {
 		n := reader.updatesSince(after, now)
@@ -253,6 +253,6 @@
 		c.Revision = int64(i + 1)
 		Apply(s, StoreRead{Batch: roster.Batch{Changes: []roster.Change{c}, Revision: c.Revision}}, at(0))
 	}
-	assert.Assert(t, s.updatesSince(3, at(0)).Batch.Full)
-	assert.Assert(t, !s.updatesSince(maxLoggedChanges, at(0)).Batch.Full)
+	assert.Assert(t, s.updatesSince(3, at(0)).Batch.Snapshot)
+	assert.Assert(t, !s.updatesSince(maxLoggedChanges, at(0)).Batch.Snapshot)
 }
--- a/internal/ctrl/watch/reader_test.go
+++ b/internal/ctrl/watch/reader_test.go
@@ -102,7 +102,7 @@
 func TestReadsResumeSoonAfterAPartition(t *testing.T) {
 	f := &fakeStore{}
 	l := startReader(t, f)
-	waitFor(t, "read", func() bool { return !l.View().Synced.IsZero() })
+	waitFor(t, "read", func() bool { return !l.View().SyncedAt.IsZero() })
 	f.mu.Lock()
 	f.unreachable = true
 	f.mu.Unlock()
@@ -113,14 +113,14 @@
 	f.mu.Lock()
 	f.unreachable = false
 	f.mu.Unlock()
-	took := waitFor(t, "read again", func() bool { return l.View().Synced.After(healed) })
+	took := waitFor(t, "read again", func() bool { return l.View().SyncedAt.After(healed) })
 	assert.Assert(t, took < 2*time.Second, "%s", took)
 }
 
 func TestAFollowerAsksTheReaderAndLeavesTheStoreAlone(t *testing.T) {
 	f := &fakeStore{peerUpdates: map[string]News{"big": {}}}
 	l := startReader(t, f, roster.Host{Name: "big", Region: "east", Cores: 2}, roster.Host{Name: "self", Region: "east", Cores: 1})
-	waitFor(t, "changes", func() bool { return !l.View().Synced.IsZero() })
+	waitFor(t, "changes", func() bool { return !l.View().SyncedAt.IsZero() })
 	time.Sleep(time.Second)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -133,7 +133,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := &fakeStore{peerUpdates: peers}
 			l := startReader(t, f, roster.Host{Name: "big", Region: "east", Cores: 2}, roster.Host{Name: "self", Region: "east", Cores: 1})
-			took := waitFor(t, "read", func() bool { return time.Since(l.View().Synced) < time.Second })
+			took := waitFor(t, "read", func() bool { return time.Since(l.View().SyncedAt) < time.Second })
 			assert.Assert(t, took < 2*time.Second, "%s", took)
 		})
 	}
@@ -149,7 +149,7 @@
 	f.mu.Lock()
 	f.peerUpdates["big"] = News{}
 	f.mu.Unlock()
-	took := waitFor(t, "changes", func() bool { return !l.View().Synced.IsZero() })
+	took := waitFor(t, "changes", func() bool { return !l.View().SyncedAt.IsZero() })
 	assert.Assert(t, took < 2*time.Second, "%s", took)
 }
 
@@ -164,6 +164,6 @@
 	f.peerUpdates["big2"] = News{}
 	f.mu.Unlock()
 	assert.Assert(t, reads >= 4 && reads <= 10, "%d calls in 6 s", reads)
-	took := waitFor(t, "changes", func() bool { return !l.View().Synced.IsZero() })
+	took := waitFor(t, "changes", func() bool { return !l.View().SyncedAt.IsZero() })
 	assert.Assert(t, took < time.Second, "%s", took)
 }
--- a/internal/ctrl/watch/relay.go
+++ b/internal/ctrl/watch/relay.go
@@ -43,7 +43,7 @@
 func (s *State) updatesSince(after int64, now time.Time) News {
 	n := News{Batch: roster.Batch{Revision: s.revision}, Age: now.Sub(s.lastSync)}
 	if after == 0 || after < s.compactedTo {
-		n.Batch.Full = true
+		n.Batch.Snapshot = true
 		n.Batch.Changes = s.snapshot()
 		return n
 	}
--- a/internal/ctrl/watch/state.go
+++ b/internal/ctrl/watch/state.go
@@ -63,14 +63,14 @@
 // View returns an immutable snapshot for request handling.
 func (s *State) View(now time.Time) *roster.View {
 	v := &roster.View{
-		Self: s.self, Policy: s.policy, Upstreams: s.usableUpstreams(now), Hosts: s.sortedHosts(), Leaving: s.leaving,
-		Crashes: slices.Clip(s.crashes), Evacuated: maps.Clone(s.evacuated), Synced: s.lastSync,
+		Self: s.self, Policy: s.policy, Upstreams: s.usableUpstreams(now), Hosts: s.sortedHosts(), ShuttingDown: s.leaving,
+		Crashes: slices.Clip(s.crashes), Evacuated: maps.Clone(s.evacuated), SyncedAt: s.lastSync,
 	}
 	v.Loans = s.activeLoans(now)
-	v.Duties = map[string][]roster.Host{}
+	v.DutyHosts = map[string][]roster.Host{}
 	if s.policy != nil {
 		for service := range s.policy.Services {
-			v.Duties[service] = v.Placers(s.self.Region, service)
+			v.DutyHosts[service] = v.Placers(s.self.Region, service)
 		}
 	}
 	return v
--- a/internal/edge/broker/asker.go
+++ b/internal/edge/broker/asker.go
@@ -18,7 +18,7 @@
 
 // DemandSource returns the loan request of this host.
 type DemandSource interface {
-	Ask(now time.Time) deal.Ask
+	LoanRequest(now time.Time) deal.Ask
 }
 
 // Asker periodically requests the loans of upstreams from the host that plans them: the first live one by name.
@@ -67,7 +67,7 @@
 func (a *Asker) requestLoans(ctx context.Context, h roster.Host) (deal.Loans, error) {
 	ctx, cancel := context.WithTimeout(ctx, loanRequestTimeout)
 	defer cancel()
-	ask := a.Needer.Ask(a.Clock())
+	ask := a.Needer.LoanRequest(a.Clock())
 	if h.Name == a.View().Self.Name {
 		loans, ok := a.Local.Ask(ctx, ask)
 		if !ok {
@@ -115,5 +115,5 @@
 		_ = p.conn.Close()
 		return watch.News{}, ErrCall.Wrap(err, "requesting store changes from host %s", from.Name)
 	}
-	return watch.News{Batch: roster.Batch{Changes: w.Changes, Revision: w.Revision, Full: w.Full}, Age: w.Age}, nil
+	return watch.News{Batch: roster.Batch{Changes: w.Changes, Revision: w.Revision, Snapshot: w.Full}, Age: w.Age}, nil
 }
--- a/internal/edge/broker/broker_test.go
+++ b/internal/edge/broker/broker_test.go
@@ -32,7 +32,7 @@
 // hostPair is a host that places jobs and a host that acquires upstreams through it.
 type hostPair struct {
 	view       *roster.View
-	tables     [2]*place.Table
+	tables     [2]*place.Scheduler
 	placer     *Placer
 	ln         net.Listener
 	stopServer context.CancelFunc
@@ -47,12 +47,12 @@
 	v := roster.View{
 		Hosts: []roster.Host{first, second}, Upstreams: map[string][]*roster.Upstream{"s": {u}}, Policy: &policy.Policy{},
 	}
-	v.Duties = map[string][]roster.Host{"s": v.Placers("east", "s")}
+	v.DutyHosts = map[string][]roster.Host{"s": v.Placers("east", "s")}
 	p := &hostPair{ln: ln}
 	for i, self := range []roster.Host{first, second} {
 		own := v
 		own.Self = self
-		p.tables[i] = place.NewTable()
+		p.tables[i] = place.NewScheduler()
 		p.tables[i].Update(time.Now(), &own)
 		p.view = &own
 	}
@@ -66,9 +66,9 @@
 	return p
 }
 
-func (p *hostPair) newAsk() place.Ask {
+func (p *hostPair) newAsk() place.Request {
 	now := time.Now()
-	return place.Ask{Host: p.view.Self, Service: "s", Objective: now.Add(5 * time.Second), Deadline: now.Add(9 * time.Second)}
+	return place.Request{Host: p.view.Self, Service: "s", Objective: now.Add(5 * time.Second), Deadline: now.Add(9 * time.Second)}
 }
 
 func (p *hostPair) acquire(ctx context.Context) *place.Grant {
@@ -86,7 +86,7 @@
 		t.Fatal("a third job on two slots")
 	case <-time.After(100 * time.Millisecond):
 	}
-	p.placer.Release(time.Now(), a, place.Result{Took: time.Millisecond, Good: true})
+	p.placer.Release(time.Now(), a, place.Result{Duration: time.Millisecond, Succeeded: true})
 	assert.Assert(t, <-got != nil)
 }
 
@@ -97,7 +97,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
 	assert.Assert(t, p.acquire(ctx) == nil)
-	p.placer.Release(time.Now(), a, place.Result{Quiet: true})
+	p.placer.Release(time.Now(), a, place.Result{Inconclusive: true})
 	assert.Assert(t, p.acquire(context.Background()) != nil)
 }
 
@@ -118,7 +118,7 @@
 	v.Hosts = append([]roster.Host{
 		{Name: "x1", Region: "east", Peer: "127.0.0.1:1", Cores: 9}, {Name: "x2", Region: "east", Peer: "127.0.0.1:2", Cores: 9},
 	}, v.Hosts...)
-	v.Duties = map[string][]roster.Host{"s": v.Placers("east", "s")}
+	v.DutyHosts = map[string][]roster.Host{"s": v.Placers("east", "s")}
 	p.view = &v
 	begin := time.Now()
 	assert.Assert(t, p.acquire(context.Background()) != nil)
--- a/internal/edge/broker/placer.go
+++ b/internal/edge/broker/placer.go
@@ -13,7 +13,7 @@
 // Placer places this host's jobs: with its own table if this host places jobs for its region, otherwise through the
 // host that does, and in isolated mode if no such host can be reached.
 type Placer struct {
-	Table         *place.Table
+	Table         *place.Scheduler
 	Admit         Admitter // Acquires from Table.
 	View          func() *roster.View
 	Clock         func() time.Time
@@ -26,7 +26,7 @@
 }
 
 // NewPlacer returns a placer; connections are opened on demand.
-func NewPlacer(table *place.Table, view func() *roster.View, clock func() time.Time, onUnreachable func(host string, err error)) *Placer {
+func NewPlacer(table *place.Scheduler, view func() *roster.View, clock func() time.Time, onUnreachable func(host string, err error)) *Placer {
 	return &Placer{Table: table, Admit: table, View: view, Clock: clock, OnUnreachable: onUnreachable, peers: newPeerPool(clock), remote: map[*place.Grant]*peer{}}
 }
 
@@ -38,10 +38,10 @@
 const maxRemoteTries = 2
 
 // Acquire returns an upstream for a job, or nil if none is free in time.
-func (p *Placer) Acquire(ctx context.Context, now time.Time, ask place.Ask) *place.Grant {
+func (p *Placer) Acquire(ctx context.Context, now time.Time, ask place.Request) *place.Grant {
 	v := p.View()
 	tries := 0
-	for i, h := range v.Duties[ask.Service] {
+	for i, h := range v.DutyHosts[ask.Service] {
 		if i > maxRemoteTries {
 			break // Further hosts are isolated: if each of them placed freely, each slot would be filled many times.
 		}
@@ -65,7 +65,7 @@
 
 // acquireFrom acquires an upstream through another host. A grant for an upstream that this host no longer considers
 // usable is released, and another one requested.
-func (p *Placer) acquireFrom(ctx context.Context, now time.Time, h roster.Host, ask place.Ask) (*place.Grant, error) {
+func (p *Placer) acquireFrom(ctx context.Context, now time.Time, h roster.Host, ask place.Request) (*place.Grant, error) {
 	to, err := p.peers.get(ctx, h)
 	if err != nil {
 		return nil, err
@@ -75,7 +75,7 @@
 		if err != nil || w == nil {
 			return nil, err
 		}
-		g := &place.Grant{Number: w.Number, Upstream: findUpstream(p.View(), ask.Service, w)}
+		g := &place.Grant{ID: w.Number, Upstream: findUpstream(p.View(), ask.Service, w)}
 		if g.Upstream != nil {
 			p.mu.Lock()
 			p.remote[g] = to
@@ -142,5 +142,5 @@
 		return
 	}
 	// If the notification is lost, the placing host ends the grant when it expires.
-	_ = to.conn.Notify(context.Background(), methodRelease, newWireRelease(g.Number, r))
+	_ = to.conn.Notify(context.Background(), methodRelease, newWireRelease(g.ID, r))
 }
--- a/internal/edge/broker/server.go
+++ b/internal/edge/broker/server.go
@@ -27,7 +27,7 @@
 
 // Admitter admits jobs to upstreams and waits for a free slot.
 type Admitter interface {
-	Acquire(ctx context.Context, now time.Time, ask place.Ask) *place.Grant
+	Acquire(ctx context.Context, now time.Time, ask place.Request) *place.Grant
 }
 
 // Server answers other hosts: it places the jobs of its region, plans loans and passes on store changes.
@@ -35,7 +35,7 @@
 	Dealer LoanPlanner
 	Teller UpdateSource
 	Admit  Admitter // Acquires from Table.
-	Table  *place.Table
+	Table  *place.Scheduler
 	Clock  func() time.Time
 	Done   chan struct{}
 }
@@ -124,10 +124,10 @@
 	}
 	err := ctx.Err() // A canceled call gets no grant.
 	if err == nil {
-		err = conn.Reply(ctx, id, wireGrant{Number: g.Number, Upstream: g.Upstream.ID, Born: g.Upstream.Born})
+		err = conn.Reply(ctx, id, wireGrant{Number: g.ID, Upstream: g.Upstream.ID, Born: g.Upstream.Born})
 	}
 	if err != nil {
-		s.server.Table.Release(s.server.Clock(), g, place.Result{Quiet: true})
+		s.server.Table.Release(s.server.Clock(), g, place.Result{Inconclusive: true})
 	}
 	return err
 }
@@ -176,5 +176,5 @@
 			changes[i].Err, changes[i].Removed = nil, true // An unreadable entry can't be used, so it counts as removed.
 		}
 	}
-	return conn.Reply(ctx, id, wireUpdates{Revision: n.Batch.Revision, Full: n.Batch.Full, Age: n.Age, Changes: changes})
+	return conn.Reply(ctx, id, wireUpdates{Revision: n.Batch.Revision, Full: n.Batch.Snapshot, Age: n.Age, Changes: changes})
 }
--- a/internal/edge/broker/wire.go
+++ b/internal/edge/broker/wire.go
@@ -41,7 +41,7 @@
 	Trace map[string]string `json:"span,omitempty"`
 }
 
-func newWireAcquire(a *place.Ask, call uint64, now time.Time) wireAcquire {
+func newWireAcquire(a *place.Request, call uint64, now time.Time) wireAcquire {
 	return wireAcquire{
 		Call: call, Host: a.Host.Name, Domain: a.Host.Domain, Region: a.Host.Region, Service: a.Service, Rank: a.Rank,
 		Object: a.Object, Homes: a.Homes, Tried: a.Tried,
@@ -50,8 +50,8 @@
 	}
 }
 
-func (w *wireAcquire) toAsk(now time.Time) place.Ask {
-	return place.Ask{
+func (w *wireAcquire) toAsk(now time.Time) place.Request {
+	return place.Request{
 		Host: roster.Host{Name: w.Host, Domain: w.Domain, Region: w.Region}, Service: w.Service, Rank: w.Rank,
 		Object: w.Object, Homes: w.Homes, Tried: w.Tried,
 		Objective: now.Add(time.Duration(w.Objective) * time.Millisecond),
@@ -80,14 +80,14 @@
 
 func newWireRelease(number uint64, r place.Result) wireRelease {
 	return wireRelease{
-		Number: number, Took: r.Took, Dial: r.Dial, Waiting: r.Waiting, Good: r.Good, Quiet: r.Quiet, Shed: r.Shed,
-		Moved: r.Moved, Broken: r.Broken,
+		Number: number, Took: r.Duration, Dial: r.DialTime, Waiting: r.QueueLength, Good: r.Succeeded, Quiet: r.Inconclusive, Shed: r.Shed,
+		Moved: r.AddressReused, Broken: r.Unreachable,
 	}
 }
 
 func (w *wireRelease) toResult() place.Result {
 	return place.Result{
-		Took: w.Took, Dial: w.Dial, Waiting: w.Waiting, Good: w.Good, Quiet: w.Quiet, Shed: w.Shed, Moved: w.Moved, Broken: w.Broken,
+		Duration: w.Took, DialTime: w.Dial, QueueLength: w.Waiting, Succeeded: w.Good, Inconclusive: w.Quiet, Shed: w.Shed, AddressReused: w.Moved, Unreachable: w.Broken,
 	}
 }
 
--- a/internal/flow/place/bench_test.go
+++ b/internal/flow/place/bench_test.go
@@ -20,7 +20,7 @@
 	}
 	tab := table(list...)
 	now := at(0)
-	job := func(i int) Ask {
+	job := func(i int) Request {
 		a := ask(now)
 		a.Object, a.Rank, a.Objective, a.Deadline = fmt.Sprint(i%230), i%3, now.Add(time.Hour), now.Add(2*time.Hour)
 		return a
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -73,8 +73,8 @@
 	return OtherRegion
 }
 
-// Ask holds the attributes of a job that placement depends on.
-type Ask struct {
+// Request holds the attributes of a job that placement depends on.
+type Request struct {
 	Host      roster.Host // The host that received the job.
 	Service   string
 	Rank      int
@@ -90,13 +90,13 @@
 }
 
 // objectHash returns the hash of the job's object, or 0 if it has none.
-func (a *Ask) objectHash() uint64 {
+func (a *Request) objectHash() uint64 {
 	if a.Object != "" && a.cachedHash == 0 {
 		a.cachedHash = rendez.Hash(a.Object)
 	}
 	return a.cachedHash
 }
 
-func (a *Ask) allows(region string) bool {
+func (a *Request) allows(region string) bool {
 	return len(a.Homes) == 0 || slices.Contains(a.Homes, region)
 }
--- a/internal/flow/place/cold_test.go
+++ b/internal/flow/place/cold_test.go
@@ -40,7 +40,7 @@
 func TestThreePlacingHostsTogetherKeepAColdUpstreamsBound(t *testing.T) {
 	cold := upstream("cold", "a", "east")
 	cold.Slots, cold.Cold, cold.Reported = 9, 3*time.Second, at(0)
-	tabs := []*Table{table(cold), table(cold), table(cold)}
+	tabs := []*Scheduler{table(cold), table(cold), table(cold)}
 	var times []time.Duration
 	for d := time.Duration(0); d < 3*time.Second; d += 5 * time.Millisecond {
 		for _, tab := range tabs {
@@ -79,7 +79,7 @@
 	now := at(0)
 	g := try(tab, now, ask(now))
 	assert.Equal(t, g.Upstream.ID, "bad")
-	tab.Release(now, g, Result{Broken: true})
+	tab.Release(now, g, Result{Unreachable: true})
 	for range 2 {
 		assert.Equal(t, try(tab, now, ask(now)).Upstream.ID, "other")
 	}
@@ -99,7 +99,7 @@
 			now = now.Add(50 * time.Millisecond)
 			g = try(tab, now, ask(now))
 		}
-		tab.Release(now, g, Result{Broken: true})
+		tab.Release(now, g, Result{Unreachable: true})
 	}
 	now = now.Add(maxEjection)
 	n := 0
@@ -120,14 +120,14 @@
 		if g == nil {
 			return
 		}
-		tab.Release(now, g, Result{Took: time.Millisecond, Good: i%2 == 0})
+		tab.Release(now, g, Result{Duration: time.Millisecond, Succeeded: i%2 == 0})
 	}
 	t.Fatal("half of its jobs failed, but it was not ejected")
 }
 
 func TestANewIncarnationIsNotEjected(t *testing.T) {
 	tab := table(upstream("u", "a", "east"))
-	tab.Release(at(0), try(tab, at(0), ask(at(0))), Result{Broken: true})
+	tab.Release(at(0), try(tab, at(0), ask(at(0))), Result{Unreachable: true})
 	assert.Assert(t, try(tab, at(0), ask(at(0))) == nil)
 	again := upstream("u", "a", "east")
 	again.Born = 2
--- a/internal/flow/place/demand.go
+++ b/internal/flow/place/demand.go
@@ -22,7 +22,7 @@
 
 // recordDemand adds a job's expected work to the demand. Until a job has finished, the first job's objective is the
 // best estimate of the service's work.
-func (t *Table) recordDemand(now time.Time, ask *Ask) {
+func (t *Scheduler) recordDemand(now time.Time, ask *Request) {
 	d := t.demands[ask.Service]
 	if d == nil {
 		d = &demand{}
@@ -35,9 +35,9 @@
 	d.offered += w.mean()
 }
 
-// Ask returns this host's request for loaned upstreams: the demand of the services that it places jobs for, the
+// LoanRequest returns this host's request for loaned upstreams: the demand of the services that it places jobs for, the
 // current loans and the region's ejected upstreams.
-func (t *Table) Ask(now time.Time) deal.Ask {
+func (t *Scheduler) LoanRequest(now time.Time) deal.Ask {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	a := deal.Ask{Region: t.view.Self.Region, Demand: deal.Demand{}, Held: maps.Clone(t.view.Loans)}
--- a/internal/flow/place/load.go
+++ b/internal/flow/place/load.go
@@ -97,14 +97,14 @@
 
 // Result describes how a job ended on an upstream.
 type Result struct {
-	Took    time.Duration
-	Dial    time.Duration // Time to open the connection; 0 if an open one was used.
-	Waiting int           // Length of the upstream's own queue, as it reported.
-	Good    bool          // The upstream sent a complete answer that is not a server error.
-	Quiet   bool          // The result says nothing about the upstream: the caller left or the job's time was too short.
-	Shed    bool          // The upstream rejected the job without running it.
-	Moved   bool          // The address now belongs to another upstream.
-	Broken  bool          // The connection failed or the upstream appears to have crashed.
+	Duration      time.Duration
+	DialTime      time.Duration // Time to open the connection; 0 if an open one was used.
+	QueueLength   int           // Length of the upstream's own queue, as it reported.
+	Succeeded     bool          // The upstream sent a complete answer that is not a server error.
+	Inconclusive  bool          // The result says nothing about the upstream: the caller left or the job's time was too short.
+	Shed          bool          // The upstream rejected the job without running it.
+	AddressReused bool          // The address now belongs to another upstream.
+	Unreachable   bool          // The connection failed or the upstream appears to have crashed.
 
 	ExpectedWork time.Duration // Expected work, without the round trip; 0 if unknown.
 	RTT          time.Duration // Expected round-trip time.
@@ -112,18 +112,18 @@
 
 // recordResult updates the failure rate, ejection and slowdown with the result of a job.
 func (l *load) recordResult(now time.Time, r Result) {
-	if r.Moved {
+	if r.AddressReused {
 		l.ejectedUntil = now.Add(maxEjection)
 		return
 	}
-	if r.Quiet {
+	if r.Inconclusive {
 		return
 	}
-	if r.Good {
+	if r.Succeeded {
 		l.failureRate *= 1 - sampleWeight
 		l.consecutiveFailures, l.ejection = 0, 0
 		if r.ExpectedWork > 0 {
-			sample := min(maxSlowdown, max(minSlowdown, float64(r.Took-r.RTT)/float64(r.ExpectedWork)))
+			sample := min(maxSlowdown, max(minSlowdown, float64(r.Duration-r.RTT)/float64(r.ExpectedWork)))
 			l.slowdown += sampleWeight * (sample - l.slowdown)
 		}
 		return
@@ -133,12 +133,12 @@
 	}
 	l.failureRate += sampleWeight * (1 - l.failureRate)
 	l.consecutiveFailures++
-	if r.Broken || l.consecutiveFailures >= failuresToEject || l.failureRate > maxFailureRate {
+	if r.Unreachable || l.consecutiveFailures >= failuresToEject || l.failureRate > maxFailureRate {
 		l.ejection = min(maxEjection, max(minEjection, 2*l.ejection))
 		l.ejectedUntil = now.Add(l.ejection)
 		l.failureRate /= 2
 	}
-	if r.Broken && l.ejection > minEjection {
+	if r.Unreachable && l.ejection > minEjection {
 		l.markCold(now, l.ejectedUntil.Add(maxReportDelay)) // The upstream is down and will be cold when it returns.
 	}
 }
--- a/internal/flow/place/place_test.go
+++ b/internal/flow/place/place_test.go
@@ -31,24 +31,24 @@
 	}
 }
 
-func table(list ...*roster.Upstream) *Table {
-	t := NewTable()
+func table(list ...*roster.Upstream) *Scheduler {
+	t := NewScheduler()
 	t.Update(at(0), view(list...))
 	return t
 }
 
-func ask(now time.Time) Ask {
-	return Ask{Host: self, Service: "s", Rank: 1, Objective: now.Add(400 * time.Millisecond), Deadline: now.Add(2 * time.Second)}
+func ask(now time.Time) Request {
+	return Request{Host: self, Service: "s", Rank: 1, Objective: now.Add(400 * time.Millisecond), Deadline: now.Add(2 * time.Second)}
 }
 
 // try asks for a slot without waiting.
-func try(t *Table, now time.Time, a Ask) *Grant {
+func try(t *Scheduler, now time.Time, a Request) *Grant {
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	return t.Acquire(ctx, now, a)
 }
 
-func good(took time.Duration) Result { return Result{Took: took, Good: true} }
+func good(took time.Duration) Result { return Result{Duration: took, Succeeded: true} }
 
 func TestSlotsAreNeverExceededAndSameDomainGoesFirst(t *testing.T) {
 	tab := table(upstream("near", "a", "east"), upstream("next", "b", "east"), upstream("far", "c", "west"))
@@ -64,7 +64,7 @@
 func TestABorrowedUpstreamIsUsedByTheBorrowerAlone(t *testing.T) {
 	v := view(upstream("own", "a", "east"), upstream("lent", "a", "east"), upstream("ours", "c", "west"))
 	v.Loans = map[string]string{"lent": "west", "ours": "east"}
-	tab := NewTable()
+	tab := NewScheduler()
 	tab.Update(at(0), v)
 	got := map[string]int{}
 	for range 8 {
@@ -233,7 +233,7 @@
 	v := view(u)
 	other := roster.Host{Name: "h2", Domain: "b", Region: "east"}
 	v.Hosts = append(v.Hosts, other)
-	tab := NewTable()
+	tab := NewScheduler()
 	tab.Update(at(0), v)
 	a := ask(at(0))
 	a.Host = other
@@ -287,7 +287,7 @@
 			case 2:
 				if len(grants) > 0 {
 					i := rapid.IntRange(0, len(grants)-1).Draw(t, "which")
-					r := Result{Took: 50 * time.Millisecond, Good: rapid.Bool().Draw(t, "good"), Broken: rapid.IntRange(0, 5).Draw(t, "broken") == 0}
+					r := Result{Duration: 50 * time.Millisecond, Succeeded: rapid.Bool().Draw(t, "good"), Unreachable: rapid.IntRange(0, 5).Draw(t, "broken") == 0}
 					tab.Release(now, grants[i], r)
 					grants = append(grants[:i], grants[i+1:]...)
 				}
--- a/internal/flow/place/queue.go
+++ b/internal/flow/place/queue.go
@@ -8,7 +8,7 @@
 
 // waiter is a job that waits for a slot.
 type waiter struct {
-	ask    Ask
+	ask    Request
 	late   bool // The job can no longer meet its objective.
 	seq    uint64
 	target *load // The upstream that the job is queued for.
@@ -16,7 +16,7 @@
 }
 
 // Acquire reserves a slot for a job, waiting for one if necessary; it returns nil if none becomes free in time.
-func (t *Table) Acquire(ctx context.Context, now time.Time, ask Ask) *Grant {
+func (t *Scheduler) Acquire(ctx context.Context, now time.Time, ask Request) *Grant {
 	t.mu.Lock()
 	t.lastSeq++
 	w := &waiter{ask: ask, seq: t.lastSeq, ready: make(chan *Grant, 1)}
@@ -43,7 +43,7 @@
 }
 
 // cancelWait removes a waiter, and returns its grant if one was delivered in the meantime.
-func (t *Table) cancelWait(w *waiter) *Grant {
+func (t *Scheduler) cancelWait(w *waiter) *Grant {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.waiters = slices.DeleteFunc(t.waiters, func(o *waiter) bool { return o == w })
@@ -69,7 +69,7 @@
 
 // enqueue inserts a waiter in service order: jobs that can still meet their objective first, then by rank, then by
 // arrival.
-func (t *Table) enqueue(w *waiter) {
+func (t *Scheduler) enqueue(w *waiter) {
 	at, _ := slices.BinarySearchFunc(t.waiters, w, func(a, b *waiter) int {
 		switch {
 		case a.late != b.late && b.late:
@@ -88,7 +88,7 @@
 const maxWakeRetries = 32
 
 // wake retries the first waiters in service order.
-func (t *Table) wake(now time.Time) {
+func (t *Scheduler) wake(now time.Time) {
 	retries := 0
 	t.waiters = slices.DeleteFunc(t.waiters, func(w *waiter) bool {
 		retries++
@@ -98,7 +98,7 @@
 
 // assignFreedSlot assigns the free slots of an upstream to the waiters that are queued for it. If slots remain, the
 // first waiters of its service retry.
-func (t *Table) assignFreedSlot(now time.Time, l *load) {
+func (t *Scheduler) assignFreedSlot(now time.Time, l *load) {
 	t.waiters = slices.DeleteFunc(t.waiters, func(w *waiter) bool {
 		return w.target == l && t.canStart(now, l, w) && t.deliver(now, l, w)
 	})
@@ -113,13 +113,13 @@
 }
 
 // canStart reports whether an upstream can run a job that is queued for it.
-func (t *Table) canStart(now time.Time, l *load, w *waiter) bool {
+func (t *Scheduler) canStart(now time.Time, l *load, w *waiter) bool {
 	return l.inView && l.running < l.jobLimit(&w.ask, false) && !l.ejected(now) && !l.cold(now) &&
 		float64(w.ask.Deadline.Sub(now)) >= minTimeShare*float64(t.expectedDuration(l, &w.ask))
 }
 
 // deliver grants a waiter a slot of the upstream that it is queued for.
-func (t *Table) deliver(now time.Time, l *load, w *waiter) bool {
+func (t *Scheduler) deliver(now time.Time, l *load, w *waiter) bool {
 	w.setTarget(nil)
 	w.ready <- t.grant(now, l, w)
 	return true
@@ -129,7 +129,7 @@
 const maxFreedRetries = 4
 
 // tryServe grants a waiter a slot of its best upstream, if that has one free.
-func (t *Table) tryServe(now time.Time, w *waiter) bool {
+func (t *Scheduler) tryServe(now time.Time, w *waiter) bool {
 	g, _ := t.reserve(now, w)
 	if g == nil {
 		return false
@@ -144,7 +144,7 @@
 
 // reserve grants the job a slot of its best upstream, if that has one free. Otherwise it returns the time until which
 // the job may wait and still be answered in time.
-func (t *Table) reserve(now time.Time, w *waiter) (*Grant, time.Time) {
+func (t *Scheduler) reserve(now time.Time, w *waiter) (*Grant, time.Time) {
 	w.setTarget(nil)
 	list := t.candidates(now, &w.ask)
 	at := Choose(list)
--- a/internal/flow/place/rank.go
+++ b/internal/flow/place/rank.go
@@ -16,7 +16,7 @@
 }
 
 // paths returns the paths from a host to each failure domain, in the order of t.domains.
-func (t *Table) paths(from *roster.Host) []path {
+func (t *Scheduler) paths(from *roster.Host) []path {
 	out := make([]path, len(t.domains))
 	for i, u := range t.domains {
 		loc := localityOf(from, u)
@@ -26,7 +26,7 @@
 }
 
 // expectedDuration returns the expected round trip and service time of a job on an upstream, without queueing.
-func (t *Table) expectedDuration(l *load, ask *Ask) time.Duration {
+func (t *Scheduler) expectedDuration(l *load, ask *Request) time.Duration {
 	w := t.estimate(l.upstream.Service)
 	return t.rtts.expected(&ask.Host, l.upstream) + l.serviceTime(w.expected(w.likelyCached(l.recent, ask.objectHash())))
 }
@@ -50,7 +50,7 @@
 
 // candidates returns the upstreams that a job may be sent to, including those without a free slot. The list is valid
 // until the next call.
-func (t *Table) candidates(now time.Time, ask *Ask) []Candidate {
+func (t *Scheduler) candidates(now time.Time, ask *Request) []Candidate {
 	list := t.loadsByService[ask.Service]
 	out := t.scratch[:0]
 	key, owner := ask.objectHash(), -1
@@ -75,7 +75,7 @@
 		}
 		c.Cost = l.cost(p, service, meanWork)
 		if key != 0 {
-			c.Score = rendez.Even(key, l.hash)
+			c.Score = rendez.UnweightedScore(key, l.hash)
 			if owner < 0 || c.Score > out[owner].Score {
 				owner = len(out)
 			}
@@ -92,7 +92,7 @@
 }
 
 // eligible reports whether a job may be sent to an upstream once it has a free slot.
-func (t *Table) eligible(now time.Time, l *load, ask *Ask) bool {
+func (t *Scheduler) eligible(now time.Time, l *load, ask *Request) bool {
 	if l.limit == 0 || l.ejected(now) || !ask.allows(l.upstream.Region) || slices.Contains(ask.Tried, l.upstream.ID) {
 		return false
 	}
@@ -107,7 +107,7 @@
 const uncoordinatedJobLimit = 1
 
 // jobLimit returns how many jobs may run on an upstream: all of its slots if this region uses it.
-func (l *load) jobLimit(ask *Ask, failover bool) int {
+func (l *load) jobLimit(ask *Request, failover bool) int {
 	switch {
 	case l.assigned && !ask.Isolated:
 		return l.upstream.Slots
@@ -119,7 +119,7 @@
 
 // failover reports whether this region can use none of its upstreams, so that its jobs may run on those of other
 // regions.
-func (t *Table) failover(now time.Time, ask *Ask, list []*load) bool {
+func (t *Scheduler) failover(now time.Time, ask *Request, list []*load) bool {
 	for _, l := range list {
 		if l.assigned && !l.ejected(now) && !l.cold(now) && ask.allows(l.upstream.Region) {
 			return false
@@ -130,7 +130,7 @@
 
 // canWarm reports whether a cold upstream's token bucket has a token. Only the region that uses the upstream may warm
 // it, because the rate is too small to be split.
-func (t *Table) canWarm(now time.Time, l *load) bool {
+func (t *Scheduler) canWarm(now time.Time, l *load) bool {
 	if !l.assigned {
 		return false
 	}
--- a/internal/flow/place/shift_test.go
+++ b/internal/flow/place/shift_test.go
@@ -11,7 +11,7 @@
 // remoteJobs places a region's jobs for a while and returns the number of all jobs and of those that left the region,
 // per 100 ms. The first job of an object takes longer on each upstream, and jobs in other regions take a round trip
 // longer.
-func remoteJobs(tab *Table, until time.Duration) map[time.Duration][2]int {
+func remoteJobs(tab *Scheduler, until time.Duration) map[time.Duration][2]int {
 	type running struct {
 		g           *Grant
 		began, ends time.Duration
@@ -88,7 +88,7 @@
 	for _, id := range remoteIDs {
 		v.Loans[id] = "east"
 	}
-	tab := NewTable()
+	tab := NewScheduler()
 	tab.SetShift(0.15)
 	tab.Update(at(0), v)
 	parts := remoteJobs(tab, 8*time.Second)
--- a/internal/flow/place/table.go
+++ b/internal/flow/place/table.go
@@ -9,8 +9,8 @@
 	"github.com/boragelane/boragelane/internal/core/roster"
 )
 
-// Table places the jobs of a region's hosts on upstreams and tracks which jobs run and wait there.
-type Table struct {
+// Scheduler places the jobs of a region's hosts on upstreams and tracks which jobs run and wait there.
+type Scheduler struct {
 	mu               sync.Mutex
 	view             *roster.View
 	loads            map[string]*load
@@ -31,7 +31,7 @@
 
 // Grant is a slot of an upstream that is assigned to a job.
 type Grant struct {
-	Number   uint64
+	ID       uint64
 	Upstream *roster.Upstream
 
 	host          string
@@ -44,23 +44,23 @@
 	rtt           time.Duration
 }
 
-// NewTable returns a table without upstreams.
-func NewTable() *Table {
-	return &Table{
+// NewScheduler returns a table without upstreams.
+func NewScheduler() *Scheduler {
+	return &Scheduler{
 		view: &roster.View{}, loads: map[string]*load{}, estimates: map[string]*workEstimate{}, rtts: rttEstimates{},
 		demands: map[string]*demand{}, limiters: map[string]*shiftLimiter{}, grants: map[uint64]*Grant{},
 	}
 }
 
 // SetShift sets the maximum share of a region's callers that may change region within two seconds; 0 means no limit.
-func (t *Table) SetShift(share float64) {
+func (t *Scheduler) SetShift(share float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.maxShift = share
 }
 
 // Update applies a new view and retries the waiters.
-func (t *Table) Update(now time.Time, v *roster.View) {
+func (t *Scheduler) Update(now time.Time, v *roster.View) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.view = v
@@ -83,7 +83,7 @@
 }
 
 // updateLoad applies a report of an upstream; a new incarnation starts with empty statistics.
-func (t *Table) updateLoad(now time.Time, u *roster.Upstream) *load {
+func (t *Scheduler) updateLoad(now time.Time, u *roster.Upstream) *load {
 	l := t.loads[u.ID]
 	if l == nil || l.upstream.Born != u.Born {
 		running := 0
@@ -101,7 +101,7 @@
 }
 
 // domainIndex returns the index of an upstream's failure domain in t.domains, adding it if necessary.
-func (t *Table) domainIndex(u *roster.Upstream) int {
+func (t *Scheduler) domainIndex(u *roster.Upstream) int {
 	at := slices.IndexFunc(t.domains, func(o *roster.Upstream) bool { return o.Domain == u.Domain })
 	if at < 0 {
 		at = len(t.domains)
@@ -112,7 +112,7 @@
 
 // sweep ends the grants of hosts that have left and those past their expiry, and lets the statistics of idle upstreams
 // decay.
-func (t *Table) sweep(now time.Time) {
+func (t *Scheduler) sweep(now time.Time) {
 	t.lastSweep = now
 	for _, l := range t.loads {
 		l.decay()
@@ -132,7 +132,7 @@
 }
 
 // unusableShare returns the share of the slots used by this region whose upstreams are ejected or cold.
-func (t *Table) unusableShare(now time.Time, service string) float64 {
+func (t *Scheduler) unusableShare(now time.Time, service string) float64 {
 	total, unusable := 0, 0
 	for _, l := range t.loadsByService[service] {
 		if !l.assigned {
@@ -147,7 +147,7 @@
 }
 
 // limiter returns the shift limiter of a service, creating it if necessary.
-func (t *Table) limiter(service string) *shiftLimiter {
+func (t *Scheduler) limiter(service string) *shiftLimiter {
 	s := t.limiters[service]
 	if s == nil {
 		s = &shiftLimiter{}
@@ -157,11 +157,11 @@
 }
 
 // endGrant removes a grant and returns the load of its upstream, or nil if the grant or upstream is no longer known.
-func (t *Table) endGrant(g *Grant) *load {
-	if t.grants[g.Number] != g {
+func (t *Scheduler) endGrant(g *Grant) *load {
+	if t.grants[g.ID] != g {
 		return nil
 	}
-	delete(t.grants, g.Number)
+	delete(t.grants, g.ID)
 	l := t.loads[g.Upstream.ID]
 	if l != nil {
 		l.running--
@@ -172,7 +172,7 @@
 // grantGracePeriod is the time after a job's deadline at which a grant that was not released expires.
 const grantGracePeriod = time.Second
 
-func (t *Table) grant(now time.Time, l *load, w *waiter) *Grant {
+func (t *Scheduler) grant(now time.Time, l *load, w *waiter) *Grant {
 	l.running++
 	if l.cold(now) {
 		l.tokens--
@@ -181,7 +181,7 @@
 	u, ask := l.upstream, &w.ask
 	t.limiter(u.Service).record(now, u.Region != t.view.Self.Region)
 	g := &Grant{
-		Number: w.seq, Upstream: u, host: ask.Host.Name, fromDomain: ask.Host.Domain, expires: ask.Deadline.Add(grantGracePeriod),
+		ID: w.seq, Upstream: u, host: ask.Host.Name, fromDomain: ask.Host.Domain, expires: ask.Deadline.Add(grantGracePeriod),
 		rtt: t.rtts.expected(&ask.Host, u),
 	}
 	estimate := t.estimate(u.Service)
@@ -191,11 +191,11 @@
 		g.expectedWork = estimate.expected(g.expectHit)
 	}
 	l.recent = l.recent.add(ask.objectHash())
-	t.grants[g.Number] = g
+	t.grants[g.ID] = g
 	return g
 }
 
-func (t *Table) estimate(service string) *workEstimate {
+func (t *Scheduler) estimate(service string) *workEstimate {
 	w := t.estimates[service]
 	if w == nil {
 		w = &workEstimate{cacheSize: initialCacheSize, initial: initialWork}
@@ -205,7 +205,7 @@
 }
 
 // Release ends a grant, records the job's result and assigns the freed slot.
-func (t *Table) Release(now time.Time, g *Grant, r Result) {
+func (t *Scheduler) Release(now time.Time, g *Grant, r Result) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l := t.endGrant(g)
@@ -215,16 +215,16 @@
 	r.ExpectedWork, r.RTT = g.expectedWork, g.rtt
 	if l.upstream.Born == g.Upstream.Born {
 		l.recordResult(now, r)
-		t.rtts.record(g.fromDomain, g.Upstream.Domain, r.Dial)
-		if r.Good && r.Waiting == 0 {
-			t.recordWork(g, r.Took-g.rtt)
+		t.rtts.record(g.fromDomain, g.Upstream.Domain, r.DialTime)
+		if r.Succeeded && r.QueueLength == 0 {
+			t.recordWork(g, r.Duration-g.rtt)
 		}
 	}
 	t.assignFreedSlot(now, l)
 }
 
 // recordWork records the time of a job that was not queued by its upstream.
-func (t *Table) recordWork(g *Grant, took time.Duration) {
+func (t *Scheduler) recordWork(g *Grant, took time.Duration) {
 	w := t.estimate(g.Upstream.Service)
 	w.record(g.expectHit, took)
 	if g.reused {
@@ -233,14 +233,14 @@
 }
 
 // Find returns the grant with the given number, or nil.
-func (t *Table) Find(number uint64) *Grant {
+func (t *Scheduler) Find(number uint64) *Grant {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.grants[number]
 }
 
 // Waiting returns the number of jobs that wait for a slot.
-func (t *Table) Waiting() int {
+func (t *Scheduler) Waiting() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return len(t.waiters)
@@ -250,7 +250,7 @@
 const sweepInterval = 500 * time.Millisecond
 
 // Pump retries the waiters, since ejections end and cold upstreams earn tokens as time passes.
-func (t *Table) Pump(now time.Time) {
+func (t *Scheduler) Pump(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if now.Sub(t.lastSweep) > sweepInterval {
--- a/internal/flow/serve/budget.go
+++ b/internal/flow/serve/budget.go
@@ -5,11 +5,11 @@
 	"time"
 )
 
-// Terms configures the retry budget, which all hosts share.
-type Terms struct {
-	Ratio  float64       // Retries allowed per request.
-	Slack  float64       // Additional retries allowed per window, for all hosts together.
-	Window time.Duration // The length of the sliding window.
+// BudgetConfig configures the retry budget, which all hosts share.
+type BudgetConfig struct {
+	Ratio        float64       // Retries allowed per request.
+	ExtraRetries float64       // Additional retries allowed per window, for all hosts together.
+	Window       time.Duration // The length of the sliding window.
 }
 
 // usableShare is the part of its share that a host spends. Hosts may briefly undercount each other, which makes each
@@ -19,7 +19,7 @@
 // Budget is this host's share of the retry budget, by service.
 type Budget struct {
 	mu       sync.Mutex
-	terms    Terms
+	terms    BudgetConfig
 	services map[string]*history
 }
 
@@ -30,10 +30,10 @@
 }
 
 // NewBudget returns an unused budget.
-func NewBudget(t Terms) *Budget { return &Budget{terms: t, services: map[string]*history{}} }
+func NewBudget(t BudgetConfig) *Budget { return &Budget{terms: t, services: map[string]*history{}} }
 
 // SetTerms replaces the configuration.
-func (b *Budget) SetTerms(t Terms) {
+func (b *Budget) SetTerms(t BudgetConfig) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.terms = t
@@ -53,7 +53,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	h := b.history(now, service)
-	limit := usableShare * (b.terms.Ratio*float64(len(h.requests)) + b.terms.Slack/float64(max(1, hosts)))
+	limit := usableShare * (b.terms.Ratio*float64(len(h.requests)) + b.terms.ExtraRetries/float64(max(1, hosts)))
 	if float64(len(h.retries)+1) > limit {
 		return false
 	}
--- a/internal/flow/serve/serve.go
+++ b/internal/flow/serve/serve.go
@@ -14,7 +14,7 @@
 
 // Placer reserves and releases slots of upstreams.
 type Placer interface {
-	Acquire(ctx context.Context, now time.Time, ask place.Ask) *place.Grant
+	Acquire(ctx context.Context, now time.Time, ask place.Request) *place.Grant
 	Release(now time.Time, g *place.Grant, r place.Result)
 }
 
@@ -23,18 +23,18 @@
 	Send(ctx context.Context, now time.Time, job *pipe.Job, u *roster.Upstream) pipe.Reply
 }
 
-// Journal records each attempt.
-type Journal interface {
+// AttemptRecorder records each attempt.
+type AttemptRecorder interface {
 	Tried(now time.Time, job *pipe.Job, u *roster.Upstream, took time.Duration)
 }
 
 // Pipe is the filter that runs jobs on upstreams.
 type Pipe struct {
-	Placer  Placer
-	Sender  Sender
-	Budget  *Budget
-	Journal Journal
-	Clock   func() time.Time
+	Placer   Placer
+	Sender   Sender
+	Budget   *Budget
+	Recorder AttemptRecorder
+	Clock    func() time.Time
 }
 
 const (
@@ -77,8 +77,8 @@
 	}
 }
 
-func placeRequest(job *pipe.Job, tried []string) place.Ask {
-	return place.Ask{
+func placeRequest(job *pipe.Job, tried []string) place.Request {
+	return place.Request{
 		Host: job.View.Self, Service: job.Service, Rank: job.Level, Object: job.Object, Homes: job.Route.Homes, Tried: tried,
 		Objective: job.Objective, Deadline: job.Deadline, Trace: job.Trace,
 	}
@@ -119,17 +119,17 @@
 	setOutcome(ctx, job)
 	job.MayHaveRun = job.MayHaveRun || job.Outcome.Kind == pipe.Unknown
 	p.Placer.Release(now, g, result(&job.Reply, now.Sub(start)))
-	p.Journal.Tried(now, job, u, now.Sub(start))
+	p.Recorder.Tried(now, job, u, now.Sub(start))
 }
 
 // result converts a reply to the result that the placer records for the upstream.
 func result(r *pipe.Reply, took time.Duration) place.Result {
 	out := place.Result{
-		Took: took, Dial: r.DialTime, Quiet: r.Late, Shed: r.Shed, Moved: r.AddressReused, Broken: !r.Sent && !r.Late || r.Crashed,
-		Good: r.Complete && r.Answer.Status < http.StatusInternalServerError,
+		Duration: took, DialTime: r.DialTime, Inconclusive: r.Late, Shed: r.Shed, AddressReused: r.AddressReused, Unreachable: !r.Sent && !r.Late || r.Crashed,
+		Succeeded: r.Complete && r.Answer.Status < http.StatusInternalServerError,
 	}
 	if r.Report != nil {
-		out.Waiting = r.Report.Waiting
+		out.QueueLength = r.Report.Waiting
 	}
 	return out
 }
--- a/internal/flow/serve/serve_test.go
+++ b/internal/flow/serve/serve_test.go
@@ -24,7 +24,7 @@
 	held    int
 }
 
-func (s *scriptedUpstreams) Acquire(context.Context, time.Time, place.Ask) *place.Grant {
+func (s *scriptedUpstreams) Acquire(context.Context, time.Time, place.Request) *place.Grant {
 	if s.free == 0 {
 		return nil
 	}
@@ -49,8 +49,8 @@
 		Route: &policy.Route{Attempts: 2}, View: &roster.View{Hosts: make([]roster.Host, 1)},
 	}
 	p := &Pipe{
-		Placer: s, Sender: s, Journal: s, Clock: func() time.Time { return start },
-		Budget: NewBudget(Terms{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}),
+		Placer: s, Sender: s, Recorder: s, Clock: func() time.Time { return start },
+		Budget: NewBudget(BudgetConfig{Ratio: 0.2, ExtraRetries: 50, Window: 10 * time.Second}),
 	}
 	p.Run(context.Background(), start, job)
 	return job
@@ -119,7 +119,7 @@
 // any window, however unevenly the requests arrive.
 func TestRetriesOfAllHostsStayWithinTheBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		terms := Terms{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}
+		terms := BudgetConfig{Ratio: 0.2, ExtraRetries: 50, Window: 10 * time.Second}
 		hosts := make([]*Budget, rapid.IntRange(1, 12).Draw(t, "hosts"))
 		for i := range hosts {
 			hosts[i] = NewBudget(terms)
@@ -151,7 +151,7 @@
 					firsts++
 				}
 			}
-			if limit := terms.Ratio*float64(firsts) + terms.Slack; float64(retries) > limit {
+			if limit := terms.Ratio*float64(firsts) + terms.ExtraRetries; float64(retries) > limit {
 				t.Fatalf("%d retries, the budget allows %.0f", retries, limit)
 			}
 		}
--- a/internal/host/steer/hops.go
+++ b/internal/host/steer/hops.go
@@ -16,7 +16,7 @@
 type hopTracer struct{ host *Host }
 
 // Acquire requests an upstream within a span.
-func (h *hopTracer) Acquire(ctx context.Context, now time.Time, ask place.Ask) *place.Grant {
+func (h *hopTracer) Acquire(ctx context.Context, now time.Time, ask place.Request) *place.Grant {
 	if h.host.Tracer == nil {
 		return h.host.placer.Acquire(ctx, now, ask)
 	}
@@ -51,7 +51,7 @@
 type placeTracer struct{ host *Host }
 
 // Acquire places a job within a span.
-func (p *placeTracer) Acquire(ctx context.Context, now time.Time, ask place.Ask) *place.Grant {
+func (p *placeTracer) Acquire(ctx context.Context, now time.Time, ask place.Request) *place.Grant {
 	if p.host.Tracer == nil {
 		return p.host.table.Acquire(ctx, now, ask)
 	}
--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -67,7 +67,7 @@
 	loop         *watch.Loop
 	reader       *watch.Reader
 	keeper       *enrol.Keeper
-	table        *place.Table
+	table        *place.Scheduler
 	sender       *dialer.Sender
 	budget       *serve.Budget
 	crashes      *guard.Table
@@ -87,7 +87,7 @@
 	s.Host.Incarnation = newID()
 	h := &Host{
 		Settings: s, Clock: clock, Log: log, Metrics: metrics, Done: make(chan struct{}), front: front, store: store,
-		table: place.NewTable(), sender: dialer.New(names, clock), budget: serve.NewBudget(s.Retry),
+		table: place.NewScheduler(), sender: dialer.New(names, clock), budget: serve.NewBudget(s.Retry),
 		crashes: &guard.Table{}, crashReports: make(chan roster.Crash, crashReportBuffer),
 	}
 	h.table.SetShift(s.MaxShift)
@@ -102,7 +102,7 @@
 	h.filters = pipe.Pipeline{Clock: clock, Filters: []pipe.Filter{
 		match.New(),
 		guard.Pipe{Table: h.crashes, Notifier: &crashReporter{host: h}},
-		&serve.Pipe{Placer: &hopTracer{host: h}, Sender: &hopTracer{host: h}, Budget: h.budget, Journal: events, Clock: clock},
+		&serve.Pipe{Placer: &hopTracer{host: h}, Sender: &hopTracer{host: h}, Budget: h.budget, Recorder: events, Clock: clock},
 	}}
 	h.server = httpd.New(h, h.requestBounds, clock)
 	h.broker = &broker.Server{Dealer: h.loop, Teller: h.loop, Admit: &placeTracer{host: h}, Table: h.table, Clock: clock, Done: make(chan struct{})}
@@ -125,7 +125,7 @@
 // the view can't tell then.
 func (h *Host) isRegistered() bool {
 	v := h.loop.View()
-	if h.Clock().Sub(v.Synced) > storeStaleAfter {
+	if h.Clock().Sub(v.SyncedAt) > storeStaleAfter {
 		return true
 	}
 	for i := range v.Hosts {
--- a/internal/host/steer/journal.go
+++ b/internal/host/steer/journal.go
@@ -78,7 +78,7 @@
 		version = job.View.Policy.Version
 	}
 	l.log.Info("request", zap.String("id", job.ID), zap.String("route", route), zap.Uint64("policy", version),
-		zap.Duration("age", job.Started.Sub(job.View.Synced)),
+		zap.Duration("age", job.Started.Sub(job.View.SyncedAt)),
 		zap.String("service", job.Service), zap.String("upstream", job.Upstream.ID), zap.Int("tries", job.Tries),
 		zap.String("outcome", job.Outcome.Kind.String()), zap.String("reason", string(job.Outcome.Reason)),
 		zap.Int("status", job.Answer.Status), millisField(d), zap.String("detail", job.Outcome.Detail))
--- a/internal/host/steer/settings.go
+++ b/internal/host/steer/settings.go
@@ -15,7 +15,7 @@
 	Metrics   string            // Address for metrics; empty for none.
 	Regions   map[string]string // Region by failure domain.
 	Store     string            // Address of the platform's store.
-	Retry     serve.Terms
+	Retry     serve.BudgetConfig
 	MaxShift  float64       // Maximum fraction of a region's callers moved to other regions, or back, within two seconds; 0 for no limit.
 	Grace     time.Duration // Time from the stop signal until the platform kills the process.
 	Memory    int64         // Memory limit in bytes; 0 for none.
