--- a/internal/ctrl/deal/deal.go
+++ b/internal/ctrl/deal/deal.go
@@ -16,11 +16,11 @@
 
 // Input is the input of a plan.
 type Input struct {
-	Regions   []string                      // Regions with live hosts, sorted.
-	Upstreams map[string][]*roster.Upstream // By service.
-	Demand    map[string]Demand             // By region.
-	Held      Loans                         // Current loans; the plan changes as few of them as possible.
-	Down      map[string]bool               // Upstreams that can't serve requests, by ID.
+	Regions     []string                      // Regions with live hosts, sorted.
+	Upstreams   map[string][]*roster.Upstream // By service.
+	Demand      map[string]Demand             // By region.
+	Loans       Loans                         // Current loans; the plan changes as few of them as possible.
+	Unavailable map[string]bool               // Upstreams that can't serve requests, by ID.
 }
 
 const (
@@ -36,9 +36,9 @@
 	returnMargin = 1.5
 )
 
-// Deal plans the loans that cover the regions' needs. Once demand is known, each plan moves only a small share of a
+// Plan plans the loans that cover the regions' needs. Once demand is known, each plan moves only a small share of a
 // region's slots, so that its callers don't move to another region all at once.
-func Deal(in Input) Loans {
+func Plan(in Input) Loans {
 	out := Loans{}
 	for _, service := range slices.Sorted(maps.Keys(in.Upstreams)) {
 		p := newPlanner(&in, service)
@@ -65,12 +65,12 @@
 	p := &planner{regions: in.Regions, loans: Loans{}, supply: map[string]float64{}, need: map[string]float64{}, moves: map[string]int{}}
 	p.computeNeeds(in, service)
 	for _, u := range in.Upstreams[service] {
-		if in.Down[u.ID] {
+		if in.Unavailable[u.ID] {
 			continue
 		}
 		p.upstreams = append(p.upstreams, u)
 		user := u.Region
-		if held, ok := in.Held[u.ID]; ok && slices.Contains(in.Regions, held) && held != u.Region {
+		if held, ok := in.Loans[u.ID]; ok && slices.Contains(in.Regions, held) && held != u.Region {
 			p.loans[u.ID] = held
 			user = held
 		}
@@ -170,10 +170,10 @@
 // scoreDivisor scales rendezvous scores down, so that they only break ties between upstreams of one region.
 const scoreDivisor = 1e6
 
-// Ask is a host's request for loans, with the demand of its region.
-type Ask struct {
-	Region string   `json:"region"`
-	Demand Demand   `json:"demand"` // Only services whose jobs the requesting host places.
-	Down   []string `json:"down"`
-	Held   Loans    `json:"held"`
+// Request is a host's request for loans, with the demand of its region.
+type Request struct {
+	Region      string   `json:"region"`
+	Demand      Demand   `json:"demand"` // Only services whose jobs the requesting host places.
+	Unavailable []string `json:"down"`
+	Loans       Loans    `json:"held"`
 }
--- a/internal/ctrl/deal/deal_test.go
+++ b/internal/ctrl/deal/deal_test.go
@@ -36,7 +36,7 @@
 
 func TestWithoutKnownDemandLoansEvenOutTheRegions(t *testing.T) {
 	in := Input{Regions: regions, Upstreams: newUpstreams(map[string]int{"east": 6, "north": 2, "west": 4})}
-	got := slotsByRegion(in, Deal(in))
+	got := slotsByRegion(in, Plan(in))
 	assert.DeepEqual(t, got, map[string]int{"east": 12, "north": 12, "west": 12})
 }
 
@@ -47,8 +47,8 @@
 	}
 	had := 60
 	for range 20 {
-		in.Held = Deal(in)
-		got := slotsByRegion(in, in.Held)["north"]
+		in.Loans = Plan(in)
+		got := slotsByRegion(in, in.Loans)["north"]
 		assert.Assert(t, float64(got-had) <= 0.15*100, "%d more slots in one plan", got-had)
 		had = got
 	}
@@ -61,21 +61,21 @@
 		Demand: map[string]Demand{"east": {"s": 2}, "north": {"s": 9}, "west": {"s": 2}},
 	}
 	for range 5 {
-		in.Held = Deal(in)
+		in.Loans = Plan(in)
 	}
-	assert.Assert(t, len(in.Held) > 0)
+	assert.Assert(t, len(in.Loans) > 0)
 	in.Demand = map[string]Demand{"east": {"s": 16}, "north": {"s": 1}, "west": {"s": 10}}
 	for range 10 {
-		in.Held = Deal(in)
+		in.Loans = Plan(in)
 	}
-	for id, to := range in.Held {
+	for id, to := range in.Loans {
 		assert.Assert(t, to != "north", "%s is still lent to the region without demand", id)
 	}
 }
 
 func TestARegionWithoutHostsHoldsNoLoan(t *testing.T) {
-	in := Input{Regions: []string{"east"}, Upstreams: newUpstreams(map[string]int{"east": 2, "north": 2}), Held: Loans{"east0": "north"}}
-	assert.Equal(t, Deal(in)["east0"], "")
+	in := Input{Regions: []string{"east"}, Upstreams: newUpstreams(map[string]int{"east": 2, "north": 2}), Loans: Loans{"east0": "north"}}
+	assert.Equal(t, Plan(in)["east0"], "")
 }
 
 // For any demand, upstreams are lent only to known regions other than their own, upstreams that are down are not lent,
@@ -84,7 +84,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		in := Input{Regions: regions, Upstreams: newUpstreams(map[string]int{
 			"east": rapid.IntRange(0, 12).Draw(t, "east"), "north": rapid.IntRange(0, 12).Draw(t, "north"), "west": rapid.IntRange(0, 12).Draw(t, "west"),
-		}), Down: map[string]bool{}}
+		}), Unavailable: map[string]bool{}}
 		for range rapid.IntRange(1, 8).Draw(t, "plans") {
 			in.Demand = map[string]Demand{}
 			for _, r := range regions {
@@ -92,16 +92,16 @@
 					in.Demand[r] = Demand{"s": rapid.Float64Range(0, 60).Draw(t, "demand")}
 				}
 			}
-			in.Down = map[string]bool{}
+			in.Unavailable = map[string]bool{}
 			for _, u := range in.Upstreams["s"] {
-				in.Down[u.ID] = rapid.IntRange(0, 9).Draw(t, "down") == 0
+				in.Unavailable[u.ID] = rapid.IntRange(0, 9).Draw(t, "down") == 0
 			}
-			before := in.Held
-			in.Held = Deal(in)
-			if fmt.Sprint(Deal(Input{Regions: in.Regions, Upstreams: in.Upstreams, Demand: in.Demand, Held: before, Down: in.Down})) != fmt.Sprint(in.Held) {
+			before := in.Loans
+			in.Loans = Plan(in)
+			if fmt.Sprint(Plan(Input{Regions: in.Regions, Upstreams: in.Upstreams, Demand: in.Demand, Loans: before, Unavailable: in.Unavailable})) != fmt.Sprint(in.Loans) {
 				t.Fatal("equal inputs gave different plans")
 			}
-			for id, to := range in.Held {
+			for id, to := range in.Loans {
 				checkLoan(t, in, id, to)
 			}
 		}
@@ -114,7 +114,7 @@
 			t.Fatalf("%s is lent to its own region", id)
 		}
 	}
-	if in.Down[id] {
+	if in.Unavailable[id] {
 		t.Fatalf("%s is down and lent", id)
 	}
 	if to != "east" && to != "north" && to != "west" {
--- a/internal/ctrl/enrol/enrol.go
+++ b/internal/ctrl/enrol/enrol.go
@@ -10,17 +10,17 @@
 
 // Registry stores host entries under leases.
 type Registry interface {
-	// Enter writes a host's entry under a new lease and returns the lease.
-	Enter(ctx context.Context, h roster.Host, life time.Duration) (int64, error)
+	// Register writes a host's entry under a new lease and returns the lease.
+	Register(ctx context.Context, h roster.Host, life time.Duration) (int64, error)
 	// Renew renews a lease; it returns false if the lease has expired.
 	Renew(ctx context.Context, lease int64) (bool, error)
-	// Quit removes a host's entry and ends its lease.
-	Quit(ctx context.Context, name string, lease int64) error
+	// Deregister removes a host's entry and ends its lease.
+	Deregister(ctx context.Context, name string, lease int64) error
 }
 
 // Observer is told of each registration and of each failure to register or deregister.
 type Observer interface {
-	Enrolled(now time.Time, lease int64, err error)
+	Registered(now time.Time, lease int64, err error)
 }
 
 const (
@@ -39,7 +39,7 @@
 // Keeper keeps the entry of one host registered.
 type Keeper struct {
 	Registry Registry
-	Journal  Observer
+	Observer Observer
 	Host     roster.Host
 	Clock    func() time.Time
 	// Listed reports whether the latest view contains this host; an entry may be lost although its lease seems alive.
@@ -86,8 +86,8 @@
 		}
 		k.lease.Store(0)
 	}
-	lease, err := k.Registry.Enter(ctx, k.Host, LeaseTTL)
-	k.Journal.Enrolled(k.Clock(), lease, err)
+	lease, err := k.Registry.Register(ctx, k.Host, LeaseTTL)
+	k.Observer.Registered(k.Clock(), lease, err)
 	if err == nil {
 		k.lease.Store(lease)
 		k.registeredAt = k.Clock()
@@ -99,7 +99,7 @@
 func (k *Keeper) deregister() {
 	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
 	defer cancel()
-	if err := k.Registry.Quit(ctx, k.Host.Name, k.lease.Load()); err != nil {
-		k.Journal.Enrolled(k.Clock(), 0, err)
+	if err := k.Registry.Deregister(ctx, k.Host.Name, k.lease.Load()); err != nil {
+		k.Observer.Registered(k.Clock(), 0, err)
 	}
 }
--- a/internal/ctrl/watch/fold.go
+++ b/internal/ctrl/watch/fold.go
@@ -16,54 +16,54 @@
 // StoreFailed reports a failed store call.
 type StoreFailed struct{ Err error }
 
-// Leave starts the graceful shutdown of this host.
-type Leave struct{}
+// ShutdownRequested starts the graceful shutdown of this host.
+type ShutdownRequested struct{}
 
 // Tick triggers the removal of expired entries.
 type Tick struct{}
 
-func (StoreRead) event()   {}
-func (StoreFailed) event() {}
-func (Leave) event()       {}
-func (Tick) event()        {}
+func (StoreRead) event()         {}
+func (StoreFailed) event()       {}
+func (ShutdownRequested) event() {}
+func (Tick) event()              {}
 
-// Note describes one change of the state, for logs and metrics; What is the log message and the metric label.
-type Note struct {
-	What     string
+// StateChange describes one change of the state, for logs and metrics; What is the log message and the metric label.
+type StateChange struct {
+	Message  string
 	Name     string
 	Revision int64
 	Err      error
 }
 
 // Apply updates the state with an event and returns the changes to log.
-func Apply(s *State, ev Event, now time.Time) []Note {
-	var notes []Note
+func Apply(s *State, ev Event, now time.Time) []StateChange {
+	var notes []StateChange
 	switch ev := ev.(type) {
 	case StoreRead:
 		notes = s.applyBatch(ev.Batch, now)
 	case StoreFailed:
 		if !s.disconnected {
 			s.disconnected = true
-			notes = append(notes, Note{What: "store lost", Err: ev.Err})
+			notes = append(notes, StateChange{Message: "store lost", Err: ev.Err})
 		}
-	case Leave:
+	case ShutdownRequested:
 		s.leaving = true
 	case LoanRequest:
 		ev.Reply <- s.answerLoanRequest(ev.Request, now)
 	case UpdatesRequest:
 		ev.Reply <- s.updatesSince(ev.After, now)
-	case Lent:
+	case LoansReceived:
 		s.active, s.activeAt = ev.Loans, now
 	}
 	return append(notes, s.expire(now)...)
 }
 
 // applyBatch applies the changes of a store read and records the effective ones for followers.
-func (s *State) applyBatch(b roster.Batch, now time.Time) []Note {
-	var notes []Note
+func (s *State) applyBatch(b roster.Batch, now time.Time) []StateChange {
+	var notes []StateChange
 	if s.disconnected || now.Sub(s.lastSync) > outageThreshold && !s.lastSync.IsZero() {
 		s.recoveredAt = now
-		notes = append(notes, Note{What: "store regained", Revision: b.Revision})
+		notes = append(notes, StateChange{Message: "store regained", Revision: b.Revision})
 	}
 	s.disconnected, s.lastSync = false, now.Add(-b.Age)
 	s.revision = max(s.revision, b.Revision)
@@ -72,7 +72,7 @@
 		b.Changes = append(b.Changes, s.removals(b)...)
 	}
 	for i := range b.Changes {
-		if n := s.applyChange(&b.Changes[i], now); n.What != "" {
+		if n := s.applyChange(&b.Changes[i], now); n.Message != "" {
 			s.recordChange(&b.Changes[i])
 			n.Name, n.Revision, n.Err = b.Changes[i].Name, b.Changes[i].Revision, b.Changes[i].Err
 			notes = append(notes, n)
@@ -105,7 +105,7 @@
 	return out
 }
 
-func (s *State) applyChange(c *roster.Change, now time.Time) Note {
+func (s *State) applyChange(c *roster.Change, now time.Time) StateChange {
 	switch c.Kind {
 	case roster.PolicyKind:
 		return s.applyPolicy(c)
@@ -118,49 +118,49 @@
 	case roster.CrashKind:
 		return s.applyCrash(c)
 	}
-	return Note{}
+	return StateChange{}
 }
 
 // applyPolicy adopts a policy only if its version is newer than the active one, so that versions never go back.
-func (s *State) applyPolicy(c *roster.Change) Note {
+func (s *State) applyPolicy(c *roster.Change) StateChange {
 	switch {
 	case c.Err != nil:
-		return Note{What: "policy unreadable"}
+		return StateChange{Message: "policy unreadable"}
 	case c.Removed || s.policy != nil && c.Policy.Version <= s.policy.Version:
-		return Note{}
+		return StateChange{}
 	}
 	s.policy = c.Policy
-	return Note{What: "policy in force"}
+	return StateChange{Message: "policy in force"}
 }
 
 // applyCrash records a crash report for the lifetime of the process, up to the newest maxCrashes.
-func (s *State) applyCrash(c *roster.Change) Note {
+func (s *State) applyCrash(c *roster.Change) StateChange {
 	if c.Removed || c.Err != nil || slices.Contains(s.crashes, c.Crash) {
-		return Note{}
+		return StateChange{}
 	}
 	if len(s.crashes) >= maxCrashes {
 		s.crashes = slices.Clone(s.crashes[1:])
 	}
 	s.crashes = append(s.crashes, c.Crash)
-	return Note{What: "crash reported"}
+	return StateChange{Message: "crash reported"}
 }
 
-func (s *State) applyEvacuation(c *roster.Change, now time.Time) Note {
+func (s *State) applyEvacuation(c *roster.Change, now time.Time) StateChange {
 	switch {
 	case !c.Removed && !s.evacuated[c.Name]:
 		s.evacuated[c.Name] = true
-		return Note{What: "evacuation began"}
+		return StateChange{Message: "evacuation began"}
 	case c.Removed && s.evacuated[c.Name]:
 		delete(s.evacuated, c.Name)
 		s.evacuationEndedAt[c.Name] = now
-		return Note{What: "evacuation ended"}
+		return StateChange{Message: "evacuation ended"}
 	}
-	return Note{}
+	return StateChange{}
 }
 
-func (s *State) applyHost(c *roster.Change, now time.Time) Note {
+func (s *State) applyHost(c *roster.Change, now time.Time) StateChange {
 	if c.Err != nil {
-		return Note{What: "host entry unreadable"}
+		return StateChange{Message: "host entry unreadable"}
 	}
 	if c.Removed {
 		return s.removeOrDefer(c, now)
@@ -170,18 +170,18 @@
 	old, known := s.hosts[c.Name]
 	s.hosts[c.Name] = c.Host
 	if !known || inGrace || old.Incarnation != c.Host.Incarnation {
-		return Note{What: "host joined"}
+		return StateChange{Message: "host joined"}
 	}
-	return Note{}
+	return StateChange{}
 }
 
 // applyUpstream stores an upstream's report. A delayed write from an older incarnation, or with a lower sequence
 // number, is ignored.
-func (s *State) applyUpstream(c *roster.Change, now time.Time) Note {
+func (s *State) applyUpstream(c *roster.Change, now time.Time) StateChange {
 	old, known := s.upstreams[c.Name]
 	if c.Err != nil {
 		delete(s.upstreams, c.Name)
-		return Note{What: "upstream entry unreadable"}
+		return StateChange{Message: "upstream entry unreadable"}
 	}
 	if c.Removed {
 		return s.removeOrDefer(c, now)
@@ -189,7 +189,7 @@
 	c.Upstream.Reported = now // Base for the remaining cold time that is sent to followers.
 	u := c.Upstream
 	if known && isOlder(&u, &old) || u.Born < s.tombstones[u.ID].born {
-		return Note{}
+		return StateChange{}
 	}
 	s.trackDraining(&u, now)
 	_, inGrace := s.graceUntil[c.Kind.String()+c.Name]
@@ -197,15 +197,15 @@
 	s.upstreams[c.Name] = u
 	switch {
 	case inGrace && !u.Draining:
-		return Note{What: "upstream back"}
+		return StateChange{Message: "upstream back"}
 	case u.Draining && !old.Draining:
-		return Note{What: "upstream draining"}
+		return StateChange{Message: "upstream draining"}
 	case !known || u.Born != old.Born:
-		return Note{What: "upstream joined"}
+		return StateChange{Message: "upstream joined"}
 	case u.Cold > 0 && old.Cold == 0:
-		return Note{What: "upstream cold"}
+		return StateChange{Message: "upstream cold"}
 	}
-	return Note{}
+	return StateChange{}
 }
 
 // isOlder reports whether u was sent before than; both are reports of the same upstream.
@@ -226,37 +226,37 @@
 
 // removeOrDefer removes an entry at once, or after restoreGrace if its lease may have expired only because the store
 // was unavailable.
-func (s *State) removeOrDefer(c *roster.Change, now time.Time) Note {
+func (s *State) removeOrDefer(c *roster.Change, now time.Time) StateChange {
 	until := s.recoveredAt.Add(restoreGrace)
 	if s.recoveredAt.IsZero() || !now.Before(until) {
 		return s.deleteEntry(c.Kind, c.Name, now)
 	}
 	if _, ok := s.graceUntil[c.Kind.String()+c.Name]; ok {
-		return Note{}
+		return StateChange{}
 	}
 	s.graceUntil[c.Kind.String()+c.Name] = until
-	return Note{What: c.Kind.String() + " lapsed"}
+	return StateChange{Message: c.Kind.String() + " lapsed"}
 }
 
 // deleteEntry removes an upstream or host; an upstream leaves a tombstone.
-func (s *State) deleteEntry(k roster.Kind, name string, now time.Time) Note {
+func (s *State) deleteEntry(k roster.Kind, name string, now time.Time) StateChange {
 	delete(s.graceUntil, k.String()+name)
 	if u, ok := s.upstreams[name]; ok && k == roster.UpstreamKind {
 		delete(s.upstreams, name)
 		s.tombstones[name] = tombstone{born: u.Born, draining: u.Draining, recordedAt: now}
-		return Note{What: "upstream gone"}
+		return StateChange{Message: "upstream gone"}
 	}
 	if _, ok := s.hosts[name]; ok && k == roster.HostKind {
 		delete(s.hosts, name)
-		return Note{What: "host gone"}
+		return StateChange{Message: "host gone"}
 	}
-	return Note{}
+	return StateChange{}
 }
 
 // expire removes entries whose grace period has ended, and tombstones older than tombstoneTTL. Grace periods don't end
 // while the store is unavailable.
-func (s *State) expire(now time.Time) []Note {
-	var notes []Note
+func (s *State) expire(now time.Time) []StateChange {
+	var notes []StateChange
 	for key, until := range s.graceUntil {
 		if now.Before(until) || s.disconnected {
 			continue
--- a/internal/ctrl/watch/fold_test.go
+++ b/internal/ctrl/watch/fold_test.go
@@ -32,7 +32,7 @@
 	return roster.Change{Kind: k, Name: name, Removed: true}
 }
 
-func applyChanges(s *State, now time.Time, changes ...roster.Change) []Note {
+func applyChanges(s *State, now time.Time, changes ...roster.Change) []StateChange {
 	return Apply(s, StoreRead{Batch: roster.Batch{Changes: changes, Revision: now.UnixNano()}}, now)
 }
 
@@ -66,7 +66,7 @@
 	s := newState()
 	applyChanges(s, at(0), roster.Change{Kind: roster.PolicyKind, Policy: &policy.Policy{Version: 3}})
 	notes := applyChanges(s, at(time.Second), roster.Change{Kind: roster.PolicyKind, Err: errors.New("truncated")})
-	assert.Equal(t, notes[0].What, "policy unreadable")
+	assert.Equal(t, notes[0].Message, "policy unreadable")
 	applyChanges(s, at(2*time.Second), removal(roster.PolicyKind, "policy"))
 	assert.Equal(t, s.View(at(3*time.Second)).Policy.Version, uint64(3))
 }
--- a/internal/ctrl/watch/loop.go
+++ b/internal/ctrl/watch/loop.go
@@ -9,14 +9,14 @@
 	"github.com/boragelane/boragelane/internal/ctrl/deal"
 )
 
-// Follower is updated with each new view before the view is published.
-type Follower interface {
+// Subscriber is updated with each new view before the view is published.
+type Subscriber interface {
 	Update(now time.Time, v *roster.View)
 }
 
 // Observer is told of each change of the state, for logs and metrics.
 type Observer interface {
-	Believe(now time.Time, n Note)
+	StateChanged(now time.Time, n StateChange)
 }
 
 const (
@@ -28,10 +28,10 @@
 
 // Loop owns the control state; only its goroutine accesses it.
 type Loop struct {
-	Clock     func() time.Time
-	Followers []Follower
-	Observer  Observer
-	Done      chan struct{}
+	Clock       func() time.Time
+	Subscribers []Subscriber
+	Observer    Observer
+	Done        chan struct{}
 
 	state  *State
 	events chan Event
@@ -81,13 +81,13 @@
 	now := l.Clock()
 	notes := Apply(l.state, ev, now)
 	for _, n := range notes {
-		l.Observer.Believe(now, n)
+		l.Observer.StateChanged(now, n)
 	}
 	if len(notes) == 0 && !affectsView(ev) {
 		return
 	}
 	v := l.state.View(now)
-	for _, f := range l.Followers {
+	for _, f := range l.Subscribers {
 		f.Update(now, v)
 	}
 	l.view.Store(v)
@@ -102,8 +102,8 @@
 	return true
 }
 
-// Ask submits a region's demand and returns the planned loans; it returns false if the context or the loop ended first.
-func (l *Loop) Ask(ctx context.Context, a deal.Ask) (deal.Loans, bool) {
+// RequestLoans submits a region's demand and returns the planned loans; it returns false if the context or the loop ended first.
+func (l *Loop) RequestLoans(ctx context.Context, a deal.Request) (deal.Loans, bool) {
 	reply := make(chan deal.Loans, 1)
 	if !l.Send(ctx, LoanRequest{Request: a, Reply: reply}) {
 		return nil, false
@@ -117,11 +117,11 @@
 	return nil, false
 }
 
-// News returns the store changes after a revision; it returns false if the context or the loop ended first.
-func (l *Loop) News(ctx context.Context, after int64) (News, bool) {
-	reply := make(chan News, 1)
+// Updates returns the store changes after a revision; it returns false if the context or the loop ended first.
+func (l *Loop) Updates(ctx context.Context, after int64) (Updates, bool) {
+	reply := make(chan Updates, 1)
 	if !l.Send(ctx, UpdatesRequest{After: after, Reply: reply}) {
-		return News{}, false
+		return Updates{}, false
 	}
 	select {
 	case n := <-reply:
@@ -129,5 +129,5 @@
 	case <-ctx.Done():
 	case <-l.Done:
 	}
-	return News{}, false
+	return Updates{}, false
 }
--- a/internal/ctrl/watch/reader.go
+++ b/internal/ctrl/watch/reader.go
@@ -25,9 +25,9 @@
 	Next(ctx context.Context, after int64, wait time.Duration) (roster.Batch, error)
 }
 
-// Relay fetches store changes from another host.
-type Relay interface {
-	News(ctx context.Context, from roster.Host, after int64) (News, error)
+// PeerSource fetches store changes from another host.
+type PeerSource interface {
+	Updates(ctx context.Context, from roster.Host, after int64) (Updates, error)
 }
 
 const (
@@ -58,7 +58,7 @@
 // Reader feeds the loop with store changes, from one of the region's readers or from the store itself.
 type Reader struct {
 	Source Source
-	Relay  Relay
+	Peers  PeerSource
 	Loop   *Loop
 	Clock  func() time.Time
 	Done   chan struct{}
@@ -99,7 +99,7 @@
 		if r.Clock().Before(r.skipUntil[h.Name]) {
 			continue
 		}
-		n, err := r.Relay.News(ctx, h, r.revision)
+		n, err := r.Peers.Updates(ctx, h, r.revision)
 		if err != nil {
 			r.skipUntil[h.Name] = r.Clock().Add(peerSkipPeriod)
 			continue
@@ -117,7 +117,7 @@
 const readerRole = "reader"
 
 // forward passes a peer's changes to the loop, unless this host has already read a later revision.
-func (r *Reader) forward(ctx context.Context, n News) {
+func (r *Reader) forward(ctx context.Context, n Updates) {
 	if n.Batch.Revision < r.revision {
 		return
 	}
--- a/internal/ctrl/watch/reader_test.go
+++ b/internal/ctrl/watch/reader_test.go
@@ -20,7 +20,7 @@
 	refuse       bool // Calls fail immediately.
 	revision     int64
 	started      chan struct{}
-	peerUpdates  map[string]News // Answers of other hosts, by name; a host without one fails.
+	peerUpdates  map[string]Updates // Answers of other hosts, by name; a host without one fails.
 	peerRequests map[string]int
 	reads        int
 }
@@ -56,13 +56,13 @@
 	return roster.Batch{}, errors.New("no answer")
 }
 
-func (f *fakeStore) News(_ context.Context, from roster.Host, _ int64) (News, error) {
+func (f *fakeStore) Updates(_ context.Context, from roster.Host, _ int64) (Updates, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.peerRequests[from.Name]++
 	n, ok := f.peerUpdates[from.Name]
 	if !ok {
-		return News{}, errors.New("no answer")
+		return Updates{}, errors.New("no answer")
 	}
 	n.Batch.Revision = f.revision
 	return n, nil
@@ -70,7 +70,7 @@
 
 type noopObserver struct{}
 
-func (noopObserver) Believe(time.Time, Note) {}
+func (noopObserver) StateChanged(time.Time, StateChange) {}
 
 func startReader(t *testing.T, f *fakeStore, hosts ...roster.Host) *Loop {
 	f.started, f.peerRequests = make(chan struct{}, 1), map[string]int{}
@@ -80,7 +80,7 @@
 	}
 	l.view.Store(l.state.View(time.Now()))
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Reader{Source: f, Relay: f, Loop: l, Clock: time.Now, Done: make(chan struct{})}
+	r := &Reader{Source: f, Peers: f, Loop: l, Clock: time.Now, Done: make(chan struct{})}
 	go l.Run(ctx)
 	go r.Run(ctx)
 	t.Cleanup(func() { cancel(); <-r.Done; <-l.Done })
@@ -118,7 +118,7 @@
 }
 
 func TestAFollowerAsksTheReaderAndLeavesTheStoreAlone(t *testing.T) {
-	f := &fakeStore{peerUpdates: map[string]News{"big": {}}}
+	f := &fakeStore{peerUpdates: map[string]Updates{"big": {}}}
 	l := startReader(t, f, roster.Host{Name: "big", Region: "east", Cores: 2}, roster.Host{Name: "self", Region: "east", Cores: 1})
 	waitFor(t, "changes", func() bool { return !l.View().SyncedAt.IsZero() })
 	time.Sleep(time.Second)
@@ -129,7 +129,7 @@
 }
 
 func TestAFollowerReadsForItselfWhenNewsAreOldOrDoNotCome(t *testing.T) {
-	for name, peers := range map[string]map[string]News{"old": {"big": {Age: 3 * time.Second}}, "none": {}} {
+	for name, peers := range map[string]map[string]Updates{"old": {"big": {Age: 3 * time.Second}}, "none": {}} {
 		t.Run(name, func(t *testing.T) {
 			f := &fakeStore{peerUpdates: peers}
 			l := startReader(t, f, roster.Host{Name: "big", Region: "east", Cores: 2}, roster.Host{Name: "self", Region: "east", Cores: 1})
@@ -142,12 +142,12 @@
 // The host can't reach the store, but the reader can again: changes must arrive through the reader, although one of the
 // host's own store calls may still hang.
 func TestAFollowerThatIsCutOffHearsThroughTheReader(t *testing.T) {
-	f := &fakeStore{unreachable: true, peerUpdates: map[string]News{"big": {Age: 3 * time.Second}}}
+	f := &fakeStore{unreachable: true, peerUpdates: map[string]Updates{"big": {Age: 3 * time.Second}}}
 	l := startReader(t, f, roster.Host{Name: "big", Region: "east", Cores: 2}, roster.Host{Name: "self", Region: "east", Cores: 1})
 	<-f.started
 	time.Sleep(2 * time.Second)
 	f.mu.Lock()
-	f.peerUpdates["big"] = News{}
+	f.peerUpdates["big"] = Updates{}
 	f.mu.Unlock()
 	took := waitFor(t, "changes", func() bool { return !l.View().SyncedAt.IsZero() })
 	assert.Assert(t, took < 2*time.Second, "%s", took)
@@ -156,12 +156,12 @@
 // The store refuses all calls and the region's two readers are stale. Other hosts must back off further than the
 // readers do, and still get changes soon after one of the readers recovers.
 func TestFollowersBackOffFromAStoreThatRefuses(t *testing.T) {
-	f := &fakeStore{refuse: true, peerUpdates: map[string]News{"big1": {Age: 9 * time.Second}, "big2": {Age: 9 * time.Second}}}
+	f := &fakeStore{refuse: true, peerUpdates: map[string]Updates{"big1": {Age: 9 * time.Second}, "big2": {Age: 9 * time.Second}}}
 	l := startReader(t, f, roster.Host{Name: "big1", Region: "east", Cores: 2}, roster.Host{Name: "big2", Region: "east", Cores: 2}, roster.Host{Name: "self", Region: "east", Cores: 1})
 	time.Sleep(6 * time.Second)
 	f.mu.Lock()
 	reads := f.reads
-	f.peerUpdates["big2"] = News{}
+	f.peerUpdates["big2"] = Updates{}
 	f.mu.Unlock()
 	assert.Assert(t, reads >= 4 && reads <= 10, "%d calls in 6 s", reads)
 	took := waitFor(t, "changes", func() bool { return !l.View().SyncedAt.IsZero() })
--- a/internal/ctrl/watch/relay.go
+++ b/internal/ctrl/watch/relay.go
@@ -12,11 +12,11 @@
 // UpdatesRequest is a request from a host that follows this host instead of reading the store.
 type UpdatesRequest struct {
 	After int64
-	Reply chan News
+	Reply chan Updates
 }
 
-// News holds the changes after a revision, or a snapshot of the state.
-type News struct {
+// Updates holds the changes after a revision, or a snapshot of the state.
+type Updates struct {
 	Batch roster.Batch
 	Age   time.Duration // Time since the last successful store read.
 }
@@ -40,8 +40,8 @@
 }
 
 // updatesSince returns the changes after a revision, or a snapshot if the log doesn't reach back that far.
-func (s *State) updatesSince(after int64, now time.Time) News {
-	n := News{Batch: roster.Batch{Revision: s.revision}, Age: now.Sub(s.lastSync)}
+func (s *State) updatesSince(after int64, now time.Time) Updates {
+	n := Updates{Batch: roster.Batch{Revision: s.revision}, Age: now.Sub(s.lastSync)}
 	if after == 0 || after < s.compactedTo {
 		n.Batch.Snapshot = true
 		n.Batch.Changes = s.snapshot()
--- a/internal/ctrl/watch/shares.go
+++ b/internal/ctrl/watch/shares.go
@@ -20,15 +20,15 @@
 
 // LoanRequest is a host's request for the current loans, with its region's demand.
 type LoanRequest struct {
-	Request deal.Ask
+	Request deal.Request
 	Reply   chan deal.Loans
 }
 
-// Lent carries the loans that this host received from the planning host.
-type Lent struct{ Loans deal.Loans }
+// LoansReceived carries the loans that this host received from the planning host.
+type LoansReceived struct{ Loans deal.Loans }
 
-func (LoanRequest) event() {}
-func (Lent) event()        {}
+func (LoanRequest) event()   {}
+func (LoansReceived) event() {}
 
 // regionDemand is the last demand that a region reported for a service.
 type regionDemand struct {
@@ -47,23 +47,23 @@
 }
 
 // answerLoanRequest records a region's demand and returns the loans, which it plans anew after minPlanInterval.
-func (s *State) answerLoanRequest(a deal.Ask, now time.Time) deal.Loans {
+func (s *State) answerLoanRequest(a deal.Request, now time.Time) deal.Loans {
 	for service, slots := range a.Demand {
-		s.demands[[2]string{a.Region, service}] = regionDemand{slots: slots, unavailable: a.Down, receivedAt: now}
+		s.demands[[2]string{a.Region, service}] = regionDemand{slots: slots, unavailable: a.Unavailable, receivedAt: now}
 	}
 	if now.Sub(s.computedAt) < minPlanInterval {
 		return s.computed
 	}
 	if now.Sub(s.computedAt) > loansTTL {
-		s.computed = a.Held // No recent plan on this host: continue from the loans that the requester uses.
+		s.computed = a.Loans // No recent plan on this host: continue from the loans that the requester uses.
 	}
-	s.computed, s.computedAt = deal.Deal(s.planInput(now)), now
+	s.computed, s.computedAt = deal.Plan(s.planInput(now)), now
 	return s.computed
 }
 
 // planInput builds the input of a plan from the current state and drops expired demand.
 func (s *State) planInput(now time.Time) deal.Input {
-	in := deal.Input{Upstreams: s.usableUpstreams(now), Demand: map[string]deal.Demand{}, Held: s.computed, Down: map[string]bool{}}
+	in := deal.Input{Upstreams: s.usableUpstreams(now), Demand: map[string]deal.Demand{}, Loans: s.computed, Unavailable: map[string]bool{}}
 	regions := map[string]bool{}
 	for _, h := range s.hosts {
 		regions[h.Region] = true
@@ -79,7 +79,7 @@
 		}
 		in.Demand[k[0]][k[1]] = d.slots
 		for _, id := range d.unavailable {
-			in.Down[id] = true
+			in.Unavailable[id] = true
 		}
 	}
 	return in
--- a/internal/edge/broker/asker.go
+++ b/internal/edge/broker/asker.go
@@ -18,24 +18,24 @@
 
 // DemandSource returns the loan request of this host.
 type DemandSource interface {
-	LoanRequest(now time.Time) deal.Ask
+	LoanRequest(now time.Time) deal.Request
 }
 
-// Asker periodically requests the loans of upstreams from the host that plans them: the first live one by name.
-type Asker struct {
-	Needer DemandSource
-	Local  LoanPlanner // Used when this host is the one that plans.
-	View   func() *roster.View
-	Give   func(l deal.Loans)           // Called with the received loans.
-	Lost   func(host string, err error) // Called when a request failed.
-	Clock  func() time.Time
-	Done   chan struct{}
+// LoanPoller periodically requests the loans of upstreams from the host that plans them: the first live one by name.
+type LoanPoller struct {
+	Demand  DemandSource
+	Local   LoanPlanner // Used when this host is the one that plans.
+	View    func() *roster.View
+	OnLoans func(l deal.Loans)           // Called with the received loans.
+	OnError func(host string, err error) // Called when a request failed.
+	Clock   func() time.Time
+	Done    chan struct{}
 
 	peers *peerPool
 }
 
 // Run requests loans until the context ends.
-func (a *Asker) Run(ctx context.Context) {
+func (a *LoanPoller) Run(ctx context.Context) {
 	defer close(a.Done)
 	a.peers = newPeerPool(a.Clock)
 	defer a.peers.close()
@@ -53,10 +53,10 @@
 			}
 			loans, err := a.requestLoans(ctx, h)
 			if err != nil {
-				a.Lost(h.Name, err)
+				a.OnError(h.Name, err)
 				a.peers.markFailed(h)
 			} else {
-				a.Give(loans)
+				a.OnLoans(loans)
 			}
 			break
 		}
@@ -64,12 +64,12 @@
 }
 
 // requestLoans requests loans from a host, or from this host's own planner.
-func (a *Asker) requestLoans(ctx context.Context, h roster.Host) (deal.Loans, error) {
+func (a *LoanPoller) requestLoans(ctx context.Context, h roster.Host) (deal.Loans, error) {
 	ctx, cancel := context.WithTimeout(ctx, loanRequestTimeout)
 	defer cancel()
-	ask := a.Needer.LoanRequest(a.Clock())
+	ask := a.Demand.LoanRequest(a.Clock())
 	if h.Name == a.View().Self.Name {
-		loans, ok := a.Local.Ask(ctx, ask)
+		loans, ok := a.Local.RequestLoans(ctx, ask)
 		if !ok {
 			return nil, ErrCall.New("this host is stopping")
 		}
@@ -90,30 +90,32 @@
 // link of 10 Mbit/s, and after a timeout there must be time left to read the store within 2.5 s.
 const updatesTimeout = 1500 * time.Millisecond
 
-// Relay fetches store changes from other hosts of the region.
-type Relay struct {
+// UpdateFetcher fetches store changes from other hosts of the region.
+type UpdateFetcher struct {
 	peers *peerPool
 	clock func() time.Time
 }
 
-// NewRelay returns a relay; connections are opened on demand.
-func NewRelay(clock func() time.Time) *Relay { return &Relay{peers: newPeerPool(clock), clock: clock} }
+// NewUpdateFetcher returns a relay; connections are opened on demand.
+func NewUpdateFetcher(clock func() time.Time) *UpdateFetcher {
+	return &UpdateFetcher{peers: newPeerPool(clock), clock: clock}
+}
 
 // Close closes all connections.
-func (r *Relay) Close() { r.peers.close() }
+func (r *UpdateFetcher) Close() { r.peers.close() }
 
-// News fetches the store changes after a revision from a host.
-func (r *Relay) News(ctx context.Context, from roster.Host, after int64) (watch.News, error) {
+// Updates fetches the store changes after a revision from a host.
+func (r *UpdateFetcher) Updates(ctx context.Context, from roster.Host, after int64) (watch.Updates, error) {
 	ctx, cancel := context.WithTimeout(ctx, updatesTimeout)
 	defer cancel()
 	p, err := r.peers.get(ctx, from)
 	if err != nil {
-		return watch.News{}, err
+		return watch.Updates{}, err
 	}
 	var w wireUpdates
 	if err := p.call(ctx, r.clock, methodUpdates, wireUpdatesRequest{After: after}, &w); err != nil {
 		_ = p.conn.Close()
-		return watch.News{}, ErrCall.Wrap(err, "requesting store changes from host %s", from.Name)
+		return watch.Updates{}, ErrCall.Wrap(err, "requesting store changes from host %s", from.Name)
 	}
-	return watch.News{Batch: roster.Batch{Changes: w.Changes, Revision: w.Revision, Snapshot: w.Full}, Age: w.Age}, nil
+	return watch.Updates{Batch: roster.Batch{Changes: w.Changes, Revision: w.Revision, Snapshot: w.Full}, Age: w.Age}, nil
 }
--- a/internal/edge/broker/broker_test.go
+++ b/internal/edge/broker/broker_test.go
@@ -19,14 +19,14 @@
 // fakeControl is a LoanPlanner and an UpdateSource with fixed answers.
 type fakeControl struct{ loanRequests atomic.Int64 }
 
-func (c *fakeControl) Ask(_ context.Context, a deal.Ask) (deal.Loans, bool) {
+func (c *fakeControl) RequestLoans(_ context.Context, a deal.Request) (deal.Loans, bool) {
 	c.loanRequests.Add(1)
 	return deal.Loans{"u1": a.Region}, true
 }
 
-func (c *fakeControl) News(_ context.Context, after int64) (watch.News, bool) {
+func (c *fakeControl) Updates(_ context.Context, after int64) (watch.Updates, bool) {
 	u := roster.Upstream{ID: "u9", Cold: 5 * time.Second, Reported: time.Now().Add(-time.Second)}
-	return watch.News{Batch: roster.Batch{Revision: after + 1, Changes: []roster.Change{{Kind: roster.UpstreamKind, Name: "u9", Upstream: u}}}, Age: time.Second}, true
+	return watch.Updates{Batch: roster.Batch{Revision: after + 1, Changes: []roster.Change{{Kind: roster.UpstreamKind, Name: "u9", Upstream: u}}}, Age: time.Second}, true
 }
 
 // hostPair is a host that places jobs and a host that acquires upstreams through it.
@@ -59,7 +59,7 @@
 	ctx, stopServer := context.WithCancel(context.Background())
 	p.stopServer = stopServer
 	c := &fakeControl{}
-	s := &Server{Dealer: c, Teller: c, Admit: p.tables[0], Table: p.tables[0], Clock: time.Now, Done: make(chan struct{})}
+	s := &Server{Planner: c, Updates: c, Admit: p.tables[0], Table: p.tables[0], Clock: time.Now, Done: make(chan struct{})}
 	go s.Serve(ctx, ln)
 	p.placer = NewPlacer(p.tables[1], func() *roster.View { return p.view }, time.Now, func(string, error) {})
 	t.Cleanup(func() { stopServer(); p.placer.Close() })
@@ -164,9 +164,9 @@
 
 func TestHostsExchangeStoreChangesAndLoans(t *testing.T) {
 	p := newHostPair(t)
-	r := NewRelay(time.Now)
+	r := NewUpdateFetcher(time.Now)
 	defer r.Close()
-	n, err := r.News(context.Background(), p.view.Hosts[0], 41)
+	n, err := r.Updates(context.Background(), p.view.Hosts[0], 41)
 	assert.NilError(t, err)
 	assert.Equal(t, n.Batch.Revision, int64(42))
 	cold := n.Batch.Changes[0].Upstream.Cold
@@ -174,14 +174,14 @@
 
 	given := make(chan deal.Loans, 1)
 	ctx, cancel := context.WithCancel(context.Background())
-	a := &Asker{
-		Needer: p.tables[1], Local: &fakeControl{}, View: func() *roster.View { return p.view }, Clock: time.Now, Done: make(chan struct{}),
-		Give: func(l deal.Loans) {
+	a := &LoanPoller{
+		Demand: p.tables[1], Local: &fakeControl{}, View: func() *roster.View { return p.view }, Clock: time.Now, Done: make(chan struct{}),
+		OnLoans: func(l deal.Loans) {
 			select {
 			case given <- l:
 			default:
 			}
-		}, Lost: func(string, error) {},
+		}, OnError: func(string, error) {},
 	}
 	go a.Run(ctx)
 	assert.DeepEqual(t, <-given, deal.Loans{"u1": "east"})
--- a/internal/edge/broker/server.go
+++ b/internal/edge/broker/server.go
@@ -17,12 +17,12 @@
 
 // LoanPlanner records a region's demand and returns the loans of upstreams between regions.
 type LoanPlanner interface {
-	Ask(ctx context.Context, a deal.Ask) (deal.Loans, bool)
+	RequestLoans(ctx context.Context, a deal.Request) (deal.Loans, bool)
 }
 
 // UpdateSource returns the changes that this host read from the store.
 type UpdateSource interface {
-	News(ctx context.Context, after int64) (watch.News, bool)
+	Updates(ctx context.Context, after int64) (watch.Updates, bool)
 }
 
 // Admitter admits jobs to upstreams and waits for a free slot.
@@ -32,12 +32,12 @@
 
 // Server answers other hosts: it places the jobs of its region, plans loans and passes on store changes.
 type Server struct {
-	Dealer LoanPlanner
-	Teller UpdateSource
-	Admit  Admitter // Acquires from Table.
-	Table  *place.Scheduler
-	Clock  func() time.Time
-	Done   chan struct{}
+	Planner LoanPlanner
+	Updates UpdateSource
+	Admit   Admitter // Acquires from Table.
+	Table   *place.Scheduler
+	Clock   func() time.Time
+	Done    chan struct{}
 }
 
 // Serve accepts connections until the context ends or the listener is closed.
@@ -86,7 +86,7 @@
 	case methodUpdates:
 		err = decodeParams(req, func(w *wireUpdatesRequest) error { return s.updates(ctx, conn, req.ID, w) })
 	case methodLoans:
-		err = decodeParams(req, func(a *deal.Ask) error { return s.loans(ctx, conn, req.ID, a) })
+		err = decodeParams(req, func(a *deal.Request) error { return s.loans(ctx, conn, req.ID, a) })
 	default:
 		err = ErrCall.New("no method %q", req.Method)
 	}
@@ -151,8 +151,8 @@
 }
 
 // loans records a region's demand and replies with the loans.
-func (s *session) loans(ctx context.Context, conn *jsonrpc2.Conn, id jsonrpc2.ID, a *deal.Ask) error {
-	loans, ok := s.server.Dealer.Ask(ctx, *a)
+func (s *session) loans(ctx context.Context, conn *jsonrpc2.Conn, id jsonrpc2.ID, a *deal.Request) error {
+	loans, ok := s.server.Planner.RequestLoans(ctx, *a)
 	if !ok {
 		return ErrCall.New("this host is stopping")
 	}
@@ -162,7 +162,7 @@
 // updates replies with the store changes after a revision. Cold times are sent as the time left, because the clocks of
 // hosts differ.
 func (s *session) updates(ctx context.Context, conn *jsonrpc2.Conn, id jsonrpc2.ID, w *wireUpdatesRequest) error {
-	n, ok := s.server.Teller.News(ctx, w.After)
+	n, ok := s.server.Updates.Updates(ctx, w.After)
 	if !ok {
 		return ErrCall.New("this host is stopping")
 	}
--- a/internal/flow/place/demand.go
+++ b/internal/flow/place/demand.go
@@ -37,10 +37,10 @@
 
 // LoanRequest returns this host's request for loaned upstreams: the demand of the services that it places jobs for, the
 // current loans and the region's ejected upstreams.
-func (t *Scheduler) LoanRequest(now time.Time) deal.Ask {
+func (t *Scheduler) LoanRequest(now time.Time) deal.Request {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	a := deal.Ask{Region: t.view.Self.Region, Demand: deal.Demand{}, Held: maps.Clone(t.view.Loans)}
+	a := deal.Request{Region: t.view.Self.Region, Demand: deal.Demand{}, Loans: maps.Clone(t.view.Loans)}
 	elapsed := now.Sub(t.lastDemandReport)
 	t.lastDemandReport = now
 	for service, d := range t.demands {
@@ -61,7 +61,7 @@
 	}
 	for id, l := range t.loads {
 		if l.ejected(now) && t.view.User(l.upstream) == a.Region {
-			a.Down = append(a.Down, id)
+			a.Unavailable = append(a.Unavailable, id)
 		}
 	}
 	return a
--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -75,9 +75,9 @@
 	server       *httpd.Server
 	stopping     atomic.Bool
 	crashReports chan roster.Crash
-	asker        *broker.Asker
+	asker        *broker.LoanPoller
 	placer       *broker.Placer
-	relay        *broker.Relay
+	relay        *broker.UpdateFetcher
 	broker       *broker.Server
 	stopGrace    atomic.Int64 // A time.Duration in nanoseconds.
 }
@@ -93,10 +93,10 @@
 	h.table.SetShift(s.MaxShift)
 	events := &eventLog{log: log, metrics: h.Metrics}
 	h.loop = watch.NewLoop(s.Host, clock, events)
-	h.loop.Followers = []watch.Follower{h.table, &crashReceiver{crashes: h.crashes}}
-	h.relay = broker.NewRelay(clock)
-	h.reader = &watch.Reader{Source: store, Relay: h.relay, Loop: h.loop, Clock: clock, Done: make(chan struct{})}
-	h.keeper = &enrol.Keeper{Registry: store, Journal: events, Host: s.Host, Clock: clock, Listed: h.isRegistered, Done: make(chan struct{})}
+	h.loop.Subscribers = []watch.Subscriber{h.table, &crashReceiver{crashes: h.crashes}}
+	h.relay = broker.NewUpdateFetcher(clock)
+	h.reader = &watch.Reader{Source: store, Peers: h.relay, Loop: h.loop, Clock: clock, Done: make(chan struct{})}
+	h.keeper = &enrol.Keeper{Registry: store, Observer: events, Host: s.Host, Clock: clock, Listed: h.isRegistered, Done: make(chan struct{})}
 	h.placer = broker.NewPlacer(h.table, h.loop.View, clock, events.logPlacingFailure)
 	h.placer.Admit = &placeTracer{host: h}
 	h.filters = pipe.Pipeline{Clock: clock, Filters: []pipe.Filter{
@@ -105,10 +105,10 @@
 		&serve.Pipe{Placer: &hopTracer{host: h}, Sender: &hopTracer{host: h}, Budget: h.budget, Recorder: events, Clock: clock},
 	}}
 	h.server = httpd.New(h, h.requestBounds, clock)
-	h.broker = &broker.Server{Dealer: h.loop, Teller: h.loop, Admit: &placeTracer{host: h}, Table: h.table, Clock: clock, Done: make(chan struct{})}
-	h.asker = &broker.Asker{
-		Needer: h.table, Local: h.loop, View: h.loop.View, Lost: events.logLoanFailure, Clock: clock, Done: make(chan struct{}),
-		Give: func(l deal.Loans) { h.loop.Send(context.Background(), watch.Lent{Loans: l}) },
+	h.broker = &broker.Server{Planner: h.loop, Updates: h.loop, Admit: &placeTracer{host: h}, Table: h.table, Clock: clock, Done: make(chan struct{})}
+	h.asker = &broker.LoanPoller{
+		Demand: h.table, Local: h.loop, View: h.loop.View, OnError: events.logLoanFailure, Clock: clock, Done: make(chan struct{}),
+		OnLoans: func(l deal.Loans) { h.loop.Send(context.Background(), watch.LoansReceived{Loans: l}) },
 	}
 	h.stopGrace.Store(int64(s.Grace))
 	return h
--- a/internal/host/steer/journal.go
+++ b/internal/host/steer/journal.go
@@ -32,14 +32,14 @@
 	return zap.String("error", err.Error())
 }
 
-// Believe logs and counts a change in this host's view of the system.
-func (l *eventLog) Believe(_ time.Time, n watch.Note) {
-	l.metrics.ViewChanges.WithLabelValues(n.What).Inc()
-	l.log.Info(n.What, zap.String("name", n.Name), zap.Int64("revision", n.Revision), errorField(n.Err))
+// StateChanged logs and counts a change in this host's view of the system.
+func (l *eventLog) StateChanged(_ time.Time, n watch.StateChange) {
+	l.metrics.ViewChanges.WithLabelValues(n.Message).Inc()
+	l.log.Info(n.Message, zap.String("name", n.Name), zap.Int64("revision", n.Revision), errorField(n.Err))
 }
 
-// Enrolled logs that this host's entry in the store was written, or that it could not be kept.
-func (l *eventLog) Enrolled(_ time.Time, lease int64, err error) {
+// Registered logs that this host's entry in the store was written, or that it could not be kept.
+func (l *eventLog) Registered(_ time.Time, lease int64, err error) {
 	if err != nil {
 		l.log.Warn("entry not kept", errorField(err))
 		return
