wording: exported names of the stand-ins

These exported names said little to a new reader; they now read:

internal/stand/claims: Group -> ClaimPerBatch internal/stand/claims: Single -> ClaimPerJob internal/stand/claims: Ticket -> TicketStrategy internal/stand/claims: Way -> Strategy internal/stand/judge: Case -> Input internal/stand/judge: Case.At -> DrainedAt internal/stand/judge: Case.Drained -> DrainedUpstream internal/stand/judge: Case.Least -> MinAnswered internal/stand/judge: Case.Logs -> UpstreamReports internal/stand/judge: Case.Stopped -> StoppedFront internal/stand/judge: Verdict -> Violations internal/stand/layout: Layout.Change -> InitialChange internal/stand/layout: Options.Delay -> LinkDelay internal/stand/layout: Options.Net -> Subnet internal/stand/layout: Options.Rate -> LinkRate internal/stand/loadg: Class.Body -> BodySize internal/stand/loadg: Class.Resend -> MaxResends internal/stand/loadg: Class.Size -> AnswerSize internal/stand/loadg: Config.Length -> Duration internal/stand/loadg: Report.Answered -> AnsweredKeys internal/stand/loadg: Report.Lost -> LostByHost internal/stand/platf: Faults.Lag -> ListLag internal/stand/platf: Faults.Lose -> LoseAnswers internal/stand/platf: Faults.Reads -> ReadRate internal/stand/platf: Faults.Writes -> WriteRate internal/stand/platf: Platform.Lose -> LoseAnswers internal/stand/sizes: Full -> TwoYearSize internal/stand/upstr: Gauge -> ConcurrencyGauge internal/stand/upstr: Gauge.Most -> MaxConcurrent internal/stand/upstr: Options.Cold -> ColdJobs internal/stand/upstr: Options.Time -> JobTime internal/stand/upstr: Report.Most -> MaxConcurrent internal/stand/upstr: Upstream.Chill -> SetColdJobs internal/stand/upstr: Upstream.Conn -> TrackConn internal/stand/upstr: Upstream.Drain -> SetDraining internal/stand/upstr: Upstream.Faulty -> SetAnswerFaults internal/stand/upstr: Upstream.Slow -> SetJobTime

--- a/internal/host/entry/fault_test.go
+++ b/internal/host/entry/fault_test.go
@@ -57,7 +57,7 @@
 		keys = append(keys, fmt.Sprint("innocent-", i))
 	}
 	for _, u := range s.upstreams {
-		u.Slow(300 * time.Millisecond)
+		u.SetJobTime(300 * time.Millisecond)
 	}
 	for _, k := range keys {
 		wg.Go(func() { _, _ = s.tryCall(call{host: "dar-a-1", service: layout.Price, key: k}) })
@@ -70,7 +70,7 @@
 	}
 	wg.Wait()
 	for _, u := range s.upstreams {
-		u.Slow(time.Millisecond)
+		u.SetJobTime(time.Millisecond)
 	}
 	for _, k := range keys {
 		a := s.call(call{host: "dar-a-1", service: layout.Price, key: k, timeout: "2s"})
@@ -83,7 +83,7 @@
 func TestADrainingUpstreamGetsNoNewJobs(t *testing.T) {
 	t.Parallel()
 	s := startSystem(t, testOptions(112), trace.Noop())
-	s.platform.SetFaults(platf.Faults{Lag: 30 * time.Second})
+	s.platform.SetFaults(platf.Faults{ListLag: 30 * time.Second})
 	u := s.upstreams["price-dar-a-1"]
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
@@ -98,7 +98,7 @@
 	}
 	time.Sleep(300 * time.Millisecond)
 	assert.Assert(t, len(u.Report().Runs) > 0, "the upstream ran no job before the drain")
-	u.Drain(true)
+	u.SetDraining(true)
 	time.Sleep(2 * time.Second)
 	refused := u.Report().Refused
 	time.Sleep(6 * time.Second) // Longer than the pause after an upstream that is not draining sheds a job.
@@ -134,7 +134,7 @@
 	won, lost := 0, 0
 	var wg sync.WaitGroup
 	seats := []string{"dar-a-1", "dar-a-2", "dar-b-1", "mwanza-a-1", "mwanza-b-2"}
-	s.platform.Lose(3)
+	s.platform.LoseAnswers(3)
 	for i, seat := range seats {
 		wg.Go(func() {
 			expect := begin
@@ -183,7 +183,7 @@
 	assert.NilError(t, err)
 	s.eventually(3*time.Second, "a change after the isolation is in force", func() bool { return s.allHostsReached(doc.Revision) })
 	for id, u := range s.upstreams {
-		assert.Assert(t, u.Report().Most <= 4 && u.Report().Shed == 0, "%s: %+v", id, u.Report())
+		assert.Assert(t, u.Report().MaxConcurrent <= 4 && u.Report().Shed == 0, "%s: %+v", id, u.Report())
 	}
 }
 
--- a/internal/host/entry/link_test.go
+++ b/internal/host/entry/link_test.go
@@ -19,7 +19,7 @@
 func TestNoSecondOfALinkExceedsItsLimit(t *testing.T) {
 	t.Parallel()
 	o := testOptions(119)
-	o.Rate = 400_000
+	o.LinkRate = 400_000
 	o.Skip = func(domain, service string) bool {
 		return service == layout.Catalog && strings.HasPrefix(domain, "dar")
 	}
@@ -62,7 +62,7 @@
 		}
 		out, in = max(out, samples[i].out-samples[first].out), max(in, samples[i].in-samples[first].in)
 	}
-	t.Logf("maximum in a second: %d bytes out, %d bytes in; limit %d for each direction", out, in, o.Rate)
-	assert.Assert(t, out <= o.Rate && in <= o.Rate, "%d out, %d in", out, in)
-	assert.Assert(t, in > o.Rate/4, "the link carried only %d bytes in a second", in)
+	t.Logf("maximum in a second: %d bytes out, %d bytes in; limit %d for each direction", out, in, o.LinkRate)
+	assert.Assert(t, out <= o.LinkRate && in <= o.LinkRate, "%d out, %d in", out, in)
+	assert.Assert(t, in > o.LinkRate/4, "the link carried only %d bytes in a second", in)
 }
--- a/internal/host/entry/once_test.go
+++ b/internal/host/entry/once_test.go
@@ -97,14 +97,14 @@
 	o := testOptions(105)
 	s := startSystem(t, o, trace.Noop())
 	for _, u := range s.upstreams {
-		u.Drain(true)
+		u.SetDraining(true)
 	}
 	tk := s.ticket("dar-a-1")
 	a := s.call(call{host: "dar-b-1", service: layout.Orders, key: "void", ticket: tk})
 	assert.Equal(t, a.outcome, "not-run", "%+v", a)
 	assert.Assert(t, a.newTicket != "")
 	for _, u := range s.upstreams {
-		u.Drain(false)
+		u.SetDraining(false)
 	}
 	a = s.call(call{host: "dar-b-1", service: layout.Orders, key: "void", ticket: tk})
 	assert.Equal(t, a.outcome, "not-run", "%+v", a)
@@ -127,7 +127,7 @@
 	t.Parallel()
 	s := startSystem(t, testOptions(107), trace.Noop())
 	for _, u := range s.upstreams {
-		u.Faulty(0.3, 0.3)
+		u.SetAnswerFaults(0.3, 0.3)
 	}
 	complete := 0
 	for i := range 300 { // More faults than the retry budget can compensate.
@@ -155,7 +155,7 @@
 	t.Parallel()
 	s := startSystem(t, testOptions(108), trace.Noop())
 	before := s.hosts["dar-a-1"].Plan().Doc.Revision
-	s.platform.Lose(2)
+	s.platform.LoseAnswers(2)
 	doc, err := s.hosts["dar-a-1"].Commit(context.Background(), spec.Change{Drains: []spec.Drain{{Kind: "upstream", Name: "x"}}}, nil)
 	assert.NilError(t, err)
 	assert.Equal(t, doc.Revision, before+1)
--- a/internal/host/entry/system_test.go
+++ b/internal/host/entry/system_test.go
@@ -35,7 +35,7 @@
 	hosts     map[string]*runningHost
 	upstreams map[string]*fakeUpstream
 	trace     trace.Provider
-	gauges    map[string]*upstr.Gauge // Concurrent jobs, by region.
+	gauges    map[string]*upstr.ConcurrencyGauge // Concurrent jobs, by region.
 
 	mu       sync.Mutex
 	isolated map[string]bool // Failure domains and seats that are isolated from all others.
@@ -59,8 +59,8 @@
 // byte of its loopback addresses, which no other test may use.
 func testOptions(net int) layout.Options {
 	return layout.Options{
-		Net: net, Regions: []string{"dar", "mwanza"}, Domains: 2, Hosts: 2, Upstreams: 1,
-		Slots: 4, Capacity: 200, Rate: 35_000_000, Delay: 20 * time.Millisecond,
+		Subnet: net, Regions: []string{"dar", "mwanza"}, Domains: 2, Hosts: 2, Upstreams: 1,
+		Slots: 4, Capacity: 200, LinkRate: 35_000_000, LinkDelay: 20 * time.Millisecond,
 	}
 }
 
@@ -68,17 +68,17 @@
 func startSystem(t *testing.T, o layout.Options, tr trace.Provider) *system {
 	s := &system{
 		t: t, layout: layout.Build(o), platform: platf.New(time.Now), trace: tr,
-		hosts: map[string]*runningHost{}, upstreams: map[string]*fakeUpstream{}, gauges: map[string]*upstr.Gauge{}, isolated: map[string]bool{},
+		hosts: map[string]*runningHost{}, upstreams: map[string]*fakeUpstream{}, gauges: map[string]*upstr.ConcurrencyGauge{}, isolated: map[string]bool{},
 	}
 	for _, r := range o.Regions {
-		s.gauges[r] = &upstr.Gauge{}
+		s.gauges[r] = &upstr.ConcurrencyGauge{}
 	}
 	s.startServer(s.layout.Platform, s.platform.Handler(), nil)
 	for _, u := range s.layout.Upstreams {
-		s.startUpstream(u, upstr.Options{Clock: time.Now, ID: u.ID, Slots: o.Slots, Time: 3 * time.Millisecond, Size: 100})
+		s.startUpstream(u, upstr.Options{Clock: time.Now, ID: u.ID, Slots: o.Slots, JobTime: 3 * time.Millisecond, Size: 100})
 	}
 	s.platform.SetUpstreams(s.layout.Upstreams)
-	_, err := commit.Commit(context.Background(), store.New("http://"+s.layout.Platform), s.layout.Change(), nil, "first")
+	_, err := commit.Commit(context.Background(), store.New("http://"+s.layout.Platform), s.layout.InitialChange(), nil, "first")
 	assert.NilError(t, err)
 	for _, c := range s.layout.Settings {
 		s.startHost(c.Seat)
@@ -113,7 +113,7 @@
 		_ = f.server.Close()
 	}
 	f.Upstream = upstr.New(o)
-	f.server = s.startServer(f.addr, f.Handler(), f.Conn)
+	f.server = s.startServer(f.addr, f.Handler(), f.TrackConn)
 	s.upstreams[u.ID] = f
 }
 
--- a/internal/host/entry/whole_test.go
+++ b/internal/host/entry/whole_test.go
@@ -24,7 +24,7 @@
 
 // loadGenerator returns a load generator whose callers use the hosts of one region, or of all if region is empty.
 func (s *system) loadGenerator(length time.Duration, region string, classes ...loadg.Class) *loadg.Generator {
-	cfg := loadg.Config{Length: length, Callers: 100, Seed: 3, Classes: classes}
+	cfg := loadg.Config{Duration: length, Callers: 100, Seed: 3, Classes: classes}
 	for _, c := range s.layout.Settings {
 		if region == "" || c.Region == region {
 			cfg.Fronts = append(cfg.Fronts, c.Front)
@@ -41,7 +41,7 @@
 	s := startSystem(t, o, trace.Noop())
 	for id, u := range s.upstreams {
 		if strings.HasPrefix(id, layout.Catalog) {
-			u.Slow(700 * time.Millisecond)
+			u.SetJobTime(700 * time.Millisecond)
 		}
 	}
 	g := s.loadGenerator(14*time.Second, "",
@@ -61,7 +61,7 @@
 	}
 	rep := g.Run(context.Background())
 	wg.Wait()
-	assert.Equal(t, len(rep.Lost), 0, "requests cut off: %v", rep.Lost)
+	assert.Equal(t, len(rep.LostByHost), 0, "requests cut off: %v", rep.LostByHost)
 	for _, c := range rep.Classes {
 		t.Logf("%+v", c)
 		assert.Equal(t, c.Unknown+c.Failed+c.Wrong, int64(0), "%+v", c)
@@ -79,7 +79,7 @@
 	o.Upstreams, o.Capacity = 2, 8
 	s := startSystem(t, o, trace.Noop())
 	for _, u := range s.upstreams {
-		u.Slow(30 * time.Millisecond)
+		u.SetJobTime(30 * time.Millisecond)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -105,7 +105,7 @@
 			got := n.Swap(0)
 			assert.Assert(t, got > 0, "%s answered nothing %s", seat, phase)
 		}
-		t.Logf("%s: at most %d concurrent jobs in dar and %d in mwanza, limit %d each", phase, s.gauges["dar"].Most(), s.gauges["mwanza"].Most(), o.Capacity)
+		t.Logf("%s: at most %d concurrent jobs in dar and %d in mwanza, limit %d each", phase, s.gauges["dar"].MaxConcurrent(), s.gauges["mwanza"].MaxConcurrent(), o.Capacity)
 	}
 	time.Sleep(2 * time.Second)
 	requireAnswers("before the faults")
@@ -129,10 +129,10 @@
 	cancel()
 	wg.Wait()
 	for region, g := range s.gauges {
-		assert.Assert(t, g.Most() <= o.Capacity, "%d concurrent jobs in %s, limit %d", g.Most(), region, o.Capacity)
+		assert.Assert(t, g.MaxConcurrent() <= o.Capacity, "%d concurrent jobs in %s, limit %d", g.MaxConcurrent(), region, o.Capacity)
 	}
 	for id, u := range s.upstreams {
-		assert.Assert(t, u.Report().Most <= o.Slots && u.Report().Shed == 0, "%s: %+v", id, u.Report().Most)
+		assert.Assert(t, u.Report().MaxConcurrent <= o.Slots && u.Report().Shed == 0, "%s: %+v", id, u.Report().MaxConcurrent)
 	}
 }
 
@@ -189,7 +189,7 @@
 	var target []*fakeUpstream
 	for id, u := range s.upstreams {
 		if strings.HasPrefix(id, layout.Price+"-mwanza") {
-			u.Chill(60)
+			u.SetColdJobs(60)
 			target = append(target, u)
 		}
 	}
@@ -217,11 +217,11 @@
 	s.eventually(waitLimit, "the shift is complete on all hosts", func() bool { n, d := shiftState(); return n == 0 && d == 1 })
 	time.Sleep(2 * time.Second)
 	for _, u := range target {
-		u.Slow(400 * time.Millisecond)
+		u.SetJobTime(400 * time.Millisecond)
 	}
 	s.eventually(waitLimit, "the shift pauses", func() bool { n, _ := shiftState(); return n > 0 })
 	for _, u := range target {
-		u.Slow(3 * time.Millisecond)
+		u.SetJobTime(3 * time.Millisecond)
 	}
 	s.eventually(waitLimit, "the shift resumes", func() bool { n, d := shiftState(); return n == 0 && d == 1 })
 	cancel()
--- a/internal/stand/claims/measure.go
+++ b/internal/stand/claims/measure.go
@@ -26,19 +26,19 @@
 	writesPerSecond = 400
 )
 
-// Way is a strategy for running a job at most once.
-type Way string
+// Strategy is a strategy for running a job at most once.
+type Strategy string
 
 // Strategies.
 const (
-	Ticket Way = "ticket"        // A ticket held in the memory of its host.
-	Single Way = "claim a job"   // One write to the platform per job.
-	Group  Way = "claim a group" // One write to the platform per batch of jobs.
+	TicketStrategy Strategy = "ticket"        // A ticket held in the memory of its host.
+	ClaimPerJob    Strategy = "claim a job"   // One write to the platform per job.
+	ClaimPerBatch  Strategy = "claim a group" // One write to the platform per batch of jobs.
 )
 
 // Result holds the throughput and latency of one strategy.
 type Result struct {
-	Strategy      Way
+	Strategy      Strategy
 	Rate          float64       // Jobs per second over all hosts.
 	PlatformDelay time.Duration // Latency of one call to the platform.
 	P50           time.Duration
@@ -61,11 +61,11 @@
 }
 
 // Measure offers jobs at a total rate per second to hosts that claim them with one strategy, and reports the claim latency.
-func Measure(ctx context.Context, clock func() time.Time, strategy Way, rate float64, delay time.Duration) (Result, error) {
+func Measure(ctx context.Context, clock func() time.Time, strategy Strategy, rate float64, delay time.Duration) (Result, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	platform := platf.New(clock)
-	platform.SetFaults(platf.Faults{Delay: delay, Writes: writesPerSecond})
+	platform.SetFaults(platf.Faults{Delay: delay, WriteRate: writesPerSecond})
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.83.0.1:0")
 	if err != nil {
 		return Result{}, err
@@ -103,11 +103,11 @@
 }
 
 // newClaimer returns the claimer of a strategy for one host.
-func newClaimer(ctx context.Context, clock func() time.Time, strategy Way, client *store.Client, host int) claimer {
+func newClaimer(ctx context.Context, clock func() time.Time, strategy Strategy, client *store.Client, host int) claimer {
 	switch strategy {
-	case Single:
+	case ClaimPerJob:
 		return &jobClaimer{store: client}
-	case Group:
+	case ClaimPerBatch:
 		return newBatchClaimer(ctx, client, host)
 	default:
 		var n atomic.Int64
--- a/internal/stand/judge/judge.go
+++ b/internal/stand/judge/judge.go
@@ -8,36 +8,36 @@
 	"github.com/boragelane/boragelane/internal/stand/upstr"
 )
 
-// Case holds the reports of a run and the parameters they are checked against.
-type Case struct {
-	Report  loadg.Report
-	Logs    []upstr.Report
-	Slots   int       // Slots of each upstream.
-	Drained string    // ID of the drained upstream, if any.
-	At      time.Time // When the drain was accepted.
-	Stopped string    // Front address of the host with a planned stop, if any.
-	Least   int64     // Minimum number of complete answers.
+// Input holds the reports of a run and the parameters they are checked against.
+type Input struct {
+	Report          loadg.Report
+	UpstreamReports []upstr.Report
+	Slots           int       // Slots of each upstream.
+	DrainedUpstream string    // ID of the drained upstream, if any.
+	DrainedAt       time.Time // When the drain was accepted.
+	StoppedFront    string    // Front address of the host with a planned stop, if any.
+	MinAnswered     int64     // Minimum number of complete answers.
 }
 
 // drainGrace is how long a drained upstream may still receive new jobs.
 const drainGrace = 2 * time.Second
 
-// Verdict returns a message for each guarantee that the run violated.
-func Verdict(c Case) []string {
+// Violations returns a message for each guarantee that the run violated.
+func Violations(c Input) []string {
 	violations := c.checkRuns()
 	violations = append(violations, c.checkAnswers()...)
 	violations = append(violations, c.checkUpstreams()...)
-	if n := c.Report.Lost[c.Stopped]; c.Stopped != "" && n > 0 {
-		violations = append(violations, fmt.Sprintf("the planned stop of %s broke %d connections", c.Stopped, n))
+	if n := c.Report.LostByHost[c.StoppedFront]; c.StoppedFront != "" && n > 0 {
+		violations = append(violations, fmt.Sprintf("the planned stop of %s broke %d connections", c.StoppedFront, n))
 	}
 	return violations
 }
 
 // checkRuns compares the jobs that upstreams ran with the outcomes that callers received.
-func (c Case) checkRuns() []string {
+func (c Input) checkRuns() []string {
 	var violations []string
 	runs := map[string]int{}
-	for _, log := range c.Logs {
+	for _, log := range c.UpstreamReports {
 		for _, run := range log.Runs {
 			runs[run.Key]++
 		}
@@ -52,7 +52,7 @@
 			violations = append(violations, fmt.Sprintf("job %s was refused as not run, but ran", key))
 		}
 	}
-	for _, key := range c.Report.Answered {
+	for _, key := range c.Report.AnsweredKeys {
 		if runs[key] == 0 && c.allLogsPresent() {
 			violations = append(violations, fmt.Sprintf("job %s was answered, but no upstream ran it", key))
 		}
@@ -61,7 +61,7 @@
 }
 
 // checkAnswers checks the number of complete answers and that none is wrong.
-func (c Case) checkAnswers() []string {
+func (c Input) checkAnswers() []string {
 	var violations []string
 	complete := int64(0)
 	for _, class := range c.Report.Classes {
@@ -70,32 +70,32 @@
 			violations = append(violations, fmt.Sprintf("class %s got %d wrong or incomplete answers", class.Name, class.Wrong))
 		}
 	}
-	if complete < c.Least {
-		violations = append(violations, fmt.Sprintf("%d complete answers, want at least %d", complete, c.Least))
+	if complete < c.MinAnswered {
+		violations = append(violations, fmt.Sprintf("%d complete answers, want at least %d", complete, c.MinAnswered))
 	}
 	return violations
 }
 
 // checkUpstreams checks that no upstream was sent more jobs than it has slots.
-func (c Case) checkUpstreams() []string {
+func (c Input) checkUpstreams() []string {
 	var violations []string
-	for _, log := range c.Logs {
-		if log.Most > c.Slots {
-			violations = append(violations, fmt.Sprintf("upstream %s ran %d jobs at once with %d slots", log.ID, log.Most, c.Slots))
+	for _, log := range c.UpstreamReports {
+		if log.MaxConcurrent > c.Slots {
+			violations = append(violations, fmt.Sprintf("upstream %s ran %d jobs at once with %d slots", log.ID, log.MaxConcurrent, c.Slots))
 		}
 		if log.Shed > 0 {
 			violations = append(violations, fmt.Sprintf("upstream %s was sent %d jobs in excess of its slots", log.ID, log.Shed))
 		}
-		if log.ID == c.Drained {
-			violations = append(violations, checkDrain(log, c.At)...)
+		if log.ID == c.DrainedUpstream {
+			violations = append(violations, checkDrain(log, c.DrainedAt)...)
 		}
 	}
 	return violations
 }
 
 // allLogsPresent reports whether every upstream's log is available; a crash loses the log.
-func (c Case) allLogsPresent() bool {
-	for _, log := range c.Logs {
+func (c Input) allLogsPresent() bool {
+	for _, log := range c.UpstreamReports {
 		if log.ID == "" {
 			return false
 		}
--- a/internal/stand/layout/layout.go
+++ b/internal/stand/layout/layout.go
@@ -19,15 +19,15 @@
 
 // Options holds the size and limits of a test system.
 type Options struct {
-	Net       int      // Second octet of the loopback addresses, different for systems that run at the same time.
+	Subnet    int      // Second octet of the loopback addresses, different for systems that run at the same time.
 	Regions   []string // Names of the regions.
 	Domains   int      // Failure domains per region.
 	Hosts     int      // Entry hosts per failure domain.
 	Upstreams int      // Upstreams per service and failure domain.
 	Slots     int      // Slots per upstream.
 	Capacity  int      // Jobs in flight per region.
-	Rate      int64    // Bytes per second of each link.
-	Delay     time.Duration
+	LinkRate  int64    // Bytes per second of each link.
+	LinkDelay time.Duration
 	// Skip reports whether a failure domain has no upstreams of a service; nil skips none.
 	Skip func(domain, service string) bool
 }
@@ -66,7 +66,7 @@
 
 // Build returns a test system of the given size.
 func Build(o Options) Layout {
-	layout := Layout{Platform: fmt.Sprintf("127.%d.0.1:8500", o.Net)}
+	layout := Layout{Platform: fmt.Sprintf("127.%d.0.1:8500", o.Subnet)}
 	layout.Document = spec.Document{Floor: 0.5, Ranks: defaultRanks(), Services: defaultServices(o.Slots)}
 	host, upstream := 0, 0
 	for _, region := range o.Regions {
@@ -75,7 +75,7 @@
 			domain := spec.Domain{Name: fmt.Sprintf("%s-%c", region, 'a'+i)}
 			for range o.Hosts {
 				host++
-				domain.Seats = append(domain.Seats, newSeat(o.Net, host, domain.Name, len(domain.Seats)+1))
+				domain.Seats = append(domain.Seats, newSeat(o.Subnet, host, domain.Name, len(domain.Seats)+1))
 			}
 			regionSpec.Domains = append(regionSpec.Domains, domain)
 			layout.Upstreams = append(layout.Upstreams, newUpstreams(o, domain.Name, &upstream)...)
@@ -104,7 +104,7 @@
 		for i := range o.Upstreams {
 			*count++
 			list = append(list, platf.Upstream{
-				ID: fmt.Sprintf("%s-%s-%d", service, domain, i+1), Address: fmt.Sprintf("127.%d.2.%d", o.Net, *count),
+				ID: fmt.Sprintf("%s-%s-%d", service, domain, i+1), Address: fmt.Sprintf("127.%d.2.%d", o.Subnet, *count),
 				Port: UpstreamPort, Service: service, Domain: domain,
 			})
 		}
@@ -117,7 +117,7 @@
 	for _, from := range o.Regions {
 		for _, to := range o.Regions {
 			if from != to {
-				l.Document.Links = append(l.Document.Links, spec.Link{From: from, To: to, Rate: o.Rate, Delay: spec.Duration(o.Delay)})
+				l.Document.Links = append(l.Document.Links, spec.Link{From: from, To: to, Rate: o.LinkRate, Delay: spec.Duration(o.LinkDelay)})
 			}
 		}
 	}
@@ -143,8 +143,8 @@
 	}
 }
 
-// Change returns the change that sets the whole document on an empty platform.
-func (l *Layout) Change() spec.Change {
+// InitialChange returns the change that sets the whole document on an empty platform.
+func (l *Layout) InitialChange() spec.Change {
 	doc := l.Document
 	return spec.Change{Ranks: doc.Ranks, Services: doc.Services, Regions: doc.Regions, Links: doc.Links, Floor: &doc.Floor}
 }
--- a/internal/stand/loadg/loadg.go
+++ b/internal/stand/loadg/loadg.go
@@ -16,26 +16,26 @@
 
 // Class describes the load of one class of callers.
 type Class struct {
-	Name    string        `json:"name"`
-	Service string        `json:"service"`
-	Rank    string        `json:"rank"`
-	Rate    float64       `json:"rate"` // Jobs per second.
-	Timeout time.Duration `json:"timeout"`
-	Once    bool          `json:"once"`
-	Resend  int           `json:"resend"` // Maximum resends of a job without an answer.
-	Size    int           `json:"size"`   // Size of the answer in bytes.
-	Body    int           `json:"body"`   // Size of the job's body in bytes, without its key.
-	Start   time.Duration `json:"start"`  // Offset from the start of the run.
-	Stop    time.Duration `json:"stop"`   // Offset from the start of the run; 0 means its end.
+	Name       string        `json:"name"`
+	Service    string        `json:"service"`
+	Rank       string        `json:"rank"`
+	Rate       float64       `json:"rate"` // Jobs per second.
+	Timeout    time.Duration `json:"timeout"`
+	Once       bool          `json:"once"`
+	MaxResends int           `json:"resend"` // Maximum resends of a job without an answer.
+	AnswerSize int           `json:"size"`   // Size of the answer in bytes.
+	BodySize   int           `json:"body"`   // Size of the job's body in bytes, without its key.
+	Start      time.Duration `json:"start"`  // Offset from the start of the run.
+	Stop       time.Duration `json:"stop"`   // Offset from the start of the run; 0 means its end.
 }
 
 // Config describes one load run.
 type Config struct {
-	Fronts  []string      `json:"fronts"` // Front addresses of entry hosts, used for look-ups.
-	Classes []Class       `json:"classes"`
-	Length  time.Duration `json:"length"`
-	Callers int           `json:"callers"`
-	Seed    uint64        `json:"seed"`
+	Fronts   []string      `json:"fronts"` // Front addresses of entry hosts, used for look-ups.
+	Classes  []Class       `json:"classes"`
+	Duration time.Duration `json:"length"`
+	Callers  int           `json:"callers"`
+	Seed     uint64        `json:"seed"`
 }
 
 // classRun is a class with its results.
@@ -78,7 +78,7 @@
 	}
 	wg.Wait()
 	g.client.CloseIdleConnections()
-	report := Report{OnceKeys: g.onceKeys, NotRunKeys: g.notRunKeys, Answered: g.answeredKeys, Lost: g.lostByHost}
+	report := Report{OnceKeys: g.onceKeys, NotRunKeys: g.notRunKeys, AnsweredKeys: g.answeredKeys, LostByHost: g.lostByHost}
 	for _, run := range runs {
 		run.result.P50 = time.Duration(run.latencies.ValueAtQuantile(50)) * time.Microsecond
 		run.result.P99 = time.Duration(run.latencies.ValueAtQuantile(99)) * time.Microsecond
@@ -91,7 +91,7 @@
 func (g *Generator) runClass(ctx context.Context, run *classRun, stream uint64) {
 	rng := rand.New(rand.NewPCG(g.cfg.Seed, stream))
 	begin := g.clock()
-	stop := g.cfg.Length
+	stop := g.cfg.Duration
 	if run.Stop > 0 {
 		stop = min(stop, run.Stop)
 	}
@@ -127,14 +127,14 @@
 	run.mu.Lock()
 	run.result.Sent++
 	run.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(run.Resend+1)*(run.Timeout+time.Second))
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(run.MaxResends+1)*(run.Timeout+time.Second))
 	defer cancel()
 	if run.Once {
 		g.appendKey(&g.onceKeys, key)
 	}
 	ticket, neverRan := "", true
 	var last attempt
-	for i := 0; i <= run.Resend; i++ {
+	for i := 0; i <= run.MaxResends; i++ {
 		host := g.pickHost(ctx, caller, i)
 		if run.Once && ticket == "" {
 			if ticket = g.issueTicket(ctx, host); ticket == "" {
@@ -169,7 +169,7 @@
 	}
 	switch last.outcome {
 	case "answered":
-		if !bytes.HasPrefix(last.body, []byte(key+"\n")) || len(last.body) < run.Size {
+		if !bytes.HasPrefix(last.body, []byte(key+"\n")) || len(last.body) < run.AnswerSize {
 			run.result.Wrong++
 			return
 		}
@@ -199,8 +199,8 @@
 func (g *Generator) sendOnce(ctx context.Context, run *classRun, host, caller, key, ticket string) attempt {
 	ctx, cancel := context.WithTimeout(ctx, run.Timeout+500*time.Millisecond)
 	defer cancel()
-	url := fmt.Sprintf("http://%s/v1/run/%s/item?size=%d", host, run.Service, run.Size)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(key+"\n"+strings.Repeat("b", run.Body)))
+	url := fmt.Sprintf("http://%s/v1/run/%s/item?size=%d", host, run.Service, run.AnswerSize)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(key+"\n"+strings.Repeat("b", run.BodySize)))
 	if err != nil {
 		return attempt{err: err}
 	}
--- a/internal/stand/loadg/report.go
+++ b/internal/stand/loadg/report.go
@@ -24,11 +24,11 @@
 
 // Report holds the results of a run and the keys of its at-most-once jobs.
 type Report struct {
-	Classes    []Result       `json:"classes"`
-	OnceKeys   []string       `json:"oncekeys"`
-	NotRunKeys []string       `json:"notrunkeys"` // Jobs that every attempt reported as not run.
-	Answered   []string       `json:"answeredkeys"`
-	Lost       map[string]int `json:"lost"` // Attempts whose connection failed, by host.
+	Classes      []Result       `json:"classes"`
+	OnceKeys     []string       `json:"oncekeys"`
+	NotRunKeys   []string       `json:"notrunkeys"` // Jobs that every attempt reported as not run.
+	AnsweredKeys []string       `json:"answeredkeys"`
+	LostByHost   map[string]int `json:"lost"` // Attempts whose connection failed, by host.
 }
 
 // Table writes the results as a text table with one row per class.
--- a/internal/stand/platf/list.go
+++ b/internal/stand/platf/list.go
@@ -27,7 +27,7 @@
 func (p *Platform) SetUpstreams(list []Upstream) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.listVersions = append(p.listVersions, listVersion{visibleFrom: p.clock().Add(p.faults.Lag), list: list})
+	p.listVersions = append(p.listVersions, listVersion{visibleFrom: p.clock().Add(p.faults.ListLag), list: list})
 	p.advanceIndex()
 }
 
--- a/internal/stand/platf/platf.go
+++ b/internal/stand/platf/platf.go
@@ -13,12 +13,12 @@
 
 // Faults holds the injected faults and the rate limits.
 type Faults struct {
-	Down   bool          `json:"down"`   // Every call fails.
-	Delay  time.Duration `json:"delay"`  // Added to the latency of every call.
-	Lose   bool          `json:"lose"`   // Writes take effect, but their responses are lost.
-	Lag    time.Duration `json:"lag"`    // Delay until readers see a new list of upstreams.
-	Reads  float64       `json:"reads"`  // Reads per second; 0 means no limit.
-	Writes float64       `json:"writes"` // Writes per second; 0 means no limit.
+	Down        bool          `json:"down"`   // Every call fails.
+	Delay       time.Duration `json:"delay"`  // Added to the latency of every call.
+	LoseAnswers bool          `json:"lose"`   // Writes take effect, but their responses are lost.
+	ListLag     time.Duration `json:"lag"`    // Delay until readers see a new list of upstreams.
+	ReadRate    float64       `json:"reads"`  // Reads per second; 0 means no limit.
+	WriteRate   float64       `json:"writes"` // Writes per second; 0 means no limit.
 }
 
 // Counts holds the number of calls by kind.
@@ -61,7 +61,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.faults = f
-	p.readLimiter, p.writeLimiter = newLimiter(f.Reads), newLimiter(f.Writes)
+	p.readLimiter, p.writeLimiter = newLimiter(f.ReadRate), newLimiter(f.WriteRate)
 	p.notifyWatches()
 }
 
@@ -72,8 +72,8 @@
 	return rate.NewLimiter(rate.Limit(r), int(r)+1)
 }
 
-// Lose drops the responses of the next writes, which still take effect.
-func (p *Platform) Lose(writes int) {
+// LoseAnswers drops the responses of the next writes, which still take effect.
+func (p *Platform) LoseAnswers(writes int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.answersToLose = writes
@@ -140,7 +140,7 @@
 			closeConnection(w)
 		case !admitted:
 			http.Error(w, "too many calls", http.StatusTooManyRequests)
-		case write && faults.Lose:
+		case write && faults.LoseAnswers:
 			next(discardWriter{header: http.Header{}}, r)
 			closeConnection(w)
 		default:
@@ -166,7 +166,7 @@
 	faults := p.faults
 	if write && p.answersToLose > 0 {
 		p.answersToLose--
-		faults.Lose = true
+		faults.LoseAnswers = true
 	}
 	return faults, admitted
 }
--- a/internal/stand/sizes/measure.go
+++ b/internal/stand/sizes/measure.go
@@ -24,15 +24,15 @@
 	Unit    string
 }
 
-// Full is the system size of the two-year plan; 9 services in 99 failure domains make 891 sites.
-var Full = Size{Regions: 25, Domains: 99, Hosts: 33, Services: 9, Upstreams: 40}
+// TwoYearSize is the system size of the two-year plan; 9 services in 99 failure domains make 891 sites.
+var TwoYearSize = Size{Regions: 25, Domains: 99, Hosts: 33, Services: 9, Upstreams: 40}
 
 // measuredSizes are the measured system sizes, in ascending order.
 var measuredSizes = []Size{
 	{Regions: 3, Domains: 6, Hosts: 2, Services: 4, Upstreams: 8},
 	{Regions: 5, Domains: 10, Hosts: 10, Services: 9, Upstreams: 40},
 	{Regions: 8, Domains: 30, Hosts: 33, Services: 9, Upstreams: 40},
-	Full,
+	TwoYearSize,
 }
 
 // Measure runs all measurements; quick leaves out the two largest systems.
--- a/internal/stand/upstr/gauge.go
+++ b/internal/stand/upstr/gauge.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// Gauge measures how many jobs several upstreams ran at once, without canceled jobs: an upstream notices a cancellation
+// ConcurrencyGauge measures how many jobs several upstreams ran at once, without canceled jobs: an upstream notices a cancellation
 // later than the host that sent the job.
-type Gauge struct {
+type ConcurrencyGauge struct {
 	mu          sync.Mutex
 	transitions []transition
 }
@@ -20,7 +20,7 @@
 }
 
 // addJob records a finished job; it does nothing on a nil gauge.
-func (g *Gauge) addJob(begin, end time.Time) {
+func (g *ConcurrencyGauge) addJob(begin, end time.Time) {
 	if g == nil {
 		return
 	}
@@ -29,8 +29,8 @@
 	g.transitions = append(g.transitions, transition{begin, 1}, transition{end, -1})
 }
 
-// Most returns the maximum number of jobs that ran at once.
-func (g *Gauge) Most() int {
+// MaxConcurrent returns the maximum number of jobs that ran at once.
+func (g *ConcurrencyGauge) MaxConcurrent() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	slices.SortFunc(g.transitions, func(a, b transition) int {
--- a/internal/stand/upstr/upstr.go
+++ b/internal/stand/upstr/upstr.go
@@ -23,17 +23,17 @@
 type Options struct {
 	ID                string
 	Slots             int           // Maximum concurrent jobs; more are shed.
-	Time              time.Duration // Mean run time of a job.
-	Cold              int           // Number of jobs after a start that take three times as long.
+	JobTime           time.Duration // Mean run time of a job.
+	ColdJobs          int           // Number of jobs after a start that take three times as long.
 	Size              int           // Response size in bytes for requests without a size parameter.
 	Crash             func()        // Called for a request that carries CrashMark; nil runs it as a normal job.
 	Oversubscribe     bool          // Run jobs in excess of the slots, more slowly, instead of shedding them.
 	CrossedFraction   float64       // Fraction of responses that carry another job's content.
 	TruncatedFraction float64       // Fraction of responses that are truncated.
 	Seed              uint64
-	Clock             func() time.Time // Source of the start and end times of jobs.
-	Gauge             *Gauge           // Measures the concurrent jobs of several upstreams; may be nil.
-	Log               io.Writer        // Receives the key of each job, one per line, before it runs; may be nil.
+	Clock             func() time.Time  // Source of the start and end times of jobs.
+	Gauge             *ConcurrencyGauge // Measures the concurrent jobs of several upstreams; may be nil.
+	Log               io.Writer         // Receives the key of each job, one per line, before it runs; may be nil.
 }
 
 // Run is the log entry of one execution of a job.
@@ -46,13 +46,13 @@
 
 // Report holds the counts and the log of an upstream.
 type Report struct {
-	ID       string `json:"id"`
-	Most     int    `json:"most"`     // Maximum concurrent jobs.
-	Conns    int    `json:"conns"`    // Maximum open connections.
-	Shed     int    `json:"shed"`     // Jobs refused because all slots were in use.
-	Refused  int    `json:"refused"`  // Jobs refused because the upstream was draining.
-	Canceled int    `json:"canceled"` // Jobs whose request ended before they did.
-	Runs     []Run  `json:"runs"`
+	ID            string `json:"id"`
+	MaxConcurrent int    `json:"most"`     // Maximum concurrent jobs.
+	Conns         int    `json:"conns"`    // Maximum open connections.
+	Shed          int    `json:"shed"`     // Jobs refused because all slots were in use.
+	Refused       int    `json:"refused"`  // Jobs refused because the upstream was draining.
+	Canceled      int    `json:"canceled"` // Jobs whose request ended before they did.
+	Runs          []Run  `json:"runs"`
 }
 
 // Upstream is a fake upstream.
@@ -74,32 +74,32 @@
 	return &Upstream{Options: o, report: Report{ID: o.ID, Runs: []Run{}}, rng: rand.New(rand.NewPCG(o.Seed, 1))}
 }
 
-// Drain turns draining on or off; a draining upstream refuses new jobs and announces its state.
-func (u *Upstream) Drain(on bool) {
+// SetDraining turns draining on or off; a draining upstream refuses new jobs and announces its state.
+func (u *Upstream) SetDraining(on bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.draining = on
 }
 
-// Faulty sets the fractions of responses that carry another job's content or are truncated.
-func (u *Upstream) Faulty(crossed, truncated float64) {
+// SetAnswerFaults sets the fractions of responses that carry another job's content or are truncated.
+func (u *Upstream) SetAnswerFaults(crossed, truncated float64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.CrossedFraction, u.TruncatedFraction = crossed, truncated
 }
 
-// Slow sets the mean run time of a job.
-func (u *Upstream) Slow(d time.Duration) {
+// SetJobTime sets the mean run time of a job.
+func (u *Upstream) SetJobTime(d time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.Time = d
+	u.JobTime = d
 }
 
-// Chill makes the next jobs run as slowly as after a start.
-func (u *Upstream) Chill(jobs int) {
+// SetColdJobs makes the next jobs run as slowly as after a start.
+func (u *Upstream) SetColdJobs(jobs int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.Cold, u.warmJobs = jobs, 0
+	u.ColdJobs, u.warmJobs = jobs, 0
 }
 
 // Report returns a copy of the current report.
@@ -111,8 +111,8 @@
 	return r
 }
 
-// Conn counts open connections; it is meant for http.Server.ConnState.
-func (u *Upstream) Conn(_ net.Conn, s http.ConnState) {
+// TrackConn counts open connections; it is meant for http.Server.ConnState.
+func (u *Upstream) TrackConn(_ net.Conn, s http.ConnState) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	switch s {
@@ -130,7 +130,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "0\n") })
-	mux.HandleFunc("POST /control/drain", func(http.ResponseWriter, *http.Request) { u.Drain(true) })
+	mux.HandleFunc("POST /control/drain", func(http.ResponseWriter, *http.Request) { u.SetDraining(true) })
 	mux.HandleFunc("GET /control/report", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(u.Report()) })
 	mux.HandleFunc("/", u.serveJob)
 	return mux
@@ -198,13 +198,13 @@
 		return 0, 0, "full"
 	}
 	u.running++
-	u.report.Most = max(u.report.Most, u.running)
+	u.report.MaxConcurrent = max(u.report.MaxConcurrent, u.running)
 	u.report.Runs = append(u.report.Runs, Run{ID: id, Key: key, Start: u.Clock()})
 	if u.Log != nil {
 		_, _ = io.WriteString(u.Log, key+"\n")
 	}
-	runTime = time.Duration(float64(u.Time) * (0.5 + u.rng.Float64()))
-	if u.warmJobs < u.Cold {
+	runTime = time.Duration(float64(u.JobTime) * (0.5 + u.rng.Float64()))
+	if u.warmJobs < u.ColdJobs {
 		u.warmJobs++
 		runTime *= 3
 	}
--- a/standin/chaos_test.go
+++ b/standin/chaos_test.go
@@ -158,7 +158,7 @@
 			f.postControl("faults", platf.Faults{})
 		case 5:
 			done = append(done, "platform slow, answers lost")
-			f.postControl("faults", platf.Faults{Delay: 500 * time.Millisecond, Lose: true})
+			f.postControl("faults", platf.Faults{Delay: 500 * time.Millisecond, LoseAnswers: true})
 			pause(2 * time.Second)
 			f.postControl("faults", platf.Faults{})
 		}
@@ -172,16 +172,16 @@
 		t.Skip("starts processes")
 	}
 	f := newFleet(t, layout.Options{
-		Net: 130, Regions: []string{"perth", "goldfields"}, Domains: 2, Hosts: 2, Upstreams: 1,
-		Slots: 4, Capacity: 200, Rate: 35_000_000, Delay: 5 * time.Millisecond,
+		Subnet: 130, Regions: []string{"perth", "goldfields"}, Domains: 2, Hosts: 2, Upstreams: 1,
+		Slots: 4, Capacity: 200, LinkRate: 35_000_000, LinkDelay: 5 * time.Millisecond,
 	})
-	cfg := loadg.Config{Length: 30 * time.Second, Callers: 200, Seed: 42}
+	cfg := loadg.Config{Duration: 30 * time.Second, Callers: 200, Seed: 42}
 	for _, s := range f.layout.Settings {
 		cfg.Fronts = append(cfg.Fronts, s.Front)
 	}
 	cfg.Classes = []loadg.Class{
-		{Name: "price", Service: layout.Price, Rank: "urgent", Rate: 100, Timeout: time.Second, Resend: 2, Size: 300},
-		{Name: "orders", Service: layout.Orders, Rank: "normal", Rate: 400, Timeout: time.Second, Once: true, Resend: 4, Size: 100},
+		{Name: "price", Service: layout.Price, Rank: "urgent", Rate: 100, Timeout: time.Second, MaxResends: 2, AnswerSize: 300},
+		{Name: "orders", Service: layout.Orders, Rank: "normal", Rate: 400, Timeout: time.Second, Once: true, MaxResends: 4, AnswerSize: 100},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	faults := make(chan []string, 1)
@@ -201,7 +201,7 @@
 	for _, key := range report.NotRunKeys {
 		assert.Assert(t, runs[key] == 0, "%s was refused as not run, but ran", key)
 	}
-	for _, key := range report.Answered {
+	for _, key := range report.AnsweredKeys {
 		assert.Assert(t, runs[key] == 1, "%s was answered, but ran %d times", key, runs[key])
 	}
 	for _, class := range report.Classes {
--- a/standin/claims.go
+++ b/standin/claims.go
@@ -14,7 +14,7 @@
 func (claimsArgs) run(ctx context.Context) error {
 	for _, rate := range []float64{100, 960} {
 		for _, delay := range []time.Duration{2 * time.Millisecond, 42 * time.Millisecond, 112 * time.Millisecond} {
-			for _, strategy := range []claims.Way{claims.Ticket, claims.Single, claims.Group} {
+			for _, strategy := range []claims.Strategy{claims.TicketStrategy, claims.ClaimPerJob, claims.ClaimPerBatch} {
 				result, err := claims.Measure(ctx, time.Now, strategy, rate, delay)
 				if err != nil {
 					return err
--- a/standin/demo.go
+++ b/standin/demo.go
@@ -49,8 +49,8 @@
 
 func demoLayout() layout.Layout {
 	return layout.Build(layout.Options{
-		Net: demoSubnet, Regions: []string{"dar", "mwanza"}, Domains: 2, Hosts: 2, Upstreams: 1,
-		Slots: demoSlots, Capacity: 200, Rate: 35_000_000, Delay: 20 * time.Millisecond,
+		Subnet: demoSubnet, Regions: []string{"dar", "mwanza"}, Domains: 2, Hosts: 2, Upstreams: 1,
+		Slots: demoSlots, Capacity: 200, LinkRate: 35_000_000, LinkDelay: 20 * time.Millisecond,
 		Skip: func(domain, service string) bool {
 			return service == layout.Catalog && strings.HasPrefix(domain, "dar")
 		},
@@ -58,14 +58,14 @@
 }
 
 func demoConfig(l layout.Layout) loadg.Config {
-	cfg := loadg.Config{Length: demoDuration, Callers: 200, Seed: 1}
+	cfg := loadg.Config{Duration: demoDuration, Callers: 200, Seed: 1}
 	for _, settings := range l.Settings {
 		cfg.Fronts = append(cfg.Fronts, settings.Front)
 	}
 	cfg.Classes = []loadg.Class{
-		{Name: "price", Service: layout.Price, Rank: "urgent", Rate: 350, Timeout: time.Second, Resend: 2, Size: 500},
-		{Name: "orders", Service: layout.Orders, Rank: "normal", Rate: 120, Timeout: time.Second, Once: true, Resend: 3, Size: 200},
-		{Name: "catalog", Service: layout.Catalog, Rank: "bulk", Rate: 200, Timeout: 2 * time.Second, Resend: 2, Size: 4000},
+		{Name: "price", Service: layout.Price, Rank: "urgent", Rate: 350, Timeout: time.Second, MaxResends: 2, AnswerSize: 500},
+		{Name: "orders", Service: layout.Orders, Rank: "normal", Rate: 120, Timeout: time.Second, Once: true, MaxResends: 3, AnswerSize: 200},
+		{Name: "catalog", Service: layout.Catalog, Rank: "bulk", Rate: 200, Timeout: 2 * time.Second, MaxResends: 2, AnswerSize: 4000},
 	}
 	return cfg
 }
@@ -82,7 +82,7 @@
 	case "many":
 		l = manyLayout()
 	case "full":
-		return writeFile(filepath.Join(a.Dir, "change.json"), firstChange(layout.Layout{Document: sizes.Document(sizes.Full)}))
+		return writeFile(filepath.Join(a.Dir, "change.json"), firstChange(layout.Layout{Document: sizes.Document(sizes.TwoYearSize)}))
 	default:
 		return fmt.Errorf("there is no scene %q; allowed: demo, floods, many, full", a.Scene)
 	}
@@ -180,7 +180,7 @@
 // run checks the demo's report against the upstreams' logs and prints the result.
 func (a *judgeArgs) run(ctx context.Context) error {
 	l := demoLayout()
-	c := judge.Case{Slots: demoSlots, Drained: a.Drained, Stopped: a.Stopped, Least: demoMinAnswered}
+	c := judge.Input{Slots: demoSlots, DrainedUpstream: a.Drained, StoppedFront: a.Stopped, MinAnswered: demoMinAnswered}
 	data, err := os.ReadFile(filepath.Join(a.Dir, "report.json"))
 	if err != nil {
 		return err
@@ -188,7 +188,7 @@
 	if err := json.Unmarshal(data, &c.Report); err != nil {
 		return err
 	}
-	if c.At, err = time.Parse(time.RFC3339Nano, a.At); err != nil {
+	if c.DrainedAt, err = time.Parse(time.RFC3339Nano, a.At); err != nil {
 		return err
 	}
 	for _, upstream := range l.Upstreams {
@@ -196,9 +196,9 @@
 		if err := getJSON(ctx, fmt.Sprintf("http://%s:%d/control/report", upstream.Address, upstream.Port), &report); err != nil {
 			return err
 		}
-		c.Logs = append(c.Logs, report)
+		c.UpstreamReports = append(c.UpstreamReports, report)
 	}
-	violations := judge.Verdict(c)
+	violations := judge.Violations(c)
 	for _, violation := range violations {
 		fmt.Println("demo: broken:", violation)
 	}
--- a/standin/floods.go
+++ b/standin/floods.go
@@ -17,15 +17,15 @@
 
 func floodLayout() layout.Layout {
 	return layout.Build(layout.Options{
-		Net: floodSubnet, Regions: []string{"perth", "goldfields"}, Domains: 2, Hosts: 2, Upstreams: 1,
-		Slots: demoSlots, Capacity: 200, Rate: 35_000_000, Delay: 5 * time.Millisecond,
+		Subnet: floodSubnet, Regions: []string{"perth", "goldfields"}, Domains: 2, Hosts: 2, Upstreams: 1,
+		Slots: demoSlots, Capacity: 200, LinkRate: 35_000_000, LinkDelay: 5 * time.Millisecond,
 		Skip: func(_, service string) bool { return service != layout.Price },
 	})
 }
 
 // floodConfigs returns the load of each phase, by file name; all ranks call the same service.
 func floodConfigs(l layout.Layout) map[string]loadg.Config {
-	base := loadg.Config{Length: floodPhaseLength, Callers: 500, Seed: 3}
+	base := loadg.Config{Duration: floodPhaseLength, Callers: 500, Seed: 3}
 	for _, settings := range l.Settings {
 		base.Fronts = append(base.Fronts, settings.Front)
 	}
@@ -36,7 +36,7 @@
 			fraction float64
 		}{{"urgent", urgent}, {"normal", normal}, {"bulk", bulk}} {
 			cfg.Classes = append(cfg.Classes, loadg.Class{
-				Name: load.rank, Service: layout.Price, Rank: load.rank, Rate: load.fraction * floodCapacity, Timeout: 2 * time.Second, Size: 200,
+				Name: load.rank, Service: layout.Price, Rank: load.rank, Rate: load.fraction * floodCapacity, Timeout: 2 * time.Second, AnswerSize: 200,
 			})
 		}
 		return cfg
--- a/standin/link_test.go
+++ b/standin/link_test.go
@@ -108,14 +108,14 @@
 	}
 	const rate = 35_000_000 // 280 Mbit/s.
 	f := newFleet(t, layout.Options{
-		Net: 131, Regions: []string{"dar", "mwanza"}, Domains: 2, Hosts: 2, Upstreams: 2,
-		Slots: 4, Capacity: 200, Rate: rate, Delay: 20 * time.Millisecond,
+		Subnet: 131, Regions: []string{"dar", "mwanza"}, Domains: 2, Hosts: 2, Upstreams: 2,
+		Slots: 4, Capacity: 200, LinkRate: rate, LinkDelay: 20 * time.Millisecond,
 		Skip: func(domain, service string) bool {
 			return service == layout.Catalog && strings.HasPrefix(domain, "dar")
 		},
 	})
-	cfg := loadg.Config{Length: 24 * time.Second, Callers: 200, Seed: 7, Classes: []loadg.Class{
-		{Name: "pull", Service: layout.Catalog, Rank: "bulk", Rate: 700, Timeout: time.Second, Size: 100, Body: 60_000},
+	cfg := loadg.Config{Duration: 24 * time.Second, Callers: 200, Seed: 7, Classes: []loadg.Class{
+		{Name: "pull", Service: layout.Catalog, Rank: "bulk", Rate: 700, Timeout: time.Second, AnswerSize: 100, BodySize: 60_000},
 	}}
 	m := &trafficMeter{samples: map[string][]trafficSample{}}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/standin/main.go
+++ b/standin/main.go
@@ -83,12 +83,12 @@
 
 func (a *platformArgs) run(ctx context.Context) error {
 	p := platf.New(time.Now)
-	p.SetFaults(platf.Faults{Lag: a.Lag, Reads: a.Reads, Writes: a.Writes})
+	p.SetFaults(platf.Faults{ListLag: a.Lag, ReadRate: a.Reads, WriteRate: a.Writes})
 	return serveUntilDone(ctx, &http.Server{Addr: a.Listen, Handler: p.Handler()}) //nolint:gosec // serveUntilDone sets the timeout.
 }
 
 func (a *upstreamArgs) run(ctx context.Context) error {
-	o := upstr.Options{Clock: time.Now, ID: a.ID, Slots: a.Slots, Time: a.Time, Cold: a.Cold, Crash: func() { os.Exit(3) }}
+	o := upstr.Options{Clock: time.Now, ID: a.ID, Slots: a.Slots, JobTime: a.Time, ColdJobs: a.Cold, Crash: func() { os.Exit(3) }}
 	if a.Log != "" {
 		f, err := os.OpenFile(a.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 		if err != nil {
@@ -97,7 +97,7 @@
 		o.Log = f
 	}
 	u := upstr.New(o)
-	return serveUntilDone(ctx, &http.Server{Addr: a.Listen, Handler: u.Handler(), ConnState: u.Conn}) //nolint:gosec // serveUntilDone sets the timeout.
+	return serveUntilDone(ctx, &http.Server{Addr: a.Listen, Handler: u.Handler(), ConnState: u.TrackConn}) //nolint:gosec // serveUntilDone sets the timeout.
 }
 
 func (a *loadArgs) run(ctx context.Context) error {
--- a/standin/spread.go
+++ b/standin/spread.go
@@ -21,8 +21,8 @@
 // manyLayout returns three failure domains, each as large as one in the two-year plan.
 func manyLayout() layout.Layout {
 	return layout.Build(layout.Options{
-		Net: manySubnet, Regions: []string{"dar", "arusha", "mwanza"}, Domains: 1, Hosts: 33, Upstreams: 1,
-		Slots: demoSlots, Capacity: 400, Rate: 35_000_000, Delay: 20 * time.Millisecond,
+		Subnet: manySubnet, Regions: []string{"dar", "arusha", "mwanza"}, Domains: 1, Hosts: 33, Upstreams: 1,
+		Slots: demoSlots, Capacity: 400, LinkRate: 35_000_000, LinkDelay: 20 * time.Millisecond,
 	})
 }
 
