--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -21,12 +21,12 @@
 	if err != nil {
 		return ErrUsage.Wrap(err, "%s", a.Settings)
 	}
-	log, err := newLogger(settings.Log)
+	log, err := newLogger(settings.LogLevel)
 	if err != nil {
 		return ErrFailed.Wrap(err, "setting up the log")
 	}
 	defer func() { _ = log.Sync() }()
-	provider, err := trace.Setup(ctx, settings.Trace, settings.Seat)
+	provider, err := trace.Setup(ctx, settings.TraceURL, settings.Seat)
 	if err != nil {
 		return ErrFailed.Wrap(err, "setting up traces")
 	}
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -43,7 +43,7 @@
 	writer := lines.NewWriter(out, metrics.Dropped.Inc)
 	defer writer.Close(logFlushTimeout)
 	store := platform.NewStore(settings.Store, settings.Regions, func(call, result string) { metrics.Calls.WithLabelValues(call, result).Inc() })
-	host := steer.New(settings, store, platform.Front{}, platform.Names, time.Now, lines.New(writer, zapcore.InfoLevel), metrics)
+	host := steer.New(settings, store, platform.Front{}, platform.HeaderNames, time.Now, lines.New(writer, zapcore.InfoLevel), metrics)
 	host.Loader = loader
 	if a.Trace != "" {
 		provider, err := trace.Setup(ctx, a.Trace, settings.Host.Name)
--- a/internal/ctrl/commit/commit.go
+++ b/internal/ctrl/commit/commit.go
@@ -54,7 +54,7 @@
 // Store is a key-value store with compare-and-swap on an index, which is 0 for a key that does not exist.
 type Store interface {
 	Read(ctx context.Context, key string) (data []byte, index uint64, err error)
-	Swap(ctx context.Context, key string, data []byte, index uint64) (bool, error)
+	CompareAndSwap(ctx context.Context, key string, data []byte, index uint64) (bool, error)
 	Delete(ctx context.Context, key string) error
 }
 
@@ -112,7 +112,7 @@
 	if err != nil || len(data) > spec.MaxBytes {
 		return doc, false, ErrInvalid.New("the changes would have %d bytes, at most %d are allowed", len(data), spec.MaxBytes)
 	}
-	ok, err := st.Swap(ctx, Key, data, index)
+	ok, err := st.CompareAndSwap(ctx, Key, data, index)
 	if err != nil || !ok {
 		return doc, true, err
 	}
@@ -132,7 +132,7 @@
 			return wireHead{}, ErrInvalid.New("the document has %d bytes, at most %d are allowed", len(data), spec.MaxBytes)
 		}
 		// An existing base has the same content, since a revision has only one history.
-		if _, err := st.Swap(ctx, BaseKey(base), data, 0); err != nil {
+		if _, err := st.CompareAndSwap(ctx, BaseKey(base), data, 0); err != nil {
 			return wireHead{}, ErrUnavailable.Wrap(err, "writing base %d", base)
 		}
 	}
--- a/internal/ctrl/commit/commit_test.go
+++ b/internal/ctrl/commit/commit_test.go
@@ -36,7 +36,7 @@
 	return m.values[key], m.indexes[key], nil
 }
 
-func (m *memoryStore) Swap(_ context.Context, key string, data []byte, index uint64) (bool, error) {
+func (m *memoryStore) CompareAndSwap(_ context.Context, key string, data []byte, index uint64) (bool, error) {
 	if key == Key {
 		m.beforeSwap()
 	}
--- a/internal/edge/dialer/dialer.go
+++ b/internal/edge/dialer/dialer.go
@@ -24,11 +24,11 @@
 // ErrResponse marks a response that can't be used as the job's answer.
 var ErrResponse = Errors.NewType("answer")
 
-// Names holds the names of the HTTP headers that boragelane exchanges with upstreams.
-type Names struct {
-	ID          string // The caller's request id, which the upstream echoes in its response.
+// HeaderNames holds the names of the HTTP headers that boragelane exchanges with upstreams.
+type HeaderNames struct {
+	RequestID   string // The caller's request id, which the upstream echoes in its response.
 	Deadline    string // Milliseconds until the deadline.
-	Target      string // Id of the upstream that the request is addressed to.
+	UpstreamID  string // Id of the upstream that the request is addressed to.
 	Signature   string // Marks a response that an upstream itself produced.
 	NotExecuted string // Present if the upstream did not run the request.
 	Load        string // Running requests, waiting requests and slots, separated by commas.
@@ -45,19 +45,19 @@
 
 // Sender sends jobs to upstreams over pooled connections.
 type Sender struct {
-	Names Names
+	Names HeaderNames
 	Clock func() time.Time
 
 	pool pool
 }
 
 // New returns a sender with an empty connection pool.
-func New(names Names, clock func() time.Time) *Sender {
+func New(names HeaderNames, clock func() time.Time) *Sender {
 	return &Sender{Names: names, Clock: clock, pool: pool{idle: map[string][]*upstreamConn{}}}
 }
 
-// Sweep closes pooled connections whose idle timeout has passed.
-func (s *Sender) Sweep(now time.Time) { s.pool.closeExpired(now) }
+// CloseExpired closes pooled connections whose idle timeout has passed.
+func (s *Sender) CloseExpired(now time.Time) { s.pool.closeExpired(now) }
 
 // poolKey includes the upstream's incarnation, so that a connection to an earlier one is never reused.
 func poolKey(u *roster.Upstream) string {
@@ -121,7 +121,7 @@
 	if header == nil {
 		header = http.Header{}
 	}
-	header.Set(s.Names.Target, u.ID)
+	header.Set(s.Names.UpstreamID, u.ID)
 	remaining := job.Deadline.Sub(s.Clock()) - deadlineMargin
 	header.Set(s.Names.Deadline, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
 	for name, value := range job.Trace {
@@ -150,7 +150,7 @@
 		if h.Status < http.StatusOK {
 			continue
 		}
-		if echo := h.Header.Get(s.Names.ID); echo == "" || echo == id {
+		if echo := h.Header.Get(s.Names.RequestID); echo == "" || echo == id {
 			return h, body, nil
 		}
 		if h.Close {
@@ -184,7 +184,7 @@
 // fillReply translates an HTTP response into a reply.
 func (s *Sender) fillReply(resp responseHead, body []byte, r *pipe.Reply) {
 	h := resp.Header
-	r.ID = h.Get(s.Names.ID)
+	r.ID = h.Get(s.Names.RequestID)
 	r.Report = parseLoad(h.Get(s.Names.Load))
 	r.Draining = resp.Close
 	switch {
--- a/internal/edge/dialer/dialer_test.go
+++ b/internal/edge/dialer/dialer_test.go
@@ -16,7 +16,7 @@
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
-var testNames = Names{ID: "X-Id", Deadline: "X-Left", Target: "X-Target", Signature: "X-Sig", NotExecuted: "X-Not", Load: "X-Load"}
+var testNames = HeaderNames{RequestID: "X-Id", Deadline: "X-Left", UpstreamID: "X-Target", Signature: "X-Sig", NotExecuted: "X-Not", Load: "X-Load"}
 
 // startUpstream starts an upstream that writes the bytes returned by respond as its response to each request; a trailing "!"
 // is left out and makes it close the connection.
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -23,15 +23,15 @@
 
 // HTTP headers of callers' requests and of responses to them.
 const (
-	HeaderTicket  = "Idempotency-Key"
-	HeaderRank    = "Boragelane-Rank"
-	HeaderTimeout = "Boragelane-Timeout"
-	HeaderCaller  = "Boragelane-Caller"
-	HeaderID      = "X-Request-Id"
-	HeaderOutcome = "Boragelane-Outcome"
-	HeaderReason  = "Boragelane-Reason"
-	HeaderFresh   = "Boragelane-Ticket"
-	HeaderServed  = "Boragelane-Upstream"
+	HeaderTicket    = "Idempotency-Key"
+	HeaderRank      = "Boragelane-Rank"
+	HeaderTimeout   = "Boragelane-Timeout"
+	HeaderCaller    = "Boragelane-Caller"
+	HeaderID        = "X-Request-Id"
+	HeaderOutcome   = "Boragelane-Outcome"
+	HeaderReason    = "Boragelane-Reason"
+	HeaderNewTicket = "Boragelane-Ticket"
+	HeaderUpstream  = "Boragelane-Upstream"
 )
 
 // Limits of the front end.
@@ -48,16 +48,16 @@
 type Host interface {
 	Plan() *plan.Plan
 	Intake(ctx context.Context, job *pipe.Job)
-	Issue(now time.Time) once.Ticket
+	IssueTicket(now time.Time) once.Ticket
 }
 
 // Front serves the callers' HTTP interface.
 type Front struct {
-	Host     Host
-	Clock    func() time.Time
-	Refused  func(reason pipe.Reason) // Called for each request that is not answered, if set.
-	Looked   atomic.Int64             // Number of look-ups.
-	inFlight atomic.Int64
+	Host      Host
+	Clock     func() time.Time
+	OnRefused func(reason pipe.Reason) // Called for each request that is not answered, if set.
+	Lookups   atomic.Int64             // Number of look-ups.
+	inFlight  atomic.Int64
 }
 
 // Server returns an HTTP server with the front end's routes and timeouts.
@@ -85,13 +85,13 @@
 
 // handleLookup responds with the hosts that a caller should use, in order of preference, and a new ticket.
 func (f *Front) handleLookup(w http.ResponseWriter, r *http.Request) {
-	f.Looked.Add(1)
+	f.Lookups.Add(1)
 	p := f.Host.Plan()
 	if p.Doc == nil {
 		f.writeProblem(w, &pipe.Job{Outcome: pipe.Outcome{Kind: pipe.NotRun, Reason: pipe.NoTarget, Detail: "this host has no configuration yet"}})
 		return
 	}
-	out := wireLookup{Revision: p.Doc.Revision, Life: p.Lookup.TTL.Milliseconds(), Hosts: []wireHost{}, Ticket: f.Host.Issue(f.Clock()).String()}
+	out := wireLookup{Revision: p.Doc.Revision, Life: p.Lookup.TTL.Milliseconds(), Hosts: []wireHost{}, Ticket: f.Host.IssueTicket(f.Clock()).String()}
 	var buf [plan.MaxLookupHosts]int
 	for _, i := range p.Lookup.Pick(rendez.Hash(callerName(r)), buf[:0]) {
 		h := p.Lookup.Hosts[i]
@@ -101,7 +101,7 @@
 }
 
 func (f *Front) handleTicket(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, map[string]string{"ticket": f.Host.Issue(f.Clock()).String()})
+	writeJSON(w, http.StatusOK, map[string]string{"ticket": f.Host.IssueTicket(f.Clock()).String()})
 }
 
 // callerName returns the caller's name from the header or the query, or its IP address.
@@ -185,7 +185,7 @@
 	h := w.Header()
 	h.Set(HeaderOutcome, job.Outcome.Kind.String())
 	h.Set(HeaderID, job.ID)
-	h.Set(HeaderServed, job.Upstream.ID)
+	h.Set(HeaderUpstream, job.Upstream.ID)
 	if job.Answer.ContentType != "" {
 		h.Set("Content-Type", job.Answer.ContentType)
 	}
@@ -206,8 +206,8 @@
 
 func (f *Front) writeProblem(w http.ResponseWriter, job *pipe.Job) {
 	o := job.Outcome
-	if f.Refused != nil {
-		f.Refused(o.Reason)
+	if f.OnRefused != nil {
+		f.OnRefused(o.Reason)
 	}
 	status := statusOf(o)
 	h := w.Header()
@@ -220,7 +220,7 @@
 		h.Set("Retry-After", "1")
 	}
 	if o.Kind == pipe.NotRun && (job.Ticket != "" || o.Reason == pipe.NoTicket) {
-		h.Set(HeaderFresh, f.Host.Issue(f.Clock()).String())
+		h.Set(HeaderNewTicket, f.Host.IssueTicket(f.Clock()).String())
 	}
 	h.Set("Content-Type", "application/problem+json")
 	w.WriteHeader(status)
--- a/internal/edge/httpd/conn.go
+++ b/internal/edge/httpd/conn.go
@@ -42,7 +42,7 @@
 // exchange is a request in progress and its response.
 type exchange struct {
 	req        *Request
-	response   chan Answer
+	response   chan Response
 	closeAfter bool // The connection is closed after this response.
 }
 
@@ -112,13 +112,13 @@
 		if err != nil {
 			return !errors.Is(err, os.ErrDeadlineExceeded)
 		}
-		ex := &exchange{req: req, response: make(chan Answer, 1)}
+		ex := &exchange{req: req, response: make(chan Response, 1)}
 		if !c.addPending(ex, status != 0) {
 			return false
 		}
 		c.pipeline <- ex
 		if status != 0 {
-			ex.response <- Answer{Status: status}
+			ex.response <- Response{Status: status}
 			return false
 		}
 		go func() { ex.response <- c.server.Handler.Serve(ctx, req) }()
@@ -148,12 +148,12 @@
 // readRequest reads a request; a status other than 0 refuses it and closes the connection.
 func (c *conn) readRequest() (*Request, int, error) {
 	limits := c.server.Limits()
-	c.limiter.remaining = limits.Header + readBufferSize
-	if err := c.awaitRequest(limits.IdleLife); err != nil {
+	c.limiter.remaining = limits.MaxHeaderBytes + readBufferSize
+	if err := c.awaitRequest(limits.IdleTimeout); err != nil {
 		return nil, 0, err
 	}
 	arrived := c.server.Clock()
-	_ = c.net.SetReadDeadline(arrived.Add(limits.HeaderLife))
+	_ = c.net.SetReadDeadline(arrived.Add(limits.HeaderTimeout))
 	hr, err := http.ReadRequest(c.reader)
 	if err != nil && c.limiter.lastErr != nil {
 		err = c.limiter.lastErr
@@ -172,7 +172,7 @@
 	if hr.Close || !hr.ProtoAtLeast(1, 1) && hr.Header.Get("Connection") != "keep-alive" {
 		req.Header.Set("Connection", "close")
 	}
-	status, err := c.readBody(hr, req, limits.Body)
+	status, err := c.readBody(hr, req, limits.MaxBodyBytes)
 	return req, status, err
 }
 
--- a/internal/edge/httpd/httpd_test.go
+++ b/internal/edge/httpd/httpd_test.go
@@ -22,7 +22,7 @@
 	canceled atomic.Int64
 }
 
-func (h *handler) Serve(ctx context.Context, r *Request) Answer {
+func (h *handler) Serve(ctx context.Context, r *Request) Response {
 	if h.started != nil {
 		h.started <- r.Target
 	}
@@ -33,15 +33,15 @@
 			h.canceled.Add(1)
 		}
 	}
-	return Answer{Status: 200, Header: http.Header{"X-Body": {string(r.Body)}}, Body: []byte(r.Target)}
+	return Response{Status: 200, Header: http.Header{"X-Body": {string(r.Body)}}, Body: []byte(r.Target)}
 }
 
-var testLimits = Bounds{Header: 2048, Body: 100, HeaderLife: 300 * time.Millisecond, IdleLife: 400 * time.Millisecond}
+var testLimits = Limits{MaxHeaderBytes: 2048, MaxBodyBytes: 100, HeaderTimeout: 300 * time.Millisecond, IdleTimeout: 400 * time.Millisecond}
 
 func startServer(t *testing.T, h *handler) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	s := New(h, func() Bounds { return testLimits }, time.Now)
+	s := New(h, func() Limits { return testLimits }, time.Now)
 	go s.Serve(context.Background(), ln)
 	t.Cleanup(func() { _ = ln.Close() })
 	return ln.Addr().String()
@@ -137,7 +137,7 @@
 	idle, busy := dial(t, addr), dial(t, addr)
 	busy.get("/wait")
 	idle.assertClosed()
-	time.Sleep(2 * testLimits.IdleLife)
+	time.Sleep(2 * testLimits.IdleTimeout)
 	close(h.release)
 	_, body := busy.readResponse()
 	assert.Equal(t, body, "/wait")
@@ -163,7 +163,9 @@
 	h := &handler{release: make(chan struct{}), started: make(chan string, 9)}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	s := New(h, func() Bounds { return Bounds{Header: 2048, Body: 100, HeaderLife: time.Minute, IdleLife: time.Minute} }, time.Now)
+	s := New(h, func() Limits {
+		return Limits{MaxHeaderBytes: 2048, MaxBodyBytes: 100, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+	}, time.Now)
 	go s.Serve(context.Background(), ln)
 	busy, idle, later := dial(t, ln.Addr().String()), dial(t, ln.Addr().String()), dial(t, ln.Addr().String())
 	busy.get("/wait")
@@ -199,8 +201,8 @@
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		a, b := net.Pipe()
-		s := New(&handler{release: make(chan struct{})}, func() Bounds {
-			return Bounds{Header: 512, Body: 64, HeaderLife: 50 * time.Millisecond, IdleLife: 50 * time.Millisecond}
+		s := New(&handler{release: make(chan struct{})}, func() Limits {
+			return Limits{MaxHeaderBytes: 512, MaxBodyBytes: 64, HeaderTimeout: 50 * time.Millisecond, IdleTimeout: 50 * time.Millisecond}
 		}, time.Now)
 		done := make(chan struct{})
 		go func() {
--- a/internal/edge/httpd/server.go
+++ b/internal/edge/httpd/server.go
@@ -20,8 +20,8 @@
 	Arrived time.Time // Time at which the first byte was read.
 }
 
-// Answer is the response to a request.
-type Answer struct {
+// Response is the response to a request.
+type Response struct {
 	Status int
 	Header http.Header
 	Body   []byte
@@ -29,21 +29,21 @@
 
 // Handler responds to requests; the context is canceled when the caller disconnects.
 type Handler interface {
-	Serve(ctx context.Context, r *Request) Answer
+	Serve(ctx context.Context, r *Request) Response
 }
 
-// Bounds holds the size limits and timeouts that apply to a request.
-type Bounds struct {
-	Header     int64 // In bytes.
-	Body       int64 // In bytes.
-	HeaderLife time.Duration
-	IdleLife   time.Duration
+// Limits holds the size limits and timeouts that apply to a request.
+type Limits struct {
+	MaxHeaderBytes int64 // In bytes.
+	MaxBodyBytes   int64 // In bytes.
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
 }
 
 // Server accepts and serves connections from callers.
 type Server struct {
 	Handler Handler
-	Limits  func() Bounds
+	Limits  func() Limits
 	Clock   func() time.Time
 	Done    chan struct{} // Closed when the last connection has ended.
 
@@ -54,7 +54,7 @@
 }
 
 // New returns a server that is not running yet.
-func New(h Handler, limits func() Bounds, clock func() time.Time) *Server {
+func New(h Handler, limits func() Limits, clock func() time.Time) *Server {
 	return &Server{Handler: h, Limits: limits, Clock: clock, Done: make(chan struct{}), conns: map[*conn]struct{}{}}
 }
 
--- a/internal/edge/httpd/write.go
+++ b/internal/edge/httpd/write.go
@@ -34,10 +34,10 @@
 	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Expect": true,
 }
 
-// Through reports whether a header field is end-to-end and therefore forwarded.
-func Through(name string) bool { return !hopByHop[http.CanonicalHeaderKey(name)] }
+// EndToEnd reports whether a header field is end-to-end and therefore forwarded.
+func EndToEnd(name string) bool { return !hopByHop[http.CanonicalHeaderKey(name)] }
 
-func (c *conn) writeResponse(req *Request, resp Answer, closeAfter bool) error {
+func (c *conn) writeResponse(req *Request, resp Response, closeAfter bool) error {
 	w := c.writer
 	_, _ = w.WriteString("HTTP/1.1 " + strconv.Itoa(resp.Status) + " " + http.StatusText(resp.Status) + "\r\n")
 	header := resp.Header
--- a/internal/edge/peer/client.go
+++ b/internal/edge/peer/client.go
@@ -218,8 +218,8 @@
 	return state.ExchangeReply{Incarnation: w.Incarnation, Revision: w.Revision, Stamp: w.Stamp, News: toSummaries(w.News)}, err
 }
 
-// Notice notifies a host of a new revision.
-func (c *Client) Notice(ctx context.Context, addr string, n state.SendNotice) error {
+// SendNotice notifies a host of a new revision.
+func (c *Client) SendNotice(ctx context.Context, addr string, n state.SendNotice) error {
 	return c.callControl(ctx, CallTimeout, addr, methodNotice, wireNotice{Seat: c.Seat, Revision: n.Revision, Changes: n.Changes}, nil)
 }
 
@@ -237,8 +237,8 @@
 	return d, ok, nil
 }
 
-// Crash reports a crash to a host; with spread set the host forwards it to its failure domain.
-func (c *Client) Crash(ctx context.Context, addr string, cr guard.Crash, spread bool) error {
+// ReportCrash reports a crash to a host; with spread set the host forwards it to its failure domain.
+func (c *Client) ReportCrash(ctx context.Context, addr string, cr guard.Crash, spread bool) error {
 	w := wireCrash{Digest: cr.Digest, Upstream: cr.Upstream, Age: c.Clock().Sub(cr.At).Microseconds(), Spread: spread}
 	return c.callControl(ctx, CallTimeout, addr, methodCrash, w, nil)
 }
@@ -246,8 +246,8 @@
 // handOverBatch is the maximum number of records in one hand-over message.
 const handOverBatch = 64
 
-// Hand transfers the ticket records of a stopped incarnation to its successor, in batches.
-func (c *Client) Hand(ctx context.Context, addr, incarnation string, until time.Time, records []once.Record) error {
+// HandOver transfers the ticket records of a stopped incarnation to its successor, in batches.
+func (c *Client) HandOver(ctx context.Context, addr, incarnation string, until time.Time, records []once.Record) error {
 	for {
 		n := min(handOverBatch, len(records))
 		w := wireHandOver{Incarnation: incarnation, Until: until.Unix(), Last: n == len(records)}
--- a/internal/edge/peer/server.go
+++ b/internal/edge/peer/server.go
@@ -28,14 +28,14 @@
 
 // Host handles the calls of other hosts.
 type Host interface {
-	Serve(ctx context.Context, job *pipe.Job)
-	Own(ctx context.Context, job *pipe.Job)
-	HeartbeatIn(ctx context.Context, b state.Heartbeat) (state.HeartbeatReply, bool)
-	ExchangeIn(ctx context.Context, s state.Exchange) (state.ExchangeReply, bool)
+	RunForwarded(ctx context.Context, job *pipe.Job)
+	RunOwned(ctx context.Context, job *pipe.Job)
+	HandleHeartbeat(ctx context.Context, b state.Heartbeat) (state.HeartbeatReply, bool)
+	HandleExchange(ctx context.Context, s state.Exchange) (state.ExchangeReply, bool)
 	Notice(n state.Notice)
 	Document() *spec.Document
-	Crashed(c guard.Crash, spread bool)
-	Adopt(incarnation string, until time.Time, last bool, records []once.Record)
+	HandleCrash(c guard.Crash, spread bool)
+	AdoptRecords(incarnation string, until time.Time, last bool, records []once.Record)
 }
 
 // Server serves the calls of other hosts.
--- a/internal/edge/peer/session.go
+++ b/internal/edge/peer/session.go
@@ -142,22 +142,22 @@
 	host, now := h.server.Host, h.server.Clock()
 	switch req.Method {
 	case methodRun:
-		return h.runJob(ctx, req, host.Serve)
+		return h.runJob(ctx, req, host.RunForwarded)
 	case methodOwn:
-		return h.runJob(ctx, req, host.Own)
+		return h.runJob(ctx, req, host.RunOwned)
 	case methodHeartbeat:
 		var w wireHeartbeat
 		if err := decodeParams(req, &w); err != nil {
 			return nil, err
 		}
-		r, ok := host.HeartbeatIn(ctx, w.heartbeat())
+		r, ok := host.HandleHeartbeat(ctx, w.heartbeat())
 		return fromHeartbeatReply(r), stoppingError(ok)
 	case methodExchange:
 		var w wireExchange
 		if err := decodeParams(req, &w); err != nil {
 			return nil, err
 		}
-		r, ok := host.ExchangeIn(ctx, w.exchange())
+		r, ok := host.HandleExchange(ctx, w.exchange())
 		return wireExchangeReply{Incarnation: r.Incarnation, Revision: r.Revision, Stamp: r.Stamp, News: fromSummaries(r.News)}, stoppingError(ok)
 	case methodNotice:
 		var w wireNotice
@@ -177,7 +177,7 @@
 		if err := decodeParams(req, &w); err != nil {
 			return nil, err
 		}
-		host.Crashed(w.crash(now), w.Spread)
+		host.HandleCrash(w.crash(now), w.Spread)
 		return struct{}{}, nil
 	case methodHandOver:
 		return struct{}{}, h.handOver(req)
@@ -211,6 +211,6 @@
 	for _, r := range w.Records {
 		records = append(records, r.record())
 	}
-	h.server.Host.Adopt(w.Incarnation, time.Unix(w.Until, 0), w.Last, records)
+	h.server.Host.AdoptRecords(w.Incarnation, time.Unix(w.Until, 0), w.Last, records)
 	return nil
 }
--- a/internal/edge/peer/size.go
+++ b/internal/edge/peer/size.go
@@ -8,8 +8,8 @@
 	"github.com/boragelane/boragelane/internal/ctrl/state"
 )
 
-// Size returns the encoded size of a control message in bytes, including its frame header and JSON-RPC envelope.
-func Size(message any) int64 {
+// ControlMessageSize returns the encoded size of a control message in bytes, including its frame header and JSON-RPC envelope.
+func ControlMessageSize(message any) int64 {
 	var m Meter
 	req := jsonrpc2.Request{Method: methodHeartbeat, ID: jsonrpc2.ID{Num: 1_000_000}}
 	resp := jsonrpc2.Response{ID: req.ID}
--- a/internal/edge/store/store.go
+++ b/internal/edge/store/store.go
@@ -47,9 +47,9 @@
 
 // Value is the value of a key and the index of its last change; Data is nil if the key does not exist.
 type Value struct {
-	Data  []byte
-	Index uint64
-	Held  bool // A session holds the key's lock.
+	Data   []byte
+	Index  uint64
+	Locked bool // A session holds the key's lock.
 }
 
 type kvEntry struct {
@@ -75,7 +75,7 @@
 	if err := json.Unmarshal(body, &list); err != nil || len(list) != 1 {
 		return Value{}, ErrResponse.New("reading key %s: %d entries, %v", key, len(list), err)
 	}
-	return Value{Data: list[0].Value, Index: list[0].ModifyIndex, Held: list[0].Session != ""}, nil
+	return Value{Data: list[0].Value, Index: list[0].ModifyIndex, Locked: list[0].Session != ""}, nil
 }
 
 // Read reads a key without waiting; index 0 means that the key does not exist.
@@ -92,8 +92,8 @@
 	return n
 }
 
-// Swap writes a key if its index still equals at, where 0 stands for a missing key; it reports whether it did.
-func (c *Client) Swap(ctx context.Context, key string, data []byte, at uint64) (bool, error) {
+// CompareAndSwap writes a key if its index still equals at, where 0 stands for a missing key; it reports whether it did.
+func (c *Client) CompareAndSwap(ctx context.Context, key string, data []byte, at uint64) (bool, error) {
 	q := url.Values{"cas": {strconv.FormatUint(at, 10)}}
 	return c.putBool(ctx, "/v1/kv/"+key, q, data)
 }
@@ -104,8 +104,8 @@
 	return err
 }
 
-// Session creates a session that expires unless it is renewed within its TTL.
-func (c *Client) Session(ctx context.Context, name string, ttl time.Duration) (string, error) {
+// CreateSession creates a session that expires unless it is renewed within its TTL.
+func (c *Client) CreateSession(ctx context.Context, name string, ttl time.Duration) (string, error) {
 	body, err := json.Marshal(map[string]string{"Name": name, "TTL": ttl.String(), "Behavior": "release", "LockDelay": "0s"})
 	if err != nil {
 		return "", ErrResponse.Wrap(err, "encoding a session")
@@ -121,14 +121,14 @@
 	return s.ID, nil
 }
 
-// Renew renews a session; it returns false if the session no longer exists.
-func (c *Client) Renew(ctx context.Context, session string) (bool, error) {
+// RenewSession renews a session; it returns false if the session no longer exists.
+func (c *Client) RenewSession(ctx context.Context, session string) (bool, error) {
 	status, _, _, err := c.do(ctx, http.MethodPut, "/v1/session/renew/"+session, nil, nil)
 	return err == nil && status != http.StatusNotFound, err
 }
 
-// Destroy ends a session, which releases its locks.
-func (c *Client) Destroy(ctx context.Context, session string) error {
+// DestroySession ends a session, which releases its locks.
+func (c *Client) DestroySession(ctx context.Context, session string) error {
 	_, err := c.putBool(ctx, "/v1/session/destroy/"+session, nil, nil)
 	return err
 }
@@ -156,9 +156,9 @@
 	ServiceMeta    map[string]string
 }
 
-// Upstreams lists a failure domain's upstreams and returns the index for the next call; with after set it is a
+// ListUpstreams lists a failure domain's upstreams and returns the index for the next call; with after set it is a
 // blocking query that waits up to the given time for a later change.
-func (c *Client) Upstreams(ctx context.Context, domain string, after uint64, wait time.Duration) ([]state.Member, uint64, error) {
+func (c *Client) ListUpstreams(ctx context.Context, domain string, after uint64, wait time.Duration) ([]state.Member, uint64, error) {
 	q := url.Values{"filter": {fmt.Sprintf("ServiceMeta.domain == %q", domain)}}
 	if after > 0 {
 		q.Set("index", strconv.FormatUint(after, 10))
--- a/internal/host/config/config.go
+++ b/internal/host/config/config.go
@@ -26,21 +26,21 @@
 
 // Settings holds the settings that an entry host reads at startup.
 type Settings struct {
-	Seat     string        // Name of this host's seat in the configuration document.
-	Domain   string        // Name of this host's failure domain.
-	Region   string        // Name of this host's region.
-	Front    string        // Listen address for callers, as IP:port.
-	Peer     string        // Listen address for other entry hosts, as IP:port.
-	Admin    string        // Listen address for operators, as IP:port.
-	Platform string        // Base URL of the platform.
-	Seeds    []string      // Peer addresses of hosts to fetch the configuration from at startup.
-	Log      string        // Log level: debug, info, warn or error.
-	Trace    string        // URL of an OTLP collector; tracing is off if it is empty.
-	Stop     time.Duration // Maximum duration of a planned stop.
+	Seat        string        // Name of this host's seat in the configuration document.
+	Domain      string        // Name of this host's failure domain.
+	Region      string        // Name of this host's region.
+	Front       string        // Listen address for callers, as IP:port.
+	Peer        string        // Listen address for other entry hosts, as IP:port.
+	Admin       string        // Listen address for operators, as IP:port.
+	Platform    string        // Base URL of the platform.
+	Seeds       []string      // Peer addresses of hosts to fetch the configuration from at startup.
+	LogLevel    string        // Log level: debug, info, warn or error.
+	TraceURL    string        // URL of an OTLP collector; tracing is off if it is empty.
+	StopTimeout time.Duration // Maximum duration of a planned stop.
 }
 
 // Default returns the default values of the optional settings.
-func Default() Settings { return Settings{Log: "info", Stop: 30 * time.Second} }
+func Default() Settings { return Settings{LogLevel: "info", StopTimeout: 30 * time.Second} }
 
 // Load reads and validates a settings file; the error lists every problem on a line of its own.
 func Load(file string) (Settings, error) {
@@ -88,12 +88,12 @@
 		_, err := netip.ParseAddrPort(v)
 		r.require(err == nil, "seeds", v, "a list of addresses such as 127.0.0.1:7002")
 	}
-	r.require(slices.Contains(logLevels, s.Log), "log", s.Log, strings.Join(logLevels, ", "))
-	if s.Trace != "" {
-		u, err := url.Parse(s.Trace)
-		r.require(err == nil && u.Host != "", "trace", s.Trace, "a URL such as http://127.0.0.1:4318/v1/traces")
+	r.require(slices.Contains(logLevels, s.LogLevel), "log", s.LogLevel, strings.Join(logLevels, ", "))
+	if s.TraceURL != "" {
+		u, err := url.Parse(s.TraceURL)
+		r.require(err == nil && u.Host != "", "trace", s.TraceURL, "a URL such as http://127.0.0.1:4318/v1/traces")
 	}
-	r.require(s.Stop >= time.Second && s.Stop <= maxStopTimeout, "stop", s.Stop.String(), "1s to 10m")
+	r.require(s.StopTimeout >= time.Second && s.StopTimeout <= maxStopTimeout, "stop", s.StopTimeout.String(), "1s to 10m")
 	slices.Sort(r.problems)
 }
 
--- a/internal/host/config/config_test.go
+++ b/internal/host/config/config_test.go
@@ -12,8 +12,8 @@
 	s, err := Load("testdata/good.json")
 	assert.NilError(t, err)
 	assert.Equal(t, s.Seat, "dar-a-1")
-	assert.Equal(t, s.Log, "info")
-	assert.Equal(t, s.Stop.String(), "45s")
+	assert.Equal(t, s.LogLevel, "info")
+	assert.Equal(t, s.StopTimeout.String(), "45s")
 	assert.DeepEqual(t, s.Seeds, []string{"127.0.0.2:7002"})
 }
 
--- a/internal/host/config/reader.go
+++ b/internal/host/config/reader.go
@@ -30,7 +30,7 @@
 func fieldsByName(s *Settings) map[string]any {
 	return map[string]any{
 		"seat": &s.Seat, "domain": &s.Domain, "region": &s.Region, "front": &s.Front, "peer": &s.Peer,
-		"admin": &s.Admin, "platform": &s.Platform, "seeds": &s.Seeds, "log": &s.Log, "trace": &s.Trace, "stop": &s.Stop,
+		"admin": &s.Admin, "platform": &s.Platform, "seeds": &s.Seeds, "log": &s.LogLevel, "trace": &s.TraceURL, "stop": &s.StopTimeout,
 	}
 }
 
--- a/internal/host/entry/doer.go
+++ b/internal/host/entry/doer.go
@@ -48,7 +48,7 @@
 func (e *executor) sendNotice(ctx context.Context, notice state.SendNotice) {
 	var wg sync.WaitGroup
 	for _, seat := range notice.To {
-		wg.Go(func() { _ = e.host.peerClient.Notice(ctx, seat.Peer, notice) })
+		wg.Go(func() { _ = e.host.peerClient.SendNotice(ctx, seat.Peer, notice) })
 	}
 	wg.Wait()
 }
@@ -165,7 +165,7 @@
 	var index uint64
 	delay := minRetryDelay
 	for ctx.Err() == nil {
-		members, next, err := h.store.Upstreams(ctx, h.Self.Domain, index, longPollTimeout)
+		members, next, err := h.store.ListUpstreams(ctx, h.Self.Domain, index, longPollTimeout)
 		if err != nil {
 			h.Log.Debug("cannot watch the list of upstreams on the platform", errorField(err))
 			delay = backOff(ctx, delay)
--- a/internal/host/entry/host.go
+++ b/internal/host/entry/host.go
@@ -92,7 +92,7 @@
 	h.loop.Loader = h.admit
 	h.loop.Followers = []loop.Follower{h.admit, h.pacer, &revisionLogger{log: h.Log}}
 	h.peerServer = peer.NewServer(&peerHandler{h}, clock, log, &h.peerClient.Control)
-	h.front = &front.Front{Host: h, Clock: clock, Refused: h.Stats.CountRefusal}
+	h.front = &front.Front{Host: h, Clock: clock, OnRefused: h.Stats.CountRefusal}
 	h.httpServers = [2]*http.Server{h.front.Server(), h.adminServer()}
 	h.runCtx, h.cancelRun = context.WithCancel(context.Background())
 	h.registerGauges()
@@ -243,7 +243,7 @@
 		}
 		return 0
 	})
-	s.Gauge("lookups", func() any { return h.front.Looked.Load() })
+	s.Gauge("lookups", func() any { return h.front.Lookups.Load() })
 	s.Gauge("records", func() any { return h.once.Table.Len() })
 	s.Gauge("links", func() any { return h.pacer.SentBytes() })
 	s.Gauge("platform", func() any { return h.store.Calls.Load() })
--- a/internal/host/entry/lease.go
+++ b/internal/host/entry/lease.go
@@ -49,7 +49,7 @@
 	if !own {
 		// The failure domain's own hosts take precedence.
 		v, err := h.store.Get(ctx, reclaimKeyPrefix+action.Domain, 0, 0)
-		if err != nil || v.Held {
+		if err != nil || v.Locked {
 			return state.LeaseOut{Domain: action.Domain, Asked: requestedAt, Err: err}
 		}
 	}
@@ -66,11 +66,11 @@
 // openOrRenew renews the session for a failure domain's lease, or opens a new one if there is none or it has expired.
 func (m *leaseManager) openOrRenew(ctx context.Context, h *Host, action state.AskLease) (*leaseSession, error) {
 	if s := m.sessions[action.Domain]; s != nil {
-		if ok, err := h.store.Renew(ctx, s.id); err != nil || ok {
+		if ok, err := h.store.RenewSession(ctx, s.id); err != nil || ok {
 			return s, err
 		}
 	}
-	id, err := h.store.Session(ctx, h.Self.Seat, action.Life)
+	id, err := h.store.CreateSession(ctx, h.Self.Seat, action.Life)
 	if err != nil {
 		return nil, err
 	}
@@ -117,7 +117,7 @@
 	if s.held && domain != h.Self.Domain {
 		h.Log.Info("giving back the pools of another failure domain", zap.String("domain", domain))
 	}
-	if err := h.store.Destroy(ctx, s.id); err != nil {
+	if err := h.store.DestroySession(ctx, s.id); err != nil {
 		h.Log.Debug("cannot destroy a lease session, it will expire", zap.String("domain", domain), errorField(err))
 	}
 }
--- a/internal/host/entry/roles.go
+++ b/internal/host/entry/roles.go
@@ -36,8 +36,8 @@
 	h.Stats.CountJob(job)
 }
 
-// Issue returns a new ticket that this host owns.
-func (h *Host) Issue(now time.Time) once.Ticket {
+// IssueTicket returns a new ticket that this host owns.
+func (h *Host) IssueTicket(now time.Time) once.Ticket {
 	return h.once.Issue(now, h.Self.Seat, h.Self.Incarnation)
 }
 
@@ -85,14 +85,14 @@
 // peerHandler handles the requests of other hosts.
 type peerHandler struct{ *Host }
 
-// Serve runs a job that another host forwarded through the pipeline of the second hop.
-func (p *peerHandler) Serve(ctx context.Context, job *pipe.Job) {
+// RunForwarded runs a job that another host forwarded through the pipeline of the second hop.
+func (p *peerHandler) RunForwarded(ctx context.Context, job *pipe.Job) {
 	job.Plan = p.loop.Plan()
 	p.serve.Run(ctx, job)
 }
 
-// Own runs a job whose ticket this host owns through the pipeline of the first hop.
-func (p *peerHandler) Own(ctx context.Context, job *pipe.Job) {
+// RunOwned runs a job whose ticket this host owns through the pipeline of the first hop.
+func (p *peerHandler) RunOwned(ctx context.Context, job *pipe.Job) {
 	p.Intake(ctx, job)
 }
 
@@ -108,13 +108,13 @@
 	return o.peerClient.Forward(ctx, now, seat, job)
 }
 
-// HeartbeatIn passes a heartbeat to the control loop and returns its reply.
-func (p *peerHandler) HeartbeatIn(ctx context.Context, b state.Heartbeat) (state.HeartbeatReply, bool) {
+// HandleHeartbeat passes a heartbeat to the control loop and returns its reply.
+func (p *peerHandler) HandleHeartbeat(ctx context.Context, b state.Heartbeat) (state.HeartbeatReply, bool) {
 	return p.loop.HeartbeatIn(ctx, b)
 }
 
-// ExchangeIn passes an exchange to the control loop and returns its reply.
-func (p *peerHandler) ExchangeIn(ctx context.Context, s state.Exchange) (state.ExchangeReply, bool) {
+// HandleExchange passes an exchange to the control loop and returns its reply.
+func (p *peerHandler) HandleExchange(ctx context.Context, s state.Exchange) (state.ExchangeReply, bool) {
 	return p.loop.ExchangeIn(ctx, s)
 }
 
@@ -124,16 +124,16 @@
 // Document returns the document in force, or nil if there is none yet.
 func (p *peerHandler) Document() *spec.Document { return p.loop.Plan().Doc }
 
-// Crashed records a crash and, if propagate is set, notifies the other hosts of this failure domain.
-func (p *peerHandler) Crashed(c guard.Crash, propagate bool) {
+// HandleCrash records a crash and, if propagate is set, notifies the other hosts of this failure domain.
+func (p *peerHandler) HandleCrash(c guard.Crash, propagate bool) {
 	p.crashes.Add(c)
 	if propagate {
 		(&crashNotifier{host: p.Host}).notifyDomain(c)
 	}
 }
 
-// Adopt takes over the ticket records of a stopped host.
-func (p *peerHandler) Adopt(incarnation string, until time.Time, last bool, records []once.Record) {
+// AdoptRecords takes over the ticket records of a stopped host.
+func (p *peerHandler) AdoptRecords(incarnation string, until time.Time, last bool, records []once.Record) {
 	p.once.Table.Adopt(incarnation, until, last, records)
 }
 
@@ -175,5 +175,5 @@
 func (n *crashNotifier) notifyHost(seat spec.Seat, c guard.Crash, propagate bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
 	defer cancel()
-	_ = n.host.peerClient.Crash(ctx, seat.Peer, c, propagate)
+	_ = n.host.peerClient.ReportCrash(ctx, seat.Peer, c, propagate)
 }
--- a/internal/host/entry/stop.go
+++ b/internal/host/entry/stop.go
@@ -17,7 +17,7 @@
 // have cached expire, finishes all jobs and hands over the tickets.
 func (h *Host) shutdown(ctx context.Context) {
 	h.Log.Info("stopping", zap.String("seat", h.Self.Seat))
-	ctx, cancel := context.WithTimeout(ctx, h.Settings.Stop)
+	ctx, cancel := context.WithTimeout(ctx, h.Settings.StopTimeout)
 	defer cancel()
 	h.loop.Send(ctx, state.Leave{})
 	sleep(ctx, state.LookupLife+leavePropagation)
@@ -45,7 +45,7 @@
 		if seat.Name == h.Self.Seat {
 			continue
 		}
-		if err := h.peerClient.Hand(ctx, seat.Peer, h.Self.Incarnation, until, records); err != nil {
+		if err := h.peerClient.HandOver(ctx, seat.Peer, h.Self.Incarnation, until, records); err != nil {
 			h.Log.Warn("a successor did not take the tickets", zap.String("successor", seat.Name), errorField(err))
 			continue
 		}
--- a/internal/host/entry/system_test.go
+++ b/internal/host/entry/system_test.go
@@ -274,11 +274,11 @@
 	body, err := io.ReadAll(resp.Body)
 	return answer{
 		status: resp.StatusCode, outcome: resp.Header.Get(front.HeaderOutcome), reason: resp.Header.Get(front.HeaderReason),
-		newTicket: resp.Header.Get(front.HeaderFresh), upstream: resp.Header.Get(front.HeaderServed), body: string(body),
+		newTicket: resp.Header.Get(front.HeaderNewTicket), upstream: resp.Header.Get(front.HeaderUpstream), body: string(body),
 	}, err
 }
 
-func (s *system) ticket(host string) string { return s.hosts[host].Issue(time.Now()).String() }
+func (s *system) ticket(host string) string { return s.hosts[host].IssueTicket(time.Now()).String() }
 
 // countRuns returns how often a key was executed, as all upstreams recorded it.
 func (s *system) countRuns(key string) int {
--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -41,14 +41,14 @@
 type Store interface {
 	watch.Source
 	enrol.Registry
-	// Report writes a crash for the other hosts to read.
-	Report(ctx context.Context, c roster.Crash, lease int64) error
+	// ReportCrash writes a crash for the other hosts to read.
+	ReportCrash(ctx context.Context, c roster.Crash, lease int64) error
 }
 
 // Frontend decodes callers' requests into jobs and encodes the answers.
 type Frontend interface {
 	Job(r *httpd.Request) *pipe.Job
-	Answer(job *pipe.Job) httpd.Answer
+	Answer(job *pipe.Job) httpd.Response
 	Directory(view func() *roster.View) http.Handler
 }
 
@@ -83,7 +83,7 @@
 }
 
 // New returns a host; Run starts it.
-func New(s Settings, store Store, front Frontend, names dialer.Names, clock func() time.Time, log *zap.Logger, metrics *meters.Metrics) *Host {
+func New(s Settings, store Store, front Frontend, names dialer.HeaderNames, clock func() time.Time, log *zap.Logger, metrics *meters.Metrics) *Host {
 	s.Host.Incarnation = newID()
 	h := &Host{
 		Settings: s, Clock: clock, Log: log, Metrics: metrics, Done: make(chan struct{}), front: front, store: store,
@@ -146,7 +146,7 @@
 )
 
 // Serve runs a caller's request through the filters and returns the answer.
-func (h *Host) Serve(ctx context.Context, r *httpd.Request) httpd.Answer {
+func (h *Host) Serve(ctx context.Context, r *httpd.Request) httpd.Response {
 	job := h.front.Job(r)
 	job.View = h.loop.View()
 	if h.Tracer == nil {
@@ -166,16 +166,16 @@
 }
 
 // requestBounds returns the bounds on callers' requests from the current policy.
-func (h *Host) requestBounds() httpd.Bounds {
+func (h *Host) requestBounds() httpd.Limits {
 	p := h.loop.View().Policy
 	if p == nil {
 		return defaultBounds
 	}
-	return httpd.Bounds{Header: p.Limits.Header, Body: p.Limits.Body, HeaderLife: p.Limits.HeaderLife, IdleLife: p.Limits.IdleLife}
+	return httpd.Limits{MaxHeaderBytes: p.Limits.Header, MaxBodyBytes: p.Limits.Body, HeaderTimeout: p.Limits.HeaderLife, IdleTimeout: p.Limits.IdleLife}
 }
 
 // defaultBounds apply until a policy is known; no request is served before that.
-var defaultBounds = httpd.Bounds{Header: 16 << 10, Body: 1 << 20, HeaderLife: 3 * time.Second, IdleLife: 15 * time.Second}
+var defaultBounds = httpd.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
 
 // Run starts the host, serves until the context ends, and then shuts down gracefully; hangup triggers a reload.
 func (h *Host) Run(ctx context.Context, hangup <-chan os.Signal) error {
@@ -261,7 +261,7 @@
 		case <-t.C:
 			now := h.Clock()
 			h.table.Pump(now)
-			h.sender.Sweep(now)
+			h.sender.CloseExpired(now)
 		}
 	}
 }
--- a/internal/host/steer/journal.go
+++ b/internal/host/steer/journal.go
@@ -123,7 +123,7 @@
 			return
 		case c := <-h.crashReports:
 			callCtx, cancel := context.WithTimeout(ctx, crashReportTimeout)
-			if err := h.store.Report(callCtx, c, h.keeper.Lease()); err != nil {
+			if err := h.store.ReportCrash(callCtx, c, h.keeper.Lease()); err != nil {
 				h.Log.Warn("crash not reported", zap.String("upstream", c.Upstream), errorField(err))
 			}
 			cancel()
--- a/internal/stand/claims/ways.go
+++ b/internal/stand/claims/ways.go
@@ -45,7 +45,7 @@
 // createKey creates a key and retries failed calls until the context ends.
 func createKey(ctx context.Context, client *store.Client, key string, data []byte) bool {
 	for ctx.Err() == nil {
-		if ok, err := client.Swap(ctx, key, data, 0); err == nil {
+		if ok, err := client.CompareAndSwap(ctx, key, data, 0); err == nil {
 			return ok
 		}
 		select {
--- a/internal/stand/sizes/fleet.go
+++ b/internal/stand/sizes/fleet.go
@@ -125,7 +125,7 @@
 		return
 	}
 	begin := time.Now()
-	requestSize, replySize := peer.Size(request), peer.Size(reply)
+	requestSize, replySize := peer.ControlMessageSize(request), peer.ControlMessageSize(reply)
 	elapsed := time.Since(begin) // Decoding takes about as long as encoding.
 	from.cost.addMessage(requestSize, replySize, elapsed, request, reply)
 	to.cost.addMessage(replySize, requestSize, elapsed, request, reply)
@@ -136,8 +136,8 @@
 	if c.BytesByMessage == nil {
 		c.BytesByMessage = map[string]int64{}
 	}
-	c.BytesByMessage[messageType(request)] += peer.Size(request)
-	c.BytesByMessage[messageType(reply)] += peer.Size(reply)
+	c.BytesByMessage[messageType(request)] += peer.ControlMessageSize(request)
+	c.BytesByMessage[messageType(reply)] += peer.ControlMessageSize(reply)
 }
 
 func messageType(message any) string {
--- a/standin/report.go
+++ b/standin/report.go
@@ -23,19 +23,19 @@
 
 // run plots the worth and the store calls of the fixed days over the rounds, for each site.
 func (a *reportArgs) run(context.Context) error {
-	rounds, err := platform.Rounds(a.Journal)
+	rounds, err := platform.ReadJournal(a.Journal)
 	if err != nil {
 		return err
 	}
-	sites := map[string][]platform.Round{}
+	sites := map[string][]platform.DayResult{}
 	for _, r := range rounds {
-		if r.Site != "" && !r.Trial {
+		if r.Site != "" && !r.NoCPU {
 			sites[r.Site] = append(sites[r.Site], r)
 		}
 	}
 	for site, list := range sites {
-		worth := func(r platform.Round) float64 { return r.Worth }
-		calls := func(r platform.Round) float64 { return r.Calls }
+		worth := func(r platform.DayResult) float64 { return r.Worth }
+		calls := func(r platform.DayResult) float64 { return r.StoreCalls }
 		if err := plotRounds("Worth of the days of "+site, "worth", list, worth, filepath.Join(a.Dir, "worth-"+site+".svg")); err != nil {
 			return err
 		}
@@ -48,7 +48,7 @@
 }
 
 // plotRounds plots a value over the rounds, with one line per day.
-func plotRounds(title, label string, rounds []platform.Round, value func(platform.Round) float64, file string) error {
+func plotRounds(title, label string, rounds []platform.DayResult, value func(platform.DayResult) float64, file string) error {
 	p := plot.New()
 	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, "round", label
 	p.Legend.Top = true
