--- a/internal/ctrl/commit/commit.go
+++ b/internal/ctrl/commit/commit.go
@@ -15,7 +15,7 @@
 // Keys in the platform's key-value store. The head refers to a base, which is a complete document, and holds the
 // changes since then. Only the head is updated by compare-and-swap; a base is written once, before a head refers to it.
 const (
-	Key           = "boragelane/config"
+	HeadKey       = "boragelane/config"
 	baseKeyPrefix = "boragelane/base/"
 )
 
@@ -47,8 +47,8 @@
 	// ErrUnavailable means that the platform did not answer; the change may still have taken effect.
 	ErrUnavailable = Errors.NewType("unavailable")
 
-	// Current is the property of ErrConflict that holds the revision in force.
-	Current = errorx.RegisterPrintableProperty("current")
+	// CurrentRevision is the property of ErrConflict that holds the revision in force.
+	CurrentRevision = errorx.RegisterPrintableProperty("current")
 )
 
 // Store is a key-value store with compare-and-swap on an index, which is 0 for a key that does not exist.
@@ -95,7 +95,7 @@
 	}
 	if expect != nil && *expect != doc.Revision {
 		return doc, false, ErrConflict.New("the change was made for revision %d, revision %d is in force", *expect, doc.Revision).
-			WithProperty(Current, doc.Revision)
+			WithProperty(CurrentRevision, doc.Revision)
 	}
 	next, err := doc.Apply(ch, write)
 	switch {
@@ -112,7 +112,7 @@
 	if err != nil || len(data) > spec.MaxBytes {
 		return doc, false, ErrInvalid.New("the changes would have %d bytes, at most %d are allowed", len(data), spec.MaxBytes)
 	}
-	ok, err := st.CompareAndSwap(ctx, Key, data, index)
+	ok, err := st.CompareAndSwap(ctx, HeadKey, data, index)
 	if err != nil || !ok {
 		return doc, true, err
 	}
@@ -145,7 +145,7 @@
 
 // Load returns the document stored on the platform and the index of its head.
 func Load(ctx context.Context, st Store) (spec.Document, uint64, error) {
-	data, index, err := st.Read(ctx, Key)
+	data, index, err := st.Read(ctx, HeadKey)
 	if err != nil {
 		return spec.Document{}, 0, ErrUnavailable.Wrap(err, "reading the document")
 	}
--- a/internal/ctrl/commit/commit_test.go
+++ b/internal/ctrl/commit/commit_test.go
@@ -37,7 +37,7 @@
 }
 
 func (m *memoryStore) CompareAndSwap(_ context.Context, key string, data []byte, index uint64) (bool, error) {
-	if key == Key {
+	if key == HeadKey {
 		m.beforeSwap()
 	}
 	if m.indexes[key] != index {
@@ -117,7 +117,7 @@
 	assert.NilError(t, err)
 	_, err = Commit(ctx, m, drainChange(2), &expect, "b")
 	assert.Assert(t, errorx.IsOfType(err, ErrConflict), "%v", err)
-	current, _ := errorx.ExtractProperty(err, Current)
+	current, _ := errorx.ExtractProperty(err, CurrentRevision)
 	assert.Equal(t, current.(uint64), uint64(2))
 }
 
@@ -142,7 +142,7 @@
 		assert.NilError(t, err)
 	}
 	for _, known := range []*spec.Document{nil, {}, &old} {
-		doc, err := Parse(ctx, m, m.values[Key], known)
+		doc, err := Parse(ctx, m, m.values[HeadKey], known)
 		assert.NilError(t, err)
 		assert.Equal(t, doc.Revision, uint64(3*maxHeadChanges+6))
 		assert.Equal(t, len(doc.Drains), 3*maxHeadChanges+5)
--- a/internal/ctrl/loop/loop.go
+++ b/internal/ctrl/loop/loop.go
@@ -10,18 +10,18 @@
 	"github.com/boragelane/boragelane/internal/ctrl/state"
 )
 
-// Doer executes actions. Each call runs in its own goroutine and passes resulting events to feed.
-type Doer interface {
-	Do(ctx context.Context, act state.Action, feed func(state.Event))
+// Executor executes actions. Each call runs in its own goroutine and passes resulting events to feed.
+type Executor interface {
+	Execute(ctx context.Context, act state.Action, feed func(state.Event))
 }
 
-// Follower is notified of each plan before the data path can read it.
-type Follower interface {
+// Subscriber is notified of each plan before the data path can read it.
+type Subscriber interface {
 	Update(now time.Time, p *plan.Plan)
 }
 
-// Loader reports the current loads of this host by service.
-type Loader interface {
+// LoadReporter reports the current loads of this host by service.
+type LoadReporter interface {
 	Load(now time.Time) map[string]plan.Load
 }
 
@@ -33,11 +33,11 @@
 
 // Loop owns the control state. The data path reads its plans and sends it events.
 type Loop struct {
-	Doer      Doer
-	Followers []Follower
-	Loader    Loader
-	Clock     func() time.Time
-	Done      chan struct{}
+	Executor     Executor
+	Subscribers  []Subscriber
+	LoadReporter LoadReporter
+	Clock        func() time.Time
+	Done         chan struct{}
 
 	state   *state.State
 	events  chan state.Event
@@ -59,8 +59,8 @@
 // Dropped returns the number of events that were dropped because the queue was full.
 func (l *Loop) Dropped() int64 { return l.dropped.Load() }
 
-// Offer queues an event without blocking, and drops it if the queue is full.
-func (l *Loop) Offer(ev state.Event) {
+// TrySend queues an event without blocking, and drops it if the queue is full.
+func (l *Loop) TrySend(ev state.Event) {
 	select {
 	case l.events <- ev:
 	default:
@@ -82,19 +82,19 @@
 // Status returns the control state for operators.
 func (l *Loop) Status(ctx context.Context) (state.Status, bool) {
 	reply := make(chan state.Status, 1)
-	return request(ctx, l, state.Ask{Reply: reply}, reply)
+	return request(ctx, l, state.StatusRequested{Reply: reply}, reply)
 }
 
-// HeartbeatIn processes a heartbeat from another host and returns the reply.
-func (l *Loop) HeartbeatIn(ctx context.Context, hb state.Heartbeat) (state.HeartbeatReply, bool) {
+// HandleHeartbeat processes a heartbeat from another host and returns the reply.
+func (l *Loop) HandleHeartbeat(ctx context.Context, hb state.Heartbeat) (state.HeartbeatReply, bool) {
 	reply := make(chan state.HeartbeatReply, 1)
-	return request(ctx, l, state.HeartbeatIn{Heartbeat: hb, Reply: reply}, reply)
+	return request(ctx, l, state.HeartbeatReceived{Heartbeat: hb, Reply: reply}, reply)
 }
 
-// ExchangeIn processes an exchange from another relay and returns the reply.
-func (l *Loop) ExchangeIn(ctx context.Context, exchange state.Exchange) (state.ExchangeReply, bool) {
+// HandleExchange processes an exchange from another relay and returns the reply.
+func (l *Loop) HandleExchange(ctx context.Context, exchange state.Exchange) (state.ExchangeReply, bool) {
 	reply := make(chan state.ExchangeReply, 1)
-	return request(ctx, l, state.ExchangeIn{Exchange: exchange, Reply: reply}, reply)
+	return request(ctx, l, state.ExchangeReceived{Exchange: exchange, Reply: reply}, reply)
 }
 
 func request[T any](ctx context.Context, l *Loop, ev state.Event, reply chan T) (T, bool) {
@@ -138,13 +138,13 @@
 // whose number grows with the size of the system, can wait.
 func needsPublish(ev state.Event) bool {
 	switch ev.(type) {
-	case state.Adopt, state.Notice, state.ListOut, state.Unreachable, state.Leave, state.HeartbeatOut:
+	case state.DocumentReceived, state.Notice, state.MembersReceived, state.HostUnreachable, state.ShutdownRequested, state.HeartbeatResult:
 		return true
 	}
 	return false
 }
 
-func (l *Loop) tick() state.Event { return state.Tick{Loads: l.Loader.Load(l.Clock())} }
+func (l *Loop) tick() state.Event { return state.Tick{Loads: l.LoadReporter.Load(l.Clock())} }
 
 // applyQueued applies the events that are already queued, so that a burst produces only one plan. It reports whether
 // any of them needs a plan at once.
@@ -164,11 +164,11 @@
 
 func (l *Loop) apply(ctx context.Context, ev state.Event) {
 	feed := func(ev state.Event) { l.Send(ctx, ev) }
-	for _, act := range state.Fold(l.state, ev, l.Clock()) {
+	for _, act := range state.Apply(l.state, ev, l.Clock()) {
 		l.actions.Add(1)
 		go func() {
 			defer l.actions.Done()
-			l.Doer.Do(ctx, act, feed)
+			l.Executor.Execute(ctx, act, feed)
 		}()
 	}
 }
@@ -176,7 +176,7 @@
 func (l *Loop) publish() {
 	now := l.Clock()
 	p := state.Plan(l.state, now)
-	for _, f := range l.Followers {
+	for _, f := range l.Subscribers {
 		f.Update(now, p)
 	}
 	l.plan.Store(p)
--- a/internal/ctrl/state/election_test.go
+++ b/internal/ctrl/state/election_test.go
@@ -36,16 +36,16 @@
 	doc.Revision++
 	doc.Regions[0].Domains[0].Seats = doc.Regions[0].Domains[0].Seats[1:]
 	f.doc = doc
-	f.apply(h, Adopt{Doc: doc})
+	f.apply(h, DocumentReceived{Doc: doc})
 	h.isolated = true
 	sent := 0
 	for range 10 * time.Second / TickPeriod {
 		f.now = f.now.Add(TickPeriod)
-		actions := Fold(h.state, Tick{}, f.now)
+		actions := Apply(h.state, Tick{}, f.now)
 		for len(actions) > 0 && sent < 100 {
 			if a, ok := actions[0].(SendHeartbeat); ok {
 				sent++
-				actions = append(actions, Fold(h.state, HeartbeatOut{Seat: a.To.Name, Asked: f.now, Err: fmt.Errorf("host unreachable")}, f.now)...)
+				actions = append(actions, Apply(h.state, HeartbeatResult{Seat: a.To.Name, RequestedAt: f.now, Err: fmt.Errorf("host unreachable")}, f.now)...)
 			}
 			actions = actions[1:]
 		}
--- a/internal/ctrl/state/fleet_test.go
+++ b/internal/ctrl/state/fleet_test.go
@@ -87,7 +87,7 @@
 		h.inbox = append(h.inbox, ev)
 		return
 	}
-	for _, act := range Fold(h.state, ev, f.now) {
+	for _, act := range Apply(h.state, ev, f.now) {
 		f.execute(h, act)
 	}
 }
@@ -128,19 +128,19 @@
 				f.deliver(func() { f.apply(to, Notice{Seat: h.state.Self.Seat, Revision: a.Revision, Changes: a.Changes}) })
 			}
 		}
-	case AskLease:
+	case RequestLease:
 		f.askLease(h, a.Domain)
 	case ReleaseLease:
 		f.releaseLease(h, a.Domain)
-	case Relay:
+	case SetRelay:
 		if a.On {
 			f.deliverPlatformState(h)
 		}
-	case Fetch:
+	case FetchDocument:
 		to := f.host(a.From.Name)
 		if f.canReach(h, to) && to.state.Doc != nil {
 			doc := *to.state.Doc
-			f.deliver(func() { f.apply(h, Adopt{Doc: doc}) })
+			f.deliver(func() { f.apply(h, DocumentReceived{Doc: doc}) })
 		}
 	}
 }
@@ -155,16 +155,16 @@
 func (f *fleet) sendHeartbeat(h *fakeHost, a SendHeartbeat) {
 	to, requestedAt := f.host(a.To.Name), f.now
 	if !f.canReach(h, to) || to.paused {
-		f.apply(h, HeartbeatOut{Seat: a.To.Name, Asked: requestedAt, Err: fmt.Errorf("host unreachable")})
+		f.apply(h, HeartbeatResult{Seat: a.To.Name, RequestedAt: requestedAt, Err: fmt.Errorf("host unreachable")})
 		return
 	}
 	f.deliver(func() {
 		reply := make(chan HeartbeatReply, 1)
-		f.apply(to, HeartbeatIn{Heartbeat: a.Heartbeat, Reply: reply})
+		f.apply(to, HeartbeatReceived{Heartbeat: a.Heartbeat, Reply: reply})
 		f.deliver(func() {
 			select {
 			case r := <-reply:
-				f.apply(h, HeartbeatOut{Seat: a.To.Name, Asked: requestedAt, Sent: a.Heartbeat, Reply: r})
+				f.apply(h, HeartbeatResult{Seat: a.To.Name, RequestedAt: requestedAt, Sent: a.Heartbeat, Reply: r})
 				reply <- r
 			default:
 			}
@@ -175,15 +175,15 @@
 func (f *fleet) sendExchange(h *fakeHost, a SendExchange) {
 	to := f.host(a.To.Name)
 	if !f.canReach(h, to) || to.paused {
-		f.apply(h, ExchangeOut{Seat: a.To.Name, Domain: a.Domain, Err: fmt.Errorf("host unreachable")})
+		f.apply(h, ExchangeResult{Seat: a.To.Name, Domain: a.Domain, Err: fmt.Errorf("host unreachable")})
 		return
 	}
 	f.deliver(func() {
 		reply := make(chan ExchangeReply, 1)
-		f.apply(to, ExchangeIn{Exchange: a.Exchange, Reply: reply})
+		f.apply(to, ExchangeReceived{Exchange: a.Exchange, Reply: reply})
 		select {
 		case r := <-reply:
-			f.deliver(func() { f.apply(h, ExchangeOut{Seat: a.To.Name, Domain: a.Domain, Sent: a.Sent, Reply: r}) })
+			f.deliver(func() { f.apply(h, ExchangeResult{Seat: a.To.Name, Domain: a.Domain, SentSeq: a.SentSeq, Reply: r}) })
 		default:
 		}
 	})
@@ -194,7 +194,7 @@
 	requestedAt := f.now
 	f.leaseRequests[h.state.Self.Seat]++
 	if f.platformDown || h.isolated {
-		f.apply(h, LeaseOut{Domain: domain, Asked: requestedAt, Err: fmt.Errorf("platform unreachable")})
+		f.apply(h, LeaseResult{Domain: domain, RequestedAt: requestedAt, Err: fmt.Errorf("platform unreachable")})
 		return
 	}
 	if h.sessions[domain] == 0 {
@@ -204,7 +204,7 @@
 	session, ownDomain := h.sessions[domain], domain == h.state.Self.Domain
 	f.deliver(func() {
 		if claim := f.claims[domain]; !ownDomain && f.now.Before(claim.until) {
-			f.deliver(func() { f.apply(h, LeaseOut{Domain: domain, Asked: requestedAt}) })
+			f.deliver(func() { f.apply(h, LeaseResult{Domain: domain, RequestedAt: requestedAt}) })
 			return
 		}
 		l := f.leases[domain]
@@ -215,7 +215,9 @@
 		case ownDomain:
 			f.claims[domain] = fakeLease{session: session, until: f.now.Add(fakeLeaseTTL)}
 		}
-		f.deliver(func() { f.apply(h, LeaseOut{Domain: domain, Asked: requestedAt, Life: fakeLeaseTTL, Held: held}) })
+		f.deliver(func() {
+			f.apply(h, LeaseResult{Domain: domain, RequestedAt: requestedAt, TTL: fakeLeaseTTL, Held: held})
+		})
 	})
 }
 
@@ -239,14 +241,14 @@
 	if f.platformDown || h.isolated {
 		return
 	}
-	f.apply(h, Adopt{Doc: f.doc.Clone()})
+	f.apply(h, DocumentReceived{Doc: f.doc.Clone()})
 	var members []Member
 	for _, m := range f.members {
 		if m.Domain == h.state.Self.Domain {
 			members = append(members, m)
 		}
 	}
-	f.apply(h, ListOut{Members: members})
+	f.apply(h, MembersReceived{Members: members})
 }
 
 func (f *fleet) step(d time.Duration) {
--- a/internal/ctrl/state/fold.go
+++ b/internal/ctrl/state/fold.go
@@ -9,40 +9,40 @@
 	"github.com/boragelane/boragelane/internal/core/spec"
 )
 
-// Fold applies an event to the state and returns the actions to execute.
-func Fold(s *State, ev Event, now time.Time) []Action {
+// Apply applies an event to the state and returns the actions to execute.
+func Apply(s *State, ev Event, now time.Time) []Action {
 	switch e := ev.(type) {
 	case Tick:
 		s.smoothLoads(e.Loads)
 		return s.tick(now)
-	case Adopt:
-		return s.adoptDocument(e.Doc, e.Own, now)
-	case HeartbeatIn:
+	case DocumentReceived:
+		return s.adoptDocument(e.Doc, e.Local, now)
+	case HeartbeatReceived:
 		e.Reply <- s.handleHeartbeat(e.Heartbeat, now)
 		return s.fetchIfBehind(e.Heartbeat.Seat, e.Heartbeat.Revision, now)
-	case HeartbeatOut:
+	case HeartbeatResult:
 		return s.handleHeartbeatResult(e, now)
-	case ExchangeIn:
+	case ExchangeReceived:
 		e.Reply <- s.handleExchange(e.Exchange, now)
 		return s.fetchIfBehind(e.Exchange.Seat, e.Exchange.Revision, now)
-	case ExchangeOut:
+	case ExchangeResult:
 		return s.handleExchangeResult(e, now)
-	case LeaseOut:
+	case LeaseResult:
 		if e.Domain != s.Self.Domain {
 			return s.handleTakeoverLeaseResult(e, now)
 		}
 		s.handleLeaseResult(e)
-	case ListOut:
+	case MembersReceived:
 		s.setMembers(e.Members, now)
 	case Notice:
 		return s.handleNotice(e, now)
-	case FetchOut:
+	case FetchFailed:
 		s.fetchStartedAt = time.Time{}
-	case Unreachable:
+	case HostUnreachable:
 		s.Unreachable[e.Seat] = now
-	case Ask:
+	case StatusRequested:
 		e.Reply <- s.status(now)
-	case Leave:
+	case ShutdownRequested:
 		s.Leaving = true
 		s.lastHeartbeat = time.Time{}
 		return s.tick(now)
@@ -87,7 +87,7 @@
 			delete(s.Summaries, s.Self.Domain)
 			clear(s.Takeovers) // Stopping the relay role releases all leases of this host.
 		}
-		acts = append(acts, Relay{On: on})
+		acts = append(acts, SetRelay{On: on})
 	}
 	if now.Sub(s.lastHeartbeat) >= HeartbeatPeriod(len(s.domainSeats())) {
 		s.lastHeartbeat = now
@@ -101,7 +101,7 @@
 	s.updateOwnSummary(now)
 	if now.Sub(s.lastLeaseRequest) >= s.leaseRequestPeriod(now) {
 		s.lastLeaseRequest = now
-		acts = append(acts, AskLease{Domain: s.Self.Domain, Life: LeaseLife(len(s.domainSeats()))})
+		acts = append(acts, RequestLease{Domain: s.Self.Domain, TTL: LeaseTTL(len(s.domainSeats()))})
 	}
 	acts = append(acts, s.requestTakeovers(now)...)
 	if now.Sub(s.lastExchange) >= ExchangePeriod(s.domainCount()) || s.isStarting(now) {
@@ -136,7 +136,7 @@
 	if !s.Lease.Valid(now) {
 		return leaseRetryPeriod
 	}
-	return LeasePeriod(len(s.domainSeats()))
+	return LeaseRenewalPeriod(len(s.domainSeats()))
 }
 
 // startupExchangeTime is how long a new relay may send an exchange at every tick while it lacks the summary of
@@ -156,7 +156,7 @@
 		return nil
 	}
 	s.IsRelay = true
-	return []Action{Relay{On: true}}
+	return []Action{SetRelay{On: true}}
 }
 
 // setMembers replaces the list of upstreams. Its version grows only if the list changed.
--- a/internal/ctrl/state/grant.go
+++ b/internal/ctrl/state/grant.go
@@ -11,17 +11,17 @@
 // acceptGrant installs the grant of a reply unless a grant requested later is in force. The grant's duration counts
 // from the request, so that it never outlasts the relay's record of the loan.
 func (s *State) acceptGrant(requestedAt time.Time, reply HeartbeatReply) {
-	if reply.Left <= 0 || requestedAt.Before(s.Grant.RequestedAt) {
+	if reply.TTL <= 0 || requestedAt.Before(s.Grant.RequestedAt) {
 		return
 	}
 	units := reply.Units
 	if units == nil {
-		if reply.Hash != s.Grant.Hash {
+		if reply.GrantHash != s.Grant.Hash {
 			return
 		}
 		units = s.Grant.Units
 	}
-	s.Grant = Grant{Units: units, Hash: reply.Hash, RequestedAt: requestedAt, ExpiresAt: requestedAt.Add(reply.Left - share.ClockDriftMargin)}
+	s.Grant = Grant{Units: units, Hash: reply.GrantHash, RequestedAt: requestedAt, ExpiresAt: requestedAt.Add(reply.TTL - share.ClockDriftMargin)}
 }
 
 // hashUnits returns a hash of the units of a grant. It is never 0, which stands for no known grant.
@@ -34,7 +34,7 @@
 }
 
 // handleLeaseResult records the result of a request for this failure domain's own lease.
-func (s *State) handleLeaseResult(e LeaseOut) {
+func (s *State) handleLeaseResult(e LeaseResult) {
 	if e.Err != nil {
 		return
 	}
@@ -42,5 +42,5 @@
 		s.Lease = share.Lease{}
 		return
 	}
-	s.Lease = share.Lease{Until: e.Asked.Add(e.Life)}
+	s.Lease = share.Lease{Until: e.RequestedAt.Add(e.TTL)}
 }
--- a/internal/ctrl/state/heartbeat.go
+++ b/internal/ctrl/state/heartbeat.go
@@ -16,7 +16,7 @@
 		Leaving: s.Leaving, Loads: s.Loads,
 	}
 	if now.Before(s.Grant.ExpiresAt) {
-		hb.Hash = s.Grant.Hash
+		hb.GrantHash = s.Grant.Hash
 	}
 	if s.IsRelay {
 		reply := s.handleHeartbeat(hb, now)
@@ -27,9 +27,9 @@
 		return s.probeEarlierSeats(hb) // This host is not elected yet, or has no seat in the document.
 	}
 	peer := s.Peers[relay.Name]
-	hb.Peer, hb.Got, hb.List = peer.Incarnation, peer.SeenSeq, peer.MembersVersion
+	hb.PeerIncarnation, hb.SeenSeq, hb.MembersVersion = peer.Incarnation, peer.SeenSeq, peer.MembersVersion
 	if s.lastReport.relayIncarnation != "" && s.lastReport.relayIncarnation == peer.Incarnation && s.loadsUnchanged(s.lastReport.loads, s.Loads) {
-		hb.Loads, hb.Same = nil, true
+		hb.Loads, hb.LoadsUnchanged = nil, true
 	}
 	return []Action{SendHeartbeat{To: relay, Heartbeat: hb}}
 }
@@ -54,7 +54,7 @@
 			break
 		}
 		peer := s.Peers[seat.Name]
-		hb.Peer, hb.Got, hb.List = peer.Incarnation, peer.SeenSeq, peer.MembersVersion
+		hb.PeerIncarnation, hb.SeenSeq, hb.MembersVersion = peer.Incarnation, peer.SeenSeq, peer.MembersVersion
 		acts = append(acts, SendHeartbeat{To: seat, Heartbeat: hb})
 	}
 	return acts
@@ -62,38 +62,38 @@
 
 // handleHeartbeat records a host's heartbeat and returns its grant and the summaries that it lacks.
 func (s *State) handleHeartbeat(hb Heartbeat, now time.Time) HeartbeatReply {
-	if old := s.Hosts[hb.Seat]; hb.Same && old.Incarnation == hb.Incarnation {
+	if old := s.Hosts[hb.Seat]; hb.LoadsUnchanged && old.Incarnation == hb.Incarnation {
 		hb.Loads = old.Loads
 	}
 	s.Hosts[hb.Seat] = HostRecord{ReceivedAt: now, Incarnation: hb.Incarnation, Revision: hb.Revision, Leaving: hb.Leaving, Loads: hb.Loads}
 	delete(s.Unreachable, hb.Seat)
-	reply := HeartbeatReply{Incarnation: s.Self.Incarnation, Revision: s.Revision(), Stamp: s.Seq, List: s.MembersVersion, Leaving: s.Leaving}
+	reply := HeartbeatReply{Incarnation: s.Self.Incarnation, Revision: s.Revision(), Seq: s.Seq, MembersVersion: s.MembersVersion, Leaving: s.Leaving}
 	if s.IsRelay && !hb.Leaving {
 		if len(s.Takeovers) > 0 {
 			s.updateLedgerPools(now)
 		}
 		g := s.Ledger.Lend(hb.Seat, s.lendingLease(now), now)
-		reply.Units, reply.Left, reply.Hash = g.Units, g.TTL, hashUnits(g.Units)
-		if hb.Hash == reply.Hash {
+		reply.Units, reply.TTL, reply.GrantHash = g.Units, g.TTL, hashUnits(g.Units)
+		if hb.GrantHash == reply.GrantHash {
 			reply.Units = nil // The host already holds the same grant.
 		}
 	}
 	if hb.Seat == s.Self.Seat {
 		return reply
 	}
-	got, list := hb.Got, hb.List
-	if hb.Peer != s.Self.Incarnation {
+	got, list := hb.SeenSeq, hb.MembersVersion
+	if hb.PeerIncarnation != s.Self.Incarnation {
 		got, list = 0, 0
 	}
-	reply.News = slices.DeleteFunc(s.summariesSince(got, "", excludedSource(got, hb.Seat)), func(n Summary) bool { return n.Same })
-	reply.Stale = s.staleDomains(now)
+	reply.Summaries = slices.DeleteFunc(s.summariesSince(got, "", excludedSource(got, hb.Seat)), func(n Summary) bool { return n.Unchanged })
+	reply.StaleDomains = s.staleDomains(now)
 	if list != s.MembersVersion {
 		reply.Members = s.Members
 	}
 	return reply
 }
 
-func (s *State) handleHeartbeatResult(e HeartbeatOut, now time.Time) []Action {
+func (s *State) handleHeartbeatResult(e HeartbeatResult, now time.Time) []Action {
 	if e.Err != nil {
 		relay := s.currentRelay(now).Name
 		s.Unreachable[e.Seat] = now
@@ -109,19 +109,19 @@
 		delete(s.LastReply, e.Seat)
 	}
 	peer := s.Peers[e.Seat]
-	if !e.Sent.Same && e.Seat == s.currentRelay(now).Name {
+	if !e.Sent.LoadsUnchanged && e.Seat == s.currentRelay(now).Name {
 		s.lastReport = loadReport{relayIncarnation: e.Reply.Incarnation, loads: e.Sent.Loads}
 	}
-	peer.Incarnation, peer.SeenSeq = e.Reply.Incarnation, e.Reply.Stamp
-	if e.Reply.List != 0 && (e.Reply.Members != nil || peer.MembersVersion != e.Reply.List) {
-		peer.MembersVersion = e.Reply.List
+	peer.Incarnation, peer.SeenSeq = e.Reply.Incarnation, e.Reply.Seq
+	if e.Reply.MembersVersion != 0 && (e.Reply.Members != nil || peer.MembersVersion != e.Reply.MembersVersion) {
+		peer.MembersVersion = e.Reply.MembersVersion
 		s.setMembers(e.Reply.Members, now)
 	}
 	s.Peers[e.Seat] = peer
-	s.acceptGrant(e.Asked, e.Reply)
-	s.mergeSummaries(e.Seat, e.Reply.News, now)
+	s.acceptGrant(e.RequestedAt, e.Reply)
+	s.mergeSummaries(e.Seat, e.Reply.Summaries, now)
 	if !s.IsRelay {
-		s.refreshSummaries(e.Reply.Stale, now)
+		s.refreshSummaries(e.Reply.StaleDomains, now)
 	}
 	return s.fetchIfBehind(e.Seat, e.Reply.Revision, now)
 }
--- a/internal/ctrl/state/limits.go
+++ b/internal/ctrl/state/limits.go
@@ -132,7 +132,7 @@
 func (s *State) growthDelay() time.Duration {
 	delay := MinGrowthDelay
 	for _, d := range s.index.regionDomains {
-		delay = max(delay, Term(len(d.Seats))+time.Second)
+		delay = max(delay, LoanTTL(len(d.Seats))+time.Second)
 	}
 	return delay
 }
--- a/internal/ctrl/state/limits_test.go
+++ b/internal/ctrl/state/limits_test.go
@@ -144,7 +144,7 @@
 		f.step(TickPeriod)
 		if i == 8 {
 			f.resume(late)
-			f.apply(late, Adopt{Doc: f.doc})
+			f.apply(late, DocumentReceived{Doc: f.doc})
 		}
 		f.checkLimits(t)
 	}
--- a/internal/ctrl/state/message.go
+++ b/internal/ctrl/state/message.go
@@ -17,58 +17,58 @@
 
 // Summary is the versioned status that a failure domain publishes to the others.
 type Summary struct {
-	Domain  string
-	Version int64
-	Relay   string
-	Away    []string // Hosts that accept no new jobs.
-	Loads   map[string]plan.Load
-	Same    bool // Only the version changed; the relay, hosts and loads are omitted.
+	Domain      string
+	Version     int64
+	Relay       string
+	Unavailable []string // Hosts that accept no new jobs.
+	Loads       map[string]plan.Load
+	Unchanged   bool // Only the version changed; the relay, hosts and loads are omitted.
 }
 
 // Heartbeat is the periodic report of an entry host to its relay.
 type Heartbeat struct {
-	Seat        string
-	Incarnation string
-	Revision    uint64
-	Leaving     bool
-	Loads       map[string]plan.Load
-	Same        bool   // The loads are nearly those of the last heartbeat and are omitted.
-	Peer        string // The incarnation of the relay to which the next two fields refer.
-	Got         uint64 // The relay's sequence number up to which the sender has its summaries.
-	List        uint64 // The version of the upstream list that the sender has.
-	Hash        uint64 // The hash of the grant that the sender holds, 0 for none.
+	Seat            string
+	Incarnation     string
+	Revision        uint64
+	Leaving         bool
+	Loads           map[string]plan.Load
+	LoadsUnchanged  bool   // The loads are nearly those of the last heartbeat and are omitted.
+	PeerIncarnation string // The incarnation of the relay to which the next two fields refer.
+	SeenSeq         uint64 // The relay's sequence number up to which the sender has its summaries.
+	MembersVersion  uint64 // The version of the upstream list that the sender has.
+	GrantHash       uint64 // The hash of the grant that the sender holds, 0 for none.
 }
 
 // HeartbeatReply answers a heartbeat with the sender's grant and the summaries that it lacks.
 type HeartbeatReply struct {
-	Incarnation string
-	Revision    uint64
-	Leaving     bool
-	Stamp       uint64           // The relay's sequence number up to which the reply is complete.
-	Units       map[string]int64 // The grant by resource; nil if the sender already holds it.
-	Left        time.Duration    // The duration of the grant, 0 for none.
-	Hash        uint64           // The hash of the granted units.
-	News        []Summary
-	Stale       []string // Failure domains whose summaries are out of date at the relay.
-	List        uint64   // The version of the upstream list.
-	Members     []Member
+	Incarnation    string
+	Revision       uint64
+	Leaving        bool
+	Seq            uint64           // The relay's sequence number up to which the reply is complete.
+	Units          map[string]int64 // The grant by resource; nil if the sender already holds it.
+	TTL            time.Duration    // The duration of the grant, 0 for none.
+	GrantHash      uint64           // The hash of the granted units.
+	Summaries      []Summary
+	StaleDomains   []string // Failure domains whose summaries are out of date at the relay.
+	MembersVersion uint64   // The version of the upstream list.
+	Members        []Member
 }
 
 // Exchange carries summaries from a relay to the relay of another failure domain.
 type Exchange struct {
-	Domain      string
-	Seat        string
-	Incarnation string
-	Revision    uint64
-	Peer        string // The receiver's incarnation to which the next field refers.
-	Got         uint64 // The receiver's sequence number up to which the sender has its summaries.
-	News        []Summary
+	Domain          string
+	Seat            string
+	Incarnation     string
+	Revision        uint64
+	PeerIncarnation string // The receiver's incarnation to which the next field refers.
+	SeenSeq         uint64 // The receiver's sequence number up to which the sender has its summaries.
+	Summaries       []Summary
 }
 
 // ExchangeReply returns the summaries that the sender of an Exchange lacks.
 type ExchangeReply struct {
 	Incarnation string
 	Revision    uint64
-	Stamp       uint64 // The receiver's sequence number up to which the reply is complete.
-	News        []Summary
+	Seq         uint64 // The receiver's sequence number up to which the reply is complete.
+	Summaries   []Summary
 }
--- a/internal/ctrl/state/news.go
+++ b/internal/ctrl/state/news.go
@@ -17,7 +17,7 @@
 		switch {
 		case record.Seq <= seq || name == exceptDomain || source != "" && record.Source == source:
 		case record.ChangedSeq <= seq:
-			out = append(out, Summary{Domain: record.Domain, Version: record.Version, Same: true})
+			out = append(out, Summary{Domain: record.Domain, Version: record.Version, Unchanged: true})
 		default:
 			out = append(out, record.Summary)
 		}
@@ -47,12 +47,12 @@
 		if summary.Domain == s.Self.Domain && s.IsRelay {
 			continue
 		}
-		if ok && summary.Version <= old.Version && now.Sub(old.ReceivedAt) < s.summaryTimeout() || summary.Same && !ok {
+		if ok && summary.Version <= old.Version && now.Sub(old.ReceivedAt) < s.summaryTimeout() || summary.Unchanged && !ok {
 			continue
 		}
 		s.Seq++
 		changedSeq := s.Seq
-		if summary.Same {
+		if summary.Unchanged {
 			v := summary.Version
 			summary, changedSeq = old.Summary, old.ChangedSeq
 			summary.Version = v
@@ -85,7 +85,7 @@
 }
 
 func (s *State) summaryTimeout() time.Duration {
-	return maxMissedRefreshes * Refresh(s.domainCount())
+	return maxMissedRefreshes * SummaryRefreshPeriod(s.domainCount())
 }
 
 func (s *State) domainCount() int {
@@ -97,8 +97,8 @@
 func (s *State) updateOwnSummary(now time.Time) {
 	loads, unavailable := s.domainLoads(now)
 	old, ok := s.Summaries[s.Self.Domain]
-	fresh := ok && now.Sub(s.lastSummary) < Refresh(s.domainCount())
-	unchanged := ok && slices.Equal(old.Away, unavailable) && !loadsChanged(old.Loads, loads) && old.Relay == s.Self.Seat
+	fresh := ok && now.Sub(s.lastSummary) < SummaryRefreshPeriod(s.domainCount())
+	unchanged := ok && slices.Equal(old.Unavailable, unavailable) && !loadsChanged(old.Loads, loads) && old.Relay == s.Self.Seat
 	if fresh && unchanged {
 		return
 	}
@@ -111,7 +111,7 @@
 	s.Summaries[s.Self.Domain] = SummaryRecord{
 		Summary: Summary{
 			Domain: s.Self.Domain, Version: max(now.UnixMilli(), old.Version+1), Relay: s.Self.Seat,
-			Away: unavailable, Loads: loads,
+			Unavailable: unavailable, Loads: loads,
 		},
 		ReceivedAt: now, Seq: s.Seq, ChangedSeq: changedSeq,
 	}
@@ -147,9 +147,9 @@
 	peer := s.Peers[to.Name]
 	exchange := Exchange{
 		Domain: s.Self.Domain, Seat: s.Self.Seat, Incarnation: s.Self.Incarnation, Revision: s.Revision(),
-		Peer: peer.Incarnation, Got: peer.SeenSeq, News: s.summariesSince(peer.AckedSeq, d.Name, excludedSource(peer.AckedSeq, to.Name)),
+		PeerIncarnation: peer.Incarnation, SeenSeq: peer.SeenSeq, Summaries: s.summariesSince(peer.AckedSeq, d.Name, excludedSource(peer.AckedSeq, to.Name)),
 	}
-	return []Action{SendExchange{To: to, Domain: d.Name, Sent: s.Seq, Exchange: exchange}}
+	return []Action{SendExchange{To: to, Domain: d.Name, SentSeq: s.Seq, Exchange: exchange}}
 }
 
 // repairInterval is the number of exchanges after which one goes to a domain other than the two regular partners, so
@@ -219,18 +219,18 @@
 	if s.Doc == nil {
 		return reply
 	}
-	got := exchange.Got
-	if exchange.Peer != s.Self.Incarnation {
+	got := exchange.SeenSeq
+	if exchange.PeerIncarnation != s.Self.Incarnation {
 		got = 0
 	}
-	reply.News = s.summariesSince(got, exchange.Domain, excludedSource(got, exchange.Seat))
-	s.mergeSummaries(exchange.Seat, exchange.News, now)
-	reply.Stamp = s.Seq
+	reply.Summaries = s.summariesSince(got, exchange.Domain, excludedSource(got, exchange.Seat))
+	s.mergeSummaries(exchange.Seat, exchange.Summaries, now)
+	reply.Seq = s.Seq
 	delete(s.Unreachable, exchange.Seat)
 	return reply
 }
 
-func (s *State) handleExchangeResult(e ExchangeOut, now time.Time) []Action {
+func (s *State) handleExchangeResult(e ExchangeResult, now time.Time) []Action {
 	if e.Err != nil {
 		s.Unreachable[e.Seat] = now
 		delete(s.Peers, e.Seat)
@@ -241,10 +241,10 @@
 	if peer.Incarnation != e.Reply.Incarnation {
 		peer = Peer{Incarnation: e.Reply.Incarnation}
 	} else {
-		peer.AckedSeq = e.Sent
+		peer.AckedSeq = e.SentSeq
 	}
-	peer.SeenSeq = e.Reply.Stamp
+	peer.SeenSeq = e.Reply.Seq
 	s.Peers[e.Seat] = peer
-	s.mergeSummaries(e.Seat, e.Reply.News, now)
+	s.mergeSummaries(e.Seat, e.Reply.Summaries, now)
 	return s.fetchIfBehind(e.Seat, e.Reply.Revision, now)
 }
--- a/internal/ctrl/state/news_test.go
+++ b/internal/ctrl/state/news_test.go
@@ -51,7 +51,7 @@
 	}
 	assert.Assert(t, !f.hosts[1].state.IsRelay)
 	n, ok := f.hosts[1].state.Summaries["d0"]
-	assert.Assert(t, ok && len(n.Away) == 0, "%+v", n)
+	assert.Assert(t, ok && len(n.Unavailable) == 0, "%+v", n)
 }
 
 func TestAHeartbeatOmitsLoadsThatTheRelayHas(t *testing.T) {
@@ -69,15 +69,15 @@
 	for range 8 {
 		f.step(TickPeriod)
 	}
-	assert.Assert(t, !sendHeartbeat(load(3)).Same)
-	assert.Assert(t, sendHeartbeat(load(3)).Same)
+	assert.Assert(t, !sendHeartbeat(load(3)).LoadsUnchanged)
+	assert.Assert(t, sendHeartbeat(load(3)).LoadsUnchanged)
 	assert.Equal(t, recordedBusy(), int64(3))
-	assert.Assert(t, !sendHeartbeat(load(2)).Same, "every change is reported in a small failure domain")
+	assert.Assert(t, !sendHeartbeat(load(2)).LoadsUnchanged, "every change is reported in a small failure domain")
 	assert.Equal(t, recordedBusy(), int64(2))
 
 	f.hosts[0] = f.newHost(f.hosts[0].state.Self) // The relay restarts without its state.
 	f.apply(f.hosts[0], Tick{})
-	assert.Assert(t, sendHeartbeat(load(2)).Same, "the restart of the relay is not known yet")
-	assert.Assert(t, !sendHeartbeat(load(2)).Same)
+	assert.Assert(t, sendHeartbeat(load(2)).LoadsUnchanged, "the restart of the relay is not known yet")
+	assert.Assert(t, !sendHeartbeat(load(2)).LoadsUnchanged)
 	assert.Equal(t, recordedBusy(), int64(2))
 }
--- a/internal/ctrl/state/notice.go
+++ b/internal/ctrl/state/notice.go
@@ -62,5 +62,5 @@
 		return nil
 	}
 	s.fetchStartedAt = now
-	return []Action{Fetch{From: host}}
+	return []Action{FetchDocument{From: host}}
 }
--- a/internal/ctrl/state/plan.go
+++ b/internal/ctrl/state/plan.go
@@ -10,8 +10,8 @@
 	"github.com/boragelane/boragelane/internal/core/spec"
 )
 
-// LookupLife is how long callers may cache the answer to a lookup.
-const LookupLife = 5 * time.Second
+// LookupTTL is how long callers may cache the answer to a lookup.
+const LookupTTL = 5 * time.Second
 
 // Plan returns an immutable snapshot of the state for the data path.
 func Plan(s *State, now time.Time) *plan.Plan {
@@ -94,7 +94,7 @@
 	if !ok || now.Sub(record.ReceivedAt) > s.summaryTimeout() {
 		return t
 	}
-	t.Hosts = s.usableHosts(d, record.Away, now)
+	t.Hosts = s.usableHosts(d, record.Unavailable, now)
 	t.Loads = record.Loads
 	if d.Name == s.Self.Domain {
 		t.Loads = subtractLoads(record.Loads, s.Loads)
@@ -139,7 +139,7 @@
 
 // lookup returns the hosts of this region that callers may use.
 func (s *State) lookup(p *plan.Plan) plan.Lookup {
-	lookup := plan.Lookup{TTL: LookupLife}
+	lookup := plan.Lookup{TTL: LookupTTL}
 	for _, d := range p.Domains {
 		if d.Region != s.Self.Region || d.Drained {
 			continue
--- a/internal/ctrl/state/state.go
+++ b/internal/ctrl/state/state.go
@@ -21,9 +21,9 @@
 	FetchTimeout = 2 * time.Second
 )
 
-// Refresh returns how often a failure domain publishes its unchanged summary. It grows with the number of domains, so
+// SummaryRefreshPeriod returns how often a failure domain publishes its unchanged summary. It grows with the number of domains, so
 // that the control traffic of each host does not.
-func Refresh(domains int) time.Duration {
+func SummaryRefreshPeriod(domains int) time.Duration {
 	return max(2*time.Second, time.Duration(domains)*600*time.Millisecond)
 }
 
@@ -41,16 +41,16 @@
 	return max(time.Second, time.Duration(hosts)*250*time.Millisecond)
 }
 
-// Term returns the duration of a grant, which survives the loss of two heartbeats.
-func Term(hosts int) time.Duration {
+// LoanTTL returns the duration of a grant, which survives the loss of two heartbeats.
+func LoanTTL(hosts int) time.Duration {
 	return max(share.DefaultLoanTTL, 2*HeartbeatPeriod(hosts)+time.Second)
 }
 
-// LeaseLife returns the duration of the lender's lease. After the loss of two renewals it still covers a whole grant.
-func LeaseLife(hosts int) time.Duration { return max(10*time.Second, 2*Term(hosts)) }
+// LeaseTTL returns the duration of the lender's lease. After the loss of two renewals it still covers a whole grant.
+func LeaseTTL(hosts int) time.Duration { return max(10*time.Second, 2*LoanTTL(hosts)) }
 
-// LeasePeriod returns how often a lender renews its lease.
-func LeasePeriod(hosts int) time.Duration { return LeaseLife(hosts) / 4 }
+// LeaseRenewalPeriod returns how often a lender renews its lease.
+func LeaseRenewalPeriod(hosts int) time.Duration { return LeaseTTL(hosts) / 4 }
 
 // SeatTimeout returns how long a host of the same failure domain counts as alive without a heartbeat or a reply.
 func SeatTimeout(hosts int) time.Duration { return 3 * HeartbeatPeriod(hosts) }
--- a/internal/ctrl/state/takeover.go
+++ b/internal/ctrl/state/takeover.go
@@ -30,12 +30,12 @@
 		switch {
 		case !ok && s.isSilent(d.Name, now) && s.isFirstLiveDomain(d.Name, now):
 			takeover.FirstRequestedAt = now
-		case !ok || !takeover.EndedAt.IsZero() || now.Sub(takeover.LastRequestedAt) < LeasePeriod(len(s.domainSeats())):
+		case !ok || !takeover.EndedAt.IsZero() || now.Sub(takeover.LastRequestedAt) < LeaseRenewalPeriod(len(s.domainSeats())):
 			continue
 		}
 		takeover.LastRequestedAt = now
 		s.Takeovers[d.Name] = takeover
-		acts = append(acts, AskLease{Domain: d.Name, Life: LeaseLife(len(s.domainSeats()))})
+		acts = append(acts, RequestLease{Domain: d.Name, TTL: LeaseTTL(len(s.domainSeats()))})
 	}
 	return acts
 }
@@ -64,16 +64,16 @@
 }
 
 // handleTakeoverLeaseResult records the result of a request for another failure domain's lease.
-func (s *State) handleTakeoverLeaseResult(e LeaseOut, now time.Time) []Action {
+func (s *State) handleTakeoverLeaseResult(e LeaseResult, now time.Time) []Action {
 	takeover, ok := s.Takeovers[e.Domain]
 	switch {
 	case !ok && e.Held:
 		return []Action{ReleaseLease{Domain: e.Domain}}
-	case !ok || e.Err != nil || e.Asked.Before(takeover.FirstRequestedAt) || !takeover.EndedAt.IsZero():
+	case !ok || e.Err != nil || e.RequestedAt.Before(takeover.FirstRequestedAt) || !takeover.EndedAt.IsZero():
 	case !e.Held:
 		s.endTakeover(e.Domain, now)
 	default:
-		takeover.Lease = share.Lease{Until: e.Asked.Add(e.Life)}
+		takeover.Lease = share.Lease{Until: e.RequestedAt.Add(e.TTL)}
 		s.Takeovers[e.Domain] = takeover
 		s.updateLedgerPools(now)
 	}
@@ -142,7 +142,7 @@
 		}
 	}
 	s.Ledger.SetPools(pools)
-	s.Ledger.LoanTTL = Term(len(s.domainSeats()))
+	s.Ledger.LoanTTL = LoanTTL(len(s.domainSeats()))
 }
 
 // isPool reports whether an allocation is a pool rather than a share of this host.
--- a/internal/ctrl/state/takeover_test.go
+++ b/internal/ctrl/state/takeover_test.go
@@ -74,8 +74,8 @@
 	taken.Lease.Until = f.now.Add(3 * time.Second) // As if only the lender's own lease could be renewed.
 	lender.Takeovers["d1"] = taken
 	reply := make(chan HeartbeatReply, 1)
-	Fold(lender, HeartbeatIn{Heartbeat: Heartbeat{Seat: "d0-1"}, Reply: reply}, f.now)
+	Apply(lender, HeartbeatReceived{Heartbeat: Heartbeat{Seat: "d0-1"}, Reply: reply}, f.now)
 	r := <-reply
-	assert.Assert(t, r.Left < 3*time.Second, "lent for %s", r.Left)
+	assert.Assert(t, r.TTL < 3*time.Second, "lent for %s", r.TTL)
 	assert.Equal(t, r.Units[resourceLinkPrefix+"q"], int64(300), "half of both pools")
 }
--- a/internal/edge/admin/admin.go
+++ b/internal/edge/admin/admin.go
@@ -72,7 +72,7 @@
 func apiError(err error) error {
 	switch {
 	case errorx.IsOfType(err, commit.ErrConflict):
-		current, _ := errorx.ExtractProperty(err, commit.Current)
+		current, _ := errorx.ExtractProperty(err, commit.CurrentRevision)
 		rev, _ := current.(uint64)
 		return &gen.Conflict{Name: "conflict", Message: err.Error(), Current: rev}
 	case errorx.IsOfType(err, commit.ErrInvalid):
--- a/internal/edge/peer/client.go
+++ b/internal/edge/peer/client.go
@@ -215,7 +215,7 @@
 func (c *Client) Exchange(ctx context.Context, addr string, s state.Exchange) (state.ExchangeReply, error) {
 	var w wireExchangeReply
 	err := c.callControl(ctx, CallTimeout, addr, methodExchange, fromExchange(s), &w)
-	return state.ExchangeReply{Incarnation: w.Incarnation, Revision: w.Revision, Stamp: w.Stamp, News: toSummaries(w.News)}, err
+	return state.ExchangeReply{Incarnation: w.Incarnation, Revision: w.Revision, Seq: w.Stamp, Summaries: toSummaries(w.News)}, err
 }
 
 // SendNotice notifies a host of a new revision.
--- a/internal/edge/peer/session.go
+++ b/internal/edge/peer/session.go
@@ -158,7 +158,7 @@
 			return nil, err
 		}
 		r, ok := host.HandleExchange(ctx, w.exchange())
-		return wireExchangeReply{Incarnation: r.Incarnation, Revision: r.Revision, Stamp: r.Stamp, News: fromSummaries(r.News)}, stoppingError(ok)
+		return wireExchangeReply{Incarnation: r.Incarnation, Revision: r.Revision, Stamp: r.Seq, News: fromSummaries(r.Summaries)}, stoppingError(ok)
 	case methodNotice:
 		var w wireNotice
 		if err := decodeParams(req, &w); err != nil {
--- a/internal/edge/peer/size.go
+++ b/internal/edge/peer/size.go
@@ -25,7 +25,7 @@
 	case state.HeartbeatReply:
 		err = resp.SetResult(fromHeartbeatReply(v))
 	case state.ExchangeReply:
-		err = resp.SetResult(wireExchangeReply{Incarnation: v.Incarnation, Revision: v.Revision, Stamp: v.Stamp, News: fromSummaries(v.News)})
+		err = resp.SetResult(wireExchangeReply{Incarnation: v.Incarnation, Revision: v.Revision, Stamp: v.Seq, News: fromSummaries(v.Summaries)})
 	}
 	if err != nil {
 		return 0
--- a/internal/edge/peer/wire.go
+++ b/internal/edge/peer/wire.go
@@ -65,7 +65,7 @@
 func fromSummaries(list []state.Summary) []wireSummary {
 	out := make([]wireSummary, 0, len(list))
 	for _, s := range list {
-		out = append(out, wireSummary{Domain: s.Domain, Version: s.Version, Relay: s.Relay, Away: s.Away, Loads: fromLoads(s.Loads), Same: s.Same})
+		out = append(out, wireSummary{Domain: s.Domain, Version: s.Version, Relay: s.Relay, Away: s.Unavailable, Loads: fromLoads(s.Loads), Same: s.Unchanged})
 	}
 	return out
 }
@@ -73,7 +73,7 @@
 func toSummaries(list []wireSummary) []state.Summary {
 	out := make([]state.Summary, 0, len(list))
 	for _, s := range list {
-		out = append(out, state.Summary{Domain: s.Domain, Version: s.Version, Relay: s.Relay, Away: s.Away, Loads: toLoads(s.Loads), Same: s.Same})
+		out = append(out, state.Summary{Domain: s.Domain, Version: s.Version, Relay: s.Relay, Unavailable: s.Away, Loads: toLoads(s.Loads), Unchanged: s.Same})
 	}
 	return out
 }
@@ -94,14 +94,14 @@
 func fromHeartbeat(b state.Heartbeat) wireHeartbeat {
 	return wireHeartbeat{
 		Seat: b.Seat, Incarnation: b.Incarnation, Revision: b.Revision, Leaving: b.Leaving,
-		Loads: fromLoads(b.Loads), Same: b.Same, Peer: b.Peer, Got: b.Got, List: b.List, Hash: b.Hash,
+		Loads: fromLoads(b.Loads), Same: b.LoadsUnchanged, Peer: b.PeerIncarnation, Got: b.SeenSeq, List: b.MembersVersion, Hash: b.GrantHash,
 	}
 }
 
 func (w wireHeartbeat) heartbeat() state.Heartbeat {
 	return state.Heartbeat{
 		Seat: w.Seat, Incarnation: w.Incarnation, Revision: w.Revision, Leaving: w.Leaving,
-		Loads: toLoads(w.Loads), Same: w.Same, Peer: w.Peer, Got: w.Got, List: w.List, Hash: w.Hash,
+		Loads: toLoads(w.Loads), LoadsUnchanged: w.Same, PeerIncarnation: w.Peer, SeenSeq: w.Got, MembersVersion: w.List, GrantHash: w.Hash,
 	}
 }
 
@@ -129,8 +129,8 @@
 
 func fromHeartbeatReply(r state.HeartbeatReply) wireHeartbeatReply {
 	w := wireHeartbeatReply{
-		Incarnation: r.Incarnation, Revision: r.Revision, Leaving: r.Leaving, Stamp: r.Stamp, Units: r.Units,
-		Left: r.Left.Microseconds(), Hash: r.Hash, News: fromSummaries(r.News), Stale: r.Stale, List: r.List,
+		Incarnation: r.Incarnation, Revision: r.Revision, Leaving: r.Leaving, Stamp: r.Seq, Units: r.Units,
+		Left: r.TTL.Microseconds(), Hash: r.GrantHash, News: fromSummaries(r.Summaries), Stale: r.StaleDomains, List: r.MembersVersion,
 	}
 	for _, m := range r.Members {
 		w.Members = append(w.Members, wireMember(m))
@@ -140,8 +140,8 @@
 
 func (w wireHeartbeatReply) reply() state.HeartbeatReply {
 	r := state.HeartbeatReply{
-		Incarnation: w.Incarnation, Revision: w.Revision, Leaving: w.Leaving, Stamp: w.Stamp, Units: w.Units,
-		Left: time.Duration(w.Left) * time.Microsecond, Hash: w.Hash, News: toSummaries(w.News), Stale: w.Stale, List: w.List,
+		Incarnation: w.Incarnation, Revision: w.Revision, Leaving: w.Leaving, Seq: w.Stamp, Units: w.Units,
+		TTL: time.Duration(w.Left) * time.Microsecond, GrantHash: w.Hash, Summaries: toSummaries(w.News), StaleDomains: w.Stale, MembersVersion: w.List,
 	}
 	for _, m := range w.Members {
 		r.Members = append(r.Members, state.Member(m))
@@ -162,14 +162,14 @@
 func fromExchange(s state.Exchange) wireExchange {
 	return wireExchange{
 		Domain: s.Domain, Seat: s.Seat, Incarnation: s.Incarnation, Revision: s.Revision,
-		Peer: s.Peer, Got: s.Got, News: fromSummaries(s.News),
+		Peer: s.PeerIncarnation, Got: s.SeenSeq, News: fromSummaries(s.Summaries),
 	}
 }
 
 func (w wireExchange) exchange() state.Exchange {
 	return state.Exchange{
 		Domain: w.Domain, Seat: w.Seat, Incarnation: w.Incarnation, Revision: w.Revision,
-		Peer: w.Peer, Got: w.Got, News: toSummaries(w.News),
+		PeerIncarnation: w.Peer, SeenSeq: w.Got, Summaries: toSummaries(w.News),
 	}
 }
 
--- a/internal/host/entry/doer.go
+++ b/internal/host/entry/doer.go
@@ -17,26 +17,26 @@
 	leases leaseManager
 }
 
-// Do executes one action and emits the events that result from it.
-func (e *executor) Do(ctx context.Context, action state.Action, emit func(state.Event)) {
+// Execute executes one action and emits the events that result from it.
+func (e *executor) Execute(ctx context.Context, action state.Action, emit func(state.Event)) {
 	h := e.host
 	switch a := action.(type) {
 	case state.SendHeartbeat:
 		requestedAt := h.Clock()
 		r, err := h.peerClient.Heartbeat(ctx, a.To.Peer, a.Heartbeat)
-		emit(state.HeartbeatOut{Seat: a.To.Name, Asked: requestedAt, Sent: a.Heartbeat, Reply: r, Err: err})
+		emit(state.HeartbeatResult{Seat: a.To.Name, RequestedAt: requestedAt, Sent: a.Heartbeat, Reply: r, Err: err})
 	case state.SendExchange:
 		r, err := h.peerClient.Exchange(ctx, a.To.Peer, a.Exchange)
-		emit(state.ExchangeOut{Seat: a.To.Name, Domain: a.Domain, Sent: a.Sent, Reply: r, Err: err})
+		emit(state.ExchangeResult{Seat: a.To.Name, Domain: a.Domain, SentSeq: a.SentSeq, Reply: r, Err: err})
 	case state.SendNotice:
 		e.sendNotice(ctx, a)
-	case state.Fetch:
+	case state.FetchDocument:
 		e.fetchDocument(ctx, a.From, emit)
-	case state.AskLease:
+	case state.RequestLease:
 		emit(e.leases.request(ctx, h, a))
 	case state.ReleaseLease:
 		e.leases.release(ctx, h, a.Domain)
-	case state.Relay:
+	case state.SetRelay:
 		h.watcher.setActive(ctx, a.On, emit)
 		if !a.On {
 			e.leases.releaseAll(ctx, h)
@@ -57,10 +57,10 @@
 func (e *executor) fetchDocument(ctx context.Context, from spec.Seat, emit func(state.Event)) {
 	doc, ok, err := e.host.peerClient.Fetch(ctx, from.Peer, e.host.loop.Plan().Doc)
 	if err != nil || !ok {
-		emit(state.FetchOut{})
+		emit(state.FetchFailed{})
 		return
 	}
-	emit(state.Adopt{Doc: doc})
+	emit(state.DocumentReceived{Doc: doc})
 }
 
 // platformWatcher watches the platform's configuration and upstream list while this host is a relay of its
@@ -114,7 +114,7 @@
 	var index uint64
 	delay := minRetryDelay
 	for ctx.Err() == nil {
-		v, err := h.store.Get(ctx, commit.Key, index, longPollTimeout)
+		v, err := h.store.Get(ctx, commit.HeadKey, index, longPollTimeout)
 		if err != nil {
 			h.Log.Debug("cannot watch the configuration on the platform", errorField(err))
 			delay = backOff(ctx, delay)
@@ -140,7 +140,7 @@
 		w.host.Log.Error("the platform holds a document that can't be used", errorField(err))
 		return
 	}
-	emit(state.Adopt{Doc: doc})
+	emit(state.DocumentReceived{Doc: doc})
 }
 
 // fetchFromSeeds asks the seeds in random order for their document, and reports whether one of them returned it.
@@ -149,7 +149,7 @@
 	for _, i := range rand.Perm(len(seeds)) {
 		doc, ok, err := w.host.peerClient.Fetch(ctx, seeds[i], nil)
 		if err == nil && ok {
-			emit(state.Adopt{Doc: doc})
+			emit(state.DocumentReceived{Doc: doc})
 			return true
 		}
 	}
@@ -172,7 +172,7 @@
 			continue
 		}
 		delay, index = minRetryDelay, next
-		emit(state.ListOut{Members: members})
+		emit(state.MembersReceived{Members: members})
 	}
 }
 
--- a/internal/host/entry/fault_test.go
+++ b/internal/host/entry/fault_test.go
@@ -147,7 +147,7 @@
 			}
 			lost++
 			assert.Check(t, errorx.IsOfType(err, commit.ErrConflict), "%v", err)
-			current, ok := errorx.ExtractProperty(err, commit.Current)
+			current, ok := errorx.ExtractProperty(err, commit.CurrentRevision)
 			assert.Check(t, ok && current.(uint64) == begin+1, "%v", current)
 		})
 	}
--- a/internal/host/entry/host.go
+++ b/internal/host/entry/host.go
@@ -88,9 +88,9 @@
 	h.once = once.Pipe{Table: once.NewTable(), Forwarder: ownerForwarder{h}, NewID: newID}
 	h.watcher = &platformWatcher{host: h}
 	h.buildPipelines()
-	h.loop.Doer = &executor{host: h}
-	h.loop.Loader = h.admit
-	h.loop.Followers = []loop.Follower{h.admit, h.pacer, &revisionLogger{log: h.Log}}
+	h.loop.Executor = &executor{host: h}
+	h.loop.LoadReporter = h.admit
+	h.loop.Subscribers = []loop.Subscriber{h.admit, h.pacer, &revisionLogger{log: h.Log}}
 	h.peerServer = peer.NewServer(&peerHandler{h}, clock, log, &h.peerClient.Control)
 	h.front = &front.Front{Host: h, Clock: clock, OnRefused: h.Stats.CountRefusal}
 	h.httpServers = [2]*http.Server{h.front.Server(), h.adminServer()}
--- a/internal/host/entry/lease.go
+++ b/internal/host/entry/lease.go
@@ -39,7 +39,7 @@
 }
 
 // request opens or renews the session for a failure domain's lease and acquires the lease with it.
-func (m *leaseManager) request(ctx context.Context, h *Host, action state.AskLease) state.Event {
+func (m *leaseManager) request(ctx context.Context, h *Host, action state.RequestLease) state.Event {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
@@ -50,7 +50,7 @@
 		// The failure domain's own hosts take precedence.
 		v, err := h.store.Get(ctx, reclaimKeyPrefix+action.Domain, 0, 0)
 		if err != nil || v.Locked {
-			return state.LeaseOut{Domain: action.Domain, Asked: requestedAt, Err: err}
+			return state.LeaseResult{Domain: action.Domain, RequestedAt: requestedAt, Err: err}
 		}
 	}
 	s, err := m.openOrRenew(ctx, h, action)
@@ -58,26 +58,26 @@
 		err = m.acquire(ctx, h, action.Domain, s, own)
 	}
 	if err != nil {
-		return state.LeaseOut{Domain: action.Domain, Asked: requestedAt, Err: err}
+		return state.LeaseResult{Domain: action.Domain, RequestedAt: requestedAt, Err: err}
 	}
-	return state.LeaseOut{Domain: action.Domain, Asked: requestedAt, Life: s.ttl, Held: s.held}
+	return state.LeaseResult{Domain: action.Domain, RequestedAt: requestedAt, TTL: s.ttl, Held: s.held}
 }
 
 // openOrRenew renews the session for a failure domain's lease, or opens a new one if there is none or it has expired.
-func (m *leaseManager) openOrRenew(ctx context.Context, h *Host, action state.AskLease) (*leaseSession, error) {
+func (m *leaseManager) openOrRenew(ctx context.Context, h *Host, action state.RequestLease) (*leaseSession, error) {
 	if s := m.sessions[action.Domain]; s != nil {
 		if ok, err := h.store.RenewSession(ctx, s.id); err != nil || ok {
 			return s, err
 		}
 	}
-	id, err := h.store.CreateSession(ctx, h.Self.Seat, action.Life)
+	id, err := h.store.CreateSession(ctx, h.Self.Seat, action.TTL)
 	if err != nil {
 		return nil, err
 	}
 	if m.sessions == nil {
 		m.sessions = map[string]*leaseSession{}
 	}
-	s := &leaseSession{id: id, ttl: action.Life}
+	s := &leaseSession{id: id, ttl: action.TTL}
 	m.sessions[action.Domain] = s
 	return s, nil
 }
@@ -142,5 +142,5 @@
 		return share.DefaultLoanTTL
 	}
 	_, dom, _ := doc.FindDomain(h.Self.Domain)
-	return state.Term(len(dom.Seats))
+	return state.LoanTTL(len(dom.Seats))
 }
--- a/internal/host/entry/roles.go
+++ b/internal/host/entry/roles.go
@@ -58,7 +58,7 @@
 	doc, err := commit.Commit(ctx, h.store, ch, expect, newID())
 	if err == nil {
 		h.Log.Info("accepted a change", zap.Uint64("revision", doc.Revision))
-		h.loop.Send(ctx, state.Adopt{Doc: doc, Own: true})
+		h.loop.Send(ctx, state.DocumentReceived{Doc: doc, Local: true})
 	}
 	return doc, err
 }
@@ -79,7 +79,7 @@
 
 // ReportUnreachable reports an unreachable host to the control loop, without waiting.
 func (h *Host) ReportUnreachable(_ time.Time, seat string) {
-	h.loop.Offer(state.Unreachable{Seat: seat})
+	h.loop.TrySend(state.HostUnreachable{Seat: seat})
 }
 
 // peerHandler handles the requests of other hosts.
@@ -110,16 +110,16 @@
 
 // HandleHeartbeat passes a heartbeat to the control loop and returns its reply.
 func (p *peerHandler) HandleHeartbeat(ctx context.Context, b state.Heartbeat) (state.HeartbeatReply, bool) {
-	return p.loop.HeartbeatIn(ctx, b)
+	return p.loop.HandleHeartbeat(ctx, b)
 }
 
 // HandleExchange passes an exchange to the control loop and returns its reply.
 func (p *peerHandler) HandleExchange(ctx context.Context, s state.Exchange) (state.ExchangeReply, bool) {
-	return p.loop.ExchangeIn(ctx, s)
+	return p.loop.HandleExchange(ctx, s)
 }
 
 // Notice passes another host's notice to the control loop, without waiting.
-func (p *peerHandler) Notice(n state.Notice) { p.loop.Offer(n) }
+func (p *peerHandler) Notice(n state.Notice) { p.loop.TrySend(n) }
 
 // Document returns the document in force, or nil if there is none yet.
 func (p *peerHandler) Document() *spec.Document { return p.loop.Plan().Doc }
--- a/internal/host/entry/stop.go
+++ b/internal/host/entry/stop.go
@@ -19,8 +19,8 @@
 	h.Log.Info("stopping", zap.String("seat", h.Self.Seat))
 	ctx, cancel := context.WithTimeout(ctx, h.Settings.StopTimeout)
 	defer cancel()
-	h.loop.Send(ctx, state.Leave{})
-	sleep(ctx, state.LookupLife+leavePropagation)
+	h.loop.Send(ctx, state.ShutdownRequested{})
+	sleep(ctx, state.LookupTTL+leavePropagation)
 	h.once.Table.StopClaims()
 	for _, s := range h.httpServers {
 		if err := s.Shutdown(ctx); err != nil {
--- a/internal/stand/sizes/fleet.go
+++ b/internal/stand/sizes/fleet.go
@@ -110,7 +110,7 @@
 // apply applies an event to a host's state and executes the resulting actions.
 func (f *fleet) apply(h *simHost, event state.Event) {
 	begin := time.Now()
-	actions := state.Fold(h.state, event, f.now)
+	actions := state.Apply(h.state, event, f.now)
 	if h.measured {
 		h.cost.CPU += time.Since(begin)
 	}
@@ -157,32 +157,32 @@
 	switch a := action.(type) {
 	case state.SendHeartbeat:
 		to, reply := f.hosts[a.To.Name], make(chan state.HeartbeatReply, 1)
-		f.apply(to, state.HeartbeatIn{Heartbeat: a.Heartbeat, Reply: reply})
+		f.apply(to, state.HeartbeatReceived{Heartbeat: a.Heartbeat, Reply: reply})
 		answer := <-reply
 		f.recordMessage(h, to, a.Heartbeat, answer)
-		f.apply(h, state.HeartbeatOut{Seat: a.To.Name, Asked: f.now, Sent: a.Heartbeat, Reply: answer})
+		f.apply(h, state.HeartbeatResult{Seat: a.To.Name, RequestedAt: f.now, Sent: a.Heartbeat, Reply: answer})
 	case state.SendExchange:
 		to, reply := f.hosts[a.To.Name], make(chan state.ExchangeReply, 1)
-		f.apply(to, state.ExchangeIn{Exchange: a.Exchange, Reply: reply})
+		f.apply(to, state.ExchangeReceived{Exchange: a.Exchange, Reply: reply})
 		answer := <-reply
 		f.recordMessage(h, to, a.Exchange, answer)
-		f.apply(h, state.ExchangeOut{Seat: a.To.Name, Domain: a.Domain, Sent: a.Sent, Reply: answer})
+		f.apply(h, state.ExchangeResult{Seat: a.To.Name, Domain: a.Domain, SentSeq: a.SentSeq, Reply: answer})
 	case state.SendNotice:
 		for _, s := range a.To {
 			f.apply(f.hosts[s.Name], state.Notice{Seat: h.state.Self.Seat, Revision: a.Revision})
 		}
-	case state.Fetch:
-		f.apply(h, state.Adopt{Doc: *f.hosts[a.From.Name].state.Doc})
-	case state.AskLease:
+	case state.FetchDocument:
+		f.apply(h, state.DocumentReceived{Doc: *f.hosts[a.From.Name].state.Doc})
+	case state.RequestLease:
 		domain := a.Domain
 		if f.leaseHolders[domain] == "" {
 			f.leaseHolders[domain] = h.state.Self.Seat
 		}
-		f.apply(h, state.LeaseOut{Domain: domain, Asked: f.now, Life: a.Life, Held: f.leaseHolders[domain] == h.state.Self.Seat})
-	case state.Relay:
+		f.apply(h, state.LeaseResult{Domain: domain, RequestedAt: f.now, TTL: a.TTL, Held: f.leaseHolders[domain] == h.state.Self.Seat})
+	case state.SetRelay:
 		if a.On {
-			f.apply(h, state.Adopt{Doc: f.doc})
-			f.apply(h, state.ListOut{Members: f.upstreamList(h.state.Self.Domain)})
+			f.apply(h, state.DocumentReceived{Doc: f.doc})
+			f.apply(h, state.MembersReceived{Members: f.upstreamList(h.state.Self.Domain)})
 		}
 	}
 }
--- a/internal/stand/sizes/measure.go
+++ b/internal/stand/sizes/measure.go
@@ -68,8 +68,8 @@
 // measureControl measures the control-plane traffic and CPU of a relay and of another host.
 func measureControl(size Size, add addRow) {
 	hosts := float64(size.Domains * size.Hosts)
-	warmup := int((3*state.Term(size.Hosts) + state.LeasePeriod(size.Hosts)) / time.Second)
-	seconds := refreshPeriods * int(state.Refresh(size.Domains)/time.Second)
+	warmup := int((3*state.LoanTTL(size.Hosts) + state.LeaseRenewalPeriod(size.Hosts)) / time.Second)
+	seconds := refreshPeriods * int(state.SummaryRefreshPeriod(size.Domains)/time.Second)
 	relay, member := SimulateControl(size, warmup, seconds)
 	ticks := float64(time.Second / state.TickPeriod)
 	add("relay bytes", hosts, float64(relay.Sent+relay.Received), "B/s")
@@ -115,7 +115,7 @@
 	self := plan.Identity{Seat: "d0-0", Domain: "domain-0", Region: "region-0"}
 	kept, bytes := heapGrowth(func() any {
 		st := state.New(self)
-		state.Fold(st, state.Adopt{Doc: Document(size)}, time.Unix(100_000, 0))
+		state.Apply(st, state.DocumentReceived{Doc: Document(size)}, time.Unix(100_000, 0))
 		return []any{st, state.Plan(st, time.Unix(100_000, 0))}
 	})
 	add("state", hosts, bytes, "B")
--- a/internal/stand/sizes/project.go
+++ b/internal/stand/sizes/project.go
@@ -93,7 +93,7 @@
 // periods of the control plane.
 func platformLines() []string {
 	const domains, perDomain, watch = 99, 33, 30.0
-	lease := state.LeasePeriod(perDomain)
+	lease := state.LeaseRenewalPeriod(perDomain)
 	writes := domains / lease.Seconds()
 	watches := 2 * domains / watch
 	changes := fullChanges / daySeconds
@@ -103,7 +103,7 @@
 		budgetLine("platform, reads: watches, changes", reads, 2/watch+changes, "/s", 2000),
 		budgetLine("platform, 99 domains start at once", 4*domains, 4, "calls", 2000),
 		fmt.Sprintf("periods at 33 hosts and 99 domains: heartbeat %s, term %s, lease %s, exchange %s, refresh %s",
-			state.HeartbeatPeriod(perDomain), state.Term(perDomain), state.LeaseLife(perDomain),
-			state.ExchangePeriod(domains), state.Refresh(domains).Round(time.Second)),
+			state.HeartbeatPeriod(perDomain), state.LoanTTL(perDomain), state.LeaseTTL(perDomain),
+			state.ExchangePeriod(domains), state.SummaryRefreshPeriod(domains).Round(time.Second)),
 	}
 }
