--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -58,17 +58,17 @@
 	SyncedAt     time.Time       // Time of the newest data from the store.
 }
 
-// User returns the region that uses an upstream: the borrower of a loaned one, or else its own.
-func (v *View) User(u *Upstream) string {
+// UsedBy returns the region that uses an upstream: the borrower of a loaned one, or else its own.
+func (v *View) UsedBy(u *Upstream) string {
 	if to, lent := v.Loans[u.ID]; lent {
 		return to
 	}
 	return u.Region
 }
 
-// Placers returns the hosts of a region in the order in which they perform a duty for the region, such as placing a
+// DutyOrder returns the hosts of a region in the order in which they perform a duty for the region, such as placing a
 // service's jobs. The first reachable host performs it. Hosts with more processor time come first.
-func (v *View) Placers(region, duty string) []Host {
+func (v *View) DutyOrder(region, duty string) []Host {
 	var hosts []Host
 	key := rendez.Hash(duty)
 	for _, h := range v.Hosts {
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -40,7 +40,7 @@
 	}}
 	first := map[string]int{}
 	for _, duty := range []string{"s1", "s2", "s3", "s4", "s5", "s6", "s7", "s8"} {
-		order := names(v.Placers("east", duty))
+		order := names(v.DutyOrder("east", duty))
 		assert.Equal(t, len(order), 3)
 		assert.Equal(t, order[2], "small")
 		first[order[0]]++
--- a/internal/ctrl/watch/reader.go
+++ b/internal/ctrl/watch/reader.go
@@ -92,7 +92,7 @@
 func (r *Reader) pollPeers(ctx context.Context) bool {
 	v := r.Loop.View()
 	r.designated = true
-	for i, h := range v.Placers(v.Self.Region, readerRole) {
+	for i, h := range v.DutyOrder(v.Self.Region, readerRole) {
 		if r.designated = i < maxReaders; !r.designated || h.Name == v.Self.Name {
 			return false
 		}
--- a/internal/ctrl/watch/state.go
+++ b/internal/ctrl/watch/state.go
@@ -70,7 +70,7 @@
 	v.DutyHosts = map[string][]roster.Host{}
 	if s.policy != nil {
 		for service := range s.policy.Services {
-			v.DutyHosts[service] = v.Placers(s.self.Region, service)
+			v.DutyHosts[service] = v.DutyOrder(s.self.Region, service)
 		}
 	}
 	return v
--- a/internal/edge/broker/broker_test.go
+++ b/internal/edge/broker/broker_test.go
@@ -47,7 +47,7 @@
 	v := roster.View{
 		Hosts: []roster.Host{first, second}, Upstreams: map[string][]*roster.Upstream{"s": {u}}, Policy: &policy.Policy{},
 	}
-	v.DutyHosts = map[string][]roster.Host{"s": v.Placers("east", "s")}
+	v.DutyHosts = map[string][]roster.Host{"s": v.DutyOrder("east", "s")}
 	p := &hostPair{ln: ln}
 	for i, self := range []roster.Host{first, second} {
 		own := v
@@ -118,7 +118,7 @@
 	v.Hosts = append([]roster.Host{
 		{Name: "x1", Region: "east", Peer: "127.0.0.1:1", Cores: 9}, {Name: "x2", Region: "east", Peer: "127.0.0.1:2", Cores: 9},
 	}, v.Hosts...)
-	v.DutyHosts = map[string][]roster.Host{"s": v.Placers("east", "s")}
+	v.DutyHosts = map[string][]roster.Host{"s": v.DutyOrder("east", "s")}
 	p.view = &v
 	begin := time.Now()
 	assert.Assert(t, p.acquire(context.Background()) != nil)
--- a/internal/flow/place/bench_test.go
+++ b/internal/flow/place/bench_test.go
@@ -52,7 +52,7 @@
 			}
 		}()
 		if i%25 == 0 {
-			tab.Pump(now)
+			tab.Tick(now)
 		}
 	}
 }
--- a/internal/flow/place/demand.go
+++ b/internal/flow/place/demand.go
@@ -60,7 +60,7 @@
 		a.Demand[service] = math.Round(d.slots*100) / 100
 	}
 	for id, l := range t.loads {
-		if l.ejected(now) && t.view.User(l.upstream) == a.Region {
+		if l.ejected(now) && t.view.UsedBy(l.upstream) == a.Region {
 			a.Unavailable = append(a.Unavailable, id)
 		}
 	}
--- a/internal/flow/place/place_test.go
+++ b/internal/flow/place/place_test.go
@@ -250,7 +250,7 @@
 	first := try(tab, at(0), ask(at(0)))
 	assert.Assert(t, first != nil && try(tab, at(0), ask(at(0))) != nil)
 	later := at(2*time.Second + grantGracePeriod + time.Millisecond)
-	tab.Pump(later)
+	tab.Tick(later)
 	assert.Assert(t, try(tab, later, ask(later)) != nil)
 	tab.Release(later, first, good(time.Second)) // Releasing an expired grant frees no slot a second time.
 	assert.Assert(t, try(tab, later, ask(later)) != nil)
@@ -292,7 +292,7 @@
 					grants = append(grants[:i], grants[i+1:]...)
 				}
 			case 3:
-				tab.Pump(now)
+				tab.Tick(now)
 			case 4:
 				keep := rapid.IntRange(1, 3).Draw(t, "keep")
 				tab.Update(now, view(ups[:keep]...))
--- a/internal/flow/place/shift_test.go
+++ b/internal/flow/place/shift_test.go
@@ -89,7 +89,7 @@
 		v.Loans[id] = "east"
 	}
 	tab := NewScheduler()
-	tab.SetShift(0.15)
+	tab.SetMaxShift(0.15)
 	tab.Update(at(0), v)
 	parts := remoteJobs(tab, 8*time.Second)
 	moved := maxShift(parts, 0, 8*time.Second)
--- a/internal/flow/place/table.go
+++ b/internal/flow/place/table.go
@@ -52,8 +52,8 @@
 	}
 }
 
-// SetShift sets the maximum share of a region's callers that may change region within two seconds; 0 means no limit.
-func (t *Scheduler) SetShift(share float64) {
+// SetMaxShift sets the maximum share of a region's callers that may change region within two seconds; 0 means no limit.
+func (t *Scheduler) SetMaxShift(share float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.maxShift = share
@@ -93,7 +93,7 @@
 		l = &load{running: running, slowdown: 1, hash: rendez.Hash(u.ID), domainIndex: t.domainIndex(u)}
 		t.loads[u.ID] = l
 	}
-	l.upstream, l.assigned = u, t.view.User(u) == t.view.Self.Region
+	l.upstream, l.assigned = u, t.view.UsedBy(u) == t.view.Self.Region
 	if u.Cold > 0 {
 		l.markCold(now, u.ColdUntil())
 	}
@@ -249,8 +249,8 @@
 // sweepInterval is the time between sweeps for expired grants.
 const sweepInterval = 500 * time.Millisecond
 
-// Pump retries the waiters, since ejections end and cold upstreams earn tokens as time passes.
-func (t *Scheduler) Pump(now time.Time) {
+// Tick retries the waiters, since ejections end and cold upstreams earn tokens as time passes.
+func (t *Scheduler) Tick(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if now.Sub(t.lastSweep) > sweepInterval {
--- a/internal/flow/serve/budget.go
+++ b/internal/flow/serve/budget.go
@@ -32,8 +32,8 @@
 // NewBudget returns an unused budget.
 func NewBudget(t BudgetConfig) *Budget { return &Budget{terms: t, services: map[string]*history{}} }
 
-// SetTerms replaces the configuration.
-func (b *Budget) SetTerms(t BudgetConfig) {
+// SetConfig replaces the configuration.
+func (b *Budget) SetConfig(t BudgetConfig) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.terms = t
--- a/internal/flow/serve/serve.go
+++ b/internal/flow/serve/serve.go
@@ -25,7 +25,7 @@
 
 // AttemptRecorder records each attempt.
 type AttemptRecorder interface {
-	Tried(now time.Time, job *pipe.Job, u *roster.Upstream, took time.Duration)
+	RecordAttempt(now time.Time, job *pipe.Job, u *roster.Upstream, took time.Duration)
 }
 
 // Pipe is the filter that runs jobs on upstreams.
@@ -119,7 +119,7 @@
 	setOutcome(ctx, job)
 	job.MayHaveRun = job.MayHaveRun || job.Outcome.Kind == pipe.Unknown
 	p.Placer.Release(now, g, result(&job.Reply, now.Sub(start)))
-	p.Recorder.Tried(now, job, u, now.Sub(start))
+	p.Recorder.RecordAttempt(now, job, u, now.Sub(start))
 }
 
 // result converts a reply to the result that the placer records for the upstream.
--- a/internal/flow/serve/serve_test.go
+++ b/internal/flow/serve/serve_test.go
@@ -41,7 +41,7 @@
 	return r
 }
 
-func (*scriptedUpstreams) Tried(time.Time, *pipe.Job, *roster.Upstream, time.Duration) {}
+func (*scriptedUpstreams) RecordAttempt(time.Time, *pipe.Job, *roster.Upstream, time.Duration) {}
 
 func run(s *scriptedUpstreams, once bool) *pipe.Job {
 	job := &pipe.Job{
--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -49,7 +49,7 @@
 type Frontend interface {
 	Job(r *httpd.Request) *pipe.Job
 	Answer(job *pipe.Job) httpd.Response
-	Directory(view func() *roster.View) http.Handler
+	DirectoryHandler(view func() *roster.View) http.Handler
 }
 
 // Host is one entry host.
@@ -90,7 +90,7 @@
 		table: place.NewScheduler(), sender: dialer.New(names, clock), budget: serve.NewBudget(s.Retry),
 		crashes: &guard.Table{}, crashReports: make(chan roster.Crash, crashReportBuffer),
 	}
-	h.table.SetShift(s.MaxShift)
+	h.table.SetMaxShift(s.MaxShift)
 	events := &eventLog{log: log, metrics: h.Metrics}
 	h.loop = watch.NewLoop(s.Host, clock, events)
 	h.loop.Subscribers = []watch.Subscriber{h.table, &crashReceiver{crashes: h.crashes}}
@@ -220,7 +220,7 @@
 		return nil, ErrListen.Wrap(err, "listening for callers on %s", s.Host.Front)
 	}
 	for addr, handler := range map[string]http.Handler{
-		s.Ready: http.HandlerFunc(h.ready), s.Directory: h.front.Directory(h.loop.View), s.Metrics: h.Metrics.Handler(),
+		s.Ready: http.HandlerFunc(h.ready), s.Directory: h.front.DirectoryHandler(h.loop.View), s.Metrics: h.Metrics.Handler(),
 	} {
 		if addr == "" {
 			continue
@@ -260,7 +260,7 @@
 			return
 		case <-t.C:
 			now := h.Clock()
-			h.table.Pump(now)
+			h.table.Tick(now)
 			h.sender.CloseExpired(now)
 		}
 	}
--- a/internal/host/steer/journal.go
+++ b/internal/host/steer/journal.go
@@ -57,8 +57,8 @@
 	l.log.Warn("placing host lost", zap.String("host", host), errorField(err))
 }
 
-// Tried counts one try of a job and logs it unless it was the first and got a whole reply.
-func (l *eventLog) Tried(now time.Time, job *pipe.Job, u *roster.Upstream, d time.Duration) {
+// RecordAttempt counts one try of a job and logs it unless it was the first and got a whole reply.
+func (l *eventLog) RecordAttempt(now time.Time, job *pipe.Job, u *roster.Upstream, d time.Duration) {
 	l.metrics.ObserveAttempt(job, u.Service, d)
 	if job.Reply.Complete && job.Tries == 1 {
 		return // The log line at the end of the job has all of it.
