--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -11,8 +11,8 @@
 
 	"go.uber.org/zap/zapcore"
 
-	"github.com/boragelane/boragelane/internal/host/lines"
-	"github.com/boragelane/boragelane/internal/host/meters"
+	"github.com/boragelane/boragelane/internal/host/logs"
+	"github.com/boragelane/boragelane/internal/host/metric"
 	"github.com/boragelane/boragelane/internal/host/steer"
 	"github.com/boragelane/boragelane/internal/host/trace"
 	"github.com/boragelane/boragelane/platform"
@@ -39,11 +39,11 @@
 	if err != nil {
 		return ErrUsage.Wrap(err, "settings")
 	}
-	metrics := meters.New()
-	writer := lines.NewWriter(out, metrics.Dropped.Inc)
+	metrics := metric.New()
+	writer := logs.NewWriter(out, metrics.Dropped.Inc)
 	defer writer.Close(logFlushTimeout)
 	store := platform.NewStore(settings.Store, settings.Regions, func(call, result string) { metrics.Calls.WithLabelValues(call, result).Inc() })
-	host := steer.New(settings, store, platform.Front{}, platform.HeaderNames, time.Now, lines.New(writer, zapcore.InfoLevel), metrics)
+	host := steer.New(settings, store, platform.Front{}, platform.HeaderNames, time.Now, logs.New(writer, zapcore.InfoLevel), metrics)
 	host.Loader = loader
 	if a.Trace != "" {
 		provider, err := trace.Setup(ctx, a.Trace, settings.Host.Name)
--- a/internal/ctrl/deal/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package deal plans loans of upstreams between regions by demand. It is pure: equal inputs give equal plans.
-package deal
--- a/internal/ctrl/enrol/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package enrol registers this host in the store under a lease and keeps the lease alive.
-package enrol
--- a/internal/ctrl/enrol/enrol.go
+++ b/internal/ctrl/lease/lease.go
@@ -1,4 +1,4 @@
-package enrol
+package lease
 
 import (
 	"context"
--- a/internal/ctrl/deal/deal.go
+++ b/internal/ctrl/loans/loans.go
@@ -1,4 +1,4 @@
-package deal
+package loans
 
 import (
 	"maps"
--- a/internal/ctrl/watch/loop.go
+++ b/internal/ctrl/watch/loop.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/boragelane/boragelane/internal/core/roster"
-	"github.com/boragelane/boragelane/internal/ctrl/deal"
+	"github.com/boragelane/boragelane/internal/ctrl/loans"
 )
 
 // Subscriber is updated with each new view before the view is published.
@@ -103,8 +103,8 @@
 }
 
 // RequestLoans submits a region's demand and returns the planned loans; it returns false if the context or the loop ended first.
-func (l *Loop) RequestLoans(ctx context.Context, a deal.Request) (deal.Loans, bool) {
-	reply := make(chan deal.Loans, 1)
+func (l *Loop) RequestLoans(ctx context.Context, a loans.Request) (loans.Loans, bool) {
+	reply := make(chan loans.Loans, 1)
 	if !l.Send(ctx, LoanRequest{Request: a, Reply: reply}) {
 		return nil, false
 	}
--- a/internal/ctrl/watch/shares.go
+++ b/internal/ctrl/watch/shares.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/boragelane/boragelane/internal/ctrl/deal"
+	"github.com/boragelane/boragelane/internal/ctrl/loans"
 )
 
 const (
@@ -20,12 +20,12 @@
 
 // LoanRequest is a host's request for the current loans, with its region's demand.
 type LoanRequest struct {
-	Request deal.Request
-	Reply   chan deal.Loans
+	Request loans.Request
+	Reply   chan loans.Loans
 }
 
 // LoansReceived carries the loans that this host received from the planning host.
-type LoansReceived struct{ Loans deal.Loans }
+type LoansReceived struct{ Loans loans.Loans }
 
 func (LoanRequest) event()   {}
 func (LoansReceived) event() {}
@@ -40,14 +40,14 @@
 // loanState holds the reported demand and the loans of upstreams between regions.
 type loanState struct {
 	demands    map[[2]string]regionDemand // By region and service.
-	computed   deal.Loans                 // Result of this host's last plan, or the requester's loans before that.
+	computed   loans.Loans                // Result of this host's last plan, or the requester's loans before that.
 	computedAt time.Time
-	active     deal.Loans // Used by this host.
+	active     loans.Loans // Used by this host.
 	activeAt   time.Time
 }
 
 // answerLoanRequest records a region's demand and returns the loans, which it plans anew after minPlanInterval.
-func (s *State) answerLoanRequest(a deal.Request, now time.Time) deal.Loans {
+func (s *State) answerLoanRequest(a loans.Request, now time.Time) loans.Loans {
 	for service, slots := range a.Demand {
 		s.demands[[2]string{a.Region, service}] = regionDemand{slots: slots, unavailable: a.Unavailable, receivedAt: now}
 	}
@@ -57,13 +57,13 @@
 	if now.Sub(s.computedAt) > loansTTL {
 		s.computed = a.Loans // No recent plan on this host: continue from the loans that the requester uses.
 	}
-	s.computed, s.computedAt = deal.Plan(s.planInput(now)), now
+	s.computed, s.computedAt = loans.Plan(s.planInput(now)), now
 	return s.computed
 }
 
 // planInput builds the input of a plan from the current state and drops expired demand.
-func (s *State) planInput(now time.Time) deal.Input {
-	in := deal.Input{Upstreams: s.usableUpstreams(now), Demand: map[string]deal.Demand{}, Loans: s.computed, Unavailable: map[string]bool{}}
+func (s *State) planInput(now time.Time) loans.Input {
+	in := loans.Input{Upstreams: s.usableUpstreams(now), Demand: map[string]loans.Demand{}, Loans: s.computed, Unavailable: map[string]bool{}}
 	regions := map[string]bool{}
 	for _, h := range s.hosts {
 		regions[h.Region] = true
@@ -75,7 +75,7 @@
 			continue
 		}
 		if in.Demand[k[0]] == nil {
-			in.Demand[k[0]] = deal.Demand{}
+			in.Demand[k[0]] = loans.Demand{}
 		}
 		in.Demand[k[0]][k[1]] = d.slots
 		for _, id := range d.unavailable {
@@ -86,7 +86,7 @@
 }
 
 // activeLoans returns the loans in use, or none if they were not refreshed within loansTTL.
-func (s *State) activeLoans(now time.Time) deal.Loans {
+func (s *State) activeLoans(now time.Time) loans.Loans {
 	if now.Sub(s.activeAt) > loansTTL {
 		return nil
 	}
--- a/internal/edge/broker/asker.go
+++ b/internal/edge/broker/asker.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/boragelane/boragelane/internal/core/roster"
-	"github.com/boragelane/boragelane/internal/ctrl/deal"
+	"github.com/boragelane/boragelane/internal/ctrl/loans"
 	"github.com/boragelane/boragelane/internal/ctrl/watch"
 )
 
@@ -18,7 +18,7 @@
 
 // DemandSource returns the loan request of this host.
 type DemandSource interface {
-	LoanRequest(now time.Time) deal.Request
+	LoanRequest(now time.Time) loans.Request
 }
 
 // LoanPoller periodically requests the loans of upstreams from the host that plans them: the first live one by name.
@@ -26,7 +26,7 @@
 	Demand  DemandSource
 	Local   LoanPlanner // Used when this host is the one that plans.
 	View    func() *roster.View
-	OnLoans func(l deal.Loans)           // Called with the received loans.
+	OnLoans func(l loans.Loans)          // Called with the received loans.
 	OnError func(host string, err error) // Called when a request failed.
 	Clock   func() time.Time
 	Done    chan struct{}
@@ -64,7 +64,7 @@
 }
 
 // requestLoans requests loans from a host, or from this host's own planner.
-func (a *LoanPoller) requestLoans(ctx context.Context, h roster.Host) (deal.Loans, error) {
+func (a *LoanPoller) requestLoans(ctx context.Context, h roster.Host) (loans.Loans, error) {
 	ctx, cancel := context.WithTimeout(ctx, loanRequestTimeout)
 	defer cancel()
 	ask := a.Demand.LoanRequest(a.Clock())
@@ -79,7 +79,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var loans deal.Loans
+	var loans loans.Loans
 	if err := p.call(ctx, a.Clock, methodLoans, ask, &loans); err != nil {
 		return nil, ErrCall.Wrap(err, "requesting loans from host %s", h.Name)
 	}
--- a/internal/edge/broker/broker_test.go
+++ b/internal/edge/broker/broker_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/boragelane/boragelane/internal/core/policy"
 	"github.com/boragelane/boragelane/internal/core/roster"
-	"github.com/boragelane/boragelane/internal/ctrl/deal"
+	"github.com/boragelane/boragelane/internal/ctrl/loans"
 	"github.com/boragelane/boragelane/internal/ctrl/watch"
 	"github.com/boragelane/boragelane/internal/flow/place"
 )
@@ -19,9 +19,9 @@
 // fakeControl is a LoanPlanner and an UpdateSource with fixed answers.
 type fakeControl struct{ loanRequests atomic.Int64 }
 
-func (c *fakeControl) RequestLoans(_ context.Context, a deal.Request) (deal.Loans, bool) {
+func (c *fakeControl) RequestLoans(_ context.Context, a loans.Request) (loans.Loans, bool) {
 	c.loanRequests.Add(1)
-	return deal.Loans{"u1": a.Region}, true
+	return loans.Loans{"u1": a.Region}, true
 }
 
 func (c *fakeControl) Updates(_ context.Context, after int64) (watch.Updates, bool) {
@@ -172,11 +172,11 @@
 	cold := n.Batch.Changes[0].Upstream.Cold
 	assert.Assert(t, cold > 3*time.Second && cold <= 4*time.Second, "%s of 5 s are left after 1 s", cold)
 
-	given := make(chan deal.Loans, 1)
+	given := make(chan loans.Loans, 1)
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &LoanPoller{
 		Demand: p.tables[1], Local: &fakeControl{}, View: func() *roster.View { return p.view }, Clock: time.Now, Done: make(chan struct{}),
-		OnLoans: func(l deal.Loans) {
+		OnLoans: func(l loans.Loans) {
 			select {
 			case given <- l:
 			default:
@@ -184,7 +184,7 @@
 		}, OnError: func(string, error) {},
 	}
 	go a.Run(ctx)
-	assert.DeepEqual(t, <-given, deal.Loans{"u1": "east"})
+	assert.DeepEqual(t, <-given, loans.Loans{"u1": "east"})
 	cancel()
 	<-a.Done
 }
--- a/internal/edge/broker/server.go
+++ b/internal/edge/broker/server.go
@@ -10,14 +10,14 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 
-	"github.com/boragelane/boragelane/internal/ctrl/deal"
+	"github.com/boragelane/boragelane/internal/ctrl/loans"
 	"github.com/boragelane/boragelane/internal/ctrl/watch"
 	"github.com/boragelane/boragelane/internal/flow/place"
 )
 
 // LoanPlanner records a region's demand and returns the loans of upstreams between regions.
 type LoanPlanner interface {
-	RequestLoans(ctx context.Context, a deal.Request) (deal.Loans, bool)
+	RequestLoans(ctx context.Context, a loans.Request) (loans.Loans, bool)
 }
 
 // UpdateSource returns the changes that this host read from the store.
@@ -86,7 +86,7 @@
 	case methodUpdates:
 		err = decodeParams(req, func(w *wireUpdatesRequest) error { return s.updates(ctx, conn, req.ID, w) })
 	case methodLoans:
-		err = decodeParams(req, func(a *deal.Request) error { return s.loans(ctx, conn, req.ID, a) })
+		err = decodeParams(req, func(a *loans.Request) error { return s.loans(ctx, conn, req.ID, a) })
 	default:
 		err = ErrCall.New("no method %q", req.Method)
 	}
@@ -151,7 +151,7 @@
 }
 
 // loans records a region's demand and replies with the loans.
-func (s *session) loans(ctx context.Context, conn *jsonrpc2.Conn, id jsonrpc2.ID, a *deal.Request) error {
+func (s *session) loans(ctx context.Context, conn *jsonrpc2.Conn, id jsonrpc2.ID, a *loans.Request) error {
 	loans, ok := s.server.Planner.RequestLoans(ctx, *a)
 	if !ok {
 		return ErrCall.New("this host is stopping")
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -17,7 +17,7 @@
 	"github.com/boragelane/boragelane/internal/core/plan"
 	"github.com/boragelane/boragelane/internal/core/rendez"
 	"github.com/boragelane/boragelane/internal/flow/accept"
-	"github.com/boragelane/boragelane/internal/flow/once"
+	"github.com/boragelane/boragelane/internal/flow/dedup"
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
@@ -48,7 +48,7 @@
 type Host interface {
 	Plan() *plan.Plan
 	Intake(ctx context.Context, job *pipe.Job)
-	IssueTicket(now time.Time) once.Ticket
+	IssueTicket(now time.Time) dedup.Ticket
 }
 
 // Front serves the callers' HTTP interface.
--- a/internal/edge/peer/client.go
+++ b/internal/edge/peer/client.go
@@ -13,9 +13,9 @@
 
 	"github.com/boragelane/boragelane/internal/core/spec"
 	"github.com/boragelane/boragelane/internal/ctrl/state"
-	"github.com/boragelane/boragelane/internal/flow/guard"
-	"github.com/boragelane/boragelane/internal/flow/once"
+	"github.com/boragelane/boragelane/internal/flow/dedup"
 	"github.com/boragelane/boragelane/internal/flow/pipe"
+	"github.com/boragelane/boragelane/internal/flow/poison"
 )
 
 // Timeouts of a client.
@@ -238,7 +238,7 @@
 }
 
 // ReportCrash reports a crash to a host; with spread set the host forwards it to its failure domain.
-func (c *Client) ReportCrash(ctx context.Context, addr string, cr guard.Crash, spread bool) error {
+func (c *Client) ReportCrash(ctx context.Context, addr string, cr poison.Crash, spread bool) error {
 	w := wireCrash{Digest: cr.Digest, Upstream: cr.Upstream, Age: c.Clock().Sub(cr.At).Microseconds(), Spread: spread}
 	return c.callControl(ctx, CallTimeout, addr, methodCrash, w, nil)
 }
@@ -247,7 +247,7 @@
 const handOverBatch = 64
 
 // HandOver transfers the ticket records of a stopped incarnation to its successor, in batches.
-func (c *Client) HandOver(ctx context.Context, addr, incarnation string, until time.Time, records []once.Record) error {
+func (c *Client) HandOver(ctx context.Context, addr, incarnation string, until time.Time, records []dedup.Record) error {
 	for {
 		n := min(handOverBatch, len(records))
 		w := wireHandOver{Incarnation: incarnation, Until: until.Unix(), Last: n == len(records)}
--- a/internal/edge/peer/server.go
+++ b/internal/edge/peer/server.go
@@ -11,9 +11,9 @@
 
 	"github.com/boragelane/boragelane/internal/core/spec"
 	"github.com/boragelane/boragelane/internal/ctrl/state"
-	"github.com/boragelane/boragelane/internal/flow/guard"
-	"github.com/boragelane/boragelane/internal/flow/once"
+	"github.com/boragelane/boragelane/internal/flow/dedup"
 	"github.com/boragelane/boragelane/internal/flow/pipe"
+	"github.com/boragelane/boragelane/internal/flow/poison"
 )
 
 // Limits of a server.
@@ -34,8 +34,8 @@
 	HandleExchange(ctx context.Context, s state.Exchange) (state.ExchangeReply, bool)
 	Notice(n state.Notice)
 	Document() *spec.Document
-	HandleCrash(c guard.Crash, spread bool)
-	AdoptRecords(incarnation string, until time.Time, last bool, records []once.Record)
+	HandleCrash(c poison.Crash, spread bool)
+	AdoptRecords(incarnation string, until time.Time, last bool, records []dedup.Record)
 }
 
 // Server serves the calls of other hosts.
--- a/internal/edge/peer/session.go
+++ b/internal/edge/peer/session.go
@@ -11,7 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/boragelane/boragelane/internal/ctrl/state"
-	"github.com/boragelane/boragelane/internal/flow/once"
+	"github.com/boragelane/boragelane/internal/flow/dedup"
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
@@ -207,7 +207,7 @@
 	if err := decodeParams(req, &w); err != nil {
 		return err
 	}
-	records := make([]once.Record, 0, len(w.Records))
+	records := make([]dedup.Record, 0, len(w.Records))
 	for _, r := range w.Records {
 		records = append(records, r.record())
 	}
--- a/internal/edge/peer/wirejob.go
+++ b/internal/edge/peer/wirejob.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"github.com/boragelane/boragelane/internal/flow/guard"
-	"github.com/boragelane/boragelane/internal/flow/once"
+	"github.com/boragelane/boragelane/internal/flow/dedup"
 	"github.com/boragelane/boragelane/internal/flow/pipe"
+	"github.com/boragelane/boragelane/internal/flow/poison"
 )
 
 type wireJob struct {
@@ -85,8 +85,8 @@
 	Spread   bool   `json:"spread,omitempty"`
 }
 
-func (w wireCrash) crash(now time.Time) guard.Crash {
-	return guard.Crash{Digest: w.Digest, Upstream: w.Upstream, At: now.Add(-time.Duration(w.Age) * time.Microsecond)}
+func (w wireCrash) crash(now time.Time) poison.Crash {
+	return poison.Crash{Digest: w.Digest, Upstream: w.Upstream, At: now.Add(-time.Duration(w.Age) * time.Microsecond)}
 }
 
 type wireRecord struct {
@@ -104,15 +104,15 @@
 	Records     []wireRecord `json:"records,omitempty"`
 }
 
-func fromRecord(r once.Record) wireRecord {
+func fromRecord(r dedup.Record) wireRecord {
 	j := pipe.Job{Outcome: r.Outcome, Answer: r.Answer}
 	return wireRecord{Ticket: r.Ticket, Expiry: r.Expiry.Unix(), Digest: r.Digest, Kept: r.AnswerKept, End: fromOutcome(&j)}
 }
 
-func (w wireRecord) record() once.Record {
+func (w wireRecord) record() dedup.Record {
 	j := pipe.Job{}
 	w.End.applyTo(&j)
-	return once.Record{
+	return dedup.Record{
 		Ticket: w.Ticket, Expiry: time.Unix(w.Expiry, 0), Digest: w.Digest, AnswerKept: w.Kept,
 		Outcome: j.Outcome, Answer: j.Answer,
 	}
--- a/internal/flow/carry/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package carry sends a job to its targets and retries within a budget.
-package carry
--- /dev/null
+++ b/internal/flow/dedup/doc.go
@@ -0,0 +1,2 @@
+// Package dedup runs each job that has a ticket at most once.
+package dedup
--- a/internal/flow/once/ticket_test.go
+++ b/internal/flow/dedup/ticket_test.go
@@ -1,4 +1,4 @@
-package once
+package dedup
 
 import (
 	"strings"
--- a/internal/flow/guard/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package guard refuses jobs that repeatedly crash upstreams.
-package guard
--- a/internal/flow/once/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package once runs each job that has a ticket at most once.
-package once
--- a/internal/flow/place/demand.go
+++ b/internal/flow/place/demand.go
@@ -5,7 +5,7 @@
 	"math"
 	"time"
 
-	"github.com/boragelane/boragelane/internal/ctrl/deal"
+	"github.com/boragelane/boragelane/internal/ctrl/loans"
 )
 
 // demandTimeConstant is the time constant of the demand average: long compared with a job, short compared with a
@@ -37,10 +37,10 @@
 
 // LoanRequest returns this host's request for loaned upstreams: the demand of the services that it places jobs for, the
 // current loans and the region's ejected upstreams.
-func (t *Scheduler) LoanRequest(now time.Time) deal.Request {
+func (t *Scheduler) LoanRequest(now time.Time) loans.Request {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	a := deal.Request{Region: t.view.Self.Region, Demand: deal.Demand{}, Loans: maps.Clone(t.view.Loans)}
+	a := loans.Request{Region: t.view.Self.Region, Demand: loans.Demand{}, Loans: maps.Clone(t.view.Loans)}
 	elapsed := now.Sub(t.lastDemandReport)
 	t.lastDemandReport = now
 	for service, d := range t.demands {
--- /dev/null
+++ b/internal/flow/poison/doc.go
@@ -0,0 +1,2 @@
+// Package poison refuses jobs that repeatedly crash upstreams.
+package poison
--- a/internal/flow/guard/guard.go
+++ b/internal/flow/poison/poison.go
@@ -1,4 +1,4 @@
-package guard
+package poison
 
 import (
 	"context"
--- a/internal/flow/carry/budget.go
+++ b/internal/flow/remote/budget.go
@@ -1,4 +1,4 @@
-package carry
+package remote
 
 // maxSavedRetries is the maximum number of retries that a service and rank can save up.
 const maxSavedRetries = 10
--- /dev/null
+++ b/internal/flow/remote/doc.go
@@ -0,0 +1,2 @@
+// Package remote sends a job to its targets and retries within a budget.
+package remote
--- a/internal/flow/carry/pacer_test.go
+++ b/internal/flow/remote/pacer_test.go
@@ -1,4 +1,4 @@
-package carry
+package remote
 
 import (
 	"context"
--- a/internal/host/entry/fault_test.go
+++ b/internal/host/entry/fault_test.go
@@ -18,8 +18,8 @@
 	"github.com/boragelane/boragelane/internal/core/spec"
 	"github.com/boragelane/boragelane/internal/ctrl/commit"
 	"github.com/boragelane/boragelane/internal/host/trace"
+	"github.com/boragelane/boragelane/internal/stand/consul"
 	"github.com/boragelane/boragelane/internal/stand/layout"
-	"github.com/boragelane/boragelane/internal/stand/platf"
 	"github.com/boragelane/boragelane/internal/stand/upstr"
 )
 
@@ -83,7 +83,7 @@
 func TestADrainingUpstreamGetsNoNewJobs(t *testing.T) {
 	t.Parallel()
 	s := startSystem(t, testOptions(112), trace.Noop())
-	s.platform.SetFaults(platf.Faults{ListLag: 30 * time.Second})
+	s.platform.SetFaults(consul.Faults{ListLag: 30 * time.Second})
 	u := s.upstreams["price-dar-a-1"]
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
@@ -163,7 +163,7 @@
 	t.Parallel()
 	s := startSystem(t, testOptions(115), trace.Noop())
 	s.isolate(s.domains()...)
-	s.platform.SetFaults(platf.Faults{Down: true})
+	s.platform.SetFaults(consul.Faults{Down: true})
 	time.Sleep(6 * time.Second) // All grants have expired.
 	for _, host := range []string{"dar-a-1", "dar-b-2", "mwanza-a-1", "mwanza-b-1"} {
 		domain := host[:len(host)-2]
@@ -177,7 +177,7 @@
 		}
 	}
 	s.isolate()
-	s.platform.SetFaults(platf.Faults{})
+	s.platform.SetFaults(consul.Faults{})
 	s.waitReady()
 	doc, err := s.hosts["dar-a-1"].Commit(context.Background(), spec.Change{Drains: []spec.Drain{{Kind: "upstream", Name: "healed"}}}, nil)
 	assert.NilError(t, err)
@@ -195,7 +195,7 @@
 	doc, err := s.hosts["dar-a-1"].Commit(context.Background(), spec.Change{Drains: []spec.Drain{{Kind: "upstream", Name: "x"}}}, nil)
 	assert.NilError(t, err)
 	s.eventually(3*time.Second, "the revision is in force", func() bool { return s.allHostsReached(doc.Revision) })
-	s.platform.SetFaults(platf.Faults{Down: true})
+	s.platform.SetFaults(consul.Faults{Down: true})
 	for _, seat := range []string{"dar-a-1", "mwanza-a-2"} {
 		s.killHost(s.hosts[seat])
 		<-s.hosts[seat].Done
--- a/internal/host/entry/host.go
+++ b/internal/host/entry/host.go
@@ -24,12 +24,12 @@
 	"github.com/boragelane/boragelane/internal/edge/store"
 	"github.com/boragelane/boragelane/internal/flow/accept"
 	"github.com/boragelane/boragelane/internal/flow/admit"
-	"github.com/boragelane/boragelane/internal/flow/carry"
-	"github.com/boragelane/boragelane/internal/flow/guard"
+	"github.com/boragelane/boragelane/internal/flow/dedup"
 	"github.com/boragelane/boragelane/internal/flow/ident"
-	"github.com/boragelane/boragelane/internal/flow/once"
 	"github.com/boragelane/boragelane/internal/flow/pipe"
+	"github.com/boragelane/boragelane/internal/flow/poison"
 	"github.com/boragelane/boragelane/internal/flow/relay"
+	"github.com/boragelane/boragelane/internal/flow/remote"
 	"github.com/boragelane/boragelane/internal/flow/reply"
 	"github.com/boragelane/boragelane/internal/flow/route"
 	"github.com/boragelane/boragelane/internal/host/config"
@@ -60,9 +60,9 @@
 	front       *front.Front
 	sender      *egress.Sender
 	admit       *admit.Pipe
-	once        once.Pipe
-	crashes     *guard.Table
-	pacer       *carry.Pacer
+	once        dedup.Pipe
+	crashes     *poison.Table
+	pacer       *remote.Pacer
 	intake      trace.Hop
 	serve       trace.Hop
 	explain     pipe.Pipeline
@@ -83,9 +83,9 @@
 	h.peerClient = peer.NewClient(s.Seat, clock)
 	h.sender = egress.New()
 	h.admit = admit.New()
-	h.crashes = &guard.Table{}
-	h.pacer = carry.NewPacer(clock)
-	h.once = once.Pipe{Table: once.NewTable(), Forwarder: ownerForwarder{h}, NewID: newID}
+	h.crashes = &poison.Table{}
+	h.pacer = remote.NewPacer(clock)
+	h.once = dedup.Pipe{Table: dedup.NewTable(), Forwarder: ownerForwarder{h}, NewID: newID}
 	h.watcher = &platformWatcher{host: h}
 	h.buildPipelines()
 	h.loop.Executor = &executor{host: h}
@@ -103,9 +103,9 @@
 // which routes a job without running it.
 func (h *Host) buildPipelines() {
 	tracer := h.Trace.Tracer("boragelane")
-	crashGuard := guard.Pipe{Table: h.crashes, Notifier: &crashNotifier{host: h}}
+	crashGuard := poison.Pipe{Table: h.crashes, Notifier: &crashNotifier{host: h}}
 	serve := pipe.Pipeline{Clock: h.Clock, Filters: []pipe.Filter{
-		carry.AnswerPacer{Pacer: h.pacer},
+		remote.AnswerPacer{Pacer: h.pacer},
 		accept.Pipe{},
 		ident.Pipe{NewID: newID},
 		crashGuard,
@@ -116,19 +116,19 @@
 	h.serve = trace.Hop{Tracer: tracer, Name: "serve", Next: serve}
 	router := route.New(h.admit)
 	intake := pipe.Pipeline{Clock: h.Clock, Filters: []pipe.Filter{
-		carry.AnswerPacer{Pacer: h.pacer},
+		remote.AnswerPacer{Pacer: h.pacer},
 		accept.Pipe{},
 		ident.Pipe{NewID: newID},
 		h.once,
 		crashGuard,
 		router,
-		carry.New(h.serve, router, h.peerClient, h.pacer, h, h.Clock),
+		remote.New(h.serve, router, h.peerClient, h.pacer, h, h.Clock),
 	}}
 	h.intake = trace.Hop{Tracer: tracer, Name: "intake", Next: intake}
 	h.explain = pipe.Pipeline{Clock: h.Clock, Filters: []pipe.Filter{
 		accept.Pipe{},
 		ident.Pipe{NewID: newID},
-		guard.Pipe{Table: h.crashes},
+		poison.Pipe{Table: h.crashes},
 		route.New(h.admit),
 	}}
 }
--- a/internal/host/entry/once_test.go
+++ b/internal/host/entry/once_test.go
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/boragelane/boragelane/internal/core/spec"
-	"github.com/boragelane/boragelane/internal/flow/once"
+	"github.com/boragelane/boragelane/internal/flow/dedup"
 	"github.com/boragelane/boragelane/internal/host/trace"
 	"github.com/boragelane/boragelane/internal/stand/layout"
 	"github.com/boragelane/boragelane/internal/stand/upstr"
@@ -142,7 +142,7 @@
 }
 
 func TestAHandOverCountsOnlyWhenComplete(t *testing.T) {
-	table := once.NewTable()
+	table := dedup.NewTable()
 	table.Adopt("inc", time.Now().Add(time.Hour), false, nil)
 	assert.Assert(t, !table.Adopted("inc"), "a hand-over counts before its last part has arrived")
 	table.Adopt("inc", time.Now().Add(time.Hour), true, nil)
--- a/internal/host/entry/roles.go
+++ b/internal/host/entry/roles.go
@@ -11,10 +11,10 @@
 	"github.com/boragelane/boragelane/internal/core/spec"
 	"github.com/boragelane/boragelane/internal/ctrl/commit"
 	"github.com/boragelane/boragelane/internal/ctrl/state"
-	"github.com/boragelane/boragelane/internal/flow/carry"
-	"github.com/boragelane/boragelane/internal/flow/guard"
-	"github.com/boragelane/boragelane/internal/flow/once"
+	"github.com/boragelane/boragelane/internal/flow/dedup"
 	"github.com/boragelane/boragelane/internal/flow/pipe"
+	"github.com/boragelane/boragelane/internal/flow/poison"
+	"github.com/boragelane/boragelane/internal/flow/remote"
 	"github.com/boragelane/boragelane/internal/flow/route"
 	"github.com/boragelane/boragelane/internal/host/trace"
 )
@@ -37,7 +37,7 @@
 }
 
 // IssueTicket returns a new ticket that this host owns.
-func (h *Host) IssueTicket(now time.Time) once.Ticket {
+func (h *Host) IssueTicket(now time.Time) dedup.Ticket {
 	return h.once.Issue(now, h.Self.Seat, h.Self.Incarnation)
 }
 
@@ -102,7 +102,7 @@
 // Forward forwards a job to a host; it reports false if nothing was sent.
 func (o ownerForwarder) Forward(ctx context.Context, now time.Time, seat spec.Seat, job *pipe.Job) bool {
 	region, _, _, _ := job.Plan.Doc.FindSeat(seat.Name) //nolint:dogsled // Only the region is needed.
-	if region.Name != o.Self.Region && !o.pacer.Wait(ctx, now, region.Name, job.Level, carry.MessageSize(len(job.Body)), job.QueueDeadline(now)) {
+	if region.Name != o.Self.Region && !o.pacer.Wait(ctx, now, region.Name, job.Level, remote.MessageSize(len(job.Body)), job.QueueDeadline(now)) {
 		return false
 	}
 	return o.peerClient.Forward(ctx, now, seat, job)
@@ -125,7 +125,7 @@
 func (p *peerHandler) Document() *spec.Document { return p.loop.Plan().Doc }
 
 // HandleCrash records a crash and, if propagate is set, notifies the other hosts of this failure domain.
-func (p *peerHandler) HandleCrash(c guard.Crash, propagate bool) {
+func (p *peerHandler) HandleCrash(c poison.Crash, propagate bool) {
 	p.crashes.Add(c)
 	if propagate {
 		(&crashNotifier{host: p.Host}).notifyDomain(c)
@@ -133,7 +133,7 @@
 }
 
 // AdoptRecords takes over the ticket records of a stopped host.
-func (p *peerHandler) AdoptRecords(incarnation string, until time.Time, last bool, records []once.Record) {
+func (p *peerHandler) AdoptRecords(incarnation string, until time.Time, last bool, records []dedup.Record) {
 	p.once.Table.Adopt(incarnation, until, last, records)
 }
 
@@ -145,7 +145,7 @@
 
 // NotifyCrash notifies the hosts of this failure domain, and one host of each other domain, which notifies the rest of its
 // domain.
-func (n *crashNotifier) NotifyCrash(_ time.Time, c guard.Crash) {
+func (n *crashNotifier) NotifyCrash(_ time.Time, c poison.Crash) {
 	var wg sync.WaitGroup
 	wg.Go(func() { n.notifyDomain(c) })
 	for _, d := range n.host.loop.Plan().Domains {
@@ -158,7 +158,7 @@
 }
 
 // notifyDomain notifies the other hosts of this failure domain.
-func (n *crashNotifier) notifyDomain(c guard.Crash) {
+func (n *crashNotifier) notifyDomain(c poison.Crash) {
 	var wg sync.WaitGroup
 	for _, d := range n.host.loop.Plan().Domains {
 		if d.Name != n.host.Self.Domain || d.Self {
@@ -172,7 +172,7 @@
 }
 
 // notifyHost notifies one host; errors are ignored.
-func (n *crashNotifier) notifyHost(seat spec.Seat, c guard.Crash, propagate bool) {
+func (n *crashNotifier) notifyHost(seat spec.Seat, c poison.Crash, propagate bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
 	defer cancel()
 	_ = n.host.peerClient.ReportCrash(ctx, seat.Peer, c, propagate)
--- a/internal/host/entry/stop.go
+++ b/internal/host/entry/stop.go
@@ -7,7 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/boragelane/boragelane/internal/ctrl/state"
-	"github.com/boragelane/boragelane/internal/flow/once"
+	"github.com/boragelane/boragelane/internal/flow/dedup"
 )
 
 // leavePropagation is the time within which all other hosts learn that this one is leaving.
@@ -36,12 +36,12 @@
 // handOverTickets sends the ticket records to the first successor that accepts them.
 func (h *Host) handOverTickets(ctx context.Context) {
 	records := h.once.Table.Close()
-	until := h.Clock().Add(once.TicketLifetime)
+	until := h.Clock().Add(dedup.TicketLifetime)
 	current := h.loop.Plan()
 	if current.Doc == nil {
 		return
 	}
-	for _, seat := range once.Successors(current.Doc, h.Self.Seat) {
+	for _, seat := range dedup.Successors(current.Doc, h.Self.Seat) {
 		if seat.Name == h.Self.Seat {
 			continue
 		}
--- a/internal/host/entry/system_test.go
+++ b/internal/host/entry/system_test.go
@@ -22,8 +22,8 @@
 	"github.com/boragelane/boragelane/internal/edge/store"
 	"github.com/boragelane/boragelane/internal/host/config"
 	"github.com/boragelane/boragelane/internal/host/trace"
+	"github.com/boragelane/boragelane/internal/stand/consul"
 	"github.com/boragelane/boragelane/internal/stand/layout"
-	"github.com/boragelane/boragelane/internal/stand/platf"
 	"github.com/boragelane/boragelane/internal/stand/upstr"
 )
 
@@ -31,7 +31,7 @@
 type system struct {
 	t         *testing.T
 	layout    layout.Layout
-	platform  *platf.Platform
+	platform  *consul.Platform
 	hosts     map[string]*runningHost
 	upstreams map[string]*fakeUpstream
 	trace     trace.Provider
@@ -67,7 +67,7 @@
 // startSystem starts a system and waits until each host has the configuration and the loads of all failure domains.
 func startSystem(t *testing.T, o layout.Options, tr trace.Provider) *system {
 	s := &system{
-		t: t, layout: layout.Build(o), platform: platf.New(time.Now), trace: tr,
+		t: t, layout: layout.Build(o), platform: consul.New(time.Now), trace: tr,
 		hosts: map[string]*runningHost{}, upstreams: map[string]*fakeUpstream{}, gauges: map[string]*upstr.ConcurrencyGauge{}, isolated: map[string]bool{},
 	}
 	for _, r := range o.Regions {
@@ -104,7 +104,7 @@
 	return srv
 }
 
-func (s *system) startUpstream(u platf.Upstream, o upstr.Options) {
+func (s *system) startUpstream(u consul.Upstream, o upstr.Options) {
 	region, _, _ := s.layout.Document.FindDomain(u.Domain)
 	o.Gauge = s.gauges[region.Name]
 	f := &fakeUpstream{addr: fmt.Sprintf("%s:%d", u.Address, u.Port)}
--- a/internal/host/entry/whole_test.go
+++ b/internal/host/entry/whole_test.go
@@ -17,9 +17,9 @@
 
 	"github.com/boragelane/boragelane/internal/core/spec"
 	"github.com/boragelane/boragelane/internal/host/trace"
+	"github.com/boragelane/boragelane/internal/stand/consul"
 	"github.com/boragelane/boragelane/internal/stand/layout"
 	"github.com/boragelane/boragelane/internal/stand/loadg"
-	"github.com/boragelane/boragelane/internal/stand/platf"
 )
 
 // loadGenerator returns a load generator whose callers use the hosts of one region, or of all if region is empty.
@@ -115,13 +115,13 @@
 	}
 	for i, replaced := range []string{"dar-a-1", "mwanza-b-1"} {
 		s.isolate([][]string{s.domains(), seats}[i]...)
-		s.platform.SetFaults(platf.Faults{Down: true})
+		s.platform.SetFaults(consul.Faults{Down: true})
 		time.Sleep(5 * time.Second)
 		requireAnswers("while isolated")
 		s.killHost(s.hosts[replaced])
 		<-s.hosts[replaced].Done
 		s.isolate()
-		s.platform.SetFaults(platf.Faults{})
+		s.platform.SetFaults(consul.Faults{})
 		s.startHost(replaced)
 		time.Sleep(6 * time.Second)
 		requireAnswers("after the faults")
--- a/internal/host/lines/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package lines provides a JSON logger that bounds its volume and never blocks the goroutine that logs.
-package lines
--- /dev/null
+++ b/internal/host/logs/doc.go
@@ -0,0 +1,2 @@
+// Package logs provides a JSON logger that bounds its volume and never blocks the goroutine that logs.
+package logs
--- a/internal/host/lines/lines_test.go
+++ b/internal/host/logs/logs_test.go
@@ -1,4 +1,4 @@
-package lines
+package logs
 
 import (
 	"bytes"
--- a/internal/host/meters/meters.go
+++ b/internal/host/metric/metric.go
@@ -1,4 +1,4 @@
-package meters
+package metric
 
 import (
 	"net/http"
--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -16,18 +16,18 @@
 	"go.uber.org/zap"
 
 	"github.com/boragelane/boragelane/internal/core/roster"
-	"github.com/boragelane/boragelane/internal/ctrl/deal"
-	"github.com/boragelane/boragelane/internal/ctrl/enrol"
+	"github.com/boragelane/boragelane/internal/ctrl/lease"
+	"github.com/boragelane/boragelane/internal/ctrl/loans"
 	"github.com/boragelane/boragelane/internal/ctrl/watch"
 	"github.com/boragelane/boragelane/internal/edge/broker"
 	"github.com/boragelane/boragelane/internal/edge/dialer"
 	"github.com/boragelane/boragelane/internal/edge/httpd"
-	"github.com/boragelane/boragelane/internal/flow/guard"
 	"github.com/boragelane/boragelane/internal/flow/match"
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 	"github.com/boragelane/boragelane/internal/flow/place"
+	"github.com/boragelane/boragelane/internal/flow/poison"
 	"github.com/boragelane/boragelane/internal/flow/serve"
-	"github.com/boragelane/boragelane/internal/host/meters"
+	"github.com/boragelane/boragelane/internal/host/metric"
 	"github.com/boragelane/boragelane/internal/host/trace"
 )
 
@@ -40,7 +40,7 @@
 // Store is the part of the platform's store that a host uses.
 type Store interface {
 	watch.Source
-	enrol.Registry
+	lease.Registry
 	// ReportCrash writes a crash for the other hosts to read.
 	ReportCrash(ctx context.Context, c roster.Crash, lease int64) error
 }
@@ -57,7 +57,7 @@
 	Settings Settings
 	Clock    func() time.Time
 	Log      *zap.Logger
-	Metrics  *meters.Metrics
+	Metrics  *metric.Metrics
 	Loader   Loader
 	Tracer   otel.Tracer // Records a span for each hop of a job; nil disables tracing.
 	Done     chan struct{}
@@ -66,11 +66,11 @@
 	store        Store
 	loop         *watch.Loop
 	reader       *watch.Reader
-	keeper       *enrol.Keeper
+	keeper       *lease.Keeper
 	table        *place.Scheduler
 	sender       *dialer.Sender
 	budget       *serve.Budget
-	crashes      *guard.Table
+	crashes      *poison.Table
 	filters      pipe.Pipeline
 	server       *httpd.Server
 	stopping     atomic.Bool
@@ -83,12 +83,12 @@
 }
 
 // New returns a host; Run starts it.
-func New(s Settings, store Store, front Frontend, names dialer.HeaderNames, clock func() time.Time, log *zap.Logger, metrics *meters.Metrics) *Host {
+func New(s Settings, store Store, front Frontend, names dialer.HeaderNames, clock func() time.Time, log *zap.Logger, metrics *metric.Metrics) *Host {
 	s.Host.Incarnation = newID()
 	h := &Host{
 		Settings: s, Clock: clock, Log: log, Metrics: metrics, Done: make(chan struct{}), front: front, store: store,
 		table: place.NewScheduler(), sender: dialer.New(names, clock), budget: serve.NewBudget(s.Retry),
-		crashes: &guard.Table{}, crashReports: make(chan roster.Crash, crashReportBuffer),
+		crashes: &poison.Table{}, crashReports: make(chan roster.Crash, crashReportBuffer),
 	}
 	h.table.SetMaxShift(s.MaxShift)
 	events := &eventLog{log: log, metrics: h.Metrics}
@@ -96,19 +96,19 @@
 	h.loop.Subscribers = []watch.Subscriber{h.table, &crashReceiver{crashes: h.crashes}}
 	h.relay = broker.NewUpdateFetcher(clock)
 	h.reader = &watch.Reader{Source: store, Peers: h.relay, Loop: h.loop, Clock: clock, Done: make(chan struct{})}
-	h.keeper = &enrol.Keeper{Registry: store, Observer: events, Host: s.Host, Clock: clock, Listed: h.isRegistered, Done: make(chan struct{})}
+	h.keeper = &lease.Keeper{Registry: store, Observer: events, Host: s.Host, Clock: clock, Listed: h.isRegistered, Done: make(chan struct{})}
 	h.placer = broker.NewPlacer(h.table, h.loop.View, clock, events.logPlacingFailure)
 	h.placer.Admit = &placeTracer{host: h}
 	h.filters = pipe.Pipeline{Clock: clock, Filters: []pipe.Filter{
 		match.New(),
-		guard.Pipe{Table: h.crashes, Notifier: &crashReporter{host: h}},
+		poison.Pipe{Table: h.crashes, Notifier: &crashReporter{host: h}},
 		&serve.Pipe{Placer: &hopTracer{host: h}, Sender: &hopTracer{host: h}, Budget: h.budget, Recorder: events, Clock: clock},
 	}}
 	h.server = httpd.New(h, h.requestBounds, clock)
 	h.broker = &broker.Server{Planner: h.loop, Updates: h.loop, Admit: &placeTracer{host: h}, Table: h.table, Clock: clock, Done: make(chan struct{})}
 	h.asker = &broker.LoanPoller{
 		Demand: h.table, Local: h.loop, View: h.loop.View, OnError: events.logLoanFailure, Clock: clock, Done: make(chan struct{}),
-		OnLoans: func(l deal.Loans) { h.loop.Send(context.Background(), watch.LoansReceived{Loans: l}) },
+		OnLoans: func(l loans.Loans) { h.loop.Send(context.Background(), watch.LoansReceived{Loans: l}) },
 	}
 	h.stopGrace.Store(int64(s.Grace))
 	return h
--- a/internal/host/steer/journal.go
+++ b/internal/host/steer/journal.go
@@ -8,15 +8,15 @@
 
 	"github.com/boragelane/boragelane/internal/core/roster"
 	"github.com/boragelane/boragelane/internal/ctrl/watch"
-	"github.com/boragelane/boragelane/internal/flow/guard"
 	"github.com/boragelane/boragelane/internal/flow/pipe"
-	"github.com/boragelane/boragelane/internal/host/meters"
+	"github.com/boragelane/boragelane/internal/flow/poison"
+	"github.com/boragelane/boragelane/internal/host/metric"
 )
 
 // eventLog records events of the control loop and of jobs in the log and the metrics.
 type eventLog struct {
 	log     *zap.Logger
-	metrics *meters.Metrics
+	metrics *metric.Metrics
 }
 
 // millisField returns a log field with a duration in milliseconds.
@@ -86,13 +86,13 @@
 
 // crashReceiver passes crashes that other hosts reported to the guard.
 type crashReceiver struct {
-	crashes *guard.Table
+	crashes *poison.Table
 }
 
 // Update adds the crashes in a view.
 func (r *crashReceiver) Update(now time.Time, v *roster.View) {
 	for _, c := range v.Crashes {
-		r.crashes.Add(guard.Crash{Digest: c.Digest, Upstream: c.Upstream, At: now})
+		r.crashes.Add(poison.Crash{Digest: c.Digest, Upstream: c.Upstream, At: now})
 	}
 }
 
@@ -107,7 +107,7 @@
 type crashReporter struct{ host *Host }
 
 // NotifyCrash queues a crash; it drops the crash and logs a warning if the queue is full.
-func (r *crashReporter) NotifyCrash(_ time.Time, c guard.Crash) {
+func (r *crashReporter) NotifyCrash(_ time.Time, c poison.Crash) {
 	select {
 	case r.host.crashReports <- roster.Crash{Digest: c.Digest, Upstream: c.Upstream}:
 	default:
--- a/internal/stand/claims/measure.go
+++ b/internal/stand/claims/measure.go
@@ -12,8 +12,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/boragelane/boragelane/internal/edge/store"
-	"github.com/boragelane/boragelane/internal/flow/once"
-	"github.com/boragelane/boragelane/internal/stand/platf"
+	"github.com/boragelane/boragelane/internal/flow/dedup"
+	"github.com/boragelane/boragelane/internal/stand/consul"
 )
 
 // Parameters of the benchmark.
@@ -64,8 +64,8 @@
 func Measure(ctx context.Context, clock func() time.Time, strategy Strategy, rate float64, delay time.Duration) (Result, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	platform := platf.New(clock)
-	platform.SetFaults(platf.Faults{Delay: delay, WriteRate: writesPerSecond})
+	platform := consul.New(clock)
+	platform.SetFaults(consul.Faults{Delay: delay, WriteRate: writesPerSecond})
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.83.0.1:0")
 	if err != nil {
 		return Result{}, err
@@ -111,7 +111,7 @@
 		return newBatchClaimer(ctx, client, host)
 	default:
 		var n atomic.Int64
-		return &ticketClaimer{clock: clock, filter: once.Pipe{Table: once.NewTable(), NewID: func() string { return fmt.Sprintf("%016x", n.Add(1)) }}}
+		return &ticketClaimer{clock: clock, filter: dedup.Pipe{Table: dedup.NewTable(), NewID: func() string { return fmt.Sprintf("%016x", n.Add(1)) }}}
 	}
 }
 
--- a/internal/stand/claims/ways.go
+++ b/internal/stand/claims/ways.go
@@ -9,7 +9,7 @@
 
 	"github.com/boragelane/boragelane/internal/core/plan"
 	"github.com/boragelane/boragelane/internal/edge/store"
-	"github.com/boragelane/boragelane/internal/flow/once"
+	"github.com/boragelane/boragelane/internal/flow/dedup"
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
@@ -18,7 +18,7 @@
 
 // ticketClaimer issues tickets, which are recorded in the memory of the issuing host.
 type ticketClaimer struct {
-	filter once.Pipe
+	filter dedup.Pipe
 	clock  func() time.Time
 }
 
--- a/internal/stand/platf/kv.go
+++ b/internal/stand/consul/kv.go
@@ -1,4 +1,4 @@
-package platf
+package consul
 
 import (
 	"crypto/rand"
--- a/internal/stand/judge/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package judge verifies the report of a load run against the upstreams' logs.
-package judge
--- a/internal/stand/layout/layout.go
+++ b/internal/stand/layout/layout.go
@@ -6,7 +6,7 @@
 
 	"github.com/boragelane/boragelane/internal/core/spec"
 	"github.com/boragelane/boragelane/internal/host/config"
-	"github.com/boragelane/boragelane/internal/stand/platf"
+	"github.com/boragelane/boragelane/internal/stand/consul"
 )
 
 // Ports of the hosts and upstreams.
@@ -35,7 +35,7 @@
 // Layout holds the configuration of a test system.
 type Layout struct {
 	Document  spec.Document
-	Upstreams []platf.Upstream
+	Upstreams []consul.Upstream
 	Settings  []config.Settings
 	Platform  string // Address of the platform.
 }
@@ -95,15 +95,15 @@
 }
 
 // newUpstreams returns the upstreams of a failure domain; count numbers the upstreams of all domains.
-func newUpstreams(o Options, domain string, count *int) []platf.Upstream {
-	var list []platf.Upstream
+func newUpstreams(o Options, domain string, count *int) []consul.Upstream {
+	var list []consul.Upstream
 	for _, service := range []string{Price, Orders, Catalog} {
 		if o.Skip != nil && o.Skip(domain, service) {
 			continue
 		}
 		for i := range o.Upstreams {
 			*count++
-			list = append(list, platf.Upstream{
+			list = append(list, consul.Upstream{
 				ID: fmt.Sprintf("%s-%s-%d", service, domain, i+1), Address: fmt.Sprintf("127.%d.2.%d", o.Subnet, *count),
 				Port: UpstreamPort, Service: service, Domain: domain,
 			})
--- a/internal/stand/sizes/fleet.go
+++ b/internal/stand/sizing/fleet.go
@@ -1,4 +1,4 @@
-package sizes
+package sizing
 
 import (
 	"fmt"
--- a/internal/stand/judge/judge.go
+++ b/internal/stand/verify/verify.go
@@ -1,4 +1,4 @@
-package judge
+package verify
 
 import (
 	"fmt"
--- a/standin/capacity.go
+++ b/standin/capacity.go
@@ -13,7 +13,7 @@
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
 
-	"github.com/boragelane/boragelane/internal/stand/sizes"
+	"github.com/boragelane/boragelane/internal/stand/sizing"
 )
 
 type capacityArgs struct {
@@ -23,7 +23,7 @@
 
 // run measures the capacity, writes a table and a plot, and prints the projection.
 func (a *capacityArgs) run(context.Context) error {
-	rows := sizes.Measure(a.Quick)
+	rows := sizing.Measure(a.Quick)
 	file, err := os.Create(filepath.Join(a.Dir, "capacity.csv"))
 	if err != nil {
 		return err
@@ -40,14 +40,14 @@
 	if err := plotControlCost(rows, filepath.Join(a.Dir, "capacity.svg")); err != nil {
 		return err
 	}
-	for _, line := range sizes.Project(rows) {
+	for _, line := range sizing.Project(rows) {
 		fmt.Println(line)
 	}
 	return nil
 }
 
 // plotControlCost plots the control-plane cost of a host against the number of hosts in the system.
-func plotControlCost(rows []sizes.Row, file string) error {
+func plotControlCost(rows []sizing.Row, file string) error {
 	p := plot.New()
 	p.Title.Text = "Control for one host, each second"
 	p.X.Label.Text, p.Y.Label.Text = "hosts", "bytes both ways, and microseconds of a core"
--- a/standin/chaos_test.go
+++ b/standin/chaos_test.go
@@ -17,9 +17,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/boragelane/boragelane/internal/stand/consul"
 	"github.com/boragelane/boragelane/internal/stand/layout"
 	"github.com/boragelane/boragelane/internal/stand/loadg"
-	"github.com/boragelane/boragelane/internal/stand/platf"
 )
 
 // fleet is a system of separate processes that can be killed, frozen and restarted.
@@ -153,14 +153,14 @@
 			f.start(upstream)
 		case 4:
 			done = append(done, "platform down")
-			f.postControl("faults", platf.Faults{Down: true})
+			f.postControl("faults", consul.Faults{Down: true})
 			pause(2 * time.Second)
-			f.postControl("faults", platf.Faults{})
+			f.postControl("faults", consul.Faults{})
 		case 5:
 			done = append(done, "platform slow, answers lost")
-			f.postControl("faults", platf.Faults{Delay: 500 * time.Millisecond, LoseAnswers: true})
+			f.postControl("faults", consul.Faults{Delay: 500 * time.Millisecond, LoseAnswers: true})
 			pause(2 * time.Second)
-			f.postControl("faults", platf.Faults{})
+			f.postControl("faults", consul.Faults{})
 		}
 		pause(time.Second)
 	}
--- a/standin/demo.go
+++ b/standin/demo.go
@@ -13,11 +13,11 @@
 
 	"github.com/boragelane/boragelane/internal/core/spec"
 	"github.com/boragelane/boragelane/internal/host/config"
-	"github.com/boragelane/boragelane/internal/stand/judge"
 	"github.com/boragelane/boragelane/internal/stand/layout"
 	"github.com/boragelane/boragelane/internal/stand/loadg"
-	"github.com/boragelane/boragelane/internal/stand/sizes"
+	"github.com/boragelane/boragelane/internal/stand/sizing"
 	"github.com/boragelane/boragelane/internal/stand/upstr"
+	"github.com/boragelane/boragelane/internal/stand/verify"
 )
 
 // Parameters of the demo.
@@ -82,7 +82,7 @@
 	case "many":
 		l = manyLayout()
 	case "full":
-		return writeFile(filepath.Join(a.Dir, "change.json"), firstChange(layout.Layout{Document: sizes.Document(sizes.TwoYearSize)}))
+		return writeFile(filepath.Join(a.Dir, "change.json"), firstChange(layout.Layout{Document: sizing.Document(sizing.TwoYearSize)}))
 	default:
 		return fmt.Errorf("there is no scene %q; allowed: demo, floods, many, full", a.Scene)
 	}
@@ -180,7 +180,7 @@
 // run checks the demo's report against the upstreams' logs and prints the result.
 func (a *judgeArgs) run(ctx context.Context) error {
 	l := demoLayout()
-	c := judge.Input{Slots: demoSlots, DrainedUpstream: a.Drained, StoppedFront: a.Stopped, MinAnswered: demoMinAnswered}
+	c := verify.Input{Slots: demoSlots, DrainedUpstream: a.Drained, StoppedFront: a.Stopped, MinAnswered: demoMinAnswered}
 	data, err := os.ReadFile(filepath.Join(a.Dir, "report.json"))
 	if err != nil {
 		return err
@@ -198,7 +198,7 @@
 		}
 		c.UpstreamReports = append(c.UpstreamReports, report)
 	}
-	violations := judge.Violations(c)
+	violations := verify.Violations(c)
 	for _, violation := range violations {
 		fmt.Println("demo: broken:", violation)
 	}
--- a/standin/main.go
+++ b/standin/main.go
@@ -13,8 +13,8 @@
 
 	"github.com/alexflint/go-arg"
 
+	"github.com/boragelane/boragelane/internal/stand/consul"
 	"github.com/boragelane/boragelane/internal/stand/loadg"
-	"github.com/boragelane/boragelane/internal/stand/platf"
 	"github.com/boragelane/boragelane/internal/stand/upstr"
 )
 
@@ -82,8 +82,8 @@
 }
 
 func (a *platformArgs) run(ctx context.Context) error {
-	p := platf.New(time.Now)
-	p.SetFaults(platf.Faults{ListLag: a.Lag, ReadRate: a.Reads, WriteRate: a.Writes})
+	p := consul.New(time.Now)
+	p.SetFaults(consul.Faults{ListLag: a.Lag, ReadRate: a.Reads, WriteRate: a.Writes})
 	return serveUntilDone(ctx, &http.Server{Addr: a.Listen, Handler: p.Handler()}) //nolint:gosec // serveUntilDone sets the timeout.
 }
 
