--- a/internal/core/share/lease.go
+++ b/internal/core/share/lease.go
@@ -10,10 +10,10 @@
 	Until time.Time
 }
 
-// Valid reports whether the lease is valid for longer than Margin.
+// Valid reports whether the lease is valid for longer than ClockDriftMargin.
 func (l Lease) Valid(now time.Time) bool { return now.Add(ClockDriftMargin).Before(l.Until) }
 
-// Remaining returns the remaining time of the lease less Margin, or 0.
+// Remaining returns the remaining time of the lease less ClockDriftMargin, or 0.
 func (l Lease) Remaining(now time.Time) time.Duration {
 	if !l.Valid(now) {
 		return 0 // Subtracting from a zero time would overflow.
--- a/internal/ctrl/commit/commit.go
+++ b/internal/ctrl/commit/commit.go
@@ -38,7 +38,7 @@
 
 // Error types.
 var (
-	// ErrConflict means that another change was applied first; the property Current holds the revision in force.
+	// ErrConflict means that another change was applied first; the property CurrentRevision holds the revision in force.
 	ErrConflict = Errors.NewType("conflict")
 	// ErrInvalid means that the change, or a stored document, is invalid or too large.
 	ErrInvalid = Errors.NewType("invalid")
--- a/internal/ctrl/state/state.go
+++ b/internal/ctrl/state/state.go
@@ -214,7 +214,7 @@
 	return ix
 }
 
-// domainSeats returns the domainSeats of this host's failure domain.
+// domainSeats returns the seats of this host's failure domain.
 func (s *State) domainSeats() []spec.Seat {
 	if s.Doc == nil || s.index.selfIndex < 0 {
 		return nil
--- a/internal/ctrl/watch/fold.go
+++ b/internal/ctrl/watch/fold.go
@@ -27,7 +27,7 @@
 func (ShutdownRequested) event() {}
 func (Tick) event()              {}
 
-// StateChange describes one change of the state, for logs and metrics; What is the log message and the metric label.
+// StateChange describes one change of the state, for logs and metrics; Message is the log message and the metric label.
 type StateChange struct {
 	Message  string
 	Name     string
--- a/internal/ctrl/watch/loop.go
+++ b/internal/ctrl/watch/loop.go
@@ -93,7 +93,7 @@
 	l.view.Store(v)
 }
 
-// affectsView reports whether an event can change the view without producing a note.
+// affectsView reports whether an event can change the view without producing a StateChange.
 func affectsView(ev Event) bool {
 	switch ev.(type) {
 	case Tick, LoanRequest, UpdatesRequest:
--- a/internal/edge/broker/placer.go
+++ b/internal/edge/broker/placer.go
@@ -10,7 +10,7 @@
 	"github.com/boragelane/boragelane/internal/flow/place"
 )
 
-// Placer places this host's jobs: with its own table if this host places jobs for its region, otherwise through the
+// Placer places this host's jobs: with its own scheduler if this host places jobs for its region, otherwise through the
 // host that does, and in isolated mode if no such host can be reached.
 type Placer struct {
 	Table         *place.Scheduler
--- a/internal/flow/dedup/table.go
+++ b/internal/flow/dedup/table.go
@@ -17,7 +17,7 @@
 	MaxKeptAnswer = 64 << 10
 )
 
-// Record is the state of one job with a ticket; Kept tells whether it holds the answer.
+// Record is the state of one job with a ticket; AnswerKept tells whether it holds the answer.
 type Record struct {
 	Ticket     string
 	Expiry     time.Time
--- a/internal/flow/pipe/line.go
+++ b/internal/flow/pipe/line.go
@@ -17,7 +17,7 @@
 	Finish(now time.Time, job *Job)
 }
 
-// Pipeline is a pipeline: it runs its filters in order and their Finish methods in reverse order.
+// Pipeline runs its filters in order and their Finish methods in reverse order.
 type Pipeline struct {
 	Filters []Filter
 	Clock   func() time.Time
--- a/internal/flow/place/load.go
+++ b/internal/flow/place/load.go
@@ -30,7 +30,7 @@
 type load struct {
 	upstream            *roster.Upstream
 	hash                uint64  // Hash of the upstream's ID.
-	domainIndex         int     // Index of its failure domain in Table.domains.
+	domainIndex         int     // Index of its failure domain in Scheduler.domains.
 	assigned            bool    // This region uses the upstream: it owns or borrows it.
 	inView              bool    // The current view contains the upstream.
 	running             int     // Jobs running on the upstream.
--- a/internal/flow/place/table.go
+++ b/internal/flow/place/table.go
@@ -44,7 +44,7 @@
 	rtt           time.Duration
 }
 
-// NewScheduler returns a table without upstreams.
+// NewScheduler returns a scheduler without upstreams.
 func NewScheduler() *Scheduler {
 	return &Scheduler{
 		view: &roster.View{}, loads: map[string]*load{}, estimates: map[string]*workEstimate{}, rtts: rttEstimates{},
--- a/internal/flow/place/work.go
+++ b/internal/flow/place/work.go
@@ -22,7 +22,7 @@
 	// is below 1 so that a burst for one object is not spread over all upstreams before the first answer.
 	initialHitShare = 0.5
 	// ownerHitProbability is the chance that an object's owner, the first upstream in rendezvous order, has cached it
-	// although this table has not sent it there. Another host may have placed jobs before.
+	// although this scheduler has not sent it there. Another host may have placed jobs before.
 	ownerHitProbability = 0.25
 	// minSlowdown and maxSlowdown bound the measured slowdown of an upstream relative to its service.
 	minSlowdown = 0.5
--- a/internal/flow/route/route.go
+++ b/internal/flow/route/route.go
@@ -97,7 +97,7 @@
 	return b.TakeOne(now)
 }
 
-// Query holds the properties of a job that Decide uses.
+// Query holds the properties of a job that SelectTargets uses.
 type Query struct {
 	Service     string
 	Hash        uint64
--- a/internal/host/trace/trace.go
+++ b/internal/host/trace/trace.go
@@ -33,7 +33,7 @@
 	return Provider{TracerProvider: noop.NewTracerProvider(), Shutdown: func(context.Context) error { return nil }}
 }
 
-// Setup returns a provider that exports spans to the OTLP collector at url; for an empty url it returns None.
+// Setup returns a provider that exports spans to the OTLP collector at url; for an empty url it returns Noop.
 func Setup(ctx context.Context, url, instance string) (Provider, error) {
 	if url == "" {
 		return Noop(), nil
