wording: locals and fields that kept an old name

A placement request was called ask, the scheduler of a region table or tab, the loan poller asker and the update fetcher relay. They are now req, scheduler or sched, loanPoller and updateFetcher; toAsk and newAsk are toRequest and newRequest.

--- a/internal/edge/broker/asker.go
+++ b/internal/edge/broker/asker.go
@@ -67,9 +67,9 @@
 func (a *LoanPoller) requestLoans(ctx context.Context, h roster.Host) (loans.Loans, error) {
 	ctx, cancel := context.WithTimeout(ctx, loanRequestTimeout)
 	defer cancel()
-	ask := a.Demand.LoanRequest(a.Clock())
+	req := a.Demand.LoanRequest(a.Clock())
 	if h.Name == a.View().Self.Name {
-		loans, ok := a.Local.RequestLoans(ctx, ask)
+		loans, ok := a.Local.RequestLoans(ctx, req)
 		if !ok {
 			return nil, ErrCall.New("this host is stopping")
 		}
@@ -80,7 +80,7 @@
 		return nil, err
 	}
 	var loans loans.Loans
-	if err := p.call(ctx, a.Clock, methodLoans, ask, &loans); err != nil {
+	if err := p.call(ctx, a.Clock, methodLoans, req, &loans); err != nil {
 		return nil, ErrCall.Wrap(err, "requesting loans from host %s", h.Name)
 	}
 	return loans, nil
--- a/internal/edge/broker/broker_test.go
+++ b/internal/edge/broker/broker_test.go
@@ -66,13 +66,13 @@
 	return p
 }
 
-func (p *hostPair) newAsk() place.Request {
+func (p *hostPair) newRequest() place.Request {
 	now := time.Now()
 	return place.Request{Host: p.view.Self, Service: "s", Objective: now.Add(5 * time.Second), Deadline: now.Add(9 * time.Second)}
 }
 
 func (p *hostPair) acquire(ctx context.Context) *place.Grant {
-	return p.placer.Acquire(ctx, time.Now(), p.newAsk())
+	return p.placer.Acquire(ctx, time.Now(), p.newRequest())
 }
 
 func TestOneHostPlacesTheJobsOfItsRegion(t *testing.T) {
--- a/internal/edge/broker/placer.go
+++ b/internal/edge/broker/placer.go
@@ -38,44 +38,44 @@
 const maxRemoteTries = 2
 
 // Acquire returns an upstream for a job, or nil if none is free in time.
-func (p *Placer) Acquire(ctx context.Context, now time.Time, ask place.Request) *place.Grant {
+func (p *Placer) Acquire(ctx context.Context, now time.Time, req place.Request) *place.Grant {
 	v := p.View()
 	tries := 0
-	for i, h := range v.DutyHosts[ask.Service] {
+	for i, h := range v.DutyHosts[req.Service] {
 		if i > maxRemoteTries {
 			break // Further hosts are isolated: if each of them placed freely, each slot would be filled many times.
 		}
 		if h.Name == v.Self.Name {
-			return p.Admit.Acquire(ctx, now, ask)
+			return p.Admit.Acquire(ctx, now, req)
 		}
 		if tries == maxRemoteTries || p.peers.skipped(h) {
 			continue
 		}
 		tries++
-		g, err := p.acquireFrom(ctx, now, h, ask)
+		g, err := p.acquireFrom(ctx, now, h, req)
 		if err == nil || ctx.Err() != nil {
 			return g
 		}
 		p.OnUnreachable(h.Name, err)
 		now = p.Clock()
 	}
-	ask.Isolated = true
-	return p.Admit.Acquire(ctx, now, ask)
+	req.Isolated = true
+	return p.Admit.Acquire(ctx, now, req)
 }
 
 // acquireFrom acquires an upstream through another host. A grant for an upstream that this host no longer considers
 // usable is released, and another one requested.
-func (p *Placer) acquireFrom(ctx context.Context, now time.Time, h roster.Host, ask place.Request) (*place.Grant, error) {
+func (p *Placer) acquireFrom(ctx context.Context, now time.Time, h roster.Host, req place.Request) (*place.Grant, error) {
 	to, err := p.peers.get(ctx, h)
 	if err != nil {
 		return nil, err
 	}
 	for {
-		w, err := p.requestGrant(ctx, to, newWireAcquire(&ask, p.lastCall.Add(1), now))
+		w, err := p.requestGrant(ctx, to, newWireAcquire(&req, p.lastCall.Add(1), now))
 		if err != nil || w == nil {
 			return nil, err
 		}
-		g := &place.Grant{ID: w.Number, Upstream: findUpstream(p.View(), ask.Service, w)}
+		g := &place.Grant{ID: w.Number, Upstream: findUpstream(p.View(), req.Service, w)}
 		if g.Upstream != nil {
 			p.mu.Lock()
 			p.remote[g] = to
@@ -83,7 +83,7 @@
 			return g, nil
 		}
 		_ = to.conn.Notify(ctx, methodRelease, wireRelease{Number: w.Number, Quiet: true})
-		ask.Tried = append(ask.Tried, w.Upstream)
+		req.Tried = append(req.Tried, w.Upstream)
 		now = p.Clock()
 	}
 }
--- a/internal/edge/broker/server.go
+++ b/internal/edge/broker/server.go
@@ -27,7 +27,7 @@
 
 // Admitter admits jobs to upstreams and waits for a free slot.
 type Admitter interface {
-	Acquire(ctx context.Context, now time.Time, ask place.Request) *place.Grant
+	Acquire(ctx context.Context, now time.Time, req place.Request) *place.Grant
 }
 
 // Server answers other hosts: it places the jobs of its region, plans loans and passes on store changes.
@@ -115,7 +115,7 @@
 	s.cancels[w.Call] = cancel
 	s.mu.Unlock()
 	now := s.server.Clock()
-	g := s.server.Admit.Acquire(ctx, now, w.toAsk(now))
+	g := s.server.Admit.Acquire(ctx, now, w.toRequest(now))
 	s.mu.Lock()
 	delete(s.cancels, w.Call)
 	s.mu.Unlock()
--- a/internal/edge/broker/wire.go
+++ b/internal/edge/broker/wire.go
@@ -50,7 +50,7 @@
 	}
 }
 
-func (w *wireAcquire) toAsk(now time.Time) place.Request {
+func (w *wireAcquire) toRequest(now time.Time) place.Request {
 	return place.Request{
 		Host: roster.Host{Name: w.Host, Domain: w.Domain, Region: w.Region}, Service: w.Service, Rank: w.Rank,
 		Object: w.Object, Homes: w.Homes, Tried: w.Tried,
--- a/internal/flow/place/bench_test.go
+++ b/internal/flow/place/bench_test.go
@@ -18,16 +18,16 @@
 		u.Slots = 5
 		list = append(list, u)
 	}
-	tab := table(list...)
+	sched := table(list...)
 	now := at(0)
 	job := func(i int) Request {
-		a := ask(now)
+		a := newRequest(now)
 		a.Object, a.Rank, a.Objective, a.Deadline = fmt.Sprint(i%230), i%3, now.Add(time.Hour), now.Add(2*time.Hour)
 		return a
 	}
 	grants := make(chan *Grant, 2000)
 	for i := range 170 * 5 {
-		if g := try(tab, now, job(i)); g != nil {
+		if g := try(sched, now, job(i)); g != nil {
 			grants <- g
 		}
 	}
@@ -35,24 +35,24 @@
 	defer cancel()
 	for i := range 400 {
 		go func() {
-			if g := tab.Acquire(ctx, now, job(i)); g != nil {
+			if g := sched.Acquire(ctx, now, job(i)); g != nil {
 				grants <- g
 			}
 		}()
 	}
-	for tab.Waiting() < 300 {
+	for sched.Waiting() < 300 {
 		time.Sleep(time.Millisecond)
 	}
 	b.ResetTimer()
 	for i := range b.N {
-		tab.Release(now, <-grants, good(200*time.Millisecond))
+		sched.Release(now, <-grants, good(200*time.Millisecond))
 		go func() {
-			if g := tab.Acquire(ctx, now, job(i)); g != nil {
+			if g := sched.Acquire(ctx, now, job(i)); g != nil {
 				grants <- g
 			}
 		}()
 		if i%25 == 0 {
-			tab.Tick(now)
+			sched.Tick(now)
 		}
 	}
 }
--- a/internal/flow/place/cold_test.go
+++ b/internal/flow/place/cold_test.go
@@ -11,16 +11,16 @@
 func TestAColdUpstreamGetsLessThanItsRate(t *testing.T) {
 	cold := upstream("cold", "a", "east")
 	cold.Cold, cold.Reported = 3*time.Second, at(0)
-	tab := table(cold, upstream("warm", "a", "east"))
+	sched := table(cold, upstream("warm", "a", "east"))
 	var times []time.Duration
 	for d := time.Duration(0); d < 3*time.Second; d += 5 * time.Millisecond {
 		now := at(d)
-		a := ask(now)
-		if g := try(tab, now, a); g != nil {
+		a := newRequest(now)
+		if g := try(sched, now, a); g != nil {
 			if g.Upstream.ID == "cold" {
 				times = append(times, d)
 			}
-			tab.Release(now, g, good(time.Millisecond))
+			sched.Release(now, g, good(time.Millisecond))
 		}
 	}
 	assert.Assert(t, len(times) > 2, "%d warm-up requests", len(times))
@@ -43,10 +43,10 @@
 	tabs := []*Scheduler{table(cold), table(cold), table(cold)}
 	var times []time.Duration
 	for d := time.Duration(0); d < 3*time.Second; d += 5 * time.Millisecond {
-		for _, tab := range tabs {
-			if g := try(tab, at(d), ask(at(d))); g != nil {
+		for _, sched := range tabs {
+			if g := try(sched, at(d), newRequest(at(d))); g != nil {
 				times = append(times, d)
-				tab.Release(at(d), g, good(time.Millisecond))
+				sched.Release(at(d), g, good(time.Millisecond))
 			}
 		}
 	}
@@ -64,73 +64,73 @@
 func TestAnIsolatedHostSendsNothingToAColdUpstream(t *testing.T) {
 	cold := upstream("cold", "a", "east")
 	cold.Cold, cold.Reported = 3*time.Second, at(0)
-	tab := table(cold)
-	a := ask(at(time.Second))
+	sched := table(cold)
+	a := newRequest(at(time.Second))
 	a.Isolated = true
-	assert.Assert(t, try(tab, at(time.Second), a) == nil)
+	assert.Assert(t, try(sched, at(time.Second), a) == nil)
 	a.Isolated = false
-	assert.Assert(t, try(tab, at(time.Second), a) != nil)
+	assert.Assert(t, try(sched, at(time.Second), a) != nil)
 }
 
 // Guards against sending jobs to an upstream that crashes, or that fails most requests while it reports itself
 // healthy.
 func TestABrokenUpstreamIsEjectedAndRetriedLater(t *testing.T) {
-	tab := table(upstream("bad", "a", "east"), upstream("other", "b", "east"))
+	sched := table(upstream("bad", "a", "east"), upstream("other", "b", "east"))
 	now := at(0)
-	g := try(tab, now, ask(now))
+	g := try(sched, now, newRequest(now))
 	assert.Equal(t, g.Upstream.ID, "bad")
-	tab.Release(now, g, Result{Unreachable: true})
+	sched.Release(now, g, Result{Unreachable: true})
 	for range 2 {
-		assert.Equal(t, try(tab, now, ask(now)).Upstream.ID, "other")
+		assert.Equal(t, try(sched, now, newRequest(now)).Upstream.ID, "other")
 	}
-	assert.Assert(t, try(tab, now, ask(now)) == nil) // The other upstream is full.
+	assert.Assert(t, try(sched, now, newRequest(now)) == nil) // The other upstream is full.
 	now = at(minEjection + time.Millisecond)
-	assert.Equal(t, try(tab, now, ask(now)).Upstream.ID, "bad")
+	assert.Equal(t, try(sched, now, newRequest(now)).Upstream.ID, "bad")
 }
 
 // After a power failure in a failure domain, its upstreams return cold and accept connections before their reports say
 // that they are cold. They must not get the full load in between.
 func TestAnUpstreamThatComesBackCountsAsColdUntilItsReport(t *testing.T) {
-	tab := table(upstream("u", "a", "east"))
+	sched := table(upstream("u", "a", "east"))
 	now := at(0)
 	for range 4 {
 		var g *Grant
 		for g == nil {
 			now = now.Add(50 * time.Millisecond)
-			g = try(tab, now, ask(now))
+			g = try(sched, now, newRequest(now))
 		}
-		tab.Release(now, g, Result{Unreachable: true})
+		sched.Release(now, g, Result{Unreachable: true})
 	}
 	now = now.Add(maxEjection)
 	n := 0
 	for end := now.Add(2 * time.Second); now.Before(end); now = now.Add(10 * time.Millisecond) {
-		if g := try(tab, now, ask(now)); g != nil {
+		if g := try(sched, now, newRequest(now)); g != nil {
 			n++
-			tab.Release(now, g, good(5*time.Millisecond))
+			sched.Release(now, g, good(5*time.Millisecond))
 		}
 	}
 	assert.Assert(t, n > 0 && n <= 16, "%d requests in the first 2 s, at a rate of 8", n)
 }
 
 func TestAnUpstreamThatFailsMostOfItsJobsIsEjected(t *testing.T) {
-	tab := table(upstream("grey", "a", "east"))
+	sched := table(upstream("grey", "a", "east"))
 	now := at(0)
 	for i := range 12 {
-		g := try(tab, now, ask(now))
+		g := try(sched, now, newRequest(now))
 		if g == nil {
 			return
 		}
-		tab.Release(now, g, Result{Duration: time.Millisecond, Succeeded: i%2 == 0})
+		sched.Release(now, g, Result{Duration: time.Millisecond, Succeeded: i%2 == 0})
 	}
 	t.Fatal("half of its jobs failed, but it was not ejected")
 }
 
 func TestANewIncarnationIsNotEjected(t *testing.T) {
-	tab := table(upstream("u", "a", "east"))
-	tab.Release(at(0), try(tab, at(0), ask(at(0))), Result{Unreachable: true})
-	assert.Assert(t, try(tab, at(0), ask(at(0))) == nil)
+	sched := table(upstream("u", "a", "east"))
+	sched.Release(at(0), try(sched, at(0), newRequest(at(0))), Result{Unreachable: true})
+	assert.Assert(t, try(sched, at(0), newRequest(at(0))) == nil)
 	again := upstream("u", "a", "east")
 	again.Born = 2
-	tab.Update(at(time.Millisecond), view(again))
-	assert.Assert(t, try(tab, at(time.Millisecond), ask(at(0))) != nil)
+	sched.Update(at(time.Millisecond), view(again))
+	assert.Assert(t, try(sched, at(time.Millisecond), newRequest(at(0))) != nil)
 }
--- a/internal/flow/place/demand.go
+++ b/internal/flow/place/demand.go
@@ -22,15 +22,15 @@
 
 // recordDemand adds a job's expected work to the demand. Until a job has finished, the first job's objective is the
 // best estimate of the service's work.
-func (t *Scheduler) recordDemand(now time.Time, ask *Request) {
-	d := t.demands[ask.Service]
+func (t *Scheduler) recordDemand(now time.Time, req *Request) {
+	d := t.demands[req.Service]
 	if d == nil {
 		d = &demand{}
-		t.demands[ask.Service] = d
+		t.demands[req.Service] = d
 	}
-	w := t.estimate(ask.Service)
-	if w.initial == initialWork && ask.Objective.After(now) {
-		w.initial = ask.Objective.Sub(now)
+	w := t.estimate(req.Service)
+	if w.initial == initialWork && req.Objective.After(now) {
+		w.initial = req.Objective.Sub(now)
 	}
 	d.offered += w.mean()
 }
--- a/internal/flow/place/place_test.go
+++ b/internal/flow/place/place_test.go
@@ -37,7 +37,7 @@
 	return t
 }
 
-func ask(now time.Time) Request {
+func newRequest(now time.Time) Request {
 	return Request{Host: self, Service: "s", Rank: 1, Objective: now.Add(400 * time.Millisecond), Deadline: now.Add(2 * time.Second)}
 }
 
@@ -51,10 +51,10 @@
 func good(took time.Duration) Result { return Result{Duration: took, Succeeded: true} }
 
 func TestSlotsAreNeverExceededAndSameDomainGoesFirst(t *testing.T) {
-	tab := table(upstream("near", "a", "east"), upstream("next", "b", "east"), upstream("far", "c", "west"))
+	sched := table(upstream("near", "a", "east"), upstream("next", "b", "east"), upstream("far", "c", "west"))
 	got := map[string]int{}
 	for range 6 {
-		if g := try(tab, at(0), ask(at(0))); g != nil {
+		if g := try(sched, at(0), newRequest(at(0))); g != nil {
 			got[g.Upstream.ID]++
 		}
 	}
@@ -64,11 +64,11 @@
 func TestABorrowedUpstreamIsUsedByTheBorrowerAlone(t *testing.T) {
 	v := view(upstream("own", "a", "east"), upstream("lent", "a", "east"), upstream("ours", "c", "west"))
 	v.Loans = map[string]string{"lent": "west", "ours": "east"}
-	tab := NewScheduler()
-	tab.Update(at(0), v)
+	sched := NewScheduler()
+	sched.Update(at(0), v)
 	got := map[string]int{}
 	for range 8 {
-		if g := try(tab, at(0), ask(at(0))); g != nil {
+		if g := try(sched, at(0), newRequest(at(0))); g != nil {
 			got[g.Upstream.ID]++
 		}
 	}
@@ -77,13 +77,13 @@
 
 // With many callers and few objects, each object must stay on few upstreams, where it is cached.
 func TestAnObjectStaysOnTheUpstreamThatCachesIt(t *testing.T) {
-	tab := table(upstream("u1", "a", "east"), upstream("u2", "a", "east"), upstream("u3", "a", "east"))
+	sched := table(upstream("u1", "a", "east"), upstream("u2", "a", "east"), upstream("u3", "a", "east"))
 	placements := map[string]map[string]bool{}
 	now := at(0)
 	for i := range 120 {
-		a := ask(now)
+		a := newRequest(now)
 		a.Object = fmt.Sprint(i % 12)
-		g := try(tab, now, a)
+		g := try(sched, now, a)
 		took := 300 * time.Millisecond
 		if placements[a.Object][g.Upstream.ID] {
 			took = 90 * time.Millisecond
@@ -93,7 +93,7 @@
 		}
 		placements[a.Object][g.Upstream.ID] = true
 		now = now.Add(20 * time.Millisecond)
-		tab.Release(now, g, good(took))
+		sched.Release(now, g, good(took))
 	}
 	for object, on := range placements {
 		assert.Equal(t, len(on), 1, "object %s ran on several upstreams: %v", object, on)
@@ -102,15 +102,15 @@
 
 // Before any job has finished, the second job of an object must follow the first, even to another failure domain.
 func TestAnObjectIsNotSpreadBeforeTheFirstAnswer(t *testing.T) {
-	tab := table(upstream("u1", "a", "east"), upstream("u2", "b", "east"))
-	first, second := ask(at(0)), ask(at(0))
+	sched := table(upstream("u1", "a", "east"), upstream("u2", "b", "east"))
+	first, second := newRequest(at(0)), newRequest(at(0))
 	first.Host.Domain = "b"
 	for first.Object = ""; rendez.Score(rendez.Hash(first.Object), rendez.NewSite("u2", 1)) < rendez.Score(rendez.Hash(first.Object), rendez.NewSite("u1", 1)); {
 		first.Object += "x"
 	}
 	second.Object = first.Object
-	assert.Equal(t, try(tab, at(0), first).Upstream.ID, "u2")
-	assert.Equal(t, try(tab, at(0), second).Upstream.ID, "u2")
+	assert.Equal(t, try(sched, at(0), first).Upstream.ID, "u2")
+	assert.Equal(t, try(sched, at(0), second).Upstream.ID, "u2")
 }
 
 // After a restart of all hosts, the new placing host knows no cached objects. It must still send most objects where
@@ -121,12 +121,12 @@
 		list = append(list, upstream(fmt.Sprint("u", i), string(rune('a'+i%3)), "east"))
 	}
 	place := func(shift int) map[string]string {
-		tab, placements := table(list...), map[string]string{}
+		sched, placements := table(list...), map[string]string{}
 		for i := range 20 {
-			a := ask(at(0))
+			a := newRequest(at(0))
 			a.Object = fmt.Sprint((i + shift) % 20)
 			a.Host.Domain = string(rune('a' + (i+2*shift)%3))
-			g := try(tab, at(0), a)
+			g := try(sched, at(0), a)
 			placements[a.Object] = g.Upstream.ID
 		}
 		return placements
@@ -142,20 +142,20 @@
 
 // Guards against urgent jobs waiting behind a burst of less urgent ones.
 func TestUrgentJobsAreServedFirstAndLateOnesLast(t *testing.T) {
-	tab := table(upstream("u", "a", "east"))
+	sched := table(upstream("u", "a", "east"))
 	now := at(0)
-	running := []*Grant{try(tab, now, ask(now)), try(tab, now, ask(now))}
+	running := []*Grant{try(sched, now, newRequest(now)), try(sched, now, newRequest(now))}
 	ends := make(chan string, 4)
 	wait := func(name string, rank int, objective time.Duration) {
-		a := ask(now)
+		a := newRequest(now)
 		a.Rank, a.Objective = rank, now.Add(objective)
-		before := tab.Waiting()
+		before := sched.Waiting()
 		go func() {
-			if g := tab.Acquire(context.Background(), now, a); g != nil {
+			if g := sched.Acquire(context.Background(), now, a); g != nil {
 				ends <- name
 			}
 		}()
-		for tab.Waiting() == before {
+		for sched.Waiting() == before {
 			time.Sleep(time.Millisecond)
 		}
 	}
@@ -165,7 +165,7 @@
 	wait("urgent", 0, 30*time.Second)
 	order := []string{}
 	for _, g := range running {
-		tab.Release(now, g, good(time.Millisecond))
+		sched.Release(now, g, good(time.Millisecond))
 		order = append(order, <-ends)
 	}
 	assert.DeepEqual(t, order, []string{"urgent", "normal"})
@@ -177,24 +177,24 @@
 	lent := view(u, other)
 	lent.Loans = map[string]string{"u": "west"}
 	for name, after := range map[string]*roster.View{"leaves": view(other), "is lent": lent} {
-		tab := table(u, other)
+		sched := table(u, other)
 		running := []*Grant{}
 		for range 4 {
-			if g := try(tab, at(0), ask(at(0))); g.Upstream == u {
+			if g := try(sched, at(0), newRequest(at(0))); g.Upstream == u {
 				running = append(running, g)
 			}
 		}
 		got := make(chan *Grant, 2*maxWakeRetries)
 		ctx, cancel := context.WithCancel(context.Background())
 		for range cap(got) {
-			go func() { got <- tab.Acquire(ctx, at(0), ask(at(0))) }()
+			go func() { got <- sched.Acquire(ctx, at(0), newRequest(at(0))) }()
 		}
-		for tab.Waiting() < cap(got) {
+		for sched.Waiting() < cap(got) {
 			time.Sleep(time.Millisecond)
 		}
-		tab.Update(at(0), after)
+		sched.Update(at(0), after)
 		for _, g := range running {
-			tab.Release(at(0), g, good(time.Millisecond))
+			sched.Release(at(0), g, good(time.Millisecond))
 		}
 		cancel()
 		for range cap(got) {
@@ -204,28 +204,28 @@
 }
 
 func TestAJobIsRefusedAtOnceWhenNothingCanServeIt(t *testing.T) {
-	tab := table()
+	sched := table()
 	begin := time.Now()
-	a := ask(at(0))
+	a := newRequest(at(0))
 	a.Objective = at(0)
-	assert.Assert(t, tab.Acquire(context.Background(), at(0), a) == nil)
+	assert.Assert(t, sched.Acquire(context.Background(), at(0), a) == nil)
 	assert.Assert(t, time.Since(begin) < time.Second)
 }
 
 // A job that has waited most of its time behind a full upstream must not take a slot if too little time is left to run
 // it.
 func TestAJobThatCannotMeetItsDeadlineIsNotStarted(t *testing.T) {
-	tab := table(upstream("u", "a", "east"))
+	sched := table(upstream("u", "a", "east"))
 	now := at(0)
 	for range 20 {
-		g := try(tab, now, ask(now))
-		tab.Release(now, g, good(time.Second))
+		g := try(sched, now, newRequest(now))
+		sched.Release(now, g, good(time.Second))
 	}
-	a := ask(now)
+	a := newRequest(now)
 	a.Deadline = now.Add(400 * time.Millisecond)
-	assert.Assert(t, try(tab, now, a) == nil)
+	assert.Assert(t, try(sched, now, a) == nil)
 	a.Deadline = now.Add(900 * time.Millisecond)
-	assert.Assert(t, try(tab, now, a) != nil)
+	assert.Assert(t, try(sched, now, a) != nil)
 }
 
 func TestGrantsOfADepartedHostAreReleased(t *testing.T) {
@@ -233,28 +233,28 @@
 	v := view(u)
 	other := roster.Host{Name: "h2", Domain: "b", Region: "east"}
 	v.Hosts = append(v.Hosts, other)
-	tab := NewScheduler()
-	tab.Update(at(0), v)
-	a := ask(at(0))
+	sched := NewScheduler()
+	sched.Update(at(0), v)
+	a := newRequest(at(0))
 	a.Host = other
 	for range 2 {
-		assert.Assert(t, try(tab, at(0), a) != nil)
+		assert.Assert(t, try(sched, at(0), a) != nil)
 	}
-	assert.Assert(t, try(tab, at(0), ask(at(0))) == nil)
-	tab.Update(at(time.Second), view(u))
-	assert.Assert(t, try(tab, at(time.Second), ask(at(time.Second))) != nil)
+	assert.Assert(t, try(sched, at(0), newRequest(at(0))) == nil)
+	sched.Update(at(time.Second), view(u))
+	assert.Assert(t, try(sched, at(time.Second), newRequest(at(time.Second))) != nil)
 }
 
 func TestAnUnreleasedGrantExpires(t *testing.T) {
-	tab := table(upstream("u", "a", "east"))
-	first := try(tab, at(0), ask(at(0)))
-	assert.Assert(t, first != nil && try(tab, at(0), ask(at(0))) != nil)
+	sched := table(upstream("u", "a", "east"))
+	first := try(sched, at(0), newRequest(at(0)))
+	assert.Assert(t, first != nil && try(sched, at(0), newRequest(at(0))) != nil)
 	later := at(2*time.Second + grantGracePeriod + time.Millisecond)
-	tab.Tick(later)
-	assert.Assert(t, try(tab, later, ask(later)) != nil)
-	tab.Release(later, first, good(time.Second)) // Releasing an expired grant frees no slot a second time.
-	assert.Assert(t, try(tab, later, ask(later)) != nil)
-	assert.Assert(t, try(tab, later, ask(later)) == nil)
+	sched.Tick(later)
+	assert.Assert(t, try(sched, later, newRequest(later)) != nil)
+	sched.Release(later, first, good(time.Second)) // Releasing an expired grant frees no slot a second time.
+	assert.Assert(t, try(sched, later, newRequest(later)) != nil)
+	assert.Assert(t, try(sched, later, newRequest(later)) == nil)
 }
 
 func TestCacheSizeEstimateConverges(t *testing.T) {
@@ -271,33 +271,33 @@
 func TestJobCountsStayWithinLimits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		ups := []*roster.Upstream{upstream("u1", "a", "east"), upstream("u2", "b", "east"), upstream("u3", "c", "west")}
-		tab := table(ups...)
+		sched := table(ups...)
 		now := at(0)
 		grants := []*Grant{}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
 			switch rapid.IntRange(0, 4).Draw(t, "step") {
 			case 0, 1:
-				a := ask(now)
+				a := newRequest(now)
 				a.Object = rapid.SampledFrom([]string{"", "x", "y"}).Draw(t, "object")
 				a.Isolated = rapid.IntRange(0, 4).Draw(t, "alone") == 0
-				if g := try(tab, now, a); g != nil {
+				if g := try(sched, now, a); g != nil {
 					grants = append(grants, g)
 				}
 			case 2:
 				if len(grants) > 0 {
 					i := rapid.IntRange(0, len(grants)-1).Draw(t, "which")
 					r := Result{Duration: 50 * time.Millisecond, Succeeded: rapid.Bool().Draw(t, "good"), Unreachable: rapid.IntRange(0, 5).Draw(t, "broken") == 0}
-					tab.Release(now, grants[i], r)
+					sched.Release(now, grants[i], r)
 					grants = append(grants[:i], grants[i+1:]...)
 				}
 			case 3:
-				tab.Tick(now)
+				sched.Tick(now)
 			case 4:
 				keep := rapid.IntRange(1, 3).Draw(t, "keep")
-				tab.Update(now, view(ups[:keep]...))
+				sched.Update(now, view(ups[:keep]...))
 			}
-			for id, l := range tab.loads {
+			for id, l := range sched.loads {
 				if l.running < 0 || l.running > l.upstream.Slots+uncoordinatedJobLimit || l.queued != 0 {
 					t.Fatalf("%s: %d jobs running on %d slots, %d queued", id, l.running, l.upstream.Slots, l.queued)
 				}
--- a/internal/flow/place/queue.go
+++ b/internal/flow/place/queue.go
@@ -8,7 +8,7 @@
 
 // waiter is a job that waits for a slot.
 type waiter struct {
-	ask    Request
+	req    Request
 	late   bool // The job can no longer meet its objective.
 	seq    uint64
 	target *load // The upstream that the job is queued for.
@@ -16,12 +16,12 @@
 }
 
 // Acquire reserves a slot for a job, waiting for one if necessary; it returns nil if none becomes free in time.
-func (t *Scheduler) Acquire(ctx context.Context, now time.Time, ask Request) *Grant {
+func (t *Scheduler) Acquire(ctx context.Context, now time.Time, req Request) *Grant {
 	t.mu.Lock()
 	t.lastSeq++
-	w := &waiter{ask: ask, seq: t.lastSeq, ready: make(chan *Grant, 1)}
-	if !ask.Isolated {
-		t.recordDemand(now, &ask)
+	w := &waiter{req: req, seq: t.lastSeq, ready: make(chan *Grant, 1)}
+	if !req.Isolated {
+		t.recordDemand(now, &req)
 	}
 	g, until := t.reserve(now, w)
 	if g != nil || !until.After(now) {
@@ -76,8 +76,8 @@
 			return -1
 		case a.late != b.late:
 			return 1
-		case a.ask.Rank != b.ask.Rank:
-			return a.ask.Rank - b.ask.Rank
+		case a.req.Rank != b.req.Rank:
+			return a.req.Rank - b.req.Rank
 		}
 		return int(int64(a.seq) - int64(b.seq))
 	})
@@ -104,7 +104,7 @@
 	})
 	retries := 0
 	t.waiters = slices.DeleteFunc(t.waiters, func(w *waiter) bool {
-		if l.running >= l.limit || w.ask.Service != l.upstream.Service || retries >= maxFreedRetries {
+		if l.running >= l.limit || w.req.Service != l.upstream.Service || retries >= maxFreedRetries {
 			return false
 		}
 		retries++
@@ -114,8 +114,8 @@
 
 // canStart reports whether an upstream can run a job that is queued for it.
 func (t *Scheduler) canStart(now time.Time, l *load, w *waiter) bool {
-	return l.inView && l.running < l.jobLimit(&w.ask, false) && !l.ejected(now) && !l.cold(now) &&
-		float64(w.ask.Deadline.Sub(now)) >= minTimeShare*float64(t.expectedDuration(l, &w.ask))
+	return l.inView && l.running < l.jobLimit(&w.req, false) && !l.ejected(now) && !l.cold(now) &&
+		float64(w.req.Deadline.Sub(now)) >= minTimeShare*float64(t.expectedDuration(l, &w.req))
 }
 
 // deliver grants a waiter a slot of the upstream that it is queued for.
@@ -146,20 +146,20 @@
 // the job may wait and still be answered in time.
 func (t *Scheduler) reserve(now time.Time, w *waiter) (*Grant, time.Time) {
 	w.setTarget(nil)
-	list := t.candidates(now, &w.ask)
+	list := t.candidates(now, &w.req)
 	at := Choose(list)
 	if at < 0 {
-		return nil, now.Add(time.Duration(lateWaitShare / 2 * float64(w.ask.Objective.Sub(now))))
+		return nil, now.Add(time.Duration(lateWaitShare / 2 * float64(w.req.Objective.Sub(now))))
 	}
 	l := list[at].load
 	if l.running < l.limit {
 		return t.grant(now, l, w), now
 	}
 	w.setTarget(l)
-	until := w.ask.Objective.Add(-t.expectedDuration(l, &w.ask))
+	until := w.req.Objective.Add(-t.expectedDuration(l, &w.req))
 	if !until.After(now) {
 		w.late = true
-		until = now.Add(time.Duration(lateWaitShare * float64(w.ask.Deadline.Sub(now))))
+		until = now.Add(time.Duration(lateWaitShare * float64(w.req.Deadline.Sub(now))))
 	}
 	return nil, until
 }
--- a/internal/flow/place/rank.go
+++ b/internal/flow/place/rank.go
@@ -26,9 +26,9 @@
 }
 
 // expectedDuration returns the expected round trip and service time of a job on an upstream, without queueing.
-func (t *Scheduler) expectedDuration(l *load, ask *Request) time.Duration {
+func (t *Scheduler) expectedDuration(l *load, req *Request) time.Duration {
 	w := t.estimate(l.upstream.Service)
-	return t.rtts.expected(&ask.Host, l.upstream) + l.serviceTime(w.expected(w.likelyCached(l.recent, ask.objectHash())))
+	return t.rtts.expected(&req.Host, l.upstream) + l.serviceTime(w.expected(w.likelyCached(l.recent, req.objectHash())))
 }
 
 // serviceTime scales expected work by the upstream's slowdown.
@@ -50,21 +50,21 @@
 
 // candidates returns the upstreams that a job may be sent to, including those without a free slot. The list is valid
 // until the next call.
-func (t *Scheduler) candidates(now time.Time, ask *Request) []Candidate {
-	list := t.loadsByService[ask.Service]
+func (t *Scheduler) candidates(now time.Time, req *Request) []Candidate {
+	list := t.loadsByService[req.Service]
 	out := t.scratch[:0]
-	key, owner := ask.objectHash(), -1
-	failover := t.failover(now, ask, list)
-	paths := t.paths(&ask.Host)
-	w := t.estimate(ask.Service)
+	key, owner := req.objectHash(), -1
+	failover := t.failover(now, req, list)
+	paths := t.paths(&req.Host)
+	w := t.estimate(req.Service)
 	hitWork, missWork, meanWork := w.expected(true), w.expected(false), w.mean()
-	remaining := ask.Deadline.Sub(now)
+	remaining := req.Deadline.Sub(now)
 	for _, l := range list {
-		if l.limit = l.jobLimit(ask, failover); !t.eligible(now, l, ask) {
+		if l.limit = l.jobLimit(req, failover); !t.eligible(now, l, req) {
 			continue
 		}
 		c := Candidate{Upstream: l.upstream, Free: l.limit - l.running, load: l}
-		c.Warming = l.cold(now) && now.Sub(l.lastWarmup) > warmupInterval && ask.Rank > 0
+		c.Warming = l.cold(now) && now.Sub(l.lastWarmup) > warmupInterval && req.Rank > 0
 		service := l.serviceTime(missWork)
 		if w.likelyCached(l.recent, key) {
 			service = l.serviceTime(hitWork)
@@ -87,16 +87,16 @@
 		out[owner].Cost -= l.serviceTime(w.ownerDiscount(l.recent, key))
 	}
 	t.scratch = out
-	mayStay, mayLeave := t.limiter(ask.Service).allowed(now, t.maxShift)
+	mayStay, mayLeave := t.limiter(req.Service).allowed(now, t.maxShift)
 	return restrict(out, paths, mayStay, mayLeave)
 }
 
 // eligible reports whether a job may be sent to an upstream once it has a free slot.
-func (t *Scheduler) eligible(now time.Time, l *load, ask *Request) bool {
-	if l.limit == 0 || l.ejected(now) || !ask.allows(l.upstream.Region) || slices.Contains(ask.Tried, l.upstream.ID) {
+func (t *Scheduler) eligible(now time.Time, l *load, req *Request) bool {
+	if l.limit == 0 || l.ejected(now) || !req.allows(l.upstream.Region) || slices.Contains(req.Tried, l.upstream.ID) {
 		return false
 	}
-	return !l.cold(now) || !ask.Isolated && t.canWarm(now, l)
+	return !l.cold(now) || !req.Isolated && t.canWarm(now, l)
 }
 
 // minTimeShare is the share of a job's expected duration that must remain before its deadline for the job to start. It
@@ -107,9 +107,9 @@
 const uncoordinatedJobLimit = 1
 
 // jobLimit returns how many jobs may run on an upstream: all of its slots if this region uses it.
-func (l *load) jobLimit(ask *Request, failover bool) int {
+func (l *load) jobLimit(req *Request, failover bool) int {
 	switch {
-	case l.assigned && !ask.Isolated:
+	case l.assigned && !req.Isolated:
 		return l.upstream.Slots
 	case l.assigned || failover:
 		return uncoordinatedJobLimit
@@ -119,9 +119,9 @@
 
 // failover reports whether this region can use none of its upstreams, so that its jobs may run on those of other
 // regions.
-func (t *Scheduler) failover(now time.Time, ask *Request, list []*load) bool {
+func (t *Scheduler) failover(now time.Time, req *Request, list []*load) bool {
 	for _, l := range list {
-		if l.assigned && !l.ejected(now) && !l.cold(now) && ask.allows(l.upstream.Region) {
+		if l.assigned && !l.ejected(now) && !l.cold(now) && req.allows(l.upstream.Region) {
 			return false
 		}
 	}
--- a/internal/flow/place/shift_test.go
+++ b/internal/flow/place/shift_test.go
@@ -11,7 +11,7 @@
 // remoteJobs places a region's jobs for a while and returns the number of all jobs and of those that left the region,
 // per 100 ms. The first job of an object takes longer on each upstream, and jobs in other regions take a round trip
 // longer.
-func remoteJobs(tab *Scheduler, until time.Duration) map[time.Duration][2]int {
+func remoteJobs(sched *Scheduler, until time.Duration) map[time.Duration][2]int {
 	type running struct {
 		g           *Grant
 		began, ends time.Duration
@@ -23,15 +23,15 @@
 		unfinished := active[:0]
 		for _, r := range active {
 			if r.ends <= d {
-				tab.Release(at(d), r.g, good(r.ends-r.began))
+				sched.Release(at(d), r.g, good(r.ends-r.began))
 				continue
 			}
 			unfinished = append(unfinished, r)
 		}
 		active = unfinished
-		a := ask(at(d))
+		a := newRequest(at(d))
 		a.Object = fmt.Sprint(int(d/(4*time.Millisecond)) * 7 % 120)
-		g := try(tab, at(d), a)
+		g := try(sched, at(d), a)
 		if g == nil {
 			continue
 		}
@@ -88,10 +88,10 @@
 	for _, id := range remoteIDs {
 		v.Loans[id] = "east"
 	}
-	tab := NewScheduler()
-	tab.SetMaxShift(0.15)
-	tab.Update(at(0), v)
-	parts := remoteJobs(tab, 8*time.Second)
+	sched := NewScheduler()
+	sched.SetMaxShift(0.15)
+	sched.Update(at(0), v)
+	parts := remoteJobs(sched, 8*time.Second)
 	moved := maxShift(parts, 0, 8*time.Second)
 	assert.Assert(t, moved <= 0.15, "the share of jobs that left the region changed by %.2f", moved)
 }
--- a/internal/flow/place/table.go
+++ b/internal/flow/place/table.go
@@ -178,19 +178,19 @@
 		l.tokens--
 		l.lastWarmup = now
 	}
-	u, ask := l.upstream, &w.ask
+	u, req := l.upstream, &w.req
 	t.limiter(u.Service).record(now, u.Region != t.view.Self.Region)
 	g := &Grant{
-		ID: w.seq, Upstream: u, host: ask.Host.Name, fromDomain: ask.Host.Domain, expires: ask.Deadline.Add(grantGracePeriod),
-		rtt: t.rtts.expected(&ask.Host, u),
+		ID: w.seq, Upstream: u, host: req.Host.Name, fromDomain: req.Host.Domain, expires: req.Deadline.Add(grantGracePeriod),
+		rtt: t.rtts.expected(&req.Host, u),
 	}
 	estimate := t.estimate(u.Service)
-	g.reuseDistance, g.reused = l.recent.reuseDistance(ask.objectHash())
-	g.expectHit = estimate.likelyCached(l.recent, ask.objectHash())
+	g.reuseDistance, g.reused = l.recent.reuseDistance(req.objectHash())
+	g.expectHit = estimate.likelyCached(l.recent, req.objectHash())
 	if estimate.hasSamples(g.expectHit) {
 		g.expectedWork = estimate.expected(g.expectHit)
 	}
-	l.recent = l.recent.add(ask.objectHash())
+	l.recent = l.recent.add(req.objectHash())
 	t.grants[g.ID] = g
 	return g
 }
--- a/internal/host/steer/hops.go
+++ b/internal/host/steer/hops.go
@@ -16,13 +16,13 @@
 type hopTracer struct{ host *Host }
 
 // Acquire requests an upstream within a span.
-func (h *hopTracer) Acquire(ctx context.Context, now time.Time, ask place.Request) *place.Grant {
+func (h *hopTracer) Acquire(ctx context.Context, now time.Time, req place.Request) *place.Grant {
 	if h.host.Tracer == nil {
-		return h.host.placer.Acquire(ctx, now, ask)
+		return h.host.placer.Acquire(ctx, now, req)
 	}
-	carrier, end := trace.StartFromCarrier(ctx, h.host.Tracer, "ask", ask.Trace, attribute.String("boragelane.service", ask.Service))
-	ask.Trace = carrier
-	g := h.host.placer.Acquire(ctx, now, ask)
+	carrier, end := trace.StartFromCarrier(ctx, h.host.Tracer, "ask", req.Trace, attribute.String("boragelane.service", req.Service))
+	req.Trace = carrier
+	g := h.host.placer.Acquire(ctx, now, req)
 	end(grantAttributes(g)...)
 	return g
 }
@@ -51,13 +51,13 @@
 type placeTracer struct{ host *Host }
 
 // Acquire places a job within a span.
-func (p *placeTracer) Acquire(ctx context.Context, now time.Time, ask place.Request) *place.Grant {
+func (p *placeTracer) Acquire(ctx context.Context, now time.Time, req place.Request) *place.Grant {
 	if p.host.Tracer == nil {
-		return p.host.table.Acquire(ctx, now, ask)
+		return p.host.scheduler.Acquire(ctx, now, req)
 	}
-	_, end := trace.StartFromCarrier(ctx, p.host.Tracer, "place", ask.Trace,
-		attribute.String("boragelane.service", ask.Service), attribute.String("boragelane.host", ask.Host.Name))
-	g := p.host.table.Acquire(ctx, now, ask)
+	_, end := trace.StartFromCarrier(ctx, p.host.Tracer, "place", req.Trace,
+		attribute.String("boragelane.service", req.Service), attribute.String("boragelane.host", req.Host.Name))
+	g := p.host.scheduler.Acquire(ctx, now, req)
 	end(grantAttributes(g)...)
 	return g
 }
--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -62,24 +62,24 @@
 	Tracer   otel.Tracer // Records a span for each hop of a job; nil disables tracing.
 	Done     chan struct{}
 
-	front        Frontend
-	store        Store
-	loop         *watch.Loop
-	reader       *watch.Reader
-	keeper       *lease.Keeper
-	table        *place.Scheduler
-	sender       *dialer.Sender
-	budget       *serve.Budget
-	crashes      *poison.Table
-	filters      pipe.Pipeline
-	server       *httpd.Server
-	stopping     atomic.Bool
-	crashReports chan roster.Crash
-	asker        *broker.LoanPoller
-	placer       *broker.Placer
-	relay        *broker.UpdateFetcher
-	broker       *broker.Server
-	stopGrace    atomic.Int64 // A time.Duration in nanoseconds.
+	front         Frontend
+	store         Store
+	loop          *watch.Loop
+	reader        *watch.Reader
+	keeper        *lease.Keeper
+	scheduler     *place.Scheduler
+	sender        *dialer.Sender
+	budget        *serve.Budget
+	crashes       *poison.Table
+	filters       pipe.Pipeline
+	server        *httpd.Server
+	stopping      atomic.Bool
+	crashReports  chan roster.Crash
+	loanPoller    *broker.LoanPoller
+	placer        *broker.Placer
+	updateFetcher *broker.UpdateFetcher
+	broker        *broker.Server
+	stopGrace     atomic.Int64 // A time.Duration in nanoseconds.
 }
 
 // New returns a host; Run starts it.
@@ -87,17 +87,17 @@
 	s.Host.Incarnation = newID()
 	h := &Host{
 		Settings: s, Clock: clock, Log: log, Metrics: metrics, Done: make(chan struct{}), front: front, store: store,
-		table: place.NewScheduler(), sender: dialer.New(names, clock), budget: serve.NewBudget(s.Retry),
+		scheduler: place.NewScheduler(), sender: dialer.New(names, clock), budget: serve.NewBudget(s.Retry),
 		crashes: &poison.Table{}, crashReports: make(chan roster.Crash, crashReportBuffer),
 	}
-	h.table.SetMaxShift(s.MaxShift)
+	h.scheduler.SetMaxShift(s.MaxShift)
 	events := &eventLog{log: log, metrics: h.Metrics}
 	h.loop = watch.NewLoop(s.Host, clock, events)
-	h.loop.Subscribers = []watch.Subscriber{h.table, &crashReceiver{crashes: h.crashes}}
-	h.relay = broker.NewUpdateFetcher(clock)
-	h.reader = &watch.Reader{Source: store, Peers: h.relay, Loop: h.loop, Clock: clock, Done: make(chan struct{})}
+	h.loop.Subscribers = []watch.Subscriber{h.scheduler, &crashReceiver{crashes: h.crashes}}
+	h.updateFetcher = broker.NewUpdateFetcher(clock)
+	h.reader = &watch.Reader{Source: store, Peers: h.updateFetcher, Loop: h.loop, Clock: clock, Done: make(chan struct{})}
 	h.keeper = &lease.Keeper{Registry: store, Observer: events, Host: s.Host, Clock: clock, Listed: h.isRegistered, Done: make(chan struct{})}
-	h.placer = broker.NewPlacer(h.table, h.loop.View, clock, events.logPlacingFailure)
+	h.placer = broker.NewPlacer(h.scheduler, h.loop.View, clock, events.logPlacingFailure)
 	h.placer.Admit = &placeTracer{host: h}
 	h.filters = pipe.Pipeline{Clock: clock, Filters: []pipe.Filter{
 		match.New(),
@@ -105,9 +105,9 @@
 		&serve.Pipe{Placer: &hopTracer{host: h}, Sender: &hopTracer{host: h}, Budget: h.budget, Recorder: events, Clock: clock},
 	}}
 	h.server = httpd.New(h, h.requestBounds, clock)
-	h.broker = &broker.Server{Planner: h.loop, Updates: h.loop, Admit: &placeTracer{host: h}, Table: h.table, Clock: clock, Done: make(chan struct{})}
-	h.asker = &broker.LoanPoller{
-		Demand: h.table, Local: h.loop, View: h.loop.View, OnError: events.logLoanFailure, Clock: clock, Done: make(chan struct{}),
+	h.broker = &broker.Server{Planner: h.loop, Updates: h.loop, Admit: &placeTracer{host: h}, Table: h.scheduler, Clock: clock, Done: make(chan struct{})}
+	h.loanPoller = &broker.LoanPoller{
+		Demand: h.scheduler, Local: h.loop, View: h.loop.View, OnError: events.logLoanFailure, Clock: clock, Done: make(chan struct{}),
 		OnLoans: func(l loans.Loans) { h.loop.Send(context.Background(), watch.LoansReceived{Loans: l}) },
 	}
 	h.stopGrace.Store(int64(s.Grace))
@@ -201,7 +201,7 @@
 	go h.sweep(runCtx)
 	go h.reportCrashes(runCtx)
 	go h.broker.Serve(runCtx, peers)
-	go h.asker.Run(memberCtx)
+	go h.loanPoller.Run(memberCtx)
 	go h.watchSettings(runCtx, hangup)
 	go h.server.Serve(runCtx, front)
 	h.Log.Info("started", zap.String("host", h.Settings.Host.Name), zap.String("domain", h.Settings.Host.Domain),
@@ -260,7 +260,7 @@
 			return
 		case <-t.C:
 			now := h.Clock()
-			h.table.Tick(now)
+			h.scheduler.Tick(now)
 			h.sender.CloseExpired(now)
 		}
 	}
