--- a/internal/ctrl/watch/fold.go
+++ b/internal/ctrl/watch/fold.go
@@ -37,14 +37,14 @@
 
 // Apply updates the state with an event and returns the changes to log.
 func Apply(s *State, ev Event, now time.Time) []StateChange {
-	var notes []StateChange
+	var stateChanges []StateChange
 	switch ev := ev.(type) {
 	case StoreRead:
-		notes = s.applyBatch(ev.Batch, now)
+		stateChanges = s.applyBatch(ev.Batch, now)
 	case StoreFailed:
 		if !s.disconnected {
 			s.disconnected = true
-			notes = append(notes, StateChange{Message: "store lost", Err: ev.Err})
+			stateChanges = append(stateChanges, StateChange{Message: "store lost", Err: ev.Err})
 		}
 	case ShutdownRequested:
 		s.leaving = true
@@ -55,15 +55,15 @@
 	case LoansReceived:
 		s.active, s.activeAt = ev.Loans, now
 	}
-	return append(notes, s.expire(now)...)
+	return append(stateChanges, s.expire(now)...)
 }
 
 // applyBatch applies the changes of a store read and records the effective ones for followers.
 func (s *State) applyBatch(b roster.Batch, now time.Time) []StateChange {
-	var notes []StateChange
+	var stateChanges []StateChange
 	if s.disconnected || now.Sub(s.lastSync) > outageThreshold && !s.lastSync.IsZero() {
 		s.recoveredAt = now
-		notes = append(notes, StateChange{Message: "store regained", Revision: b.Revision})
+		stateChanges = append(stateChanges, StateChange{Message: "store regained", Revision: b.Revision})
 	}
 	s.disconnected, s.lastSync = false, now.Add(-b.Age)
 	s.revision = max(s.revision, b.Revision)
@@ -75,10 +75,10 @@
 		if n := s.applyChange(&b.Changes[i], now); n.Message != "" {
 			s.recordChange(&b.Changes[i])
 			n.Name, n.Revision, n.Err = b.Changes[i].Name, b.Changes[i].Revision, b.Changes[i].Err
-			notes = append(notes, n)
+			stateChanges = append(stateChanges, n)
 		}
 	}
-	return notes
+	return stateChanges
 }
 
 // removals returns a removal for each known entry that a full read of the store no longer contains.
@@ -256,7 +256,7 @@
 // expire removes entries whose grace period has ended, and tombstones older than tombstoneTTL. Grace periods don't end
 // while the store is unavailable.
 func (s *State) expire(now time.Time) []StateChange {
-	var notes []StateChange
+	var stateChanges []StateChange
 	for key, until := range s.graceUntil {
 		if now.Before(until) || s.disconnected {
 			continue
@@ -266,7 +266,7 @@
 			if name, ok := cutKindPrefix(key, k); ok {
 				n := s.deleteEntry(k, name, now)
 				n.Name = name
-				notes = append(notes, n)
+				stateChanges = append(stateChanges, n)
 			}
 		}
 	}
@@ -275,7 +275,7 @@
 			delete(s.tombstones, name)
 		}
 	}
-	return notes
+	return stateChanges
 }
 
 // cutKindPrefix returns the name in a key made of kind and name, and whether the key is of that kind.
--- a/internal/ctrl/watch/loop.go
+++ b/internal/ctrl/watch/loop.go
@@ -79,11 +79,11 @@
 // apply applies an event, reports the changes to the observer and publishes a new view if it may have changed.
 func (l *Loop) apply(ev Event) {
 	now := l.Clock()
-	notes := Apply(l.state, ev, now)
-	for _, n := range notes {
+	stateChanges := Apply(l.state, ev, now)
+	for _, n := range stateChanges {
 		l.Observer.StateChanged(now, n)
 	}
-	if len(notes) == 0 && !affectsView(ev) {
+	if len(stateChanges) == 0 && !affectsView(ev) {
 		return
 	}
 	v := l.state.View(now)
