--- a/internal/core/rendez/rendez.go
+++ b/internal/core/rendez/rendez.go
@@ -40,7 +40,8 @@
 	return -s.Weight / math.Log(u)
 }
 
-// UnweightedScore returns a site's score among sites of equal weight; it orders them as Score does but needs no logarithm.
+// UnweightedScore returns a site's score among sites of equal weight; it orders them as Score does but needs no
+// logarithm.
 func UnweightedScore(key, site uint64) uint64 { return mixHashes(key, site) >> 11 }
 
 // maxWinners is the most sites that Top returns.
--- a/internal/core/share/lease.go
+++ b/internal/core/share/lease.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// ClockDriftMargin is subtracted from the end of each lease and loan because the clocks of two hosts run at different rates.
+// ClockDriftMargin is subtracted from the end of each lease and loan because the clocks of two hosts run at different
+// rates.
 const ClockDriftMargin = 200 * time.Millisecond
 
 // Lease is a right that expires; the holder counts its duration from before it sent the request.
--- a/internal/ctrl/state/fleet_test.go
+++ b/internal/ctrl/state/fleet_test.go
@@ -129,7 +129,7 @@
 			}
 		}
 	case RequestLease:
-		f.askLease(h, a.Domain)
+		f.requestLease(h, a.Domain)
 	case ReleaseLease:
 		f.releaseLease(h, a.Domain)
 	case SetRelay:
@@ -189,8 +189,8 @@
 	})
 }
 
-// askLease simulates the platform's leases and the host's client of them, with one session per lease.
-func (f *fleet) askLease(h *fakeHost, domain string) {
+// requestLease simulates the platform's leases and the host's client of them, with one session per lease.
+func (f *fleet) requestLease(h *fakeHost, domain string) {
 	requestedAt := f.now
 	f.leaseRequests[h.state.Self.Seat]++
 	if f.platformDown || h.isolated {
--- a/internal/ctrl/state/state.go
+++ b/internal/ctrl/state/state.go
@@ -21,8 +21,8 @@
 	FetchTimeout = 2 * time.Second
 )
 
-// SummaryRefreshPeriod returns how often a failure domain publishes its unchanged summary. It grows with the number of domains, so
-// that the control traffic of each host does not.
+// SummaryRefreshPeriod returns how often a failure domain publishes its unchanged summary. It grows with the number of
+// domains, so that the control traffic of each host does not.
 func SummaryRefreshPeriod(domains int) time.Duration {
 	return max(2*time.Second, time.Duration(domains)*600*time.Millisecond)
 }
--- a/internal/ctrl/watch/loop.go
+++ b/internal/ctrl/watch/loop.go
@@ -102,7 +102,8 @@
 	return true
 }
 
-// RequestLoans submits a region's demand and returns the planned loans; it returns false if the context or the loop ended first.
+// RequestLoans submits a region's demand and returns the planned loans; it returns false if the context or the loop
+// ended first.
 func (l *Loop) RequestLoans(ctx context.Context, a loans.Request) (loans.Loans, bool) {
 	reply := make(chan loans.Loans, 1)
 	if !l.Send(ctx, LoanRequest{Request: a, Reply: reply}) {
--- a/internal/edge/broker/asker.go
+++ b/internal/edge/broker/asker.go
@@ -96,7 +96,7 @@
 	clock func() time.Time
 }
 
-// NewUpdateFetcher returns a relay; connections are opened on demand.
+// NewUpdateFetcher returns an update fetcher; connections are opened on demand.
 func NewUpdateFetcher(clock func() time.Time) *UpdateFetcher {
 	return &UpdateFetcher{peers: newPeerPool(clock), clock: clock}
 }
--- a/internal/edge/peer/size.go
+++ b/internal/edge/peer/size.go
@@ -8,7 +8,8 @@
 	"github.com/boragelane/boragelane/internal/ctrl/state"
 )
 
-// ControlMessageSize returns the encoded size of a control message in bytes, including its frame header and JSON-RPC envelope.
+// ControlMessageSize returns the encoded size of a control message in bytes, including its frame header and JSON-RPC
+// envelope.
 func ControlMessageSize(message any) int64 {
 	var m Meter
 	req := jsonrpc2.Request{Method: methodHeartbeat, ID: jsonrpc2.ID{Num: 1_000_000}}
--- a/internal/edge/store/store.go
+++ b/internal/edge/store/store.go
@@ -92,7 +92,8 @@
 	return n
 }
 
-// CompareAndSwap writes a key if its index still equals at, where 0 stands for a missing key; it reports whether it did.
+// CompareAndSwap writes a key if its index still equals at, where 0 stands for a missing key; it reports whether it
+// did.
 func (c *Client) CompareAndSwap(ctx context.Context, key string, data []byte, at uint64) (bool, error) {
 	q := url.Values{"cas": {strconv.FormatUint(at, 10)}}
 	return c.putBool(ctx, "/v1/kv/"+key, q, data)
--- a/internal/host/entry/roles.go
+++ b/internal/host/entry/roles.go
@@ -143,8 +143,8 @@
 // notifyTimeout limits how long a caller's answer is delayed while other hosts are notified of a crash.
 const notifyTimeout = 200 * time.Millisecond
 
-// NotifyCrash notifies the hosts of this failure domain, and one host of each other domain, which notifies the rest of its
-// domain.
+// NotifyCrash notifies the hosts of this failure domain, and one host of each other domain, which notifies the rest of
+// its domain.
 func (n *crashNotifier) NotifyCrash(_ time.Time, c poison.Crash) {
 	var wg sync.WaitGroup
 	wg.Go(func() { n.notifyDomain(c) })
--- a/internal/host/trace/trace.go
+++ b/internal/host/trace/trace.go
@@ -71,8 +71,8 @@
 	end()
 }
 
-// StartFromCarrier starts a span as a child of the span in the parent carrier. It returns the carrier to propagate downstream, and a
-// function that adds attributes and ends the span.
+// StartFromCarrier starts a span as a child of the span in the parent carrier. It returns the carrier to propagate
+// downstream, and a function that adds attributes and ends the span.
 func StartFromCarrier(ctx context.Context, tracer otel.Tracer, name string, parent map[string]string, attrs ...attribute.KeyValue) (map[string]string, func(attrs ...attribute.KeyValue)) {
 	ctx = propagation.TraceContext{}.Extract(ctx, propagation.MapCarrier(parent))
 	ctx, span := tracer.Start(ctx, name, otel.WithAttributes(attrs...))
--- a/internal/stand/upstr/gauge.go
+++ b/internal/stand/upstr/gauge.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// ConcurrencyGauge measures how many jobs several upstreams ran at once, without canceled jobs: an upstream notices a cancellation
-// later than the host that sent the job.
+// ConcurrencyGauge measures how many jobs several upstreams ran at once, without canceled jobs: an upstream notices a
+// cancellation later than the host that sent the job.
 type ConcurrencyGauge struct {
 	mu          sync.Mutex
 	transitions []transition
