--- a/internal/ctrl/state/state.go
+++ b/internal/ctrl/state/state.go
@@ -21,9 +21,9 @@
 	FetchTimeout = 2 * time.Second
 )
 
-// Refresh returns how often a failure domain publishes its unchanged summary. It grows with the number of domains, so
-// that the control traffic of each host does not.
-func Refresh(domains int) time.Duration {
+// SummaryRefreshPeriod returns how often a failure domain publishes its unchanged summary. It grows with the number of
+// domains, so that the control traffic of each host does not.
+func SummaryRefreshPeriod(domains int) time.Duration {
 	return max(2*time.Second, time.Duration(domains)*600*time.Millisecond)
 }
 
@@ -41,21 +41,23 @@
 	return max(time.Second, time.Duration(hosts)*250*time.Millisecond)
 }
 
-// Term returns the duration of a grant, which survives the loss of two heartbeats.
-func Term(hosts int) time.Duration { return max(share.Term, 2*HeartbeatPeriod(hosts)+time.Second) }
+// LoanTTL returns the duration of a grant, which survives the loss of two heartbeats.
+func LoanTTL(hosts int) time.Duration {
+	return max(share.DefaultLoanTTL, 2*HeartbeatPeriod(hosts)+time.Second)
+}
 
-// LeaseLife returns the duration of the lender's lease. After the loss of two renewals it still covers a whole grant.
-func LeaseLife(hosts int) time.Duration { return max(10*time.Second, 2*Term(hosts)) }
+// LeaseTTL returns the duration of the lender's lease. After the loss of two renewals it still covers a whole grant.
+func LeaseTTL(hosts int) time.Duration { return max(10*time.Second, 2*LoanTTL(hosts)) }
 
-// LeasePeriod returns how often a lender renews its lease.
-func LeasePeriod(hosts int) time.Duration { return LeaseLife(hosts) / 4 }
+// LeaseRenewalPeriod returns how often a lender renews its lease.
+func LeaseRenewalPeriod(hosts int) time.Duration { return LeaseTTL(hosts) / 4 }
 
 // SeatTimeout returns how long a host of the same failure domain counts as alive without a heartbeat or a reply.
 func SeatTimeout(hosts int) time.Duration { return 3 * HeartbeatPeriod(hosts) }
 
 // State is the control state of one entry host. Only events modify it.
 type State struct {
-	Self    plan.Self
+	Self    plan.Identity
 	Doc     *spec.Document
 	Leaving bool
 
@@ -149,7 +151,7 @@
 }
 
 // New returns the initial state of a host.
-func New(self plan.Self) *State {
+func New(self plan.Identity) *State {
 	return &State{
 		Self:         self,
 		Hosts:        map[string]HostRecord{},
@@ -185,7 +187,7 @@
 	linkDelays map[string]time.Duration
 }
 
-func newDocumentIndex(doc *spec.Document, self plan.Self) *documentIndex {
+func newDocumentIndex(doc *spec.Document, self plan.Identity) *documentIndex {
 	ix := &documentIndex{seats: map[string]spec.Seat{}, selfIndex: -1, linkDelays: map[string]time.Duration{}}
 	for _, r := range doc.Regions {
 		for _, d := range r.Domains {
@@ -212,7 +214,7 @@
 	return ix
 }
 
-// domainSeats returns the domainSeats of this host's failure domain.
+// domainSeats returns the seats of this host's failure domain.
 func (s *State) domainSeats() []spec.Seat {
 	if s.Doc == nil || s.index.selfIndex < 0 {
 		return nil
--- a/internal/ctrl/state/takeover.go
+++ b/internal/ctrl/state/takeover.go
@@ -22,7 +22,7 @@
 // that are no longer needed.
 func (s *State) requestTakeovers(now time.Time) []Action {
 	acts := s.endTakeovers(now)
-	if !s.Lease.Held(now) {
+	if !s.Lease.Valid(now) {
 		return acts
 	}
 	for _, d := range s.index.siblings {
@@ -30,12 +30,12 @@
 		switch {
 		case !ok && s.isSilent(d.Name, now) && s.isFirstLiveDomain(d.Name, now):
 			takeover.FirstRequestedAt = now
-		case !ok || !takeover.EndedAt.IsZero() || now.Sub(takeover.LastRequestedAt) < LeasePeriod(len(s.domainSeats())):
+		case !ok || !takeover.EndedAt.IsZero() || now.Sub(takeover.LastRequestedAt) < LeaseRenewalPeriod(len(s.domainSeats())):
 			continue
 		}
 		takeover.LastRequestedAt = now
 		s.Takeovers[d.Name] = takeover
-		acts = append(acts, AskLease{Domain: d.Name, Life: LeaseLife(len(s.domainSeats()))})
+		acts = append(acts, RequestLease{Domain: d.Name, TTL: LeaseTTL(len(s.domainSeats()))})
 	}
 	return acts
 }
@@ -46,9 +46,9 @@
 	var acts []Action
 	for name, takeover := range s.Takeovers {
 		switch {
-		case takeover.EndedAt.IsZero() && (!s.Lease.Held(now) || !s.isSibling(name) || !s.isSilent(name, now)):
+		case takeover.EndedAt.IsZero() && (!s.Lease.Valid(now) || !s.isSibling(name) || !s.isSilent(name, now)):
 			s.endTakeover(name, now)
-		case !takeover.EndedAt.IsZero() && now.Sub(takeover.EndedAt) > s.Ledger.Term+share.Margin:
+		case !takeover.EndedAt.IsZero() && now.Sub(takeover.EndedAt) > s.Ledger.LoanTTL+share.ClockDriftMargin:
 			delete(s.Takeovers, name)
 			acts = append(acts, ReleaseLease{Domain: name})
 		}
@@ -64,16 +64,16 @@
 }
 
 // handleTakeoverLeaseResult records the result of a request for another failure domain's lease.
-func (s *State) handleTakeoverLeaseResult(e LeaseOut, now time.Time) []Action {
+func (s *State) handleTakeoverLeaseResult(e LeaseResult, now time.Time) []Action {
 	takeover, ok := s.Takeovers[e.Domain]
 	switch {
 	case !ok && e.Held:
 		return []Action{ReleaseLease{Domain: e.Domain}}
-	case !ok || e.Err != nil || e.Asked.Before(takeover.FirstRequestedAt) || !takeover.EndedAt.IsZero():
+	case !ok || e.Err != nil || e.RequestedAt.Before(takeover.FirstRequestedAt) || !takeover.EndedAt.IsZero():
 	case !e.Held:
 		s.endTakeover(e.Domain, now)
 	default:
-		takeover.Lease = share.Lease{Until: e.Asked.Add(e.Life)}
+		takeover.Lease = share.Lease{Until: e.RequestedAt.Add(e.TTL)}
 		s.Takeovers[e.Domain] = takeover
 		s.updateLedgerPools(now)
 	}
@@ -111,7 +111,7 @@
 // isLending reports whether a silent domain's pools are being lent. With too little time left on its lease they are not,
 // since new loans, which must end within every lease, would become too short.
 func (s *State) isLending(t Takeover, now time.Time) bool {
-	return t.EndedAt.IsZero() && t.Lease.Left(now) > 2*HeartbeatPeriod(len(s.domainSeats()))
+	return t.EndedAt.IsZero() && t.Lease.Remaining(now) > 2*HeartbeatPeriod(len(s.domainSeats()))
 }
 
 // lendingLease returns the lease that bounds new loans: the one that expires first.
@@ -142,7 +142,7 @@
 		}
 	}
 	s.Ledger.SetPools(pools)
-	s.Ledger.Term = Term(len(s.domainSeats()))
+	s.Ledger.LoanTTL = LoanTTL(len(s.domainSeats()))
 }
 
 // isPool reports whether an allocation is a pool rather than a share of this host.
--- a/internal/ctrl/state/takeover_test.go
+++ b/internal/ctrl/state/takeover_test.go
@@ -70,12 +70,12 @@
 	}
 	lender := f.hosts[0].state
 	taken, ok := lender.Takeovers["d1"]
-	assert.Assert(t, ok && taken.Lease.Held(f.now))
+	assert.Assert(t, ok && taken.Lease.Valid(f.now))
 	taken.Lease.Until = f.now.Add(3 * time.Second) // As if only the lender's own lease could be renewed.
 	lender.Takeovers["d1"] = taken
 	reply := make(chan HeartbeatReply, 1)
-	Fold(lender, HeartbeatIn{Heartbeat: Heartbeat{Seat: "d0-1"}, Reply: reply}, f.now)
+	Apply(lender, HeartbeatReceived{Heartbeat: Heartbeat{Seat: "d0-1"}, Reply: reply}, f.now)
 	r := <-reply
-	assert.Assert(t, r.Left < 3*time.Second, "lent for %s", r.Left)
+	assert.Assert(t, r.TTL < 3*time.Second, "lent for %s", r.TTL)
 	assert.Equal(t, r.Units[resourceLinkPrefix+"q"], int64(300), "half of both pools")
 }
--- a/internal/ctrl/watch/loop.go
+++ b/internal/ctrl/watch/loop.go
@@ -6,17 +6,17 @@
 	"time"
 
 	"github.com/boragelane/boragelane/internal/core/roster"
-	"github.com/boragelane/boragelane/internal/ctrl/deal"
+	"github.com/boragelane/boragelane/internal/ctrl/loans"
 )
 
-// Follower is updated with each new view before the view is published.
-type Follower interface {
+// Subscriber is updated with each new view before the view is published.
+type Subscriber interface {
 	Update(now time.Time, v *roster.View)
 }
 
 // Observer is told of each change of the state, for logs and metrics.
 type Observer interface {
-	Believe(now time.Time, n Note)
+	StateChanged(now time.Time, n StateChange)
 }
 
 const (
@@ -28,10 +28,10 @@
 
 // Loop owns the control state; only its goroutine accesses it.
 type Loop struct {
-	Clock     func() time.Time
-	Followers []Follower
-	Observer  Observer
-	Done      chan struct{}
+	Clock       func() time.Time
+	Subscribers []Subscriber
+	Observer    Observer
+	Done        chan struct{}
 
 	state  *State
 	events chan Event
@@ -79,21 +79,21 @@
 // apply applies an event, reports the changes to the observer and publishes a new view if it may have changed.
 func (l *Loop) apply(ev Event) {
 	now := l.Clock()
-	notes := Apply(l.state, ev, now)
-	for _, n := range notes {
-		l.Observer.Believe(now, n)
+	stateChanges := Apply(l.state, ev, now)
+	for _, n := range stateChanges {
+		l.Observer.StateChanged(now, n)
 	}
-	if len(notes) == 0 && !affectsView(ev) {
+	if len(stateChanges) == 0 && !affectsView(ev) {
 		return
 	}
 	v := l.state.View(now)
-	for _, f := range l.Followers {
+	for _, f := range l.Subscribers {
 		f.Update(now, v)
 	}
 	l.view.Store(v)
 }
 
-// affectsView reports whether an event can change the view without producing a note.
+// affectsView reports whether an event can change the view without producing a StateChange.
 func affectsView(ev Event) bool {
 	switch ev.(type) {
 	case Tick, LoanRequest, UpdatesRequest:
@@ -102,9 +102,10 @@
 	return true
 }
 
-// Ask submits a region's demand and returns the planned loans; it returns false if the context or the loop ended first.
-func (l *Loop) Ask(ctx context.Context, a deal.Ask) (deal.Loans, bool) {
-	reply := make(chan deal.Loans, 1)
+// RequestLoans submits a region's demand and returns the planned loans; it returns false if the context or the loop
+// ended first.
+func (l *Loop) RequestLoans(ctx context.Context, a loans.Request) (loans.Loans, bool) {
+	reply := make(chan loans.Loans, 1)
 	if !l.Send(ctx, LoanRequest{Request: a, Reply: reply}) {
 		return nil, false
 	}
@@ -117,11 +118,11 @@
 	return nil, false
 }
 
-// News returns the store changes after a revision; it returns false if the context or the loop ended first.
-func (l *Loop) News(ctx context.Context, after int64) (News, bool) {
-	reply := make(chan News, 1)
+// Updates returns the store changes after a revision; it returns false if the context or the loop ended first.
+func (l *Loop) Updates(ctx context.Context, after int64) (Updates, bool) {
+	reply := make(chan Updates, 1)
 	if !l.Send(ctx, UpdatesRequest{After: after, Reply: reply}) {
-		return News{}, false
+		return Updates{}, false
 	}
 	select {
 	case n := <-reply:
@@ -129,5 +130,5 @@
 	case <-ctx.Done():
 	case <-l.Done:
 	}
-	return News{}, false
+	return Updates{}, false
 }
--- a/internal/edge/broker/broker_test.go
+++ b/internal/edge/broker/broker_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/boragelane/boragelane/internal/core/policy"
 	"github.com/boragelane/boragelane/internal/core/roster"
-	"github.com/boragelane/boragelane/internal/ctrl/deal"
+	"github.com/boragelane/boragelane/internal/ctrl/loans"
 	"github.com/boragelane/boragelane/internal/ctrl/watch"
 	"github.com/boragelane/boragelane/internal/flow/place"
 )
@@ -19,20 +19,20 @@
 // fakeControl is a LoanPlanner and an UpdateSource with fixed answers.
 type fakeControl struct{ loanRequests atomic.Int64 }
 
-func (c *fakeControl) Ask(_ context.Context, a deal.Ask) (deal.Loans, bool) {
+func (c *fakeControl) RequestLoans(_ context.Context, a loans.Request) (loans.Loans, bool) {
 	c.loanRequests.Add(1)
-	return deal.Loans{"u1": a.Region}, true
+	return loans.Loans{"u1": a.Region}, true
 }
 
-func (c *fakeControl) News(_ context.Context, after int64) (watch.News, bool) {
+func (c *fakeControl) Updates(_ context.Context, after int64) (watch.Updates, bool) {
 	u := roster.Upstream{ID: "u9", Cold: 5 * time.Second, Reported: time.Now().Add(-time.Second)}
-	return watch.News{Batch: roster.Batch{Revision: after + 1, Changes: []roster.Change{{Kind: roster.UpstreamKind, Name: "u9", Upstream: u}}}, Age: time.Second}, true
+	return watch.Updates{Batch: roster.Batch{Revision: after + 1, Changes: []roster.Change{{Kind: roster.UpstreamKind, Name: "u9", Upstream: u}}}, Age: time.Second}, true
 }
 
 // hostPair is a host that places jobs and a host that acquires upstreams through it.
 type hostPair struct {
 	view       *roster.View
-	tables     [2]*place.Table
+	tables     [2]*place.Scheduler
 	placer     *Placer
 	ln         net.Listener
 	stopServer context.CancelFunc
@@ -47,32 +47,32 @@
 	v := roster.View{
 		Hosts: []roster.Host{first, second}, Upstreams: map[string][]*roster.Upstream{"s": {u}}, Policy: &policy.Policy{},
 	}
-	v.Duties = map[string][]roster.Host{"s": v.Placers("east", "s")}
+	v.DutyHosts = map[string][]roster.Host{"s": v.DutyOrder("east", "s")}
 	p := &hostPair{ln: ln}
 	for i, self := range []roster.Host{first, second} {
 		own := v
 		own.Self = self
-		p.tables[i] = place.NewTable()
+		p.tables[i] = place.NewScheduler()
 		p.tables[i].Update(time.Now(), &own)
 		p.view = &own
 	}
 	ctx, stopServer := context.WithCancel(context.Background())
 	p.stopServer = stopServer
 	c := &fakeControl{}
-	s := &Server{Dealer: c, Teller: c, Admit: p.tables[0], Table: p.tables[0], Clock: time.Now, Done: make(chan struct{})}
+	s := &Server{Planner: c, Updates: c, Admit: p.tables[0], Table: p.tables[0], Clock: time.Now, Done: make(chan struct{})}
 	go s.Serve(ctx, ln)
 	p.placer = NewPlacer(p.tables[1], func() *roster.View { return p.view }, time.Now, func(string, error) {})
 	t.Cleanup(func() { stopServer(); p.placer.Close() })
 	return p
 }
 
-func (p *hostPair) newAsk() place.Ask {
+func (p *hostPair) newRequest() place.Request {
 	now := time.Now()
-	return place.Ask{Host: p.view.Self, Service: "s", Objective: now.Add(5 * time.Second), Deadline: now.Add(9 * time.Second)}
+	return place.Request{Host: p.view.Self, Service: "s", Objective: now.Add(5 * time.Second), Deadline: now.Add(9 * time.Second)}
 }
 
 func (p *hostPair) acquire(ctx context.Context) *place.Grant {
-	return p.placer.Acquire(ctx, time.Now(), p.newAsk())
+	return p.placer.Acquire(ctx, time.Now(), p.newRequest())
 }
 
 func TestOneHostPlacesTheJobsOfItsRegion(t *testing.T) {
@@ -86,7 +86,7 @@
 		t.Fatal("a third job on two slots")
 	case <-time.After(100 * time.Millisecond):
 	}
-	p.placer.Release(time.Now(), a, place.Result{Took: time.Millisecond, Good: true})
+	p.placer.Release(time.Now(), a, place.Result{Duration: time.Millisecond, Succeeded: true})
 	assert.Assert(t, <-got != nil)
 }
 
@@ -97,7 +97,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
 	assert.Assert(t, p.acquire(ctx) == nil)
-	p.placer.Release(time.Now(), a, place.Result{Quiet: true})
+	p.placer.Release(time.Now(), a, place.Result{Inconclusive: true})
 	assert.Assert(t, p.acquire(context.Background()) != nil)
 }
 
@@ -118,7 +118,7 @@
 	v.Hosts = append([]roster.Host{
 		{Name: "x1", Region: "east", Peer: "127.0.0.1:1", Cores: 9}, {Name: "x2", Region: "east", Peer: "127.0.0.1:2", Cores: 9},
 	}, v.Hosts...)
-	v.Duties = map[string][]roster.Host{"s": v.Placers("east", "s")}
+	v.DutyHosts = map[string][]roster.Host{"s": v.DutyOrder("east", "s")}
 	p.view = &v
 	begin := time.Now()
 	assert.Assert(t, p.acquire(context.Background()) != nil)
@@ -164,27 +164,27 @@
 
 func TestHostsExchangeStoreChangesAndLoans(t *testing.T) {
 	p := newHostPair(t)
-	r := NewRelay(time.Now)
+	r := NewUpdateFetcher(time.Now)
 	defer r.Close()
-	n, err := r.News(context.Background(), p.view.Hosts[0], 41)
+	n, err := r.Updates(context.Background(), p.view.Hosts[0], 41)
 	assert.NilError(t, err)
 	assert.Equal(t, n.Batch.Revision, int64(42))
 	cold := n.Batch.Changes[0].Upstream.Cold
 	assert.Assert(t, cold > 3*time.Second && cold <= 4*time.Second, "%s of 5 s are left after 1 s", cold)
 
-	given := make(chan deal.Loans, 1)
+	given := make(chan loans.Loans, 1)
 	ctx, cancel := context.WithCancel(context.Background())
-	a := &Asker{
-		Needer: p.tables[1], Local: &fakeControl{}, View: func() *roster.View { return p.view }, Clock: time.Now, Done: make(chan struct{}),
-		Give: func(l deal.Loans) {
+	a := &LoanPoller{
+		Demand: p.tables[1], Local: &fakeControl{}, View: func() *roster.View { return p.view }, Clock: time.Now, Done: make(chan struct{}),
+		OnLoans: func(l loans.Loans) {
 			select {
 			case given <- l:
 			default:
 			}
-		}, Lost: func(string, error) {},
+		}, OnError: func(string, error) {},
 	}
 	go a.Run(ctx)
-	assert.DeepEqual(t, <-given, deal.Loans{"u1": "east"})
+	assert.DeepEqual(t, <-given, loans.Loans{"u1": "east"})
 	cancel()
 	<-a.Done
 }
--- a/internal/edge/broker/server.go
+++ b/internal/edge/broker/server.go
@@ -10,34 +10,34 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 
-	"github.com/boragelane/boragelane/internal/ctrl/deal"
+	"github.com/boragelane/boragelane/internal/ctrl/loans"
 	"github.com/boragelane/boragelane/internal/ctrl/watch"
 	"github.com/boragelane/boragelane/internal/flow/place"
 )
 
 // LoanPlanner records a region's demand and returns the loans of upstreams between regions.
 type LoanPlanner interface {
-	Ask(ctx context.Context, a deal.Ask) (deal.Loans, bool)
+	RequestLoans(ctx context.Context, a loans.Request) (loans.Loans, bool)
 }
 
 // UpdateSource returns the changes that this host read from the store.
 type UpdateSource interface {
-	News(ctx context.Context, after int64) (watch.News, bool)
+	Updates(ctx context.Context, after int64) (watch.Updates, bool)
 }
 
 // Admitter admits jobs to upstreams and waits for a free slot.
 type Admitter interface {
-	Acquire(ctx context.Context, now time.Time, ask place.Ask) *place.Grant
+	Acquire(ctx context.Context, now time.Time, req place.Request) *place.Grant
 }
 
 // Server answers other hosts: it places the jobs of its region, plans loans and passes on store changes.
 type Server struct {
-	Dealer LoanPlanner
-	Teller UpdateSource
-	Admit  Admitter // Acquires from Table.
-	Table  *place.Table
-	Clock  func() time.Time
-	Done   chan struct{}
+	Planner LoanPlanner
+	Updates UpdateSource
+	Admit   Admitter // Acquires from Table.
+	Table   *place.Scheduler
+	Clock   func() time.Time
+	Done    chan struct{}
 }
 
 // Serve accepts connections until the context ends or the listener is closed.
@@ -86,7 +86,7 @@
 	case methodUpdates:
 		err = decodeParams(req, func(w *wireUpdatesRequest) error { return s.updates(ctx, conn, req.ID, w) })
 	case methodLoans:
-		err = decodeParams(req, func(a *deal.Ask) error { return s.loans(ctx, conn, req.ID, a) })
+		err = decodeParams(req, func(a *loans.Request) error { return s.loans(ctx, conn, req.ID, a) })
 	default:
 		err = ErrCall.New("no method %q", req.Method)
 	}
@@ -115,7 +115,7 @@
 	s.cancels[w.Call] = cancel
 	s.mu.Unlock()
 	now := s.server.Clock()
-	g := s.server.Admit.Acquire(ctx, now, w.toAsk(now))
+	g := s.server.Admit.Acquire(ctx, now, w.toRequest(now))
 	s.mu.Lock()
 	delete(s.cancels, w.Call)
 	s.mu.Unlock()
@@ -124,10 +124,10 @@
 	}
 	err := ctx.Err() // A canceled call gets no grant.
 	if err == nil {
-		err = conn.Reply(ctx, id, wireGrant{Number: g.Number, Upstream: g.Upstream.ID, Born: g.Upstream.Born})
+		err = conn.Reply(ctx, id, wireGrant{Number: g.ID, Upstream: g.Upstream.ID, Born: g.Upstream.Born})
 	}
 	if err != nil {
-		s.server.Table.Release(s.server.Clock(), g, place.Result{Quiet: true})
+		s.server.Table.Release(s.server.Clock(), g, place.Result{Inconclusive: true})
 	}
 	return err
 }
@@ -151,8 +151,8 @@
 }
 
 // loans records a region's demand and replies with the loans.
-func (s *session) loans(ctx context.Context, conn *jsonrpc2.Conn, id jsonrpc2.ID, a *deal.Ask) error {
-	loans, ok := s.server.Dealer.Ask(ctx, *a)
+func (s *session) loans(ctx context.Context, conn *jsonrpc2.Conn, id jsonrpc2.ID, a *loans.Request) error {
+	loans, ok := s.server.Planner.RequestLoans(ctx, *a)
 	if !ok {
 		return ErrCall.New("this host is stopping")
 	}
@@ -162,7 +162,7 @@
 // updates replies with the store changes after a revision. Cold times are sent as the time left, because the clocks of
 // hosts differ.
 func (s *session) updates(ctx context.Context, conn *jsonrpc2.Conn, id jsonrpc2.ID, w *wireUpdatesRequest) error {
-	n, ok := s.server.Teller.News(ctx, w.After)
+	n, ok := s.server.Updates.Updates(ctx, w.After)
 	if !ok {
 		return ErrCall.New("this host is stopping")
 	}
@@ -176,5 +176,5 @@
 			changes[i].Err, changes[i].Removed = nil, true // An unreadable entry can't be used, so it counts as removed.
 		}
 	}
-	return conn.Reply(ctx, id, wireUpdates{Revision: n.Batch.Revision, Full: n.Batch.Full, Age: n.Age, Changes: changes})
+	return conn.Reply(ctx, id, wireUpdates{Revision: n.Batch.Revision, Full: n.Batch.Snapshot, Age: n.Age, Changes: changes})
 }
--- a/internal/edge/dialer/dialer.go
+++ b/internal/edge/dialer/dialer.go
@@ -24,11 +24,11 @@
 // ErrResponse marks a response that can't be used as the job's answer.
 var ErrResponse = Errors.NewType("answer")
 
-// Names holds the names of the HTTP headers that boragelane exchanges with upstreams.
-type Names struct {
-	ID          string // The caller's request id, which the upstream echoes in its response.
+// HeaderNames holds the names of the HTTP headers that boragelane exchanges with upstreams.
+type HeaderNames struct {
+	RequestID   string // The caller's request id, which the upstream echoes in its response.
 	Deadline    string // Milliseconds until the deadline.
-	Target      string // Id of the upstream that the request is addressed to.
+	UpstreamID  string // Id of the upstream that the request is addressed to.
 	Signature   string // Marks a response that an upstream itself produced.
 	NotExecuted string // Present if the upstream did not run the request.
 	Load        string // Running requests, waiting requests and slots, separated by commas.
@@ -45,19 +45,19 @@
 
 // Sender sends jobs to upstreams over pooled connections.
 type Sender struct {
-	Names Names
+	Names HeaderNames
 	Clock func() time.Time
 
 	pool pool
 }
 
 // New returns a sender with an empty connection pool.
-func New(names Names, clock func() time.Time) *Sender {
+func New(names HeaderNames, clock func() time.Time) *Sender {
 	return &Sender{Names: names, Clock: clock, pool: pool{idle: map[string][]*upstreamConn{}}}
 }
 
-// Sweep closes pooled connections whose idle timeout has passed.
-func (s *Sender) Sweep(now time.Time) { s.pool.closeExpired(now) }
+// CloseExpired closes pooled connections whose idle timeout has passed.
+func (s *Sender) CloseExpired(now time.Time) { s.pool.closeExpired(now) }
 
 // poolKey includes the upstream's incarnation, so that a connection to an earlier one is never reused.
 func poolKey(u *roster.Upstream) string {
@@ -73,7 +73,7 @@
 			r.Late = ctx.Err() != nil
 			return r
 		}
-		r.Dial = s.Clock().Sub(now)
+		r.DialTime = s.Clock().Sub(now)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	r.Sent = true
@@ -86,7 +86,7 @@
 	if err != nil {
 		r.Err = err
 		r.Late = ctx.Err() != nil
-		r.Crash = !r.Late && !errorx.IsOfType(err, ErrResponse) && !egress.Reachable(u.Address)
+		r.Crashed = !r.Late && !errorx.IsOfType(err, ErrResponse) && !egress.Reachable(u.Address)
 	}
 	return r
 }
@@ -121,7 +121,7 @@
 	if header == nil {
 		header = http.Header{}
 	}
-	header.Set(s.Names.Target, u.ID)
+	header.Set(s.Names.UpstreamID, u.ID)
 	remaining := job.Deadline.Sub(s.Clock()) - deadlineMargin
 	header.Set(s.Names.Deadline, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
 	for name, value := range job.Trace {
@@ -150,7 +150,7 @@
 		if h.Status < http.StatusOK {
 			continue
 		}
-		if echo := h.Header.Get(s.Names.ID); echo == "" || echo == id {
+		if echo := h.Header.Get(s.Names.RequestID); echo == "" || echo == id {
 			return h, body, nil
 		}
 		if h.Close {
@@ -184,12 +184,12 @@
 // fillReply translates an HTTP response into a reply.
 func (s *Sender) fillReply(resp responseHead, body []byte, r *pipe.Reply) {
 	h := resp.Header
-	r.ID = h.Get(s.Names.ID)
+	r.ID = h.Get(s.Names.RequestID)
 	r.Report = parseLoad(h.Get(s.Names.Load))
 	r.Draining = resp.Close
 	switch {
 	case resp.Status == http.StatusMisdirectedRequest:
-		r.Moved = true
+		r.AddressReused = true
 		return
 	case h.Get(s.Names.NotExecuted) != "":
 		r.Shed = true
@@ -197,15 +197,15 @@
 	}
 	success := resp.Status < http.StatusMultipleChoices
 	signed := h.Get(s.Names.Signature) != "" && r.ID != ""
-	r.Whole = signed || !success
+	r.Complete = signed || !success
 	if success && !signed {
 		r.Err = ErrResponse.New("response is not signed")
 	}
-	r.Answer = pipe.Answer{Status: resp.Status, Type: h.Get("Content-Type"), Header: h, Body: body}
+	r.Answer = pipe.Answer{Status: resp.Status, ContentType: h.Get("Content-Type"), Header: h, Body: body}
 }
 
 // parseLoad parses the load header: running, waiting and slots; it returns nil if the value is malformed.
-func parseLoad(text string) *pipe.Report {
+func parseLoad(text string) *pipe.LoadReport {
 	parts := strings.Split(text, ",")
 	if len(parts) != 3 {
 		return nil
@@ -218,7 +218,7 @@
 		}
 		n[i] = v
 	}
-	return &pipe.Report{Running: n[0], Waiting: n[1], Slots: n[2]}
+	return &pipe.LoadReport{Running: n[0], Waiting: n[1], Slots: n[2]}
 }
 
 // reuseTimeout returns how long a connection may stay idle, according to the Keep-Alive header.
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -17,21 +17,21 @@
 	"github.com/boragelane/boragelane/internal/core/plan"
 	"github.com/boragelane/boragelane/internal/core/rendez"
 	"github.com/boragelane/boragelane/internal/flow/accept"
-	"github.com/boragelane/boragelane/internal/flow/once"
+	"github.com/boragelane/boragelane/internal/flow/dedup"
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
 // HTTP headers of callers' requests and of responses to them.
 const (
-	HeaderTicket  = "Idempotency-Key"
-	HeaderRank    = "Boragelane-Rank"
-	HeaderTimeout = "Boragelane-Timeout"
-	HeaderCaller  = "Boragelane-Caller"
-	HeaderID      = "X-Request-Id"
-	HeaderOutcome = "Boragelane-Outcome"
-	HeaderReason  = "Boragelane-Reason"
-	HeaderFresh   = "Boragelane-Ticket"
-	HeaderServed  = "Boragelane-Upstream"
+	HeaderTicket    = "Idempotency-Key"
+	HeaderRank      = "Boragelane-Rank"
+	HeaderTimeout   = "Boragelane-Timeout"
+	HeaderCaller    = "Boragelane-Caller"
+	HeaderID        = "X-Request-Id"
+	HeaderOutcome   = "Boragelane-Outcome"
+	HeaderReason    = "Boragelane-Reason"
+	HeaderNewTicket = "Boragelane-Ticket"
+	HeaderUpstream  = "Boragelane-Upstream"
 )
 
 // Limits of the front end.
@@ -48,16 +48,16 @@
 type Host interface {
 	Plan() *plan.Plan
 	Intake(ctx context.Context, job *pipe.Job)
-	Issue(now time.Time) once.Ticket
+	IssueTicket(now time.Time) dedup.Ticket
 }
 
 // Front serves the callers' HTTP interface.
 type Front struct {
-	Host     Host
-	Clock    func() time.Time
-	Refused  func(reason pipe.Reason) // Called for each request that is not answered, if set.
-	Looked   atomic.Int64             // Number of look-ups.
-	inFlight atomic.Int64
+	Host      Host
+	Clock     func() time.Time
+	OnRefused func(reason pipe.Reason) // Called for each request that is not answered, if set.
+	Lookups   atomic.Int64             // Number of look-ups.
+	inFlight  atomic.Int64
 }
 
 // Server returns an HTTP server with the front end's routes and timeouts.
@@ -85,14 +85,14 @@
 
 // handleLookup responds with the hosts that a caller should use, in order of preference, and a new ticket.
 func (f *Front) handleLookup(w http.ResponseWriter, r *http.Request) {
-	f.Looked.Add(1)
+	f.Lookups.Add(1)
 	p := f.Host.Plan()
 	if p.Doc == nil {
 		f.writeProblem(w, &pipe.Job{Outcome: pipe.Outcome{Kind: pipe.NotRun, Reason: pipe.NoTarget, Detail: "this host has no configuration yet"}})
 		return
 	}
-	out := wireLookup{Revision: p.Doc.Revision, Life: p.Lookup.Life.Milliseconds(), Hosts: []wireHost{}, Ticket: f.Host.Issue(f.Clock()).String()}
-	var buf [plan.LookupHosts]int
+	out := wireLookup{Revision: p.Doc.Revision, Life: p.Lookup.TTL.Milliseconds(), Hosts: []wireHost{}, Ticket: f.Host.IssueTicket(f.Clock()).String()}
+	var buf [plan.MaxLookupHosts]int
 	for _, i := range p.Lookup.Pick(rendez.Hash(callerName(r)), buf[:0]) {
 		h := p.Lookup.Hosts[i]
 		out.Hosts = append(out.Hosts, wireHost{Name: h.Name, Address: h.Front})
@@ -101,7 +101,7 @@
 }
 
 func (f *Front) handleTicket(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, map[string]string{"ticket": f.Host.Issue(f.Clock()).String()})
+	writeJSON(w, http.StatusOK, map[string]string{"ticket": f.Host.IssueTicket(f.Clock()).String()})
 }
 
 // callerName returns the caller's name from the header or the query, or its IP address.
@@ -121,11 +121,11 @@
 	defer f.inFlight.Add(-1)
 	job := &pipe.Job{
 		ID: r.Header.Get(HeaderID), Service: r.PathValue("service"), Rank: r.Header.Get(HeaderRank),
-		Caller: callerName(r), Method: r.Method, Path: upstreamPath(r), Type: r.Header.Get("Content-Type"),
+		Caller: callerName(r), Method: r.Method, Path: upstreamPath(r), ContentType: r.Header.Get("Content-Type"),
 		Ticket: r.Header.Get(HeaderTicket), Trace: map[string]string{},
 	}
 	if f.inFlight.Add(1) > maxInFlight {
-		job.Reject(pipe.QueueFull, "this host serves too many requests")
+		job.RefuseUnclaimed(pipe.QueueFull, "this host serves too many requests")
 		f.writeProblem(w, job)
 		return
 	}
@@ -149,14 +149,14 @@
 func (f *Front) parseRequest(w http.ResponseWriter, r *http.Request, job *pipe.Job) bool {
 	if len(job.ID) > maxIDBytes {
 		job.ID = ""
-		job.Reject(pipe.BadRequest, "an id in "+HeaderID+" has at most "+strconv.Itoa(maxIDBytes)+" bytes")
+		job.RefuseUnclaimed(pipe.BadRequest, "an id in "+HeaderID+" has at most "+strconv.Itoa(maxIDBytes)+" bytes")
 		return false
 	}
 	now := f.Clock()
 	if text := r.Header.Get(HeaderTimeout); text != "" {
 		d, err := time.ParseDuration(text)
 		if err != nil || d <= 0 {
-			job.Reject(pipe.BadRequest, HeaderTimeout+" is a time above 0 such as 250ms, got "+strconv.Quote(text))
+			job.RefuseUnclaimed(pipe.BadRequest, HeaderTimeout+" is a time above 0 such as 250ms, got "+strconv.Quote(text))
 			return false
 		}
 		job.Deadline = now.Add(d)
@@ -166,10 +166,10 @@
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
-		job.Reject(pipe.TooLarge, "a body has at most "+strconv.Itoa(accept.MaxBody)+" bytes")
+		job.RefuseUnclaimed(pipe.TooLarge, "a body has at most "+strconv.Itoa(accept.MaxBody)+" bytes")
 		return false
 	case err != nil:
-		job.Reject(pipe.BadRequest, "the body did not arrive whole")
+		job.RefuseUnclaimed(pipe.BadRequest, "the body did not arrive whole")
 		return false
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
@@ -185,9 +185,9 @@
 	h := w.Header()
 	h.Set(HeaderOutcome, job.Outcome.Kind.String())
 	h.Set(HeaderID, job.ID)
-	h.Set(HeaderServed, job.Upstream.ID)
-	if job.Answer.Type != "" {
-		h.Set("Content-Type", job.Answer.Type)
+	h.Set(HeaderUpstream, job.Upstream.ID)
+	if job.Answer.ContentType != "" {
+		h.Set("Content-Type", job.Answer.ContentType)
 	}
 	h.Set("Content-Length", strconv.Itoa(len(job.Answer.Body)))
 	w.WriteHeader(job.Answer.Status)
@@ -206,8 +206,8 @@
 
 func (f *Front) writeProblem(w http.ResponseWriter, job *pipe.Job) {
 	o := job.Outcome
-	if f.Refused != nil {
-		f.Refused(o.Reason)
+	if f.OnRefused != nil {
+		f.OnRefused(o.Reason)
 	}
 	status := statusOf(o)
 	h := w.Header()
@@ -220,7 +220,7 @@
 		h.Set("Retry-After", "1")
 	}
 	if o.Kind == pipe.NotRun && (job.Ticket != "" || o.Reason == pipe.NoTicket) {
-		h.Set(HeaderFresh, f.Host.Issue(f.Clock()).String())
+		h.Set(HeaderNewTicket, f.Host.IssueTicket(f.Clock()).String())
 	}
 	h.Set("Content-Type", "application/problem+json")
 	w.WriteHeader(status)
--- a/internal/edge/peer/server.go
+++ b/internal/edge/peer/server.go
@@ -11,9 +11,9 @@
 
 	"github.com/boragelane/boragelane/internal/core/spec"
 	"github.com/boragelane/boragelane/internal/ctrl/state"
-	"github.com/boragelane/boragelane/internal/flow/guard"
-	"github.com/boragelane/boragelane/internal/flow/once"
+	"github.com/boragelane/boragelane/internal/flow/dedup"
 	"github.com/boragelane/boragelane/internal/flow/pipe"
+	"github.com/boragelane/boragelane/internal/flow/poison"
 )
 
 // Limits of a server.
@@ -28,14 +28,14 @@
 
 // Host handles the calls of other hosts.
 type Host interface {
-	Serve(ctx context.Context, job *pipe.Job)
-	Own(ctx context.Context, job *pipe.Job)
-	HeartbeatIn(ctx context.Context, b state.Heartbeat) (state.HeartbeatReply, bool)
-	ExchangeIn(ctx context.Context, s state.Exchange) (state.ExchangeReply, bool)
+	RunForwarded(ctx context.Context, job *pipe.Job)
+	RunOwned(ctx context.Context, job *pipe.Job)
+	HandleHeartbeat(ctx context.Context, b state.Heartbeat) (state.HeartbeatReply, bool)
+	HandleExchange(ctx context.Context, s state.Exchange) (state.ExchangeReply, bool)
 	Notice(n state.Notice)
 	Document() *spec.Document
-	Crashed(c guard.Crash, spread bool)
-	Adopt(incarnation string, until time.Time, last bool, records []once.Record)
+	HandleCrash(c poison.Crash, spread bool)
+	AdoptRecords(incarnation string, until time.Time, last bool, records []dedup.Record)
 }
 
 // Server serves the calls of other hosts.
--- a/internal/edge/peer/session.go
+++ b/internal/edge/peer/session.go
@@ -11,7 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/boragelane/boragelane/internal/ctrl/state"
-	"github.com/boragelane/boragelane/internal/flow/once"
+	"github.com/boragelane/boragelane/internal/flow/dedup"
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
@@ -142,23 +142,23 @@
 	host, now := h.server.Host, h.server.Clock()
 	switch req.Method {
 	case methodRun:
-		return h.runJob(ctx, req, host.Serve)
+		return h.runJob(ctx, req, host.RunForwarded)
 	case methodOwn:
-		return h.runJob(ctx, req, host.Own)
+		return h.runJob(ctx, req, host.RunOwned)
 	case methodHeartbeat:
 		var w wireHeartbeat
 		if err := decodeParams(req, &w); err != nil {
 			return nil, err
 		}
-		r, ok := host.HeartbeatIn(ctx, w.heartbeat())
+		r, ok := host.HandleHeartbeat(ctx, w.heartbeat())
 		return fromHeartbeatReply(r), stoppingError(ok)
 	case methodExchange:
 		var w wireExchange
 		if err := decodeParams(req, &w); err != nil {
 			return nil, err
 		}
-		r, ok := host.ExchangeIn(ctx, w.exchange())
-		return wireExchangeReply{Incarnation: r.Incarnation, Revision: r.Revision, Stamp: r.Stamp, News: fromSummaries(r.News)}, stoppingError(ok)
+		r, ok := host.HandleExchange(ctx, w.exchange())
+		return wireExchangeReply{Incarnation: r.Incarnation, Revision: r.Revision, Stamp: r.Seq, News: fromSummaries(r.Summaries)}, stoppingError(ok)
 	case methodNotice:
 		var w wireNotice
 		if err := decodeParams(req, &w); err != nil {
@@ -177,7 +177,7 @@
 		if err := decodeParams(req, &w); err != nil {
 			return nil, err
 		}
-		host.Crashed(w.crash(now), w.Spread)
+		host.HandleCrash(w.crash(now), w.Spread)
 		return struct{}{}, nil
 	case methodHandOver:
 		return struct{}{}, h.handOver(req)
@@ -207,10 +207,10 @@
 	if err := decodeParams(req, &w); err != nil {
 		return err
 	}
-	records := make([]once.Record, 0, len(w.Records))
+	records := make([]dedup.Record, 0, len(w.Records))
 	for _, r := range w.Records {
 		records = append(records, r.record())
 	}
-	h.server.Host.Adopt(w.Incarnation, time.Unix(w.Until, 0), w.Last, records)
+	h.server.Host.AdoptRecords(w.Incarnation, time.Unix(w.Until, 0), w.Last, records)
 	return nil
 }
--- a/internal/flow/place/demand.go
+++ b/internal/flow/place/demand.go
@@ -5,7 +5,7 @@
 	"math"
 	"time"
 
-	"github.com/boragelane/boragelane/internal/ctrl/deal"
+	"github.com/boragelane/boragelane/internal/ctrl/loans"
 )
 
 // demandTimeConstant is the time constant of the demand average: long compared with a job, short compared with a
@@ -22,25 +22,25 @@
 
 // recordDemand adds a job's expected work to the demand. Until a job has finished, the first job's objective is the
 // best estimate of the service's work.
-func (t *Table) recordDemand(now time.Time, ask *Ask) {
-	d := t.demands[ask.Service]
+func (t *Scheduler) recordDemand(now time.Time, req *Request) {
+	d := t.demands[req.Service]
 	if d == nil {
 		d = &demand{}
-		t.demands[ask.Service] = d
+		t.demands[req.Service] = d
 	}
-	w := t.estimate(ask.Service)
-	if w.initial == initialWork && ask.Objective.After(now) {
-		w.initial = ask.Objective.Sub(now)
+	w := t.estimate(req.Service)
+	if w.initial == initialWork && req.Objective.After(now) {
+		w.initial = req.Objective.Sub(now)
 	}
 	d.offered += w.mean()
 }
 
-// Ask returns this host's request for loaned upstreams: the demand of the services that it places jobs for, the
+// LoanRequest returns this host's request for loaned upstreams: the demand of the services that it places jobs for, the
 // current loans and the region's ejected upstreams.
-func (t *Table) Ask(now time.Time) deal.Ask {
+func (t *Scheduler) LoanRequest(now time.Time) loans.Request {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	a := deal.Ask{Region: t.view.Self.Region, Demand: deal.Demand{}, Held: maps.Clone(t.view.Loans)}
+	a := loans.Request{Region: t.view.Self.Region, Demand: loans.Demand{}, Loans: maps.Clone(t.view.Loans)}
 	elapsed := now.Sub(t.lastDemandReport)
 	t.lastDemandReport = now
 	for service, d := range t.demands {
@@ -60,8 +60,8 @@
 		a.Demand[service] = math.Round(d.slots*100) / 100
 	}
 	for id, l := range t.loads {
-		if l.ejected(now) && t.view.User(l.upstream) == a.Region {
-			a.Down = append(a.Down, id)
+		if l.ejected(now) && t.view.UsedBy(l.upstream) == a.Region {
+			a.Unavailable = append(a.Unavailable, id)
 		}
 	}
 	return a
--- a/internal/flow/place/rank.go
+++ b/internal/flow/place/rank.go
@@ -16,7 +16,7 @@
 }
 
 // paths returns the paths from a host to each failure domain, in the order of t.domains.
-func (t *Table) paths(from *roster.Host) []path {
+func (t *Scheduler) paths(from *roster.Host) []path {
 	out := make([]path, len(t.domains))
 	for i, u := range t.domains {
 		loc := localityOf(from, u)
@@ -26,9 +26,9 @@
 }
 
 // expectedDuration returns the expected round trip and service time of a job on an upstream, without queueing.
-func (t *Table) expectedDuration(l *load, ask *Ask) time.Duration {
+func (t *Scheduler) expectedDuration(l *load, req *Request) time.Duration {
 	w := t.estimate(l.upstream.Service)
-	return t.rtts.expected(&ask.Host, l.upstream) + l.serviceTime(w.expected(w.likelyCached(l.recent, ask.objectHash())))
+	return t.rtts.expected(&req.Host, l.upstream) + l.serviceTime(w.expected(w.likelyCached(l.recent, req.objectHash())))
 }
 
 // serviceTime scales expected work by the upstream's slowdown.
@@ -50,21 +50,21 @@
 
 // candidates returns the upstreams that a job may be sent to, including those without a free slot. The list is valid
 // until the next call.
-func (t *Table) candidates(now time.Time, ask *Ask) []Candidate {
-	list := t.loadsByService[ask.Service]
+func (t *Scheduler) candidates(now time.Time, req *Request) []Candidate {
+	list := t.loadsByService[req.Service]
 	out := t.scratch[:0]
-	key, owner := ask.objectHash(), -1
-	failover := t.failover(now, ask, list)
-	paths := t.paths(&ask.Host)
-	w := t.estimate(ask.Service)
+	key, owner := req.objectHash(), -1
+	failover := t.failover(now, req, list)
+	paths := t.paths(&req.Host)
+	w := t.estimate(req.Service)
 	hitWork, missWork, meanWork := w.expected(true), w.expected(false), w.mean()
-	remaining := ask.Deadline.Sub(now)
+	remaining := req.Deadline.Sub(now)
 	for _, l := range list {
-		if l.limit = l.jobLimit(ask, failover); !t.eligible(now, l, ask) {
+		if l.limit = l.jobLimit(req, failover); !t.eligible(now, l, req) {
 			continue
 		}
 		c := Candidate{Upstream: l.upstream, Free: l.limit - l.running, load: l}
-		c.Warming = l.cold(now) && now.Sub(l.lastWarmup) > warmupInterval && ask.Rank > 0
+		c.Warming = l.cold(now) && now.Sub(l.lastWarmup) > warmupInterval && req.Rank > 0
 		service := l.serviceTime(missWork)
 		if w.likelyCached(l.recent, key) {
 			service = l.serviceTime(hitWork)
@@ -75,7 +75,7 @@
 		}
 		c.Cost = l.cost(p, service, meanWork)
 		if key != 0 {
-			c.Score = rendez.Even(key, l.hash)
+			c.Score = rendez.UnweightedScore(key, l.hash)
 			if owner < 0 || c.Score > out[owner].Score {
 				owner = len(out)
 			}
@@ -87,16 +87,16 @@
 		out[owner].Cost -= l.serviceTime(w.ownerDiscount(l.recent, key))
 	}
 	t.scratch = out
-	mayStay, mayLeave := t.limiter(ask.Service).allowed(now, t.maxShift)
+	mayStay, mayLeave := t.limiter(req.Service).allowed(now, t.maxShift)
 	return restrict(out, paths, mayStay, mayLeave)
 }
 
 // eligible reports whether a job may be sent to an upstream once it has a free slot.
-func (t *Table) eligible(now time.Time, l *load, ask *Ask) bool {
-	if l.limit == 0 || l.ejected(now) || !ask.allows(l.upstream.Region) || slices.Contains(ask.Tried, l.upstream.ID) {
+func (t *Scheduler) eligible(now time.Time, l *load, req *Request) bool {
+	if l.limit == 0 || l.ejected(now) || !req.allows(l.upstream.Region) || slices.Contains(req.Tried, l.upstream.ID) {
 		return false
 	}
-	return !l.cold(now) || !ask.Isolated && t.canWarm(now, l)
+	return !l.cold(now) || !req.Isolated && t.canWarm(now, l)
 }
 
 // minTimeShare is the share of a job's expected duration that must remain before its deadline for the job to start. It
@@ -107,9 +107,9 @@
 const uncoordinatedJobLimit = 1
 
 // jobLimit returns how many jobs may run on an upstream: all of its slots if this region uses it.
-func (l *load) jobLimit(ask *Ask, failover bool) int {
+func (l *load) jobLimit(req *Request, failover bool) int {
 	switch {
-	case l.assigned && !ask.Isolated:
+	case l.assigned && !req.Isolated:
 		return l.upstream.Slots
 	case l.assigned || failover:
 		return uncoordinatedJobLimit
@@ -119,9 +119,9 @@
 
 // failover reports whether this region can use none of its upstreams, so that its jobs may run on those of other
 // regions.
-func (t *Table) failover(now time.Time, ask *Ask, list []*load) bool {
+func (t *Scheduler) failover(now time.Time, req *Request, list []*load) bool {
 	for _, l := range list {
-		if l.assigned && !l.ejected(now) && !l.cold(now) && ask.allows(l.upstream.Region) {
+		if l.assigned && !l.ejected(now) && !l.cold(now) && req.allows(l.upstream.Region) {
 			return false
 		}
 	}
@@ -130,7 +130,7 @@
 
 // canWarm reports whether a cold upstream's token bucket has a token. Only the region that uses the upstream may warm
 // it, because the rate is too small to be split.
-func (t *Table) canWarm(now time.Time, l *load) bool {
+func (t *Scheduler) canWarm(now time.Time, l *load) bool {
 	if !l.assigned {
 		return false
 	}
--- a/internal/host/entry/fault_test.go
+++ b/internal/host/entry/fault_test.go
@@ -18,8 +18,8 @@
 	"github.com/boragelane/boragelane/internal/core/spec"
 	"github.com/boragelane/boragelane/internal/ctrl/commit"
 	"github.com/boragelane/boragelane/internal/host/trace"
+	"github.com/boragelane/boragelane/internal/stand/consul"
 	"github.com/boragelane/boragelane/internal/stand/layout"
-	"github.com/boragelane/boragelane/internal/stand/platf"
 	"github.com/boragelane/boragelane/internal/stand/upstr"
 )
 
@@ -29,7 +29,7 @@
 	t.Parallel()
 	o := testOptions(110)
 	o.Upstreams = 3
-	s := startSystem(t, o, trace.None())
+	s := startSystem(t, o, trace.Noop())
 	body := []byte("poison\n" + upstr.CrashMark)
 	var last answer
 	for range 3 {
@@ -50,14 +50,14 @@
 	t.Parallel()
 	o := testOptions(111)
 	o.Upstreams = 4
-	s := startSystem(t, o, trace.None())
+	s := startSystem(t, o, trace.Noop())
 	keys := []string{}
 	var wg sync.WaitGroup
 	for i := range 24 {
 		keys = append(keys, fmt.Sprint("innocent-", i))
 	}
 	for _, u := range s.upstreams {
-		u.Slow(300 * time.Millisecond)
+		u.SetJobTime(300 * time.Millisecond)
 	}
 	for _, k := range keys {
 		wg.Go(func() { _, _ = s.tryCall(call{host: "dar-a-1", service: layout.Price, key: k}) })
@@ -70,7 +70,7 @@
 	}
 	wg.Wait()
 	for _, u := range s.upstreams {
-		u.Slow(time.Millisecond)
+		u.SetJobTime(time.Millisecond)
 	}
 	for _, k := range keys {
 		a := s.call(call{host: "dar-a-1", service: layout.Price, key: k, timeout: "2s"})
@@ -82,8 +82,8 @@
 // drain only from the upstream's own answers.
 func TestADrainingUpstreamGetsNoNewJobs(t *testing.T) {
 	t.Parallel()
-	s := startSystem(t, testOptions(112), trace.None())
-	s.platform.SetFaults(platf.Faults{Lag: 30 * time.Second})
+	s := startSystem(t, testOptions(112), trace.Noop())
+	s.platform.SetFaults(consul.Faults{ListLag: 30 * time.Second})
 	u := s.upstreams["price-dar-a-1"]
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
@@ -98,7 +98,7 @@
 	}
 	time.Sleep(300 * time.Millisecond)
 	assert.Assert(t, len(u.Report().Runs) > 0, "the upstream ran no job before the drain")
-	u.Drain(true)
+	u.SetDraining(true)
 	time.Sleep(2 * time.Second)
 	refused := u.Report().Refused
 	time.Sleep(6 * time.Second) // Longer than the pause after an upstream that is not draining sheds a job.
@@ -110,7 +110,7 @@
 
 func TestAnOperatorsDrainIsInForceEverywhere(t *testing.T) {
 	t.Parallel()
-	s := startSystem(t, testOptions(113), trace.None())
+	s := startSystem(t, testOptions(113), trace.Noop())
 	var took []time.Duration
 	for i := range 10 {
 		host := s.hosts[[]string{"dar-a-1", "mwanza-b-2", "dar-b-2"}[i%3]]
@@ -128,13 +128,13 @@
 // loses some of its answers. One change must win; the others must get a conflict with the new revision.
 func TestConcurrentChangesCommitOnlyOne(t *testing.T) {
 	t.Parallel()
-	s := startSystem(t, testOptions(114), trace.None())
+	s := startSystem(t, testOptions(114), trace.Noop())
 	begin := s.hosts["dar-a-1"].Plan().Doc.Revision
 	var mu sync.Mutex
 	won, lost := 0, 0
 	var wg sync.WaitGroup
 	seats := []string{"dar-a-1", "dar-a-2", "dar-b-1", "mwanza-a-1", "mwanza-b-2"}
-	s.platform.Lose(3)
+	s.platform.LoseAnswers(3)
 	for i, seat := range seats {
 		wg.Go(func() {
 			expect := begin
@@ -147,7 +147,7 @@
 			}
 			lost++
 			assert.Check(t, errorx.IsOfType(err, commit.ErrConflict), "%v", err)
-			current, ok := errorx.ExtractProperty(err, commit.Current)
+			current, ok := errorx.ExtractProperty(err, commit.CurrentRevision)
 			assert.Check(t, ok && current.(uint64) == begin+1, "%v", current)
 		})
 	}
@@ -161,9 +161,9 @@
 // serve its callers from its own upstreams, within their slots, and converge again once the isolation ends.
 func TestAnIsolatedDomainServesItsCallers(t *testing.T) {
 	t.Parallel()
-	s := startSystem(t, testOptions(115), trace.None())
+	s := startSystem(t, testOptions(115), trace.Noop())
 	s.isolate(s.domains()...)
-	s.platform.SetFaults(platf.Faults{Down: true})
+	s.platform.SetFaults(consul.Faults{Down: true})
 	time.Sleep(6 * time.Second) // All grants have expired.
 	for _, host := range []string{"dar-a-1", "dar-b-2", "mwanza-a-1", "mwanza-b-1"} {
 		domain := host[:len(host)-2]
@@ -177,13 +177,13 @@
 		}
 	}
 	s.isolate()
-	s.platform.SetFaults(platf.Faults{})
+	s.platform.SetFaults(consul.Faults{})
 	s.waitReady()
 	doc, err := s.hosts["dar-a-1"].Commit(context.Background(), spec.Change{Drains: []spec.Drain{{Kind: "upstream", Name: "healed"}}}, nil)
 	assert.NilError(t, err)
 	s.eventually(3*time.Second, "a change after the isolation is in force", func() bool { return s.allHostsReached(doc.Revision) })
 	for id, u := range s.upstreams {
-		assert.Assert(t, u.Report().Most <= 4 && u.Report().Shed == 0, "%s: %+v", id, u.Report())
+		assert.Assert(t, u.Report().MaxConcurrent <= 4 && u.Report().Shed == 0, "%s: %+v", id, u.Report())
 	}
 }
 
@@ -191,11 +191,11 @@
 // from their seeds.
 func TestAHostStartsFromItsPeersDuringAnOutage(t *testing.T) {
 	t.Parallel()
-	s := startSystem(t, testOptions(116), trace.None())
+	s := startSystem(t, testOptions(116), trace.Noop())
 	doc, err := s.hosts["dar-a-1"].Commit(context.Background(), spec.Change{Drains: []spec.Drain{{Kind: "upstream", Name: "x"}}}, nil)
 	assert.NilError(t, err)
 	s.eventually(3*time.Second, "the revision is in force", func() bool { return s.allHostsReached(doc.Revision) })
-	s.platform.SetFaults(platf.Faults{Down: true})
+	s.platform.SetFaults(consul.Faults{Down: true})
 	for _, seat := range []string{"dar-a-1", "mwanza-a-2"} {
 		s.killHost(s.hosts[seat])
 		<-s.hosts[seat].Done
@@ -222,7 +222,7 @@
 	rec := tracetest.NewInMemoryExporter()
 	o := testOptions(117)
 	o.Skip = func(domain, service string) bool { return service == layout.Catalog && domain != "mwanza-a" }
-	s := startSystem(t, o, trace.With(sdk.NewSimpleSpanProcessor(rec), "test"))
+	s := startSystem(t, o, trace.NewProvider(sdk.NewSimpleSpanProcessor(rec), "test"))
 	a := s.call(call{host: "dar-a-1", service: layout.Catalog, key: "traced", id: "traced-job"})
 	assert.Equal(t, a.outcome, "answered")
 	time.Sleep(100 * time.Millisecond)
@@ -242,7 +242,7 @@
 	t.Parallel()
 	o := testOptions(118)
 	o.Regions, o.Hosts = []string{"dar", "arusha", "mwanza"}, 5
-	s := startSystem(t, o, trace.None())
+	s := startSystem(t, o, trace.Noop())
 	var took []time.Duration
 	for i := range 60 { // More changes than a head holds, so that new bases are written.
 		begin := time.Now()
--- a/internal/host/entry/host.go
+++ b/internal/host/entry/host.go
@@ -24,12 +24,12 @@
 	"github.com/boragelane/boragelane/internal/edge/store"
 	"github.com/boragelane/boragelane/internal/flow/accept"
 	"github.com/boragelane/boragelane/internal/flow/admit"
-	"github.com/boragelane/boragelane/internal/flow/carry"
-	"github.com/boragelane/boragelane/internal/flow/guard"
+	"github.com/boragelane/boragelane/internal/flow/dedup"
 	"github.com/boragelane/boragelane/internal/flow/ident"
-	"github.com/boragelane/boragelane/internal/flow/once"
 	"github.com/boragelane/boragelane/internal/flow/pipe"
+	"github.com/boragelane/boragelane/internal/flow/poison"
 	"github.com/boragelane/boragelane/internal/flow/relay"
+	"github.com/boragelane/boragelane/internal/flow/remote"
 	"github.com/boragelane/boragelane/internal/flow/reply"
 	"github.com/boragelane/boragelane/internal/flow/route"
 	"github.com/boragelane/boragelane/internal/host/config"
@@ -46,7 +46,7 @@
 // Host is an entry host: its control loop, its filter pipelines and its servers.
 type Host struct {
 	Settings config.Settings
-	Self     plan.Self
+	Self     plan.Identity
 	Clock    func() time.Time
 	Log      *zap.Logger
 	Stats    *stats.Stats
@@ -60,12 +60,12 @@
 	front       *front.Front
 	sender      *egress.Sender
 	admit       *admit.Pipe
-	once        once.Pipe
-	crashes     *guard.Table
-	pacer       *carry.Pacer
+	once        dedup.Pipe
+	crashes     *poison.Table
+	pacer       *remote.Pacer
 	intake      trace.Hop
 	serve       trace.Hop
-	explain     pipe.Line
+	explain     pipe.Pipeline
 	watcher     *platformWatcher
 	httpServers [2]*http.Server // Servers for callers and for operators, in this order.
 	runCtx      context.Context // Canceled when the host ends, after the planned stop.
@@ -76,23 +76,23 @@
 func New(s config.Settings, clock func() time.Time, log *zap.Logger, tr trace.Provider) *Host {
 	h := &Host{
 		Settings: s, Clock: clock, Log: log, Trace: tr, Stats: stats.New(), Done: make(chan struct{}),
-		Self: plan.Self{Seat: s.Seat, Region: s.Region, Domain: s.Domain, Incarnation: newID()},
+		Self: plan.Identity{Seat: s.Seat, Region: s.Region, Domain: s.Domain, Incarnation: newID()},
 	}
 	h.loop = loop.New(h.Self, clock)
 	h.store = store.New(s.Platform)
 	h.peerClient = peer.NewClient(s.Seat, clock)
 	h.sender = egress.New()
 	h.admit = admit.New()
-	h.crashes = &guard.Table{}
-	h.pacer = carry.NewPacer(clock)
-	h.once = once.Pipe{Table: once.NewTable(), Owner: ownerForwarder{h}, NewID: newID}
+	h.crashes = &poison.Table{}
+	h.pacer = remote.NewPacer(clock)
+	h.once = dedup.Pipe{Table: dedup.NewTable(), Forwarder: ownerForwarder{h}, NewID: newID}
 	h.watcher = &platformWatcher{host: h}
 	h.buildPipelines()
-	h.loop.Doer = &executor{host: h}
-	h.loop.Loader = h.admit
-	h.loop.Followers = []loop.Follower{h.admit, h.pacer, &revisionLogger{log: h.Log}}
+	h.loop.Executor = &executor{host: h}
+	h.loop.LoadReporter = h.admit
+	h.loop.Subscribers = []loop.Subscriber{h.admit, h.pacer, &revisionLogger{log: h.Log}}
 	h.peerServer = peer.NewServer(&peerHandler{h}, clock, log, &h.peerClient.Control)
-	h.front = &front.Front{Host: h, Clock: clock, Refused: h.Stats.Refused}
+	h.front = &front.Front{Host: h, Clock: clock, OnRefused: h.Stats.CountRefusal}
 	h.httpServers = [2]*http.Server{h.front.Server(), h.adminServer()}
 	h.runCtx, h.cancelRun = context.WithCancel(context.Background())
 	h.registerGauges()
@@ -103,9 +103,9 @@
 // which routes a job without running it.
 func (h *Host) buildPipelines() {
 	tracer := h.Trace.Tracer("boragelane")
-	crashGuard := guard.Pipe{Table: h.crashes, Teller: &crashNotifier{host: h}}
-	serve := pipe.Line{Clock: h.Clock, Filters: []pipe.Filter{
-		carry.Back{Pacer: h.pacer},
+	crashGuard := poison.Pipe{Table: h.crashes, Notifier: &crashNotifier{host: h}}
+	serve := pipe.Pipeline{Clock: h.Clock, Filters: []pipe.Filter{
+		remote.AnswerPacer{Pacer: h.pacer},
 		accept.Pipe{},
 		ident.Pipe{NewID: newID},
 		crashGuard,
@@ -115,20 +115,20 @@
 	}}
 	h.serve = trace.Hop{Tracer: tracer, Name: "serve", Next: serve}
 	router := route.New(h.admit)
-	intake := pipe.Line{Clock: h.Clock, Filters: []pipe.Filter{
-		carry.Back{Pacer: h.pacer},
+	intake := pipe.Pipeline{Clock: h.Clock, Filters: []pipe.Filter{
+		remote.AnswerPacer{Pacer: h.pacer},
 		accept.Pipe{},
 		ident.Pipe{NewID: newID},
 		h.once,
 		crashGuard,
 		router,
-		carry.New(h.serve, router, h.peerClient, h.pacer, h, h.Clock),
+		remote.New(h.serve, router, h.peerClient, h.pacer, h, h.Clock),
 	}}
 	h.intake = trace.Hop{Tracer: tracer, Name: "intake", Next: intake}
-	h.explain = pipe.Line{Clock: h.Clock, Filters: []pipe.Filter{
+	h.explain = pipe.Pipeline{Clock: h.Clock, Filters: []pipe.Filter{
 		accept.Pipe{},
 		ident.Pipe{NewID: newID},
-		guard.Pipe{Table: h.crashes},
+		poison.Pipe{Table: h.crashes},
 		route.New(h.admit),
 	}}
 }
@@ -160,7 +160,7 @@
 	go func() { _ = h.httpServers[0].Serve(listeners[0]) }()
 	go func() { _ = h.httpServers[1].Serve(listeners[2]) }()
 	h.Log.Info("serving", zap.String("seat", h.Self.Seat), zap.String("incarnation", h.Self.Incarnation),
-		zap.String("front", h.Settings.Front), zap.String("intake", h.intake.Next.(pipe.Line).String()))
+		zap.String("front", h.Settings.Front), zap.String("intake", h.intake.Next.(pipe.Pipeline).String()))
 	select {
 	case <-ctx.Done():
 		h.shutdown(h.runCtx)
@@ -219,8 +219,8 @@
 		case <-t.C:
 			now := h.Clock()
 			h.once.Table.Sweep(now)
-			h.admit.Pump(now)
-			for _, u := range h.admit.Due(now) {
+			h.admit.Tick(now)
+			for _, u := range h.admit.DueProbes(now) {
 				go h.probe(u)
 			}
 		}
@@ -230,7 +230,7 @@
 // probe marks an upstream as up again if it accepts connections.
 func (h *Host) probe(u plan.Upstream) {
 	if egress.Reachable(u.Address) {
-		h.admit.Revive(h.Clock(), u.ID)
+		h.admit.MarkUp(h.Clock(), u.ID)
 	}
 }
 
@@ -243,9 +243,9 @@
 		}
 		return 0
 	})
-	s.Gauge("lookups", func() any { return h.front.Looked.Load() })
+	s.Gauge("lookups", func() any { return h.front.Lookups.Load() })
 	s.Gauge("records", func() any { return h.once.Table.Len() })
-	s.Gauge("links", func() any { return h.pacer.Spent() })
+	s.Gauge("links", func() any { return h.pacer.SentBytes() })
 	s.Gauge("platform", func() any { return h.store.Calls.Load() })
 	s.Gauge("dropped", func() any { return h.loop.Dropped() })
 	s.Gauge("control", func() any { return [2]int64{h.peerClient.Control.In.Load(), h.peerClient.Control.Out.Load()} })
--- a/internal/host/entry/roles.go
+++ b/internal/host/entry/roles.go
@@ -11,17 +11,17 @@
 	"github.com/boragelane/boragelane/internal/core/spec"
 	"github.com/boragelane/boragelane/internal/ctrl/commit"
 	"github.com/boragelane/boragelane/internal/ctrl/state"
-	"github.com/boragelane/boragelane/internal/flow/carry"
-	"github.com/boragelane/boragelane/internal/flow/guard"
-	"github.com/boragelane/boragelane/internal/flow/once"
+	"github.com/boragelane/boragelane/internal/flow/dedup"
 	"github.com/boragelane/boragelane/internal/flow/pipe"
+	"github.com/boragelane/boragelane/internal/flow/poison"
+	"github.com/boragelane/boragelane/internal/flow/remote"
 	"github.com/boragelane/boragelane/internal/flow/route"
 	"github.com/boragelane/boragelane/internal/host/trace"
 )
 
 // Send sends a job to its upstream and records a span for it.
 func (s tracingSender) Send(ctx context.Context, job *pipe.Job) pipe.Reply {
-	ctx, end := trace.Start(ctx, s.tracer, "upstream", job)
+	ctx, end := trace.StartJob(ctx, s.tracer, "upstream", job)
 	defer end()
 	return s.next.Send(ctx, job)
 }
@@ -33,11 +33,11 @@
 func (h *Host) Intake(ctx context.Context, job *pipe.Job) {
 	job.Plan = h.loop.Plan()
 	h.intake.Run(ctx, job)
-	h.Stats.Ended(job)
+	h.Stats.CountJob(job)
 }
 
-// Issue returns a new ticket that this host owns.
-func (h *Host) Issue(now time.Time) once.Ticket {
+// IssueTicket returns a new ticket that this host owns.
+func (h *Host) IssueTicket(now time.Time) dedup.Ticket {
 	return h.once.Issue(now, h.Self.Seat, h.Self.Incarnation)
 }
 
@@ -49,7 +49,7 @@
 	job.Plan = h.loop.Plan()
 	h.explain.Run(context.Background(), job)
 	if !job.Ended() {
-		route.New(h.admit).More(h.Clock(), job)
+		route.New(h.admit).AddTargets(h.Clock(), job)
 	}
 }
 
@@ -58,7 +58,7 @@
 	doc, err := commit.Commit(ctx, h.store, ch, expect, newID())
 	if err == nil {
 		h.Log.Info("accepted a change", zap.Uint64("revision", doc.Revision))
-		h.loop.Send(ctx, state.Adopt{Doc: doc, Own: true})
+		h.loop.Send(ctx, state.DocumentReceived{Doc: doc, Local: true})
 	}
 	return doc, err
 }
@@ -79,20 +79,20 @@
 
 // ReportUnreachable reports an unreachable host to the control loop, without waiting.
 func (h *Host) ReportUnreachable(_ time.Time, seat string) {
-	h.loop.Offer(state.Unreachable{Seat: seat})
+	h.loop.TrySend(state.HostUnreachable{Seat: seat})
 }
 
 // peerHandler handles the requests of other hosts.
 type peerHandler struct{ *Host }
 
-// Serve runs a job that another host forwarded through the pipeline of the second hop.
-func (p *peerHandler) Serve(ctx context.Context, job *pipe.Job) {
+// RunForwarded runs a job that another host forwarded through the pipeline of the second hop.
+func (p *peerHandler) RunForwarded(ctx context.Context, job *pipe.Job) {
 	job.Plan = p.loop.Plan()
 	p.serve.Run(ctx, job)
 }
 
-// Own runs a job whose ticket this host owns through the pipeline of the first hop.
-func (p *peerHandler) Own(ctx context.Context, job *pipe.Job) {
+// RunOwned runs a job whose ticket this host owns through the pipeline of the first hop.
+func (p *peerHandler) RunOwned(ctx context.Context, job *pipe.Job) {
 	p.Intake(ctx, job)
 }
 
@@ -101,39 +101,39 @@
 
 // Forward forwards a job to a host; it reports false if nothing was sent.
 func (o ownerForwarder) Forward(ctx context.Context, now time.Time, seat spec.Seat, job *pipe.Job) bool {
-	region, _, _, _ := job.Plan.Doc.Find(seat.Name) //nolint:dogsled // Only the region is needed.
-	if region.Name != o.Self.Region && !o.pacer.Wait(ctx, now, region.Name, job.Level, carry.Size(len(job.Body)), job.WaitUntil(now)) {
+	region, _, _, _ := job.Plan.Doc.FindSeat(seat.Name) //nolint:dogsled // Only the region is needed.
+	if region.Name != o.Self.Region && !o.pacer.Wait(ctx, now, region.Name, job.Level, remote.MessageSize(len(job.Body)), job.QueueDeadline(now)) {
 		return false
 	}
 	return o.peerClient.Forward(ctx, now, seat, job)
 }
 
-// HeartbeatIn passes a heartbeat to the control loop and returns its reply.
-func (p *peerHandler) HeartbeatIn(ctx context.Context, b state.Heartbeat) (state.HeartbeatReply, bool) {
-	return p.loop.HeartbeatIn(ctx, b)
+// HandleHeartbeat passes a heartbeat to the control loop and returns its reply.
+func (p *peerHandler) HandleHeartbeat(ctx context.Context, b state.Heartbeat) (state.HeartbeatReply, bool) {
+	return p.loop.HandleHeartbeat(ctx, b)
 }
 
-// ExchangeIn passes an exchange to the control loop and returns its reply.
-func (p *peerHandler) ExchangeIn(ctx context.Context, s state.Exchange) (state.ExchangeReply, bool) {
-	return p.loop.ExchangeIn(ctx, s)
+// HandleExchange passes an exchange to the control loop and returns its reply.
+func (p *peerHandler) HandleExchange(ctx context.Context, s state.Exchange) (state.ExchangeReply, bool) {
+	return p.loop.HandleExchange(ctx, s)
 }
 
 // Notice passes another host's notice to the control loop, without waiting.
-func (p *peerHandler) Notice(n state.Notice) { p.loop.Offer(n) }
+func (p *peerHandler) Notice(n state.Notice) { p.loop.TrySend(n) }
 
 // Document returns the document in force, or nil if there is none yet.
 func (p *peerHandler) Document() *spec.Document { return p.loop.Plan().Doc }
 
-// Crashed records a crash and, if propagate is set, notifies the other hosts of this failure domain.
-func (p *peerHandler) Crashed(c guard.Crash, propagate bool) {
+// HandleCrash records a crash and, if propagate is set, notifies the other hosts of this failure domain.
+func (p *peerHandler) HandleCrash(c poison.Crash, propagate bool) {
 	p.crashes.Add(c)
 	if propagate {
 		(&crashNotifier{host: p.Host}).notifyDomain(c)
 	}
 }
 
-// Adopt takes over the ticket records of a stopped host.
-func (p *peerHandler) Adopt(incarnation string, until time.Time, last bool, records []once.Record) {
+// AdoptRecords takes over the ticket records of a stopped host.
+func (p *peerHandler) AdoptRecords(incarnation string, until time.Time, last bool, records []dedup.Record) {
 	p.once.Table.Adopt(incarnation, until, last, records)
 }
 
@@ -143,9 +143,9 @@
 // notifyTimeout limits how long a caller's answer is delayed while other hosts are notified of a crash.
 const notifyTimeout = 200 * time.Millisecond
 
-// Tell notifies the hosts of this failure domain, and one host of each other domain, which notifies the rest of its
-// domain.
-func (n *crashNotifier) Tell(_ time.Time, c guard.Crash) {
+// NotifyCrash notifies the hosts of this failure domain, and one host of each other domain, which notifies the rest of
+// its domain.
+func (n *crashNotifier) NotifyCrash(_ time.Time, c poison.Crash) {
 	var wg sync.WaitGroup
 	wg.Go(func() { n.notifyDomain(c) })
 	for _, d := range n.host.loop.Plan().Domains {
@@ -158,7 +158,7 @@
 }
 
 // notifyDomain notifies the other hosts of this failure domain.
-func (n *crashNotifier) notifyDomain(c guard.Crash) {
+func (n *crashNotifier) notifyDomain(c poison.Crash) {
 	var wg sync.WaitGroup
 	for _, d := range n.host.loop.Plan().Domains {
 		if d.Name != n.host.Self.Domain || d.Self {
@@ -172,8 +172,8 @@
 }
 
 // notifyHost notifies one host; errors are ignored.
-func (n *crashNotifier) notifyHost(seat spec.Seat, c guard.Crash, propagate bool) {
+func (n *crashNotifier) notifyHost(seat spec.Seat, c poison.Crash, propagate bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
 	defer cancel()
-	_ = n.host.peerClient.Crash(ctx, seat.Peer, c, propagate)
+	_ = n.host.peerClient.ReportCrash(ctx, seat.Peer, c, propagate)
 }
--- a/internal/host/entry/stop.go
+++ b/internal/host/entry/stop.go
@@ -7,7 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/boragelane/boragelane/internal/ctrl/state"
-	"github.com/boragelane/boragelane/internal/flow/once"
+	"github.com/boragelane/boragelane/internal/flow/dedup"
 )
 
 // leavePropagation is the time within which all other hosts learn that this one is leaving.
@@ -17,11 +17,11 @@
 // have cached expire, finishes all jobs and hands over the tickets.
 func (h *Host) shutdown(ctx context.Context) {
 	h.Log.Info("stopping", zap.String("seat", h.Self.Seat))
-	ctx, cancel := context.WithTimeout(ctx, h.Settings.Stop)
+	ctx, cancel := context.WithTimeout(ctx, h.Settings.StopTimeout)
 	defer cancel()
-	h.loop.Send(ctx, state.Leave{})
-	sleep(ctx, state.LookupLife+leavePropagation)
-	h.once.Table.Refuse()
+	h.loop.Send(ctx, state.ShutdownRequested{})
+	sleep(ctx, state.LookupTTL+leavePropagation)
+	h.once.Table.StopClaims()
 	for _, s := range h.httpServers {
 		if err := s.Shutdown(ctx); err != nil {
 			h.Log.Warn("jobs were still running at the end of the planned stop", errorField(err))
@@ -36,16 +36,16 @@
 // handOverTickets sends the ticket records to the first successor that accepts them.
 func (h *Host) handOverTickets(ctx context.Context) {
 	records := h.once.Table.Close()
-	until := h.Clock().Add(once.TicketLife)
+	until := h.Clock().Add(dedup.TicketLifetime)
 	current := h.loop.Plan()
 	if current.Doc == nil {
 		return
 	}
-	for _, seat := range once.Successors(current.Doc, h.Self.Seat) {
+	for _, seat := range dedup.Successors(current.Doc, h.Self.Seat) {
 		if seat.Name == h.Self.Seat {
 			continue
 		}
-		if err := h.peerClient.Hand(ctx, seat.Peer, h.Self.Incarnation, until, records); err != nil {
+		if err := h.peerClient.HandOver(ctx, seat.Peer, h.Self.Incarnation, until, records); err != nil {
 			h.Log.Warn("a successor did not take the tickets", zap.String("successor", seat.Name), errorField(err))
 			continue
 		}
--- a/internal/host/entry/system_test.go
+++ b/internal/host/entry/system_test.go
@@ -22,8 +22,8 @@
 	"github.com/boragelane/boragelane/internal/edge/store"
 	"github.com/boragelane/boragelane/internal/host/config"
 	"github.com/boragelane/boragelane/internal/host/trace"
+	"github.com/boragelane/boragelane/internal/stand/consul"
 	"github.com/boragelane/boragelane/internal/stand/layout"
-	"github.com/boragelane/boragelane/internal/stand/platf"
 	"github.com/boragelane/boragelane/internal/stand/upstr"
 )
 
@@ -31,11 +31,11 @@
 type system struct {
 	t         *testing.T
 	layout    layout.Layout
-	platform  *platf.Platform
+	platform  *consul.Platform
 	hosts     map[string]*runningHost
 	upstreams map[string]*fakeUpstream
 	trace     trace.Provider
-	gauges    map[string]*upstr.Gauge // Concurrent jobs, by region.
+	gauges    map[string]*upstr.ConcurrencyGauge // Concurrent jobs, by region.
 
 	mu       sync.Mutex
 	isolated map[string]bool // Failure domains and seats that are isolated from all others.
@@ -59,26 +59,26 @@
 // byte of its loopback addresses, which no other test may use.
 func testOptions(net int) layout.Options {
 	return layout.Options{
-		Net: net, Regions: []string{"dar", "mwanza"}, Domains: 2, Hosts: 2, Upstreams: 1,
-		Slots: 4, Capacity: 200, Rate: 35_000_000, Delay: 20 * time.Millisecond,
+		Subnet: net, Regions: []string{"dar", "mwanza"}, Domains: 2, Hosts: 2, Upstreams: 1,
+		Slots: 4, Capacity: 200, LinkRate: 35_000_000, LinkDelay: 20 * time.Millisecond,
 	}
 }
 
 // startSystem starts a system and waits until each host has the configuration and the loads of all failure domains.
 func startSystem(t *testing.T, o layout.Options, tr trace.Provider) *system {
 	s := &system{
-		t: t, layout: layout.Build(o), platform: platf.New(time.Now), trace: tr,
-		hosts: map[string]*runningHost{}, upstreams: map[string]*fakeUpstream{}, gauges: map[string]*upstr.Gauge{}, isolated: map[string]bool{},
+		t: t, layout: layout.Build(o), platform: consul.New(time.Now), trace: tr,
+		hosts: map[string]*runningHost{}, upstreams: map[string]*fakeUpstream{}, gauges: map[string]*upstr.ConcurrencyGauge{}, isolated: map[string]bool{},
 	}
 	for _, r := range o.Regions {
-		s.gauges[r] = &upstr.Gauge{}
+		s.gauges[r] = &upstr.ConcurrencyGauge{}
 	}
 	s.startServer(s.layout.Platform, s.platform.Handler(), nil)
 	for _, u := range s.layout.Upstreams {
-		s.startUpstream(u, upstr.Options{Clock: time.Now, ID: u.ID, Slots: o.Slots, Time: 3 * time.Millisecond, Size: 100})
+		s.startUpstream(u, upstr.Options{Clock: time.Now, ID: u.ID, Slots: o.Slots, JobTime: 3 * time.Millisecond, Size: 100})
 	}
 	s.platform.SetUpstreams(s.layout.Upstreams)
-	_, err := commit.Commit(context.Background(), store.New("http://"+s.layout.Platform), s.layout.Change(), nil, "first")
+	_, err := commit.Commit(context.Background(), store.New("http://"+s.layout.Platform), s.layout.InitialChange(), nil, "first")
 	assert.NilError(t, err)
 	for _, c := range s.layout.Settings {
 		s.startHost(c.Seat)
@@ -104,8 +104,8 @@
 	return srv
 }
 
-func (s *system) startUpstream(u platf.Upstream, o upstr.Options) {
-	region, _, _ := s.layout.Document.Locate(u.Domain)
+func (s *system) startUpstream(u consul.Upstream, o upstr.Options) {
+	region, _, _ := s.layout.Document.FindDomain(u.Domain)
 	o.Gauge = s.gauges[region.Name]
 	f := &fakeUpstream{addr: fmt.Sprintf("%s:%d", u.Address, u.Port)}
 	o.Crash = func() {
@@ -113,7 +113,7 @@
 		_ = f.server.Close()
 	}
 	f.Upstream = upstr.New(o)
-	f.server = s.startServer(f.addr, f.Handler(), f.Conn)
+	f.server = s.startServer(f.addr, f.Handler(), f.TrackConn)
 	s.upstreams[u.ID] = f
 }
 
@@ -274,11 +274,11 @@
 	body, err := io.ReadAll(resp.Body)
 	return answer{
 		status: resp.StatusCode, outcome: resp.Header.Get(front.HeaderOutcome), reason: resp.Header.Get(front.HeaderReason),
-		newTicket: resp.Header.Get(front.HeaderFresh), upstream: resp.Header.Get(front.HeaderServed), body: string(body),
+		newTicket: resp.Header.Get(front.HeaderNewTicket), upstream: resp.Header.Get(front.HeaderUpstream), body: string(body),
 	}, err
 }
 
-func (s *system) ticket(host string) string { return s.hosts[host].Issue(time.Now()).String() }
+func (s *system) ticket(host string) string { return s.hosts[host].IssueTicket(time.Now()).String() }
 
 // countRuns returns how often a key was executed, as all upstreams recorded it.
 func (s *system) countRuns(key string) int {
@@ -309,7 +309,7 @@
 	o.Skip = func(domain, service string) bool {
 		return service == layout.Catalog && strings.HasPrefix(domain, "dar")
 	}
-	s := startSystem(t, o, trace.None())
+	s := startSystem(t, o, trace.Noop())
 	a := s.call(call{host: "dar-a-1", service: layout.Catalog, key: "far"})
 	assert.Equal(t, a.outcome, "answered")
 	assert.Assert(t, strings.HasPrefix(a.upstream, "catalog-mwanza"), a.upstream)
--- a/internal/host/entry/whole_test.go
+++ b/internal/host/entry/whole_test.go
@@ -17,14 +17,14 @@
 
 	"github.com/boragelane/boragelane/internal/core/spec"
 	"github.com/boragelane/boragelane/internal/host/trace"
+	"github.com/boragelane/boragelane/internal/stand/consul"
 	"github.com/boragelane/boragelane/internal/stand/layout"
 	"github.com/boragelane/boragelane/internal/stand/loadg"
-	"github.com/boragelane/boragelane/internal/stand/platf"
 )
 
 // loadGenerator returns a load generator whose callers use the hosts of one region, or of all if region is empty.
 func (s *system) loadGenerator(length time.Duration, region string, classes ...loadg.Class) *loadg.Generator {
-	cfg := loadg.Config{Length: length, Callers: 100, Seed: 3, Classes: classes}
+	cfg := loadg.Config{Duration: length, Callers: 100, Seed: 3, Classes: classes}
 	for _, c := range s.layout.Settings {
 		if region == "" || c.Region == region {
 			cfg.Fronts = append(cfg.Fronts, c.Front)
@@ -38,10 +38,10 @@
 func TestAPlannedStopCutsOffNoRequest(t *testing.T) {
 	t.Parallel()
 	o := testOptions(125)
-	s := startSystem(t, o, trace.None())
+	s := startSystem(t, o, trace.Noop())
 	for id, u := range s.upstreams {
 		if strings.HasPrefix(id, layout.Catalog) {
-			u.Slow(700 * time.Millisecond)
+			u.SetJobTime(700 * time.Millisecond)
 		}
 	}
 	g := s.loadGenerator(14*time.Second, "",
@@ -61,7 +61,7 @@
 	}
 	rep := g.Run(context.Background())
 	wg.Wait()
-	assert.Equal(t, len(rep.Lost), 0, "requests cut off: %v", rep.Lost)
+	assert.Equal(t, len(rep.LostByHost), 0, "requests cut off: %v", rep.LostByHost)
 	for _, c := range rep.Classes {
 		t.Logf("%+v", c)
 		assert.Equal(t, c.Unknown+c.Failed+c.Wrong, int64(0), "%+v", c)
@@ -77,9 +77,9 @@
 	t.Parallel()
 	o := testOptions(126)
 	o.Upstreams, o.Capacity = 2, 8
-	s := startSystem(t, o, trace.None())
+	s := startSystem(t, o, trace.Noop())
 	for _, u := range s.upstreams {
-		u.Slow(30 * time.Millisecond)
+		u.SetJobTime(30 * time.Millisecond)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -105,7 +105,7 @@
 			got := n.Swap(0)
 			assert.Assert(t, got > 0, "%s answered nothing %s", seat, phase)
 		}
-		t.Logf("%s: at most %d concurrent jobs in dar and %d in mwanza, limit %d each", phase, s.gauges["dar"].Most(), s.gauges["mwanza"].Most(), o.Capacity)
+		t.Logf("%s: at most %d concurrent jobs in dar and %d in mwanza, limit %d each", phase, s.gauges["dar"].MaxConcurrent(), s.gauges["mwanza"].MaxConcurrent(), o.Capacity)
 	}
 	time.Sleep(2 * time.Second)
 	requireAnswers("before the faults")
@@ -115,13 +115,13 @@
 	}
 	for i, replaced := range []string{"dar-a-1", "mwanza-b-1"} {
 		s.isolate([][]string{s.domains(), seats}[i]...)
-		s.platform.SetFaults(platf.Faults{Down: true})
+		s.platform.SetFaults(consul.Faults{Down: true})
 		time.Sleep(5 * time.Second)
 		requireAnswers("while isolated")
 		s.killHost(s.hosts[replaced])
 		<-s.hosts[replaced].Done
 		s.isolate()
-		s.platform.SetFaults(platf.Faults{})
+		s.platform.SetFaults(consul.Faults{})
 		s.startHost(replaced)
 		time.Sleep(6 * time.Second)
 		requireAnswers("after the faults")
@@ -129,10 +129,10 @@
 	cancel()
 	wg.Wait()
 	for region, g := range s.gauges {
-		assert.Assert(t, g.Most() <= o.Capacity, "%d concurrent jobs in %s, limit %d", g.Most(), region, o.Capacity)
+		assert.Assert(t, g.MaxConcurrent() <= o.Capacity, "%d concurrent jobs in %s, limit %d", g.MaxConcurrent(), region, o.Capacity)
 	}
 	for id, u := range s.upstreams {
-		assert.Assert(t, u.Report().Most <= o.Slots && u.Report().Shed == 0, "%s: %+v", id, u.Report().Most)
+		assert.Assert(t, u.Report().MaxConcurrent <= o.Slots && u.Report().Shed == 0, "%s: %+v", id, u.Report().MaxConcurrent)
 	}
 }
 
@@ -185,11 +185,11 @@
 	const waitLimit = time.Minute // Under load from other tests the target appears slow and the shift pauses as designed.
 	o := testOptions(127)
 	spans := tracetest.NewInMemoryExporter()
-	s := startSystem(t, o, trace.With(sdk.NewSimpleSpanProcessor(spans), "test"))
+	s := startSystem(t, o, trace.NewProvider(sdk.NewSimpleSpanProcessor(spans), "test"))
 	var target []*fakeUpstream
 	for id, u := range s.upstreams {
 		if strings.HasPrefix(id, layout.Price+"-mwanza") {
-			u.Chill(60)
+			u.SetColdJobs(60)
 			target = append(target, u)
 		}
 	}
@@ -217,11 +217,11 @@
 	s.eventually(waitLimit, "the shift is complete on all hosts", func() bool { n, d := shiftState(); return n == 0 && d == 1 })
 	time.Sleep(2 * time.Second)
 	for _, u := range target {
-		u.Slow(400 * time.Millisecond)
+		u.SetJobTime(400 * time.Millisecond)
 	}
 	s.eventually(waitLimit, "the shift pauses", func() bool { n, _ := shiftState(); return n > 0 })
 	for _, u := range target {
-		u.Slow(3 * time.Millisecond)
+		u.SetJobTime(3 * time.Millisecond)
 	}
 	s.eventually(waitLimit, "the shift resumes", func() bool { n, d := shiftState(); return n == 0 && d == 1 })
 	cancel()
--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -16,18 +16,18 @@
 	"go.uber.org/zap"
 
 	"github.com/boragelane/boragelane/internal/core/roster"
-	"github.com/boragelane/boragelane/internal/ctrl/deal"
-	"github.com/boragelane/boragelane/internal/ctrl/enrol"
+	"github.com/boragelane/boragelane/internal/ctrl/lease"
+	"github.com/boragelane/boragelane/internal/ctrl/loans"
 	"github.com/boragelane/boragelane/internal/ctrl/watch"
 	"github.com/boragelane/boragelane/internal/edge/broker"
 	"github.com/boragelane/boragelane/internal/edge/dialer"
 	"github.com/boragelane/boragelane/internal/edge/httpd"
-	"github.com/boragelane/boragelane/internal/flow/guard"
 	"github.com/boragelane/boragelane/internal/flow/match"
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 	"github.com/boragelane/boragelane/internal/flow/place"
+	"github.com/boragelane/boragelane/internal/flow/poison"
 	"github.com/boragelane/boragelane/internal/flow/serve"
-	"github.com/boragelane/boragelane/internal/host/meters"
+	"github.com/boragelane/boragelane/internal/host/metric"
 	"github.com/boragelane/boragelane/internal/host/trace"
 )
 
@@ -40,16 +40,16 @@
 // Store is the part of the platform's store that a host uses.
 type Store interface {
 	watch.Source
-	enrol.Registry
-	// Report writes a crash for the other hosts to read.
-	Report(ctx context.Context, c roster.Crash, lease int64) error
+	lease.Registry
+	// ReportCrash writes a crash for the other hosts to read.
+	ReportCrash(ctx context.Context, c roster.Crash, lease int64) error
 }
 
 // Frontend decodes callers' requests into jobs and encodes the answers.
 type Frontend interface {
 	Job(r *httpd.Request) *pipe.Job
-	Answer(job *pipe.Job) httpd.Answer
-	Directory(view func() *roster.View) http.Handler
+	Answer(job *pipe.Job) httpd.Response
+	DirectoryHandler(view func() *roster.View) http.Handler
 }
 
 // Host is one entry host.
@@ -57,58 +57,58 @@
 	Settings Settings
 	Clock    func() time.Time
 	Log      *zap.Logger
-	Metrics  *meters.Meters
+	Metrics  *metric.Metrics
 	Loader   Loader
 	Tracer   otel.Tracer // Records a span for each hop of a job; nil disables tracing.
 	Done     chan struct{}
 
-	front        Frontend
-	store        Store
-	loop         *watch.Loop
-	reader       *watch.Reader
-	keeper       *enrol.Keeper
-	table        *place.Table
-	sender       *dialer.Sender
-	budget       *serve.Budget
-	crashes      *guard.Table
-	filters      pipe.Line
-	server       *httpd.Server
-	stopping     atomic.Bool
-	crashReports chan roster.Crash
-	asker        *broker.Asker
-	placer       *broker.Placer
-	relay        *broker.Relay
-	broker       *broker.Server
-	stopGrace    atomic.Int64 // A time.Duration in nanoseconds.
+	front         Frontend
+	store         Store
+	loop          *watch.Loop
+	reader        *watch.Reader
+	keeper        *lease.Keeper
+	scheduler     *place.Scheduler
+	sender        *dialer.Sender
+	budget        *serve.Budget
+	crashes       *poison.Table
+	filters       pipe.Pipeline
+	server        *httpd.Server
+	stopping      atomic.Bool
+	crashReports  chan roster.Crash
+	loanPoller    *broker.LoanPoller
+	placer        *broker.Placer
+	updateFetcher *broker.UpdateFetcher
+	broker        *broker.Server
+	stopGrace     atomic.Int64 // A time.Duration in nanoseconds.
 }
 
 // New returns a host; Run starts it.
-func New(s Settings, store Store, front Frontend, names dialer.Names, clock func() time.Time, log *zap.Logger, metrics *meters.Meters) *Host {
+func New(s Settings, store Store, front Frontend, names dialer.HeaderNames, clock func() time.Time, log *zap.Logger, metrics *metric.Metrics) *Host {
 	s.Host.Incarnation = newID()
 	h := &Host{
 		Settings: s, Clock: clock, Log: log, Metrics: metrics, Done: make(chan struct{}), front: front, store: store,
-		table: place.NewTable(), sender: dialer.New(names, clock), budget: serve.NewBudget(s.Retry),
-		crashes: &guard.Table{}, crashReports: make(chan roster.Crash, crashReportBuffer),
+		scheduler: place.NewScheduler(), sender: dialer.New(names, clock), budget: serve.NewBudget(s.Retry),
+		crashes: &poison.Table{}, crashReports: make(chan roster.Crash, crashReportBuffer),
 	}
-	h.table.SetShift(s.Shift)
+	h.scheduler.SetMaxShift(s.MaxShift)
 	events := &eventLog{log: log, metrics: h.Metrics}
 	h.loop = watch.NewLoop(s.Host, clock, events)
-	h.loop.Followers = []watch.Follower{h.table, &crashReceiver{crashes: h.crashes}}
-	h.relay = broker.NewRelay(clock)
-	h.reader = &watch.Reader{Source: store, Relay: h.relay, Loop: h.loop, Clock: clock, Done: make(chan struct{})}
-	h.keeper = &enrol.Keeper{Registry: store, Journal: events, Host: s.Host, Clock: clock, Listed: h.isRegistered, Done: make(chan struct{})}
-	h.placer = broker.NewPlacer(h.table, h.loop.View, clock, events.logPlacingFailure)
+	h.loop.Subscribers = []watch.Subscriber{h.scheduler, &crashReceiver{crashes: h.crashes}}
+	h.updateFetcher = broker.NewUpdateFetcher(clock)
+	h.reader = &watch.Reader{Source: store, Peers: h.updateFetcher, Loop: h.loop, Clock: clock, Done: make(chan struct{})}
+	h.keeper = &lease.Keeper{Registry: store, Observer: events, Host: s.Host, Clock: clock, Listed: h.isRegistered, Done: make(chan struct{})}
+	h.placer = broker.NewPlacer(h.scheduler, h.loop.View, clock, events.logPlacingFailure)
 	h.placer.Admit = &placeTracer{host: h}
-	h.filters = pipe.Line{Clock: clock, Filters: []pipe.Filter{
+	h.filters = pipe.Pipeline{Clock: clock, Filters: []pipe.Filter{
 		match.New(),
-		guard.Pipe{Table: h.crashes, Teller: &crashReporter{host: h}},
-		&serve.Pipe{Placer: &hopTracer{host: h}, Sender: &hopTracer{host: h}, Budget: h.budget, Journal: events, Clock: clock},
+		poison.Pipe{Table: h.crashes, Notifier: &crashReporter{host: h}},
+		&serve.Pipe{Placer: &hopTracer{host: h}, Sender: &hopTracer{host: h}, Budget: h.budget, Recorder: events, Clock: clock},
 	}}
 	h.server = httpd.New(h, h.requestBounds, clock)
-	h.broker = &broker.Server{Dealer: h.loop, Teller: h.loop, Admit: &placeTracer{host: h}, Table: h.table, Clock: clock, Done: make(chan struct{})}
-	h.asker = &broker.Asker{
-		Needer: h.table, Local: h.loop, View: h.loop.View, Lost: events.logLoanFailure, Clock: clock, Done: make(chan struct{}),
-		Give: func(l deal.Loans) { h.loop.Send(context.Background(), watch.Lent{Loans: l}) },
+	h.broker = &broker.Server{Planner: h.loop, Updates: h.loop, Admit: &placeTracer{host: h}, Table: h.scheduler, Clock: clock, Done: make(chan struct{})}
+	h.loanPoller = &broker.LoanPoller{
+		Demand: h.scheduler, Local: h.loop, View: h.loop.View, OnError: events.logLoanFailure, Clock: clock, Done: make(chan struct{}),
+		OnLoans: func(l loans.Loans) { h.loop.Send(context.Background(), watch.LoansReceived{Loans: l}) },
 	}
 	h.stopGrace.Store(int64(s.Grace))
 	return h
@@ -125,7 +125,7 @@
 // the view can't tell then.
 func (h *Host) isRegistered() bool {
 	v := h.loop.View()
-	if h.Clock().Sub(v.Synced) > storeStaleAfter {
+	if h.Clock().Sub(v.SyncedAt) > storeStaleAfter {
 		return true
 	}
 	for i := range v.Hosts {
@@ -146,7 +146,7 @@
 )
 
 // Serve runs a caller's request through the filters and returns the answer.
-func (h *Host) Serve(ctx context.Context, r *httpd.Request) httpd.Answer {
+func (h *Host) Serve(ctx context.Context, r *httpd.Request) httpd.Response {
 	job := h.front.Job(r)
 	job.View = h.loop.View()
 	if h.Tracer == nil {
@@ -161,21 +161,21 @@
 // recordRequest records a finished job in the metrics and the log.
 func (h *Host) recordRequest(job *pipe.Job) {
 	took := h.Clock().Sub(job.Started)
-	h.Metrics.Ended(job, took)
+	h.Metrics.ObserveRequest(job, took)
 	(&eventLog{log: h.Log, metrics: h.Metrics}).logRequest(job, took)
 }
 
 // requestBounds returns the bounds on callers' requests from the current policy.
-func (h *Host) requestBounds() httpd.Bounds {
+func (h *Host) requestBounds() httpd.Limits {
 	p := h.loop.View().Policy
 	if p == nil {
 		return defaultBounds
 	}
-	return httpd.Bounds{Header: p.Limits.Header, Body: p.Limits.Body, HeaderLife: p.Limits.HeaderLife, IdleLife: p.Limits.IdleLife}
+	return httpd.Limits{MaxHeaderBytes: p.Limits.Header, MaxBodyBytes: p.Limits.Body, HeaderTimeout: p.Limits.HeaderLife, IdleTimeout: p.Limits.IdleLife}
 }
 
 // defaultBounds apply until a policy is known; no request is served before that.
-var defaultBounds = httpd.Bounds{Header: 16 << 10, Body: 1 << 20, HeaderLife: 3 * time.Second, IdleLife: 15 * time.Second}
+var defaultBounds = httpd.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
 
 // Run starts the host, serves until the context ends, and then shuts down gracefully; hangup triggers a reload.
 func (h *Host) Run(ctx context.Context, hangup <-chan os.Signal) error {
@@ -201,7 +201,7 @@
 	go h.sweep(runCtx)
 	go h.reportCrashes(runCtx)
 	go h.broker.Serve(runCtx, peers)
-	go h.asker.Run(memberCtx)
+	go h.loanPoller.Run(memberCtx)
 	go h.watchSettings(runCtx, hangup)
 	go h.server.Serve(runCtx, front)
 	h.Log.Info("started", zap.String("host", h.Settings.Host.Name), zap.String("domain", h.Settings.Host.Domain),
@@ -220,7 +220,7 @@
 		return nil, ErrListen.Wrap(err, "listening for callers on %s", s.Host.Front)
 	}
 	for addr, handler := range map[string]http.Handler{
-		s.Ready: http.HandlerFunc(h.ready), s.Directory: h.front.Directory(h.loop.View), s.Metrics: h.Metrics.Handler(),
+		s.Ready: http.HandlerFunc(h.ready), s.Directory: h.front.DirectoryHandler(h.loop.View), s.Metrics: h.Metrics.Handler(),
 	} {
 		if addr == "" {
 			continue
@@ -260,8 +260,8 @@
 			return
 		case <-t.C:
 			now := h.Clock()
-			h.table.Pump(now)
-			h.sender.Sweep(now)
+			h.scheduler.Tick(now)
+			h.sender.CloseExpired(now)
 		}
 	}
 }
--- a/internal/host/steer/journal.go
+++ b/internal/host/steer/journal.go
@@ -8,15 +8,15 @@
 
 	"github.com/boragelane/boragelane/internal/core/roster"
 	"github.com/boragelane/boragelane/internal/ctrl/watch"
-	"github.com/boragelane/boragelane/internal/flow/guard"
 	"github.com/boragelane/boragelane/internal/flow/pipe"
-	"github.com/boragelane/boragelane/internal/host/meters"
+	"github.com/boragelane/boragelane/internal/flow/poison"
+	"github.com/boragelane/boragelane/internal/host/metric"
 )
 
 // eventLog records events of the control loop and of jobs in the log and the metrics.
 type eventLog struct {
 	log     *zap.Logger
-	metrics *meters.Meters
+	metrics *metric.Metrics
 }
 
 // millisField returns a log field with a duration in milliseconds.
@@ -32,14 +32,14 @@
 	return zap.String("error", err.Error())
 }
 
-// Believe logs and counts a change in this host's view of the system.
-func (l *eventLog) Believe(_ time.Time, n watch.Note) {
-	l.metrics.Notes.WithLabelValues(n.What).Inc()
-	l.log.Info(n.What, zap.String("name", n.Name), zap.Int64("revision", n.Revision), errorField(n.Err))
+// StateChanged logs and counts a change in this host's view of the system.
+func (l *eventLog) StateChanged(_ time.Time, n watch.StateChange) {
+	l.metrics.ViewChanges.WithLabelValues(n.Message).Inc()
+	l.log.Info(n.Message, zap.String("name", n.Name), zap.Int64("revision", n.Revision), errorField(n.Err))
 }
 
-// Enrolled logs that this host's entry in the store was written, or that it could not be kept.
-func (l *eventLog) Enrolled(_ time.Time, lease int64, err error) {
+// Registered logs that this host's entry in the store was written, or that it could not be kept.
+func (l *eventLog) Registered(_ time.Time, lease int64, err error) {
 	if err != nil {
 		l.log.Warn("entry not kept", errorField(err))
 		return
@@ -57,10 +57,10 @@
 	l.log.Warn("placing host lost", zap.String("host", host), errorField(err))
 }
 
-// Tried counts one try of a job and logs it unless it was the first and got a whole reply.
-func (l *eventLog) Tried(now time.Time, job *pipe.Job, u *roster.Upstream, d time.Duration) {
-	l.metrics.Tried(job, u.Service, d)
-	if job.Reply.Whole && job.Tries == 1 {
+// RecordAttempt counts one try of a job and logs it unless it was the first and got a whole reply.
+func (l *eventLog) RecordAttempt(now time.Time, job *pipe.Job, u *roster.Upstream, d time.Duration) {
+	l.metrics.ObserveAttempt(job, u.Service, d)
+	if job.Reply.Complete && job.Tries == 1 {
 		return // The log line at the end of the job has all of it.
 	}
 	l.log.Info("try", zap.String("id", job.ID), zap.Int("number", job.Tries), zap.String("upstream", u.ID),
@@ -78,7 +78,7 @@
 		version = job.View.Policy.Version
 	}
 	l.log.Info("request", zap.String("id", job.ID), zap.String("route", route), zap.Uint64("policy", version),
-		zap.Duration("age", job.Started.Sub(job.View.Synced)),
+		zap.Duration("age", job.Started.Sub(job.View.SyncedAt)),
 		zap.String("service", job.Service), zap.String("upstream", job.Upstream.ID), zap.Int("tries", job.Tries),
 		zap.String("outcome", job.Outcome.Kind.String()), zap.String("reason", string(job.Outcome.Reason)),
 		zap.Int("status", job.Answer.Status), millisField(d), zap.String("detail", job.Outcome.Detail))
@@ -86,13 +86,13 @@
 
 // crashReceiver passes crashes that other hosts reported to the guard.
 type crashReceiver struct {
-	crashes *guard.Table
+	crashes *poison.Table
 }
 
 // Update adds the crashes in a view.
 func (r *crashReceiver) Update(now time.Time, v *roster.View) {
 	for _, c := range v.Crashes {
-		r.crashes.Add(guard.Crash{Digest: c.Digest, Upstream: c.Upstream, At: now})
+		r.crashes.Add(poison.Crash{Digest: c.Digest, Upstream: c.Upstream, At: now})
 	}
 }
 
@@ -106,8 +106,8 @@
 // crashReporter queues crashes for the goroutine that reports them.
 type crashReporter struct{ host *Host }
 
-// Tell queues a crash; it drops the crash and logs a warning if the queue is full.
-func (r *crashReporter) Tell(_ time.Time, c guard.Crash) {
+// NotifyCrash queues a crash; it drops the crash and logs a warning if the queue is full.
+func (r *crashReporter) NotifyCrash(_ time.Time, c poison.Crash) {
 	select {
 	case r.host.crashReports <- roster.Crash{Digest: c.Digest, Upstream: c.Upstream}:
 	default:
@@ -123,7 +123,7 @@
 			return
 		case c := <-h.crashReports:
 			callCtx, cancel := context.WithTimeout(ctx, crashReportTimeout)
-			if err := h.store.Report(callCtx, c, h.keeper.Lease()); err != nil {
+			if err := h.store.ReportCrash(callCtx, c, h.keeper.Lease()); err != nil {
 				h.Log.Warn("crash not reported", zap.String("upstream", c.Upstream), errorField(err))
 			}
 			cancel()
--- a/internal/stand/claims/ways.go
+++ b/internal/stand/claims/ways.go
@@ -9,7 +9,7 @@
 
 	"github.com/boragelane/boragelane/internal/core/plan"
 	"github.com/boragelane/boragelane/internal/edge/store"
-	"github.com/boragelane/boragelane/internal/flow/once"
+	"github.com/boragelane/boragelane/internal/flow/dedup"
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
@@ -18,14 +18,14 @@
 
 // ticketClaimer issues tickets, which are recorded in the memory of the issuing host.
 type ticketClaimer struct {
-	filter once.Pipe
+	filter dedup.Pipe
 	clock  func() time.Time
 }
 
 // Claim issues a ticket and runs the job through the at-most-once filter.
 func (t *ticketClaimer) Claim(ctx context.Context, id string) bool {
 	now := t.clock()
-	self := plan.Self{Seat: "host", Incarnation: "0123456789abcdef"}
+	self := plan.Identity{Seat: "host", Incarnation: "0123456789abcdef"}
 	job := &pipe.Job{
 		ID: id, Once: true, Deadline: now.Add(time.Second), Plan: &plan.Plan{Self: self},
 		Ticket: t.filter.Issue(now, self.Seat, self.Incarnation).String(),
@@ -45,7 +45,7 @@
 // createKey creates a key and retries failed calls until the context ends.
 func createKey(ctx context.Context, client *store.Client, key string, data []byte) bool {
 	for ctx.Err() == nil {
-		if ok, err := client.Swap(ctx, key, data, 0); err == nil {
+		if ok, err := client.CompareAndSwap(ctx, key, data, 0); err == nil {
 			return ok
 		}
 		select {
--- a/internal/stand/sizes/measure.go
+++ b/internal/stand/sizing/measure.go
@@ -1,4 +1,4 @@
-package sizes
+package sizing
 
 import (
 	"encoding/json"
@@ -24,15 +24,15 @@
 	Unit    string
 }
 
-// Full is the system size of the two-year plan; 9 services in 99 failure domains make 891 sites.
-var Full = Size{Regions: 25, Domains: 99, Hosts: 33, Services: 9, Upstreams: 40}
+// TwoYearSize is the system size of the two-year plan; 9 services in 99 failure domains make 891 sites.
+var TwoYearSize = Size{Regions: 25, Domains: 99, Hosts: 33, Services: 9, Upstreams: 40}
 
 // measuredSizes are the measured system sizes, in ascending order.
 var measuredSizes = []Size{
 	{Regions: 3, Domains: 6, Hosts: 2, Services: 4, Upstreams: 8},
 	{Regions: 5, Domains: 10, Hosts: 10, Services: 9, Upstreams: 40},
 	{Regions: 8, Domains: 30, Hosts: 33, Services: 9, Upstreams: 40},
-	Full,
+	TwoYearSize,
 }
 
 // Measure runs all measurements; quick leaves out the two largest systems.
@@ -68,8 +68,8 @@
 // measureControl measures the control-plane traffic and CPU of a relay and of another host.
 func measureControl(size Size, add addRow) {
 	hosts := float64(size.Domains * size.Hosts)
-	warmup := int((3*state.Term(size.Hosts) + state.LeasePeriod(size.Hosts)) / time.Second)
-	seconds := refreshPeriods * int(state.Refresh(size.Domains)/time.Second)
+	warmup := int((3*state.LoanTTL(size.Hosts) + state.LeaseRenewalPeriod(size.Hosts)) / time.Second)
+	seconds := refreshPeriods * int(state.SummaryRefreshPeriod(size.Domains)/time.Second)
 	relay, member := SimulateControl(size, warmup, seconds)
 	ticks := float64(time.Second / state.TickPeriod)
 	add("relay bytes", hosts, float64(relay.Sent+relay.Received), "B/s")
@@ -110,12 +110,12 @@
 	changes, _ := next.Since(doc.Revision)
 	entry, _ := json.Marshal(changes)
 	add("change", hosts, float64(len(entry)), "B")
-	notice := peer.Size(state.Notice{Seat: "d0-0", Revision: next.Revision, Changes: changes})
+	notice := peer.ControlMessageSize(state.Notice{Seat: "d0-0", Revision: next.Revision, Changes: changes})
 	add("relay change", hosts, float64(size.Hosts-1)*float64(notice+emptyAnswerSize), "B")
-	self := plan.Self{Seat: "d0-0", Domain: "domain-0", Region: "region-0"}
+	self := plan.Identity{Seat: "d0-0", Domain: "domain-0", Region: "region-0"}
 	kept, bytes := heapGrowth(func() any {
 		st := state.New(self)
-		state.Fold(st, state.Adopt{Doc: Document(size)}, time.Unix(100_000, 0))
+		state.Apply(st, state.DocumentReceived{Doc: Document(size)}, time.Unix(100_000, 0))
 		return []any{st, state.Plan(st, time.Unix(100_000, 0))}
 	})
 	add("state", hosts, bytes, "B")
@@ -141,12 +141,12 @@
 		lookup.Sites = append(lookup.Sites, rendez.NewSite(fmt.Sprint("site-", i), 1))
 	}
 	sum := 0
-	buf := make([]int, 0, plan.LookupHosts)
+	buf := make([]int, 0, plan.MaxLookupHosts)
 	add("look-up", float64(sites), nanosPerCall(200_000_000/sites/1000, func(i int) { sum += lookup.Pick(uint64(i), buf)[0] }), "ns")
-	p := &plan.Plan{Self: plan.Self{Region: "r0"}, Links: map[string]share.Amount{}}
+	p := &plan.Plan{Self: plan.Identity{Region: "r0"}, Links: map[string]share.Quota{}}
 	for i := range max(1, sites/9) {
 		region := fmt.Sprint("r", i%25)
-		p.Links[region] = share.Amount{Floor: 1}
+		p.Links[region] = share.Quota{Floor: 1}
 		p.Domains = append(p.Domains, plan.Domain{
 			Name: fmt.Sprint("d", i), Region: region, Delay: time.Duration(i) * time.Millisecond, Hosts: []spec.Seat{{Name: "h"}},
 			Loads: map[string]plan.Load{"svc": {Slots: 100, Busy: 50}},
@@ -157,7 +157,7 @@
 	now := time.Unix(100_000, 0)
 	var out []pipe.Target
 	add("route", float64(sites), nanosPerCall(200_000, func(i int) {
-		out = route.Decide(now, p, route.Query{Service: "svc", Hash: uint64(i)}, out[:0], 1)
+		out = route.SelectTargets(now, p, route.Query{Service: "svc", Hash: uint64(i)}, out[:0], 1)
 		sum += len(out)
 	}), "ns")
 	runtime.KeepAlive(sum)
