wording: the operators' API in design

Now: the comments say what each type holds, in the terms of internal/core/spec and internal/ctrl/state. No published name or text changes; gen is the same.

--- a/design/design.go
+++ b/design/design.go
@@ -1,8 +1,8 @@
-// Package design describes the operators' API, from which gen/ and the schema file are generated.
+// Package design defines the operators' API in the Goa DSL; gen/ and its OpenAPI schemas are generated from it.
 package design
 
 import (
-	. "goa.design/goa/v3/dsl" //nolint:staticcheck // The design language is meant to be imported so.
+	. "goa.design/goa/v3/dsl" //nolint:staticcheck // The Goa DSL is designed for dot imports.
 )
 
 var _ = API("boragelane", func() {
@@ -15,81 +15,82 @@
 	})
 })
 
-// Rank is one class of urgency.
+// Rank is a priority class with its minimum share, queue limit and retry ratio.
 var Rank = Type("Rank", func() {
 	Description("A class of urgency; the first of a document is the most urgent.")
-	Attribute("name", String, "Name", name)
+	Attribute("name", String, "Name", namePattern)
 	Attribute("minimum", Float64, "Part of a resource that the rank gets while it waits", func() { Minimum(0); Maximum(0.9) })
 	Attribute("queue", Int, "Most jobs that wait, for each service and host", func() { Minimum(1); Maximum(1000000) })
 	Attribute("retry", Float64, "Retries as a part of first tries", func() { Minimum(0); Maximum(1) })
 	Required("name", "minimum", "queue", "retry")
 })
 
-// ServiceType is one kind of work.
+// ServiceType is the configuration of a set of interchangeable upstreams, which all accept the same requests.
+// It is not called Service because the Goa DSL has a function of that name.
 var ServiceType = Type("ServiceConfig", func() {
 	Description("A kind of work, served by upstreams that all accept the same requests.")
-	Attribute("name", String, "Name", name)
-	Attribute("rank", String, "Rank of jobs that name none", name)
-	Attribute("timeout", String, "Longest time for a job, such as 1.5s", duration)
+	Attribute("name", String, "Name", namePattern)
+	Attribute("rank", String, "Rank of jobs that name none", namePattern)
+	Attribute("timeout", String, "Longest time for a job, such as 1.5s", durationPattern)
 	Attribute("once", Boolean, "Whether a job may run at most once")
 	Attribute("slots", Int, "Most jobs in flight on one upstream", func() { Minimum(1); Maximum(100000) })
 	Attribute("conns", Int, "Most connections to one upstream", func() { Minimum(1); Maximum(1000000) })
 	Required("name", "rank", "timeout", "once", "slots", "conns")
 })
 
-// Seat is the place of one entry host.
+// Seat is the configured position of one entry host, with its addresses for callers and for other entry hosts.
 var Seat = Type("Seat", func() {
-	Attribute("name", String, "Name", name)
+	Attribute("name", String, "Name", namePattern)
 	Attribute("front", String, "Address for callers, as IP:port")
 	Attribute("peer", String, "Address for other entry hosts, as IP:port")
 	Required("name", "front", "peer")
 })
 
-// Domain is a failure domain.
+// Domain is a failure domain and the entry hosts that may run in it.
 var Domain = Type("Domain", func() {
-	Attribute("name", String, "Name", name)
+	Attribute("name", String, "Name", namePattern)
 	Attribute("seats", ArrayOf(Seat), "Entry hosts")
 	Required("name", "seats")
 })
 
-// Region is a group of failure domains.
+// Region is a group of failure domains that share one capacity, in jobs in flight.
 var Region = Type("Region", func() {
-	Attribute("name", String, "Name", name)
+	Attribute("name", String, "Name", namePattern)
 	Attribute("capacity", Int, "Most jobs in flight in the region", func() { Minimum(1); Maximum(100000000) })
 	Attribute("domains", ArrayOf(Domain), "Failure domains")
 	Required("name", "capacity", "domains")
 })
 
-// Link limits traffic between two regions.
+// Link limits the traffic from one region to another, in bytes a second, and gives its one-way delay.
 var Link = Type("Link", func() {
-	Attribute("from", String, "Region that sends", name)
-	Attribute("to", String, "Region that receives", name)
+	Attribute("from", String, "Region that sends", namePattern)
+	Attribute("to", String, "Region that receives", namePattern)
 	Attribute("rate", Int64, "Most bytes a second", func() { Minimum(1) })
-	Attribute("delay", String, "One-way delay, such as 20ms", duration)
+	Attribute("delay", String, "One-way delay, such as 20ms", durationPattern)
 	Required("from", "to", "rate", "delay")
 })
 
-// Drain keeps new work away.
+// Drain stops new work from going to an upstream, host, domain or region.
 var Drain = Type("Drain", func() {
 	Attribute("kind", String, "What is drained", func() { Enum("upstream", "host", "domain", "region") })
-	Attribute("name", String, "Its name", name)
+	Attribute("name", String, "Its name", namePattern)
 	Required("kind", "name")
 })
 
-// Shift moves a part of a service's traffic.
+// Shift moves a fraction of a service's traffic from one region to another, with a cap in jobs a second.
 var Shift = Type("Shift", func() {
-	Attribute("name", String, "Name", name)
-	Attribute("service", String, "Service that moves", name)
-	Attribute("from", String, "Region that it leaves", name)
-	Attribute("to", String, "Region that it goes to", name)
+	Attribute("name", String, "Name", namePattern)
+	Attribute("service", String, "Service that moves", namePattern)
+	Attribute("from", String, "Region that it leaves", namePattern)
+	Attribute("to", String, "Region that it goes to", namePattern)
 	Attribute("part", Float64, "Part that moves in the end", func() { Minimum(0); Maximum(1) })
 	Attribute("cap", Float64, "Most jobs a second that move", func() { Minimum(0) })
-	Attribute("ramp", String, "Time from nothing to the whole part, such as 10m", duration)
+	Attribute("ramp", String, "Time from nothing to the whole part, such as 10m", durationPattern)
 	Attribute("start", String, "When it begins", func() { Format(FormatDateTime) })
 	Required("name", "service", "from", "to", "part", "cap", "ramp", "start")
 })
 
-// Document is one revision of the configuration.
+// Document is one revision of the operators' configuration.
 var Document = Type("Document", func() {
 	Attribute("revision", UInt64, "Revision")
 	Attribute("floor", Float64, "Part of each limit that hosts hold without contact", func() { Minimum(0); Maximum(1) })
@@ -102,7 +103,8 @@
 	Required("revision", "floor", "ranks", "services", "regions", "links", "drains", "shifts")
 })
 
-// Ref names a thing to remove.
+// Ref identifies, by kind and name, an item to remove from a document. The kind "regions" refers to a region, because
+// "region" refers to the drain of a region.
 var Ref = Type("Ref", func() {
 	Attribute("kind", String, "Kind of the thing", func() {
 		Enum("rank", "service", "regions", "link", "shift", "upstream", "host", "domain", "region")
@@ -111,7 +113,7 @@
 	Required("kind", "name")
 })
 
-// Change is a set of edits that are accepted together.
+// Change is a set of edits that are applied to a document atomically, if it is still at the expected revision.
 var Change = Type("Change", func() {
 	Attribute("expect", UInt64, "Revision that the change was made for")
 	Attribute("ranks", ArrayOf(Rank), "Ranks to put")
@@ -125,7 +127,7 @@
 	Required("expect")
 })
 
-// HostStatus is what a relay knows of a host.
+// HostStatus is a relay's record of a host of its failure domain.
 var HostStatus = Type("HostStatus", func() {
 	Attribute("seat", String)
 	Attribute("revision", UInt64)
@@ -134,7 +136,7 @@
 	Required("seat", "revision", "leaving", "age")
 })
 
-// LoadStatus is the load of one service in one failure domain.
+// LoadStatus is the load of a service in a failure domain and the age of that information.
 var LoadStatus = Type("LoadStatus", func() {
 	Attribute("domain", String)
 	Attribute("service", String)
@@ -146,7 +148,7 @@
 	Required("domain", "service", "slots", "busy", "queued", "latency", "age")
 })
 
-// ShareStatus is this host's part of one limit.
+// ShareStatus is this host's share of a limit: its permanent floor and the units lent to it from the pool.
 var ShareStatus = Type("ShareStatus", func() {
 	Attribute("resource", String)
 	Attribute("floor", Int64)
@@ -154,7 +156,7 @@
 	Required("resource", "floor", "lent")
 })
 
-// ShiftStatus is how far a shift has come on this host.
+// ShiftStatus is the progress of a shift on this host.
 var ShiftStatus = Type("ShiftStatus", func() {
 	Attribute("name", String)
 	Attribute("done", Float64, "From 0 to 1")
@@ -162,7 +164,7 @@
 	Required("name", "done", "paused")
 })
 
-// Status is what one host knows and does.
+// Status is a report of a host's control state for operators.
 var Status = Type("Status", func() {
 	Attribute("seat", String)
 	Attribute("domain", String)
@@ -180,7 +182,7 @@
 	Required("seat", "domain", "region", "incarnation", "revision", "relay", "lender", "takeovers", "leaving", "hosts", "loads", "shares", "shifts")
 })
 
-// Choice is one place where a request would be tried.
+// Choice is one routing target for a request and the reason why it was chosen.
 var Choice = Type("Choice", func() {
 	Attribute("seat", String)
 	Attribute("domain", String)
@@ -189,7 +191,7 @@
 	Required("seat", "domain", "region", "reason")
 })
 
-// Explanation says where a request would go, and why.
+// Explanation is the routing decision for a request that is not run: either a refusal or the chosen targets.
 var Explanation = Type("Explanation", func() {
 	Attribute("revision", UInt64)
 	Attribute("rank", String)
@@ -199,7 +201,7 @@
 	Required("revision", "rank", "once", "outcome", "choices")
 })
 
-// Conflict is a lost race.
+// Conflict is the error for a change whose expected revision is not the revision in force.
 var Conflict = Type("Conflict", func() {
 	ErrorName("name", String, "Name of the error")
 	Attribute("message", String)
@@ -207,18 +209,21 @@
 	Required("name", "message", "current")
 })
 
-// Failure is any other refusal.
+// Failure is the error type of all errors other than conflicts.
 var Failure = Type("Failure", func() {
 	ErrorName("name", String, "Name of the error")
 	Attribute("message", String)
 	Required("name", "message")
 })
 
-func name() {
+// namePattern restricts an attribute to names of up to 63 lower-case letters, digits, dots, colons and hyphens that
+// begin with a letter or a digit.
+func namePattern() {
 	Pattern(`^[a-z0-9][a-z0-9.:-]{0,62}$`)
 }
 
-func duration() {
+// durationPattern restricts an attribute to durations without a sign, such as 1.5s or 2m30s.
+func durationPattern() {
 	Pattern(`^([0-9]+(\.[0-9]+)?(ns|us|µs|ms|s|m|h))+$`)
 }
 
