--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 test:
 	RAPID_SEED=1 RAPID_NOFAILFILE=true go test -race -count=1 -timeout 12m ./...
 
-# Random faults from outside on real processes, with fresh seeds; SOAK_SEED=N plays one again.
+# Runs host processes under random external faults, with SOAK_SEEDS new random seeds; SOAK_SEED=N reruns a single seed.
 soak:
 	SOAK_SEEDS=$${SOAK_SEEDS:-50} go test ./platform -run TestSoak -v -parallel 6 -timeout 30m
 
@@ -39,6 +39,6 @@
 claims: build
 	bin/standin claims
 
-# The tool that renames identifiers with every use, at the version that tools/gopls declares.
+# Builds gopls, which renames identifiers with every use, at the version declared in tools/gopls/go.mod.
 gopls:
 	cd tools/gopls && go build -mod=mod -o ../../bin/gopls golang.org/x/tools/gopls
