wording: second reading of host/steer, host/metric, host/logs

The crash receiver was said to pass on crashes 'reported to the guard'; it adds the crashes in the store to the host's table. ObserveRequest was said to take answered requests only; it takes every finished one. NewWriter and Write of the log writer say which lines are dropped and when OnDrop is called. 'planned stop' is now 'graceful shutdown' in the comment of StopTimeout.

--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -42,7 +42,7 @@
 	metrics := metric.New()
 	writer := logs.NewWriter(out, metrics.Dropped.Inc)
 	defer writer.Close(logFlushTimeout)
-	store := platform.NewStore(settings.Store, settings.Regions, func(call, result string) { metrics.Calls.WithLabelValues(call, result).Inc() })
+	store := platform.NewStore(settings.Store, settings.Regions, func(call, result string) { metrics.StoreCalls.WithLabelValues(call, result).Inc() })
 	host := steer.New(settings, store, platform.Front{}, platform.HeaderNames, time.Now, logs.New(writer, zapcore.InfoLevel), metrics)
 	host.Loader = loader
 	if a.Trace != "" {
--- a/internal/host/config/config.go
+++ b/internal/host/config/config.go
@@ -36,7 +36,7 @@
 	Seeds       []string      // Peer addresses of hosts to fetch the configuration from at startup.
 	LogLevel    string        // Log level: debug, info, warn or error.
 	TraceURL    string        // URL of an OTLP collector; tracing is off if it is empty.
-	StopTimeout time.Duration // Maximum duration of a planned stop.
+	StopTimeout time.Duration // Maximum duration of a graceful shutdown.
 }
 
 // Default returns the default values of the optional settings.
--- a/internal/host/logs/logs.go
+++ b/internal/host/logs/logs.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// queueSize is the number of lines that may wait for the output.
+	// queueSize is the maximum number of lines that wait for the output.
 	queueSize = 2048
-	// maxLinesPerMessage is the number of lines with the same message that are written in a second.
+	// maxLinesPerMessage is the maximum number of lines with the same message that are written in a second.
 	maxLinesPerMessage = 300
 )
 
@@ -25,7 +25,7 @@
 	closed atomic.Bool
 }
 
-// NewWriter starts a writer.
+// NewWriter returns a writer and starts the goroutine that writes its lines to out. The writer calls onDrop for each lost line.
 func NewWriter(out io.Writer, onDrop func()) *Writer {
 	w := &Writer{OnDrop: onDrop, Done: make(chan struct{}), queue: make(chan []byte, queueSize)}
 	go func() {
@@ -42,7 +42,8 @@
 	return w
 }
 
-// Write queues a copy of a line; it never fails or blocks, and discards lines after Close.
+// Write queues a copy of a line. It never fails or blocks: it drops the line and calls OnDrop if the queue is full, and
+// discards the line after Close.
 func (w *Writer) Write(line []byte) (int, error) {
 	if w.closed.Load() {
 		return len(line), nil
--- a/internal/host/metric/metric.go
+++ b/internal/host/metric/metric.go
@@ -13,12 +13,12 @@
 // Metrics holds the metrics of one host.
 type Metrics struct {
 	Registry       *prometheus.Registry
-	Requests       *prometheus.CounterVec   // By route, outcome and reason.
-	RequestLatency *prometheus.HistogramVec // Seconds from the first byte of a request to its answer, by route.
-	Tries          *prometheus.CounterVec   // By service and reason.
-	TryLatency     *prometheus.HistogramVec // Seconds that a try at an upstream took, by service.
+	Requests       *prometheus.CounterVec   // Callers' requests, by route, outcome and reason.
+	RequestLatency *prometheus.HistogramVec // Seconds from the first byte of a request to its end, by route.
+	Attempts       *prometheus.CounterVec   // Attempts at upstreams, by service and reason.
+	AttemptLatency *prometheus.HistogramVec // Seconds that an attempt at an upstream took, by service.
 	ViewChanges    *prometheus.CounterVec   // Changes in the host's view of the system, by kind.
-	Calls          *prometheus.CounterVec   // Calls to the store, by call and result.
+	StoreCalls     *prometheus.CounterVec   // Calls to the store, by operation and result.
 	Dropped        prometheus.Counter       // Log lines that were dropped.
 }
 
@@ -31,13 +31,13 @@
 		Registry:       prometheus.NewRegistry(),
 		Requests:       counter("requests_total", "Requests of callers by how they ended.", "route", "outcome", "reason"),
 		RequestLatency: histogram("request_seconds", "Time from a request's first byte to its answer.", "route"),
-		Tries:          counter("tries_total", "Tries at upstreams by how they ended.", "service", "reason"),
-		TryLatency:     histogram("try_seconds", "Time of a try at an upstream.", "service"),
+		Attempts:       counter("tries_total", "Tries at upstreams by how they ended.", "service", "reason"),
+		AttemptLatency: histogram("try_seconds", "Time of a try at an upstream.", "service"),
 		ViewChanges:    counter("beliefs_total", "Changes of what the host believes.", "what"),
-		Calls:          counter("store_calls_total", "Calls to the platform's store.", "call", "result"),
+		StoreCalls:     counter("store_calls_total", "Calls to the platform's store.", "call", "result"),
 		Dropped:        prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_dropped_total", Help: "Log lines dropped."}),
 	}
-	m.Registry.MustRegister(m.Requests, m.RequestLatency, m.Tries, m.TryLatency, m.ViewChanges, m.Calls, m.Dropped)
+	m.Registry.MustRegister(m.Requests, m.RequestLatency, m.Attempts, m.AttemptLatency, m.ViewChanges, m.StoreCalls, m.Dropped)
 	return m
 }
 
@@ -51,7 +51,7 @@
 	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: latencyBuckets}, labels)
 }
 
-// ObserveRequest records the outcome and the latency of an answered request.
+// ObserveRequest records the outcome and the latency of a finished request.
 func (m *Metrics) ObserveRequest(job *pipe.Job, took time.Duration) {
 	route := "none"
 	if job.Route != nil {
@@ -61,14 +61,14 @@
 	m.RequestLatency.WithLabelValues(route).Observe(took.Seconds())
 }
 
-// ObserveAttempt records the outcome and the duration of one try at an upstream.
+// ObserveAttempt records the outcome and the duration of one attempt at an upstream.
 func (m *Metrics) ObserveAttempt(job *pipe.Job, service string, took time.Duration) {
 	reason := string(job.Outcome.Reason)
 	if job.Outcome.Kind == pipe.Answered {
 		reason = "answered"
 	}
-	m.Tries.WithLabelValues(service, reason).Inc()
-	m.TryLatency.WithLabelValues(service).Observe(took.Seconds())
+	m.Attempts.WithLabelValues(service, reason).Inc()
+	m.AttemptLatency.WithLabelValues(service).Observe(took.Seconds())
 }
 
 // Handler serves the metrics in the Prometheus text format, uncompressed.
--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -83,11 +83,11 @@
 }
 
 // New returns a host; Run starts it.
-func New(s Settings, store Store, front Frontend, names dialer.HeaderNames, clock func() time.Time, log *zap.Logger, metrics *metric.Metrics) *Host {
+func New(s Settings, store Store, front Frontend, headerNames dialer.HeaderNames, clock func() time.Time, log *zap.Logger, metrics *metric.Metrics) *Host {
 	s.Host.Incarnation = newID()
 	h := &Host{
 		Settings: s, Clock: clock, Log: log, Metrics: metrics, Done: make(chan struct{}), front: front, store: store,
-		scheduler: place.NewScheduler(), sender: dialer.New(names, clock), budget: serve.NewBudget(s.Retry),
+		scheduler: place.NewScheduler(), sender: dialer.New(headerNames, clock), budget: serve.NewBudget(s.Retry),
 		crashes: &poison.Table{}, crashReports: make(chan roster.Crash, crashReportBuffer),
 	}
 	h.scheduler.SetMaxShift(s.MaxShift)
@@ -114,7 +114,7 @@
 	return h
 }
 
-// newID returns a random id for an incarnation of the host.
+// newID returns a random ID for an incarnation of the host.
 func newID() string {
 	var b [8]byte
 	_, _ = rand.Read(b[:])
@@ -139,8 +139,9 @@
 const (
 	// storeStaleAfter is the time since the last sync with the store after which the view may lack this host's entry.
 	storeStaleAfter = 2 * time.Second
-	// sweepPeriod is how often waiting jobs are retried, since some upstreams become usable without an event.
-	sweepPeriod = 25 * time.Millisecond
+	// maintenancePeriod is the interval at which waiting jobs are retried, since some upstreams become usable without an
+	// event, and expired idle connections are closed.
+	maintenancePeriod = 25 * time.Millisecond
 	// memoryLimitFraction is the fraction of Settings.Memory above which the garbage collector runs more often.
 	memoryLimitFraction = 0.7
 )
@@ -193,21 +194,21 @@
 	if err != nil {
 		return ErrListen.Wrap(err, "listening for hosts on %s", h.Settings.Host.Peer)
 	}
-	memberCtx, withdraw := context.WithCancel(runCtx)
-	defer withdraw()
+	registrationCtx, cancelRegistration := context.WithCancel(runCtx)
+	defer cancelRegistration()
 	go h.loop.Run(runCtx)
 	go h.reader.Run(runCtx)
-	go h.keeper.Run(memberCtx)
-	go h.sweep(runCtx)
+	go h.keeper.Run(registrationCtx)
+	go h.maintain(runCtx)
 	go h.reportCrashes(runCtx)
 	go h.broker.Serve(runCtx, peers)
-	go h.loanPoller.Run(memberCtx)
+	go h.loanPoller.Run(registrationCtx)
 	go h.watchSettings(runCtx, hangup)
 	go h.server.Serve(runCtx, front)
 	h.Log.Info("started", zap.String("host", h.Settings.Host.Name), zap.String("domain", h.Settings.Host.Domain),
 		zap.String("incarnation", h.Settings.Host.Incarnation), zap.String("line", h.filters.String()))
 	<-ctx.Done()
-	h.shutdown(runCtx, front, withdraw)
+	h.shutdown(runCtx, front, cancelRegistration)
 	h.Log.Info("stopped", zap.String("host", h.Settings.Host.Name))
 	return nil
 }
@@ -250,9 +251,9 @@
 	}
 }
 
-// sweep periodically retries waiting jobs and closes idle connections to upstreams.
-func (h *Host) sweep(ctx context.Context) {
-	t := time.NewTicker(sweepPeriod)
+// maintain periodically retries waiting jobs and closes connections to upstreams that have been idle for too long.
+func (h *Host) maintain(ctx context.Context) {
+	t := time.NewTicker(maintenancePeriod)
 	defer t.Stop()
 	for {
 		select {
--- a/internal/host/steer/journal.go
+++ b/internal/host/steer/journal.go
@@ -33,9 +33,9 @@
 }
 
 // StateChanged logs and counts a change in this host's view of the system.
-func (l *eventLog) StateChanged(_ time.Time, n watch.StateChange) {
-	l.metrics.ViewChanges.WithLabelValues(n.Message).Inc()
-	l.log.Info(n.Message, zap.String("name", n.Name), zap.Int64("revision", n.Revision), errorField(n.Err))
+func (l *eventLog) StateChanged(_ time.Time, c watch.StateChange) {
+	l.metrics.ViewChanges.WithLabelValues(c.Message).Inc()
+	l.log.Info(c.Message, zap.String("name", c.Name), zap.Int64("revision", c.Revision), errorField(c.Err))
 }
 
 // Registered logs that this host's entry in the store was written, or that it could not be kept.
@@ -84,7 +84,7 @@
 		zap.Int("status", job.Answer.Status), millisField(d), zap.String("detail", job.Outcome.Detail))
 }
 
-// crashReceiver passes crashes that other hosts reported to the guard.
+// crashReceiver adds the crashes that hosts have written to the store to this host's crash table.
 type crashReceiver struct {
 	crashes *poison.Table
 }
@@ -97,7 +97,7 @@
 }
 
 const (
-	// crashReportBuffer is how many crashes may wait to be reported; no single request causes more at once.
+	// crashReportBuffer is the maximum number of crashes that wait to be reported; no single request causes more at once.
 	crashReportBuffer = 32
 	// crashReportTimeout is the timeout of one report.
 	crashReportTimeout = time.Second
--- a/internal/host/steer/reload.go
+++ b/internal/host/steer/reload.go
@@ -8,12 +8,12 @@
 	"go.uber.org/zap"
 )
 
-// settingsCheckPeriod is how often the settings are checked without a signal; each check costs a stat of one file.
+// settingsCheckPeriod is the interval at which the settings are checked without a signal; each check costs a stat of one file.
 const settingsCheckPeriod = 2 * time.Second
 
-// Loader reloads the settings.
+// Loader loads the settings and detects changes to them.
 type Loader interface {
-	// Load returns the settings and whether they have changed since the last call.
+	// Load returns whether the settings have changed since the last call and, if so, the new ones.
 	Load() (Settings, bool, error)
 }
 
--- a/internal/host/steer/settings.go
+++ b/internal/host/steer/settings.go
@@ -7,7 +7,7 @@
 	"github.com/boragelane/boragelane/internal/flow/serve"
 )
 
-// Settings is the configuration of one host.
+// Settings holds the settings of one host.
 type Settings struct {
 	Host      roster.Host
 	Ready     string            // Address for the platform's readiness checks; empty for none.
--- a/internal/host/steer/stop.go
+++ b/internal/host/steer/stop.go
@@ -18,12 +18,12 @@
 
 // shutdown stops the host: it leaves the directory at once, accepts requests for a fraction of the grace period, and
 // returns when the last one is answered or the grace period is about to end.
-func (h *Host) shutdown(ctx context.Context, front net.Listener, withdraw func()) {
+func (h *Host) shutdown(ctx context.Context, front net.Listener, cancelRegistration func()) {
 	start := h.Clock()
 	h.stopping.Store(true)
 	h.Log.Info("stopping")
 	h.loop.Send(ctx, watch.ShutdownRequested{})
-	withdraw()
+	cancelRegistration()
 	h.server.Drain()
 	grace := time.Duration(h.stopGrace.Load())
 	exitTimer := time.NewTimer(grace - exitMargin)
