wording: second reading of stand

ControlCost says where it holds a total and where a mean. warmJobs, which counted cold jobs, is now coldJobsRun; the answer of endJob is now answerKey. Comments of batchWindow, maxBatch and collect stand beside what they describe and name the limits. 'look-up' is now 'lookup' in comments; 'planned stop' is now graceful shutdown.

--- a/internal/stand/claims/ways.go
+++ b/internal/stand/claims/ways.go
@@ -70,10 +70,11 @@
 	done chan bool
 }
 
-// batchWindow is how long a batch collects jobs, and maxBatch the most jobs in a batch.
 const (
+	// batchWindow is how long a batch collects jobs after its first one.
 	batchWindow = 10 * time.Millisecond
-	maxBatch    = 1000
+	// maxBatch is the maximum number of jobs in a batch.
+	maxBatch = 1000
 )
 
 func newBatchClaimer(ctx context.Context, client *store.Client, host int) *batchClaimer {
@@ -109,7 +110,7 @@
 	}
 }
 
-// collect returns a batch of claims that starts with first.
+// collect returns first and the claims that follow within batchWindow, up to maxBatch in all.
 func (c *batchClaimer) collect(first pendingClaim) []pendingClaim {
 	batch := []pendingClaim{first}
 	timeout := time.After(batchWindow)
--- a/internal/stand/layout/layout.go
+++ b/internal/stand/layout/layout.go
@@ -40,7 +40,7 @@
 	Platform  string // Address of the platform.
 }
 
-// Services: urgent price look-ups, orders that run at most once, and bulk catalog requests.
+// Services: urgent price lookups, orders that run at most once, and bulk catalog requests.
 const (
 	Price   = "price"
 	Orders  = "orders"
--- a/internal/stand/loadg/hosts.go
+++ b/internal/stand/loadg/hosts.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// cachedLookup is a look-up answer with its expiry time.
+// cachedLookup is a lookup answer with its expiry time.
 type cachedLookup struct {
 	hosts []string
 	until time.Time
@@ -75,7 +75,7 @@
 	return hosts[attempt%len(hosts)]
 }
 
-// lookupHosts returns the caller's hosts from the cache or a new look-up. If that fails, it returns the expired answer
+// lookupHosts returns the caller's hosts from the cache or a new lookup. If that fails, it returns the expired answer
 // or all front addresses.
 func (g *Generator) lookupHosts(ctx context.Context, caller string) []string {
 	g.mu.Lock()
--- a/internal/stand/loadg/loadg.go
+++ b/internal/stand/loadg/loadg.go
@@ -31,7 +31,7 @@
 
 // Config describes one load run.
 type Config struct {
-	Fronts   []string      `json:"fronts"` // Front addresses of entry hosts, used for look-ups.
+	Fronts   []string      `json:"fronts"` // Front addresses of entry hosts, used for lookups.
 	Classes  []Class       `json:"classes"`
 	Duration time.Duration `json:"length"`
 	Callers  int           `json:"callers"`
--- a/internal/stand/sizing/fleet.go
+++ b/internal/stand/sizing/fleet.go
@@ -20,13 +20,14 @@
 	Upstreams int // Per failure domain.
 }
 
-// ControlCost holds the control-plane cost of one host, summed up or per second.
+// ControlCost holds the control-plane cost of one host: the total of a measurement in simHost, and the mean per second in
+// the results of SimulateControl.
 type ControlCost struct {
 	CPU            time.Duration
-	Sent           int64 // Bytes.
-	Received       int64
+	Sent           int64            // Bytes.
+	Received       int64            // Bytes.
 	BytesByMessage map[string]int64 // Bytes sent and received, by message type.
-	PlanTime       time.Duration    // Time to build a plan, not included in CPU.
+	PlanTime       time.Duration    // Time to build plans, not included in CPU: the total, or the mean of one plan.
 }
 
 // simHost is a simulated host: its control state and its measured cost.
@@ -213,7 +214,7 @@
 
 // SimulateControl returns the mean control-plane cost per second of a relay and of another host, measured over a number
 // of seconds after a warm-up.
-func SimulateControl(size Size, warmup, seconds int) (relay, member ControlCost) {
+func SimulateControl(size Size, warmup, seconds int) (relay, other ControlCost) {
 	f := newFleet(size)
 	for range warmup {
 		f.simulateSecond()
--- a/internal/stand/sizing/measure.go
+++ b/internal/stand/sizing/measure.go
@@ -16,10 +16,10 @@
 	"github.com/boragelane/boragelane/internal/flow/route"
 )
 
-// Row is one measurement at one size.
+// Row is one measurement at one scale.
 type Row struct {
 	Measure string
-	Size    float64
+	Scale   float64 // Number of hosts, sites or blocks of callers, depending on the measure.
 	Value   float64
 	Unit    string
 }
@@ -38,8 +38,8 @@
 // Measure runs all measurements; quick leaves out the two largest systems.
 func Measure(quick bool) []Row {
 	var rows []Row
-	add := func(measure string, size, value float64, unit string) {
-		rows = append(rows, Row{measure, size, value, unit})
+	add := func(measure string, scale, value float64, unit string) {
+		rows = append(rows, Row{measure, scale, value, unit})
 	}
 	sizes := measuredSizes
 	if quick {
@@ -58,8 +58,8 @@
 	return rows
 }
 
-// addRow records a measurement.
-type addRow func(measure string, size, value float64, unit string)
+// addRow records a measurement at a scale.
+type addRow func(measure string, scale, value float64, unit string)
 
 // refreshPeriods is the length of a measurement in refresh periods: summaries are refreshed in bursts, so a measurement
 // covers whole periods.
@@ -70,13 +70,13 @@
 	hosts := float64(size.Domains * size.Hosts)
 	warmup := int((3*state.LoanTTL(size.Hosts) + state.LeaseRenewalPeriod(size.Hosts)) / time.Second)
 	seconds := refreshPeriods * int(state.SummaryRefreshPeriod(size.Domains)/time.Second)
-	relay, member := SimulateControl(size, warmup, seconds)
+	relay, other := SimulateControl(size, warmup, seconds)
 	ticks := float64(time.Second / state.TickPeriod)
 	add("relay bytes", hosts, float64(relay.Sent+relay.Received), "B/s")
 	add("relay sent", hosts, float64(relay.Sent), "B/s")
-	add("host bytes", hosts, float64(member.Sent+member.Received), "B/s")
+	add("host bytes", hosts, float64(other.Sent+other.Received), "B/s")
 	add("relay cpu", hosts, (relay.CPU.Seconds()+ticks*relay.PlanTime.Seconds())*1e6, "us/s")
-	add("host cpu", hosts, (member.CPU.Seconds()+ticks*member.PlanTime.Seconds())*1e6, "us/s")
+	add("host cpu", hosts, (other.CPU.Seconds()+ticks*other.PlanTime.Seconds())*1e6, "us/s")
 	add("plan", hosts, relay.PlanTime.Seconds()*1e6, "us")
 	for _, message := range []string{"heartbeat", "heartbeat answer", "exchange", "exchange answer"} {
 		add("relay "+message, hosts, float64(relay.BytesByMessage[message]), "B/s")
@@ -134,7 +134,7 @@
 	return float64(time.Since(begin).Nanoseconds()) / float64(n)
 }
 
-// measureDecisions measures the time of a look-up and of a routing decision among a number of sites.
+// measureDecisions measures the time of a lookup and of a routing decision among a number of sites.
 func measureDecisions(sites int, add addRow) {
 	var lookup plan.Lookup
 	for i := range sites {
@@ -163,28 +163,28 @@
 	runtime.KeepAlive(sum)
 }
 
-// measureBlockTable measures the table that maps blocks of callers to sites: building, memory, a weight change, look-ups.
+// measureBlockTable measures the table that maps blocks of callers to sites: building, memory, a weight change, lookups.
 func measureBlockTable(blocks int, add addRow) {
 	var sites []rendez.Site
 	for i := range 890 {
 		sites = append(sites, rendez.NewSite(fmt.Sprint("site-", i), 1))
 	}
-	size := float64(blocks)
+	scale := float64(blocks)
 	begin := time.Now()
 	value, bytes := heapGrowth(func() any { return rendez.NewTable(blocks, sites) })
 	table := value.(*rendez.Table)
-	add("table build", size, time.Since(begin).Seconds()*1e3, "ms")
-	add("table memory", size, bytes, "B")
+	add("table build", scale, time.Since(begin).Seconds()*1e3, "ms")
+	add("table memory", scale, bytes, "B")
 	begin = time.Now()
 	changed := table.WithWeight(17, 0.5)
-	add("table change", size, time.Since(begin).Seconds()*1e3, "ms")
+	add("table change", scale, time.Since(begin).Seconds()*1e3, "ms")
 	moved := 0
 	for block := range table.Winner {
 		if table.Winner[block] != changed.Winner[block] {
 			moved++
 		}
 	}
-	ideal := size / 890 / 2
-	add("table moved", size, float64(moved)/ideal, "of ideal")
-	add("table look-up", size, nanosPerCall(5_000_000, func(i int) { moved += table.Lookup(uint64(i) * 0x9e3779b97f4a7c15) }), "ns")
+	ideal := scale / 890 / 2
+	add("table moved", scale, float64(moved)/ideal, "of ideal")
+	add("table look-up", scale, nanosPerCall(5_000_000, func(i int) { moved += table.Lookup(uint64(i) * 0x9e3779b97f4a7c15) }), "ns")
 }
--- a/internal/stand/upstr/upstr.go
+++ b/internal/stand/upstr/upstr.go
@@ -51,7 +51,7 @@
 	Conns         int    `json:"conns"`    // Maximum open connections.
 	Shed          int    `json:"shed"`     // Jobs refused because all slots were in use.
 	Refused       int    `json:"refused"`  // Jobs refused because the upstream was draining.
-	Canceled      int    `json:"canceled"` // Jobs whose request ended before they did.
+	Canceled      int    `json:"canceled"` // Jobs whose request was canceled while they ran.
 	Runs          []Run  `json:"runs"`
 }
 
@@ -59,14 +59,14 @@
 type Upstream struct {
 	Options
 
-	mu        sync.Mutex
-	draining  bool
-	running   int
-	warmJobs  int
-	openConns int
-	report    Report
-	rng       *rand.Rand
-	lastKey   []byte
+	mu          sync.Mutex
+	draining    bool
+	running     int
+	coldJobsRun int
+	openConns   int
+	report      Report
+	rng         *rand.Rand
+	lastKey     []byte
 }
 
 // New returns an idle upstream.
@@ -99,7 +99,7 @@
 func (u *Upstream) SetColdJobs(jobs int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.ColdJobs, u.warmJobs = jobs, 0
+	u.ColdJobs, u.coldJobsRun = jobs, 0
 }
 
 // Report returns a copy of the current report.
@@ -153,7 +153,7 @@
 		return
 	}
 	done := sleep(r.Context(), runTime)
-	answer, crossed, truncated := u.endJob(index, done, key)
+	answerKey, crossed, truncated := u.endJob(index, done, key)
 	if !done {
 		return
 	}
@@ -161,7 +161,7 @@
 	if n, err := strconv.Atoi(r.URL.Query().Get("size")); err == nil {
 		size = n
 	}
-	u.writeAnswer(w, r, answer, size, crossed, truncated)
+	u.writeAnswer(w, r, answerKey, size, crossed, truncated)
 }
 
 // refuse responds with 503, and with the header Upstream-State if the upstream is draining.
@@ -204,8 +204,8 @@
 		_, _ = io.WriteString(u.Log, key+"\n")
 	}
 	runTime = time.Duration(float64(u.JobTime) * (0.5 + u.rng.Float64()))
-	if u.warmJobs < u.ColdJobs {
-		u.warmJobs++
+	if u.coldJobsRun < u.ColdJobs {
+		u.coldJobsRun++
 		runTime *= 3
 	}
 	if u.Oversubscribe && u.running > u.Slots {
@@ -214,8 +214,8 @@
 	return len(u.report.Runs) - 1, runTime, ""
 }
 
-// endJob frees the slot and chooses the response of a job that was not canceled.
-func (u *Upstream) endJob(index int, done bool, key []byte) (answer []byte, crossed, truncated bool) {
+// endJob frees the slot and chooses the key and the faults of the response to a job that was not canceled.
+func (u *Upstream) endJob(index int, done bool, key []byte) (answerKey []byte, crossed, truncated bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.running--
@@ -225,12 +225,12 @@
 	}
 	u.report.Runs[index].Done = true
 	u.Gauge.addJob(u.report.Runs[index].Start, u.Clock())
-	answer, crossed, truncated = key, u.rng.Float64() < u.CrossedFraction && u.lastKey != nil, u.rng.Float64() < u.TruncatedFraction
+	answerKey, crossed, truncated = key, u.rng.Float64() < u.CrossedFraction && u.lastKey != nil, u.rng.Float64() < u.TruncatedFraction
 	if crossed {
-		answer = u.lastKey
+		answerKey = u.lastKey
 	}
 	u.lastKey = key
-	return answer, crossed, truncated
+	return answerKey, crossed, truncated
 }
 
 func (u *Upstream) writeAnswer(w http.ResponseWriter, r *http.Request, key []byte, size int, crossed, truncated bool) {
--- a/internal/stand/verify/verify.go
+++ b/internal/stand/verify/verify.go
@@ -15,7 +15,7 @@
 	Slots           int       // Slots of each upstream.
 	DrainedUpstream string    // ID of the drained upstream, if any.
 	DrainedAt       time.Time // When the drain was accepted.
-	StoppedFront    string    // Front address of the host with a planned stop, if any.
+	StoppedFront    string    // Front address of the host that was shut down gracefully, if any.
 	MinAnswered     int64     // Minimum number of complete answers.
 }
 
