wording: second reading of host/entry

leavePropagation is now shutdownPropagation, as ShutdownRequested. 'planned stop' is now 'graceful shutdown' in comments; the log message keeps its text. 'Half of an even part is the floors' now says what is reserved for what; the texts of TestADeadDomainsPoolsAreUsedUntilItIsBack say 'even share'; it checks the same.

--- a/internal/host/entry/bench_test.go
+++ b/internal/host/entry/bench_test.go
@@ -69,7 +69,7 @@
 	}
 }
 
-// BenchmarkLookup measures a look-up with its HTTP handling.
+// BenchmarkLookup measures a lookup with its HTTP handling.
 func BenchmarkLookup(b *testing.B) {
 	for _, n := range []int{4, 132} {
 		b.Run(fmt.Sprintf("%d-hosts", n), func(b *testing.B) {
--- a/internal/host/entry/host.go
+++ b/internal/host/entry/host.go
@@ -68,7 +68,7 @@
 	explain     pipe.Pipeline
 	watcher     *platformWatcher
 	httpServers [2]*http.Server // Servers for callers and for operators, in this order.
-	runCtx      context.Context // Canceled when the host ends, after the planned stop.
+	runCtx      context.Context // Canceled when the host ends, after the graceful shutdown.
 	cancelRun   context.CancelFunc
 }
 
--- a/internal/host/entry/stop.go
+++ b/internal/host/entry/stop.go
@@ -10,17 +10,17 @@
 	"github.com/boragelane/boragelane/internal/flow/dedup"
 )
 
-// leavePropagation is the time within which all other hosts learn that this one is leaving.
-const leavePropagation = 2 * time.Second
+// shutdownPropagation is the time within which all other hosts learn that this one is shutting down.
+const shutdownPropagation = 2 * time.Second
 
-// shutdown performs the planned stop: it removes this host from look-up answers, serves until the answers that callers
+// shutdown performs the graceful shutdown: it removes this host from lookup answers, serves until the answers that callers
 // have cached expire, finishes all jobs and hands over the tickets.
 func (h *Host) shutdown(ctx context.Context) {
 	h.Log.Info("stopping", zap.String("seat", h.Self.Seat))
 	ctx, cancel := context.WithTimeout(ctx, h.Settings.StopTimeout)
 	defer cancel()
 	h.loop.Send(ctx, state.ShutdownRequested{})
-	sleep(ctx, state.LookupTTL+leavePropagation)
+	sleep(ctx, state.LookupTTL+shutdownPropagation)
 	h.once.Table.StopClaims()
 	for _, s := range h.httpServers {
 		if err := s.Shutdown(ctx); err != nil {
--- a/internal/host/entry/system_test.go
+++ b/internal/host/entry/system_test.go
@@ -41,7 +41,7 @@
 	isolated map[string]bool // Failure domains and seats that are isolated from all others.
 }
 
-// runningHost is a host with the function that starts its planned stop.
+// runningHost is a host with the function that starts its graceful shutdown.
 type runningHost struct {
 	*Host
 	cancel context.CancelFunc
@@ -172,7 +172,7 @@
 	}
 }
 
-// killHost stops a host without a planned stop: its connections break and its jobs are aborted.
+// killHost stops a host without a graceful shutdown: its connections break and its jobs are aborted.
 func (s *system) killHost(r *runningHost) {
 	r.cancelRun()
 	for _, srv := range r.httpServers {
--- a/internal/host/entry/takeover_test.go
+++ b/internal/host/entry/takeover_test.go
@@ -40,11 +40,11 @@
 	o := testOptions(124)
 	s := startSystem(t, o, trace.Noop())
 	own := []string{"dar-a-1", "dar-a-2"}
-	s.eventually(15*time.Second, "dar-a has its even part of the link", func() bool { return s.mwanzaLinkQuota(own...) == o.LinkRate/2 })
+	s.eventually(15*time.Second, "dar-a has its even share of the link", func() bool { return s.mwanzaLinkQuota(own...) == o.LinkRate/2 })
 	for _, seat := range []string{"dar-b-1", "dar-b-2"} {
 		s.killHost(s.hosts[seat])
 	}
-	floors := o.LinkRate / 4 // Half of an even part is the floors of the domain's own hosts, which are never lent.
+	floors := o.LinkRate / 4 // Half of an even share is reserved for the floors of the domain's own hosts, which are never lent.
 	took := s.eventually(40*time.Second, "dar-a also has the dead domain's pool", func() bool {
 		return s.mwanzaLinkQuota(own...) == o.LinkRate-floors
 	})
@@ -54,11 +54,11 @@
 	}))
 	s.startHost("dar-b-1")
 	s.startHost("dar-b-2")
-	took = s.eventually(30*time.Second, "both domains have their even parts", func() bool {
+	took = s.eventually(30*time.Second, "both domains have their even shares", func() bool {
 		b := s.mwanzaLinkQuota("dar-b-1", "dar-b-2") // Read first: it grows only after the other has shrunk.
 		a := s.mwanzaLinkQuota(own...)
 		assert.Assert(t, a+b <= o.LinkRate, "%d and %d of %d", a, b, o.LinkRate)
 		return a == o.LinkRate/2 && b == o.LinkRate/2
 	})
-	t.Logf("both domains had their even parts again after %s", took)
+	t.Logf("both domains had their even shares again after %s", took)
 }
