wording: second reading of standin

In tests, frozen hosts are now paused ones, as in ctrl/state; the texts of the injected faults say 'pause'. The keys 'press' and 'pull' of the link test are now 'extra' (background load) and 'main' (the measured class), of the same lengths. capacity.go follows sizing.Row.Scale. The tests check the same.

--- a/standin/capacity.go
+++ b/standin/capacity.go
@@ -31,7 +31,7 @@
 	w := csv.NewWriter(file)
 	_ = w.Write([]string{"measure", "size", "value", "unit"})
 	for _, r := range rows {
-		_ = w.Write([]string{r.Measure, strconv.FormatFloat(r.Size, 'g', -1, 64), strconv.FormatFloat(r.Value, 'g', 6, 64), r.Unit})
+		_ = w.Write([]string{r.Measure, strconv.FormatFloat(r.Scale, 'g', -1, 64), strconv.FormatFloat(r.Value, 'g', 6, 64), r.Unit})
 	}
 	w.Flush()
 	if err := file.Close(); err != nil {
@@ -56,7 +56,7 @@
 		var points plotter.XYs
 		for _, r := range rows {
 			if r.Measure == measure {
-				points = append(points, plotter.XY{X: r.Size, Y: r.Value})
+				points = append(points, plotter.XY{X: r.Scale, Y: r.Value})
 			}
 		}
 		lines = append(lines, measure, points)
--- a/standin/chaos_test.go
+++ b/standin/chaos_test.go
@@ -22,7 +22,7 @@
 	"github.com/boragelane/boragelane/internal/stand/loadg"
 )
 
-// fleet is a system of separate processes that can be killed, frozen and restarted.
+// fleet is a system of separate processes that can be killed, paused and restarted.
 type fleet struct {
 	t      *testing.T
 	dir    string
@@ -126,7 +126,7 @@
 // injectFaults injects one random fault after the other until the context ends, and returns what it did.
 func (f *fleet) injectFaults(ctx context.Context, rng *rand.Rand) []string {
 	var done []string
-	pause := func(d time.Duration) {
+	wait := func(d time.Duration) {
 		select {
 		case <-ctx.Done():
 		case <-time.After(d):
@@ -139,30 +139,30 @@
 		case 0, 1:
 			done = append(done, "kill "+seat)
 			f.kill(seat)
-			pause(500 * time.Millisecond)
+			wait(500 * time.Millisecond)
 			f.start(seat)
 		case 2:
-			done = append(done, "freeze "+seat)
+			done = append(done, "pause "+seat)
 			f.signal(seat, syscall.SIGSTOP)
-			pause(time.Duration(1+rng.IntN(6)) * time.Second)
+			wait(time.Duration(1+rng.IntN(6)) * time.Second)
 			f.signal(seat, syscall.SIGCONT)
 		case 3:
 			done = append(done, "kill "+upstream)
 			f.kill(upstream)
-			pause(300 * time.Millisecond)
+			wait(300 * time.Millisecond)
 			f.start(upstream)
 		case 4:
 			done = append(done, "platform down")
 			f.postControl("faults", consul.Faults{Down: true})
-			pause(2 * time.Second)
+			wait(2 * time.Second)
 			f.postControl("faults", consul.Faults{})
 		case 5:
 			done = append(done, "platform slow, answers lost")
 			f.postControl("faults", consul.Faults{Delay: 500 * time.Millisecond, LoseAnswers: true})
-			pause(2 * time.Second)
+			wait(2 * time.Second)
 			f.postControl("faults", consul.Faults{})
 		}
-		pause(time.Second)
+		wait(time.Second)
 	}
 	return done
 }
--- a/standin/floods.go
+++ b/standin/floods.go
@@ -7,12 +7,13 @@
 	"github.com/boragelane/boragelane/internal/stand/loadg"
 )
 
-// Parameters of the floods: four upstreams with four slots each run 400 jobs of 40 ms per second.
+// Parameters of the floods, which are runs with overload. Four upstreams with four slots each can run 400 jobs per second
+// at 40 ms per job.
 const (
-	floodSubnet      = 78
-	floodJobTime     = 40 * time.Millisecond
-	floodCapacity    = 400.0
-	floodPhaseLength = 12 * time.Second
+	floodSubnet        = 78
+	floodJobTime       = 40 * time.Millisecond
+	floodCapacity      = 400.0
+	floodPhaseDuration = 12 * time.Second
 )
 
 func floodLayout() layout.Layout {
@@ -25,7 +26,7 @@
 
 // floodConfigs returns the load of each phase, by file name; all ranks call the same service.
 func floodConfigs(l layout.Layout) map[string]loadg.Config {
-	base := loadg.Config{Duration: floodPhaseLength, Callers: 500, Seed: 3}
+	base := loadg.Config{Duration: floodPhaseDuration, Callers: 500, Seed: 3}
 	for _, settings := range l.Settings {
 		base.Fronts = append(base.Fronts, settings.Front)
 	}
--- a/standin/link_test.go
+++ b/standin/link_test.go
@@ -35,8 +35,8 @@
 	m.samples[seat] = append(m.samples[seat], s)
 }
 
-// recordFrozen repeats the last sample of a frozen host just before it continues, since it sent nothing meanwhile.
-func (m *trafficMeter) recordFrozen(seat string, now time.Time) {
+// recordPaused repeats the last sample of a paused host just before it continues, since it sent nothing meanwhile.
+func (m *trafficMeter) recordPaused(seat string, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	list := m.samples[seat]
@@ -51,7 +51,7 @@
 		resp, err := client.Get("http://" + s.Admin + "/debug/vars")
 		if err == nil {
 			var vars struct {
-				Boragelane struct{ Gauges struct{ Traffic [2]int64 } }
+				Boragelane struct{ Gauges struct{ Traffic [2]int64 } } // Bytes received and sent.
 			}
 			err = json.NewDecoder(resp.Body).Decode(&vars)
 			_ = resp.Body.Close()
@@ -86,10 +86,10 @@
 	return most
 }
 
-// keepSending sends jobs to one host until the context ends, also while the host is frozen.
+// keepSending sends jobs to one host until the context ends, also while the host is paused.
 func keepSending(ctx context.Context, front string) {
 	client := &http.Client{Timeout: 500 * time.Millisecond}
-	body := "press\n" + strings.Repeat("b", 60_000)
+	body := "extra\n" + strings.Repeat("b", 60_000)
 	for ctx.Err() == nil {
 		time.Sleep(5 * time.Millisecond)
 		resp, err := client.Post("http://"+front+"/v1/run/"+layout.Catalog+"/item", "text/plain", strings.NewReader(body))
@@ -99,7 +99,7 @@
 	}
 }
 
-// A host that continues after its grant or lease has expired must not use its old quota of the link. The test freezes a
+// A host that continues after its grant or lease has expired must not use its old quota of the link. The test pauses a
 // host of each failure domain for longer than its grant and then the lenders for longer than their lease, while callers
 // offer more traffic than the link's limit.
 func TestALinkKeepsItsLimitWhileItsHoldersAreFrozen(t *testing.T) {
@@ -115,7 +115,7 @@
 		},
 	})
 	cfg := loadg.Config{Duration: 24 * time.Second, Callers: 200, Seed: 7, Classes: []loadg.Class{
-		{Name: "pull", Service: layout.Catalog, Rank: "bulk", Rate: 700, Timeout: time.Second, AnswerSize: 100, BodySize: 60_000},
+		{Name: "main", Service: layout.Catalog, Rank: "bulk", Rate: 700, Timeout: time.Second, AnswerSize: 100, BodySize: 60_000},
 	}}
 	m := &trafficMeter{samples: map[string][]trafficSample{}}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -129,20 +129,20 @@
 			}
 		}
 	}
-	freeze := func(after, length time.Duration, seats ...string) {
+	pause := func(after, length time.Duration, seats ...string) {
 		time.Sleep(after)
 		for _, seat := range seats {
 			f.signal(seat, syscall.SIGSTOP)
 		}
 		time.Sleep(length)
 		for _, seat := range seats {
-			m.recordFrozen(seat, time.Now())
+			m.recordPaused(seat, time.Now())
 			f.signal(seat, syscall.SIGCONT)
 		}
 	}
 	wg.Go(func() {
-		freeze(3*time.Second, 6*time.Second, "dar-a-2", "dar-b-2")
-		freeze(2*time.Second, 11*time.Second, "dar-a-1", "dar-b-1")
+		pause(3*time.Second, 6*time.Second, "dar-a-2", "dar-b-2")
+		pause(2*time.Second, 11*time.Second, "dar-a-1", "dar-b-1")
 	})
 	begin := time.Now()
 	report := loadg.New(cfg, time.Now).Run(context.Background())
--- a/standin/spread.go
+++ b/standin/spread.go
@@ -33,7 +33,7 @@
 
 // event is a line in the log of a host.
 type event struct {
-	TS       float64
+	TS       float64 // Seconds since the Unix epoch.
 	Msg      string
 	Revision uint64
 }
