--- a/internal/host/entry/host.go
+++ b/internal/host/entry/host.go
@@ -146,7 +146,7 @@
 	return hex.EncodeToString(b[:])
 }
 
-// Run starts the host and serves until the context is canceled, then performs a planned stop.
+// Run starts the host and serves until the context is canceled, then performs a graceful shutdown.
 func (h *Host) Run(ctx context.Context) error {
 	defer close(h.Done)
 	listeners, err := h.listen(ctx)
--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -199,7 +199,7 @@
 	go h.loop.Run(runCtx)
 	go h.reader.Run(runCtx)
 	go h.keeper.Run(registrationCtx)
-	go h.maintain(runCtx)
+	go h.runMaintenance(runCtx)
 	go h.reportCrashes(runCtx)
 	go h.broker.Serve(runCtx, peers)
 	go h.loanPoller.Run(registrationCtx)
@@ -251,8 +251,8 @@
 	}
 }
 
-// maintain periodically retries waiting jobs and closes connections to upstreams that have been idle for too long.
-func (h *Host) maintain(ctx context.Context) {
+// runMaintenance periodically retries waiting jobs and closes connections to upstreams that have been idle for too long.
+func (h *Host) runMaintenance(ctx context.Context) {
 	t := time.NewTicker(maintenancePeriod)
 	defer t.Stop()
 	for {
--- a/internal/stand/consul/kv.go
+++ b/internal/stand/consul/kv.go
@@ -76,7 +76,7 @@
 	writeJSON(w, []map[string]any{{"Key": key, "Value": entry.data, "ModifyIndex": entry.modifyIndex, "Session": entry.session}})
 }
 
-// maxValueSize is the largest value that is accepted, in bytes.
+// maxValueSize is the maximum size of an accepted value in bytes.
 const maxValueSize = 1 << 20
 
 func (p *Platform) servePut(w http.ResponseWriter, r *http.Request) {
