--- a/internal/stand/sizing/project.go
+++ b/internal/stand/sizing/project.go
@@ -84,7 +84,7 @@
 	lookup, s := extrapolate(rows, "look-up", twoYearSites)
 	add("look-ups, core for each host", "us/s", lookup*twoYearLookups/twoYearHosts/1000, s, budgetCPU)
 	memory, s := extrapolate(rows, "table memory", twoYearBlocks)
-	add("block table (hosts don't use it)", "B", memory, s, budgetState)
+	add("table of blocks (not needed)", "B", memory, s, budgetState)
 	out = append(out, platformLines()...)
 	return out
 }
--- a/standin/report.go
+++ b/standin/report.go
@@ -21,7 +21,7 @@
 // fixedDays are the days that are plotted; randomly generated days differ between runs and can't be compared.
 var fixedDays = []string{"quiet-1", "trouble-1", "trouble-2", "trouble-3", "scale-1", "scale-2"}
 
-// run writes two plots for each site: the benchmark's scores of the fixed days, and their numbers of calls to the store.
+// run writes two plots for each site: the worth of the fixed days, and their numbers of calls to the store.
 func (a *reportArgs) run(context.Context) error {
 	results, err := platform.ReadJournal(a.Journal)
 	if err != nil {
@@ -34,9 +34,9 @@
 		}
 	}
 	for site, list := range sites {
-		score := func(r platform.DayResult) float64 { return r.Worth }
+		worth := func(r platform.DayResult) float64 { return r.Worth }
 		calls := func(r platform.DayResult) float64 { return r.StoreCalls }
-		if err := plotDays("Worth of the days of "+site, "worth", list, score, filepath.Join(a.Dir, "worth-"+site+".svg")); err != nil {
+		if err := plotDays("Worth of the days of "+site, "worth", list, worth, filepath.Join(a.Dir, "worth-"+site+".svg")); err != nil {
 			return err
 		}
 		if err := plotDays("Calls to the store, "+site, "calls a day", list, calls, filepath.Join(a.Dir, "calls-"+site+".svg")); err != nil {
