--- a/internal/host/entry/host.go
+++ b/internal/host/entry/host.go
@@ -68,7 +68,7 @@
 	explain     pipe.Pipeline
 	watcher     *platformWatcher
 	httpServers [2]*http.Server // Servers for callers and for operators, in this order.
-	runCtx      context.Context // Canceled when the host ends, after the planned stop.
+	runCtx      context.Context // Canceled when the host ends, after the graceful shutdown.
 	cancelRun   context.CancelFunc
 }
 
@@ -146,7 +146,7 @@
 	return hex.EncodeToString(b[:])
 }
 
-// Run starts the host and serves until the context is canceled, then performs a planned stop.
+// Run starts the host and serves until the context is canceled, then performs a graceful shutdown.
 func (h *Host) Run(ctx context.Context) error {
 	defer close(h.Done)
 	listeners, err := h.listen(ctx)
