wording: core as fresh readers saw it

Read badly: a default that named itself (DefaultLoanTTL), a bucket whose bound did not hold for a large Take, a credit selector that mixed rank and level, a type Part, test receivers and fields from former names, fields of the document without comments. Now: each says its exception, unit or index; Part is WeightedService and Entry.Write is WriteID (tags stay).

--- a/internal/core/bucket/bucket.go
+++ b/internal/core/bucket/bucket.go
@@ -5,7 +5,8 @@
 // BurstFraction is the burst size as a fraction of the limit for one second.
 const BurstFraction = 0.1
 
-// Bucket is a token bucket: in any window of one second, at most Limit tokens are spent.
+// Bucket is a token bucket: in any window of one second, at most Limit tokens are spent, unless a single Take exceeds the
+// burst size.
 type Bucket struct {
 	Limit      float64   // Tokens a second.
 	Tokens     float64   // Negative while in debt.
@@ -35,7 +36,7 @@
 }
 
 // Take spends n tokens and returns 0, or spends none and returns the time until enough are available. For n above the
-// burst size, a full bucket is enough and goes into debt.
+// burst size, a full bucket is enough and goes into debt. With a limit of 0 it returns an hour.
 func (b *Bucket) Take(n float64, now time.Time) time.Duration {
 	b.Refill(now)
 	need := min(n, b.Limit*BurstFraction)
--- a/internal/core/credit/credit.go
+++ b/internal/core/credit/credit.go
@@ -3,8 +3,8 @@
 // maxSavedCosts bounds the balance of a rank, as a multiple of the cost of one of its jobs.
 const maxSavedCosts = 2
 
-// RankSelector decides which rank is served next. Costs are in a unit of the resource, such as seconds of a slot or bytes on
-// a link.
+// RankSelector decides which rank is served next. A rank is identified by its level, its index in the order of urgency;
+// 0 is the most urgent. Costs are in a unit of the resource, such as seconds of a slot or bytes on a link.
 type RankSelector struct {
 	Minimum []float64 // Guaranteed fraction of the resource, by rank.
 	Balance []float64 // Credit earned and not spent, by rank.
--- a/internal/core/plan/plan.go
+++ b/internal/core/plan/plan.go
@@ -76,7 +76,7 @@
 	Region  string
 	Delay   time.Duration // One way.
 	Drained bool
-	Self    bool // This host alone; the other hosts of its failure domain are a separate target.
+	Self    bool // Whether the target is this host alone; the other hosts of its failure domain are a separate target.
 	Hosts   []spec.Seat
 	Loads   map[string]Load
 }
@@ -101,14 +101,14 @@
 	Rate     float64 // This host's share of the cap, in jobs a second.
 }
 
-// Lookup lists the entry hosts for callers' look-ups.
+// Lookup lists the entry hosts for callers' lookups.
 type Lookup struct {
 	Hosts []spec.Seat
 	Sites []rendez.Site
 	TTL   time.Duration // How long callers may keep an answer.
 }
 
-// MaxLookupHosts is the maximum number of hosts in the answer to a look-up.
+// MaxLookupHosts is the maximum number of hosts in the answer to a lookup.
 const MaxLookupHosts = 4
 
 // Pick returns the indexes of a caller's entry hosts in buf, best first, up to the capacity of buf.
--- a/internal/core/policy/policy.go
+++ b/internal/core/policy/policy.go
@@ -9,28 +9,28 @@
 // Policy is one version of the routing policy; it is immutable once published.
 type Policy struct {
 	Version  uint64
-	Routes   map[string][]Route // By host; longest prefix first.
+	Routes   map[string][]Route // By HTTP host; longest prefix first.
 	Services map[string]Service
 	Limits   Limits
 }
 
-// Route defines how requests for a host and path prefix are handled.
+// Route defines how requests for an HTTP host and path prefix are handled.
 type Route struct {
 	Name      string
-	Host      string
-	Prefix    string
+	Host      string        // The HTTP host.
+	Prefix    string        // Of the path.
 	Once      bool          // A request reaches an upstream at most once.
 	Timeout   time.Duration // The longest time allowed for a request.
 	Objective time.Duration // The target latency.
 	Rank      int           // 0 is the most urgent.
-	Parts     []Part
-	Attempts  int // The most upstreams that a request is sent to.
-	Sticky    bool
+	Parts     []WeightedService
+	Attempts  int      // Maximum number of upstreams that a request is sent to.
+	Sticky    bool     // Requests with the same affinity key go to the same few upstreams.
 	Homes     []string // The regions that may serve the route; empty allows all.
 }
 
-// Part is the share of a route's requests that one service gets.
-type Part struct {
+// WeightedService is a service that gets a share of a route's requests, in proportion to its weight.
+type WeightedService struct {
 	Service string
 	Weight  float64
 }
@@ -46,10 +46,10 @@
 
 // Limits bounds the size and timing of callers' requests.
 type Limits struct {
-	Header     int64 // Bytes.
-	Body       int64 // Bytes.
-	HeaderLife time.Duration
-	IdleLife   time.Duration
+	Header     int64         // Bytes.
+	Body       int64         // Bytes.
+	HeaderLife time.Duration // Time allowed to send the header.
+	IdleLife   time.Duration // Time that a connection may stay idle.
 }
 
 // Sort orders each host's routes by descending prefix length, as Match requires; call it once, before publishing.
--- a/internal/core/policy/policy_test.go
+++ b/internal/core/policy/policy_test.go
@@ -54,13 +54,13 @@
 }
 
 func TestPickFollowsWeights(t *testing.T) {
-	r := Route{Parts: []Part{{"a", 90}, {"b", 10}, {"none", 0}}}
+	r := Route{Parts: []WeightedService{{"a", 90}, {"b", 10}, {"none", 0}}}
 	n := map[string]int{}
 	for i := range 1000 {
 		n[r.Pick(float64(i)/1000)]++
 	}
 	assert.DeepEqual(t, n, map[string]int{"a": 900, "b": 100})
-	assert.Equal(t, (&Route{Parts: []Part{{"only", 1}}}).Pick(0.999), "only")
+	assert.Equal(t, (&Route{Parts: []WeightedService{{"only", 1}}}).Pick(0.999), "only")
 	assert.Equal(t, (&Route{}).Pick(0.5), "")
 }
 
--- a/internal/core/rendez/rendez.go
+++ b/internal/core/rendez/rendez.go
@@ -43,7 +43,7 @@
 // UnweightedScore returns a site's score among sites of equal weight; it orders them as Score does but needs no logarithm.
 func UnweightedScore(key, site uint64) uint64 { return mixHashes(key, site) >> 11 }
 
-// maxWinners is the most sites that Top returns.
+// maxWinners is the maximum number of sites that Top returns.
 const maxWinners = 8
 
 // Top returns the indexes of the sites with the highest scores, highest first: as many as buf has capacity for, at
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -44,7 +44,7 @@
 	Upstream string
 }
 
-// View is an immutable snapshot of the state that requests are handled by.
+// View is an immutable snapshot of the state that is used to handle requests.
 type View struct {
 	Self         Host
 	Policy       *policy.Policy
@@ -85,7 +85,7 @@
 	return hosts
 }
 
-// Kind is the kind of object that a change affects.
+// Kind classifies changes by the entry of the store that they affect.
 type Kind int
 
 // Kinds of change.
--- a/internal/core/share/ledger.go
+++ b/internal/core/share/ledger.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// DefaultLoanTTL is the default for Ledger.DefaultLoanTTL.
+// DefaultLoanTTL is the longest duration of a loan, unless Ledger.LoanTTL is changed.
 const DefaultLoanTTL = 4 * time.Second
 
 // Grant is a loan of units by resource, with the time until it expires, counted from when it was granted.
--- a/internal/core/share/share_test.go
+++ b/internal/core/share/share_test.go
@@ -49,8 +49,8 @@
 }
 
 type holder struct {
-	amount Quota
-	asked  time.Time
+	amount      Quota
+	requestedAt time.Time
 }
 
 type loanRequest struct {
@@ -66,97 +66,97 @@
 const leaseDuration = 10 * time.Second
 
 // restart replaces a lender with a new process that has its own session.
-func (w *poolModel) restart(i int) {
-	w.sessions++
-	w.lenders[i] = lender{session: w.sessions, ledger: NewLedger()}
+func (m *poolModel) restart(i int) {
+	m.sessions++
+	m.lenders[i] = lender{session: m.sessions, ledger: NewLedger()}
 }
 
 // checkPool asserts that the holders together use no more than the pool.
-func (w *poolModel) checkPool(t *rapid.T) {
+func (m *poolModel) checkPool(t *rapid.T) {
 	var sum int64
-	for _, h := range w.holders {
-		sum += h.amount.At(w.now)
+	for _, h := range m.holders {
+		sum += h.amount.At(m.now)
 	}
-	assert.Assert(t, sum <= w.pool, "%d units in use of a pool of %d", sum, w.pool)
+	assert.Assert(t, sum <= m.pool, "%d units in use of a pool of %d", sum, m.pool)
 }
 
-// renew is a lender's call to the platform to renew the lease; the response arrives late or is lost.
-func (w *poolModel) renew(t *rapid.T) {
-	i := rapid.IntRange(0, len(w.lenders)-1).Draw(t, "lender")
-	asked := w.now
-	w.advance(t)
-	l := &w.lenders[i]
-	if w.leaseOwner > 0 && w.leaseOwner != l.session && w.now.Before(w.leaseUntil) {
+// renew simulates a lender's renewal of the lease with the platform, whose response may be late or lost.
+func (m *poolModel) renew(t *rapid.T) {
+	i := rapid.IntRange(0, len(m.lenders)-1).Draw(t, "lender")
+	requestedAt := m.now
+	m.advance(t)
+	l := &m.lenders[i]
+	if m.leaseOwner > 0 && m.leaseOwner != l.session && m.now.Before(m.leaseUntil) {
 		l.lease = Lease{}
 		return
 	}
-	w.leaseOwner, w.leaseUntil = l.session, w.now.Add(leaseDuration)
-	w.advance(t)
+	m.leaseOwner, m.leaseUntil = l.session, m.now.Add(leaseDuration)
+	m.advance(t)
 	if rapid.Bool().Draw(t, "lost") {
 		return
 	}
-	if !l.lease.Valid(asked) {
+	if !l.lease.Valid(requestedAt) {
 		l.ledger = NewLedger()
-		l.ledger.SetPools(map[string]int64{"r": w.pool})
+		l.ledger.SetPools(map[string]int64{"r": m.pool})
 	}
-	l.lease = Lease{Until: asked.Add(leaseDuration)}
+	l.lease = Lease{Until: requestedAt.Add(leaseDuration)}
 }
 
 // pauses are the durations by which time advances, up to the ends of loans and leases.
 var pauses = []time.Duration{0, 0, time.Millisecond, time.Second, DefaultLoanTTL - time.Millisecond, DefaultLoanTTL, leaseDuration - time.Second, leaseDuration - time.Millisecond, leaseDuration}
 
 // advance lets time pass while the acting process is paused.
-func (w *poolModel) advance(t *rapid.T) {
-	w.now = w.now.Add(rapid.SampledFrom(pauses).Draw(t, "pass"))
+func (m *poolModel) advance(t *rapid.T) {
+	m.now = m.now.Add(rapid.SampledFrom(pauses).Draw(t, "pass"))
 }
 
-// requestLoan is a holder's request and a lender's reply, which may be delivered late.
-func (w *poolModel) requestLoan(t *rapid.T) {
-	a := loanRequest{holder: rapid.IntRange(0, len(w.holders)-1).Draw(t, "holder"), at: w.now}
-	w.advance(t)
-	l := w.lenders[rapid.IntRange(0, len(w.lenders)-1).Draw(t, "lender")]
-	w.replies = append(w.replies, loanReply{a, l.ledger.Lend(fmt.Sprint("h", a.holder), l.lease, w.now)})
+// requestLoan simulates a holder's request to a lender, whose reply may be delivered late.
+func (m *poolModel) requestLoan(t *rapid.T) {
+	a := loanRequest{holder: rapid.IntRange(0, len(m.holders)-1).Draw(t, "holder"), at: m.now}
+	m.advance(t)
+	l := m.lenders[rapid.IntRange(0, len(m.lenders)-1).Draw(t, "lender")]
+	m.replies = append(m.replies, loanReply{a, l.ledger.Lend(fmt.Sprint("h", a.holder), l.lease, m.now)})
 	if rapid.Bool().Draw(t, "late") {
 		return
 	}
-	w.readReply(t, len(w.replies)-1)
+	m.readReply(t, len(m.replies)-1)
 }
 
 // readStoredReply delivers a reply that was delayed, or the same reply once more.
-func (w *poolModel) readStoredReply(t *rapid.T) {
-	if len(w.replies) > 0 {
-		w.readReply(t, rapid.IntRange(0, len(w.replies)-1).Draw(t, "reply"))
+func (m *poolModel) readStoredReply(t *rapid.T) {
+	if len(m.replies) > 0 {
+		m.readReply(t, rapid.IntRange(0, len(m.replies)-1).Draw(t, "reply"))
 	}
 }
 
 // readReply delivers a reply to its holder, which ignores it if it has read the reply to a later request.
-func (w *poolModel) readReply(t *rapid.T, i int) {
-	w.advance(t)
-	r := w.replies[i]
-	h := &w.holders[r.holder]
-	if r.grant.TTL <= 0 || r.at.Before(h.asked) {
+func (m *poolModel) readReply(t *rapid.T, i int) {
+	m.advance(t)
+	r := m.replies[i]
+	h := &m.holders[r.holder]
+	if r.grant.TTL <= 0 || r.at.Before(h.requestedAt) {
 		return
 	}
-	h.asked = r.at
+	h.requestedAt = r.at
 	h.amount = Quota{Lent: r.grant.Units["r"], Until: r.at.Add(r.grant.TTL - ClockDriftMargin)}
 }
 
 // Guards against pools that are lent twice after pauses, restarts of lenders, and late, lost or repeated replies.
 func TestLoansNeverExceedThePool(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := &poolModel{now: time.Unix(1000, 0), pool: rapid.Int64Range(1, 40).Draw(t, "pool"), lenders: make([]lender, 2), holders: make([]holder, 3)}
-		for i := range w.lenders {
-			w.restart(i)
+		m := &poolModel{now: time.Unix(1000, 0), pool: rapid.Int64Range(1, 40).Draw(t, "pool"), lenders: make([]lender, 2), holders: make([]holder, 3)}
+		for i := range m.lenders {
+			m.restart(i)
 		}
 		t.Repeat(map[string]func(*rapid.T){
-			"":         w.checkPool,
-			"renew":    w.renew,
-			"pass":     w.advance,
-			"exchange": w.requestLoan,
-			"again":    w.requestLoan,
-			"take":     w.readStoredReply,
+			"":         m.checkPool,
+			"renew":    m.renew,
+			"pass":     m.advance,
+			"exchange": m.requestLoan, // Twice, so that loans are requested twice as often.
+			"again":    m.requestLoan,
+			"take":     m.readStoredReply,
 			"restart": func(t *rapid.T) {
-				w.restart(rapid.IntRange(0, 1).Draw(t, "lender"))
+				m.restart(rapid.IntRange(0, 1).Draw(t, "lender"))
 			},
 		})
 	})
--- a/internal/core/spec/change.go
+++ b/internal/core/spec/change.go
@@ -21,7 +21,7 @@
 // Entry is an accepted change with its write id and the revision that it produced.
 type Entry struct {
 	Revision uint64 `json:"revision"`
-	Write    string `json:"write"`
+	WriteID  string `json:"write"`
 	Change   Change `json:"change"`
 }
 
@@ -65,7 +65,7 @@
 
 // Apply returns the next revision of the document; it fails with ErrMissing or ErrInvalid.
 func (d Document) Apply(ch Change, write string) (Document, error) {
-	n, err := d.applyEntry(Entry{Revision: d.Revision + 1, Write: write, Change: ch})
+	n, err := d.applyEntry(Entry{Revision: d.Revision + 1, WriteID: write, Change: ch})
 	if err != nil {
 		return d, err
 	}
@@ -122,7 +122,7 @@
 		}
 	}
 	n.Revision = e.Revision
-	n.Writes = append(n.Writes, e.Write)
+	n.Writes = append(n.Writes, e.WriteID)
 	n.Writes = n.Writes[max(0, len(n.Writes)-MaxWriteIDs):]
 	n.Recent = append(n.Recent, e)
 	n.Recent = n.Recent[max(0, len(n.Recent)-MaxRecentChanges):]
--- a/internal/core/spec/check.go
+++ b/internal/core/spec/check.go
@@ -10,10 +10,10 @@
 
 // Upper bounds of values in a document.
 const (
-	MaxSlots    = 100_000
-	MaxConns    = 1_000_000
-	MaxQueue    = 1_000_000
-	MaxCapacity = 100_000_000
+	MaxSlots    = 100_000        // Per upstream.
+	MaxConns    = 1_000_000      // Per upstream.
+	MaxQueue    = 1_000_000      // Jobs of one rank.
+	MaxCapacity = 100_000_000    // Jobs in flight in a region.
 	MaxRate     = int64(1) << 50 // Bytes a second.
 	MaxTimeout  = Duration(10 * time.Minute)
 	MaxBytes    = 1 << 20 // Size of the encoded document, or of the changes stored with it.
--- a/internal/core/spec/document.go
+++ b/internal/core/spec/document.go
@@ -31,8 +31,8 @@
 // Document is one revision of the operators' configuration.
 type Document struct {
 	Revision uint64    `json:"revision"`
-	Writes   []string  `json:"writes,omitempty"`
-	Floor    float64   `json:"floor"`
+	Writes   []string  `json:"writes,omitempty"` // IDs of the latest writes, up to MaxWriteIDs.
+	Floor    float64   `json:"floor"`            // Fraction of each limit that is assigned as floors.
 	Ranks    []Rank    `json:"ranks"`
 	Services []Service `json:"services"`
 	Regions  []Region  `json:"regions"`
@@ -45,9 +45,9 @@
 // Rank is a priority class; the document lists ranks from the most to the least urgent.
 type Rank struct {
 	Name    string  `json:"name"`
-	Minimum float64 `json:"minimum"`
-	Queue   int     `json:"queue"`
-	Retry   float64 `json:"retry"`
+	Minimum float64 `json:"minimum"` // Guaranteed fraction of slots and of link rates.
+	Queue   int     `json:"queue"`   // Maximum number of queued jobs of one service on a host.
+	Retry   float64 `json:"retry"`   // Retries allowed per first try.
 }
 
 // Service is a set of interchangeable upstreams, which all accept the same requests.
@@ -56,8 +56,8 @@
 	Rank    string   `json:"rank"`
 	Timeout Duration `json:"timeout"`
 	Once    bool     `json:"once,omitempty"`
-	Slots   int      `json:"slots"`
-	Conns   int      `json:"conns"`
+	Slots   int      `json:"slots"` // Jobs that an upstream runs at the same time.
+	Conns   int      `json:"conns"` // Connections that an upstream accepts from all hosts together.
 }
 
 // Region is a group of failure domains that share one capacity, in jobs in flight.
