wording: flow/pipe: outcome kinds, fields and reasons of a job

Read badly: a Kind that classified how a job ended but had Pending, two fields for a rank without a word on which is the index, three reasons for passed deadlines that could not be told apart. Now: OutcomeKind and ParseOutcomeKind, and a comment each.

--- a/internal/edge/peer/wirejob.go
+++ b/internal/edge/peer/wirejob.go
@@ -68,7 +68,7 @@
 
 // applyTo ends a job with another host's outcome; an unreadable outcome or one of another job counts as a mismatch.
 func (w wireOutcome) applyTo(j *pipe.Job) {
-	kind, ok := pipe.ParseKind(w.Kind)
+	kind, ok := pipe.ParseOutcomeKind(w.Kind)
 	if !ok || kind == pipe.Pending || w.ID != j.ID {
 		j.EndUnknown(pipe.AnswerMismatch, "another host sent an outcome that is not this job's")
 		return
--- a/internal/flow/pipe/job.go
+++ b/internal/flow/pipe/job.go
@@ -12,8 +12,8 @@
 type Job struct {
 	ID          string
 	Service     string
-	Rank        string
-	Level       int
+	Rank        string // Name of the rank; empty until accept sets the default.
+	Level       int    // Index of the rank; 0 is the most urgent.
 	Caller      string
 	CallerHash  uint64
 	Method      string
@@ -22,8 +22,8 @@
 	Body        []byte
 	Deadline    time.Time
 	Ticket      string
-	Once        bool
-	Digest      uint64
+	Once        bool   // The job runs at most once.
+	Digest      uint64 // Hash of the service, method, path and body.
 	Trace       map[string]string
 
 	Plan       *plan.Plan
@@ -36,7 +36,7 @@
 	Crashed    bool
 	Draining   bool
 	Claimed    bool
-	Hop        int
+	Hop        int    // How often the job was forwarded to another host.
 	FromRegion string // The region of the host that forwarded the job, or "" on its first hop.
 
 	Host             string              // The authority that the caller requested.
@@ -57,8 +57,8 @@
 	Peer   string
 	Region string
 	Domain string
-	Self   bool // Whether the target is this host.
-	Reason string
+	Self   bool   // Whether the target is this host.
+	Reason string // Why the target was selected.
 }
 
 // UpstreamRef identifies the upstream that a job was admitted to and bounds the connections to it.
@@ -99,13 +99,13 @@
 	Err           error
 }
 
-// Kind classifies how a job ended.
-type Kind int
+// OutcomeKind is the state of a job's outcome.
+type OutcomeKind int
 
 // Kinds of outcome.
 const (
 	// Pending means that the job has not ended.
-	Pending Kind = iota
+	Pending OutcomeKind = iota
 	// Answered means that the job ran and has a complete answer.
 	Answered
 	// NotRun means that the job provably did not run: no byte can have reached an upstream, or the upstream
@@ -118,18 +118,18 @@
 var kindNames = [...]string{"pending", "answered", "not-run", "unknown"}
 
 // String returns the kind's name as used on the wire and in logs.
-func (k Kind) String() string {
+func (k OutcomeKind) String() string {
 	if k < 0 || int(k) >= len(kindNames) {
 		return "invalid"
 	}
 	return kindNames[k]
 }
 
-// ParseKind parses a kind's name and reports whether the name is valid.
-func ParseKind(s string) (Kind, bool) {
+// ParseOutcomeKind parses a kind's name and reports whether the name is valid.
+func ParseOutcomeKind(s string) (OutcomeKind, bool) {
 	for i, n := range kindNames {
 		if n == s {
-			return Kind(i), true
+			return OutcomeKind(i), true
 		}
 	}
 	return Pending, false
@@ -151,8 +151,8 @@
 	NoTarget       Reason = "no-target"
 	NoUpstream     Reason = "no-upstream"
 	QueueFull      Reason = "queue-full"
-	TooLate        Reason = "too-late"
-	Expired        Reason = "expired"
+	TooLate        Reason = "too-late" // The deadline can't be met, or passed between admission and the send.
+	Expired        Reason = "expired"  // The deadline passed on arrival, before serve sent the job, or while it ran.
 	LinkFull       Reason = "link-full"
 	PeerDown       Reason = "peer-down"
 	PeerLost       Reason = "peer-lost"
@@ -166,14 +166,14 @@
 	NoRoute        Reason = "no-route"
 	NoRetryBudget  Reason = "no-retry-budget"
 	AddressReused  Reason = "address-reused"
-	TimedOut       Reason = "timed-out"
+	TimedOut       Reason = "timed-out" // The deadline passed after serve sent the job.
 	CallerGone     Reason = "caller-gone"
 	UpstreamFailed Reason = "upstream-failed"
 )
 
 // Outcome is the result of a job with its reason and a message for the caller.
 type Outcome struct {
-	Kind   Kind
+	Kind   OutcomeKind
 	Reason Reason
 	Detail string
 }
--- a/internal/flow/pipe/line.go
+++ b/internal/flow/pipe/line.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Filter is one step of a line; it passes the job on or ends it with an outcome.
+// Filter is one step of a pipeline; it passes the job on or ends it with an outcome.
 type Filter interface {
 	String() string
 	Run(ctx context.Context, now time.Time, job *Job)
