--- a/internal/flow/admit/admit.go
+++ b/internal/flow/admit/admit.go
@@ -19,7 +19,7 @@
 // New returns a filter that has no upstreams until the first Update.
 func New() *Pipe { return &Pipe{sched: NewScheduler()} }
 
-// String names the filter.
+// String returns the filter's name.
 func (*Pipe) String() string { return "admit" }
 
 // Update applies a plan; control publishes plans in order.
@@ -77,15 +77,15 @@
 		refuseJob(job, r)
 		return
 	}
-	v, reuse := p.wait(ctx, now, w)
+	d, reuse := p.wait(ctx, now, w)
 	if reuse {
 		waiterPool.Put(w)
 	}
-	if !v.Admitted {
-		refuseJob(job, v.Refusal)
+	if !d.Admitted {
+		refuseJob(job, d.Refusal)
 		return
 	}
-	p.assignUpstream(job, v.Upstream)
+	p.assignUpstream(job, d.Upstream)
 }
 
 var waiterPool = sync.Pool{New: func() any { return &Waiter{Ready: make(chan Decision, 1)} }}
@@ -93,15 +93,15 @@
 // wait returns the decision, and whether the waiter may be reused because the scheduler no longer holds it.
 func (p *Pipe) wait(ctx context.Context, now time.Time, w *Waiter) (Decision, bool) {
 	select {
-	case v := <-w.Ready:
-		return v, true
+	case d := <-w.Ready:
+		return d, true
 	default:
 	}
 	timer := time.NewTimer(w.Deadline.Sub(now))
 	defer timer.Stop()
 	select {
-	case v := <-w.Ready:
-		return v, true
+	case d := <-w.Ready:
+		return d, true
 	case <-ctx.Done():
 	case <-timer.C:
 	}
--- a/internal/flow/admit/flood_test.go
+++ b/internal/flow/admit/flood_test.go
@@ -51,9 +51,9 @@
 
 // simRank is the load of one rank and its results.
 type simRank struct {
-	rate       float64 // Arrival rate as a fraction of simCapacity.
-	from       time.Duration
-	to         time.Duration
+	rate       float64       // Arrival rate as a fraction of simCapacity.
+	from       time.Duration // Start of the load, since the start of the simulation.
+	to         time.Duration // End of the load; see from.
 	timeout    time.Duration
 	costFactor float64 // Mean service time as a multiple of simServiceTime.
 
@@ -211,8 +211,8 @@
 }
 
 func TestFloodOfTheLastRankLeavesTheTopAlone(t *testing.T) {
-	calm := simulate(simMinimum, false, rank(0.4, time.Second), rank(0.2, time.Second), rank(0.2, 2*time.Second))
-	base := logResults(t, "no flood", calm)
+	noFlood := simulate(simMinimum, false, rank(0.4, time.Second), rank(0.2, time.Second), rank(0.2, 2*time.Second))
+	base := logResults(t, "no flood", noFlood)
 	flood := floodLowestRank(simMinimum, false)
 	total := logResults(t, "flood of the last", flood)
 	fifo := floodLowestRank(simMinimum, true)
@@ -222,8 +222,8 @@
 
 	top := flood[0]
 	assert.Assert(t, float64(top.done) >= 0.99*float64(top.sent), "the top rank kept %d of %d", top.done, top.sent)
-	ratio := float64(top.p99()) / float64(calm[0].p99())
-	t.Logf("p99 of the top rank: %.2f of the calm one; FIFO %.2f", ratio, float64(fifo[0].p99())/float64(calm[0].p99()))
+	ratio := float64(top.p99()) / float64(noFlood[0].p99())
+	t.Logf("p99 of the top rank: %.2f of the calm one; FIFO %.2f", ratio, float64(fifo[0].p99())/float64(noFlood[0].p99()))
 	assert.Assert(t, ratio <= 1.25, "p99 of the top rank rose to %.2f of the calm one", ratio)
 	assert.Assert(t, total >= 0.95, "in all %.3f of the capacity was useful, %.3f without a flood", total, base)
 }
--- a/internal/flow/admit/pool.go
+++ b/internal/flow/admit/pool.go
@@ -8,43 +8,43 @@
 	"github.com/boragelane/boragelane/internal/core/plan"
 )
 
-// pool holds the queues and the upstreams of one service.
-type pool struct {
-	name      string
-	queues    []queue
-	upstreams map[string]*upstreamState
-	sorted    []*upstreamState
-	credits   credit.RankSelector
-	costs     costs
+// serviceState holds the queues and the upstreams of one service.
+type serviceState struct {
+	name         string
+	queues       []queue
+	upstreams    map[string]*upstreamState
+	sorted       []*upstreamState
+	credits      credit.RankSelector
+	serviceTimes serviceTimes
 }
 
-func (po *pool) update(ups []plan.Upstream, minimum []float64) {
-	po.credits.SetMinimums(minimum)
-	po.costs.resize(len(minimum))
-	for len(po.queues) < len(minimum) {
-		po.queues = append(po.queues, queue{})
+func (svc *serviceState) update(ups []plan.Upstream, minimum []float64) {
+	svc.credits.SetMinimums(minimum)
+	svc.serviceTimes.resize(len(minimum))
+	for len(svc.queues) < len(minimum) {
+		svc.queues = append(svc.queues, queue{})
 	}
-	for _, up := range po.upstreams {
+	for _, up := range svc.upstreams {
 		up.removed = true
 	}
 	for _, u := range ups {
-		up := po.upstreams[u.ID]
+		up := svc.upstreams[u.ID]
 		if up == nil {
 			up = newUpstreamState(u)
-			po.upstreams[u.ID] = up
+			svc.upstreams[u.ID] = up
 		}
 		up.Upstream, up.removed = u, false
 	}
-	po.sorted = po.sorted[:0]
-	for id, up := range po.upstreams {
+	svc.sorted = svc.sorted[:0]
+	for id, up := range svc.upstreams {
 		switch {
 		case !up.removed:
-			po.sorted = append(po.sorted, up)
+			svc.sorted = append(svc.sorted, up)
 		case up.inFlight == 0:
-			delete(po.upstreams, id)
+			delete(svc.upstreams, id)
 		}
 	}
-	slices.SortFunc(po.sorted, func(a, b *upstreamState) int {
+	slices.SortFunc(svc.sorted, func(a, b *upstreamState) int {
 		if a.ID < b.ID {
 			return -1
 		}
@@ -52,22 +52,22 @@
 	})
 }
 
-func (po *pool) proposeRank(now time.Time) int {
-	if !po.hasWaiting() || po.bestUpstream(now) == nil {
+func (svc *serviceState) proposeRank(now time.Time) int {
+	if !svc.hasWaiting() || svc.bestUpstream(now) == nil {
 		return -1
 	}
-	po.refuseLate(now)
-	return po.credits.Pick(func(l int) bool { return po.queues[l].peek() != nil }, po.costs.seconds)
+	svc.refuseLate(now)
+	return svc.credits.Pick(func(l int) bool { return svc.queues[l].peek() != nil }, svc.serviceTimes.seconds)
 }
 
 // lateFactor is the multiple of the mean service time that must remain until a job's deadline for its admission.
 const lateFactor = 2
 
 // refuseLate refuses the waiters at the heads of the queues that can no longer finish before their deadline.
-func (po *pool) refuseLate(now time.Time) {
-	for l := range po.queues {
-		q := &po.queues[l]
-		for w := q.peek(); w != nil && !now.Add(lateFactor*po.costs[l].mean).Before(w.Deadline); w = q.peek() {
+func (svc *serviceState) refuseLate(now time.Time) {
+	for l := range svc.queues {
+		q := &svc.queues[l]
+		for w := q.peek(); w != nil && !now.Add(lateFactor*svc.serviceTimes[l].mean).Before(w.Deadline); w = q.peek() {
 			q.pop()
 			w.done = true
 			w.Ready <- Decision{Refusal: TooLate}
@@ -75,9 +75,9 @@
 	}
 }
 
-func (po *pool) hasWaiting() bool {
-	for l := range po.queues {
-		if po.queues[l].len() > 0 {
+func (svc *serviceState) hasWaiting() bool {
+	for l := range svc.queues {
+		if svc.queues[l].len() > 0 {
 			return true
 		}
 	}
@@ -85,8 +85,8 @@
 }
 
 // availableBefore reports whether any upstream accepts jobs before a deadline.
-func (po *pool) availableBefore(now, deadline time.Time) bool {
-	for _, up := range po.sorted {
+func (svc *serviceState) availableBefore(now, deadline time.Time) bool {
+	for _, up := range svc.sorted {
 		if up.Slots.At(now) > 0 && !up.down && up.pausedUntil.Before(deadline) {
 			return true
 		}
@@ -95,9 +95,9 @@
 }
 
 // bestUpstream returns the upstream with a free slot that should finish first, or nil.
-func (po *pool) bestUpstream(now time.Time) *upstreamState {
+func (svc *serviceState) bestUpstream(now time.Time) *upstreamState {
 	var best *upstreamState
-	for _, up := range po.sorted {
+	for _, up := range svc.sorted {
 		if up.hasRoom(now) && (best == nil || up.finishEstimate() < best.finishEstimate()) {
 			best = up
 		}
@@ -107,17 +107,17 @@
 
 // estimateWait returns the expected wait of a new job of a rank: from the mean time between admissions if
 // the queue has a backlog, otherwise from the mean service times of the jobs ahead of it.
-func (po *pool) estimateWait(now time.Time, level int) time.Duration {
-	q := &po.queues[level]
+func (svc *serviceState) estimateWait(now time.Time, level int) time.Duration {
+	q := &svc.queues[level]
 	if n := q.len(); n > 0 && q.admitInterval > 0 {
 		return time.Duration(n+1) * q.admitInterval
 	}
 	var ahead time.Duration
 	for l := 0; l <= level; l++ {
-		ahead += time.Duration(po.queues[l].len()) * po.costs[l].mean
+		ahead += time.Duration(svc.queues[l].len()) * svc.serviceTimes[l].mean
 	}
 	width := int64(0)
-	for _, up := range po.sorted {
+	for _, up := range svc.sorted {
 		width += min(up.Slots.At(now), max(1, int64(up.limit)))
 	}
 	return ahead / time.Duration(max(1, width))
--- a/internal/flow/admit/queue.go
+++ b/internal/flow/admit/queue.go
@@ -98,38 +98,39 @@
 // initialServiceTime is the mean service time that is assumed until jobs have finished.
 const initialServiceTime = 5 * time.Millisecond
 
-// cost is the mean service time of one rank, and when it was last updated.
-type cost struct {
+// meanServiceTime is the mean service time of one rank's jobs.
+type meanServiceTime struct {
 	mean    time.Duration
-	updated time.Time
+	updated time.Time // When mean was last updated or halved.
 }
 
-// costs holds the mean service time of each rank, which is what a job costs its rank in credit.
-type costs []cost
+// serviceTimes holds the mean service time of each rank, which the rank selector charges for each admitted job.
+type serviceTimes []meanServiceTime
 
-func (c *costs) resize(n int) {
-	for len(*c) < n {
-		*c = append(*c, cost{mean: initialServiceTime})
+func (t *serviceTimes) resize(n int) {
+	for len(*t) < n {
+		*t = append(*t, meanServiceTime{mean: initialServiceTime})
 	}
 }
 
-func (c costs) seconds(level int) float64 { return c[level].mean.Seconds() }
+func (t serviceTimes) seconds(level int) float64 { return t[level].mean.Seconds() }
 
-func (c costs) observe(level int, took time.Duration, now time.Time) {
-	if level < len(c) {
-		c[level] = cost{mean: max(time.Microsecond, movingAverage(c[level].mean, took)), updated: now}
+func (t serviceTimes) observe(level int, took time.Duration, now time.Time) {
+	if level < len(t) {
+		t[level] = meanServiceTime{mean: max(time.Microsecond, movingAverage(t[level].mean, took)), updated: now}
 	}
 }
 
-// maxCostAge is how long a mean is kept without a finished job, or twice the mean if that is longer.
-const maxCostAge = time.Second
+// maxMeanAge is the minimum time for which a mean is kept without a finished job. A mean above half of it is kept for
+// twice its value.
+const maxMeanAge = time.Second
 
 // decay halves the means that no finished job has updated for a while. A mean that is too high may otherwise
 // refuse the very jobs that would lower it.
-func (c costs) decay(now time.Time) {
-	for i, k := range c {
-		if k.mean > initialServiceTime && now.Sub(k.updated) >= max(maxCostAge, 2*k.mean) {
-			c[i] = cost{mean: max(initialServiceTime, k.mean/2), updated: now}
+func (t serviceTimes) decay(now time.Time) {
+	for i, m := range t {
+		if m.mean > initialServiceTime && now.Sub(m.updated) >= max(maxMeanAge, 2*m.mean) {
+			t[i] = meanServiceTime{mean: max(initialServiceTime, m.mean/2), updated: now}
 		}
 	}
 }
--- a/internal/flow/admit/scheduler.go
+++ b/internal/flow/admit/scheduler.go
@@ -15,14 +15,14 @@
 	capacity     share.Quota
 	inFlight     int64
 	credits      credit.RankSelector
-	costs        costs
+	serviceTimes serviceTimes
 	queueLimits  []int
-	services     map[string]*pool
+	services     map[string]*serviceState
 	serviceNames []string
 }
 
 // NewScheduler returns a scheduler without services; Update adds them.
-func NewScheduler() *Scheduler { return &Scheduler{services: map[string]*pool{}} }
+func NewScheduler() *Scheduler { return &Scheduler{services: map[string]*serviceState{}} }
 
 // Update applies a plan's ranks, capacity and upstreams; waiting and running jobs are kept.
 func (s *Scheduler) Update(now time.Time, p *plan.Plan) {
@@ -33,40 +33,40 @@
 		minimum[i], s.queueLimits[i] = r.Minimum, r.Queue
 	}
 	s.credits.SetMinimums(minimum)
-	s.costs.resize(len(minimum))
+	s.serviceTimes.resize(len(minimum))
 	for name, svc := range p.Services {
-		s.ensurePool(name).update(svc.Upstreams, minimum)
+		s.ensureService(name).update(svc.Upstreams, minimum)
 	}
-	for name, po := range s.services {
+	for name, svc := range s.services {
 		if p.Services[name] == nil {
-			po.update(nil, minimum)
+			svc.update(nil, minimum)
 		}
 	}
 	s.dispatch(now)
 }
 
-func (s *Scheduler) ensurePool(name string) *pool {
-	po := s.services[name]
-	if po == nil {
-		po = &pool{name: name, upstreams: map[string]*upstreamState{}}
-		s.services[name] = po
+func (s *Scheduler) ensureService(name string) *serviceState {
+	svc := s.services[name]
+	if svc == nil {
+		svc = &serviceState{name: name, upstreams: map[string]*upstreamState{}}
+		s.services[name] = svc
 		s.serviceNames = append(s.serviceNames, name)
 		slices.Sort(s.serviceNames)
 	}
-	return po
+	return svc
 }
 
 // Enqueue queues a job, or refuses it at once if its queue is full or it can't be served in time.
 func (s *Scheduler) Enqueue(now time.Time, w *Waiter) Refusal {
-	po := s.services[w.Service]
-	if po == nil || !po.availableBefore(now, w.Deadline) {
+	svc := s.services[w.Service]
+	if svc == nil || !svc.availableBefore(now, w.Deadline) {
 		return NoUpstream
 	}
-	q := &po.queues[w.Level]
+	q := &svc.queues[w.Level]
 	if q.len() >= s.queueLimits[w.Level] {
 		return QueueFull
 	}
-	if wait := po.estimateWait(now, w.Level); wait > time.Duration(pipe.MaxWaitFraction*float64(w.Deadline.Sub(now)-po.costs[w.Level].mean)) {
+	if wait := svc.estimateWait(now, w.Level); wait > time.Duration(pipe.MaxWaitFraction*float64(w.Deadline.Sub(now)-svc.serviceTimes[w.Level].mean)) {
 		return TooLate
 	}
 	w.Since = now
@@ -87,18 +87,18 @@
 
 // Release frees the slot of an admitted job and admits the next ones.
 func (s *Scheduler) Release(now time.Time, service, upstream string, level int, took time.Duration, r Result) {
-	po := s.services[service]
+	svc := s.services[service]
 	s.inFlight--
-	up := po.upstreams[upstream]
+	up := svc.upstreams[upstream]
 	if up != nil {
 		up.release(now, took, r)
 		if up.removed && up.inFlight == 0 {
-			delete(po.upstreams, upstream)
+			delete(svc.upstreams, upstream)
 		}
 	}
 	if r == Done {
-		po.costs.observe(level, took, now)
-		s.costs.observe(level, took, now)
+		svc.serviceTimes.observe(level, took, now)
+		s.serviceTimes.observe(level, took, now)
 	}
 	s.dispatch(now)
 }
@@ -106,9 +106,9 @@
 // Tick does the time-driven work: it decays the mean service times and admits jobs to upstreams whose pause
 // has ended.
 func (s *Scheduler) Tick(now time.Time) {
-	s.costs.decay(now)
-	for _, po := range s.services {
-		po.costs.decay(now)
+	s.serviceTimes.decay(now)
+	for _, svc := range s.services {
+		svc.serviceTimes.decay(now)
 	}
 	s.dispatch(now)
 }
@@ -116,47 +116,47 @@
 // dispatch admits jobs while there is a waiter, a free slot and host capacity.
 func (s *Scheduler) dispatch(now time.Time) {
 	for s.inFlight < s.capacity.At(now) {
-		po, level := s.selectNext(now)
-		if po == nil {
+		svc, level := s.selectNext(now)
+		if svc == nil {
 			return
 		}
-		s.admit(now, po, level)
+		s.admit(now, svc, level)
 	}
 }
 
-// selectNext returns the pool and the rank to serve. Each pool proposes a rank by its own credits. Among
+// selectNext returns the service and the rank to serve. Each service proposes a rank by its own credits. Among
 // proposals of the same rank the oldest waiter wins; among ranks the credits of the whole host decide.
-func (s *Scheduler) selectNext(now time.Time) (*pool, int) {
-	var proposed [16]*pool
+func (s *Scheduler) selectNext(now time.Time) (*serviceState, int) {
+	var proposed [16]*serviceState
 	ready := func(l int) bool { return l < len(proposed) && proposed[l] != nil }
 	for _, name := range s.serviceNames {
-		po := s.services[name]
-		level := po.proposeRank(now)
+		svc := s.services[name]
+		level := svc.proposeRank(now)
 		if level < 0 || level >= len(proposed) {
 			continue
 		}
-		if o := proposed[level]; o == nil || po.queues[level].peek().Since.Before(o.queues[level].peek().Since) {
-			proposed[level] = po
+		if o := proposed[level]; o == nil || svc.queues[level].peek().Since.Before(o.queues[level].peek().Since) {
+			proposed[level] = svc
 		}
 	}
-	level := s.credits.Pick(ready, s.costs.seconds)
+	level := s.credits.Pick(ready, s.serviceTimes.seconds)
 	if level < 0 {
 		return nil, -1
 	}
 	return proposed[level], level
 }
 
-func (s *Scheduler) admit(now time.Time, po *pool, level int) {
-	q := &po.queues[level]
+func (s *Scheduler) admit(now time.Time, svc *serviceState, level int) {
+	q := &svc.queues[level]
 	w := q.peek()
 	q.pop()
-	up := po.bestUpstream(now)
+	up := svc.bestUpstream(now)
 	up.inFlight++
 	s.inFlight++
 	w.done = true
 	q.recordAdmission(now, q.len() > 0)
-	po.credits.Charge(level, func(l int) bool { return po.queues[l].len() > 0 }, po.costs.seconds)
-	s.credits.Charge(level, s.hasWaiting, s.costs.seconds)
+	svc.credits.Charge(level, func(l int) bool { return svc.queues[l].len() > 0 }, svc.serviceTimes.seconds)
+	s.credits.Charge(level, s.hasWaiting, s.serviceTimes.seconds)
 	w.Ready <- Decision{Admitted: true, Upstream: up.ID}
 }
 
@@ -171,14 +171,14 @@
 
 // EstimateWait returns the expected wait of a new job, 0 if it can be admitted at once.
 func (s *Scheduler) EstimateWait(now time.Time, service string, level int) time.Duration {
-	po := s.services[service]
-	if po == nil || level >= len(po.queues) {
+	svc := s.services[service]
+	if svc == nil || level >= len(svc.queues) {
 		return 0
 	}
-	if s.inFlight < s.capacity.At(now) && po.bestUpstream(now) != nil {
+	if s.inFlight < s.capacity.At(now) && svc.bestUpstream(now) != nil {
 		return 0
 	}
-	return max(time.Millisecond, po.estimateWait(now, level))
+	return max(time.Millisecond, svc.estimateWait(now, level))
 }
 
 // DueProbes returns the down upstreams whose next probe is due, and schedules the probe after it.
@@ -197,8 +197,8 @@
 
 // MarkUp makes an upstream that a probe has reached available again.
 func (s *Scheduler) MarkUp(now time.Time, id string) {
-	for _, po := range s.services {
-		if up := po.upstreams[id]; up != nil && up.down {
+	for _, svc := range s.services {
+		if up := svc.upstreams[id]; up != nil && up.down {
 			up.down, up.pausedUntil = false, now
 		}
 	}
@@ -208,17 +208,17 @@
 // Load returns the load of each service.
 func (s *Scheduler) Load(now time.Time) map[string]plan.Load {
 	out := make(map[string]plan.Load, len(s.services))
-	for name, po := range s.services {
+	for name, svc := range s.services {
 		l := plan.Load{}
-		for _, up := range po.sorted {
+		for _, up := range svc.sorted {
 			if !now.Before(up.pausedUntil) && !up.down {
 				l.Slots += up.Slots.At(now)
 			}
 			l.Busy += up.inFlight
 		}
-		for i := range po.queues {
-			l.Queued += int64(po.queues[i].len())
-			l.Latency = max(l.Latency, po.costs[i].mean)
+		for i := range svc.queues {
+			l.Queued += int64(svc.queues[i].len())
+			l.Latency = max(l.Latency, svc.serviceTimes[i].mean)
 		}
 		out[name] = l
 	}
--- a/internal/flow/admit/slots.go
+++ b/internal/flow/admit/slots.go
@@ -25,15 +25,15 @@
 
 // Parameters of the adaptive concurrency limit.
 const (
-	// The limit is lowered when the mean latency exceeds maxLatencyFactor times the base plus latencySlack.
+	// maxLatencyFactor and latencySlack define when latency is high: the mean exceeds maxLatencyFactor times the
+	// base latency plus latencySlack.
 	maxLatencyFactor = 2.0
 	latencySlack     = 5 * time.Millisecond
-	// slowLimitFactor and overloadLimitFactor are what a limit is multiplied by when latency is high and after
-	// an overload.
+	// The limit is multiplied by slowLimitFactor when latency is high and by overloadLimitFactor after an overload.
 	slowLimitFactor     = 0.8
 	overloadLimitFactor = 0.5
-	// An upstream is paused for minBackoff after an overload or a failure, and for twice as long, up to maxBackoff,
-	// after each further one without a success between them.
+	// minBackoff is how long an upstream is paused after an overload or a failure. The pause doubles, up to
+	// maxBackoff, with each further one without a success in between.
 	minBackoff = 250 * time.Millisecond
 	maxBackoff = 8 * time.Second
 	// maxProbeInterval is the longest time between two probes of an upstream that is down.
