wording: flow/place: queue order, loan requests and the receiver

Read badly: 'report' for a loan request, a waiter's target that is an upstream, 'service order', a receiver from the time when the type was Table, and a test comment about a full upstream that the test doesn't have. Now: lastLoanRequest, waiter.upstream, 'queue order', receiver s, and the comment names minTimeShare.

--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -90,13 +90,13 @@
 }
 
 // objectHash returns the hash of the job's object, or 0 if it has none.
-func (a *Request) objectHash() uint64 {
-	if a.Object != "" && a.cachedHash == 0 {
-		a.cachedHash = rendez.Hash(a.Object)
+func (r *Request) objectHash() uint64 {
+	if r.Object != "" && r.cachedHash == 0 {
+		r.cachedHash = rendez.Hash(r.Object)
 	}
-	return a.cachedHash
+	return r.cachedHash
 }
 
-func (a *Request) allows(region string) bool {
-	return len(a.Homes) == 0 || slices.Contains(a.Homes, region)
+func (r *Request) allows(region string) bool {
+	return len(r.Homes) == 0 || slices.Contains(r.Homes, region)
 }
--- a/internal/flow/place/demand.go
+++ b/internal/flow/place/demand.go
@@ -14,21 +14,21 @@
 
 // demand estimates the load that the region's callers offer to one service.
 type demand struct {
-	offered     time.Duration // Expected work of the jobs since the last report.
+	offered     time.Duration // Expected work of the jobs since the last loan request.
 	slots       float64       // Exponential moving average of the slots that the jobs keep busy.
 	initialized bool
-	lastOffered time.Time // When a report last found new jobs.
+	lastOffered time.Time // Time of the last loan request before which new jobs had arrived.
 }
 
 // recordDemand adds a job's expected work to the demand. Until a job has finished, the first job's objective is the
 // best estimate of the service's work.
-func (t *Scheduler) recordDemand(now time.Time, req *Request) {
-	d := t.demands[req.Service]
+func (s *Scheduler) recordDemand(now time.Time, req *Request) {
+	d := s.demands[req.Service]
 	if d == nil {
 		d = &demand{}
-		t.demands[req.Service] = d
+		s.demands[req.Service] = d
 	}
-	w := t.estimate(req.Service)
+	w := s.estimate(req.Service)
 	if w.initial == initialWork && req.Objective.After(now) {
 		w.initial = req.Objective.Sub(now)
 	}
@@ -37,18 +37,18 @@
 
 // LoanRequest returns this host's request for loaned upstreams: the demand of the services that it places jobs for, the
 // current loans and the region's ejected upstreams.
-func (t *Scheduler) LoanRequest(now time.Time) loans.Request {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	a := loans.Request{Region: t.view.Self.Region, Demand: loans.Demand{}, Loans: maps.Clone(t.view.Loans)}
-	elapsed := now.Sub(t.lastDemandReport)
-	t.lastDemandReport = now
-	for service, d := range t.demands {
+func (s *Scheduler) LoanRequest(now time.Time) loans.Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	req := loans.Request{Region: s.view.Self.Region, Demand: loans.Demand{}, Loans: maps.Clone(s.view.Loans)}
+	elapsed := now.Sub(s.lastLoanRequest)
+	s.lastLoanRequest = now
+	for service, d := range s.demands {
 		if d.offered > 0 {
 			d.lastOffered = now
 		}
 		if now.Sub(d.lastOffered) > demandTimeConstant {
-			delete(t.demands, service)
+			delete(s.demands, service)
 			continue
 		}
 		sample := float64(d.offered) / float64(max(elapsed, time.Millisecond))
@@ -57,12 +57,12 @@
 			retain = 0
 		}
 		d.slots, d.offered, d.initialized = retain*d.slots+(1-retain)*sample, 0, true
-		a.Demand[service] = math.Round(d.slots*100) / 100
+		req.Demand[service] = math.Round(d.slots*100) / 100
 	}
-	for id, l := range t.loads {
-		if l.ejected(now) && t.view.UsedBy(l.upstream) == a.Region {
-			a.Unavailable = append(a.Unavailable, id)
+	for id, l := range s.loads {
+		if l.ejected(now) && s.view.UsedBy(l.upstream) == req.Region {
+			req.Unavailable = append(req.Unavailable, id)
 		}
 	}
-	return a
+	return req
 }
--- a/internal/flow/place/place_test.go
+++ b/internal/flow/place/place_test.go
@@ -212,8 +212,7 @@
 	assert.Assert(t, time.Since(begin) < time.Second)
 }
 
-// A job that has waited most of its time behind a full upstream must not take a slot if too little time is left to run
-// it.
+// A job must not start if less than minTimeShare of its expected duration is left before its deadline.
 func TestAJobThatCannotMeetItsDeadlineIsNotStarted(t *testing.T) {
 	sched := table(upstream("u", "a", "east"))
 	now := at(0)
--- a/internal/flow/place/queue.go
+++ b/internal/flow/place/queue.go
@@ -8,28 +8,28 @@
 
 // waiter is a job that waits for a slot.
 type waiter struct {
-	req    Request
-	late   bool // The job can no longer meet its objective.
-	seq    uint64
-	target *load // The upstream that the job is queued for.
-	ready  chan *Grant
+	req      Request
+	late     bool // The job can no longer meet its objective.
+	seq      uint64
+	upstream *load // The upstream that the job is queued for.
+	ready    chan *Grant
 }
 
 // Acquire reserves a slot for a job, waiting for one if necessary; it returns nil if none becomes free in time.
-func (t *Scheduler) Acquire(ctx context.Context, now time.Time, req Request) *Grant {
-	t.mu.Lock()
-	t.lastSeq++
-	w := &waiter{req: req, seq: t.lastSeq, ready: make(chan *Grant, 1)}
+func (s *Scheduler) Acquire(ctx context.Context, now time.Time, req Request) *Grant {
+	s.mu.Lock()
+	s.lastSeq++
+	w := &waiter{req: req, seq: s.lastSeq, ready: make(chan *Grant, 1)}
 	if !req.Isolated {
-		t.recordDemand(now, &req)
+		s.recordDemand(now, &req)
 	}
-	g, until := t.reserve(now, w)
+	g, until := s.reserve(now, w)
 	if g != nil || !until.After(now) {
-		t.mu.Unlock()
+		s.mu.Unlock()
 		return g
 	}
-	t.enqueue(w)
-	t.mu.Unlock()
+	s.enqueue(w)
+	s.mu.Unlock()
 
 	timer := time.NewTimer(until.Sub(now))
 	defer timer.Stop()
@@ -39,38 +39,38 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return t.cancelWait(w)
+	return s.cancelWait(w)
 }
 
 // cancelWait removes a waiter, and returns its grant if one was delivered in the meantime.
-func (t *Scheduler) cancelWait(w *waiter) *Grant {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.waiters = slices.DeleteFunc(t.waiters, func(o *waiter) bool { return o == w })
+func (s *Scheduler) cancelWait(w *waiter) *Grant {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiters = slices.DeleteFunc(s.waiters, func(o *waiter) bool { return o == w })
 	select {
 	case g := <-w.ready:
 		return g
 	default:
 	}
-	w.setTarget(nil)
+	w.setUpstream(nil)
 	return nil
 }
 
-// setTarget sets the upstream that a waiter is queued for and updates the queue lengths.
-func (w *waiter) setTarget(l *load) {
-	if w.target != nil {
-		w.target.queued--
+// setUpstream sets the upstream that a waiter is queued for and updates the queue lengths.
+func (w *waiter) setUpstream(l *load) {
+	if w.upstream != nil {
+		w.upstream.queued--
 	}
 	if l != nil {
 		l.queued++
 	}
-	w.target = l
+	w.upstream = l
 }
 
-// enqueue inserts a waiter in service order: jobs that can still meet their objective first, then by rank, then by
+// enqueue inserts a waiter in queue order: jobs that can still meet their objective first, then by rank, then by
 // arrival.
-func (t *Scheduler) enqueue(w *waiter) {
-	at, _ := slices.BinarySearchFunc(t.waiters, w, func(a, b *waiter) int {
+func (s *Scheduler) enqueue(w *waiter) {
+	at, _ := slices.BinarySearchFunc(s.waiters, w, func(a, b *waiter) int {
 		switch {
 		case a.late != b.late && b.late:
 			return -1
@@ -81,47 +81,47 @@
 		}
 		return int(int64(a.seq) - int64(b.seq))
 	})
-	t.waiters = slices.Insert(t.waiters, at, w)
+	s.waiters = slices.Insert(s.waiters, at, w)
 }
 
 // maxWakeRetries bounds the waiters that retry on one wake, because each retry examines all upstreams of a service.
 const maxWakeRetries = 32
 
-// wake retries the first waiters in service order.
-func (t *Scheduler) wake(now time.Time) {
+// wake retries the first waiters in queue order.
+func (s *Scheduler) wake(now time.Time) {
 	retries := 0
-	t.waiters = slices.DeleteFunc(t.waiters, func(w *waiter) bool {
+	s.waiters = slices.DeleteFunc(s.waiters, func(w *waiter) bool {
 		retries++
-		return retries <= maxWakeRetries && t.tryServe(now, w)
+		return retries <= maxWakeRetries && s.tryServe(now, w)
 	})
 }
 
 // assignFreedSlot assigns the free slots of an upstream to the waiters that are queued for it. If slots remain, the
 // first waiters of its service retry.
-func (t *Scheduler) assignFreedSlot(now time.Time, l *load) {
-	t.waiters = slices.DeleteFunc(t.waiters, func(w *waiter) bool {
-		return w.target == l && t.canStart(now, l, w) && t.deliver(now, l, w)
+func (s *Scheduler) assignFreedSlot(now time.Time, l *load) {
+	s.waiters = slices.DeleteFunc(s.waiters, func(w *waiter) bool {
+		return w.upstream == l && s.canStart(now, l, w) && s.deliver(now, l, w)
 	})
 	retries := 0
-	t.waiters = slices.DeleteFunc(t.waiters, func(w *waiter) bool {
+	s.waiters = slices.DeleteFunc(s.waiters, func(w *waiter) bool {
 		if l.running >= l.limit || w.req.Service != l.upstream.Service || retries >= maxFreedRetries {
 			return false
 		}
 		retries++
-		return t.tryServe(now, w)
+		return s.tryServe(now, w)
 	})
 }
 
 // canStart reports whether an upstream can run a job that is queued for it.
-func (t *Scheduler) canStart(now time.Time, l *load, w *waiter) bool {
+func (s *Scheduler) canStart(now time.Time, l *load, w *waiter) bool {
 	return l.inView && l.running < l.jobLimit(&w.req, false) && !l.ejected(now) && !l.cold(now) &&
-		float64(w.req.Deadline.Sub(now)) >= minTimeShare*float64(t.expectedDuration(l, &w.req))
+		float64(w.req.Deadline.Sub(now)) >= minTimeShare*float64(s.expectedDuration(l, &w.req))
 }
 
 // deliver grants a waiter a slot of the upstream that it is queued for.
-func (t *Scheduler) deliver(now time.Time, l *load, w *waiter) bool {
-	w.setTarget(nil)
-	w.ready <- t.grant(now, l, w)
+func (s *Scheduler) deliver(now time.Time, l *load, w *waiter) bool {
+	w.setUpstream(nil)
+	w.ready <- s.grant(now, l, w)
 	return true
 }
 
@@ -129,8 +129,8 @@
 const maxFreedRetries = 4
 
 // tryServe grants a waiter a slot of its best upstream, if that has one free.
-func (t *Scheduler) tryServe(now time.Time, w *waiter) bool {
-	g, _ := t.reserve(now, w)
+func (s *Scheduler) tryServe(now time.Time, w *waiter) bool {
+	g, _ := s.reserve(now, w)
 	if g == nil {
 		return false
 	}
@@ -144,19 +144,19 @@
 
 // reserve grants the job a slot of its best upstream, if that has one free. Otherwise it returns the time until which
 // the job may wait and still be answered in time.
-func (t *Scheduler) reserve(now time.Time, w *waiter) (*Grant, time.Time) {
-	w.setTarget(nil)
-	list := t.candidates(now, &w.req)
+func (s *Scheduler) reserve(now time.Time, w *waiter) (*Grant, time.Time) {
+	w.setUpstream(nil)
+	list := s.candidates(now, &w.req)
 	at := Choose(list)
 	if at < 0 {
 		return nil, now.Add(time.Duration(lateWaitShare / 2 * float64(w.req.Objective.Sub(now))))
 	}
 	l := list[at].load
 	if l.running < l.limit {
-		return t.grant(now, l, w), now
+		return s.grant(now, l, w), now
 	}
-	w.setTarget(l)
-	until := w.req.Objective.Add(-t.expectedDuration(l, &w.req))
+	w.setUpstream(l)
+	until := w.req.Objective.Add(-s.expectedDuration(l, &w.req))
 	if !until.After(now) {
 		w.late = true
 		until = now.Add(time.Duration(lateWaitShare * float64(w.req.Deadline.Sub(now))))
--- a/internal/flow/place/rank.go
+++ b/internal/flow/place/rank.go
@@ -15,20 +15,20 @@
 	locality Locality
 }
 
-// paths returns the paths from a host to each failure domain, in the order of t.domains.
-func (t *Scheduler) paths(from *roster.Host) []path {
-	out := make([]path, len(t.domains))
-	for i, u := range t.domains {
+// paths returns the paths from a host to each failure domain, in the order of Scheduler.domains.
+func (s *Scheduler) paths(from *roster.Host) []path {
+	out := make([]path, len(s.domains))
+	for i, u := range s.domains {
 		loc := localityOf(from, u)
-		out[i] = path{rtt: t.rtts.expected(from, u), penalty: crossingPenalty[loc], locality: loc}
+		out[i] = path{rtt: s.rtts.expected(from, u), penalty: crossingPenalty[loc], locality: loc}
 	}
 	return out
 }
 
 // expectedDuration returns the expected round trip and service time of a job on an upstream, without queueing.
-func (t *Scheduler) expectedDuration(l *load, req *Request) time.Duration {
-	w := t.estimate(l.upstream.Service)
-	return t.rtts.expected(&req.Host, l.upstream) + l.serviceTime(w.expected(w.likelyCached(l.recent, req.objectHash())))
+func (s *Scheduler) expectedDuration(l *load, req *Request) time.Duration {
+	w := s.estimate(l.upstream.Service)
+	return s.rtts.expected(&req.Host, l.upstream) + l.serviceTime(w.expected(w.likelyCached(l.recent, req.objectHash())))
 }
 
 // serviceTime scales expected work by the upstream's slowdown.
@@ -40,7 +40,9 @@
 func (l *load) cost(p *path, service, mean time.Duration) time.Duration {
 	d := p.rtt + p.penalty
 	if p.locality == OtherRegion && l.assigned {
-		d = p.rtt / 2 // Nearly equal use of borrowed upstreams: the share of jobs leaving the region must change slowly.
+		// Half the round trip and no penalty, so that borrowed upstreams get nearly the same load as the region's own: the
+		// share of jobs that leave the region must change slowly.
+		d = p.rtt / 2
 	}
 	return d + time.Duration((1+failurePenalty*l.failureRate)*float64(service)+l.queueFactor()*l.slowdown*float64(mean))
 }
@@ -50,17 +52,17 @@
 
 // candidates returns the upstreams that a job may be sent to, including those without a free slot. The list is valid
 // until the next call.
-func (t *Scheduler) candidates(now time.Time, req *Request) []Candidate {
-	list := t.loadsByService[req.Service]
-	out := t.scratch[:0]
+func (s *Scheduler) candidates(now time.Time, req *Request) []Candidate {
+	list := s.loadsByService[req.Service]
+	out := s.scratch[:0]
 	key, owner := req.objectHash(), -1
-	failover := t.failover(now, req, list)
-	paths := t.paths(&req.Host)
-	w := t.estimate(req.Service)
+	failover := s.failover(now, req, list)
+	paths := s.paths(&req.Host)
+	w := s.estimate(req.Service)
 	hitWork, missWork, meanWork := w.expected(true), w.expected(false), w.mean()
 	remaining := req.Deadline.Sub(now)
 	for _, l := range list {
-		if l.limit = l.jobLimit(req, failover); !t.eligible(now, l, req) {
+		if l.limit = l.jobLimit(req, failover); !s.eligible(now, l, req) {
 			continue
 		}
 		c := Candidate{Upstream: l.upstream, Free: l.limit - l.running, load: l}
@@ -86,17 +88,17 @@
 		l := out[owner].load
 		out[owner].Cost -= l.serviceTime(w.ownerDiscount(l.recent, key))
 	}
-	t.scratch = out
-	mayStay, mayLeave := t.limiter(req.Service).allowed(now, t.maxShift)
+	s.scratch = out
+	mayStay, mayLeave := s.limiter(req.Service).allowed(now, s.maxShift)
 	return restrict(out, paths, mayStay, mayLeave)
 }
 
 // eligible reports whether a job may be sent to an upstream once it has a free slot.
-func (t *Scheduler) eligible(now time.Time, l *load, req *Request) bool {
+func (s *Scheduler) eligible(now time.Time, l *load, req *Request) bool {
 	if l.limit == 0 || l.ejected(now) || !req.allows(l.upstream.Region) || slices.Contains(req.Tried, l.upstream.ID) {
 		return false
 	}
-	return !l.cold(now) || !req.Isolated && t.canWarm(now, l)
+	return !l.cold(now) || !req.Isolated && s.canWarm(now, l)
 }
 
 // minTimeShare is the share of a job's expected duration that must remain before its deadline for the job to start. It
@@ -119,7 +121,7 @@
 
 // failover reports whether this region can use none of its upstreams, so that its jobs may run on those of other
 // regions.
-func (t *Scheduler) failover(now time.Time, req *Request, list []*load) bool {
+func (s *Scheduler) failover(now time.Time, req *Request, list []*load) bool {
 	for _, l := range list {
 		if l.assigned && !l.ejected(now) && !l.cold(now) && req.allows(l.upstream.Region) {
 			return false
@@ -130,10 +132,10 @@
 
 // canWarm reports whether a cold upstream's token bucket has a token. Only the region that uses the upstream may warm
 // it, because the rate is too small to be split.
-func (t *Scheduler) canWarm(now time.Time, l *load) bool {
+func (s *Scheduler) canWarm(now time.Time, l *load) bool {
 	if !l.assigned {
 		return false
 	}
-	l.refillTokens(now, t.view.Policy.Services[l.upstream.Service].ColdRate)
+	l.refillTokens(now, s.view.Policy.Services[l.upstream.Service].ColdRate)
 	return l.tokens >= 1
 }
--- a/internal/flow/place/table.go
+++ b/internal/flow/place/table.go
@@ -11,22 +11,22 @@
 
 // Scheduler places the jobs of a region's hosts on upstreams and tracks which jobs run and wait there.
 type Scheduler struct {
-	mu               sync.Mutex
-	view             *roster.View
-	loads            map[string]*load
-	loadsByService   map[string][]*load // The upstreams of the current view, by service.
-	domains          []*roster.Upstream // One upstream of each known failure domain.
-	estimates        map[string]*workEstimate
-	rtts             rttEstimates
-	demands          map[string]*demand
-	limiters         map[string]*shiftLimiter // By service.
-	maxShift         float64                  // The share of a region's callers that may change region within shiftWindow; 0 for no limit.
-	lastDemandReport time.Time                // When the demand was last reported.
-	waiters          []*waiter
-	scratch          []Candidate
-	lastSeq          uint64
-	grants           map[uint64]*Grant
-	lastSweep        time.Time
+	mu              sync.Mutex
+	view            *roster.View
+	loads           map[string]*load
+	loadsByService  map[string][]*load // The upstreams of the current view, by service.
+	domains         []*roster.Upstream // One upstream of each known failure domain.
+	estimates       map[string]*workEstimate
+	rtts            rttEstimates
+	demands         map[string]*demand
+	limiters        map[string]*shiftLimiter // By service.
+	maxShift        float64                  // The fraction of a region's callers that may change region within shiftWindow; 0 for no limit.
+	lastLoanRequest time.Time                // Time of the last call of LoanRequest.
+	waiters         []*waiter
+	scratch         []Candidate
+	lastSeq         uint64
+	grants          map[uint64]*Grant
+	lastSweep       time.Time
 }
 
 // Grant is a slot of an upstream that is assigned to a job.
@@ -52,89 +52,89 @@
 	}
 }
 
-// SetMaxShift sets the maximum share of a region's callers that may change region within two seconds; 0 means no limit.
-func (t *Scheduler) SetMaxShift(share float64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.maxShift = share
+// SetMaxShift sets the maximum fraction of a region's callers that may change region within two seconds; 0 means no limit.
+func (s *Scheduler) SetMaxShift(fraction float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.maxShift = fraction
 }
 
 // Update applies a new view and retries the waiters.
-func (t *Scheduler) Update(now time.Time, v *roster.View) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.view = v
-	t.loadsByService = make(map[string][]*load, len(v.Upstreams))
+func (s *Scheduler) Update(now time.Time, v *roster.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view = v
+	s.loadsByService = make(map[string][]*load, len(v.Upstreams))
 	seen := map[string]bool{}
 	for service, list := range v.Upstreams {
 		for _, u := range list {
 			seen[u.ID] = true
-			t.loadsByService[service] = append(t.loadsByService[service], t.updateLoad(now, u))
+			s.loadsByService[service] = append(s.loadsByService[service], s.updateLoad(now, u))
 		}
 	}
-	for id, l := range t.loads {
+	for id, l := range s.loads {
 		l.inView = seen[id]
 		if !l.inView && l.running == 0 {
-			delete(t.loads, id)
+			delete(s.loads, id)
 		}
 	}
-	t.sweep(now)
-	t.wake(now)
+	s.sweep(now)
+	s.wake(now)
 }
 
 // updateLoad applies a report of an upstream; a new incarnation starts with empty statistics.
-func (t *Scheduler) updateLoad(now time.Time, u *roster.Upstream) *load {
-	l := t.loads[u.ID]
+func (s *Scheduler) updateLoad(now time.Time, u *roster.Upstream) *load {
+	l := s.loads[u.ID]
 	if l == nil || l.upstream.Born != u.Born {
 		running := 0
 		if l != nil {
 			running = l.running
 		}
-		l = &load{running: running, slowdown: 1, hash: rendez.Hash(u.ID), domainIndex: t.domainIndex(u)}
-		t.loads[u.ID] = l
+		l = &load{running: running, slowdown: 1, hash: rendez.Hash(u.ID), domainIndex: s.domainIndex(u)}
+		s.loads[u.ID] = l
 	}
-	l.upstream, l.assigned = u, t.view.UsedBy(u) == t.view.Self.Region
+	l.upstream, l.assigned = u, s.view.UsedBy(u) == s.view.Self.Region
 	if u.Cold > 0 {
 		l.markCold(now, u.ColdUntil())
 	}
 	return l
 }
 
-// domainIndex returns the index of an upstream's failure domain in t.domains, adding it if necessary.
-func (t *Scheduler) domainIndex(u *roster.Upstream) int {
-	at := slices.IndexFunc(t.domains, func(o *roster.Upstream) bool { return o.Domain == u.Domain })
+// domainIndex returns the index of an upstream's failure domain in s.domains, adding it if necessary.
+func (s *Scheduler) domainIndex(u *roster.Upstream) int {
+	at := slices.IndexFunc(s.domains, func(o *roster.Upstream) bool { return o.Domain == u.Domain })
 	if at < 0 {
-		at = len(t.domains)
-		t.domains = append(t.domains, u)
+		at = len(s.domains)
+		s.domains = append(s.domains, u)
 	}
 	return at
 }
 
 // sweep ends the grants of hosts that have left and those past their expiry, and lets the statistics of idle upstreams
 // decay.
-func (t *Scheduler) sweep(now time.Time) {
-	t.lastSweep = now
-	for _, l := range t.loads {
+func (s *Scheduler) sweep(now time.Time) {
+	s.lastSweep = now
+	for _, l := range s.loads {
 		l.decay()
 	}
-	for service, s := range t.limiters {
-		s.setUnusable(now, t.unusableShare(now, service))
+	for service, lim := range s.limiters {
+		lim.setUnusable(now, s.unusableShare(now, service))
 	}
-	live := map[string]bool{t.view.Self.Name: true}
-	for i := range t.view.Hosts {
-		live[t.view.Hosts[i].Name] = true
+	live := map[string]bool{s.view.Self.Name: true}
+	for i := range s.view.Hosts {
+		live[s.view.Hosts[i].Name] = true
 	}
-	for _, g := range t.grants {
+	for _, g := range s.grants {
 		if !live[g.host] || now.After(g.expires) {
-			t.endGrant(g)
+			s.endGrant(g)
 		}
 	}
 }
 
 // unusableShare returns the share of the slots used by this region whose upstreams are ejected or cold.
-func (t *Scheduler) unusableShare(now time.Time, service string) float64 {
+func (s *Scheduler) unusableShare(now time.Time, service string) float64 {
 	total, unusable := 0, 0
-	for _, l := range t.loadsByService[service] {
+	for _, l := range s.loadsByService[service] {
 		if !l.assigned {
 			continue
 		}
@@ -147,22 +147,22 @@
 }
 
 // limiter returns the shift limiter of a service, creating it if necessary.
-func (t *Scheduler) limiter(service string) *shiftLimiter {
-	s := t.limiters[service]
-	if s == nil {
-		s = &shiftLimiter{}
-		t.limiters[service] = s
+func (s *Scheduler) limiter(service string) *shiftLimiter {
+	lim := s.limiters[service]
+	if lim == nil {
+		lim = &shiftLimiter{}
+		s.limiters[service] = lim
 	}
-	return s
+	return lim
 }
 
 // endGrant removes a grant and returns the load of its upstream, or nil if the grant or upstream is no longer known.
-func (t *Scheduler) endGrant(g *Grant) *load {
-	if t.grants[g.ID] != g {
+func (s *Scheduler) endGrant(g *Grant) *load {
+	if s.grants[g.ID] != g {
 		return nil
 	}
-	delete(t.grants, g.ID)
-	l := t.loads[g.Upstream.ID]
+	delete(s.grants, g.ID)
+	l := s.loads[g.Upstream.ID]
 	if l != nil {
 		l.running--
 	}
@@ -172,89 +172,90 @@
 // grantGracePeriod is the time after a job's deadline at which a grant that was not released expires.
 const grantGracePeriod = time.Second
 
-func (t *Scheduler) grant(now time.Time, l *load, w *waiter) *Grant {
+func (s *Scheduler) grant(now time.Time, l *load, w *waiter) *Grant {
 	l.running++
 	if l.cold(now) {
 		l.tokens--
 		l.lastWarmup = now
 	}
 	u, req := l.upstream, &w.req
-	t.limiter(u.Service).record(now, u.Region != t.view.Self.Region)
+	s.limiter(u.Service).record(now, u.Region != s.view.Self.Region)
 	g := &Grant{
 		ID: w.seq, Upstream: u, host: req.Host.Name, fromDomain: req.Host.Domain, expires: req.Deadline.Add(grantGracePeriod),
-		rtt: t.rtts.expected(&req.Host, u),
+		rtt: s.rtts.expected(&req.Host, u),
 	}
-	estimate := t.estimate(u.Service)
+	estimate := s.estimate(u.Service)
 	g.reuseDistance, g.reused = l.recent.reuseDistance(req.objectHash())
 	g.expectHit = estimate.likelyCached(l.recent, req.objectHash())
 	if estimate.hasSamples(g.expectHit) {
 		g.expectedWork = estimate.expected(g.expectHit)
 	}
 	l.recent = l.recent.add(req.objectHash())
-	t.grants[g.ID] = g
+	s.grants[g.ID] = g
 	return g
 }
 
-func (t *Scheduler) estimate(service string) *workEstimate {
-	w := t.estimates[service]
+func (s *Scheduler) estimate(service string) *workEstimate {
+	w := s.estimates[service]
 	if w == nil {
 		w = &workEstimate{cacheSize: initialCacheSize, initial: initialWork}
-		t.estimates[service] = w
+		s.estimates[service] = w
 	}
 	return w
 }
 
 // Release ends a grant, records the job's result and assigns the freed slot.
-func (t *Scheduler) Release(now time.Time, g *Grant, r Result) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	l := t.endGrant(g)
+func (s *Scheduler) Release(now time.Time, g *Grant, r Result) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.endGrant(g)
 	if l == nil {
 		return
 	}
 	r.ExpectedWork, r.RTT = g.expectedWork, g.rtt
 	if l.upstream.Born == g.Upstream.Born {
 		l.recordResult(now, r)
-		t.rtts.record(g.fromDomain, g.Upstream.Domain, r.DialTime)
+		s.rtts.record(g.fromDomain, g.Upstream.Domain, r.DialTime)
 		if r.Succeeded && r.QueueLength == 0 {
-			t.recordWork(g, r.Duration-g.rtt)
+			s.recordWork(g, r.Duration-g.rtt)
 		}
 	}
-	t.assignFreedSlot(now, l)
+	s.assignFreedSlot(now, l)
 }
 
-// recordWork records the time of a job that was not queued by its upstream.
-func (t *Scheduler) recordWork(g *Grant, took time.Duration) {
-	w := t.estimate(g.Upstream.Service)
+// recordWork records the time of a job that was not queued by its upstream, without the round trip.
+func (s *Scheduler) recordWork(g *Grant, took time.Duration) {
+	w := s.estimate(g.Upstream.Service)
 	w.record(g.expectHit, took)
 	if g.reused {
 		w.adjustCacheSize(g.reuseDistance, took)
 	}
 }
 
-// Find returns the grant with the given number, or nil.
-func (t *Scheduler) Find(number uint64) *Grant {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.grants[number]
+// Find returns the grant with the given ID, or nil.
+func (s *Scheduler) Find(id uint64) *Grant {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.grants[id]
 }
 
 // Waiting returns the number of jobs that wait for a slot.
-func (t *Scheduler) Waiting() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.waiters)
+func (s *Scheduler) Waiting() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.waiters)
 }
 
 // sweepInterval is the time between sweeps for expired grants.
 const sweepInterval = 500 * time.Millisecond
 
-// Tick retries the waiters, since ejections end and cold upstreams earn tokens as time passes.
-func (t *Scheduler) Tick(now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if now.Sub(t.lastSweep) > sweepInterval {
-		t.sweep(now)
+// Tick releases expired grants at intervals and retries the waiters, since ejections end and cold upstreams earn tokens
+// over time.
+func (s *Scheduler) Tick(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.lastSweep) > sweepInterval {
+		s.sweep(now)
 	}
-	t.wake(now)
+	s.wake(now)
 }
--- a/internal/flow/place/work.go
+++ b/internal/flow/place/work.go
@@ -90,7 +90,8 @@
 // hasSamples reports whether a cache hit or miss has been recorded.
 func (w *workEstimate) hasSamples(hit bool) bool { return hit && w.hit > 0 || !hit && w.miss > 0 }
 
-// record adds the time of a request that was not queued by its upstream.
+// record updates the moving averages with the time of a request. The caller must leave out requests that the upstream
+// queued.
 func (w *workEstimate) record(hit bool, took time.Duration) {
 	mean := &w.miss
 	if hit {
