wording: flow/remote, serve, dedup, poison and the filters' String methods

Now: PeerRunner and LocalRunner, quota, queuedMessages, config, DeleteExpired, and comments that say what the code does.

--- a/internal/flow/accept/accept.go
+++ b/internal/flow/accept/accept.go
@@ -14,7 +14,7 @@
 // Pipe validates incoming jobs.
 type Pipe struct{}
 
-// String names the filter.
+// String returns the filter's name.
 func (Pipe) String() string { return "accept" }
 
 // Run rejects invalid jobs and fills in the rank, the deadline and whether the job runs at most once.
--- a/internal/flow/dedup/dedup.go
+++ b/internal/flow/dedup/dedup.go
@@ -26,7 +26,7 @@
 	NewID     func() string
 }
 
-// String names the filter.
+// String returns the filter's name.
 func (Pipe) String() string { return "once" }
 
 // Issue returns a new ticket that this host owns.
--- a/internal/flow/dedup/table.go
+++ b/internal/flow/dedup/table.go
@@ -56,11 +56,11 @@
 	claimTableClosed
 )
 
-// claim claims a ticket for the first try; each later try gets the same entry.
-func (t *Table) claim(ticket string, tk Ticket, digest uint64) (*entry, claimResult) {
+// claim claims a ticket, given its text and its parsed form, for the first try; each later try gets the same entry.
+func (t *Table) claim(text string, ticket Ticket, digest uint64) (*entry, claimResult) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e, ok := t.records[ticket]; ok {
+	if e, ok := t.records[text]; ok {
 		return e, claimKnown
 	}
 	if t.closed {
@@ -69,8 +69,8 @@
 	if len(t.records) >= MaxRecords {
 		return nil, claimTableFull
 	}
-	e := &entry{Record: Record{Ticket: ticket, Expiry: tk.Expiry, Digest: digest}, done: make(chan struct{})}
-	t.records[ticket] = e
+	e := &entry{Record: Record{Ticket: text, Expiry: ticket.Expiry, Digest: digest}, done: make(chan struct{})}
+	t.records[text] = e
 	return e, claimNew
 }
 
@@ -90,8 +90,8 @@
 	close(e.done)
 }
 
-// Sweep deletes the records of ended jobs whose tickets have expired.
-func (t *Table) Sweep(now time.Time) {
+// DeleteExpired deletes the records of ended jobs whose tickets have expired, and the incarnations whose adoption has.
+func (t *Table) DeleteExpired(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for k, e := range t.records {
--- a/internal/flow/dedup/ticket_test.go
+++ b/internal/flow/dedup/ticket_test.go
@@ -47,7 +47,7 @@
 	for _, c := range []struct {
 		ticket  string
 		claimed bool
-		want    pipe.Kind
+		want    pipe.OutcomeKind
 	}{{"", false, pipe.NotRun}, {"t", false, pipe.Unknown}, {"t", true, pipe.NotRun}} {
 		j := &pipe.Job{Ticket: c.ticket, Claimed: c.claimed}
 		j.RefuseUnclaimed(pipe.Expired, "")
--- a/internal/flow/ident/ident.go
+++ b/internal/flow/ident/ident.go
@@ -14,7 +14,7 @@
 	NewID func() string
 }
 
-// String names the filter.
+// String returns the filter's name.
 func (Pipe) String() string { return "ident" }
 
 // Run sets the job's ID if it has none, the hash of its caller and the digest of its content.
--- a/internal/flow/poison/poison.go
+++ b/internal/flow/poison/poison.go
@@ -17,8 +17,8 @@
 	CrashLimit = 2
 	// massCrashGap is the time between two crashes up to which they count as one event.
 	massCrashGap = 2 * time.Second
-	// massCrashMinOthers is the number of upstreams that the job did not run on whose crash makes an event a
-	// mass crash, which does not count against the job.
+	// massCrashMinOthers is the number of upstreams that crashed in the same event, but never while they ran the
+	// job, from which the event is a mass crash. A mass crash does not count against the job.
 	massCrashMinOthers = 2
 	// maxCrashes is the maximum number of remembered crashes.
 	maxCrashes = 2_000
@@ -31,7 +31,7 @@
 	At       time.Time
 }
 
-// Notifier tells other hosts about a crash, and returns when they know or the time limit is reached.
+// Notifier reports a crash to other hosts. It may wait until they know of it, or only queue the report.
 type Notifier interface {
 	NotifyCrash(now time.Time, c Crash)
 }
@@ -69,7 +69,8 @@
 	return n >= CrashLimit
 }
 
-// isMassCrash reports whether a crash is part of an event that also took down upstreams the job did not run on.
+// isMassCrash reports whether a crash is part of an event in which massCrashMinOthers upstreams crashed that the job has
+// not crashed.
 func (t *Table) isMassCrash(c Crash) bool {
 	own := map[string]bool{}
 	for _, o := range t.crashes {
@@ -92,7 +93,7 @@
 	Notifier Notifier
 }
 
-// String names the filter.
+// String returns the filter's name.
 func (Pipe) String() string { return "guard" }
 
 // Run refuses a job that is in quarantine.
@@ -102,7 +103,7 @@
 	}
 }
 
-// Finish records the crashes and tells the other hosts before the caller gets the outcome and can retry.
+// Finish records the crashes and passes them to the notifier, before the caller gets the outcome and can retry.
 func (p Pipe) Finish(now time.Time, job *pipe.Job) {
 	upstreams := job.CrashedUpstreams
 	if job.Crashed {
--- a/internal/flow/relay/relay.go
+++ b/internal/flow/relay/relay.go
@@ -17,7 +17,7 @@
 	Sender Sender
 }
 
-// String names the filter.
+// String returns the filter's name.
 func (Pipe) String() string { return "relay" }
 
 // Run sends the job and stores the reply for the next filter.
--- a/internal/flow/remote/back.go
+++ b/internal/flow/remote/back.go
@@ -13,7 +13,7 @@
 	Pacer *Pacer
 }
 
-// String names the filter.
+// String returns the filter's name.
 func (AnswerPacer) String() string { return "back" }
 
 // Run passes every job on.
--- a/internal/flow/remote/pacer.go
+++ b/internal/flow/remote/pacer.go
@@ -12,10 +12,10 @@
 	"github.com/boragelane/boragelane/internal/core/share"
 )
 
-// usableFraction is the fraction of a share that jobs may use; the rest is for refusals and control messages.
+// usableFraction is the fraction of a quota that jobs may use; the rest is for refusals and control messages.
 const usableFraction = 0.95
 
-// Pacer paces messages to other regions within this host's shares of the links, by rank.
+// Pacer paces messages to other regions within this host's quotas of the links, by rank.
 type Pacer struct {
 	Clock func() time.Time
 
@@ -26,13 +26,13 @@
 
 // link is the link to one region with the messages that wait for it.
 type link struct {
-	share     share.Quota
-	bucket    bucket.Bucket
-	credit    credit.RankSelector
-	queues    [][]*message
-	timer     *time.Timer
-	sentBytes int64
-	waiting   int
+	quota          share.Quota
+	bucket         bucket.Bucket
+	credit         credit.RankSelector
+	queues         [][]*message
+	timer          *time.Timer
+	sentBytes      int64
+	queuedMessages int // Messages in all queues.
 }
 
 type message struct {
@@ -46,7 +46,7 @@
 	return &Pacer{Clock: clock, links: map[string]*link{}}
 }
 
-// Update applies a plan's link shares.
+// Update applies a plan's link quotas.
 func (p *Pacer) Update(now time.Time, pl *plan.Plan) {
 	if pl.Doc == nil {
 		return
@@ -57,27 +57,27 @@
 	for _, r := range pl.Doc.Ranks {
 		p.ranks = append(p.ranks, r.Minimum)
 	}
-	for region, amount := range pl.Links {
+	for region, quota := range pl.Links {
 		ln := p.links[region]
 		if ln == nil {
 			ln = &link{bucket: bucket.New(0, now)}
 			p.links[region] = ln
 		}
 		ln.resize(p.ranks)
-		ln.share = amount
+		ln.quota = quota
 		p.dispatch(now, ln)
 	}
 	for region, ln := range p.links {
 		if _, ok := pl.Links[region]; !ok {
-			ln.share = share.Quota{}
+			ln.quota = share.Quota{}
 		}
 	}
 }
 
-// updateLimit sets the rate limit to the share at this time and reports whether it is above 0. Tokens above the
-// new burst are dropped.
+// updateLimit sets the rate limit to the usable part of the quota at this time and reports whether it is above 0.
+// Tokens above the new burst size are dropped.
 func (ln *link) updateLimit(now time.Time) bool {
-	if limit := float64(ln.share.At(now)) * usableFraction; ln.bucket.Limit != limit {
+	if limit := float64(ln.quota.At(now)) * usableFraction; ln.bucket.Limit != limit {
 		ln.bucket.SetLimit(limit, now)
 	}
 	return ln.bucket.Limit > 0
@@ -90,8 +90,8 @@
 	}
 }
 
-// Wait queues bytes by rank for the link to a region and returns when they may be sent; it reports false if they
-// can't be sent before the deadline or the end of the context.
+// Wait queues a message of the given size at its rank's level for the link to a region and returns when it may be sent;
+// it reports false if it can't be sent before the deadline or the end of the context.
 func (p *Pacer) Wait(ctx context.Context, now time.Time, region string, level int, bytes int64, deadline time.Time) bool {
 	m := p.enqueue(now, region, level, bytes, deadline)
 	if m == nil {
@@ -120,7 +120,7 @@
 	}
 	m := &message{bytes: bytes, ready: make(chan struct{})}
 	ln.queues[level] = append(ln.queues[level], m)
-	ln.waiting++
+	ln.queuedMessages++
 	p.dispatch(now, ln)
 	return m
 }
@@ -149,6 +149,7 @@
 	return float64(sum)
 }
 
+// cancel removes a message from its queue; it reports true if the message had already been released.
 func (p *Pacer) cancel(region string, level int, m *message) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -157,7 +158,7 @@
 	}
 	ln := p.links[region]
 	ln.queues[level] = slices.DeleteFunc(ln.queues[level], func(o *message) bool { return o == m })
-	ln.waiting--
+	ln.queuedMessages--
 	return false
 }
 
@@ -170,7 +171,7 @@
 		}
 		return float64(ln.queues[l][0].bytes)
 	}
-	for ln.waiting > 0 && ln.updateLimit(now) {
+	for ln.queuedMessages > 0 && ln.updateLimit(now) {
 		level := ln.credit.Pick(ready, cost)
 		m := ln.queues[level][0]
 		if wait := ln.bucket.Take(float64(m.bytes), now); wait > 0 {
@@ -179,7 +180,7 @@
 		}
 		ln.credit.Charge(level, ready, cost)
 		ln.queues[level] = ln.queues[level][1:]
-		ln.waiting--
+		ln.queuedMessages--
 		ln.sentBytes += m.bytes
 		m.sent = true
 		close(m.ready)
--- a/internal/flow/remote/remote.go
+++ b/internal/flow/remote/remote.go
@@ -8,13 +8,13 @@
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
-// Peers runs a job on another entry host and sets its outcome.
-type Peers interface {
+// PeerRunner runs a job on another entry host and sets the job's outcome.
+type PeerRunner interface {
 	Run(ctx context.Context, target pipe.Target, job *pipe.Job)
 }
 
-// Runner runs a job on this host.
-type Runner interface {
+// LocalRunner runs a job on this host and sets the job's outcome.
+type LocalRunner interface {
 	Run(ctx context.Context, job *pipe.Job)
 }
 
@@ -30,9 +30,9 @@
 
 // Pipe sends jobs to their targets in order, within the retry budget.
 type Pipe struct {
-	Local    Runner
+	Local    LocalRunner
 	Router   Router
-	Peers    Peers
+	Remote   PeerRunner
 	Pacer    *Pacer
 	Reporter Reporter
 	Clock    func() time.Time
@@ -42,11 +42,11 @@
 }
 
 // New returns a filter with a full retry budget.
-func New(local Runner, router Router, peers Peers, pacer *Pacer, reporter Reporter, clock func() time.Time) *Pipe {
-	return &Pipe{Local: local, Router: router, Peers: peers, Pacer: pacer, Reporter: reporter, Clock: clock, budget: NewRetryBudget()}
+func New(local LocalRunner, router Router, remote PeerRunner, pacer *Pacer, reporter Reporter, clock func() time.Time) *Pipe {
+	return &Pipe{Local: local, Router: router, Remote: remote, Pacer: pacer, Reporter: reporter, Clock: clock, budget: NewRetryBudget()}
 }
 
-// String names the filter.
+// String returns the filter's name.
 func (*Pipe) String() string { return "carry" }
 
 // Run tries the targets until one ends the job. No later host on the job's path retries.
@@ -89,7 +89,7 @@
 		job.Refuse(pipe.LinkFull, "the link to region "+t.Region+" has no room in time")
 		return
 	}
-	p.Peers.Run(ctx, t, job)
+	p.Remote.Run(ctx, t, job)
 	if job.Outcome.Reason == pipe.PeerDown || job.Outcome.Reason == pipe.PeerLost {
 		p.Reporter.ReportUnreachable(p.Clock(), t.Seat)
 	}
--- a/internal/flow/reply/reply.go
+++ b/internal/flow/reply/reply.go
@@ -10,7 +10,7 @@
 // Pipe turns the reply of an upstream into the outcome of the job.
 type Pipe struct{}
 
-// String names the filter.
+// String returns the filter's name.
 func (Pipe) String() string { return "reply" }
 
 // Run ends the job: as answered only if the answer is complete and carries no other job's ID, and as not
--- a/internal/flow/route/route.go
+++ b/internal/flow/route/route.go
@@ -42,7 +42,7 @@
 	return &Pipe{Estimator: local, shiftLimits: map[string]*bucket.Bucket{}}
 }
 
-// String names the filter.
+// String returns the filter's name.
 func (*Pipe) String() string { return "route" }
 
 // Run selects the job's first target, or refuses the job if no failure domain can serve it.
--- a/internal/flow/serve/budget.go
+++ b/internal/flow/serve/budget.go
@@ -12,14 +12,14 @@
 	Window       time.Duration // The length of the sliding window.
 }
 
-// usableShare is the part of its share that a host spends. Hosts may briefly undercount each other, which makes each
-// share too large.
+// usableShare is the fraction of its share of the budget that a host may spend. A host may briefly see fewer hosts than
+// there are, which makes its computed share too large.
 const usableShare = 0.8
 
 // Budget is this host's share of the retry budget, by service.
 type Budget struct {
 	mu       sync.Mutex
-	terms    BudgetConfig
+	config   BudgetConfig
 	services map[string]*history
 }
 
@@ -30,13 +30,13 @@
 }
 
 // NewBudget returns an unused budget.
-func NewBudget(t BudgetConfig) *Budget { return &Budget{terms: t, services: map[string]*history{}} }
+func NewBudget(c BudgetConfig) *Budget { return &Budget{config: c, services: map[string]*history{}} }
 
 // SetConfig replaces the configuration.
-func (b *Budget) SetConfig(t BudgetConfig) {
+func (b *Budget) SetConfig(c BudgetConfig) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.terms = t
+	b.config = c
 }
 
 // RecordRequest records the first attempt of a request.
@@ -53,7 +53,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	h := b.history(now, service)
-	limit := usableShare * (b.terms.Ratio*float64(len(h.requests)) + b.terms.ExtraRetries/float64(max(1, hosts)))
+	limit := usableShare * (b.config.Ratio*float64(len(h.requests)) + b.config.ExtraRetries/float64(max(1, hosts)))
 	if float64(len(h.retries)+1) > limit {
 		return false
 	}
@@ -67,8 +67,8 @@
 		h = &history{}
 		b.services[service] = h
 	}
-	h.requests = dropBefore(h.requests, now.Add(-b.terms.Window))
-	h.retries = dropBefore(h.retries, now.Add(-b.terms.Window))
+	h.requests = dropBefore(h.requests, now.Add(-b.config.Window))
+	h.retries = dropBefore(h.retries, now.Add(-b.config.Window))
 	return h
 }
 
--- a/internal/flow/serve/serve.go
+++ b/internal/flow/serve/serve.go
@@ -14,7 +14,7 @@
 
 // Placer reserves and releases slots of upstreams.
 type Placer interface {
-	Acquire(ctx context.Context, now time.Time, ask place.Request) *place.Grant
+	Acquire(ctx context.Context, now time.Time, req place.Request) *place.Grant
 	Release(now time.Time, g *place.Grant, r place.Result)
 }
 
@@ -38,8 +38,8 @@
 }
 
 const (
-	// minTryTime is the remaining time below which another attempt is not made.
-	minTryTime = 30 * time.Millisecond
+	// minAttemptTime is the remaining time below which no further attempt is made.
+	minAttemptTime = 30 * time.Millisecond
 )
 
 // String returns the filter's name.
@@ -96,8 +96,8 @@
 }
 
 const (
-	// retryAfterBase and retryAfterStep spread the return of refused callers: urgent jobs return first, and the random
-	// part keeps callers from returning all at once.
+	// retryAfterBase and retryAfterStep spread the retries of refused callers: urgent jobs are retried earlier, and
+	// random jitter of up to one step keeps callers from retrying all at once.
 	retryAfterBase = 100 * time.Millisecond
 	retryAfterStep = 150 * time.Millisecond
 )
@@ -160,7 +160,7 @@
 
 // mayRetry reports whether another attempt is allowed, and spends a retry of the budget if it needs one.
 func (p *Pipe) mayRetry(now time.Time, job *pipe.Job) bool {
-	if job.Deadline.Sub(now) < minTryTime || job.Tries >= max(1, job.Route.Attempts) {
+	if job.Deadline.Sub(now) < minAttemptTime || job.Tries >= max(1, job.Route.Attempts) {
 		return false
 	}
 	switch job.Outcome.Kind {
--- a/internal/flow/serve/serve_test.go
+++ b/internal/flow/serve/serve_test.go
@@ -71,7 +71,7 @@
 		once    bool
 		replies []pipe.Reply
 		sent    int
-		want    pipe.Kind
+		want    pipe.OutcomeKind
 		status  int
 	}{
 		{"a shed job is retried", true, []pipe.Reply{shed, whole}, 2, pipe.Answered, 200},
--- a/internal/host/entry/host.go
+++ b/internal/host/entry/host.go
@@ -218,7 +218,7 @@
 			return
 		case <-t.C:
 			now := h.Clock()
-			h.once.Table.Sweep(now)
+			h.once.Table.DeleteExpired(now)
 			h.admit.Tick(now)
 			for _, u := range h.admit.DueProbes(now) {
 				go h.probe(u)
