wording: the filters' types are named Filter

Read badly: a type Pipe in eleven packages, each of which is a filter of a pipe.Pipeline; Pipe suggests the chain, and pipe.Filter is the interface. Now: admit.Filter, serve.Filter and so on, with the receiver f.

--- a/internal/edge/egress/egress_test.go
+++ b/internal/edge/egress/egress_test.go
@@ -71,7 +71,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), life)
 			defer cancel()
 			j.Reply = New().Send(ctx, j)
-			reply.Pipe{}.Run(ctx, time.Now(), j)
+			reply.Filter{}.Run(ctx, time.Now(), j)
 			assert.Equal(t, fmt.Sprint(j.Outcome.Kind, " ", j.Outcome.Reason), c.want)
 		})
 	}
@@ -82,7 +82,7 @@
 	up.Close()
 	j := job(up.URL)
 	j.Reply = New().Send(context.Background(), j)
-	reply.Pipe{}.Run(context.Background(), time.Now(), j)
+	reply.Filter{}.Run(context.Background(), time.Now(), j)
 	assert.Equal(t, j.Outcome.Kind, pipe.NotRun)
 }
 
--- a/internal/flow/accept/accept.go
+++ b/internal/flow/accept/accept.go
@@ -11,14 +11,14 @@
 // MaxBody is the maximum size of a request body, in bytes.
 const MaxBody = 1 << 20
 
-// Pipe validates incoming jobs.
-type Pipe struct{}
+// Filter validates incoming jobs.
+type Filter struct{}
 
 // String returns the filter's name.
-func (Pipe) String() string { return "accept" }
+func (Filter) String() string { return "accept" }
 
 // Run rejects invalid jobs and fills in the rank, the deadline and whether the job runs at most once.
-func (Pipe) Run(_ context.Context, now time.Time, job *pipe.Job) {
+func (Filter) Run(_ context.Context, now time.Time, job *pipe.Job) {
 	if job.Plan == nil || job.Plan.Doc == nil {
 		job.RefuseUnclaimed(pipe.NoTarget, "this host has no configuration yet")
 		return
--- a/internal/flow/dedup/dedup.go
+++ b/internal/flow/dedup/dedup.go
@@ -18,25 +18,25 @@
 	Forward(ctx context.Context, now time.Time, seat spec.Seat, job *pipe.Job) bool
 }
 
-// Pipe runs the job of each ticket at most once: only the process that the ticket names, or the successor that
+// Filter runs the job of each ticket at most once: only the process that the ticket names, or the successor that
 // took over its tickets, runs it.
-type Pipe struct {
+type Filter struct {
 	Table     *Table
 	Forwarder Forwarder
 	NewID     func() string
 }
 
 // String returns the filter's name.
-func (Pipe) String() string { return "once" }
+func (Filter) String() string { return "once" }
 
 // Issue returns a new ticket that this host owns.
-func (p Pipe) Issue(now time.Time, seat, incarnation string) Ticket {
-	return Ticket{Seat: seat, Incarnation: incarnation, Expiry: now.Add(TicketLifetime).Truncate(time.Second), Nonce: p.NewID()}
+func (f Filter) Issue(now time.Time, seat, incarnation string) Ticket {
+	return Ticket{Seat: seat, Incarnation: incarnation, Expiry: now.Add(TicketLifetime).Truncate(time.Second), Nonce: f.NewID()}
 }
 
 // Run passes on the first try of a job and answers later tries with the recorded outcome; it forwards jobs whose
 // ticket another host owns.
-func (p Pipe) Run(ctx context.Context, now time.Time, job *pipe.Job) {
+func (f Filter) Run(ctx context.Context, now time.Time, job *pipe.Job) {
 	if !job.Once {
 		return
 	}
@@ -50,19 +50,19 @@
 		return
 	}
 	self := job.Plan.Self
-	if tk.Incarnation != self.Incarnation && !p.Table.Adopted(tk.Incarnation) {
-		p.forward(ctx, now, tk, job)
+	if tk.Incarnation != self.Incarnation && !f.Table.Adopted(tk.Incarnation) {
+		f.forward(ctx, now, tk, job)
 		return
 	}
 	if !now.Before(tk.Expiry) {
 		job.EndUnknown(pipe.BadTicket, "the ticket has expired; it will not be run by this try, an earlier try may have run")
 		return
 	}
-	p.claim(ctx, tk, job)
+	f.claim(ctx, tk, job)
 }
 
-func (p Pipe) claim(ctx context.Context, tk Ticket, job *pipe.Job) {
-	e, st := p.Table.claim(job.Ticket, tk, job.Digest)
+func (f Filter) claim(ctx context.Context, tk Ticket, job *pipe.Job) {
+	e, st := f.Table.claim(job.Ticket, tk, job.Digest)
 	switch st {
 	case claimNew:
 		job.Claimed = true
@@ -99,14 +99,14 @@
 }
 
 // Finish records the outcome of the first try.
-func (p Pipe) Finish(_ time.Time, job *pipe.Job) {
+func (f Filter) Finish(_ time.Time, job *pipe.Job) {
 	if job.Claimed {
-		p.Table.complete(job.Ticket, job.Outcome, job.Answer)
+		f.Table.complete(job.Ticket, job.Outcome, job.Answer)
 	}
 }
 
 // forward sends the job to the owner of its ticket, or to the hosts that take over tickets from the owner.
-func (p Pipe) forward(ctx context.Context, now time.Time, tk Ticket, job *pipe.Job) {
+func (f Filter) forward(ctx context.Context, now time.Time, tk Ticket, job *pipe.Job) {
 	if job.Hop > 0 {
 		job.EndUnknown(pipe.OwnerGone, "the ticket's owner is gone; it will not be run by this try, an earlier try may have run")
 		return
@@ -115,7 +115,7 @@
 		if seat.Name == job.Plan.Self.Seat {
 			continue
 		}
-		if !p.Forwarder.Forward(ctx, now, seat, job) {
+		if !f.Forwarder.Forward(ctx, now, seat, job) {
 			continue
 		}
 		if job.Outcome.Reason == pipe.OwnerGone || job.Outcome.Reason == pipe.Stopping {
--- a/internal/flow/ident/ident.go
+++ b/internal/flow/ident/ident.go
@@ -9,18 +9,18 @@
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
-// Pipe sets the ID and hashes of jobs.
-type Pipe struct {
+// Filter sets the ID and hashes of jobs.
+type Filter struct {
 	NewID func() string
 }
 
 // String returns the filter's name.
-func (Pipe) String() string { return "ident" }
+func (Filter) String() string { return "ident" }
 
 // Run sets the job's ID if it has none, the hash of its caller and the digest of its content.
-func (p Pipe) Run(_ context.Context, _ time.Time, job *pipe.Job) {
+func (f Filter) Run(_ context.Context, _ time.Time, job *pipe.Job) {
 	if job.ID == "" {
-		job.ID = p.NewID()
+		job.ID = f.NewID()
 	}
 	job.CallerHash = xxhash.Sum64String(job.Caller)
 	job.Digest = Digest(job)
--- a/internal/flow/match/match.go
+++ b/internal/flow/match/match.go
@@ -10,31 +10,31 @@
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
-// Pipe is the filter that sets a job's route, service and deadline.
-type Pipe struct {
+// Filter sets a job's route, service and deadline.
+type Filter struct {
 	mu              sync.Mutex
 	longestTimeouts map[string]time.Duration // The longest time that a caller has allowed for a job, by route.
 }
 
 // New returns a filter without recorded timeouts.
-func New() *Pipe { return &Pipe{longestTimeouts: map[string]time.Duration{}} }
+func New() *Filter { return &Filter{longestTimeouts: map[string]time.Duration{}} }
 
 // String returns the filter's name.
-func (*Pipe) String() string { return "match" }
+func (*Filter) String() string { return "match" }
 
 // estimateElapsed estimates how long ago a caller first sent a request. A caller that retries allows less time than
 // the longest seen on its route; the difference is the time that has passed.
-func (p *Pipe) estimateElapsed(route string, left time.Duration) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if left > p.longestTimeouts[route] {
-		p.longestTimeouts[route] = left
+func (f *Filter) estimateElapsed(route string, left time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if left > f.longestTimeouts[route] {
+		f.longestTimeouts[route] = left
 	}
-	return p.longestTimeouts[route] - left
+	return f.longestTimeouts[route] - left
 }
 
 // Run matches the job by host and longest path prefix, and refuses a job without a route.
-func (p *Pipe) Run(_ context.Context, now time.Time, job *pipe.Job) {
+func (f *Filter) Run(_ context.Context, now time.Time, job *pipe.Job) {
 	if job.View.Policy == nil {
 		job.RetryAfter = noPolicyRetryAfter
 		job.Refuse(pipe.NoPolicy, "this host knows no policy yet")
@@ -54,7 +54,7 @@
 	if r.Objective > 0 {
 		job.Objective = job.Started.Add(r.Objective)
 		if !job.Deadline.IsZero() {
-			job.Objective = job.Objective.Add(-p.estimateElapsed(r.Name, job.Deadline.Sub(job.Started)))
+			job.Objective = job.Objective.Add(-f.estimateElapsed(r.Name, job.Deadline.Sub(job.Started)))
 		}
 	}
 	limit := job.Started.Add(r.Timeout)
--- a/internal/flow/poison/poison.go
+++ b/internal/flow/poison/poison.go
@@ -87,31 +87,31 @@
 	return len(others) >= massCrashMinOthers
 }
 
-// Pipe refuses jobs in quarantine.
-type Pipe struct {
+// Filter refuses jobs in quarantine.
+type Filter struct {
 	Table    *Table
 	Notifier Notifier
 }
 
 // String returns the filter's name.
-func (Pipe) String() string { return "guard" }
+func (Filter) String() string { return "guard" }
 
 // Run refuses a job that is in quarantine.
-func (p Pipe) Run(_ context.Context, now time.Time, job *pipe.Job) {
-	if p.Table.Quarantined(job.Digest, now) {
+func (f Filter) Run(_ context.Context, now time.Time, job *pipe.Job) {
+	if f.Table.Quarantined(job.Digest, now) {
 		job.Refuse(pipe.Quarantined, "upstreams crashed while they ran this job; it is refused for a while")
 	}
 }
 
 // Finish records the crashes and passes them to the notifier, before the caller gets the outcome and can retry.
-func (p Pipe) Finish(now time.Time, job *pipe.Job) {
+func (f Filter) Finish(now time.Time, job *pipe.Job) {
 	upstreams := job.CrashedUpstreams
 	if job.Crashed {
 		upstreams = append(slices.Clone(upstreams), job.Upstream.ID)
 	}
 	for _, u := range upstreams {
 		c := Crash{Digest: job.Digest, Upstream: u, At: now}
-		p.Table.Add(c)
-		p.Notifier.NotifyCrash(now, c)
+		f.Table.Add(c)
+		f.Notifier.NotifyCrash(now, c)
 	}
 }
--- a/internal/flow/relay/relay.go
+++ b/internal/flow/relay/relay.go
@@ -12,16 +12,16 @@
 	Send(ctx context.Context, job *pipe.Job) pipe.Reply
 }
 
-// Pipe sends jobs to upstreams.
-type Pipe struct {
+// Filter sends jobs to upstreams.
+type Filter struct {
 	Sender Sender
 }
 
 // String returns the filter's name.
-func (Pipe) String() string { return "relay" }
+func (Filter) String() string { return "relay" }
 
 // Run sends the job and stores the reply for the next filter.
-func (p Pipe) Run(ctx context.Context, now time.Time, job *pipe.Job) {
+func (f Filter) Run(ctx context.Context, now time.Time, job *pipe.Job) {
 	if !now.Before(job.Deadline) {
 		job.Refuse(pipe.TooLate, "the deadline passed before the job was sent")
 		return
@@ -29,5 +29,5 @@
 	job.Started = now
 	ctx, cancel := context.WithDeadline(ctx, job.Deadline)
 	defer cancel()
-	job.Reply = p.Sender.Send(ctx, job)
+	job.Reply = f.Sender.Send(ctx, job)
 }
--- a/internal/flow/remote/remote.go
+++ b/internal/flow/remote/remote.go
@@ -28,8 +28,8 @@
 	ReportUnreachable(now time.Time, seat string)
 }
 
-// Pipe sends jobs to their targets in order, within the retry budget.
-type Pipe struct {
+// Filter sends jobs to their targets in order, within the retry budget.
+type Filter struct {
 	Local    LocalRunner
 	Router   Router
 	Remote   PeerRunner
@@ -42,56 +42,56 @@
 }
 
 // New returns a filter with a full retry budget.
-func New(local LocalRunner, router Router, remote PeerRunner, pacer *Pacer, reporter Reporter, clock func() time.Time) *Pipe {
-	return &Pipe{Local: local, Router: router, Remote: remote, Pacer: pacer, Reporter: reporter, Clock: clock, budget: NewRetryBudget()}
+func New(local LocalRunner, router Router, remote PeerRunner, pacer *Pacer, reporter Reporter, clock func() time.Time) *Filter {
+	return &Filter{Local: local, Router: router, Remote: remote, Pacer: pacer, Reporter: reporter, Clock: clock, budget: NewRetryBudget()}
 }
 
 // String returns the filter's name.
-func (*Pipe) String() string { return "carry" }
+func (*Filter) String() string { return "carry" }
 
 // Run tries the targets until one ends the job. No later host on the job's path retries.
-func (p *Pipe) Run(ctx context.Context, _ time.Time, job *pipe.Job) {
+func (f *Filter) Run(ctx context.Context, _ time.Time, job *pipe.Job) {
 	ctx, cancel := context.WithDeadline(ctx, job.Deadline)
 	defer cancel()
-	p.recordFirstTry(job)
+	f.recordFirstTry(job)
 	for i := 0; i < len(job.Targets); i++ {
-		if i > 0 && !p.takeRetry(ctx, job) {
+		if i > 0 && !f.takeRetry(ctx, job) {
 			return
 		}
-		p.tryTarget(ctx, job.Targets[i], job)
+		f.tryTarget(ctx, job.Targets[i], job)
 		if !job.Retryable() {
 			return
 		}
 		if i == 0 {
-			p.addTargets(job)
+			f.addTargets(job)
 		}
 	}
 }
 
 // addTargets sets the targets after the first one. If an upstream failed rather than the target, the first target
 // is tried again, since it will use another upstream.
-func (p *Pipe) addTargets(job *pipe.Job) {
+func (f *Filter) addTargets(job *pipe.Job) {
 	switch job.Outcome.Reason {
 	case pipe.ConnectFailed, pipe.Shed, pipe.ConnectionLost, pipe.AnswerMismatch:
 		job.Targets = append(job.Targets, job.Targets[0])
 	}
-	p.Router.AddTargets(p.Clock(), job)
+	f.Router.AddTargets(f.Clock(), job)
 }
 
-func (p *Pipe) tryTarget(ctx context.Context, t pipe.Target, job *pipe.Job) {
+func (f *Filter) tryTarget(ctx context.Context, t pipe.Target, job *pipe.Job) {
 	job.Outcome, job.Upstream, job.Reply, job.Crashed = pipe.Outcome{}, pipe.UpstreamRef{}, pipe.Reply{}, false
-	now := p.Clock()
+	now := f.Clock()
 	if t.Self {
-		p.Local.Run(ctx, job)
+		f.Local.Run(ctx, job)
 		return
 	}
-	if t.Region != job.Plan.Self.Region && !p.Pacer.Wait(ctx, now, t.Region, job.Level, MessageSize(len(job.Body)), job.QueueDeadline(now)) {
+	if t.Region != job.Plan.Self.Region && !f.Pacer.Wait(ctx, now, t.Region, job.Level, MessageSize(len(job.Body)), job.QueueDeadline(now)) {
 		job.Refuse(pipe.LinkFull, "the link to region "+t.Region+" has no room in time")
 		return
 	}
-	p.Remote.Run(ctx, t, job)
+	f.Remote.Run(ctx, t, job)
 	if job.Outcome.Reason == pipe.PeerDown || job.Outcome.Reason == pipe.PeerLost {
-		p.Reporter.ReportUnreachable(p.Clock(), t.Seat)
+		f.Reporter.ReportUnreachable(f.Clock(), t.Seat)
 	}
 }
 
@@ -101,17 +101,17 @@
 // MessageSize returns the size in bytes of a message with a body, which is sent in base64.
 func MessageSize(body int) int64 { return int64(body+2)/3*4 + MessageOverhead }
 
-func (p *Pipe) recordFirstTry(job *pipe.Job) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.budget.AddFirstTry(job.Service, job.Level, job.Plan.Doc.Ranks[job.Level].Retry)
+func (f *Filter) recordFirstTry(job *pipe.Job) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.budget.AddFirstTry(job.Service, job.Level, job.Plan.Doc.Ranks[job.Level].Retry)
 }
 
-func (p *Pipe) takeRetry(ctx context.Context, job *pipe.Job) bool {
+func (f *Filter) takeRetry(ctx context.Context, job *pipe.Job) bool {
 	if ctx.Err() != nil {
 		return false
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.budget.TakeRetry(job.Service, job.Level)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.budget.TakeRetry(job.Service, job.Level)
 }
--- a/internal/flow/reply/reply.go
+++ b/internal/flow/reply/reply.go
@@ -7,15 +7,15 @@
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
-// Pipe turns the reply of an upstream into the outcome of the job.
-type Pipe struct{}
+// Filter turns the reply of an upstream into the outcome of the job.
+type Filter struct{}
 
 // String returns the filter's name.
-func (Pipe) String() string { return "reply" }
+func (Filter) String() string { return "reply" }
 
 // Run ends the job: as answered only if the answer is complete and carries no other job's ID, and as not
 // run only if no byte can have reached an upstream or the upstream reported that it did not run the job.
-func (Pipe) Run(_ context.Context, _ time.Time, job *pipe.Job) {
+func (Filter) Run(_ context.Context, _ time.Time, job *pipe.Job) {
 	r := job.Reply
 	job.Draining = r.Draining
 	switch {
--- a/internal/flow/route/route.go
+++ b/internal/flow/route/route.go
@@ -29,8 +29,8 @@
 	EstimateWait(now time.Time, service string, level int) time.Duration
 }
 
-// Pipe selects the targets of jobs.
-type Pipe struct {
+// Filter selects the targets of jobs.
+type Filter struct {
 	Estimator WaitEstimator
 
 	mu          sync.Mutex
@@ -38,17 +38,17 @@
 }
 
 // New returns a filter with no shift in progress.
-func New(local WaitEstimator) *Pipe {
-	return &Pipe{Estimator: local, shiftLimits: map[string]*bucket.Bucket{}}
+func New(local WaitEstimator) *Filter {
+	return &Filter{Estimator: local, shiftLimits: map[string]*bucket.Bucket{}}
 }
 
 // String returns the filter's name.
-func (*Pipe) String() string { return "route" }
+func (*Filter) String() string { return "route" }
 
 // Run selects the job's first target, or refuses the job if no failure domain can serve it.
-func (p *Pipe) Run(_ context.Context, now time.Time, job *pipe.Job) {
-	q := p.query(now, job)
-	q.ShiftRegion = p.shiftRegion(now, job)
+func (f *Filter) Run(_ context.Context, now time.Time, job *pipe.Job) {
+	q := f.query(now, job)
+	q.ShiftRegion = f.shiftRegion(now, job)
 	job.Targets = SelectTargets(now, job.Plan, q, job.Targets, 1)
 	if len(job.Targets) == 0 {
 		job.Refuse(pipe.NoTarget, "no failure domain serves "+job.Service+" now")
@@ -56,24 +56,24 @@
 }
 
 // AddTargets appends further targets, up to MaxTargets, for a job that its first target did not answer.
-func (p *Pipe) AddTargets(now time.Time, job *pipe.Job) {
-	job.Targets = SelectTargets(now, job.Plan, p.query(now, job), job.Targets, MaxTargets)
+func (f *Filter) AddTargets(now time.Time, job *pipe.Job) {
+	job.Targets = SelectTargets(now, job.Plan, f.query(now, job), job.Targets, MaxTargets)
 }
 
-func (p *Pipe) query(now time.Time, job *pipe.Job) Query {
+func (f *Filter) query(now time.Time, job *pipe.Job) Query {
 	return Query{
 		Service:   job.Service,
 		Hash:      job.Digest ^ job.CallerHash,
-		LocalWait: p.Estimator.EstimateWait(now, job.Service, job.Level),
+		LocalWait: f.Estimator.EstimateWait(now, job.Service, job.Level),
 	}
 }
 
 // shiftRegion returns the region that a shift moves this job to, or "" if the job is outside the
 // shift's fraction or the shift's rate limit is reached.
-func (p *Pipe) shiftRegion(now time.Time, job *pipe.Job) string {
+func (f *Filter) shiftRegion(now time.Time, job *pipe.Job) string {
 	for i := range job.Plan.Shifts {
 		sh := &job.Plan.Shifts[i]
-		if sh.Service == job.Service && hashFraction(job.Digest^job.CallerHash) < sh.Fraction && p.takeShiftToken(now, sh) {
+		if sh.Service == job.Service && hashFraction(job.Digest^job.CallerHash) < sh.Fraction && f.takeShiftToken(now, sh) {
 			return sh.To
 		}
 	}
@@ -82,14 +82,14 @@
 
 func hashFraction(hash uint64) float64 { return float64(hash>>11) / (1 << 53) }
 
-func (p *Pipe) takeShiftToken(now time.Time, sh *plan.Shift) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	b := p.shiftLimits[sh.Name]
+func (f *Filter) takeShiftToken(now time.Time, sh *plan.Shift) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b := f.shiftLimits[sh.Name]
 	if b == nil {
 		nb := bucket.New(sh.Rate, now)
 		b = &nb
-		p.shiftLimits[sh.Name] = b
+		f.shiftLimits[sh.Name] = b
 	}
 	if b.Limit != sh.Rate {
 		b.SetLimit(sh.Rate, now)
--- a/internal/flow/serve/serve.go
+++ b/internal/flow/serve/serve.go
@@ -28,8 +28,8 @@
 	RecordAttempt(now time.Time, job *pipe.Job, u *roster.Upstream, took time.Duration)
 }
 
-// Pipe is the filter that runs jobs on upstreams.
-type Pipe struct {
+// Filter runs jobs on upstreams.
+type Filter struct {
 	Placer   Placer
 	Sender   Sender
 	Budget   *Budget
@@ -43,29 +43,29 @@
 )
 
 // String returns the filter's name.
-func (*Pipe) String() string { return "serve" }
+func (*Filter) String() string { return "serve" }
 
 // Run makes attempts until one ends the job or no further attempt is allowed.
-func (p *Pipe) Run(ctx context.Context, now time.Time, job *pipe.Job) {
+func (f *Filter) Run(ctx context.Context, now time.Time, job *pipe.Job) {
 	ctx, cancel := context.WithDeadline(ctx, job.Deadline)
 	defer cancel()
-	p.Budget.RecordRequest(now, job.Service)
+	f.Budget.RecordRequest(now, job.Service)
 	var tried []string
 	var lastAnswer *pipe.Answer
 	for {
-		g := p.Placer.Acquire(ctx, now, placeRequest(job, tried))
+		g := f.Placer.Acquire(ctx, now, placeRequest(job, tried))
 		if g == nil {
-			p.refuseUnplaced(ctx, job)
+			f.refuseUnplaced(ctx, job)
 			break
 		}
 		job.Outcome = pipe.Outcome{}
-		p.attempt(ctx, job, g)
+		f.attempt(ctx, job, g)
 		tried = append(tried, g.Upstream.ID)
 		if job.Outcome.Kind == pipe.Answered {
 			lastAnswer = &job.Answer
 		}
-		now = p.Clock()
-		if !p.mayRetry(now, job) {
+		now = f.Clock()
+		if !f.mayRetry(now, job) {
 			break
 		}
 	}
@@ -85,7 +85,7 @@
 }
 
 // refuseUnplaced ends a job that got no slot. If there were earlier attempts, their outcome stands.
-func (p *Pipe) refuseUnplaced(ctx context.Context, job *pipe.Job) {
+func (f *Filter) refuseUnplaced(ctx context.Context, job *pipe.Job) {
 	switch {
 	case ctx.Err() != nil && job.Tries == 0:
 		job.Refuse(pipe.Expired, "the job's time ended before a slot was free")
@@ -106,20 +106,20 @@
 	return retryAfterBase + time.Duration(job.Level)*retryAfterStep + rand.N(retryAfterStep)
 }
 
-func (p *Pipe) attempt(ctx context.Context, job *pipe.Job, g *place.Grant) {
+func (f *Filter) attempt(ctx context.Context, job *pipe.Job, g *place.Grant) {
 	u := g.Upstream
-	start := p.Clock()
+	start := f.Clock()
 	if job.Crashed {
 		job.CrashedUpstreams = append(job.CrashedUpstreams, job.Upstream.ID)
 	}
 	job.Tries++
 	job.Upstream = pipe.UpstreamRef{ID: u.ID, Address: u.Address}
-	job.Reply = p.Sender.Send(ctx, start, job, u)
-	now := p.Clock()
+	job.Reply = f.Sender.Send(ctx, start, job, u)
+	now := f.Clock()
 	setOutcome(ctx, job)
 	job.MayHaveRun = job.MayHaveRun || job.Outcome.Kind == pipe.Unknown
-	p.Placer.Release(now, g, result(&job.Reply, now.Sub(start)))
-	p.Recorder.RecordAttempt(now, job, u, now.Sub(start))
+	f.Placer.Release(now, g, result(&job.Reply, now.Sub(start)))
+	f.Recorder.RecordAttempt(now, job, u, now.Sub(start))
 }
 
 // result converts a reply to the result that the placer records for the upstream.
@@ -159,7 +159,7 @@
 }
 
 // mayRetry reports whether another attempt is allowed, and spends a retry of the budget if it needs one.
-func (p *Pipe) mayRetry(now time.Time, job *pipe.Job) bool {
+func (f *Filter) mayRetry(now time.Time, job *pipe.Job) bool {
 	if job.Deadline.Sub(now) < minAttemptTime || job.Tries >= max(1, job.Route.Attempts) {
 		return false
 	}
@@ -180,5 +180,5 @@
 			return true
 		}
 	}
-	return p.Budget.SpendRetry(now, job.Service, len(job.View.Hosts))
+	return f.Budget.SpendRetry(now, job.Service, len(job.View.Hosts))
 }
--- a/internal/flow/serve/serve_test.go
+++ b/internal/flow/serve/serve_test.go
@@ -48,7 +48,7 @@
 		Once: once, Service: "s", Started: start, Deadline: time.Now().Add(time.Minute), Objective: start,
 		Route: &policy.Route{Attempts: 2}, View: &roster.View{Hosts: make([]roster.Host, 1)},
 	}
-	p := &Pipe{
+	p := &Filter{
 		Placer: s, Sender: s, Recorder: s, Clock: func() time.Time { return start },
 		Budget: NewBudget(BudgetConfig{Ratio: 0.2, ExtraRetries: 50, Window: 10 * time.Second}),
 	}
--- a/internal/host/entry/host.go
+++ b/internal/host/entry/host.go
@@ -59,8 +59,8 @@
 	peerServer  *peer.Server
 	front       *front.Front
 	sender      *egress.Sender
-	admit       *admit.Pipe
-	once        dedup.Pipe
+	admit       *admit.Filter
+	once        dedup.Filter
 	crashes     *poison.Table
 	pacer       *remote.Pacer
 	intake      trace.Hop
@@ -85,7 +85,7 @@
 	h.admit = admit.New()
 	h.crashes = &poison.Table{}
 	h.pacer = remote.NewPacer(clock)
-	h.once = dedup.Pipe{Table: dedup.NewTable(), Forwarder: ownerForwarder{h}, NewID: newID}
+	h.once = dedup.Filter{Table: dedup.NewTable(), Forwarder: ownerForwarder{h}, NewID: newID}
 	h.watcher = &platformWatcher{host: h}
 	h.buildPipelines()
 	h.loop.Executor = &executor{host: h}
@@ -103,22 +103,22 @@
 // which routes a job without running it.
 func (h *Host) buildPipelines() {
 	tracer := h.Trace.Tracer("boragelane")
-	crashGuard := poison.Pipe{Table: h.crashes, Notifier: &crashNotifier{host: h}}
+	crashGuard := poison.Filter{Table: h.crashes, Notifier: &crashNotifier{host: h}}
 	serve := pipe.Pipeline{Clock: h.Clock, Filters: []pipe.Filter{
 		remote.AnswerPacer{Pacer: h.pacer},
-		accept.Pipe{},
-		ident.Pipe{NewID: newID},
+		accept.Filter{},
+		ident.Filter{NewID: newID},
 		crashGuard,
 		h.admit,
-		relay.Pipe{Sender: tracingSender{h.sender, tracer}},
-		reply.Pipe{},
+		relay.Filter{Sender: tracingSender{h.sender, tracer}},
+		reply.Filter{},
 	}}
 	h.serve = trace.Hop{Tracer: tracer, Name: "serve", Next: serve}
 	router := route.New(h.admit)
 	intake := pipe.Pipeline{Clock: h.Clock, Filters: []pipe.Filter{
 		remote.AnswerPacer{Pacer: h.pacer},
-		accept.Pipe{},
-		ident.Pipe{NewID: newID},
+		accept.Filter{},
+		ident.Filter{NewID: newID},
 		h.once,
 		crashGuard,
 		router,
@@ -126,9 +126,9 @@
 	}}
 	h.intake = trace.Hop{Tracer: tracer, Name: "intake", Next: intake}
 	h.explain = pipe.Pipeline{Clock: h.Clock, Filters: []pipe.Filter{
-		accept.Pipe{},
-		ident.Pipe{NewID: newID},
-		poison.Pipe{Table: h.crashes},
+		accept.Filter{},
+		ident.Filter{NewID: newID},
+		poison.Filter{Table: h.crashes},
 		route.New(h.admit),
 	}}
 }
--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -101,8 +101,8 @@
 	h.placer.Admit = &placeTracer{host: h}
 	h.filters = pipe.Pipeline{Clock: clock, Filters: []pipe.Filter{
 		match.New(),
-		poison.Pipe{Table: h.crashes, Notifier: &crashReporter{host: h}},
-		&serve.Pipe{Placer: &hopTracer{host: h}, Sender: &hopTracer{host: h}, Budget: h.budget, Recorder: events, Clock: clock},
+		poison.Filter{Table: h.crashes, Notifier: &crashReporter{host: h}},
+		&serve.Filter{Placer: &hopTracer{host: h}, Sender: &hopTracer{host: h}, Budget: h.budget, Recorder: events, Clock: clock},
 	}}
 	h.server = httpd.New(h, h.requestBounds, clock)
 	h.broker = &broker.Server{Planner: h.loop, Updates: h.loop, Admit: &placeTracer{host: h}, Table: h.scheduler, Clock: clock, Done: make(chan struct{})}
--- a/internal/stand/claims/measure.go
+++ b/internal/stand/claims/measure.go
@@ -111,7 +111,7 @@
 		return newBatchClaimer(ctx, client, host)
 	default:
 		var n atomic.Int64
-		return &ticketClaimer{clock: clock, filter: dedup.Pipe{Table: dedup.NewTable(), NewID: func() string { return fmt.Sprintf("%016x", n.Add(1)) }}}
+		return &ticketClaimer{clock: clock, filter: dedup.Filter{Table: dedup.NewTable(), NewID: func() string { return fmt.Sprintf("%016x", n.Add(1)) }}}
 	}
 }
 
--- a/internal/stand/claims/ways.go
+++ b/internal/stand/claims/ways.go
@@ -18,7 +18,7 @@
 
 // ticketClaimer issues tickets, which are recorded in the memory of the issuing host.
 type ticketClaimer struct {
-	filter dedup.Pipe
+	filter dedup.Filter
 	clock  func() time.Time
 }
 
