--- a/internal/core/share/amount.go
+++ b/internal/core/share/amount.go
@@ -11,9 +11,9 @@
 }
 
 // At returns the units that may be used at the given time.
-func (a Quota) At(now time.Time) int64 {
-	if a.Lent > 0 && now.Before(a.Until) {
-		return a.Floor + a.Lent
+func (q Quota) At(now time.Time) int64 {
+	if q.Lent > 0 && now.Before(q.Until) {
+		return q.Floor + q.Lent
 	}
-	return a.Floor
+	return q.Floor
 }
--- a/internal/core/share/share_test.go
+++ b/internal/core/share/share_test.go
@@ -49,7 +49,7 @@
 }
 
 type holder struct {
-	amount      Quota
+	quota       Quota
 	requestedAt time.Time
 }
 
@@ -75,7 +75,7 @@
 func (m *poolModel) checkPool(t *rapid.T) {
 	var sum int64
 	for _, h := range m.holders {
-		sum += h.amount.At(m.now)
+		sum += h.quota.At(m.now)
 	}
 	assert.Assert(t, sum <= m.pool, "%d units in use of a pool of %d", sum, m.pool)
 }
@@ -112,10 +112,10 @@
 
 // requestLoan simulates a holder's request to a lender, whose reply may be delivered late.
 func (m *poolModel) requestLoan(t *rapid.T) {
-	a := loanRequest{holder: rapid.IntRange(0, len(m.holders)-1).Draw(t, "holder"), at: m.now}
+	req := loanRequest{holder: rapid.IntRange(0, len(m.holders)-1).Draw(t, "holder"), at: m.now}
 	m.advance(t)
 	l := m.lenders[rapid.IntRange(0, len(m.lenders)-1).Draw(t, "lender")]
-	m.replies = append(m.replies, loanReply{a, l.ledger.Lend(fmt.Sprint("h", a.holder), l.lease, m.now)})
+	m.replies = append(m.replies, loanReply{req, l.ledger.Lend(fmt.Sprint("h", req.holder), l.lease, m.now)})
 	if rapid.Bool().Draw(t, "late") {
 		return
 	}
@@ -138,7 +138,7 @@
 		return
 	}
 	h.requestedAt = r.at
-	h.amount = Quota{Lent: r.grant.Units["r"], Until: r.at.Add(r.grant.TTL - ClockDriftMargin)}
+	h.quota = Quota{Lent: r.grant.Units["r"], Until: r.at.Add(r.grant.TTL - ClockDriftMargin)}
 }
 
 // Guards against pools that are lent twice after pauses, restarts of lenders, and late, lost or repeated replies.
@@ -178,9 +178,9 @@
 // A process that resumes after its loan has expired may use its floor only.
 func TestAPausedHolderFallsBackToItsFloor(t *testing.T) {
 	now := time.Unix(1000, 0)
-	a := Quota{Floor: 1, Lent: 3, Until: now.Add(time.Second)}
-	assert.Equal(t, a.At(now), int64(4))
-	assert.Equal(t, a.At(now.Add(time.Second)), int64(1))
+	q := Quota{Floor: 1, Lent: 3, Until: now.Add(time.Second)}
+	assert.Equal(t, q.At(now), int64(4))
+	assert.Equal(t, q.At(now.Add(time.Second)), int64(1))
 }
 
 func TestNoLeaseLendsNothing(t *testing.T) {
--- a/internal/flow/admit/flood_test.go
+++ b/internal/flow/admit/flood_test.go
@@ -223,8 +223,8 @@
 	top := flood[0]
 	assert.Assert(t, float64(top.done) >= 0.99*float64(top.sent), "the top rank kept %d of %d", top.done, top.sent)
 	ratio := float64(top.p99()) / float64(noFlood[0].p99())
-	t.Logf("p99 of the top rank: %.2f of the calm one; FIFO %.2f", ratio, float64(fifo[0].p99())/float64(noFlood[0].p99()))
-	assert.Assert(t, ratio <= 1.25, "p99 of the top rank rose to %.2f of the calm one", ratio)
+	t.Logf("p99 of the top rank: %.2f of that without a flood; FIFO %.2f", ratio, float64(fifo[0].p99())/float64(noFlood[0].p99()))
+	assert.Assert(t, ratio <= 1.25, "p99 of the top rank rose to %.2f of that without a flood", ratio)
 	assert.Assert(t, total >= 0.95, "in all %.3f of the capacity was useful, %.3f without a flood", total, base)
 }
 
--- a/internal/flow/pipe/job.go
+++ b/internal/flow/pipe/job.go
@@ -45,9 +45,9 @@
 	View             *roster.View
 	Route            *policy.Route
 	Objective        time.Time     // The target time of the answer; a later answer is worth less.
-	CrashedUpstreams []string      // The upstreams that crashed during earlier tries.
-	MayHaveRun       bool          // Some try may have run, whatever the result of later tries.
-	Tries            int           // The number of upstreams that the job was sent to.
+	CrashedUpstreams []string      // The upstreams that crashed during earlier attempts.
+	MayHaveRun       bool          // Some attempt may have run, whatever the result of later ones.
+	Attempts         int           // The number of upstreams that the job was sent to.
 	RetryAfter       time.Duration // How long a refused caller should wait before it retries.
 }
 
--- a/internal/flow/place/bench_test.go
+++ b/internal/flow/place/bench_test.go
@@ -18,12 +18,12 @@
 		u.Slots = 5
 		list = append(list, u)
 	}
-	sched := table(list...)
+	sched := newTestScheduler(list...)
 	now := at(0)
 	job := func(i int) Request {
-		a := newRequest(now)
-		a.Object, a.Rank, a.Objective, a.Deadline = fmt.Sprint(i%230), i%3, now.Add(time.Hour), now.Add(2*time.Hour)
-		return a
+		req := newRequest(now)
+		req.Object, req.Rank, req.Objective, req.Deadline = fmt.Sprint(i%230), i%3, now.Add(time.Hour), now.Add(2*time.Hour)
+		return req
 	}
 	grants := make(chan *Grant, 2000)
 	for i := range 170 * 5 {
--- a/internal/flow/place/cold_test.go
+++ b/internal/flow/place/cold_test.go
@@ -11,12 +11,12 @@
 func TestAColdUpstreamGetsLessThanItsRate(t *testing.T) {
 	cold := upstream("cold", "a", "east")
 	cold.Cold, cold.Reported = 3*time.Second, at(0)
-	sched := table(cold, upstream("warm", "a", "east"))
+	sched := newTestScheduler(cold, upstream("warm", "a", "east"))
 	var times []time.Duration
 	for d := time.Duration(0); d < 3*time.Second; d += 5 * time.Millisecond {
 		now := at(d)
-		a := newRequest(now)
-		if g := try(sched, now, a); g != nil {
+		req := newRequest(now)
+		if g := try(sched, now, req); g != nil {
 			if g.Upstream.ID == "cold" {
 				times = append(times, d)
 			}
@@ -40,7 +40,7 @@
 func TestThreePlacingHostsTogetherKeepAColdUpstreamsBound(t *testing.T) {
 	cold := upstream("cold", "a", "east")
 	cold.Slots, cold.Cold, cold.Reported = 9, 3*time.Second, at(0)
-	tabs := []*Scheduler{table(cold), table(cold), table(cold)}
+	tabs := []*Scheduler{newTestScheduler(cold), newTestScheduler(cold), newTestScheduler(cold)}
 	var times []time.Duration
 	for d := time.Duration(0); d < 3*time.Second; d += 5 * time.Millisecond {
 		for _, sched := range tabs {
@@ -64,18 +64,18 @@
 func TestAnIsolatedHostSendsNothingToAColdUpstream(t *testing.T) {
 	cold := upstream("cold", "a", "east")
 	cold.Cold, cold.Reported = 3*time.Second, at(0)
-	sched := table(cold)
-	a := newRequest(at(time.Second))
-	a.Isolated = true
-	assert.Assert(t, try(sched, at(time.Second), a) == nil)
-	a.Isolated = false
-	assert.Assert(t, try(sched, at(time.Second), a) != nil)
+	sched := newTestScheduler(cold)
+	req := newRequest(at(time.Second))
+	req.Isolated = true
+	assert.Assert(t, try(sched, at(time.Second), req) == nil)
+	req.Isolated = false
+	assert.Assert(t, try(sched, at(time.Second), req) != nil)
 }
 
 // Guards against sending jobs to an upstream that crashes, or that fails most requests while it reports itself
 // healthy.
 func TestABrokenUpstreamIsEjectedAndRetriedLater(t *testing.T) {
-	sched := table(upstream("bad", "a", "east"), upstream("other", "b", "east"))
+	sched := newTestScheduler(upstream("bad", "a", "east"), upstream("other", "b", "east"))
 	now := at(0)
 	g := try(sched, now, newRequest(now))
 	assert.Equal(t, g.Upstream.ID, "bad")
@@ -91,7 +91,7 @@
 // After a power failure in a failure domain, its upstreams return cold and accept connections before their reports say
 // that they are cold. They must not get the full load in between.
 func TestAnUpstreamThatComesBackCountsAsColdUntilItsReport(t *testing.T) {
-	sched := table(upstream("u", "a", "east"))
+	sched := newTestScheduler(upstream("u", "a", "east"))
 	now := at(0)
 	for range 4 {
 		var g *Grant
@@ -113,7 +113,7 @@
 }
 
 func TestAnUpstreamThatFailsMostOfItsJobsIsEjected(t *testing.T) {
-	sched := table(upstream("grey", "a", "east"))
+	sched := newTestScheduler(upstream("grey", "a", "east"))
 	now := at(0)
 	for i := range 12 {
 		g := try(sched, now, newRequest(now))
@@ -126,7 +126,7 @@
 }
 
 func TestANewIncarnationIsNotEjected(t *testing.T) {
-	sched := table(upstream("u", "a", "east"))
+	sched := newTestScheduler(upstream("u", "a", "east"))
 	sched.Release(at(0), try(sched, at(0), newRequest(at(0))), Result{Unreachable: true})
 	assert.Assert(t, try(sched, at(0), newRequest(at(0))) == nil)
 	again := upstream("u", "a", "east")
--- a/internal/flow/place/place_test.go
+++ b/internal/flow/place/place_test.go
@@ -31,27 +31,27 @@
 	}
 }
 
-func table(list ...*roster.Upstream) *Scheduler {
-	t := NewScheduler()
-	t.Update(at(0), view(list...))
-	return t
+func newTestScheduler(list ...*roster.Upstream) *Scheduler {
+	s := NewScheduler()
+	s.Update(at(0), view(list...))
+	return s
 }
 
 func newRequest(now time.Time) Request {
 	return Request{Host: self, Service: "s", Rank: 1, Objective: now.Add(400 * time.Millisecond), Deadline: now.Add(2 * time.Second)}
 }
 
-// try asks for a slot without waiting.
-func try(t *Scheduler, now time.Time, a Request) *Grant {
+// try requests a slot without waiting.
+func try(s *Scheduler, now time.Time, req Request) *Grant {
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	return t.Acquire(ctx, now, a)
+	return s.Acquire(ctx, now, req)
 }
 
 func good(took time.Duration) Result { return Result{Duration: took, Succeeded: true} }
 
 func TestSlotsAreNeverExceededAndSameDomainGoesFirst(t *testing.T) {
-	sched := table(upstream("near", "a", "east"), upstream("next", "b", "east"), upstream("far", "c", "west"))
+	sched := newTestScheduler(upstream("near", "a", "east"), upstream("next", "b", "east"), upstream("far", "c", "west"))
 	got := map[string]int{}
 	for range 6 {
 		if g := try(sched, at(0), newRequest(at(0))); g != nil {
@@ -77,21 +77,21 @@
 
 // With many callers and few objects, each object must stay on few upstreams, where it is cached.
 func TestAnObjectStaysOnTheUpstreamThatCachesIt(t *testing.T) {
-	sched := table(upstream("u1", "a", "east"), upstream("u2", "a", "east"), upstream("u3", "a", "east"))
+	sched := newTestScheduler(upstream("u1", "a", "east"), upstream("u2", "a", "east"), upstream("u3", "a", "east"))
 	placements := map[string]map[string]bool{}
 	now := at(0)
 	for i := range 120 {
-		a := newRequest(now)
-		a.Object = fmt.Sprint(i % 12)
-		g := try(sched, now, a)
+		req := newRequest(now)
+		req.Object = fmt.Sprint(i % 12)
+		g := try(sched, now, req)
 		took := 300 * time.Millisecond
-		if placements[a.Object][g.Upstream.ID] {
+		if placements[req.Object][g.Upstream.ID] {
 			took = 90 * time.Millisecond
 		}
-		if placements[a.Object] == nil {
-			placements[a.Object] = map[string]bool{}
+		if placements[req.Object] == nil {
+			placements[req.Object] = map[string]bool{}
 		}
-		placements[a.Object][g.Upstream.ID] = true
+		placements[req.Object][g.Upstream.ID] = true
 		now = now.Add(20 * time.Millisecond)
 		sched.Release(now, g, good(took))
 	}
@@ -102,7 +102,7 @@
 
 // Before any job has finished, the second job of an object must follow the first, even to another failure domain.
 func TestAnObjectIsNotSpreadBeforeTheFirstAnswer(t *testing.T) {
-	sched := table(upstream("u1", "a", "east"), upstream("u2", "b", "east"))
+	sched := newTestScheduler(upstream("u1", "a", "east"), upstream("u2", "b", "east"))
 	first, second := newRequest(at(0)), newRequest(at(0))
 	first.Host.Domain = "b"
 	for first.Object = ""; rendez.Score(rendez.Hash(first.Object), rendez.NewSite("u2", 1)) < rendez.Score(rendez.Hash(first.Object), rendez.NewSite("u1", 1)); {
@@ -121,13 +121,13 @@
 		list = append(list, upstream(fmt.Sprint("u", i), string(rune('a'+i%3)), "east"))
 	}
 	place := func(shift int) map[string]string {
-		sched, placements := table(list...), map[string]string{}
+		sched, placements := newTestScheduler(list...), map[string]string{}
 		for i := range 20 {
-			a := newRequest(at(0))
-			a.Object = fmt.Sprint((i + shift) % 20)
-			a.Host.Domain = string(rune('a' + (i+2*shift)%3))
-			g := try(sched, at(0), a)
-			placements[a.Object] = g.Upstream.ID
+			req := newRequest(at(0))
+			req.Object = fmt.Sprint((i + shift) % 20)
+			req.Host.Domain = string(rune('a' + (i+2*shift)%3))
+			g := try(sched, at(0), req)
+			placements[req.Object] = g.Upstream.ID
 		}
 		return placements
 	}
@@ -142,16 +142,16 @@
 
 // Guards against urgent jobs waiting behind a burst of less urgent ones.
 func TestUrgentJobsAreServedFirstAndLateOnesLast(t *testing.T) {
-	sched := table(upstream("u", "a", "east"))
+	sched := newTestScheduler(upstream("u", "a", "east"))
 	now := at(0)
 	running := []*Grant{try(sched, now, newRequest(now)), try(sched, now, newRequest(now))}
 	ends := make(chan string, 4)
 	wait := func(name string, rank int, objective time.Duration) {
-		a := newRequest(now)
-		a.Rank, a.Objective = rank, now.Add(objective)
+		req := newRequest(now)
+		req.Rank, req.Objective = rank, now.Add(objective)
 		before := sched.Waiting()
 		go func() {
-			if g := sched.Acquire(context.Background(), now, a); g != nil {
+			if g := sched.Acquire(context.Background(), now, req); g != nil {
 				ends <- name
 			}
 		}()
@@ -177,7 +177,7 @@
 	lent := view(u, other)
 	lent.Loans = map[string]string{"u": "west"}
 	for name, after := range map[string]*roster.View{"leaves": view(other), "is lent": lent} {
-		sched := table(u, other)
+		sched := newTestScheduler(u, other)
 		running := []*Grant{}
 		for range 4 {
 			if g := try(sched, at(0), newRequest(at(0))); g.Upstream == u {
@@ -204,27 +204,27 @@
 }
 
 func TestAJobIsRefusedAtOnceWhenNothingCanServeIt(t *testing.T) {
-	sched := table()
+	sched := newTestScheduler()
 	begin := time.Now()
-	a := newRequest(at(0))
-	a.Objective = at(0)
-	assert.Assert(t, sched.Acquire(context.Background(), at(0), a) == nil)
+	req := newRequest(at(0))
+	req.Objective = at(0)
+	assert.Assert(t, sched.Acquire(context.Background(), at(0), req) == nil)
 	assert.Assert(t, time.Since(begin) < time.Second)
 }
 
 // A job must not start if less than minTimeShare of its expected duration is left before its deadline.
 func TestAJobThatCannotMeetItsDeadlineIsNotStarted(t *testing.T) {
-	sched := table(upstream("u", "a", "east"))
+	sched := newTestScheduler(upstream("u", "a", "east"))
 	now := at(0)
 	for range 20 {
 		g := try(sched, now, newRequest(now))
 		sched.Release(now, g, good(time.Second))
 	}
-	a := newRequest(now)
-	a.Deadline = now.Add(400 * time.Millisecond)
-	assert.Assert(t, try(sched, now, a) == nil)
-	a.Deadline = now.Add(900 * time.Millisecond)
-	assert.Assert(t, try(sched, now, a) != nil)
+	req := newRequest(now)
+	req.Deadline = now.Add(400 * time.Millisecond)
+	assert.Assert(t, try(sched, now, req) == nil)
+	req.Deadline = now.Add(900 * time.Millisecond)
+	assert.Assert(t, try(sched, now, req) != nil)
 }
 
 func TestGrantsOfADepartedHostAreReleased(t *testing.T) {
@@ -234,10 +234,10 @@
 	v.Hosts = append(v.Hosts, other)
 	sched := NewScheduler()
 	sched.Update(at(0), v)
-	a := newRequest(at(0))
-	a.Host = other
+	req := newRequest(at(0))
+	req.Host = other
 	for range 2 {
-		assert.Assert(t, try(sched, at(0), a) != nil)
+		assert.Assert(t, try(sched, at(0), req) != nil)
 	}
 	assert.Assert(t, try(sched, at(0), newRequest(at(0))) == nil)
 	sched.Update(at(time.Second), view(u))
@@ -245,7 +245,7 @@
 }
 
 func TestAnUnreleasedGrantExpires(t *testing.T) {
-	sched := table(upstream("u", "a", "east"))
+	sched := newTestScheduler(upstream("u", "a", "east"))
 	first := try(sched, at(0), newRequest(at(0)))
 	assert.Assert(t, first != nil && try(sched, at(0), newRequest(at(0))) != nil)
 	later := at(2*time.Second + grantGracePeriod + time.Millisecond)
@@ -270,17 +270,17 @@
 func TestJobCountsStayWithinLimits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		ups := []*roster.Upstream{upstream("u1", "a", "east"), upstream("u2", "b", "east"), upstream("u3", "c", "west")}
-		sched := table(ups...)
+		sched := newTestScheduler(ups...)
 		now := at(0)
 		grants := []*Grant{}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
 			switch rapid.IntRange(0, 4).Draw(t, "step") {
 			case 0, 1:
-				a := newRequest(now)
-				a.Object = rapid.SampledFrom([]string{"", "x", "y"}).Draw(t, "object")
-				a.Isolated = rapid.IntRange(0, 4).Draw(t, "alone") == 0
-				if g := try(sched, now, a); g != nil {
+				req := newRequest(now)
+				req.Object = rapid.SampledFrom([]string{"", "x", "y"}).Draw(t, "object")
+				req.Isolated = rapid.IntRange(0, 4).Draw(t, "alone") == 0
+				if g := try(sched, now, req); g != nil {
 					grants = append(grants, g)
 				}
 			case 2:
--- a/internal/flow/place/shift_test.go
+++ b/internal/flow/place/shift_test.go
@@ -29,9 +29,9 @@
 			unfinished = append(unfinished, r)
 		}
 		active = unfinished
-		a := newRequest(at(d))
-		a.Object = fmt.Sprint(int(d/(4*time.Millisecond)) * 7 % 120)
-		g := try(sched, at(d), a)
+		req := newRequest(at(d))
+		req.Object = fmt.Sprint(int(d/(4*time.Millisecond)) * 7 % 120)
+		g := try(sched, at(d), req)
 		if g == nil {
 			continue
 		}
@@ -43,7 +43,7 @@
 		}
 		out[d.Truncate(100*time.Millisecond)] = n
 		lasts := 100 * time.Millisecond
-		if pair := g.Upstream.ID + "/" + a.Object; !sent[pair] {
+		if pair := g.Upstream.ID + "/" + req.Object; !sent[pair] {
 			sent[pair], lasts = true, 400*time.Millisecond
 		}
 		if remote {
--- a/internal/flow/remote/pacer_test.go
+++ b/internal/flow/remote/pacer_test.go
@@ -73,10 +73,10 @@
 	})
 }
 
-func pacerPlan(a share.Quota) *plan.Plan {
+func pacerPlan(quota share.Quota) *plan.Plan {
 	return &plan.Plan{
 		Doc:   &spec.Document{Ranks: []spec.Rank{{Name: "top"}, {Name: "low", Minimum: 0.1}}},
-		Links: map[string]share.Quota{"far": a},
+		Links: map[string]share.Quota{"far": quota},
 	}
 }
 
@@ -111,7 +111,7 @@
 	p.Update(now, pacerPlan(share.Quota{Lent: 1_000_000, Until: now.Add(time.Second)}))
 	now = now.Add(time.Second) // No newer plan has arrived, as after a pause of the process.
 	ok := p.Wait(context.Background(), now, "far", 0, 100, now.Add(time.Hour))
-	assert.Assert(t, !ok, "the grant has run out, and the floor is 0")
+	assert.Assert(t, !ok, "the loan has expired, and the floor is 0")
 }
 
 func TestRetriesAreBoundedByFirstTries(t *testing.T) {
@@ -126,10 +126,10 @@
 	assert.Assert(t, retries <= 100+maxSavedRetries, "%d retries of 1000 tries", retries)
 }
 
-type recordingPeers struct{ sent int }
+type recordingRunner struct{ sent int }
 
-func (p *recordingPeers) Run(_ context.Context, _ pipe.Target, job *pipe.Job) {
-	p.sent++
+func (r *recordingRunner) Run(_ context.Context, _ pipe.Target, job *pipe.Job) {
+	r.sent++
 	job.EndAnswered(pipe.Answer{Status: 200})
 }
 
@@ -141,16 +141,16 @@
 	pacer := NewPacer(time.Now)
 	pl := pacerPlan(share.Quota{Floor: 10_000})
 	pacer.Update(time.Now(), pl)
-	peers := &recordingPeers{}
-	p := New(nil, noRouter{}, peers, pacer, nil, time.Now)
+	runner := &recordingRunner{}
+	f := New(nil, noRouter{}, runner, pacer, nil, time.Now)
 	send := func(timeout time.Duration) pipe.Outcome {
 		now := time.Now()
 		job := &pipe.Job{Plan: pl, Body: make([]byte, 2000), Deadline: now.Add(timeout), Targets: []pipe.Target{{Region: "far"}}}
-		p.Run(context.Background(), now, job)
+		f.Run(context.Background(), now, job)
 		return job.Outcome
 	}
 	// At this rate the link sends the 3,692 bytes of the message after 0.32 to 0.43 s.
 	assert.Equal(t, send(time.Second).Reason, pipe.LinkFull)
-	assert.Equal(t, peers.sent, 0)
+	assert.Equal(t, runner.sent, 0)
 	assert.Equal(t, send(4*time.Second).Kind, pipe.Answered)
 }
--- a/internal/flow/serve/serve.go
+++ b/internal/flow/serve/serve.go
@@ -87,9 +87,9 @@
 // refuseUnplaced ends a job that got no slot. If there were earlier attempts, their outcome stands.
 func (f *Filter) refuseUnplaced(ctx context.Context, job *pipe.Job) {
 	switch {
-	case ctx.Err() != nil && job.Tries == 0:
+	case ctx.Err() != nil && job.Attempts == 0:
 		job.Refuse(pipe.Expired, "the job's time ended before a slot was free")
-	case job.Tries == 0:
+	case job.Attempts == 0:
 		job.RetryAfter = retryAfter(job)
 		job.Refuse(pipe.QueueFull, "no upstream of "+job.Service+" has a free slot")
 	}
@@ -112,7 +112,7 @@
 	if job.Crashed {
 		job.CrashedUpstreams = append(job.CrashedUpstreams, job.Upstream.ID)
 	}
-	job.Tries++
+	job.Attempts++
 	job.Upstream = pipe.UpstreamRef{ID: u.ID, Address: u.Address}
 	job.Reply = f.Sender.Send(ctx, start, job, u)
 	now := f.Clock()
@@ -160,7 +160,7 @@
 
 // mayRetry reports whether another attempt is allowed, and spends a retry of the budget if it needs one.
 func (f *Filter) mayRetry(now time.Time, job *pipe.Job) bool {
-	if job.Deadline.Sub(now) < minAttemptTime || job.Tries >= max(1, job.Route.Attempts) {
+	if job.Deadline.Sub(now) < minAttemptTime || job.Attempts >= max(1, job.Route.Attempts) {
 		return false
 	}
 	switch job.Outcome.Kind {
--- a/internal/flow/serve/serve_test.go
+++ b/internal/flow/serve/serve_test.go
@@ -119,10 +119,10 @@
 // any window, however unevenly the requests arrive.
 func TestRetriesOfAllHostsStayWithinTheBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		terms := BudgetConfig{Ratio: 0.2, ExtraRetries: 50, Window: 10 * time.Second}
+		config := BudgetConfig{Ratio: 0.2, ExtraRetries: 50, Window: 10 * time.Second}
 		hosts := make([]*Budget, rapid.IntRange(1, 12).Draw(t, "hosts"))
 		for i := range hosts {
-			hosts[i] = NewBudget(terms)
+			hosts[i] = NewBudget(config)
 		}
 		type event struct {
 			at    time.Time
@@ -145,13 +145,13 @@
 		for i := range events {
 			retries, firsts := 0, 0
 			for _, e := range events[:i+1] {
-				if age := events[i].at.Sub(e.at); age < terms.Window && e.retry {
+				if age := events[i].at.Sub(e.at); age < config.Window && e.retry {
 					retries++
-				} else if age < 2*terms.Window && !e.retry {
+				} else if age < 2*config.Window && !e.retry {
 					firsts++
 				}
 			}
-			if limit := terms.Ratio*float64(firsts) + terms.ExtraRetries; float64(retries) > limit {
+			if limit := config.Ratio*float64(firsts) + config.ExtraRetries; float64(retries) > limit {
 				t.Fatalf("%d retries, the budget allows %.0f", retries, limit)
 			}
 		}
--- a/internal/host/steer/hops.go
+++ b/internal/host/steer/hops.go
@@ -39,7 +39,7 @@
 	}
 	parent := job.Trace
 	carrier, end := trace.StartFromCarrier(ctx, h.host.Tracer, "upstream", parent,
-		attribute.String("boragelane.job", job.ID), attribute.String("boragelane.upstream", u.ID), attribute.Int("boragelane.try", job.Tries))
+		attribute.String("boragelane.job", job.ID), attribute.String("boragelane.upstream", u.ID), attribute.Int("boragelane.try", job.Attempts))
 	job.Trace = carrier
 	r := h.host.sender.Send(ctx, now, job, u)
 	job.Trace = parent
--- a/internal/host/steer/journal.go
+++ b/internal/host/steer/journal.go
@@ -60,10 +60,10 @@
 // RecordAttempt counts one try of a job and logs it unless it was the first and got a whole reply.
 func (l *eventLog) RecordAttempt(now time.Time, job *pipe.Job, u *roster.Upstream, d time.Duration) {
 	l.metrics.ObserveAttempt(job, u.Service, d)
-	if job.Reply.Complete && job.Tries == 1 {
+	if job.Reply.Complete && job.Attempts == 1 {
 		return // The log line at the end of the job has all of it.
 	}
-	l.log.Info("try", zap.String("id", job.ID), zap.Int("number", job.Tries), zap.String("upstream", u.ID),
+	l.log.Info("try", zap.String("id", job.ID), zap.Int("number", job.Attempts), zap.String("upstream", u.ID),
 		zap.String("domain", u.Domain), zap.Duration("reported", now.Sub(u.Reported)), zap.String("reason", string(job.Outcome.Reason)),
 		zap.Int("status", job.Reply.Answer.Status), zap.Bool("sent", job.Reply.Sent), millisField(d), errorField(job.Reply.Err))
 }
@@ -79,7 +79,7 @@
 	}
 	l.log.Info("request", zap.String("id", job.ID), zap.String("route", route), zap.Uint64("policy", version),
 		zap.Duration("age", job.Started.Sub(job.View.SyncedAt)),
-		zap.String("service", job.Service), zap.String("upstream", job.Upstream.ID), zap.Int("tries", job.Tries),
+		zap.String("service", job.Service), zap.String("upstream", job.Upstream.ID), zap.Int("tries", job.Attempts),
 		zap.String("outcome", job.Outcome.Kind.String()), zap.String("reason", string(job.Outcome.Reason)),
 		zap.Int("status", job.Answer.Status), millisField(d), zap.String("detail", job.Outcome.Detail))
 }
