--- a/internal/flow/admit/flood_test.go
+++ b/internal/flow/admit/flood_test.go
@@ -140,9 +140,9 @@
 		for len(r.waiting) > 0 {
 			w := r.waiting[0]
 			select {
-			case v := <-w.Ready:
+			case d := <-w.Ready:
 				r.waiting = r.waiting[1:]
-				s.startJob(now, level, w, v)
+				s.startJob(now, level, w, d)
 				continue
 			default:
 			}
@@ -151,11 +151,11 @@
 	}
 }
 
-func (s *simulation) startJob(now time.Time, level int, w *Waiter, v Decision) {
+func (s *simulation) startJob(now time.Time, level int, w *Waiter, d Decision) {
 	r := s.ranks[level]
 	arrived := w.Deadline.Add(-r.timeout)
 	counted := arrived.Sub(s.start) >= s.countFrom
-	if !v.Admitted {
+	if !d.Admitted {
 		if counted {
 			r.refused++
 		}
@@ -163,7 +163,7 @@
 	}
 	took := time.Duration((0.5 + s.rng.Float64()) * max(r.costFactor, 0.01) * float64(simServiceTime))
 	s.at(now.Add(took), func(n time.Time) {
-		s.sched.Release(n, "s", v.Upstream, w.Level, took, Done)
+		s.sched.Release(n, "s", d.Upstream, w.Level, took, Done)
 		r.busy += took
 		if counted && !n.After(w.Deadline) {
 			r.done++
--- a/internal/flow/admit/scheduler_test.go
+++ b/internal/flow/admit/scheduler_test.go
@@ -48,17 +48,17 @@
 			left := waiting[:0]
 			for _, w := range waiting {
 				select {
-				case v := <-w.Ready:
-					if v.Admitted {
+				case d := <-w.Ready:
+					if d.Admitted {
 						assert.Assert(t, now.Before(w.Deadline), "admitted after its deadline")
-						jobs = append(jobs, running{w, v.Upstream})
+						jobs = append(jobs, running{w, d.Upstream})
 						n := 0
 						for _, j := range jobs {
-							if j.up == v.Upstream {
+							if j.up == d.Upstream {
 								n++
 							}
 						}
-						assert.Assert(t, int64(n) <= p.Services[w.Service].Upstreams[0].Slots.At(now), "%d on %s", n, v.Upstream)
+						assert.Assert(t, int64(n) <= p.Services[w.Service].Upstreams[0].Slots.At(now), "%d on %s", n, d.Upstream)
 						assert.Assert(t, int64(len(jobs)) <= p.Capacity.At(now), "%d in all", len(jobs))
 					}
 				default:
@@ -112,10 +112,10 @@
 			"": func(t *rapid.T) {
 				assert.Equal(t, s.inFlight, int64(len(jobs)))
 				queued := 0
-				for _, po := range s.services {
-					for l := range po.queues {
-						queued += po.queues[l].len()
-						assert.Assert(t, po.queues[l].len() <= 5)
+				for _, svc := range s.services {
+					for l := range svc.queues {
+						queued += svc.queues[l].len()
+						assert.Assert(t, svc.queues[l].len() <= 5)
 					}
 				}
 				assert.Equal(t, queued, len(waiting))
@@ -173,9 +173,9 @@
 	for range 20 {
 		w := &Waiter{Service: "s", Deadline: now.Add(time.Minute), Ready: make(chan Decision, 1)}
 		assert.Equal(t, s.Enqueue(now, w), NotRefused)
-		v := <-w.Ready
+		d := <-w.Ready
 		now = now.Add(2 * time.Second)
-		s.Release(now, "s", v.Upstream, 0, 2*time.Second, Done)
+		s.Release(now, "s", d.Upstream, 0, 2*time.Second, Done)
 	}
 	_, r := offer()
 	assert.Equal(t, r, TooLate, "the job can't finish before its deadline")
