--- a/internal/core/spec/check.go
+++ b/internal/core/spec/check.go
@@ -12,7 +12,7 @@
 const (
 	MaxSlots    = 100_000        // Per upstream.
 	MaxConns    = 1_000_000      // Per upstream.
-	MaxQueue    = 1_000_000      // Jobs of one rank.
+	MaxQueue    = 1_000_000      // Jobs of one rank and service on a host.
 	MaxCapacity = 100_000_000    // Jobs in flight in a region.
 	MaxRate     = int64(1) << 50 // Bytes a second.
 	MaxTimeout  = Duration(10 * time.Minute)
--- a/internal/flow/pipe/job.go
+++ b/internal/flow/pipe/job.go
@@ -12,7 +12,7 @@
 type Job struct {
 	ID          string
 	Service     string
-	Rank        string // Name of the rank; empty until accept sets the default.
+	Rank        string // Name of the rank, as the caller gave it or as accept set it.
 	Level       int    // Index of the rank; 0 is the most urgent.
 	Caller      string
 	CallerHash  uint64
@@ -23,7 +23,7 @@
 	Deadline    time.Time
 	Ticket      string
 	Once        bool   // The job runs at most once.
-	Digest      uint64 // Hash of the service, method, path and body.
+	Digest      uint64 // Hash that identifies the request when it is sent again.
 	Trace       map[string]string
 
 	Plan       *plan.Plan
@@ -33,9 +33,9 @@
 	Reply      Reply
 	Outcome    Outcome
 	Answer     Answer
-	Crashed    bool
-	Draining   bool
-	Claimed    bool
+	Crashed    bool   // The upstream seems to have crashed while it ran the job.
+	Draining   bool   // The upstream announced that it is draining.
+	Claimed    bool   // This try claimed the job's ticket.
 	Hop        int    // How often the job was forwarded to another host.
 	FromRegion string // The region of the host that forwarded the job, or "" on its first hop.
 
