--- a/internal/flow/serve/serve.go
+++ b/internal/flow/serve/serve.go
@@ -14,7 +14,7 @@
 
 // Placer reserves and releases slots of upstreams.
 type Placer interface {
-	Acquire(ctx context.Context, now time.Time, ask place.Request) *place.Grant
+	Acquire(ctx context.Context, now time.Time, req place.Request) *place.Grant
 	Release(now time.Time, g *place.Grant, r place.Result)
 }
 
@@ -28,8 +28,8 @@
 	RecordAttempt(now time.Time, job *pipe.Job, u *roster.Upstream, took time.Duration)
 }
 
-// Pipe is the filter that runs jobs on upstreams.
-type Pipe struct {
+// Filter runs jobs on upstreams.
+type Filter struct {
 	Placer   Placer
 	Sender   Sender
 	Budget   *Budget
@@ -38,34 +38,34 @@
 }
 
 const (
-	// minTryTime is the remaining time below which another attempt is not made.
-	minTryTime = 30 * time.Millisecond
+	// minAttemptTime is the remaining time below which no further attempt is made.
+	minAttemptTime = 30 * time.Millisecond
 )
 
 // String returns the filter's name.
-func (*Pipe) String() string { return "serve" }
+func (*Filter) String() string { return "serve" }
 
 // Run makes attempts until one ends the job or no further attempt is allowed.
-func (p *Pipe) Run(ctx context.Context, now time.Time, job *pipe.Job) {
+func (f *Filter) Run(ctx context.Context, now time.Time, job *pipe.Job) {
 	ctx, cancel := context.WithDeadline(ctx, job.Deadline)
 	defer cancel()
-	p.Budget.RecordRequest(now, job.Service)
+	f.Budget.RecordRequest(now, job.Service)
 	var tried []string
 	var lastAnswer *pipe.Answer
 	for {
-		g := p.Placer.Acquire(ctx, now, placeRequest(job, tried))
+		g := f.Placer.Acquire(ctx, now, placeRequest(job, tried))
 		if g == nil {
-			p.refuseUnplaced(ctx, job)
+			f.refuseUnplaced(ctx, job)
 			break
 		}
 		job.Outcome = pipe.Outcome{}
-		p.attempt(ctx, job, g)
+		f.attempt(ctx, job, g)
 		tried = append(tried, g.Upstream.ID)
 		if job.Outcome.Kind == pipe.Answered {
 			lastAnswer = &job.Answer
 		}
-		now = p.Clock()
-		if !p.mayRetry(now, job) {
+		now = f.Clock()
+		if !f.mayRetry(now, job) {
 			break
 		}
 	}
@@ -85,19 +85,19 @@
 }
 
 // refuseUnplaced ends a job that got no slot. If there were earlier attempts, their outcome stands.
-func (p *Pipe) refuseUnplaced(ctx context.Context, job *pipe.Job) {
+func (f *Filter) refuseUnplaced(ctx context.Context, job *pipe.Job) {
 	switch {
-	case ctx.Err() != nil && job.Tries == 0:
+	case ctx.Err() != nil && job.Attempts == 0:
 		job.Refuse(pipe.Expired, "the job's time ended before a slot was free")
-	case job.Tries == 0:
+	case job.Attempts == 0:
 		job.RetryAfter = retryAfter(job)
 		job.Refuse(pipe.QueueFull, "no upstream of "+job.Service+" has a free slot")
 	}
 }
 
 const (
-	// retryAfterBase and retryAfterStep spread the return of refused callers: urgent jobs return first, and the random
-	// part keeps callers from returning all at once.
+	// retryAfterBase and retryAfterStep spread the retries of refused callers: urgent jobs are retried earlier, and
+	// random jitter of up to one step keeps callers from retrying all at once.
 	retryAfterBase = 100 * time.Millisecond
 	retryAfterStep = 150 * time.Millisecond
 )
@@ -106,20 +106,20 @@
 	return retryAfterBase + time.Duration(job.Level)*retryAfterStep + rand.N(retryAfterStep)
 }
 
-func (p *Pipe) attempt(ctx context.Context, job *pipe.Job, g *place.Grant) {
+func (f *Filter) attempt(ctx context.Context, job *pipe.Job, g *place.Grant) {
 	u := g.Upstream
-	start := p.Clock()
+	start := f.Clock()
 	if job.Crashed {
 		job.CrashedUpstreams = append(job.CrashedUpstreams, job.Upstream.ID)
 	}
-	job.Tries++
+	job.Attempts++
 	job.Upstream = pipe.UpstreamRef{ID: u.ID, Address: u.Address}
-	job.Reply = p.Sender.Send(ctx, start, job, u)
-	now := p.Clock()
+	job.Reply = f.Sender.Send(ctx, start, job, u)
+	now := f.Clock()
 	setOutcome(ctx, job)
 	job.MayHaveRun = job.MayHaveRun || job.Outcome.Kind == pipe.Unknown
-	p.Placer.Release(now, g, result(&job.Reply, now.Sub(start)))
-	p.Recorder.RecordAttempt(now, job, u, now.Sub(start))
+	f.Placer.Release(now, g, result(&job.Reply, now.Sub(start)))
+	f.Recorder.RecordAttempt(now, job, u, now.Sub(start))
 }
 
 // result converts a reply to the result that the placer records for the upstream.
@@ -159,8 +159,8 @@
 }
 
 // mayRetry reports whether another attempt is allowed, and spends a retry of the budget if it needs one.
-func (p *Pipe) mayRetry(now time.Time, job *pipe.Job) bool {
-	if job.Deadline.Sub(now) < minTryTime || job.Tries >= max(1, job.Route.Attempts) {
+func (f *Filter) mayRetry(now time.Time, job *pipe.Job) bool {
+	if job.Deadline.Sub(now) < minAttemptTime || job.Attempts >= max(1, job.Route.Attempts) {
 		return false
 	}
 	switch job.Outcome.Kind {
@@ -180,5 +180,5 @@
 			return true
 		}
 	}
-	return p.Budget.SpendRetry(now, job.Service, len(job.View.Hosts))
+	return f.Budget.SpendRetry(now, job.Service, len(job.View.Hosts))
 }
