wording: comments of ctrl and edge that readers could not follow

Several comments were vague or left something out: shifts 'move along their ramp' though overloaded ones reverse, startExchange 'sends' what it returns, a store call 'has a price', map fields didn't say their keys. They now say what the code does.

--- a/internal/ctrl/lease/lease.go
+++ b/internal/ctrl/lease/lease.go
@@ -24,7 +24,7 @@
 }
 
 const (
-	// LeaseTTL is the lease of a host's entry; a host that was killed leaves the directory within that time.
+	// LeaseTTL is the time to live of the lease of a host's entry; a host that was killed leaves the directory within that time.
 	LeaseTTL = 3 * time.Second
 	// renewInterval leaves time for two more attempts within a lease.
 	renewInterval = time.Second
--- a/internal/ctrl/loans/loans.go
+++ b/internal/ctrl/loans/loans.go
@@ -26,9 +26,10 @@
 const (
 	// headroom is the number of slots a region needs per slot of demand, so that few jobs wait.
 	headroom = 1.25
-	// minNeed is the number of slots that a region needs without demand.
+	// minNeed is the number of slots that a region needs on top of its demand with headroom, and so its need without demand.
 	minNeed = 1
-	// maxMoveShare is the share of its need that a region may gain or lose in one plan, but at least one upstream.
+	// maxMoveShare is the share of its need that a region may gain or lose in one plan. It may always gain or lose one
+	// upstream.
 	maxMoveShare = 0.06
 	// initialUtilization is the assumed utilization of a service, spread evenly over the regions, until demand is known.
 	initialUtilization = 0.8
--- a/internal/ctrl/loop/loop.go
+++ b/internal/ctrl/loop/loop.go
@@ -10,7 +10,7 @@
 	"github.com/boragelane/boragelane/internal/ctrl/state"
 )
 
-// Executor executes actions. Each call runs in its own goroutine and passes resulting events to feed.
+// Executor executes actions. Each call runs in its own goroutine and passes the resulting events to emit.
 type Executor interface {
 	Execute(ctx context.Context, act state.Action, feed func(state.Event))
 }
@@ -134,8 +134,8 @@
 	}
 }
 
-// needsPublish reports whether the effect of an event must reach the data path before the next tick. Routine exchanges,
-// whose number grows with the size of the system, can wait.
+// needsPublish reports whether the effect of an event must reach the data path before the next tick. Heartbeats and
+// exchanges from other hosts, whose number grows with the size of the system, can wait.
 func needsPublish(ev state.Event) bool {
 	switch ev.(type) {
 	case state.DocumentReceived, state.Notice, state.MembersReceived, state.HostUnreachable, state.ShutdownRequested, state.HeartbeatResult:
--- a/internal/ctrl/state/event.go
+++ b/internal/ctrl/state/event.go
@@ -55,7 +55,7 @@
 	}
 	// MembersReceived delivers the platform's list of this failure domain's upstreams.
 	MembersReceived struct{ Members []Member }
-	// Notice announces that a host has a revision and carries the most recent changes up to it.
+	// Notice reports the revision of the document that another host has, with the most recent changes up to it.
 	Notice struct {
 		Seat     string
 		Revision uint64
@@ -67,7 +67,7 @@
 	HostUnreachable struct{ Seat string }
 	// StatusRequested requests the host's status. Exactly one answer is sent to Reply.
 	StatusRequested struct{ Reply chan Status }
-	// ShutdownRequested starts the planned stop of this host.
+	// ShutdownRequested starts the graceful shutdown of this host.
 	ShutdownRequested struct{}
 )
 
@@ -90,12 +90,12 @@
 
 // Actions of the control state machine.
 type (
-	// SendHeartbeat sends a heartbeat to a host. Its result comes back as an event.
+	// SendHeartbeat sends a heartbeat to a host. The result is the event HeartbeatResult.
 	SendHeartbeat struct {
 		To        spec.Seat
 		Heartbeat Heartbeat
 	}
-	// SendExchange sends an exchange to the relay of another failure domain. Its result comes back as an event.
+	// SendExchange sends an exchange to the relay of another failure domain. The result is the event ExchangeResult.
 	SendExchange struct {
 		To       spec.Seat
 		Domain   string
@@ -108,7 +108,7 @@
 		Revision uint64
 		Changes  []spec.Entry
 	}
-	// RequestLease acquires or renews a failure domain's lease on the platform. Its result comes back as an event.
+	// RequestLease acquires or renews a failure domain's lease on the platform. The result is the event LeaseResult.
 	RequestLease struct {
 		Domain string
 		TTL    time.Duration
@@ -117,7 +117,7 @@
 	ReleaseLease struct{ Domain string }
 	// SetRelay starts or stops watching the platform on behalf of this host's failure domain.
 	SetRelay struct{ On bool }
-	// FetchDocument requests the document of a host. The document, or the lack of one, comes back as an event.
+	// FetchDocument requests the configuration document from a host. The result is the event DocumentReceived or FetchFailed.
 	FetchDocument struct{ From spec.Seat }
 )
 
--- a/internal/ctrl/state/limits.go
+++ b/internal/ctrl/state/limits.go
@@ -16,7 +16,7 @@
 	poolPrefix         = "pool/"
 )
 
-// regionLimits returns a failure domain's part of each limit that is split among the domains of its region.
+// regionLimits returns a failure domain's share of each limit that is split among the domains of its region.
 func (s *State) regionLimits(domain string) map[string]int64 {
 	region, _, ok := s.Doc.FindDomain(domain)
 	if !ok {
@@ -39,7 +39,7 @@
 	return out
 }
 
-// domainLimits returns the limits of this failure domain: its part of the region's limits and the slots of its upstreams.
+// domainLimits returns the limits of this failure domain: its share of the region's limits and the slots of its upstreams.
 func (s *State) domainLimits() map[string]int64 {
 	out := s.regionLimits(s.Self.Domain)
 	if out == nil {
@@ -152,7 +152,7 @@
 	return share.Quota{Floor: s.Allocations[res].Units, Lent: s.Grant.Units[res], Until: s.Grant.ExpiresAt}
 }
 
-// connectionLimit returns this host's part of the connections that an upstream allows.
+// connectionLimit returns this host's share of the connections that an upstream allows.
 func (s *State) connectionLimit(id string, svc spec.Service) int64 {
 	names, self := s.domainSeatNames()
 	if self < 0 {
--- a/internal/ctrl/state/message.go
+++ b/internal/ctrl/state/message.go
@@ -19,10 +19,10 @@
 type Summary struct {
 	Domain      string
 	Version     int64
-	Relay       string
-	Unavailable []string // Hosts that accept no new jobs.
-	Loads       map[string]plan.Load
-	Unchanged   bool // Only the version changed; the relay, hosts and loads are omitted.
+	Relay       string               // Seat of the domain's relay.
+	Unavailable []string             // Hosts that accept no new jobs.
+	Loads       map[string]plan.Load // The domain's loads by service.
+	Unchanged   bool                 // Only the version changed; the relay, hosts and loads are omitted.
 }
 
 // Heartbeat is the periodic report of an entry host to its relay.
@@ -31,12 +31,12 @@
 	Incarnation     string
 	Revision        uint64
 	Leaving         bool
-	Loads           map[string]plan.Load
-	LoadsUnchanged  bool   // The loads are nearly those of the last heartbeat and are omitted.
-	PeerIncarnation string // The incarnation of the relay to which the next two fields refer.
-	SeenSeq         uint64 // The relay's sequence number up to which the sender has its summaries.
-	MembersVersion  uint64 // The version of the upstream list that the sender has.
-	GrantHash       uint64 // The hash of the grant that the sender holds, 0 for none.
+	Loads           map[string]plan.Load // The sender's loads by service.
+	LoadsUnchanged  bool                 // The loads have not changed enough to be sent again and are omitted.
+	PeerIncarnation string               // The incarnation of the relay to which the next two fields refer.
+	SeenSeq         uint64               // The relay's sequence number up to which the sender has its summaries.
+	MembersVersion  uint64               // The version of the upstream list that the sender has.
+	GrantHash       uint64               // The hash of the grant that the sender holds, 0 for none.
 }
 
 // HeartbeatReply answers a heartbeat with the sender's grant and the summaries that it lacks.
@@ -51,7 +51,7 @@
 	Summaries      []Summary
 	StaleDomains   []string // Failure domains whose summaries are out of date at the relay.
 	MembersVersion uint64   // The version of the upstream list.
-	Members        []Member
+	Members        []Member // The failure domain's upstreams; nil if the sender already has this version.
 }
 
 // Exchange carries summaries from a relay to the relay of another failure domain.
--- a/internal/ctrl/state/news.go
+++ b/internal/ctrl/state/news.go
@@ -31,8 +31,8 @@
 	return out
 }
 
-// excludedSource returns the host whose own summaries need not be sent back to it. A host that has nothing from this
-// one yet may have restarted and lost them, so nothing is excluded for it.
+// excludedSource returns the seat whose own summaries need not be sent back to it. It returns "" for a host that has
+// received no summaries from this one yet, since it may have restarted and lost its own.
 func excludedSource(seenSeq uint64, seat string) string {
 	if seenSeq == 0 {
 		return ""
@@ -40,7 +40,8 @@
 	return seat
 }
 
-// mergeSummaries stores the summaries that are newer than the known ones, or that replace a stale one.
+// mergeSummaries stores the summaries received from a host that are newer than the known ones, or that replace a stale
+// one.
 func (s *State) mergeSummaries(from string, summaries []Summary, now time.Time) {
 	for _, summary := range summaries {
 		old, ok := s.Summaries[summary.Domain]
@@ -137,7 +138,7 @@
 	return false
 }
 
-// startExchange sends an exchange to the relay of the next partner domain.
+// startExchange returns the action that sends an exchange to the relay of the next partner domain, if there is one.
 func (s *State) startExchange(now time.Time) []Action {
 	d, ok := s.exchangePartner(now)
 	if !ok {
--- a/internal/ctrl/state/shift.go
+++ b/internal/ctrl/state/shift.go
@@ -18,7 +18,7 @@
 	shiftReverseFactor      = 2.0
 )
 
-// advanceShifts moves each started shift along its ramp while its target stays healthy.
+// advanceShifts updates the progress of each started shift out of this region, and deletes that of removed shifts.
 func (s *State) advanceShifts(now time.Time) {
 	live := map[string]bool{}
 	for _, sh := range s.Doc.Shifts {
@@ -81,7 +81,7 @@
 	return sum
 }
 
-// shifts returns the shifts that currently move traffic, with this host's part of each rate cap.
+// shifts returns the shifts that currently move traffic, with this host's share of each rate cap.
 func (s *State) shifts() []plan.Shift {
 	var out []plan.Shift
 	for _, sh := range s.Doc.Shifts {
--- a/internal/ctrl/state/state.go
+++ b/internal/ctrl/state/state.go
@@ -61,15 +61,15 @@
 	Doc     *spec.Document
 	Leaving bool
 
-	Hosts          map[string]HostRecord
-	Unreachable    map[string]time.Time
-	LastReply      map[string]time.Time // When a host of this failure domain last answered a heartbeat.
-	Summaries      map[string]SummaryRecord
+	Hosts          map[string]HostRecord    // By seat.
+	Unreachable    map[string]time.Time     // When contact with a host last failed, by seat.
+	LastReply      map[string]time.Time     // When a host of this failure domain last answered a heartbeat, by seat.
+	Summaries      map[string]SummaryRecord // By failure domain.
 	Seq            uint64
-	Peers          map[string]Peer
+	Peers          map[string]Peer // By seat.
 	Members        []Member
 	MembersVersion uint64
-	Loads          map[string]plan.Load
+	Loads          map[string]plan.Load // This host's loads by service.
 
 	IsRelay bool
 	Lease   share.Lease
@@ -77,8 +77,8 @@
 	// Takeovers are the leases of silent failure domains by domain name.
 	Takeovers   map[string]Takeover
 	Grant       Grant
-	Allocations map[string]Allocation
-	Shifts      map[string]Progress
+	Allocations map[string]Allocation // By resource, or by pool prefix and resource.
+	Shifts      map[string]Progress   // By name of the shift.
 
 	index        *documentIndex
 	loadAverages map[string]LoadAverage
@@ -135,16 +135,16 @@
 	ExpiresAt   time.Time
 }
 
-// Allocation is a part of a limit, and a larger one that is not in force yet.
+// Allocation is a part of a limit. A reduction takes effect at once, growth only after a delay.
 type Allocation struct {
-	Units       int64
-	Pending     int64
+	Units       int64 // The part in force.
+	Pending     int64 // The part in force from EffectiveAt on; equal to Units if no growth is pending.
 	EffectiveAt time.Time
 }
 
 // Progress is the progress of a shift along its ramp.
 type Progress struct {
-	Done        float64
+	Done        float64 // The fraction of the ramp that is done, from 0 to 1.
 	UpdatedAt   time.Time
 	BaseLatency time.Duration // The target's latency when the shift began.
 	Paused      bool
@@ -214,7 +214,7 @@
 	return ix
 }
 
-// domainSeats returns the seats of this host's failure domain.
+// domainSeats returns the seats of this host's failure domain, or nil if this host has no document that contains it.
 func (s *State) domainSeats() []spec.Seat {
 	if s.Doc == nil || s.index.selfIndex < 0 {
 		return nil
--- a/internal/ctrl/watch/fold.go
+++ b/internal/ctrl/watch/fold.go
@@ -58,7 +58,8 @@
 	return append(stateChanges, s.expire(now)...)
 }
 
-// applyBatch applies the changes of a store read and records the effective ones for followers.
+// applyBatch applies the changes of a store read. It records those that modified the state for followers: hosts that
+// request changes from this one instead of reading the store.
 func (s *State) applyBatch(b roster.Batch, now time.Time) []StateChange {
 	var stateChanges []StateChange
 	if s.disconnected || now.Sub(s.lastSync) > outageThreshold && !s.lastSync.IsZero() {
@@ -208,7 +209,7 @@
 	return StateChange{}
 }
 
-// isOlder reports whether u was sent before than; both are reports of the same upstream.
+// isOlder reports whether report u was sent before other; both are of the same upstream.
 func isOlder(u, than *roster.Upstream) bool {
 	return u.Born < than.Born || u.Born == than.Born && u.Seq < than.Seq
 }
--- a/internal/ctrl/watch/reader.go
+++ b/internal/ctrl/watch/reader.go
@@ -32,7 +32,7 @@
 
 const (
 	// minReadInterval is the minimum time between two store reads. Upstream reports arrive continuously and each
-	// call has a price, but changes must take effect within 2.5 s.
+	// call to the store is billed, but changes must take effect within 2.5 s.
 	minReadInterval = 500 * time.Millisecond
 	// longPollTimeout is how long a read waits for a change. It is less than maxUpdateAge, so that a store without
 	// changes isn't taken for an unreachable one.
@@ -42,7 +42,7 @@
 	minRetryDelay       = 250 * time.Millisecond
 	maxReaderRetryDelay = 500 * time.Millisecond
 	// maxFollowerRetryDelay bounds the backoff of a host that isn't one of the region's readers. It gets changes from
-	// a reader as soon as one can read the store again, and even a refused call has a price.
+	// a reader as soon as one can read the store again, and even a refused call is billed.
 	maxFollowerRetryDelay = 750 * time.Millisecond
 	// peerPollInterval is the time between two requests to the region's reader.
 	peerPollInterval = 250 * time.Millisecond
@@ -51,7 +51,7 @@
 	maxUpdateAge = 1200 * time.Millisecond
 	// peerSkipPeriod is how long a host is skipped after a failed request.
 	peerSkipPeriod = 2 * time.Second
-	// maxReaders is the number of hosts of a region that read the store for the others.
+	// maxReaders is the maximum number of hosts of a region that read the store for the others.
 	maxReaders = 2
 )
 
@@ -66,7 +66,7 @@
 	revision   int64
 	retryDelay time.Duration
 	failed     bool                 // The last store read failed.
-	designated bool                 // This host is one of the region's readers.
+	designated bool                 // This host is one of the region's readers; valid only after pollPeers returned false.
 	nextRead   time.Time            // Earliest time of the next store read.
 	skipUntil  map[string]time.Time // By host name.
 }
--- a/internal/ctrl/watch/reader_test.go
+++ b/internal/ctrl/watch/reader_test.go
@@ -13,7 +13,7 @@
 )
 
 // fakeStore is a store that can become unreachable. A call that starts while it is unreachable hangs until its timeout,
-// even if the store recovers meanwhile. It also plays the other hosts of the region.
+// even if the store recovers meanwhile. It also implements PeerSource for the other hosts of the region.
 type fakeStore struct {
 	mu           sync.Mutex
 	unreachable  bool
@@ -97,8 +97,8 @@
 	return time.Since(begin)
 }
 
-// Rare worst case of a partition: it ends just after a call started, which still hangs until its timeout. The host must have
-// new data before it counts as connected again, 3 s after the end of the partition.
+// TestReadsResumeSoonAfterAPartition covers a rare worst case: the partition ends just after a call started, which still
+// hangs until its timeout. The host must have new data before it counts as connected again, 3 s after the end of the partition.
 func TestReadsResumeSoonAfterAPartition(t *testing.T) {
 	f := &fakeStore{}
 	l := startReader(t, f)
@@ -139,7 +139,7 @@
 	}
 }
 
-// The host can't reach the store, but the reader can again: changes must arrive through the reader, although one of the
+// If a host can't reach the store, but the reader can again, changes must arrive through the reader, although one of the
 // host's own store calls may still hang.
 func TestAFollowerThatIsCutOffHearsThroughTheReader(t *testing.T) {
 	f := &fakeStore{unreachable: true, peerUpdates: map[string]Updates{"big": {Age: 3 * time.Second}}}
--- a/internal/ctrl/watch/relay.go
+++ b/internal/ctrl/watch/relay.go
@@ -30,7 +30,7 @@
 	compactedTo int64 // The log is complete after this revision.
 }
 
-// recordChange appends an effective change to the log and drops the oldest one when the log is full.
+// recordChange appends a change that modified the state to the log and drops the oldest one when the log is full.
 func (s *State) recordChange(c *roster.Change) {
 	s.changes = append(s.changes, *c)
 	if len(s.changes) > maxLoggedChanges {
--- a/internal/edge/broker/asker.go
+++ b/internal/edge/broker/asker.go
@@ -21,10 +21,10 @@
 	LoanRequest(now time.Time) loans.Request
 }
 
-// LoanPoller periodically requests the loans of upstreams from the host that plans them: the first live one by name.
+// LoanPoller periodically requests the loans of upstreams from the planning host, which is the first live host by name.
 type LoanPoller struct {
 	Demand  DemandSource
-	Local   LoanPlanner // Used when this host is the one that plans.
+	Local   LoanPlanner // Used when this host is the planning host.
 	View    func() *roster.View
 	OnLoans func(l loans.Loans)          // Called with the received loans.
 	OnError func(host string, err error) // Called when a request failed.
@@ -96,7 +96,7 @@
 	clock func() time.Time
 }
 
-// NewUpdateFetcher returns a relay; connections are opened on demand.
+// NewUpdateFetcher returns a fetcher without connections, which are opened on demand.
 func NewUpdateFetcher(clock func() time.Time) *UpdateFetcher {
 	return &UpdateFetcher{peers: newPeerPool(clock), clock: clock}
 }
--- a/internal/edge/broker/peer.go
+++ b/internal/edge/broker/peer.go
@@ -17,7 +17,8 @@
 	dialTimeout = 300 * time.Millisecond
 	// silenceLimit is the time without an answer after which a host with pending calls is pinged.
 	silenceLimit = 150 * time.Millisecond
-	// pingTimeout bounds a ping. It is longer than a short pause of the other host's processor and shorter than a freeze.
+	// pingTimeout bounds a ping. It is longer than a brief scheduling pause of the other host, and shorter than the
+	// time for which a frozen host, which keeps its connections open, doesn't answer.
 	pingTimeout = 300 * time.Millisecond
 	// monitorInterval is the interval between checks for silent hosts.
 	monitorInterval = 50 * time.Millisecond
--- a/internal/edge/broker/server.go
+++ b/internal/edge/broker/server.go
@@ -15,12 +15,14 @@
 	"github.com/boragelane/boragelane/internal/flow/place"
 )
 
-// LoanPlanner records a region's demand and returns the loans of upstreams between regions.
+// LoanPlanner records a region's demand and returns the planned loans of upstreams between regions; it returns false if
+// the context or the planner ended first.
 type LoanPlanner interface {
 	RequestLoans(ctx context.Context, a loans.Request) (loans.Loans, bool)
 }
 
-// UpdateSource returns the changes that this host read from the store.
+// UpdateSource returns the changes after a revision that this host read from the store; it returns false if the context
+// or the source ended first.
 type UpdateSource interface {
 	Updates(ctx context.Context, after int64) (watch.Updates, bool)
 }
--- a/internal/edge/dialer/dialer.go
+++ b/internal/edge/dialer/dialer.go
@@ -59,7 +59,8 @@
 // CloseExpired closes pooled connections whose idle timeout has passed.
 func (s *Sender) CloseExpired(now time.Time) { s.pool.closeExpired(now) }
 
-// poolKey includes the upstream's incarnation, so that a connection to an earlier one is never reused.
+// poolKey returns the key of an upstream's pooled connections. It includes the upstream's incarnation, so that a
+// connection to an earlier one is never reused.
 func poolKey(u *roster.Upstream) string {
 	return u.ID + " " + u.Address + " " + strconv.FormatInt(u.Born, 36)
 }
--- a/internal/edge/egress/egress.go
+++ b/internal/edge/egress/egress.go
@@ -136,9 +136,10 @@
 	return req, nil
 }
 
-// classifyError records an error in the reply as a timeout, a broken connection or a crash. A crash is assumed if
-// the upstream no longer accepts connections, or if a new connection broke before the response began; established
-// is set if the connection was reused or a response had begun.
+// classifyError records an error in the reply as a timeout, a broken connection or a crash. A crash is assumed only if
+// the request was sent, and the upstream no longer accepts connections or a new connection broke before the response
+// began; reusedOrBegun is set if the connection was reused or a response had begun. After a timeout of a request that
+// was sent, it waits for cancelGrace.
 func (s *Sender) classifyError(ctx context.Context, r *pipe.Reply, err error, established bool, job *pipe.Job) {
 	r.Err = ErrConnection.Wrap(err, "upstream %s", job.Upstream.ID)
 	if ctx.Err() != nil || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
--- a/internal/edge/front/doc.go
+++ b/internal/edge/front/doc.go
@@ -1,2 +1,2 @@
-// Package front implements the HTTP interface for callers: host look-ups, tickets and requests.
+// Package front implements the HTTP interface for callers: host lookups, tickets and requests.
 package front
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -56,7 +56,7 @@
 	Host      Host
 	Clock     func() time.Time
 	OnRefused func(reason pipe.Reason) // Called for each request that is not answered, if set.
-	Lookups   atomic.Int64             // Number of look-ups.
+	Lookups   atomic.Int64             // Number of lookups.
 	inFlight  atomic.Int64
 }
 
--- a/internal/edge/peer/client.go
+++ b/internal/edge/peer/client.go
@@ -20,7 +20,7 @@
 
 // Timeouts of a client.
 const (
-	// DialTimeout bounds dialing a connection and its hello.
+	// DialTimeout bounds connecting to a host, including the protocol handshake.
 	DialTimeout = 500 * time.Millisecond
 	// CallTimeout bounds a control call.
 	CallTimeout = 700 * time.Millisecond
@@ -43,7 +43,7 @@
 
 // Client calls other hosts; it keeps one connection for control and one for traffic to each of them.
 type Client struct {
-	Seat  string
+	Seat  string // This host's seat.
 	Clock func() time.Time
 	Dial  func(ctx context.Context, network, addr string) (net.Conn, error)
 	// Control and Traffic count the bytes of each class of connection.
--- a/internal/edge/peer/wire.go
+++ b/internal/edge/peer/wire.go
@@ -53,6 +53,7 @@
 	return out
 }
 
+// wireSummary is the encoding of state.Summary.
 type wireSummary struct {
 	Domain  string              `json:"d"`
 	Version int64               `json:"v"`
@@ -78,6 +79,7 @@
 	return out
 }
 
+// wireHeartbeat is the encoding of state.Heartbeat.
 type wireHeartbeat struct {
 	Seat        string              `json:"seat"`
 	Incarnation string              `json:"inc"`
@@ -113,6 +115,7 @@
 	Leaving bool   `json:"leaving,omitempty"`
 }
 
+// wireHeartbeatReply is the encoding of state.HeartbeatReply.
 type wireHeartbeatReply struct {
 	Incarnation string           `json:"inc"`
 	Revision    uint64           `json:"rev"`
@@ -149,6 +152,7 @@
 	return r
 }
 
+// wireExchange is the encoding of state.Exchange.
 type wireExchange struct {
 	Domain      string        `json:"dom"`
 	Seat        string        `json:"seat"`
@@ -173,6 +177,7 @@
 	}
 }
 
+// wireExchangeReply is the encoding of state.ExchangeReply.
 type wireExchangeReply struct {
 	Incarnation string        `json:"inc"`
 	Revision    uint64        `json:"rev"`
@@ -180,6 +185,7 @@
 	News        []wireSummary `json:"news,omitempty"`
 }
 
+// wireNotice announces the revision that a host has, with the most recent changes up to it.
 type wireNotice struct {
 	Seat     string       `json:"seat"`
 	Revision uint64       `json:"rev"`
