--- a/internal/ctrl/lease/lease.go
+++ b/internal/ctrl/lease/lease.go
@@ -11,7 +11,7 @@
 // Registry stores host entries under leases.
 type Registry interface {
 	// Register writes a host's entry under a new lease and returns the lease.
-	Register(ctx context.Context, h roster.Host, life time.Duration) (int64, error)
+	Register(ctx context.Context, h roster.Host, ttl time.Duration) (int64, error)
 	// Renew renews a lease; it returns false if the lease has expired.
 	Renew(ctx context.Context, lease int64) (bool, error)
 	// Deregister removes a host's entry and ends its lease.
--- a/internal/ctrl/loop/loop.go
+++ b/internal/ctrl/loop/loop.go
@@ -12,7 +12,7 @@
 
 // Executor executes actions. Each call runs in its own goroutine and passes the resulting events to emit.
 type Executor interface {
-	Execute(ctx context.Context, act state.Action, feed func(state.Event))
+	Execute(ctx context.Context, act state.Action, emit func(state.Event))
 }
 
 // Subscriber is notified of each plan before the data path can read it.
@@ -138,7 +138,7 @@
 // exchanges from other hosts, whose number grows with the size of the system, can wait.
 func needsPublish(ev state.Event) bool {
 	switch ev.(type) {
-	case state.DocumentReceived, state.Notice, state.MembersReceived, state.HostUnreachable, state.ShutdownRequested, state.HeartbeatResult:
+	case state.DocumentReceived, state.NoticeReceived, state.MembersReceived, state.HostUnreachable, state.ShutdownRequested, state.HeartbeatResult:
 		return true
 	}
 	return false
@@ -163,12 +163,12 @@
 }
 
 func (l *Loop) apply(ctx context.Context, ev state.Event) {
-	feed := func(ev state.Event) { l.Send(ctx, ev) }
+	emit := func(ev state.Event) { l.Send(ctx, ev) }
 	for _, act := range state.Apply(l.state, ev, l.Clock()) {
 		l.actions.Add(1)
 		go func() {
 			defer l.actions.Done()
-			l.Executor.Execute(ctx, act, feed)
+			l.Executor.Execute(ctx, act, emit)
 		}()
 	}
 }
--- a/internal/ctrl/state/event.go
+++ b/internal/ctrl/state/event.go
@@ -55,8 +55,8 @@
 	}
 	// MembersReceived delivers the platform's list of this failure domain's upstreams.
 	MembersReceived struct{ Members []Member }
-	// Notice reports the revision of the document that another host has, with the most recent changes up to it.
-	Notice struct {
+	// NoticeReceived reports the revision of the document that another host has, with the most recent changes up to it.
+	NoticeReceived struct {
 		Seat     string
 		Revision uint64
 		Changes  []spec.Entry
@@ -79,7 +79,7 @@
 func (ExchangeResult) event()    {}
 func (LeaseResult) event()       {}
 func (MembersReceived) event()   {}
-func (Notice) event()            {}
+func (NoticeReceived) event()    {}
 func (FetchFailed) event()       {}
 func (HostUnreachable) event()   {}
 func (StatusRequested) event()   {}
--- a/internal/ctrl/state/fleet_test.go
+++ b/internal/ctrl/state/fleet_test.go
@@ -17,7 +17,7 @@
 	hosts            []*fakeHost
 	inFlight         []func()
 	leases           map[string]fakeLease // By failure domain.
-	claims           map[string]fakeLease // By failure domain; set when a host is refused its own domain's lease.
+	reclaims         map[string]fakeLease // By failure domain; set when a host is refused its own domain's lease.
 	leaseRequests    map[string]int       // The number of lease requests by host.
 	lastSession      int
 	releasedSessions map[int]bool
@@ -63,7 +63,7 @@
 }
 
 func newFleet(domains, seats int) *fleet {
-	f := &fleet{now: time.Unix(10_000, 0), doc: fakeDocument(domains, seats), leases: map[string]fakeLease{}, claims: map[string]fakeLease{}, releasedSessions: map[int]bool{}, leaseRequests: map[string]int{}}
+	f := &fleet{now: time.Unix(10_000, 0), doc: fakeDocument(domains, seats), leases: map[string]fakeLease{}, reclaims: map[string]fakeLease{}, releasedSessions: map[int]bool{}, leaseRequests: map[string]int{}}
 	f.faults = func() (bool, bool, bool) { return false, false, false }
 	for i := range domains {
 		f.members = append(f.members, Member{ID: fmt.Sprint("u", i), Service: "s", Domain: fmt.Sprint("d", i), Address: "a"})
@@ -125,7 +125,7 @@
 	case SendNotice:
 		for _, s := range a.To {
 			if to := f.host(s.Name); f.canReach(h, to) {
-				f.deliver(func() { f.apply(to, Notice{Seat: h.state.Self.Seat, Revision: a.Revision, Changes: a.Changes}) })
+				f.deliver(func() { f.apply(to, NoticeReceived{Seat: h.state.Self.Seat, Revision: a.Revision, Changes: a.Changes}) })
 			}
 		}
 	case RequestLease:
@@ -203,7 +203,7 @@
 	}
 	session, ownDomain := h.sessions[domain], domain == h.state.Self.Domain
 	f.deliver(func() {
-		if claim := f.claims[domain]; !ownDomain && f.now.Before(claim.until) {
+		if reclaim := f.reclaims[domain]; !ownDomain && f.now.Before(reclaim.until) {
 			f.deliver(func() { f.apply(h, LeaseResult{Domain: domain, RequestedAt: requestedAt}) })
 			return
 		}
@@ -213,7 +213,7 @@
 		case held:
 			f.leases[domain] = fakeLease{session: session, until: f.now.Add(fakeLeaseTTL)}
 		case ownDomain:
-			f.claims[domain] = fakeLease{session: session, until: f.now.Add(fakeLeaseTTL)}
+			f.reclaims[domain] = fakeLease{session: session, until: f.now.Add(fakeLeaseTTL)}
 		}
 		f.deliver(func() {
 			f.apply(h, LeaseResult{Domain: domain, RequestedAt: requestedAt, TTL: fakeLeaseTTL, Held: held})
@@ -294,7 +294,7 @@
 			if isPool(res) {
 				continue
 			}
-			inUse[res] += h.state.amount(res).At(f.now)
+			inUse[res] += h.state.quota(res).At(f.now)
 		}
 	}
 	limits := map[string]int64{resourceCapacity: 11, resourceLinkPrefix + "q": 1000}
--- a/internal/ctrl/state/fold.go
+++ b/internal/ctrl/state/fold.go
@@ -34,7 +34,7 @@
 		s.handleLeaseResult(e)
 	case MembersReceived:
 		s.setMembers(e.Members, now)
-	case Notice:
+	case NoticeReceived:
 		return s.handleNotice(e, now)
 	case FetchFailed:
 		s.fetchStartedAt = time.Time{}
--- a/internal/ctrl/state/limits.go
+++ b/internal/ctrl/state/limits.go
@@ -147,8 +147,8 @@
 	s.updateLedgerPools(now)
 }
 
-// amount returns this host's share of a limit: its floor and what is lent to it.
-func (s *State) amount(res string) share.Quota {
+// quota returns this host's quota of a limit: its floor and what is lent to it.
+func (s *State) quota(res string) share.Quota {
 	return share.Quota{Floor: s.Allocations[res].Units, Lent: s.Grant.Units[res], Until: s.Grant.ExpiresAt}
 }
 
--- a/internal/ctrl/state/limits_test.go
+++ b/internal/ctrl/state/limits_test.go
@@ -61,7 +61,7 @@
 // more than the limit.
 func TestAPausedLenderIsReplaced(t *testing.T) {
 	f := newFleet(1, 2)
-	inUse := func(h *fakeHost) int64 { return h.state.amount(resourceSlotPrefix + "u0").At(f.now) }
+	inUse := func(h *fakeHost) int64 { return h.state.quota(resourceSlotPrefix + "u0").At(f.now) }
 	run := func(d time.Duration) {
 		for end := f.now.Add(d); f.now.Before(end); {
 			f.step(TickPeriod)
@@ -91,7 +91,7 @@
 		f.checkLimits(t)
 	}
 	for _, h := range f.hosts {
-		assert.Equal(t, h.state.amount(resourceSlotPrefix+"u0").At(f.now), int64(1))
+		assert.Equal(t, h.state.quota(resourceSlotPrefix+"u0").At(f.now), int64(1))
 	}
 	p := Plan(f.hosts[0].state, f.now)
 	assert.Equal(t, len(p.Services["s"].Upstreams), 1)
@@ -100,7 +100,7 @@
 func (f *fleet) unitsInUse(res string) int64 {
 	var sum int64
 	for _, h := range f.hosts {
-		sum += h.state.amount(res).At(f.now)
+		sum += h.state.quota(res).At(f.now)
 	}
 	return sum
 }
--- a/internal/ctrl/state/news.go
+++ b/internal/ctrl/state/news.go
@@ -33,8 +33,8 @@
 
 // excludedSource returns the seat whose own summaries need not be sent back to it. It returns "" for a host that has
 // received no summaries from this one yet, since it may have restarted and lost its own.
-func excludedSource(seenSeq uint64, seat string) string {
-	if seenSeq == 0 {
+func excludedSource(ackedSeq uint64, seat string) string {
+	if ackedSeq == 0 {
 		return ""
 	}
 	return seat
@@ -42,7 +42,7 @@
 
 // mergeSummaries stores the summaries received from a host that are newer than the known ones, or that replace a stale
 // one.
-func (s *State) mergeSummaries(from string, summaries []Summary, now time.Time) {
+func (s *State) mergeSummaries(source string, summaries []Summary, now time.Time) {
 	for _, summary := range summaries {
 		old, ok := s.Summaries[summary.Domain]
 		if summary.Domain == s.Self.Domain && s.IsRelay {
@@ -58,7 +58,7 @@
 			summary, changedSeq = old.Summary, old.ChangedSeq
 			summary.Version = v
 		}
-		s.Summaries[summary.Domain] = SummaryRecord{Summary: summary, ReceivedAt: now, Seq: s.Seq, ChangedSeq: changedSeq, Source: from}
+		s.Summaries[summary.Domain] = SummaryRecord{Summary: summary, ReceivedAt: now, Seq: s.Seq, ChangedSeq: changedSeq, Source: source}
 	}
 }
 
--- a/internal/ctrl/state/notice.go
+++ b/internal/ctrl/state/notice.go
@@ -19,7 +19,7 @@
 }
 
 // handleNotice applies the changes of a notice, or fetches the document if they don't lead to its revision.
-func (s *State) handleNotice(n Notice, now time.Time) []Action {
+func (s *State) handleNotice(n NoticeReceived, now time.Time) []Action {
 	if n.Revision > s.Revision() && s.Doc != nil {
 		if doc, err := s.Doc.Replay(n.Changes); err == nil && doc.Revision == n.Revision {
 			return s.adoptDocument(doc, false, now)
--- a/internal/ctrl/state/plan.go
+++ b/internal/ctrl/state/plan.go
@@ -19,11 +19,11 @@
 	if s.Doc == nil {
 		return p
 	}
-	p.Capacity = s.amount(resourceCapacity)
+	p.Capacity = s.quota(resourceCapacity)
 	p.Links = s.links()
 	p.Services = s.services()
 	p.Shifts = s.shifts()
-	p.Domains = s.domainTargets(now)
+	p.Domains = s.planDomains(now)
 	p.SetSites()
 	p.Lookup = s.lookup(p)
 	return p
@@ -33,7 +33,7 @@
 	out := map[string]share.Quota{}
 	for _, l := range s.Doc.Links {
 		if l.From == s.Self.Region {
-			out[l.To] = s.amount(resourceLinkPrefix + l.To)
+			out[l.To] = s.quota(resourceLinkPrefix + l.To)
 		}
 	}
 	return out
@@ -51,29 +51,29 @@
 			continue
 		}
 		svc.Upstreams = append(svc.Upstreams, plan.Upstream{
-			ID: m.ID, Address: m.Address, Slots: s.amount(resourceSlotPrefix + m.ID), Conns: s.connectionLimit(m.ID, svc.Service),
+			ID: m.ID, Address: m.Address, Slots: s.quota(resourceSlotPrefix + m.ID), Conns: s.connectionLimit(m.ID, svc.Service),
 		})
 	}
 	return out
 }
 
-// domainTargets lists this host, the other hosts of its failure domain, and the other failure domains.
-func (s *State) domainTargets(now time.Time) []plan.Domain {
+// planDomains lists this host, the other hosts of its failure domain, and the other failure domains.
+func (s *State) planDomains(now time.Time) []plan.Domain {
 	out := make([]plan.Domain, 0, s.domainCount()+1)
 	for _, r := range s.Doc.Regions {
 		drained := s.Doc.Drained(spec.DrainRegion, r.Name)
 		for _, d := range r.Domains {
-			t := plan.Domain{
+			domain := plan.Domain{
 				Name: d.Name, Region: r.Name, Delay: s.index.linkDelays[r.Name],
 				Drained: drained || s.Doc.Drained(spec.DrainDomain, d.Name),
 			}
 			if r.Name == s.Self.Region {
-				t.Delay = assumedDomainDelay
+				domain.Delay = assumedDomainDelay
 			}
 			if d.Name == s.Self.Domain {
-				out = append(out, s.selfTarget(t))
+				out = append(out, s.localDomain(domain))
 			}
-			out = append(out, s.otherTarget(t, d, now))
+			out = append(out, s.remoteDomain(domain, d, now))
 		}
 	}
 	return out
@@ -82,24 +82,24 @@
 // assumedDomainDelay is the assumed one-way network delay between failure domains of a region.
 const assumedDomainDelay = 1500 * time.Microsecond
 
-func (s *State) selfTarget(t plan.Domain) plan.Domain {
-	t.Self, t.Delay = true, 0
-	t.Hosts = []spec.Seat{{Name: s.Self.Seat}}
-	t.Loads = s.Loads
-	return t
+func (s *State) localDomain(domain plan.Domain) plan.Domain {
+	domain.Self, domain.Delay = true, 0
+	domain.Hosts = []spec.Seat{{Name: s.Self.Seat}}
+	domain.Loads = s.Loads
+	return domain
 }
 
-func (s *State) otherTarget(t plan.Domain, d spec.Domain, now time.Time) plan.Domain {
+func (s *State) remoteDomain(domain plan.Domain, d spec.Domain, now time.Time) plan.Domain {
 	record, ok := s.Summaries[d.Name]
 	if !ok || now.Sub(record.ReceivedAt) > s.summaryTimeout() {
-		return t
+		return domain
 	}
-	t.Hosts = s.usableHosts(d, record.Unavailable, now)
-	t.Loads = record.Loads
+	domain.Hosts = s.usableHosts(d, record.Unavailable, now)
+	domain.Loads = record.Loads
 	if d.Name == s.Self.Domain {
-		t.Loads = subtractLoads(record.Loads, s.Loads)
+		domain.Loads = subtractLoads(record.Loads, s.Loads)
 	}
-	return t
+	return domain
 }
 
 // unreachableDomainThreshold is the number of unreachable hosts at which a whole failure domain is avoided, since it has
--- a/internal/ctrl/state/shift.go
+++ b/internal/ctrl/state/shift.go
@@ -55,12 +55,12 @@
 	switch {
 	case utilization >= shiftReverseUtilization:
 		progress.Paused = true
-		progress.Done = max(0, progress.Done-shiftReverseFactor*delta)
+		progress.Fraction = max(0, progress.Fraction-shiftReverseFactor*delta)
 	case utilization >= shiftPauseUtilization || slow:
 		progress.Paused = true
 	default:
 		progress.Paused = false
-		progress.Done = min(1, progress.Done+delta)
+		progress.Fraction = min(1, progress.Fraction+delta)
 	}
 	return progress
 }
@@ -86,18 +86,18 @@
 	var out []plan.Shift
 	for _, sh := range s.Doc.Shifts {
 		p, ok := s.Shifts[sh.Name]
-		if !ok || p.Done <= 0 {
+		if !ok || p.Fraction <= 0 {
 			continue
 		}
 		out = append(out, plan.Shift{
-			Name: sh.Name, Service: sh.Service, To: sh.To, Fraction: sh.Part * p.Done,
-			Rate: sh.Cap / float64(max(1, s.regionSeats(sh.From))),
+			Name: sh.Name, Service: sh.Service, To: sh.To, Fraction: sh.Part * p.Fraction,
+			Rate: sh.Cap / float64(max(1, s.countRegionSeats(sh.From))),
 		})
 	}
 	return out
 }
 
-func (s *State) regionSeats(region string) int {
+func (s *State) countRegionSeats(region string) int {
 	n := 0
 	for _, r := range s.Doc.Regions {
 		if r.Name != region {
--- a/internal/ctrl/state/shift_test.go
+++ b/internal/ctrl/state/shift_test.go
@@ -22,13 +22,13 @@
 		}
 	}
 	run(good, 5)
-	assert.Assert(t, p.Done > 0.49 && p.Done < 0.51 && !p.Paused, "%+v", p)
+	assert.Assert(t, p.Fraction > 0.49 && p.Fraction < 0.51 && !p.Paused, "%+v", p)
 	run(plan.Load{Slots: 10, Busy: 2, Latency: 30 * time.Millisecond}, 5) // As with a cold cache.
-	assert.Assert(t, p.Done > 0.49 && p.Done < 0.51 && p.Paused, "%+v", p)
+	assert.Assert(t, p.Fraction > 0.49 && p.Fraction < 0.51 && p.Paused, "%+v", p)
 	run(plan.Load{Slots: 10, Busy: 10, Queued: 5, Latency: 10 * time.Millisecond}, 1)
-	assert.Assert(t, p.Done < 0.35 && p.Paused, "%+v", p)
+	assert.Assert(t, p.Fraction < 0.35 && p.Paused, "%+v", p)
 	run(plan.Load{}, 5) // No load of the target is known.
-	assert.Equal(t, p.Done, 0.0)
+	assert.Equal(t, p.Fraction, 0.0)
 	run(good, 20)
-	assert.Assert(t, p.Done == 1 && !p.Paused, "%+v", p)
+	assert.Assert(t, p.Fraction == 1 && !p.Paused, "%+v", p)
 }
--- a/internal/ctrl/state/state.go
+++ b/internal/ctrl/state/state.go
@@ -144,7 +144,7 @@
 
 // Progress is the progress of a shift along its ramp.
 type Progress struct {
-	Done        float64 // The fraction of the ramp that is done, from 0 to 1.
+	Fraction    float64 // The fraction of the ramp that is done, from 0 to 1.
 	UpdatedAt   time.Time
 	BaseLatency time.Duration // The target's latency when the shift began.
 	Paused      bool
--- a/internal/ctrl/state/status.go
+++ b/internal/ctrl/state/status.go
@@ -67,7 +67,7 @@
 		if isPool(res) {
 			continue
 		}
-		a := s.amount(res)
+		a := s.quota(res)
 		status.Shares = append(status.Shares, ShareStatus{Resource: res, Amount: a, Lent: a.At(now) - a.Floor})
 	}
 	for name, p := range s.Shifts {
--- a/internal/ctrl/state/takeover.go
+++ b/internal/ctrl/state/takeover.go
@@ -153,15 +153,15 @@
 const siblingPoolsPrefix = "spare/"
 
 // resource returns the name of the resource to which an allocation belongs.
-func resource(part string) string {
-	if res, ok := strings.CutPrefix(part, poolPrefix); ok {
+func resource(allocation string) string {
+	if res, ok := strings.CutPrefix(allocation, poolPrefix); ok {
 		return res
 	}
-	if rest, ok := strings.CutPrefix(part, siblingPoolsPrefix); ok {
+	if rest, ok := strings.CutPrefix(allocation, siblingPoolsPrefix); ok {
 		_, res, _ := strings.Cut(rest, "/")
 		return res
 	}
-	return part
+	return allocation
 }
 
 // siblingPoolPrefix returns the name prefix of another failure domain's pools, which are lent only during a takeover.
--- a/internal/ctrl/state/takeover_test.go
+++ b/internal/ctrl/state/takeover_test.go
@@ -13,7 +13,7 @@
 		var sum int64
 		for _, h := range f.hosts {
 			if h.state.Self.Domain == domain && !h.isolated {
-				sum += h.state.amount(res).At(f.now)
+				sum += h.state.quota(res).At(f.now)
 			}
 		}
 		return sum
@@ -53,11 +53,11 @@
 	run(30*time.Second, false)
 	f.hosts[1].isolated = true
 	run(40*time.Second, true)
-	assert.Equal(t, f.hosts[0].state.amount(resourceLinkPrefix+"q").At(f.now), int64(800))
+	assert.Equal(t, f.hosts[0].state.quota(resourceLinkPrefix+"q").At(f.now), int64(800))
 	f.hosts[1].isolated = false // It can reach the platform again, but not the other failure domain.
 	run(40*time.Second, true)
-	assert.Equal(t, f.hosts[0].state.amount(resourceLinkPrefix+"q").At(f.now), int64(500))
-	assert.Equal(t, f.hosts[1].state.amount(resourceLinkPrefix+"q").At(f.now), int64(500))
+	assert.Equal(t, f.hosts[0].state.quota(resourceLinkPrefix+"q").At(f.now), int64(500))
+	assert.Equal(t, f.hosts[1].state.quota(resourceLinkPrefix+"q").At(f.now), int64(500))
 }
 
 func TestALoanEndsWithinTheShortestLease(t *testing.T) {
--- a/internal/ctrl/watch/fold.go
+++ b/internal/ctrl/watch/fold.go
@@ -73,10 +73,10 @@
 		b.Changes = append(b.Changes, s.removals(b)...)
 	}
 	for i := range b.Changes {
-		if n := s.applyChange(&b.Changes[i], now); n.Message != "" {
+		if change := s.applyChange(&b.Changes[i], now); change.Message != "" {
 			s.recordChange(&b.Changes[i])
-			n.Name, n.Revision, n.Err = b.Changes[i].Name, b.Changes[i].Revision, b.Changes[i].Err
-			stateChanges = append(stateChanges, n)
+			change.Name, change.Revision, change.Err = b.Changes[i].Name, b.Changes[i].Revision, b.Changes[i].Err
+			stateChanges = append(stateChanges, change)
 		}
 	}
 	return stateChanges
@@ -210,8 +210,8 @@
 }
 
 // isOlder reports whether report u was sent before other; both are of the same upstream.
-func isOlder(u, than *roster.Upstream) bool {
-	return u.Born < than.Born || u.Born == than.Born && u.Seq < than.Seq
+func isOlder(u, other *roster.Upstream) bool {
+	return u.Born < other.Born || u.Born == other.Born && u.Seq < other.Seq
 }
 
 // trackDraining records a tombstone for a draining incarnation, and marks a delayed report of that incarnation as
@@ -265,9 +265,9 @@
 		delete(s.graceUntil, key)
 		for _, k := range []roster.Kind{roster.UpstreamKind, roster.HostKind} {
 			if name, ok := cutKindPrefix(key, k); ok {
-				n := s.deleteEntry(k, name, now)
-				n.Name = name
-				stateChanges = append(stateChanges, n)
+				change := s.deleteEntry(k, name, now)
+				change.Name = name
+				stateChanges = append(stateChanges, change)
 			}
 		}
 	}
--- a/internal/ctrl/watch/fold_test.go
+++ b/internal/ctrl/watch/fold_test.go
@@ -175,9 +175,9 @@
 			c.Revision = revision
 			Apply(reader, StoreRead{Batch: roster.Batch{Changes: []roster.Change{c}, Revision: revision}}, now)
 			if rapid.Bool().Draw(t, "ask") || i == 0 {
-				n := reader.updatesSince(after, now)
-				after = n.Batch.Revision
-				Apply(follower, StoreRead{Batch: n.Batch}, now)
+				updates := reader.updatesSince(after, now)
+				after = updates.Batch.Revision
+				Apply(follower, StoreRead{Batch: updates.Batch}, now)
 			}
 		}
 		now := at(time.Minute)
@@ -205,24 +205,24 @@
 // period. Both must end with the entries that were restored.
 func TestAFollowerHearsWhatBecameOfEntriesThatLapsed(t *testing.T) {
 	reader, follower := newState(), newState()
-	whole := func(now time.Time, revision int64, changes ...roster.Change) {
+	fullRead := func(now time.Time, revision int64, changes ...roster.Change) {
 		Apply(reader, StoreRead{Batch: roster.Batch{Snapshot: true, Revision: revision, Changes: changes}}, now)
 	}
-	ask := func(now time.Time, after int64) int64 {
+	poll := func(now time.Time, after int64) int64 {
 		n := reader.updatesSince(after, now)
 		Apply(follower, StoreRead{Batch: n.Batch}, now)
 		return n.Batch.Revision
 	}
-	whole(at(0), 1, upstreamChange("u", 1, 1), upstreamChange("v", 1, 1))
-	ask(at(0), 0)
+	fullRead(at(0), 1, upstreamChange("u", 1, 1), upstreamChange("v", 1, 1))
+	poll(at(0), 0)
 	Apply(reader, StoreFailed{Err: errors.New("timeout")}, at(time.Second))
 	Apply(follower, StoreFailed{Err: errors.New("timeout")}, at(time.Second))
-	whole(at(10*time.Second), 5)
-	after := ask(at(10100*time.Millisecond), 1)
+	fullRead(at(10*time.Second), 5)
+	after := poll(at(10100*time.Millisecond), 1)
 	back := upstreamChange("v", 1, 9)
 	back.Revision = 6
 	Apply(reader, StoreRead{Batch: roster.Batch{Revision: 6, Changes: []roster.Change{back}}}, at(11*time.Second))
-	ask(at(11100*time.Millisecond), after)
+	poll(at(11100*time.Millisecond), after)
 	for _, s := range []*State{reader, follower} {
 		Apply(s, Tick{}, at(14*time.Second))
 	}
--- a/internal/ctrl/watch/loop.go
+++ b/internal/ctrl/watch/loop.go
@@ -16,7 +16,7 @@
 
 // Observer is told of each change of the state, for logs and metrics.
 type Observer interface {
-	StateChanged(now time.Time, n StateChange)
+	StateChanged(now time.Time, c StateChange)
 }
 
 const (
@@ -80,8 +80,8 @@
 func (l *Loop) apply(ev Event) {
 	now := l.Clock()
 	stateChanges := Apply(l.state, ev, now)
-	for _, n := range stateChanges {
-		l.Observer.StateChanged(now, n)
+	for _, c := range stateChanges {
+		l.Observer.StateChanged(now, c)
 	}
 	if len(stateChanges) == 0 && !affectsView(ev) {
 		return
@@ -103,9 +103,9 @@
 }
 
 // RequestLoans submits a region's demand and returns the planned loans; it returns false if the context or the loop ended first.
-func (l *Loop) RequestLoans(ctx context.Context, a loans.Request) (loans.Loans, bool) {
+func (l *Loop) RequestLoans(ctx context.Context, req loans.Request) (loans.Loans, bool) {
 	reply := make(chan loans.Loans, 1)
-	if !l.Send(ctx, LoanRequest{Request: a, Reply: reply}) {
+	if !l.Send(ctx, LoanRequest{Request: req, Reply: reply}) {
 		return nil, false
 	}
 	select {
@@ -124,8 +124,8 @@
 		return Updates{}, false
 	}
 	select {
-	case n := <-reply:
-		return n, true
+	case updates := <-reply:
+		return updates, true
 	case <-ctx.Done():
 	case <-l.Done:
 	}
--- a/internal/ctrl/watch/reader.go
+++ b/internal/ctrl/watch/reader.go
@@ -99,13 +99,13 @@
 		if r.Clock().Before(r.skipUntil[h.Name]) {
 			continue
 		}
-		n, err := r.Peers.Updates(ctx, h, r.revision)
+		updates, err := r.Peers.Updates(ctx, h, r.revision)
 		if err != nil {
 			r.skipUntil[h.Name] = r.Clock().Add(peerSkipPeriod)
 			continue
 		}
-		if n.Age <= maxUpdateAge {
-			r.forward(ctx, n)
+		if updates.Age <= maxUpdateAge {
+			r.forward(ctx, updates)
 			return true
 		}
 	}
@@ -117,13 +117,13 @@
 const readerRole = "reader"
 
 // forward passes a peer's changes to the loop, unless this host has already read a later revision.
-func (r *Reader) forward(ctx context.Context, n Updates) {
-	if n.Batch.Revision < r.revision {
+func (r *Reader) forward(ctx context.Context, updates Updates) {
+	if updates.Batch.Revision < r.revision {
 		return
 	}
-	n.Batch.Age = n.Age
-	r.revision = n.Batch.Revision
-	r.Loop.Send(ctx, StoreRead{Batch: n.Batch})
+	updates.Batch.Age = updates.Age
+	r.revision = updates.Batch.Revision
+	r.Loop.Send(ctx, StoreRead{Batch: updates.Batch})
 }
 
 // readStore reads the store once and schedules the next read; failed reads back off with jitter.
--- a/internal/ctrl/watch/reader_test.go
+++ b/internal/ctrl/watch/reader_test.go
@@ -60,12 +60,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.peerRequests[from.Name]++
-	n, ok := f.peerUpdates[from.Name]
+	updates, ok := f.peerUpdates[from.Name]
 	if !ok {
 		return Updates{}, errors.New("no answer")
 	}
-	n.Batch.Revision = f.revision
-	return n, nil
+	updates.Batch.Revision = f.revision
+	return updates, nil
 }
 
 type noopObserver struct{}
--- a/internal/ctrl/watch/relay.go
+++ b/internal/ctrl/watch/relay.go
@@ -41,18 +41,18 @@
 
 // updatesSince returns the changes after a revision, or a snapshot if the log doesn't reach back that far.
 func (s *State) updatesSince(after int64, now time.Time) Updates {
-	n := Updates{Batch: roster.Batch{Revision: s.revision}, Age: now.Sub(s.lastSync)}
+	updates := Updates{Batch: roster.Batch{Revision: s.revision}, Age: now.Sub(s.lastSync)}
 	if after == 0 || after < s.compactedTo {
-		n.Batch.Snapshot = true
-		n.Batch.Changes = s.snapshot()
-		return n
+		updates.Batch.Snapshot = true
+		updates.Batch.Changes = s.snapshot()
+		return updates
 	}
 	for i := range s.changes {
 		if s.changes[i].Revision > after {
-			n.Batch.Changes = append(n.Batch.Changes, s.changes[i])
+			updates.Batch.Changes = append(updates.Batch.Changes, s.changes[i])
 		}
 	}
-	return n
+	return updates
 }
 
 // snapshot returns the whole state as changes. Entries in their grace period are left out: the follower sees them as
@@ -69,7 +69,7 @@
 		out = append(out, roster.Change{Kind: roster.UpstreamKind, Name: id, Upstream: u})
 	}
 	for name, h := range s.hosts {
-		if _, lapsed := s.graceUntil[roster.HostKind.String()+name]; lapsed {
+		if _, inGrace := s.graceUntil[roster.HostKind.String()+name]; inGrace {
 			continue
 		}
 		out = append(out, roster.Change{Kind: roster.HostKind, Name: name, Host: h})
--- a/internal/ctrl/watch/shares.go
+++ b/internal/ctrl/watch/shares.go
@@ -47,15 +47,15 @@
 }
 
 // answerLoanRequest records a region's demand and returns the loans, which it plans anew after minPlanInterval.
-func (s *State) answerLoanRequest(a loans.Request, now time.Time) loans.Loans {
-	for service, slots := range a.Demand {
-		s.demands[[2]string{a.Region, service}] = regionDemand{slots: slots, unavailable: a.Unavailable, receivedAt: now}
+func (s *State) answerLoanRequest(req loans.Request, now time.Time) loans.Loans {
+	for service, slots := range req.Demand {
+		s.demands[[2]string{req.Region, service}] = regionDemand{slots: slots, unavailable: req.Unavailable, receivedAt: now}
 	}
 	if now.Sub(s.computedAt) < minPlanInterval {
 		return s.computed
 	}
 	if now.Sub(s.computedAt) > loansTTL {
-		s.computed = a.Loans // No recent plan on this host: continue from the loans that the requester uses.
+		s.computed = req.Loans // No recent plan on this host: continue from the loans that the requester uses.
 	}
 	s.computed, s.computedAt = loans.Plan(s.planInput(now)), now
 	return s.computed
--- a/internal/edge/admin/wire.go
+++ b/internal/edge/admin/wire.go
@@ -61,18 +61,18 @@
 // fieldParser parses text fields and keeps the first error.
 type fieldParser struct{ err error }
 
-func (r *fieldParser) duration(field, s string) spec.Duration {
+func (p *fieldParser) duration(field, s string) spec.Duration {
 	d, err := time.ParseDuration(s)
-	if err != nil && r.err == nil {
-		r.err = fmt.Errorf("%s: %q is not allowed; allowed: a time such as 1.5s", field, s)
+	if err != nil && p.err == nil {
+		p.err = fmt.Errorf("%s: %q is not allowed; allowed: a time such as 1.5s", field, s)
 	}
 	return spec.Duration(d)
 }
 
-func (r *fieldParser) time(field, s string) time.Time {
+func (p *fieldParser) time(field, s string) time.Time {
 	t, err := time.Parse(time.RFC3339, s)
-	if err != nil && r.err == nil {
-		r.err = fmt.Errorf("%s: %q is not allowed; allowed: a time such as 2026-01-02T15:04:05Z", field, s)
+	if err != nil && p.err == nil {
+		p.err = fmt.Errorf("%s: %q is not allowed; allowed: a time such as 2026-01-02T15:04:05Z", field, s)
 	}
 	return t
 }
@@ -122,7 +122,7 @@
 		Shifts: []*gen.ShiftStatus{},
 	}
 	for name, p := range st.Shifts {
-		out.Shifts = append(out.Shifts, &gen.ShiftStatus{Name: name, Done: p.Done, Paused: p.Paused})
+		out.Shifts = append(out.Shifts, &gen.ShiftStatus{Name: name, Done: p.Fraction, Paused: p.Paused})
 	}
 	return out
 }
--- a/internal/edge/broker/asker.go
+++ b/internal/edge/broker/asker.go
@@ -16,29 +16,29 @@
 	loanRequestTimeout = 700 * time.Millisecond
 )
 
-// DemandSource returns the loan request of this host.
-type DemandSource interface {
+// LoanRequester builds this host's request for loans.
+type LoanRequester interface {
 	LoanRequest(now time.Time) loans.Request
 }
 
 // LoanPoller periodically requests the loans of upstreams from the planning host, which is the first live host by name.
 type LoanPoller struct {
-	Demand  DemandSource
-	Local   LoanPlanner // Used when this host is the planning host.
-	View    func() *roster.View
-	OnLoans func(l loans.Loans)          // Called with the received loans.
-	OnError func(host string, err error) // Called when a request failed.
-	Clock   func() time.Time
-	Done    chan struct{}
+	Requester LoanRequester
+	Local     LoanPlanner // Used when this host is the planning host.
+	View      func() *roster.View
+	OnLoans   func(l loans.Loans)          // Called with the received loans.
+	OnError   func(host string, err error) // Called when a request failed.
+	Clock     func() time.Time
+	Done      chan struct{}
 
 	peers *peerPool
 }
 
 // Run requests loans until the context ends.
-func (a *LoanPoller) Run(ctx context.Context) {
-	defer close(a.Done)
-	a.peers = newPeerPool(a.Clock)
-	defer a.peers.close()
+func (l *LoanPoller) Run(ctx context.Context) {
+	defer close(l.Done)
+	l.peers = newPeerPool(l.Clock)
+	defer l.peers.close()
 	t := time.NewTicker(loanPollInterval)
 	defer t.Stop()
 	for {
@@ -47,16 +47,16 @@
 			return
 		case <-t.C:
 		}
-		for _, h := range a.View().Hosts {
-			if a.peers.skipped(h) {
+		for _, h := range l.View().Hosts {
+			if l.peers.skipped(h) {
 				continue
 			}
-			loans, err := a.requestLoans(ctx, h)
+			loans, err := l.requestLoans(ctx, h)
 			if err != nil {
-				a.OnError(h.Name, err)
-				a.peers.markFailed(h)
+				l.OnError(h.Name, err)
+				l.peers.markFailed(h)
 			} else {
-				a.OnLoans(loans)
+				l.OnLoans(loans)
 			}
 			break
 		}
@@ -64,23 +64,23 @@
 }
 
 // requestLoans requests loans from a host, or from this host's own planner.
-func (a *LoanPoller) requestLoans(ctx context.Context, h roster.Host) (loans.Loans, error) {
+func (l *LoanPoller) requestLoans(ctx context.Context, h roster.Host) (loans.Loans, error) {
 	ctx, cancel := context.WithTimeout(ctx, loanRequestTimeout)
 	defer cancel()
-	req := a.Demand.LoanRequest(a.Clock())
-	if h.Name == a.View().Self.Name {
-		loans, ok := a.Local.RequestLoans(ctx, req)
+	req := l.Requester.LoanRequest(l.Clock())
+	if h.Name == l.View().Self.Name {
+		loans, ok := l.Local.RequestLoans(ctx, req)
 		if !ok {
 			return nil, ErrCall.New("this host is stopping")
 		}
 		return loans, nil
 	}
-	p, err := a.peers.get(ctx, h)
+	p, err := l.peers.get(ctx, h)
 	if err != nil {
 		return nil, err
 	}
 	var loans loans.Loans
-	if err := p.call(ctx, a.Clock, methodLoans, req, &loans); err != nil {
+	if err := p.call(ctx, l.Clock, methodLoans, req, &loans); err != nil {
 		return nil, ErrCall.Wrap(err, "requesting loans from host %s", h.Name)
 	}
 	return loans, nil
@@ -102,18 +102,18 @@
 }
 
 // Close closes all connections.
-func (r *UpdateFetcher) Close() { r.peers.close() }
+func (f *UpdateFetcher) Close() { f.peers.close() }
 
 // Updates fetches the store changes after a revision from a host.
-func (r *UpdateFetcher) Updates(ctx context.Context, from roster.Host, after int64) (watch.Updates, error) {
+func (f *UpdateFetcher) Updates(ctx context.Context, from roster.Host, after int64) (watch.Updates, error) {
 	ctx, cancel := context.WithTimeout(ctx, updatesTimeout)
 	defer cancel()
-	p, err := r.peers.get(ctx, from)
+	p, err := f.peers.get(ctx, from)
 	if err != nil {
 		return watch.Updates{}, err
 	}
 	var w wireUpdates
-	if err := p.call(ctx, r.clock, methodUpdates, wireUpdatesRequest{After: after}, &w); err != nil {
+	if err := p.call(ctx, f.clock, methodUpdates, wireUpdatesRequest{After: after}, &w); err != nil {
 		_ = p.conn.Close()
 		return watch.Updates{}, ErrCall.Wrap(err, "requesting store changes from host %s", from.Name)
 	}
--- a/internal/edge/broker/broker_test.go
+++ b/internal/edge/broker/broker_test.go
@@ -19,9 +19,9 @@
 // fakeControl is a LoanPlanner and an UpdateSource with fixed answers.
 type fakeControl struct{ loanRequests atomic.Int64 }
 
-func (c *fakeControl) RequestLoans(_ context.Context, a loans.Request) (loans.Loans, bool) {
+func (c *fakeControl) RequestLoans(_ context.Context, req loans.Request) (loans.Loans, bool) {
 	c.loanRequests.Add(1)
-	return loans.Loans{"u1": a.Region}, true
+	return loans.Loans{"u1": req.Region}, true
 }
 
 func (c *fakeControl) Updates(_ context.Context, after int64) (watch.Updates, bool) {
@@ -32,7 +32,7 @@
 // hostPair is a host that places jobs and a host that acquires upstreams through it.
 type hostPair struct {
 	view       *roster.View
-	tables     [2]*place.Scheduler
+	schedulers [2]*place.Scheduler
 	placer     *Placer
 	ln         net.Listener
 	stopServer context.CancelFunc
@@ -52,16 +52,16 @@
 	for i, self := range []roster.Host{first, second} {
 		own := v
 		own.Self = self
-		p.tables[i] = place.NewScheduler()
-		p.tables[i].Update(time.Now(), &own)
+		p.schedulers[i] = place.NewScheduler()
+		p.schedulers[i].Update(time.Now(), &own)
 		p.view = &own
 	}
 	ctx, stopServer := context.WithCancel(context.Background())
 	p.stopServer = stopServer
 	c := &fakeControl{}
-	s := &Server{Planner: c, Updates: c, Admit: p.tables[0], Table: p.tables[0], Clock: time.Now, Done: make(chan struct{})}
+	s := &Server{Planner: c, Updates: c, Admit: p.schedulers[0], Scheduler: p.schedulers[0], Clock: time.Now, Done: make(chan struct{})}
 	go s.Serve(ctx, ln)
-	p.placer = NewPlacer(p.tables[1], func() *roster.View { return p.view }, time.Now, func(string, error) {})
+	p.placer = NewPlacer(p.schedulers[1], func() *roster.View { return p.view }, time.Now, func(string, error) {})
 	t.Cleanup(func() { stopServer(); p.placer.Close() })
 	return p
 }
@@ -164,18 +164,18 @@
 
 func TestHostsExchangeStoreChangesAndLoans(t *testing.T) {
 	p := newHostPair(t)
-	r := NewUpdateFetcher(time.Now)
-	defer r.Close()
-	n, err := r.Updates(context.Background(), p.view.Hosts[0], 41)
+	fetcher := NewUpdateFetcher(time.Now)
+	defer fetcher.Close()
+	updates, err := fetcher.Updates(context.Background(), p.view.Hosts[0], 41)
 	assert.NilError(t, err)
-	assert.Equal(t, n.Batch.Revision, int64(42))
-	cold := n.Batch.Changes[0].Upstream.Cold
+	assert.Equal(t, updates.Batch.Revision, int64(42))
+	cold := updates.Batch.Changes[0].Upstream.Cold
 	assert.Assert(t, cold > 3*time.Second && cold <= 4*time.Second, "%s of 5 s are left after 1 s", cold)
 
 	given := make(chan loans.Loans, 1)
 	ctx, cancel := context.WithCancel(context.Background())
-	a := &LoanPoller{
-		Demand: p.tables[1], Local: &fakeControl{}, View: func() *roster.View { return p.view }, Clock: time.Now, Done: make(chan struct{}),
+	poller := &LoanPoller{
+		Requester: p.schedulers[1], Local: &fakeControl{}, View: func() *roster.View { return p.view }, Clock: time.Now, Done: make(chan struct{}),
 		OnLoans: func(l loans.Loans) {
 			select {
 			case given <- l:
@@ -183,8 +183,8 @@
 			}
 		}, OnError: func(string, error) {},
 	}
-	go a.Run(ctx)
+	go poller.Run(ctx)
 	assert.DeepEqual(t, <-given, loans.Loans{"u1": "east"})
 	cancel()
-	<-a.Done
+	<-poller.Done
 }
--- a/internal/edge/broker/placer.go
+++ b/internal/edge/broker/placer.go
@@ -13,8 +13,8 @@
 // Placer places this host's jobs: with its own scheduler if this host places jobs for its region, otherwise through the
 // host that does, and in isolated mode if no such host can be reached.
 type Placer struct {
-	Table         *place.Scheduler
-	Admit         Admitter // Acquires from Table.
+	Scheduler     *place.Scheduler
+	Admit         Admitter // Acquires from Scheduler.
 	View          func() *roster.View
 	Clock         func() time.Time
 	OnUnreachable func(host string, err error) // Called for a host that could not be reached.
@@ -26,8 +26,8 @@
 }
 
 // NewPlacer returns a placer; connections are opened on demand.
-func NewPlacer(table *place.Scheduler, view func() *roster.View, clock func() time.Time, onUnreachable func(host string, err error)) *Placer {
-	return &Placer{Table: table, Admit: table, View: view, Clock: clock, OnUnreachable: onUnreachable, peers: newPeerPool(clock), remote: map[*place.Grant]*peer{}}
+func NewPlacer(scheduler *place.Scheduler, view func() *roster.View, clock func() time.Time, onUnreachable func(host string, err error)) *Placer {
+	return &Placer{Scheduler: scheduler, Admit: scheduler, View: view, Clock: clock, OnUnreachable: onUnreachable, peers: newPeerPool(clock), remote: map[*place.Grant]*peer{}}
 }
 
 // Close closes the connections to other hosts.
@@ -71,19 +71,19 @@
 		return nil, err
 	}
 	for {
-		w, err := p.requestGrant(ctx, to, newWireAcquire(&req, p.lastCall.Add(1), now))
-		if err != nil || w == nil {
+		grant, err := p.requestGrant(ctx, to, newWireAcquire(&req, p.lastCall.Add(1), now))
+		if err != nil || grant == nil {
 			return nil, err
 		}
-		g := &place.Grant{ID: w.Number, Upstream: findUpstream(p.View(), req.Service, w)}
+		g := &place.Grant{ID: grant.Number, Upstream: findUpstream(p.View(), req.Service, grant)}
 		if g.Upstream != nil {
 			p.mu.Lock()
 			p.remote[g] = to
 			p.mu.Unlock()
 			return g, nil
 		}
-		_ = to.conn.Notify(ctx, methodRelease, wireRelease{Number: w.Number, Quiet: true})
-		req.Tried = append(req.Tried, w.Upstream)
+		_ = to.conn.Notify(ctx, methodRelease, wireRelease{Number: grant.Number, Quiet: true})
+		req.Tried = append(req.Tried, grant.Upstream)
 		now = p.Clock()
 	}
 }
@@ -97,25 +97,25 @@
 // requestGrant makes one call for a grant. If the context ends first, the call is canceled on the other host; a grant
 // that arrives after that is released.
 func (p *Placer) requestGrant(ctx context.Context, to *peer, w wireAcquire) (*wireGrant, error) {
-	answer := make(chan grantReply, 1)
+	replies := make(chan grantReply, 1)
 	callCtx := context.WithoutCancel(ctx)
 	go func() {
-		var t grantReply
-		t.err = to.call(callCtx, p.Clock, methodAcquire, w, &t.grant)
-		answer <- t
+		var reply grantReply
+		reply.err = to.call(callCtx, p.Clock, methodAcquire, w, &reply.grant)
+		replies <- reply
 	}()
 	select {
-	case t := <-answer:
-		if t.err != nil {
-			return nil, ErrCall.Wrap(t.err, "requesting an upstream from host %s", to.host.Name)
+	case reply := <-replies:
+		if reply.err != nil {
+			return nil, ErrCall.Wrap(reply.err, "requesting an upstream from host %s", to.host.Name)
 		}
-		return t.grant, nil
+		return reply.grant, nil
 	case <-ctx.Done():
 	}
 	_ = to.conn.Notify(callCtx, methodCancel, wireCancel{Call: w.Call})
 	go func() {
-		if t := <-answer; t.err == nil && t.grant != nil {
-			_ = to.conn.Notify(callCtx, methodRelease, wireRelease{Number: t.grant.Number, Quiet: true})
+		if reply := <-replies; reply.err == nil && reply.grant != nil {
+			_ = to.conn.Notify(callCtx, methodRelease, wireRelease{Number: reply.grant.Number, Quiet: true})
 		}
 	}()
 	return nil, ctx.Err()
@@ -138,7 +138,7 @@
 	delete(p.remote, g)
 	p.mu.Unlock()
 	if to == nil {
-		p.Table.Release(now, g, r)
+		p.Scheduler.Release(now, g, r)
 		return
 	}
 	// If the notification is lost, the placing host ends the grant when it expires.
--- a/internal/edge/broker/server.go
+++ b/internal/edge/broker/server.go
@@ -18,7 +18,7 @@
 // LoanPlanner records a region's demand and returns the planned loans of upstreams between regions; it returns false if
 // the context or the planner ended first.
 type LoanPlanner interface {
-	RequestLoans(ctx context.Context, a loans.Request) (loans.Loans, bool)
+	RequestLoans(ctx context.Context, req loans.Request) (loans.Loans, bool)
 }
 
 // UpdateSource returns the changes after a revision that this host read from the store; it returns false if the context
@@ -34,12 +34,12 @@
 
 // Server answers other hosts: it places the jobs of its region, plans loans and passes on store changes.
 type Server struct {
-	Planner LoanPlanner
-	Updates UpdateSource
-	Admit   Admitter // Acquires from Table.
-	Table   *place.Scheduler
-	Clock   func() time.Time
-	Done    chan struct{}
+	Planner   LoanPlanner
+	Updates   UpdateSource
+	Admit     Admitter // Acquires from Scheduler.
+	Scheduler *place.Scheduler
+	Clock     func() time.Time
+	Done      chan struct{}
 }
 
 // Serve accepts connections until the context ends or the listener is closed.
@@ -129,15 +129,15 @@
 		err = conn.Reply(ctx, id, wireGrant{Number: g.ID, Upstream: g.Upstream.ID, Born: g.Upstream.Born})
 	}
 	if err != nil {
-		s.server.Table.Release(s.server.Clock(), g, place.Result{Inconclusive: true})
+		s.server.Scheduler.Release(s.server.Clock(), g, place.Result{Inconclusive: true})
 	}
 	return err
 }
 
 // release ends a grant; an unknown grant is ignored, since it may have expired.
 func (s *session) release(w *wireRelease) error {
-	if g := s.server.Table.Find(w.Number); g != nil {
-		s.server.Table.Release(s.server.Clock(), g, w.toResult())
+	if g := s.server.Scheduler.Find(w.Number); g != nil {
+		s.server.Scheduler.Release(s.server.Clock(), g, w.toResult())
 	}
 	return nil
 }
@@ -153,8 +153,8 @@
 }
 
 // loans records a region's demand and replies with the loans.
-func (s *session) loans(ctx context.Context, conn *jsonrpc2.Conn, id jsonrpc2.ID, a *loans.Request) error {
-	loans, ok := s.server.Planner.RequestLoans(ctx, *a)
+func (s *session) loans(ctx context.Context, conn *jsonrpc2.Conn, id jsonrpc2.ID, req *loans.Request) error {
+	loans, ok := s.server.Planner.RequestLoans(ctx, *req)
 	if !ok {
 		return ErrCall.New("this host is stopping")
 	}
@@ -164,12 +164,12 @@
 // updates replies with the store changes after a revision. Cold times are sent as the time left, because the clocks of
 // hosts differ.
 func (s *session) updates(ctx context.Context, conn *jsonrpc2.Conn, id jsonrpc2.ID, w *wireUpdatesRequest) error {
-	n, ok := s.server.Updates.Updates(ctx, w.After)
+	updates, ok := s.server.Updates.Updates(ctx, w.After)
 	if !ok {
 		return ErrCall.New("this host is stopping")
 	}
 	now := s.server.Clock()
-	changes := slices.Clone(n.Batch.Changes)
+	changes := slices.Clone(updates.Batch.Changes)
 	for i := range changes {
 		u := &changes[i].Upstream
 		u.Cold = max(0, u.ColdUntil().Sub(now))
@@ -178,5 +178,5 @@
 			changes[i].Err, changes[i].Removed = nil, true // An unreadable entry can't be used, so it counts as removed.
 		}
 	}
-	return conn.Reply(ctx, id, wireUpdates{Revision: n.Batch.Revision, Full: n.Batch.Snapshot, Age: n.Age, Changes: changes})
+	return conn.Reply(ctx, id, wireUpdates{Revision: updates.Batch.Revision, Full: updates.Batch.Snapshot, Age: updates.Age, Changes: changes})
 }
--- a/internal/edge/egress/egress.go
+++ b/internal/edge/egress/egress.go
@@ -140,7 +140,7 @@
 // the request was sent, and the upstream no longer accepts connections or a new connection broke before the response
 // began; reusedOrBegun is set if the connection was reused or a response had begun. After a timeout of a request that
 // was sent, it waits for cancelGrace.
-func (s *Sender) classifyError(ctx context.Context, r *pipe.Reply, err error, established bool, job *pipe.Job) {
+func (s *Sender) classifyError(ctx context.Context, r *pipe.Reply, err error, reusedOrBegun bool, job *pipe.Job) {
 	r.Err = ErrConnection.Wrap(err, "upstream %s", job.Upstream.ID)
 	if ctx.Err() != nil || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
 		r.Late = true
@@ -152,7 +152,7 @@
 	if !r.Sent {
 		return
 	}
-	r.Crashed = !established || !Reachable(job.Upstream.Address)
+	r.Crashed = !reusedOrBegun || !Reachable(job.Upstream.Address)
 }
 
 // Reachable reports whether an upstream accepts TCP connections.
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -47,7 +47,7 @@
 // Host runs requests and issues tickets.
 type Host interface {
 	Plan() *plan.Plan
-	Intake(ctx context.Context, job *pipe.Job)
+	RunReceived(ctx context.Context, job *pipe.Job)
 	IssueTicket(now time.Time) dedup.Ticket
 }
 
@@ -79,7 +79,7 @@
 type wireLookup struct {
 	Revision uint64     `json:"revision"`
 	Hosts    []wireHost `json:"hosts"`
-	Life     int64      `json:"life"` // In milliseconds.
+	TTL      int64      `json:"life"` // In milliseconds.
 	Ticket   string     `json:"ticket"`
 }
 
@@ -91,7 +91,7 @@
 		f.writeProblem(w, &pipe.Job{Outcome: pipe.Outcome{Kind: pipe.NotRun, Reason: pipe.NoTarget, Detail: "this host has no configuration yet"}})
 		return
 	}
-	out := wireLookup{Revision: p.Doc.Revision, Life: p.Lookup.TTL.Milliseconds(), Hosts: []wireHost{}, Ticket: f.Host.IssueTicket(f.Clock()).String()}
+	out := wireLookup{Revision: p.Doc.Revision, TTL: p.Lookup.TTL.Milliseconds(), Hosts: []wireHost{}, Ticket: f.Host.IssueTicket(f.Clock()).String()}
 	var buf [plan.MaxLookupHosts]int
 	for _, i := range p.Lookup.Pick(rendez.Hash(callerName(r)), buf[:0]) {
 		h := p.Lookup.Hosts[i]
@@ -134,7 +134,7 @@
 		f.writeProblem(w, job)
 		return
 	}
-	f.Host.Intake(r.Context(), job)
+	f.Host.RunReceived(r.Context(), job)
 	f.writeOutcome(w, job)
 }
 
--- a/internal/edge/httpd/conn.go
+++ b/internal/edge/httpd/conn.go
@@ -56,14 +56,14 @@
 var errReadLimit = errors.New("read limit exceeded")
 
 // Read reads from the connection until the limit is reached.
-func (m *byteLimiter) Read(b []byte) (int, error) {
-	if m.remaining <= 0 {
-		m.lastErr = errReadLimit
-		return 0, m.lastErr
+func (l *byteLimiter) Read(b []byte) (int, error) {
+	if l.remaining <= 0 {
+		l.lastErr = errReadLimit
+		return 0, l.lastErr
 	}
-	n, err := m.Reader.Read(b)
-	m.remaining -= int64(n)
-	m.lastErr = err
+	n, err := l.Reader.Read(b)
+	l.remaining -= int64(n)
+	l.lastErr = err
 	return n, err
 }
 
--- a/internal/edge/peer/client.go
+++ b/internal/edge/peer/client.go
@@ -82,30 +82,30 @@
 		c.mu.Unlock()
 		return nil, ErrDown.New("this host is stopping")
 	}
-	d := c.conns[k]
-	if d == nil {
-		d = &connEntry{ready: make(chan struct{})}
-		c.conns[k] = d
-		go c.dial(k, d)
+	e := c.conns[k]
+	if e == nil {
+		e = &connEntry{ready: make(chan struct{})}
+		c.conns[k] = e
+		go c.dial(k, e)
 	}
 	c.mu.Unlock()
 	select {
-	case <-d.ready:
-		return d.rpc, d.err
+	case <-e.ready:
+		return e.rpc, e.err
 	case <-ctx.Done():
 		return nil, ErrDown.Wrap(ctx.Err(), "connecting to %s", k.addr)
 	}
 }
 
-func (c *Client) dial(k connKey, d *connEntry) {
-	d.rpc, d.err = c.connect(k)
-	close(d.ready)
-	if d.err != nil {
-		c.removeConn(k, d)
+func (c *Client) dial(k connKey, e *connEntry) {
+	e.rpc, e.err = c.connect(k)
+	close(e.ready)
+	if e.err != nil {
+		c.removeConn(k, e)
 		return
 	}
-	<-d.rpc.DisconnectNotify()
-	c.removeConn(k, d)
+	<-e.rpc.DisconnectNotify()
+	c.removeConn(k, e)
 }
 
 func (c *Client) connect(k connKey) (*jsonrpc2.Conn, error) {
@@ -136,10 +136,10 @@
 	_ = rpc.Close()
 }
 
-func (c *Client) removeConn(k connKey, d *connEntry) {
+func (c *Client) removeConn(k connKey, e *connEntry) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.conns[k] == d {
+	if c.conns[k] == e {
 		delete(c.conns, k)
 	}
 }
@@ -205,9 +205,9 @@
 }
 
 // Heartbeat sends a heartbeat of this host to a relay.
-func (c *Client) Heartbeat(ctx context.Context, addr string, b state.Heartbeat) (state.HeartbeatReply, error) {
+func (c *Client) Heartbeat(ctx context.Context, addr string, hb state.Heartbeat) (state.HeartbeatReply, error) {
 	var w wireHeartbeatReply
-	err := c.callControl(ctx, CallTimeout, addr, methodHeartbeat, fromHeartbeat(b), &w)
+	err := c.callControl(ctx, CallTimeout, addr, methodHeartbeat, fromHeartbeat(hb), &w)
 	return w.reply(), err
 }
 
@@ -215,7 +215,7 @@
 func (c *Client) Exchange(ctx context.Context, addr string, s state.Exchange) (state.ExchangeReply, error) {
 	var w wireExchangeReply
 	err := c.callControl(ctx, CallTimeout, addr, methodExchange, fromExchange(s), &w)
-	return state.ExchangeReply{Incarnation: w.Incarnation, Revision: w.Revision, Seq: w.Stamp, Summaries: toSummaries(w.News)}, err
+	return state.ExchangeReply{Incarnation: w.Incarnation, Revision: w.Revision, Seq: w.Seq, Summaries: toSummaries(w.Summaries)}, err
 }
 
 // SendNotice notifies a host of a new revision.
@@ -225,16 +225,16 @@
 
 // Fetch returns a host's document, or false if it has none; with known set it fetches only the changes since then.
 func (c *Client) Fetch(ctx context.Context, addr string, known *spec.Document) (spec.Document, bool, error) {
-	var ask wireFetch
+	var req wireFetch
 	if known != nil {
-		ask.Have = known.Revision
+		req.Have = known.Revision
 	}
 	var w wireFetchReply
-	if err := c.callControl(ctx, FetchTimeout, addr, methodFetch, ask, &w); err != nil {
+	if err := c.callControl(ctx, FetchTimeout, addr, methodFetch, req, &w); err != nil {
 		return spec.Document{}, false, err
 	}
-	d, ok := w.document(known)
-	return d, ok, nil
+	doc, ok := w.document(known)
+	return doc, ok, nil
 }
 
 // ReportCrash reports a crash to a host; with spread set the host forwards it to its failure domain.
@@ -272,11 +272,11 @@
 }
 
 func (c *Client) closeConns() {
-	for k, d := range c.conns {
+	for k, e := range c.conns {
 		select {
-		case <-d.ready:
-			if d.rpc != nil {
-				_ = d.rpc.Close()
+		case <-e.ready:
+			if e.rpc != nil {
+				_ = e.rpc.Close()
 			}
 		default:
 		}
--- a/internal/edge/peer/server.go
+++ b/internal/edge/peer/server.go
@@ -32,7 +32,7 @@
 	RunOwned(ctx context.Context, job *pipe.Job)
 	HandleHeartbeat(ctx context.Context, b state.Heartbeat) (state.HeartbeatReply, bool)
 	HandleExchange(ctx context.Context, s state.Exchange) (state.ExchangeReply, bool)
-	Notice(n state.Notice)
+	Notice(n state.NoticeReceived)
 	Document() *spec.Document
 	HandleCrash(c poison.Crash, spread bool)
 	AdoptRecords(incarnation string, until time.Time, last bool, records []dedup.Record)
--- a/internal/edge/peer/session.go
+++ b/internal/edge/peer/session.go
@@ -158,13 +158,13 @@
 			return nil, err
 		}
 		r, ok := host.HandleExchange(ctx, w.exchange())
-		return wireExchangeReply{Incarnation: r.Incarnation, Revision: r.Revision, Stamp: r.Seq, News: fromSummaries(r.Summaries)}, stoppingError(ok)
+		return wireExchangeReply{Incarnation: r.Incarnation, Revision: r.Revision, Seq: r.Seq, Summaries: fromSummaries(r.Summaries)}, stoppingError(ok)
 	case methodNotice:
 		var w wireNotice
 		if err := decodeParams(req, &w); err != nil {
 			return nil, err
 		}
-		host.Notice(state.Notice(w))
+		host.Notice(state.NoticeReceived(w))
 		return struct{}{}, nil
 	case methodFetch:
 		var w wireFetch
--- a/internal/edge/peer/size.go
+++ b/internal/edge/peer/size.go
@@ -20,12 +20,12 @@
 		err, obj = req.SetParams(fromHeartbeat(v)), &req
 	case state.Exchange:
 		err, obj = req.SetParams(fromExchange(v)), &req
-	case state.Notice:
+	case state.NoticeReceived:
 		err, obj = req.SetParams(wireNotice(v)), &req
 	case state.HeartbeatReply:
 		err = resp.SetResult(fromHeartbeatReply(v))
 	case state.ExchangeReply:
-		err = resp.SetResult(wireExchangeReply{Incarnation: v.Incarnation, Revision: v.Revision, Stamp: v.Seq, News: fromSummaries(v.Summaries)})
+		err = resp.SetResult(wireExchangeReply{Incarnation: v.Incarnation, Revision: v.Revision, Seq: v.Seq, Summaries: fromSummaries(v.Summaries)})
 	}
 	if err != nil {
 		return 0
--- a/internal/edge/peer/wire.go
+++ b/internal/edge/peer/wire.go
@@ -55,18 +55,18 @@
 
 // wireSummary is the encoding of state.Summary.
 type wireSummary struct {
-	Domain  string              `json:"d"`
-	Version int64               `json:"v"`
-	Relay   string              `json:"r,omitempty"`
-	Away    []string            `json:"a,omitempty"`
-	Loads   map[string]wireLoad `json:"l,omitempty"`
-	Same    bool                `json:"s,omitempty"`
+	Domain      string              `json:"d"`
+	Version     int64               `json:"v"`
+	Relay       string              `json:"r,omitempty"`
+	Unavailable []string            `json:"a,omitempty"`
+	Loads       map[string]wireLoad `json:"l,omitempty"`
+	Unchanged   bool                `json:"s,omitempty"`
 }
 
 func fromSummaries(list []state.Summary) []wireSummary {
 	out := make([]wireSummary, 0, len(list))
 	for _, s := range list {
-		out = append(out, wireSummary{Domain: s.Domain, Version: s.Version, Relay: s.Relay, Away: s.Unavailable, Loads: fromLoads(s.Loads), Same: s.Unchanged})
+		out = append(out, wireSummary{Domain: s.Domain, Version: s.Version, Relay: s.Relay, Unavailable: s.Unavailable, Loads: fromLoads(s.Loads), Unchanged: s.Unchanged})
 	}
 	return out
 }
@@ -74,36 +74,36 @@
 func toSummaries(list []wireSummary) []state.Summary {
 	out := make([]state.Summary, 0, len(list))
 	for _, s := range list {
-		out = append(out, state.Summary{Domain: s.Domain, Version: s.Version, Relay: s.Relay, Unavailable: s.Away, Loads: toLoads(s.Loads), Unchanged: s.Same})
+		out = append(out, state.Summary{Domain: s.Domain, Version: s.Version, Relay: s.Relay, Unavailable: s.Unavailable, Loads: toLoads(s.Loads), Unchanged: s.Unchanged})
 	}
 	return out
 }
 
 // wireHeartbeat is the encoding of state.Heartbeat.
 type wireHeartbeat struct {
-	Seat        string              `json:"seat"`
-	Incarnation string              `json:"inc"`
-	Revision    uint64              `json:"rev"`
-	Leaving     bool                `json:"leaving,omitempty"`
-	Loads       map[string]wireLoad `json:"loads,omitempty"`
-	Same        bool                `json:"same,omitempty"`
-	Peer        string              `json:"peer,omitempty"`
-	Got         uint64              `json:"got,omitempty"`
-	List        uint64              `json:"list,omitempty"`
-	Hash        uint64              `json:"mark,omitempty"`
-}
-
-func fromHeartbeat(b state.Heartbeat) wireHeartbeat {
+	Seat            string              `json:"seat"`
+	Incarnation     string              `json:"inc"`
+	Revision        uint64              `json:"rev"`
+	Leaving         bool                `json:"leaving,omitempty"`
+	Loads           map[string]wireLoad `json:"loads,omitempty"`
+	LoadsUnchanged  bool                `json:"same,omitempty"`
+	PeerIncarnation string              `json:"peer,omitempty"`
+	SeenSeq         uint64              `json:"got,omitempty"`
+	MembersVersion  uint64              `json:"list,omitempty"`
+	GrantHash       uint64              `json:"mark,omitempty"`
+}
+
+func fromHeartbeat(hb state.Heartbeat) wireHeartbeat {
 	return wireHeartbeat{
-		Seat: b.Seat, Incarnation: b.Incarnation, Revision: b.Revision, Leaving: b.Leaving,
-		Loads: fromLoads(b.Loads), Same: b.LoadsUnchanged, Peer: b.PeerIncarnation, Got: b.SeenSeq, List: b.MembersVersion, Hash: b.GrantHash,
+		Seat: hb.Seat, Incarnation: hb.Incarnation, Revision: hb.Revision, Leaving: hb.Leaving,
+		Loads: fromLoads(hb.Loads), LoadsUnchanged: hb.LoadsUnchanged, PeerIncarnation: hb.PeerIncarnation, SeenSeq: hb.SeenSeq, MembersVersion: hb.MembersVersion, GrantHash: hb.GrantHash,
 	}
 }
 
 func (w wireHeartbeat) heartbeat() state.Heartbeat {
 	return state.Heartbeat{
 		Seat: w.Seat, Incarnation: w.Incarnation, Revision: w.Revision, Leaving: w.Leaving,
-		Loads: toLoads(w.Loads), LoadsUnchanged: w.Same, PeerIncarnation: w.Peer, SeenSeq: w.Got, MembersVersion: w.List, GrantHash: w.Hash,
+		Loads: toLoads(w.Loads), LoadsUnchanged: w.LoadsUnchanged, PeerIncarnation: w.PeerIncarnation, SeenSeq: w.SeenSeq, MembersVersion: w.MembersVersion, GrantHash: w.GrantHash,
 	}
 }
 
@@ -117,23 +117,23 @@
 
 // wireHeartbeatReply is the encoding of state.HeartbeatReply.
 type wireHeartbeatReply struct {
-	Incarnation string           `json:"inc"`
-	Revision    uint64           `json:"rev"`
-	Leaving     bool             `json:"leaving,omitempty"`
-	Stamp       uint64           `json:"stamp"`
-	Units       map[string]int64 `json:"units,omitempty"`
-	Left        int64            `json:"left,omitempty"` // In microseconds.
-	Hash        uint64           `json:"mark,omitempty"`
-	News        []wireSummary    `json:"news,omitempty"`
-	Stale       []string         `json:"stale,omitempty"`
-	List        uint64           `json:"list,omitempty"`
-	Members     []wireMember     `json:"members,omitempty"`
+	Incarnation    string           `json:"inc"`
+	Revision       uint64           `json:"rev"`
+	Leaving        bool             `json:"leaving,omitempty"`
+	Seq            uint64           `json:"stamp"`
+	Units          map[string]int64 `json:"units,omitempty"`
+	TTL            int64            `json:"left,omitempty"` // In microseconds.
+	GrantHash      uint64           `json:"mark,omitempty"`
+	Summaries      []wireSummary    `json:"news,omitempty"`
+	StaleDomains   []string         `json:"stale,omitempty"`
+	MembersVersion uint64           `json:"list,omitempty"`
+	Members        []wireMember     `json:"members,omitempty"`
 }
 
 func fromHeartbeatReply(r state.HeartbeatReply) wireHeartbeatReply {
 	w := wireHeartbeatReply{
-		Incarnation: r.Incarnation, Revision: r.Revision, Leaving: r.Leaving, Stamp: r.Seq, Units: r.Units,
-		Left: r.TTL.Microseconds(), Hash: r.GrantHash, News: fromSummaries(r.Summaries), Stale: r.StaleDomains, List: r.MembersVersion,
+		Incarnation: r.Incarnation, Revision: r.Revision, Leaving: r.Leaving, Seq: r.Seq, Units: r.Units,
+		TTL: r.TTL.Microseconds(), GrantHash: r.GrantHash, Summaries: fromSummaries(r.Summaries), StaleDomains: r.StaleDomains, MembersVersion: r.MembersVersion,
 	}
 	for _, m := range r.Members {
 		w.Members = append(w.Members, wireMember(m))
@@ -143,8 +143,8 @@
 
 func (w wireHeartbeatReply) reply() state.HeartbeatReply {
 	r := state.HeartbeatReply{
-		Incarnation: w.Incarnation, Revision: w.Revision, Leaving: w.Leaving, Seq: w.Stamp, Units: w.Units,
-		TTL: time.Duration(w.Left) * time.Microsecond, GrantHash: w.Hash, Summaries: toSummaries(w.News), StaleDomains: w.Stale, MembersVersion: w.List,
+		Incarnation: w.Incarnation, Revision: w.Revision, Leaving: w.Leaving, Seq: w.Seq, Units: w.Units,
+		TTL: time.Duration(w.TTL) * time.Microsecond, GrantHash: w.GrantHash, Summaries: toSummaries(w.Summaries), StaleDomains: w.StaleDomains, MembersVersion: w.MembersVersion,
 	}
 	for _, m := range w.Members {
 		r.Members = append(r.Members, state.Member(m))
@@ -154,26 +154,26 @@
 
 // wireExchange is the encoding of state.Exchange.
 type wireExchange struct {
-	Domain      string        `json:"dom"`
-	Seat        string        `json:"seat"`
-	Incarnation string        `json:"inc"`
-	Revision    uint64        `json:"rev"`
-	Peer        string        `json:"peer,omitempty"`
-	Got         uint64        `json:"got,omitempty"`
-	News        []wireSummary `json:"news,omitempty"`
+	Domain          string        `json:"dom"`
+	Seat            string        `json:"seat"`
+	Incarnation     string        `json:"inc"`
+	Revision        uint64        `json:"rev"`
+	PeerIncarnation string        `json:"peer,omitempty"`
+	SeenSeq         uint64        `json:"got,omitempty"`
+	Summaries       []wireSummary `json:"news,omitempty"`
 }
 
 func fromExchange(s state.Exchange) wireExchange {
 	return wireExchange{
 		Domain: s.Domain, Seat: s.Seat, Incarnation: s.Incarnation, Revision: s.Revision,
-		Peer: s.PeerIncarnation, Got: s.SeenSeq, News: fromSummaries(s.Summaries),
+		PeerIncarnation: s.PeerIncarnation, SeenSeq: s.SeenSeq, Summaries: fromSummaries(s.Summaries),
 	}
 }
 
 func (w wireExchange) exchange() state.Exchange {
 	return state.Exchange{
 		Domain: w.Domain, Seat: w.Seat, Incarnation: w.Incarnation, Revision: w.Revision,
-		PeerIncarnation: w.Peer, SeenSeq: w.Got, Summaries: toSummaries(w.News),
+		PeerIncarnation: w.PeerIncarnation, SeenSeq: w.SeenSeq, Summaries: toSummaries(w.Summaries),
 	}
 }
 
@@ -181,8 +181,8 @@
 type wireExchangeReply struct {
 	Incarnation string        `json:"inc"`
 	Revision    uint64        `json:"rev"`
-	Stamp       uint64        `json:"stamp"`
-	News        []wireSummary `json:"news,omitempty"`
+	Seq         uint64        `json:"stamp"`
+	Summaries   []wireSummary `json:"news,omitempty"`
 }
 
 // wireNotice announces the revision that a host has, with the most recent changes up to it.
--- a/internal/edge/store/store.go
+++ b/internal/edge/store/store.go
@@ -94,8 +94,8 @@
 
 // CompareAndSwap writes a key if its current index equals the given one, which is 0 for a missing key; it reports whether
 // it wrote.
-func (c *Client) CompareAndSwap(ctx context.Context, key string, data []byte, at uint64) (bool, error) {
-	q := url.Values{"cas": {strconv.FormatUint(at, 10)}}
+func (c *Client) CompareAndSwap(ctx context.Context, key string, data []byte, index uint64) (bool, error) {
+	q := url.Values{"cas": {strconv.FormatUint(index, 10)}}
 	return c.putBool(ctx, "/v1/kv/"+key, q, data)
 }
 
--- a/internal/host/entry/bench_test.go
+++ b/internal/host/entry/bench_test.go
@@ -140,7 +140,7 @@
 // fixedPlanIntake runs each job with the fixed plan.
 type fixedPlanIntake struct{ fixedPlanHost }
 
-func (p fixedPlanIntake) Intake(ctx context.Context, job *pipe.Job) {
+func (p fixedPlanIntake) RunReceived(ctx context.Context, job *pipe.Job) {
 	job.Plan = p.plan
 	p.intake.Run(ctx, job)
 }
--- a/internal/host/entry/roles.go
+++ b/internal/host/entry/roles.go
@@ -29,8 +29,8 @@
 // Plan returns the latest published plan.
 func (h *Host) Plan() *plan.Plan { return h.loop.Plan() }
 
-// Intake runs a caller's job through the pipeline of the first hop.
-func (h *Host) Intake(ctx context.Context, job *pipe.Job) {
+// RunReceived runs a caller's job through the pipeline of the first hop.
+func (h *Host) RunReceived(ctx context.Context, job *pipe.Job) {
 	job.Plan = h.loop.Plan()
 	h.intake.Run(ctx, job)
 	h.Stats.CountJob(job)
@@ -93,7 +93,7 @@
 
 // RunOwned runs a job whose ticket this host owns through the pipeline of the first hop.
 func (p *peerHandler) RunOwned(ctx context.Context, job *pipe.Job) {
-	p.Intake(ctx, job)
+	p.RunReceived(ctx, job)
 }
 
 // ownerForwarder forwards jobs to the owners of their tickets, within this host's share of the link.
@@ -119,7 +119,7 @@
 }
 
 // Notice passes another host's notice to the control loop, without waiting.
-func (p *peerHandler) Notice(n state.Notice) { p.loop.TrySend(n) }
+func (p *peerHandler) Notice(n state.NoticeReceived) { p.loop.TrySend(n) }
 
 // Document returns the document in force, or nil if there is none yet.
 func (p *peerHandler) Document() *spec.Document { return p.loop.Plan().Doc }
--- a/internal/host/entry/whole_test.go
+++ b/internal/host/entry/whole_test.go
@@ -207,7 +207,7 @@
 	shiftState := func() (n int, done float64) {
 		for _, seat := range []string{"dar-a-1", "dar-a-2", "dar-b-1", "dar-b-2"} {
 			p := s.status(seat).Shifts["move"]
-			done += p.Done / 4
+			done += p.Fraction / 4
 			if p.Paused {
 				n++
 			}
--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -105,9 +105,9 @@
 		&serve.Pipe{Placer: &hopTracer{host: h}, Sender: &hopTracer{host: h}, Budget: h.budget, Recorder: events, Clock: clock},
 	}}
 	h.server = httpd.New(h, h.requestBounds, clock)
-	h.broker = &broker.Server{Planner: h.loop, Updates: h.loop, Admit: &placeTracer{host: h}, Table: h.scheduler, Clock: clock, Done: make(chan struct{})}
+	h.broker = &broker.Server{Planner: h.loop, Updates: h.loop, Admit: &placeTracer{host: h}, Scheduler: h.scheduler, Clock: clock, Done: make(chan struct{})}
 	h.loanPoller = &broker.LoanPoller{
-		Demand: h.scheduler, Local: h.loop, View: h.loop.View, OnError: events.logLoanFailure, Clock: clock, Done: make(chan struct{}),
+		Requester: h.scheduler, Local: h.loop, View: h.loop.View, OnError: events.logLoanFailure, Clock: clock, Done: make(chan struct{}),
 		OnLoans: func(l loans.Loans) { h.loop.Send(context.Background(), watch.LoansReceived{Loans: l}) },
 	}
 	h.stopGrace.Store(int64(s.Grace))
--- a/internal/stand/sizing/fleet.go
+++ b/internal/stand/sizing/fleet.go
@@ -169,7 +169,7 @@
 		f.apply(h, state.ExchangeResult{Seat: a.To.Name, Domain: a.Domain, SentSeq: a.SentSeq, Reply: answer})
 	case state.SendNotice:
 		for _, s := range a.To {
-			f.apply(f.hosts[s.Name], state.Notice{Seat: h.state.Self.Seat, Revision: a.Revision})
+			f.apply(f.hosts[s.Name], state.NoticeReceived{Seat: h.state.Self.Seat, Revision: a.Revision})
 		}
 	case state.FetchDocument:
 		f.apply(h, state.DocumentReceived{Doc: *f.hosts[a.From.Name].state.Doc})
--- a/internal/stand/sizing/measure.go
+++ b/internal/stand/sizing/measure.go
@@ -110,7 +110,7 @@
 	changes, _ := next.Since(doc.Revision)
 	entry, _ := json.Marshal(changes)
 	add("change", hosts, float64(len(entry)), "B")
-	notice := peer.ControlMessageSize(state.Notice{Seat: "d0-0", Revision: next.Revision, Changes: changes})
+	notice := peer.ControlMessageSize(state.NoticeReceived{Seat: "d0-0", Revision: next.Revision, Changes: changes})
 	add("relay change", hosts, float64(size.Hosts-1)*float64(notice+emptyAnswerSize), "B")
 	self := plan.Identity{Seat: "d0-0", Domain: "domain-0", Region: "region-0"}
 	kept, bytes := heapGrowth(func() any {
