wording: fields and locals of the wire structs of broker and peer

The wire structs spoke in former words (Number, Took, Good, Quiet, Broken, Kept, Full) for what the core types call ID, Duration, Succeeded and so on; the tags stay. got, list and n stood for sequence numbers, versions and records; a session's receiver was h in one package and s in the other.

--- a/internal/ctrl/state/heartbeat.go
+++ b/internal/ctrl/state/heartbeat.go
@@ -81,13 +81,13 @@
 	if hb.Seat == s.Self.Seat {
 		return reply
 	}
-	got, list := hb.SeenSeq, hb.MembersVersion
+	seenSeq, membersVersion := hb.SeenSeq, hb.MembersVersion
 	if hb.PeerIncarnation != s.Self.Incarnation {
-		got, list = 0, 0
+		seenSeq, membersVersion = 0, 0
 	}
-	reply.Summaries = slices.DeleteFunc(s.summariesSince(got, "", excludedSource(got, hb.Seat)), func(n Summary) bool { return n.Unchanged })
+	reply.Summaries = slices.DeleteFunc(s.summariesSince(seenSeq, "", excludedSource(seenSeq, hb.Seat)), func(summary Summary) bool { return summary.Unchanged })
 	reply.StaleDomains = s.staleDomains(now)
-	if list != s.MembersVersion {
+	if membersVersion != s.MembersVersion {
 		reply.Members = s.Members
 	}
 	return reply
--- a/internal/ctrl/state/news.go
+++ b/internal/ctrl/state/news.go
@@ -220,11 +220,11 @@
 	if s.Doc == nil {
 		return reply
 	}
-	got := exchange.SeenSeq
+	seenSeq := exchange.SeenSeq
 	if exchange.PeerIncarnation != s.Self.Incarnation {
-		got = 0
+		seenSeq = 0
 	}
-	reply.Summaries = s.summariesSince(got, exchange.Domain, excludedSource(got, exchange.Seat))
+	reply.Summaries = s.summariesSince(seenSeq, exchange.Domain, excludedSource(seenSeq, exchange.Seat))
 	s.mergeSummaries(exchange.Seat, exchange.Summaries, now)
 	reply.Seq = s.Seq
 	delete(s.Unreachable, exchange.Seat)
--- a/internal/ctrl/state/shift.go
+++ b/internal/ctrl/state/shift.go
@@ -73,8 +73,8 @@
 			continue
 		}
 		for _, d := range r.Domains {
-			if n, ok := s.Summaries[d.Name]; ok && now.Sub(n.ReceivedAt) < s.summaryTimeout() {
-				sum = addLoads(sum, n.Loads[service])
+			if record, ok := s.Summaries[d.Name]; ok && now.Sub(record.ReceivedAt) < s.summaryTimeout() {
+				sum = addLoads(sum, record.Loads[service])
 			}
 		}
 	}
--- a/internal/ctrl/state/status.go
+++ b/internal/ctrl/state/status.go
@@ -42,7 +42,7 @@
 // ShareStatus is this host's share of a limit.
 type ShareStatus struct {
 	Resource string
-	Amount   share.Quota
+	Quota    share.Quota
 	Lent     int64
 }
 
@@ -58,9 +58,9 @@
 	for name, h := range s.Hosts {
 		status.Hosts = append(status.Hosts, HostStatus{Seat: name, Revision: h.Revision, Leaving: h.Leaving, Age: now.Sub(h.ReceivedAt)})
 	}
-	for name, n := range s.Summaries {
-		for svc, l := range n.Loads {
-			status.Loads = append(status.Loads, LoadStatus{Domain: name, Service: svc, Load: l, Age: now.Sub(n.ReceivedAt)})
+	for name, record := range s.Summaries {
+		for svc, l := range record.Loads {
+			status.Loads = append(status.Loads, LoadStatus{Domain: name, Service: svc, Load: l, Age: now.Sub(record.ReceivedAt)})
 		}
 	}
 	for res := range s.Allocations {
@@ -68,7 +68,7 @@
 			continue
 		}
 		a := s.quota(res)
-		status.Shares = append(status.Shares, ShareStatus{Resource: res, Amount: a, Lent: a.At(now) - a.Floor})
+		status.Shares = append(status.Shares, ShareStatus{Resource: res, Quota: a, Lent: a.At(now) - a.Floor})
 	}
 	for name, p := range s.Shifts {
 		status.Shifts[name] = p
--- a/internal/edge/admin/wire.go
+++ b/internal/edge/admin/wire.go
@@ -117,7 +117,7 @@
 			}
 		}),
 		Shares: mapSlice(st.Shares, func(s state.ShareStatus) *gen.ShareStatus {
-			return &gen.ShareStatus{Resource: s.Resource, Floor: s.Amount.Floor, Lent: s.Lent}
+			return &gen.ShareStatus{Resource: s.Resource, Floor: s.Quota.Floor, Lent: s.Lent}
 		}),
 		Shifts: []*gen.ShiftStatus{},
 	}
--- a/internal/edge/broker/asker.go
+++ b/internal/edge/broker/asker.go
@@ -117,5 +117,5 @@
 		_ = p.conn.Close()
 		return watch.Updates{}, ErrCall.Wrap(err, "requesting store changes from host %s", from.Name)
 	}
-	return watch.Updates{Batch: roster.Batch{Changes: w.Changes, Revision: w.Revision, Snapshot: w.Full}, Age: w.Age}, nil
+	return watch.Updates{Batch: roster.Batch{Changes: w.Changes, Revision: w.Revision, Snapshot: w.Snapshot}, Age: w.Age}, nil
 }
--- a/internal/edge/broker/broker_test.go
+++ b/internal/edge/broker/broker_test.go
@@ -128,7 +128,7 @@
 	assert.Assert(t, p.acquire(ctx) == nil, "more than one job at an upstream while isolated")
 }
 
-// A frozen host keeps its connections open but answers nothing.
+// A frozen host keeps its connections open but doesn't respond.
 func TestAPlacerThatAnswersNothingIsLeft(t *testing.T) {
 	p := newHostPair(t)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/edge/broker/placer.go
+++ b/internal/edge/broker/placer.go
@@ -75,14 +75,14 @@
 		if err != nil || grant == nil {
 			return nil, err
 		}
-		g := &place.Grant{ID: grant.Number, Upstream: findUpstream(p.View(), req.Service, grant)}
+		g := &place.Grant{ID: grant.ID, Upstream: findUpstream(p.View(), req.Service, grant)}
 		if g.Upstream != nil {
 			p.mu.Lock()
 			p.remote[g] = to
 			p.mu.Unlock()
 			return g, nil
 		}
-		_ = to.conn.Notify(ctx, methodRelease, wireRelease{Number: grant.Number, Quiet: true})
+		_ = to.conn.Notify(ctx, methodRelease, wireRelease{ID: grant.ID, Inconclusive: true})
 		req.Tried = append(req.Tried, grant.Upstream)
 		now = p.Clock()
 	}
@@ -115,7 +115,7 @@
 	_ = to.conn.Notify(callCtx, methodCancel, wireCancel{Call: w.Call})
 	go func() {
 		if reply := <-replies; reply.err == nil && reply.grant != nil {
-			_ = to.conn.Notify(callCtx, methodRelease, wireRelease{Number: reply.grant.Number, Quiet: true})
+			_ = to.conn.Notify(callCtx, methodRelease, wireRelease{ID: reply.grant.ID, Inconclusive: true})
 		}
 	}()
 	return nil, ctx.Err()
--- a/internal/edge/broker/server.go
+++ b/internal/edge/broker/server.go
@@ -88,7 +88,7 @@
 	case methodUpdates:
 		err = decodeParams(req, func(w *wireUpdatesRequest) error { return s.updates(ctx, conn, req.ID, w) })
 	case methodLoans:
-		err = decodeParams(req, func(a *loans.Request) error { return s.loans(ctx, conn, req.ID, a) })
+		err = decodeParams(req, func(params *loans.Request) error { return s.loans(ctx, conn, req.ID, params) })
 	default:
 		err = ErrCall.New("no method %q", req.Method)
 	}
@@ -126,7 +126,7 @@
 	}
 	err := ctx.Err() // A canceled call gets no grant.
 	if err == nil {
-		err = conn.Reply(ctx, id, wireGrant{Number: g.ID, Upstream: g.Upstream.ID, Born: g.Upstream.Born})
+		err = conn.Reply(ctx, id, wireGrant{ID: g.ID, Upstream: g.Upstream.ID, Born: g.Upstream.Born})
 	}
 	if err != nil {
 		s.server.Scheduler.Release(s.server.Clock(), g, place.Result{Inconclusive: true})
@@ -136,7 +136,7 @@
 
 // release ends a grant; an unknown grant is ignored, since it may have expired.
 func (s *session) release(w *wireRelease) error {
-	if g := s.server.Scheduler.Find(w.Number); g != nil {
+	if g := s.server.Scheduler.Find(w.ID); g != nil {
 		s.server.Scheduler.Release(s.server.Clock(), g, w.toResult())
 	}
 	return nil
@@ -178,5 +178,5 @@
 			changes[i].Err, changes[i].Removed = nil, true // An unreadable entry can't be used, so it counts as removed.
 		}
 	}
-	return conn.Reply(ctx, id, wireUpdates{Revision: updates.Batch.Revision, Full: updates.Batch.Snapshot, Age: updates.Age, Changes: changes})
+	return conn.Reply(ctx, id, wireUpdates{Revision: updates.Batch.Revision, Snapshot: updates.Batch.Snapshot, Age: updates.Age, Changes: changes})
 }
--- a/internal/edge/broker/wire.go
+++ b/internal/edge/broker/wire.go
@@ -25,6 +25,7 @@
 	methodLoans   = "deal" // Sends a region's demand; the reply is the loans.
 )
 
+// wireAcquire is the encoding of a place.Request.
 type wireAcquire struct {
 	Call      uint64   `json:"n"` // Number of the call, used to cancel it.
 	Host      string   `json:"host"`
@@ -41,12 +42,12 @@
 	Trace map[string]string `json:"span,omitempty"`
 }
 
-func newWireAcquire(a *place.Request, call uint64, now time.Time) wireAcquire {
+func newWireAcquire(req *place.Request, call uint64, now time.Time) wireAcquire {
 	return wireAcquire{
-		Call: call, Host: a.Host.Name, Domain: a.Host.Domain, Region: a.Host.Region, Service: a.Service, Rank: a.Rank,
-		Object: a.Object, Homes: a.Homes, Tried: a.Tried,
-		Objective: a.Objective.Sub(now).Milliseconds(), Deadline: a.Deadline.Sub(now).Milliseconds(),
-		Trace: a.Trace,
+		Call: call, Host: req.Host.Name, Domain: req.Host.Domain, Region: req.Host.Region, Service: req.Service, Rank: req.Rank,
+		Object: req.Object, Homes: req.Homes, Tried: req.Tried,
+		Objective: req.Objective.Sub(now).Milliseconds(), Deadline: req.Deadline.Sub(now).Milliseconds(),
+		Trace: req.Trace,
 	}
 }
 
@@ -60,34 +61,36 @@
 	}
 }
 
+// wireGrant is a grant of one incarnation of an upstream.
 type wireGrant struct {
-	Number   uint64 `json:"n"`
+	ID       uint64 `json:"n"`
 	Upstream string `json:"up"`
 	Born     int64  `json:"born"`
 }
 
+// wireRelease ends a grant with the encoding of its place.Result.
 type wireRelease struct {
-	Number  uint64        `json:"n"`
-	Took    time.Duration `json:"took"`
-	Dial    time.Duration `json:"dial,omitempty"`
-	Waiting int           `json:"wait,omitempty"`
-	Good    bool          `json:"good,omitempty"`
-	Quiet   bool          `json:"quiet,omitempty"`
-	Shed    bool          `json:"shed,omitempty"`
-	Moved   bool          `json:"moved,omitempty"`
-	Broken  bool          `json:"broken,omitempty"`
+	ID            uint64        `json:"n"`
+	Duration      time.Duration `json:"took"`
+	DialTime      time.Duration `json:"dial,omitempty"`
+	QueueLength   int           `json:"wait,omitempty"`
+	Succeeded     bool          `json:"good,omitempty"`
+	Inconclusive  bool          `json:"quiet,omitempty"`
+	Shed          bool          `json:"shed,omitempty"`
+	AddressReused bool          `json:"moved,omitempty"`
+	Unreachable   bool          `json:"broken,omitempty"`
 }
 
-func newWireRelease(number uint64, r place.Result) wireRelease {
+func newWireRelease(id uint64, r place.Result) wireRelease {
 	return wireRelease{
-		Number: number, Took: r.Duration, Dial: r.DialTime, Waiting: r.QueueLength, Good: r.Succeeded, Quiet: r.Inconclusive, Shed: r.Shed,
-		Moved: r.AddressReused, Broken: r.Unreachable,
+		ID: id, Duration: r.Duration, DialTime: r.DialTime, QueueLength: r.QueueLength, Succeeded: r.Succeeded, Inconclusive: r.Inconclusive, Shed: r.Shed,
+		AddressReused: r.AddressReused, Unreachable: r.Unreachable,
 	}
 }
 
 func (w *wireRelease) toResult() place.Result {
 	return place.Result{
-		Duration: w.Took, DialTime: w.Dial, QueueLength: w.Waiting, Succeeded: w.Good, Inconclusive: w.Quiet, Shed: w.Shed, AddressReused: w.Moved, Unreachable: w.Broken,
+		Duration: w.Duration, DialTime: w.DialTime, QueueLength: w.QueueLength, Succeeded: w.Succeeded, Inconclusive: w.Inconclusive, Shed: w.Shed, AddressReused: w.AddressReused, Unreachable: w.Unreachable,
 	}
 }
 
@@ -102,7 +105,7 @@
 // wireUpdates carries store changes in the control loop's own types: both ends run the same program.
 type wireUpdates struct {
 	Revision int64           `json:"rev"`
-	Full     bool            `json:"full,omitempty"`
+	Snapshot bool            `json:"full,omitempty"`
 	Age      time.Duration   `json:"age"`
 	Changes  []roster.Change `json:"changes,omitempty"`
 }
--- a/internal/edge/httpd/httpd_test.go
+++ b/internal/edge/httpd/httpd_test.go
@@ -157,7 +157,7 @@
 	}
 }
 
-// Guards against a planned stop that drops requests: pending requests are answered, the last response announces the
+// Guards against a graceful shutdown that drops requests: pending requests are answered, the last response announces the
 // close, and CloseIdle closes idle connections.
 func TestDrainingAnswersAllPendingRequests(t *testing.T) {
 	h := &handler{release: make(chan struct{}), started: make(chan string, 9)}
--- a/internal/edge/peer/server.go
+++ b/internal/edge/peer/server.go
@@ -30,8 +30,8 @@
 type Host interface {
 	RunForwarded(ctx context.Context, job *pipe.Job)
 	RunOwned(ctx context.Context, job *pipe.Job)
-	HandleHeartbeat(ctx context.Context, b state.Heartbeat) (state.HeartbeatReply, bool)
-	HandleExchange(ctx context.Context, s state.Exchange) (state.ExchangeReply, bool)
+	HandleHeartbeat(ctx context.Context, hb state.Heartbeat) (state.HeartbeatReply, bool)
+	HandleExchange(ctx context.Context, exchange state.Exchange) (state.ExchangeReply, bool)
 	Notice(n state.NoticeReceived)
 	Document() *spec.Document
 	HandleCrash(c poison.Crash, spread bool)
--- a/internal/edge/peer/session.go
+++ b/internal/edge/peer/session.go
@@ -27,94 +27,94 @@
 }
 
 // Handle processes one message; it is called in the order of arrival and runs each call in a goroutine of its own.
-func (h *session) Handle(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request) {
-	if !h.helloReceived && req.Method != methodHello {
-		h.disconnect("message before hello", req.Method)
+func (s *session) Handle(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	if !s.helloReceived && req.Method != methodHello {
+		s.disconnect("message before hello", req.Method)
 		return
 	}
 	if req.Method == methodCancel {
-		h.cancelCall(req)
+		s.cancelCall(req)
 		return
 	}
 	if req.Notif {
-		h.disconnect("unknown notification", req.Method)
+		s.disconnect("unknown notification", req.Method)
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	if !h.beginCall(req.ID.Num, cancel) {
+	if !s.beginCall(req.ID.Num, cancel) {
 		cancel()
 		_ = rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: "too many calls"})
 		return
 	}
 	if req.Method == methodHello {
-		h.handleHello(ctx, rpc, req)
-		h.endCall(req.ID.Num)
+		s.handleHello(ctx, rpc, req)
+		s.endCall(req.ID.Num)
 		return
 	}
 	go func() {
-		defer h.endCall(req.ID.Num)
-		h.handleCall(ctx, rpc, req)
+		defer s.endCall(req.ID.Num)
+		s.handleCall(ctx, rpc, req)
 	}()
 }
 
-func (h *session) disconnect(why, method string) {
-	h.server.Log.Warn("cutting off a peer connection", zap.String("reason", why), zap.String("method", method),
-		zap.Stringer("remote", h.conn.RemoteAddr()))
-	_ = h.conn.Close()
+func (s *session) disconnect(why, method string) {
+	s.server.Log.Warn("cutting off a peer connection", zap.String("reason", why), zap.String("method", method),
+		zap.Stringer("remote", s.conn.RemoteAddr()))
+	_ = s.conn.Close()
 }
 
 // beginCall registers a call; it returns false for a duplicate id, for too many calls and on a closed connection.
-func (h *session) beginCall(id uint64, cancel context.CancelFunc) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if _, taken := h.calls[id]; taken || h.ended || len(h.calls) >= maxCalls {
+func (s *session) beginCall(id uint64, cancel context.CancelFunc) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, taken := s.calls[id]; taken || s.ended || len(s.calls) >= maxCalls {
 		return false
 	}
-	h.calls[id] = cancel
-	h.wg.Add(1)
+	s.calls[id] = cancel
+	s.wg.Add(1)
 	return true
 }
 
 // closeCalls refuses further calls and waits for those in flight.
-func (h *session) closeCalls() {
-	h.mu.Lock()
-	h.ended = true
-	h.mu.Unlock()
-	h.wg.Wait()
+func (s *session) closeCalls() {
+	s.mu.Lock()
+	s.ended = true
+	s.mu.Unlock()
+	s.wg.Wait()
 }
 
-func (h *session) endCall(id uint64) {
-	defer h.wg.Done()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if cancel := h.calls[id]; cancel != nil {
+func (s *session) endCall(id uint64) {
+	defer s.wg.Done()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if cancel := s.calls[id]; cancel != nil {
 		cancel()
 	}
-	delete(h.calls, id)
+	delete(s.calls, id)
 }
 
-func (h *session) cancelCall(req *jsonrpc2.Request) {
+func (s *session) cancelCall(req *jsonrpc2.Request) {
 	var w wireCancel
 	if decodeParams(req, &w) != nil {
-		h.disconnect("malformed cancel message", req.Method)
+		s.disconnect("malformed cancel message", req.Method)
 		return
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if cancel := h.calls[w.ID]; cancel != nil {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if cancel := s.calls[w.ID]; cancel != nil {
 		cancel()
 	}
 }
 
-func (h *session) handleHello(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request) {
+func (s *session) handleHello(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request) {
 	var w wireHello
 	if decodeParams(req, &w) != nil || w.Version != protocolVersion {
 		_ = rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "this host speaks version 1"})
-		h.disconnect("invalid hello or unsupported protocol version", req.Method)
+		s.disconnect("invalid hello or unsupported protocol version", req.Method)
 		return
 	}
-	h.helloReceived = true
-	_ = h.conn.SetReadDeadline(time.Time{})
+	s.helloReceived = true
+	_ = s.conn.SetReadDeadline(time.Time{})
 	_ = rpc.Reply(ctx, req.ID, wireHello{Version: protocolVersion})
 }
 
@@ -129,8 +129,8 @@
 }
 
 // handleCall runs one call and sends its result or its error.
-func (h *session) handleCall(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request) {
-	result, err := h.dispatch(ctx, req)
+func (s *session) handleCall(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	result, err := s.dispatch(ctx, req)
 	if err != nil {
 		_ = rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()})
 		return
@@ -138,13 +138,13 @@
 	_ = rpc.Reply(ctx, req.ID, result)
 }
 
-func (h *session) dispatch(ctx context.Context, req *jsonrpc2.Request) (any, error) {
-	host, now := h.server.Host, h.server.Clock()
+func (s *session) dispatch(ctx context.Context, req *jsonrpc2.Request) (any, error) {
+	host, now := s.server.Host, s.server.Clock()
 	switch req.Method {
 	case methodRun:
-		return h.runJob(ctx, req, host.RunForwarded)
+		return s.runJob(ctx, req, host.RunForwarded)
 	case methodOwn:
-		return h.runJob(ctx, req, host.RunOwned)
+		return s.runJob(ctx, req, host.RunOwned)
 	case methodHeartbeat:
 		var w wireHeartbeat
 		if err := decodeParams(req, &w); err != nil {
@@ -180,7 +180,7 @@
 		host.HandleCrash(w.crash(now), w.Spread)
 		return struct{}{}, nil
 	case methodHandOver:
-		return struct{}{}, h.handOver(req)
+		return struct{}{}, s.handOver(req)
 	}
 	return nil, ErrFrame.New("there is no method %q", req.Method)
 }
@@ -192,17 +192,17 @@
 	return ErrRefused.New("this host is stopping")
 }
 
-func (h *session) runJob(ctx context.Context, req *jsonrpc2.Request, serve func(context.Context, *pipe.Job)) (any, error) {
+func (s *session) runJob(ctx context.Context, req *jsonrpc2.Request, serve func(context.Context, *pipe.Job)) (any, error) {
 	var w wireJob
 	if err := decodeParams(req, &w); err != nil {
 		return nil, err
 	}
-	job := w.job(h.server.Clock())
+	job := w.job(s.server.Clock())
 	serve(ctx, job)
 	return fromOutcome(job), nil
 }
 
-func (h *session) handOver(req *jsonrpc2.Request) error {
+func (s *session) handOver(req *jsonrpc2.Request) error {
 	var w wireHandOver
 	if err := decodeParams(req, &w); err != nil {
 		return err
@@ -211,6 +211,6 @@
 	for _, r := range w.Records {
 		records = append(records, r.record())
 	}
-	h.server.Host.AdoptRecords(w.Incarnation, time.Unix(w.Until, 0), w.Last, records)
+	s.server.Host.AdoptRecords(w.Incarnation, time.Unix(w.Until, 0), w.Last, records)
 	return nil
 }
--- a/internal/edge/peer/wirejob.go
+++ b/internal/edge/peer/wirejob.go
@@ -8,27 +8,28 @@
 	"github.com/boragelane/boragelane/internal/flow/poison"
 )
 
+// wireJob is the encoding of a job that another host is to run.
 type wireJob struct {
-	ID      string            `json:"id"`
-	Service string            `json:"service"`
-	Rank    string            `json:"rank"`
-	Caller  string            `json:"caller,omitempty"`
-	Method  string            `json:"method"`
-	Path    string            `json:"path"`
-	Type    string            `json:"type,omitempty"`
-	Body    []byte            `json:"body,omitempty"`
-	Left    int64             `json:"left"` // Time to the deadline in microseconds.
-	Ticket  string            `json:"ticket,omitempty"`
-	Hop     int               `json:"hop"`
-	From    string            `json:"from"`
-	Trace   map[string]string `json:"trace,omitempty"`
+	ID          string            `json:"id"`
+	Service     string            `json:"service"`
+	Rank        string            `json:"rank"`
+	Caller      string            `json:"caller,omitempty"`
+	Method      string            `json:"method"`
+	Path        string            `json:"path"`
+	ContentType string            `json:"type,omitempty"`
+	Body        []byte            `json:"body,omitempty"`
+	Left        int64             `json:"left"` // Time to the deadline in microseconds.
+	Ticket      string            `json:"ticket,omitempty"`
+	Hop         int               `json:"hop"`
+	FromRegion  string            `json:"from"`
+	Trace       map[string]string `json:"trace,omitempty"`
 }
 
 func fromJob(j *pipe.Job, now time.Time) wireJob {
 	return wireJob{
 		ID: j.ID, Service: j.Service, Rank: j.Rank, Caller: j.Caller, Method: j.Method, Path: j.Path,
-		Type: j.ContentType, Body: j.Body, Left: j.Deadline.Sub(now).Microseconds(), Ticket: forwardedTicket(j),
-		Hop: j.Hop + 1, From: j.Plan.Self.Region, Trace: j.Trace,
+		ContentType: j.ContentType, Body: j.Body, Left: j.Deadline.Sub(now).Microseconds(), Ticket: forwardedTicket(j),
+		Hop: j.Hop + 1, FromRegion: j.Plan.Self.Region, Trace: j.Trace,
 	}
 }
 
@@ -43,26 +44,27 @@
 func (w wireJob) job(now time.Time) *pipe.Job {
 	return &pipe.Job{
 		ID: w.ID, Service: w.Service, Rank: w.Rank, Caller: w.Caller, Method: w.Method, Path: w.Path,
-		ContentType: w.Type, Body: w.Body, Deadline: now.Add(time.Duration(w.Left) * time.Microsecond),
-		Ticket: w.Ticket, Hop: w.Hop, FromRegion: w.From, Trace: w.Trace,
+		ContentType: w.ContentType, Body: w.Body, Deadline: now.Add(time.Duration(w.Left) * time.Microsecond),
+		Ticket: w.Ticket, Hop: w.Hop, FromRegion: w.FromRegion, Trace: w.Trace,
 	}
 }
 
+// wireOutcome is the encoding of a job's outcome and answer.
 type wireOutcome struct {
-	ID       string      `json:"id"`
-	Kind     string      `json:"kind"`
-	Reason   pipe.Reason `json:"reason,omitempty"`
-	Detail   string      `json:"detail,omitempty"`
-	Upstream string      `json:"upstream,omitempty"`
-	Status   int         `json:"status,omitempty"`
-	Type     string      `json:"type,omitempty"`
-	Body     []byte      `json:"body,omitempty"`
+	ID          string      `json:"id"`
+	Kind        string      `json:"kind"`
+	Reason      pipe.Reason `json:"reason,omitempty"`
+	Detail      string      `json:"detail,omitempty"`
+	Upstream    string      `json:"upstream,omitempty"`
+	Status      int         `json:"status,omitempty"`
+	ContentType string      `json:"type,omitempty"`
+	Body        []byte      `json:"body,omitempty"`
 }
 
 func fromOutcome(j *pipe.Job) wireOutcome {
 	return wireOutcome{
 		ID: j.ID, Kind: j.Outcome.Kind.String(), Reason: j.Outcome.Reason, Detail: j.Outcome.Detail,
-		Upstream: j.Upstream.ID, Status: j.Answer.Status, Type: j.Answer.ContentType, Body: j.Answer.Body,
+		Upstream: j.Upstream.ID, Status: j.Answer.Status, ContentType: j.Answer.ContentType, Body: j.Answer.Body,
 	}
 }
 
@@ -75,7 +77,7 @@
 	}
 	j.Outcome = pipe.Outcome{Kind: kind, Reason: w.Reason, Detail: w.Detail}
 	j.Upstream.ID = w.Upstream
-	j.Answer = pipe.Answer{Status: w.Status, ContentType: w.Type, Body: w.Body}
+	j.Answer = pipe.Answer{Status: w.Status, ContentType: w.ContentType, Body: w.Body}
 }
 
 type wireCrash struct {
@@ -89,12 +91,13 @@
 	return poison.Crash{Digest: w.Digest, Upstream: w.Upstream, At: now.Add(-time.Duration(w.Age) * time.Microsecond)}
 }
 
+// wireRecord is the encoding of a dedup.Record.
 type wireRecord struct {
-	Ticket string      `json:"ticket"`
-	Expiry int64       `json:"expiry"` // Unix time in seconds.
-	Digest uint64      `json:"digest"`
-	Kept   bool        `json:"kept,omitempty"`
-	End    wireOutcome `json:"end"`
+	Ticket     string      `json:"ticket"`
+	Expiry     int64       `json:"expiry"` // Unix time in seconds.
+	Digest     uint64      `json:"digest"`
+	AnswerKept bool        `json:"kept,omitempty"`
+	End        wireOutcome `json:"end"`
 }
 
 type wireHandOver struct {
@@ -106,14 +109,14 @@
 
 func fromRecord(r dedup.Record) wireRecord {
 	j := pipe.Job{Outcome: r.Outcome, Answer: r.Answer}
-	return wireRecord{Ticket: r.Ticket, Expiry: r.Expiry.Unix(), Digest: r.Digest, Kept: r.AnswerKept, End: fromOutcome(&j)}
+	return wireRecord{Ticket: r.Ticket, Expiry: r.Expiry.Unix(), Digest: r.Digest, AnswerKept: r.AnswerKept, End: fromOutcome(&j)}
 }
 
 func (w wireRecord) record() dedup.Record {
 	j := pipe.Job{}
 	w.End.applyTo(&j)
 	return dedup.Record{
-		Ticket: w.Ticket, Expiry: time.Unix(w.Expiry, 0), Digest: w.Digest, AnswerKept: w.Kept,
+		Ticket: w.Ticket, Expiry: time.Unix(w.Expiry, 0), Digest: w.Digest, AnswerKept: w.AnswerKept,
 		Outcome: j.Outcome, Answer: j.Answer,
 	}
 }
--- a/internal/host/entry/takeover_test.go
+++ b/internal/host/entry/takeover_test.go
@@ -19,7 +19,7 @@
 	for _, seat := range seats {
 		for _, sh := range s.status(seat).Shares {
 			if sh.Resource == "link/mwanza" {
-				sum += sh.Amount.Floor + sh.Lent
+				sum += sh.Quota.Floor + sh.Lent
 			}
 		}
 	}
