--- a/internal/ctrl/commit/commit.go
+++ b/internal/ctrl/commit/commit.go
@@ -67,17 +67,17 @@
 // Commit applies a change to the document and returns the document that contains it. With an expected revision it fails
 // with ErrConflict if another change was applied first; without one it retries on top of that change. The write ID
 // identifies the change, so that a retry detects that an earlier attempt took effect.
-func Commit(ctx context.Context, st Store, ch spec.Change, expect *uint64, write string) (spec.Document, error) {
+func Commit(ctx context.Context, st Store, ch spec.Change, expect *uint64, writeID string) (spec.Document, error) {
 	backoff, tried := minBackoff, false
 	for {
-		doc, retry, err := tryCommit(ctx, st, ch, expect, write, tried)
+		doc, retry, err := tryCommit(ctx, st, ch, expect, writeID, tried)
 		if !retry {
 			return doc, err
 		}
 		tried = true
 		select {
 		case <-ctx.Done():
-			return doc, ErrUnavailable.Wrap(err, "the platform did not answer in time; write %s may have taken effect", write)
+			return doc, ErrUnavailable.Wrap(err, "the platform did not answer in time; write %s may have taken effect", writeID)
 		case <-time.After(backoff):
 		}
 		backoff = min(maxBackoff, backoff*2)
@@ -85,19 +85,19 @@
 }
 
 // tryCommit performs one read, apply and swap, and reports whether to retry.
-func tryCommit(ctx context.Context, st Store, ch spec.Change, expect *uint64, write string, tried bool) (spec.Document, bool, error) {
+func tryCommit(ctx context.Context, st Store, ch spec.Change, expect *uint64, writeID string, tried bool) (spec.Document, bool, error) {
 	doc, index, err := Load(ctx, st)
 	if err != nil {
 		return doc, true, err
 	}
-	if tried && slices.Contains(doc.Writes, write) {
+	if tried && slices.Contains(doc.Writes, writeID) {
 		return doc, false, nil
 	}
 	if expect != nil && *expect != doc.Revision {
 		return doc, false, ErrConflict.New("the change was made for revision %d, revision %d is in force", *expect, doc.Revision).
 			WithProperty(CurrentRevision, doc.Revision)
 	}
-	next, err := doc.Apply(ch, write)
+	next, err := doc.Apply(ch, writeID)
 	switch {
 	case errorx.IsOfType(err, spec.ErrMissing):
 		return doc, false, ErrMissing.Wrap(err, "the change can't be applied")
--- a/internal/edge/peer/wirejob.go
+++ b/internal/edge/peer/wirejob.go
@@ -18,7 +18,7 @@
 	Path        string            `json:"path"`
 	ContentType string            `json:"type,omitempty"`
 	Body        []byte            `json:"body,omitempty"`
-	Left        int64             `json:"left"` // Time to the deadline in microseconds.
+	TimeLeft    int64             `json:"left"` // Time to the deadline in microseconds.
 	Ticket      string            `json:"ticket,omitempty"`
 	Hop         int               `json:"hop"`
 	FromRegion  string            `json:"from"`
@@ -28,7 +28,7 @@
 func fromJob(j *pipe.Job, now time.Time) wireJob {
 	return wireJob{
 		ID: j.ID, Service: j.Service, Rank: j.Rank, Caller: j.Caller, Method: j.Method, Path: j.Path,
-		ContentType: j.ContentType, Body: j.Body, Left: j.Deadline.Sub(now).Microseconds(), Ticket: forwardedTicket(j),
+		ContentType: j.ContentType, Body: j.Body, TimeLeft: j.Deadline.Sub(now).Microseconds(), Ticket: forwardedTicket(j),
 		Hop: j.Hop + 1, FromRegion: j.Plan.Self.Region, Trace: j.Trace,
 	}
 }
@@ -44,7 +44,7 @@
 func (w wireJob) job(now time.Time) *pipe.Job {
 	return &pipe.Job{
 		ID: w.ID, Service: w.Service, Rank: w.Rank, Caller: w.Caller, Method: w.Method, Path: w.Path,
-		ContentType: w.ContentType, Body: w.Body, Deadline: now.Add(time.Duration(w.Left) * time.Microsecond),
+		ContentType: w.ContentType, Body: w.Body, Deadline: now.Add(time.Duration(w.TimeLeft) * time.Microsecond),
 		Ticket: w.Ticket, Hop: w.Hop, FromRegion: w.FromRegion, Trace: w.Trace,
 	}
 }
