--- a/internal/ctrl/watch/reader_test.go
+++ b/internal/ctrl/watch/reader_test.go
@@ -153,7 +153,7 @@
 	assert.Assert(t, took < 2*time.Second, "%s", took)
 }
 
-// The store refuses all calls and the region's two readers are stale. Other hosts must back off further than the
+// If the store refuses all calls and the region's two readers are stale, other hosts must back off further than the
 // readers do, and still get changes soon after one of the readers recovers.
 func TestFollowersBackOffFromAStoreThatRefuses(t *testing.T) {
 	f := &fakeStore{refuse: true, peerUpdates: map[string]Updates{"big1": {Age: 9 * time.Second}, "big2": {Age: 9 * time.Second}}}
