--- a/internal/ctrl/loop/loop.go
+++ b/internal/ctrl/loop/loop.go
@@ -10,9 +10,9 @@
 	"github.com/boragelane/boragelane/internal/ctrl/state"
 )
 
-// Executor executes actions. Each call runs in its own goroutine and passes resulting events to feed.
+// Executor executes actions. Each call runs in its own goroutine and passes the resulting events to emit.
 type Executor interface {
-	Execute(ctx context.Context, act state.Action, feed func(state.Event))
+	Execute(ctx context.Context, act state.Action, emit func(state.Event))
 }
 
 // Subscriber is notified of each plan before the data path can read it.
@@ -134,11 +134,11 @@
 	}
 }
 
-// needsPublish reports whether the effect of an event must reach the data path before the next tick. Routine exchanges,
-// whose number grows with the size of the system, can wait.
+// needsPublish reports whether the effect of an event must reach the data path before the next tick. Heartbeats and
+// exchanges from other hosts, whose number grows with the size of the system, can wait.
 func needsPublish(ev state.Event) bool {
 	switch ev.(type) {
-	case state.DocumentReceived, state.Notice, state.MembersReceived, state.HostUnreachable, state.ShutdownRequested, state.HeartbeatResult:
+	case state.DocumentReceived, state.NoticeReceived, state.MembersReceived, state.HostUnreachable, state.ShutdownRequested, state.HeartbeatResult:
 		return true
 	}
 	return false
@@ -163,12 +163,12 @@
 }
 
 func (l *Loop) apply(ctx context.Context, ev state.Event) {
-	feed := func(ev state.Event) { l.Send(ctx, ev) }
+	emit := func(ev state.Event) { l.Send(ctx, ev) }
 	for _, act := range state.Apply(l.state, ev, l.Clock()) {
 		l.actions.Add(1)
 		go func() {
 			defer l.actions.Done()
-			l.Executor.Execute(ctx, act, feed)
+			l.Executor.Execute(ctx, act, emit)
 		}()
 	}
 }
--- a/internal/ctrl/state/news.go
+++ b/internal/ctrl/state/news.go
@@ -31,17 +31,18 @@
 	return out
 }
 
-// excludedSource returns the host whose own summaries need not be sent back to it. A host that has nothing from this
-// one yet may have restarted and lost them, so nothing is excluded for it.
-func excludedSource(seenSeq uint64, seat string) string {
-	if seenSeq == 0 {
+// excludedSource returns the seat whose own summaries need not be sent back to it. It returns "" for a host that has
+// received no summaries from this one yet, since it may have restarted and lost its own.
+func excludedSource(ackedSeq uint64, seat string) string {
+	if ackedSeq == 0 {
 		return ""
 	}
 	return seat
 }
 
-// mergeSummaries stores the summaries that are newer than the known ones, or that replace a stale one.
-func (s *State) mergeSummaries(from string, summaries []Summary, now time.Time) {
+// mergeSummaries stores the summaries received from a host that are newer than the known ones, or that replace a stale
+// one.
+func (s *State) mergeSummaries(source string, summaries []Summary, now time.Time) {
 	for _, summary := range summaries {
 		old, ok := s.Summaries[summary.Domain]
 		if summary.Domain == s.Self.Domain && s.IsRelay {
@@ -57,7 +58,7 @@
 			summary, changedSeq = old.Summary, old.ChangedSeq
 			summary.Version = v
 		}
-		s.Summaries[summary.Domain] = SummaryRecord{Summary: summary, ReceivedAt: now, Seq: s.Seq, ChangedSeq: changedSeq, Source: from}
+		s.Summaries[summary.Domain] = SummaryRecord{Summary: summary, ReceivedAt: now, Seq: s.Seq, ChangedSeq: changedSeq, Source: source}
 	}
 }
 
@@ -137,7 +138,7 @@
 	return false
 }
 
-// startExchange sends an exchange to the relay of the next partner domain.
+// startExchange returns the action that sends an exchange to the relay of the next partner domain, if there is one.
 func (s *State) startExchange(now time.Time) []Action {
 	d, ok := s.exchangePartner(now)
 	if !ok {
@@ -219,11 +220,11 @@
 	if s.Doc == nil {
 		return reply
 	}
-	got := exchange.SeenSeq
+	seenSeq := exchange.SeenSeq
 	if exchange.PeerIncarnation != s.Self.Incarnation {
-		got = 0
+		seenSeq = 0
 	}
-	reply.Summaries = s.summariesSince(got, exchange.Domain, excludedSource(got, exchange.Seat))
+	reply.Summaries = s.summariesSince(seenSeq, exchange.Domain, excludedSource(seenSeq, exchange.Seat))
 	s.mergeSummaries(exchange.Seat, exchange.Summaries, now)
 	reply.Seq = s.Seq
 	delete(s.Unreachable, exchange.Seat)
--- a/internal/ctrl/state/shift.go
+++ b/internal/ctrl/state/shift.go
@@ -18,7 +18,7 @@
 	shiftReverseFactor      = 2.0
 )
 
-// advanceShifts moves each started shift along its ramp while its target stays healthy.
+// advanceShifts updates the progress of each started shift out of this region, and deletes that of removed shifts.
 func (s *State) advanceShifts(now time.Time) {
 	live := map[string]bool{}
 	for _, sh := range s.Doc.Shifts {
@@ -55,12 +55,12 @@
 	switch {
 	case utilization >= shiftReverseUtilization:
 		progress.Paused = true
-		progress.Done = max(0, progress.Done-shiftReverseFactor*delta)
+		progress.Fraction = max(0, progress.Fraction-shiftReverseFactor*delta)
 	case utilization >= shiftPauseUtilization || slow:
 		progress.Paused = true
 	default:
 		progress.Paused = false
-		progress.Done = min(1, progress.Done+delta)
+		progress.Fraction = min(1, progress.Fraction+delta)
 	}
 	return progress
 }
@@ -73,31 +73,31 @@
 			continue
 		}
 		for _, d := range r.Domains {
-			if n, ok := s.Summaries[d.Name]; ok && now.Sub(n.ReceivedAt) < s.summaryTimeout() {
-				sum = addLoads(sum, n.Loads[service])
+			if record, ok := s.Summaries[d.Name]; ok && now.Sub(record.ReceivedAt) < s.summaryTimeout() {
+				sum = addLoads(sum, record.Loads[service])
 			}
 		}
 	}
 	return sum
 }
 
-// shifts returns the shifts that currently move traffic, with this host's part of each rate cap.
+// shifts returns the shifts that currently move traffic, with this host's share of each rate cap.
 func (s *State) shifts() []plan.Shift {
 	var out []plan.Shift
 	for _, sh := range s.Doc.Shifts {
 		p, ok := s.Shifts[sh.Name]
-		if !ok || p.Done <= 0 {
+		if !ok || p.Fraction <= 0 {
 			continue
 		}
 		out = append(out, plan.Shift{
-			Name: sh.Name, Service: sh.Service, To: sh.To, Fraction: sh.Part * p.Done,
-			Rate: sh.Cap / float64(max(1, s.regionSeats(sh.From))),
+			Name: sh.Name, Service: sh.Service, To: sh.To, Fraction: sh.Part * p.Fraction,
+			Rate: sh.Cap / float64(max(1, s.countRegionSeats(sh.From))),
 		})
 	}
 	return out
 }
 
-func (s *State) regionSeats(region string) int {
+func (s *State) countRegionSeats(region string) int {
 	n := 0
 	for _, r := range s.Doc.Regions {
 		if r.Name != region {
--- a/internal/ctrl/watch/reader_test.go
+++ b/internal/ctrl/watch/reader_test.go
@@ -13,7 +13,7 @@
 )
 
 // fakeStore is a store that can become unreachable. A call that starts while it is unreachable hangs until its timeout,
-// even if the store recovers meanwhile. It also plays the other hosts of the region.
+// even if the store recovers meanwhile. It also implements PeerSource for the other hosts of the region.
 type fakeStore struct {
 	mu           sync.Mutex
 	unreachable  bool
@@ -60,12 +60,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.peerRequests[from.Name]++
-	n, ok := f.peerUpdates[from.Name]
+	updates, ok := f.peerUpdates[from.Name]
 	if !ok {
 		return Updates{}, errors.New("no answer")
 	}
-	n.Batch.Revision = f.revision
-	return n, nil
+	updates.Batch.Revision = f.revision
+	return updates, nil
 }
 
 type noopObserver struct{}
@@ -97,8 +97,8 @@
 	return time.Since(begin)
 }
 
-// Rare worst case of a partition: it ends just after a call started, which still hangs until its timeout. The host must have
-// new data before it counts as connected again, 3 s after the end of the partition.
+// TestReadsResumeSoonAfterAPartition covers a rare worst case: the partition ends just after a call started, which still
+// hangs until its timeout. The host must have new data before it counts as connected again, 3 s after the end of the partition.
 func TestReadsResumeSoonAfterAPartition(t *testing.T) {
 	f := &fakeStore{}
 	l := startReader(t, f)
@@ -139,7 +139,7 @@
 	}
 }
 
-// The host can't reach the store, but the reader can again: changes must arrive through the reader, although one of the
+// If a host can't reach the store, but the reader can again, changes must arrive through the reader, although one of the
 // host's own store calls may still hang.
 func TestAFollowerThatIsCutOffHearsThroughTheReader(t *testing.T) {
 	f := &fakeStore{unreachable: true, peerUpdates: map[string]Updates{"big": {Age: 3 * time.Second}}}
@@ -153,7 +153,7 @@
 	assert.Assert(t, took < 2*time.Second, "%s", took)
 }
 
-// The store refuses all calls and the region's two readers are stale. Other hosts must back off further than the
+// If the store refuses all calls and the region's two readers are stale, other hosts must back off further than the
 // readers do, and still get changes soon after one of the readers recovers.
 func TestFollowersBackOffFromAStoreThatRefuses(t *testing.T) {
 	f := &fakeStore{refuse: true, peerUpdates: map[string]Updates{"big1": {Age: 9 * time.Second}, "big2": {Age: 9 * time.Second}}}
--- a/internal/edge/peer/server.go
+++ b/internal/edge/peer/server.go
@@ -30,9 +30,9 @@
 type Host interface {
 	RunForwarded(ctx context.Context, job *pipe.Job)
 	RunOwned(ctx context.Context, job *pipe.Job)
-	HandleHeartbeat(ctx context.Context, b state.Heartbeat) (state.HeartbeatReply, bool)
-	HandleExchange(ctx context.Context, s state.Exchange) (state.ExchangeReply, bool)
-	Notice(n state.Notice)
+	HandleHeartbeat(ctx context.Context, hb state.Heartbeat) (state.HeartbeatReply, bool)
+	HandleExchange(ctx context.Context, exchange state.Exchange) (state.ExchangeReply, bool)
+	Notice(n state.NoticeReceived)
 	Document() *spec.Document
 	HandleCrash(c poison.Crash, spread bool)
 	AdoptRecords(incarnation string, until time.Time, last bool, records []dedup.Record)
