--- a/review/stand/backend.go
+++ b/review/stand/backend.go
@@ -88,6 +88,7 @@
 		notRun(http.StatusBadRequest)
 		return
 	}
+	b.record.arrived(id, b.id)
 	size, _ := io.Copy(io.Discard, r.Body)
 	left := time.Minute
 	if ms, err := strconv.ParseInt(r.Header.Get("X-Boragelane-Deadline-Ms"), 10, 64); err == nil {
--- a/review/stand/record.go
+++ b/review/stand/record.go
@@ -32,6 +32,7 @@
 	end      string // How it ended for the client.
 	runs     []run
 	deadline time.Duration
+	arrivals int // At backends, whether they ran it or not.
 }
 
 // run is one run on a backend.
@@ -78,6 +79,15 @@
 	r.write("ended     %s  %d %s", id, status, end)
 }
 
+func (r *record) arrived(id, backend string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if q := r.reqs[id]; q != nil {
+		q.arrivals++
+	}
+	r.write("arrived   %s  at %s", id, backend)
+}
+
 func (r *record) started(id, backend, line string, size int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
