--- a/review/stand/backend.go
+++ b/review/stand/backend.go
@@ -15,7 +15,7 @@
 	id, service, zone string
 	slots, queue      int
 	work              atomic.Int64 // Time of one request, a time.Duration.
-	coldMS            int64
+	coldUntil         int64        // In Unix milliseconds.
 	address           string
 	store             *store
 	record            *record
@@ -31,9 +31,9 @@
 const beatInterval = 1500 * time.Millisecond
 
 // startBackend starts a backend that registers itself in the store.
-func startBackend(r *record, s *store, ip, id, service, zone string, slots int, work time.Duration, coldMS int64) *backend {
+func startBackend(r *record, s *store, ip, id, service, zone string, slots int, work time.Duration) *backend {
 	b := &backend{
-		id: id, service: service, zone: zone, slots: slots, queue: 9, coldMS: coldMS, store: s, record: r,
+		id: id, service: service, zone: zone, slots: slots, queue: 9, store: s, record: r,
 		free: make(chan struct{}, slots), born: time.Now().UnixMilli(),
 	}
 	b.work.Store(int64(work))
@@ -50,12 +50,21 @@
 	return b
 }
 
+// cool makes the backend cold for a time, and reports it.
+func (b *backend) cool(d time.Duration) {
+	b.record.note("cold      %s for %v", b.id, d)
+	b.mu.Lock()
+	b.coldUntil = time.Now().Add(d).UnixMilli()
+	b.mu.Unlock()
+	b.beat()
+}
+
 // beat writes the backend's entry.
 func (b *backend) beat() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.seq++
-	cold := max(0, b.coldMS-(time.Now().UnixMilli()-b.born))
+	cold := max(0, b.coldUntil-time.Now().UnixMilli())
 	b.store.put("servers/"+b.id, map[string]any{
 		"address": b.address, "born": b.born,
 		"info":   map[string]any{"service": b.service, "version": "v1", "zone": b.zone, "slots": b.slots},
--- a/review/stand/case_bodies.go
+++ b/review/stand/case_bodies.go
@@ -86,7 +86,7 @@
 	b.site.zones = map[string]string{"perth-a": "perth"}
 	b.store.put("op/config", config("jepu9.example", "/puka111/", "non_idempotent", "wuno96b", 8000, 1200))
 	for i := range 8 {
-		startBackend(b.record, b.store, b.ip(100+i), fmt.Sprintf("i-%02d", i), "wuno96b", "perth-a", 3, work, 0)
+		startBackend(b.record, b.store, b.ip(100+i), fmt.Sprintf("i-%02d", i), "wuno96b", "perth-a", 3, work)
 	}
 	h := b.site.start("edge-perth-a-1", "perth-a", b.ip(1))
 	h.run()
@@ -144,10 +144,11 @@
 	reader := bufio.NewReader(conn)
 	for !stopped(stop) {
 		id := newID()
+		b.record.sent(id, c.method+" "+c.path+" to "+address+" on a kept connection", c.deadline)
 		if _, err := io.WriteString(conn, c.head(id)); err != nil {
+			b.record.answered(id, 0, "connection ended before it was sent")
 			return
 		}
-		b.record.sent(id, c.method+" "+c.path+" to "+address+" on a kept connection", c.deadline)
 		_ = conn.SetReadDeadline(time.Now().Add(c.deadline))
 		status, end, reuse, pause := readAnswer(reader, id)
 		b.record.answered(id, status, end)
--- a/review/stand/case_stop.go
+++ b/review/stand/case_stop.go
@@ -36,7 +36,7 @@
 	b.store.put("op/config", config("hulo84.example", "/leny950/", "idempotent", "huvo11a", 2500, 1200))
 	for i := range 16 {
 		zone := []string{"perth-a", "perth-b"}[i%2]
-		startBackend(b.record, b.store, b.ip(100+i), fmt.Sprintf("i-%02d", i), "huvo11a", zone, 3, work, 0)
+		startBackend(b.record, b.store, b.ip(100+i), fmt.Sprintf("i-%02d", i), "huvo11a", zone, 3, work)
 	}
 	first, second := b.site.start("edge-perth-a-1", "perth-a", b.ip(1)), b.site.start("edge-perth-b-1", "perth-b", b.ip(2))
 	first.run()
--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -99,11 +99,12 @@
 	}
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(c.deadline + 2*time.Second))
+	r.sent(id, c.method+" "+c.path+" to "+address, c.deadline)
 	_, err = io.WriteString(conn, c.head(id))
 	if err == nil && c.body != nil {
 		_, err = io.Copy(conn, c.body)
+		r.allSent(id)
 	}
-	r.sent(id, c.method+" "+c.path+" to "+address, c.deadline)
 	if err != nil {
 		r.answered(id, 0, "connection ended before all was sent: "+short(err))
 		return id, 0
@@ -228,11 +229,12 @@
 		}
 		if len(pending) < maxOutstanding {
 			id := newID()
+			p.record.sent(id, p.call.method+" "+p.call.path+" to "+address+" from "+conn.LocalAddr().String(), p.call.deadline)
 			if _, err := io.WriteString(conn, p.call.head(id)); err != nil {
+				p.record.answered(id, 0, "connection ended before it was sent")
 				mu.Unlock()
 				break
 			}
-			p.record.sent(id, p.call.method+" "+p.call.path+" to "+address+" from "+conn.LocalAddr().String(), p.call.deadline)
 			pending = append(pending, id)
 			outstanding <- id
 		}
--- a/review/stand/host.go
+++ b/review/stand/host.go
@@ -23,12 +23,13 @@
 
 // site holds what all hosts share.
 type site struct {
-	dir, storeAddress string
-	zones             map[string]string
-	graceS            int
-	memoryMB          int
-	record            *record
-	hosts             []*host
+	dir      string
+	store    *store
+	zones    map[string]string
+	graceS   int
+	memoryMB int
+	record   *record
+	hosts    []*host
 }
 
 // command is what deploy/system.toml names under run, relative to the root of the repository.
@@ -110,7 +111,7 @@
   history_s: 20
   value_bytes: 1048576
   ttl_min_ms: 1000
-`, name, ip, zone, h.region, zones.String(), h.front, h.ready, free[3], h.directory, peer, peer, s.memoryMB, s.graceS, s.storeAddress)
+`, name, ip, zone, h.region, zones.String(), h.front, h.ready, free[3], h.directory, peer, peer, s.memoryMB, s.graceS, s.store.addressFor(name))
 	h.settings = filepath.Join(s.dir, name+".yaml")
 	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 		fail("%v", err)
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -70,7 +70,7 @@
 	}()
 	b.record = newRecord(path)
 	b.store = newStore(b.ip(250))
-	b.site = &site{dir: dir, storeAddress: b.store.address, graceS: 6, memoryMB: 284, record: b.record, zones: map[string]string{}}
+	b.site = &site{dir: dir, store: b.store, graceS: 6, memoryMB: 284, record: b.record, zones: map[string]string{}}
 	defer b.site.killAll()
 	timer := time.AfterFunc(limit, func() {
 		b.record.note("the run took too long")
--- a/review/stand/record.go
+++ b/review/stand/record.go
@@ -71,6 +71,14 @@
 	r.write("sent      %s  %s", id, line)
 }
 
+// allSent sets the time at which the last byte of a long request was written.
+func (r *record) allSent(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reqs[id].sentAt = time.Now()
+	r.write("all sent  %s", id)
+}
+
 func (r *record) answered(id string, status int, end string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -18,9 +18,9 @@
 	history  []item
 	revision int64
 	leases   map[int64]*lease
-	// reject, if set, says for which addresses of callers a call gets 503.
-	reject  map[string]bool
-	address string
+	reject   map[string]bool // Machines that are turned away, by name.
+	ip       string
+	address  string
 }
 
 type item struct {
@@ -46,13 +46,26 @@
 
 // newStore starts a store at a free port of an address.
 func newStore(ip string) *store {
-	s := &store{items: map[string]item{}, leases: map[int64]*lease{}, reject: map[string]bool{}, revision: 100}
-	ln := listen(ip)
-	s.address = ln.Addr().String()
-	go func() { _ = (&http.Server{Handler: s}).Serve(ln) }()
+	s := &store{items: map[string]item{}, leases: map[int64]*lease{}, reject: map[string]bool{}, revision: 100, ip: ip}
+	s.address = s.addressFor("")
 	return s
 }
 
+// addressFor opens an address of the store for one machine, so that it can be turned away alone.
+func (s *store) addressFor(machine string) string {
+	ln := listen(s.ip)
+	go func() {
+		_ = http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if s.rejects(machine) {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			s.serve(w, r)
+		}))
+	}()
+	return ln.Addr().String()
+}
+
 // listen opens a listener at a free port of an address.
 func listen(ip string) net.Listener {
 	ln, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
@@ -80,11 +93,17 @@
 	s.unset(key)
 }
 
-// setReject decides whether the machine with an address is turned away with 503.
-func (s *store) setReject(ip string, on bool) {
+// setReject decides whether a machine is turned away with 503.
+func (s *store) setReject(machine string, on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reject[machine] = on
+}
+
+func (s *store) rejects(machine string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.reject[ip] = on
+	return s.reject[machine]
 }
 
 // has reports whether a key exists.
@@ -114,16 +133,8 @@
 	s.history = append(s.history, item{Key: key, Revision: s.revision, Removed: true})
 }
 
-// ServeHTTP answers one call.
-func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	ip, _, _ := net.SplitHostPort(r.RemoteAddr)
-	s.mu.Lock()
-	rejected := s.reject[ip]
-	s.mu.Unlock()
-	if rejected {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
+// serve answers one call.
+func (s *store) serve(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
 	switch path, arg, _ := strings.Cut(r.URL.Path[1:], "/"); path {
 	case "kv-key":
