--- a/review/stand/backend.go
+++ b/review/stand/backend.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -43,6 +44,7 @@
 	go func() { _ = srv.Serve(ln) }()
 	b.beat()
 	go func() {
+		time.Sleep(rand.N(beatInterval))
 		for range time.Tick(beatInterval) {
 			b.beat()
 		}
--- a/review/stand/host.go
+++ b/review/stand/host.go
@@ -134,13 +134,22 @@
 		fail("starting %s: %v", h.name, err)
 	}
 	h.record.note("started   %s as process %d", h.name, h.cmd.Process.Pid)
+	cmd, exited := h.cmd, h.exited
 	go func() {
-		err := h.cmd.Wait()
+		err := cmd.Wait()
 		h.record.note("exited    %s: %v", h.name, err)
-		close(h.exited)
+		close(exited)
 	}()
 }
 
+// restart starts the process again with the same settings.
+func (h *host) restart() {
+	old := h.cmd
+	h.cmd, h.exited = exec.Command(command, commandArg), make(chan struct{})
+	h.cmd.Env, h.cmd.Stdout, h.cmd.Stderr, h.cmd.SysProcAttr = old.Env, old.Stdout, old.Stderr, old.SysProcAttr
+	h.run()
+}
+
 // isReady asks the host's ready address as the platform does.
 func (h *host) isReady() bool {
 	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
