--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p bin
-cd stand && GOFLAGS=-mod=mod GOPROXY=off go build -o ../bin/stand .
+cd stand && GOFLAGS="-mod=mod -buildvcs=false" GOPROXY=off go build -o ../bin/stand .
--- a/review/stand/case_relay.go
+++ b/review/stand/case_relay.go
@@ -99,6 +99,9 @@
 				if q.sentAt.Before(acks[i].at) {
 					continue
 				}
+				if i+1 < len(acks) && !r.at.Before(acks[i+1].at) {
+					break // It began to run under the next version.
+				}
 				if late := q.sentAt.Sub(acks[i].at); late > apply && service != acks[i].service {
 					broken++
 					if broken <= 20 {
