fix(watch): followers miss no change after a reader restarts

Cause: a full read wrote its entries into the log of changes for followers, ordered by name. When the log overflowed, it took the revision of the dropped entry as the one from which it was complete, though that lies far below the read's. Entries passed on by another host have no revision, so a relay's log claimed to be complete from 0. Change: entries of a full read aren't logged; the log is complete from the newest revision in the read, and followers behind that get the whole state. A full read wakes waiting followers. An older full read keeps its own revision.

--- a/internal/ctrl/watch/fold.go
+++ b/internal/ctrl/watch/fold.go
@@ -98,14 +98,17 @@
 		stateChanges = append(stateChanges, StateChange{Message: "store regained", Revision: b.Revision})
 	}
 	s.disconnected, s.lastSync = false, now.Add(-b.Age)
-	s.revision = max(s.revision, b.Revision)
 	if b.Snapshot {
-		s.changes, s.compactedTo = nil, b.Revision
+		s.resetLog(b)
 		b.Changes = append(b.Changes, s.removals(b)...)
+	} else {
+		s.revision = max(s.revision, b.Revision)
 	}
 	for i := range b.Changes {
 		if change := s.applyChange(&b.Changes[i], now); change.Message != "" {
-			s.recordChange(&b.Changes[i])
+			if !b.Snapshot {
+				s.recordChange(&b.Changes[i])
+			}
 			change.Name, change.Revision, change.Err = b.Changes[i].Name, b.Changes[i].Revision, b.Changes[i].Err
 			stateChanges = append(stateChanges, change)
 		}
--- a/internal/ctrl/watch/relay.go
+++ b/internal/ctrl/watch/relay.go
@@ -28,12 +28,23 @@
 	changes     []roster.Change
 	revision    int64 // Latest revision read from the store.
 	compactedTo int64 // The log is complete after this revision.
-	recorded    int64 // Number of changes recorded so far.
+	recorded    int64 // Number of changes and full reads recorded so far.
 }
 
 // unknownAge is the age of the state of a host that has not read the store yet, and the greatest one that is reported.
 const unknownAge = 24 * time.Hour
 
+// resetLog empties the log for a full read. The entries of a full read are not logged: they are ordered by name, and those that
+// another host passed on carry no revision, so the log could not tell which changes it lacks. Followers that need them get a
+// snapshot.
+func (l *changeLog) resetLog(b roster.Batch) {
+	l.changes, l.revision, l.compactedTo = nil, b.Revision, b.Revision
+	for i := range b.Changes {
+		l.compactedTo = max(l.compactedTo, b.Changes[i].Revision) // Later pages of a full read may be newer than its revision.
+	}
+	l.recorded++
+}
+
 // recordChange appends a change that modified the state to the log and drops the oldest one when the log is full.
 func (s *State) recordChange(c *roster.Change) {
 	s.changes = append(s.changes, *c)
