fix(httpd): a connection ends after its last response

Seen: a caller that waits for the end of a connection after its last response could wait for good; a stopping host then waited out its grace period. Cause: the reader clears the read deadline after the last request, also when the writer has already set the one that ends the connection. Change: both set it under the connection's lock, and the reader leaves it once the last response is written.

--- a/internal/edge/httpd/conn.go
+++ b/internal/edge/httpd/conn.go
@@ -39,6 +39,7 @@
 	reading bool // The first byte of a request has arrived, but not yet all of it.
 	closing bool // No further request is accepted.
 	idle    bool // closing was set because the connection was idle; no response has announced it.
+	ended   bool // The last response has been written, or can't be.
 }
 
 // exchange is a request in progress and its response.
@@ -125,15 +126,32 @@
 		}
 		go func() { ex.response <- c.server.serve(ctx, req) }()
 		if ex.closeAfter {
-			// The caller may still disconnect before its response.
-			_ = c.net.SetReadDeadline(time.Time{})
-			c.limiter.remaining = 1
-			_, err := c.reader.Peek(1)
-			return err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errReadLimit)
+			return c.awaitLastResponse()
 		}
 	}
 }
 
+// awaitLastResponse waits on a connection that accepts no more requests, and reports whether the caller disconnects before
+// its last response.
+func (c *conn) awaitLastResponse() bool {
+	c.mu.Lock()
+	if !c.ended { // Else the deadline that endReading has set must stay.
+		_ = c.net.SetReadDeadline(time.Time{})
+	}
+	c.mu.Unlock()
+	c.limiter.remaining = 1
+	_, err := c.reader.Peek(1)
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errReadLimit)
+}
+
+// endReading stops the reading of requests after the last response.
+func (c *conn) endReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing, c.ended = true, true
+	_ = c.net.SetReadDeadline(time.Unix(1, 0))
+}
+
 // addPending registers a request; it returns false if the connection accepts no more.
 func (c *conn) addPending(ex *exchange, closeAfter bool) bool {
 	c.mu.Lock()
--- a/internal/edge/httpd/write.go
+++ b/internal/edge/httpd/write.go
@@ -18,11 +18,12 @@
 		_ = c.net.SetWriteDeadline(c.server.Clock().Add(writeTimeout))
 		if err := c.writeResponse(ex.req, resp, closeAfter); err != nil {
 			ok = false
-			_ = c.net.SetDeadline(time.Unix(1, 0))
+			_ = c.net.SetWriteDeadline(time.Unix(1, 0))
+			c.endReading()
 			continue
 		}
 		if closeAfter {
-			_ = c.net.SetReadDeadline(time.Unix(1, 0))
+			c.endReading()
 		}
 	}
 	return ok
