fix(httpd): a stop takes no further pipelined requests

Cause: a connection was closed only by a response that left none pending, so the host read from it until the exit. Change: a stop ends the reading of connections with pending requests; the last response announces the close. A request that is half read is answered and is the last one; an idle connection takes one more.

--- a/internal/edge/httpd/conn.go
+++ b/internal/edge/httpd/conn.go
@@ -56,7 +56,11 @@
 	lastErr   error // The last read error; http.ReadRequest hides errors in the middle of a line.
 }
 
-var errReadLimit = errors.New("read limit exceeded")
+var (
+	errReadLimit = errors.New("read limit exceeded")
+	// errNoMoreRequests ends the reading of a connection that accepts no further request.
+	errNoMoreRequests = errors.New("connection accepts no more requests")
+)
 
 // Read reads from the connection until the limit is reached.
 func (l *byteLimiter) Read(b []byte) (int, error) {
@@ -112,7 +116,10 @@
 func (c *conn) readRequests(ctx context.Context) bool {
 	for {
 		req, status, err := c.readRequest()
-		if err != nil {
+		switch {
+		case errors.Is(err, errNoMoreRequests):
+			return c.awaitLastResponse()
+		case err != nil:
 			return !errors.Is(err, os.ErrDeadlineExceeded)
 		}
 		ex := &exchange{req: req, response: make(chan Response, 1)}
@@ -161,7 +168,7 @@
 	}
 	c.pending++
 	c.reading = false
-	ex.closeAfter = closeAfter || ex.req.Header.Get("Connection") == "close"
+	ex.closeAfter = closeAfter || ex.req.Header.Get("Connection") == "close" || c.server.draining.Load()
 	c.closing = ex.closeAfter
 	return true
 }
@@ -200,26 +207,49 @@
 // awaitRequest waits for the first byte of a request; the idle timeout does not apply while responses are pending.
 func (c *conn) awaitRequest(timeout time.Duration) error {
 	for {
-		_ = c.net.SetReadDeadline(c.server.Clock().Add(timeout))
-		_, err := c.reader.Peek(1)
-		c.mu.Lock()
-		if err == nil {
-			c.reading = true
-			if c.idle { // The request arrived just before the connection would have been closed.
-				c.closing, c.idle = false, false
-			}
+		if !c.setIdleDeadline(timeout) {
+			return errNoMoreRequests
 		}
-		busy := c.pending > 0 && !c.closing
-		if err != nil && !busy {
-			c.closing = true
-		}
-		c.mu.Unlock()
-		if !errors.Is(err, os.ErrDeadlineExceeded) || !busy {
+		_, err := c.reader.Peek(1)
+		if err = c.beginRequest(err); !errors.Is(err, errStillBusy) {
 			return err
 		}
 	}
 }
 
+// errStillBusy means that the idle timeout has passed while responses are pending.
+var errStillBusy = errors.New("responses are pending")
+
+// setIdleDeadline sets the idle timeout unless the connection is closing; it returns false if no request may follow.
+func (c *conn) setIdleDeadline(timeout time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closing {
+		_ = c.net.SetReadDeadline(c.server.Clock().Add(timeout))
+	}
+	return !c.closing || c.idle
+}
+
+// beginRequest decides, after a wait for the first byte of a request that ended with waitErr, whether a request follows.
+func (c *conn) beginRequest(waitErr error) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.closing && !c.idle:
+		if waitErr == nil || errors.Is(waitErr, os.ErrDeadlineExceeded) {
+			return errNoMoreRequests
+		}
+	case waitErr == nil:
+		c.reading = true
+		c.closing, c.idle = false, false // The request may have arrived just before the connection would have been closed.
+	case errors.Is(waitErr, os.ErrDeadlineExceeded) && c.pending > 0:
+		return errStillBusy
+	default:
+		c.closing = true
+	}
+	return waitErr
+}
+
 func (c *conn) readBody(hr *http.Request, req *Request, maxSize int64) (int, error) {
 	if hr.Body == nil || hr.Body == http.NoBody {
 		return 0, nil
@@ -270,12 +300,23 @@
 	}
 }
 
+// drain makes the connection accept no request after those that are pending or being read. A caller that always has a
+// request outstanding would otherwise keep it open until the process exits. An idle connection accepts one more request.
+func (c *conn) drain() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending > 0 && !c.reading && !c.closing {
+		c.closing = true
+		_ = c.net.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
 // removePending unregisters a request and reports whether the connection must close after its response.
 func (c *conn) removePending(ex *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending--
-	if c.server.draining.Load() && c.pending == 0 {
+	if c.server.draining.Load() && c.pending == 0 && !c.reading {
 		c.closing = true
 	}
 	return ex.closeAfter || c.closing && c.pending == 0
--- a/internal/edge/httpd/server.go
+++ b/internal/edge/httpd/server.go
@@ -105,8 +105,16 @@
 	}()
 }
 
-// Drain makes each connection close after the response that leaves no other request pending.
-func (s *Server) Drain() { s.draining.Store(true) }
+// Drain makes each connection close after the requests that it has accepted, or after one more if it is idle. The last
+// response announces the close.
+func (s *Server) Drain() {
+	s.draining.Store(true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.drain()
+	}
+}
 
 // CloseIdle closes the connections without pending requests.
 func (s *Server) CloseIdle() {
