fix(halt): a stopping host accepts late only what ends before its exit

Cause: a stopping host accepted for half of its grace period, though that time is only needed for callers' cached directory responses. Change: flow/halt, a new filter, plans a stop. Connections are accepted for 3 s at most; after 5/6 of that time a job is accepted only if its deadline ends before the exit, others are refused as not run.

--- /dev/null
+++ b/internal/flow/halt/halt.go
@@ -0,0 +1,70 @@
+package halt
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/boragelane/boragelane/internal/flow/pipe"
+)
+
+// Plan holds the times of a planned stop in their order.
+type Plan struct {
+	Long   time.Time // Until then the host accepts all jobs, afterwards only those whose deadline is not after Answer.
+	Accept time.Time // Until then it accepts connections.
+	Answer time.Time // Until then jobs run; what is still running is given up.
+	Exit   time.Time // The process exits.
+}
+
+const (
+	// maxAcceptPeriod covers the directory responses that callers keep. It doesn't grow with the grace period, so that a
+	// longer one leaves more time to jobs that were accepted late.
+	maxAcceptPeriod = 3 * time.Second
+	// longShare is the share of the accept period in which jobs of any length are accepted.
+	longShare = 5.0 / 6
+	// exitMargin is the time between the exit of the process and the end of the grace period.
+	exitMargin = 150 * time.Millisecond
+	// flushTime is the time for writing the last responses.
+	flushTime = 200 * time.Millisecond
+)
+
+// NewPlan returns the plan of a stop that begins now and must end within the grace period.
+func NewPlan(now time.Time, grace time.Duration) Plan {
+	exit := max(0, grace-exitMargin)
+	accept := min(maxAcceptPeriod, grace/2)
+	return Plan{
+		Long:   now.Add(time.Duration(longShare * float64(accept))),
+		Accept: now.Add(accept),
+		Answer: now.Add(exit - min(flushTime, exit/10)),
+		Exit:   now.Add(exit),
+	}
+}
+
+// Admits reports whether a stopping host accepts a job with the given deadline: early, or if the job is sure to end in time.
+func (p *Plan) Admits(now, deadline time.Time) bool {
+	return now.Before(p.Long) || !deadline.After(p.Answer)
+}
+
+// retryAfter is the delay after which refused callers should retry; other hosts can serve them at once.
+const retryAfter = 50 * time.Millisecond
+
+// Filter refuses jobs that might still be running when a stopping host exits. Their callers then have time for another host.
+type Filter struct {
+	plan atomic.Pointer[Plan] // Nil unless the host is stopping.
+}
+
+// Begin starts to apply the plan of a stop.
+func (f *Filter) Begin(p Plan) { f.plan.Store(&p) }
+
+// String returns the filter's name.
+func (*Filter) String() string { return "halt" }
+
+// Run refuses the job if the plan doesn't admit it.
+func (f *Filter) Run(_ context.Context, now time.Time, job *pipe.Job) {
+	p := f.plan.Load()
+	if p == nil || p.Admits(now, job.Deadline) {
+		return
+	}
+	job.RetryAfter = retryAfter
+	job.Refuse(pipe.Stopping, "this host is stopping and the job might not end in time")
+}
--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -22,6 +22,7 @@
 	"github.com/boragelane/boragelane/internal/edge/broker"
 	"github.com/boragelane/boragelane/internal/edge/dialer"
 	"github.com/boragelane/boragelane/internal/edge/httpd"
+	"github.com/boragelane/boragelane/internal/flow/halt"
 	"github.com/boragelane/boragelane/internal/flow/match"
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 	"github.com/boragelane/boragelane/internal/flow/place"
@@ -74,6 +75,7 @@
 	crashes       *poison.Table
 	filters       pipe.Pipeline
 	server        *httpd.Server
+	halt          halt.Filter
 	stopping      atomic.Bool
 	crashReports  chan roster.Crash
 	loanPoller    *broker.LoanPoller
@@ -103,6 +105,7 @@
 	h.placer.Admit = &placeTracer{host: h}
 	h.filters = pipe.Pipeline{Clock: clock, Filters: []pipe.Filter{
 		match.New(),
+		&h.halt,
 		poison.Filter{Table: h.crashes, Notifier: &crashReporter{host: h}},
 		&serve.Filter{Placer: &hopTracer{host: h}, Sender: &hopTracer{host: h}, Budget: h.budget, Recorder: events, Clock: clock},
 	}}
