fix(halt): a stopping host refuses jobs that still wait for a slot

Cause: nothing ends the wait for a slot during a stop, so it could last until the process exits. Change: halt.Gate, between the jobs and their placer, closes halfway between the end of the accept period and the time at which running jobs are given up; jobs that wait then, or ask later, are refused as not run. TestStopSoak plays planned stops over real processes: overlapping signals, restarts and changes, callers that use a connection until its host closes it.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 
 # Runs host processes under random external faults, with SOAK_SEEDS new random seeds; SOAK_SEED=N reruns a single seed.
 soak:
-	SOAK_SEEDS=$${SOAK_SEEDS:-50} go test ./platform -run TestSoak -v -parallel 6 -timeout 30m
+	SOAK_SEEDS=$${SOAK_SEEDS:-50} go test ./platform -run 'Soak$$' -v -parallel 6 -timeout 30m
 
 demo: build
 	./scripts/demo.sh
--- a/internal/flow/halt/halt.go
+++ b/internal/flow/halt/halt.go
@@ -12,6 +12,7 @@
 type Plan struct {
 	Long   time.Time // Until then the host accepts all jobs, afterwards only those whose deadline is not after Answer.
 	Accept time.Time // Until then it accepts connections.
+	Start  time.Time // Until then jobs may wait for an upstream.
 	Answer time.Time // Until then jobs run; what is still running is given up.
 	Exit   time.Time // The process exits.
 }
@@ -22,6 +23,9 @@
 	maxAcceptPeriod = 3 * time.Second
 	// longShare is the share of the accept period in which jobs of any length are accepted.
 	longShare = 5.0 / 6
+	// startShare is the share of the time from Accept to Answer in which jobs may still wait for an upstream, so that they have
+	// time to run, or their callers to be served by another host.
+	startShare = 0.5
 	// exitMargin is the time between the exit of the process and the end of the grace period.
 	exitMargin = 150 * time.Millisecond
 	// flushTime is the time for writing the last responses.
@@ -32,10 +36,12 @@
 func NewPlan(now time.Time, grace time.Duration) Plan {
 	exit := max(0, grace-exitMargin)
 	accept := min(maxAcceptPeriod, grace/2)
+	answer := exit - min(flushTime, exit/10)
 	return Plan{
 		Long:   now.Add(time.Duration(longShare * float64(accept))),
 		Accept: now.Add(accept),
-		Answer: now.Add(exit - min(flushTime, exit/10)),
+		Start:  now.Add(accept + time.Duration(startShare*float64(max(0, answer-accept)))),
+		Answer: now.Add(answer),
 		Exit:   now.Add(exit),
 	}
 }
--- a/internal/flow/halt/halt_test.go
+++ b/internal/flow/halt/halt_test.go
@@ -53,12 +53,12 @@
 	rapid.Check(t, func(t *rapid.T) {
 		grace := time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "grace"))
 		p := NewPlan(start, grace)
-		for i, pair := range [][2]time.Time{{start, p.Long}, {p.Long, p.Accept}, {p.Answer, p.Exit}, {p.Exit, at(grace)}} {
+		for i, pair := range [][2]time.Time{{start, p.Long}, {p.Long, p.Accept}, {p.Accept, p.Start}, {p.Answer, p.Exit}, {p.Exit, at(grace)}} {
 			if pair[1].Before(pair[0]) {
 				t.Fatalf("times %d of a grace period of %s are not in order: %+v", i, grace, p)
 			}
 		}
-		if grace > time.Second && (p.Answer.Before(p.Accept) || !p.Exit.Before(at(grace))) {
+		if grace > time.Second && (p.Answer.Before(p.Start) || !p.Exit.Before(at(grace))) {
 			t.Fatalf("grace period of %s: %+v", grace, p)
 		}
 	})
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -93,6 +93,7 @@
 // Refusal tells why a job got no slot.
 type Refusal struct {
 	Quarantined bool          // The job has crashed too many upstreams.
+	Stopping    bool          // This host is stopping and sends no further job to an upstream.
 	RetryAfter  time.Duration // When a slot is expected to be free; 0 if unknown.
 }
 
--- a/internal/flow/serve/serve.go
+++ b/internal/flow/serve/serve.go
@@ -90,6 +90,9 @@
 	case job.Attempts > 0:
 	case refusal.Quarantined:
 		job.Refuse(pipe.Quarantined, "upstreams crashed while they ran this job; it is refused for a while")
+	case refusal.Stopping:
+		job.RetryAfter = retryAfter(job, 0)
+		job.Refuse(pipe.Stopping, "this host is stopping and no slot became free in time")
 	case ctx.Err() != nil:
 		job.Refuse(pipe.Expired, "the job's time ended before a slot was free")
 	default:
--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -76,6 +76,7 @@
 	filters       pipe.Pipeline
 	server        *httpd.Server
 	halt          halt.Filter
+	gate          *halt.Gate
 	stopping      atomic.Bool
 	crashReports  chan roster.Crash
 	loanPoller    *broker.LoanPoller
@@ -103,11 +104,12 @@
 	h.keeper = &lease.Keeper{Registry: store, Observer: events, Host: s.Host, Clock: clock, Listed: h.isRegistered, Done: make(chan struct{})}
 	h.placer = broker.NewPlacer(h.scheduler, h.loop.View, clock, events.logPlacingFailure)
 	h.placer.Admit = &placeTracer{host: h}
+	h.gate = halt.NewGate(&hopTracer{host: h})
 	h.filters = pipe.Pipeline{Clock: clock, Filters: []pipe.Filter{
 		match.New(),
 		&h.halt,
 		poison.Filter{Table: h.crashes, Notifier: &crashReporter{host: h}},
-		&serve.Filter{Placer: &hopTracer{host: h}, Sender: &hopTracer{host: h}, Budget: h.budget, Recorder: events, Clock: clock},
+		&serve.Filter{Placer: h.gate, Sender: &hopTracer{host: h}, Budget: h.budget, Recorder: events, Clock: clock},
 	}}
 	h.server = httpd.New(h, h.requestBounds, clock)
 	h.server.OnPanic = events.logPanic
--- a/internal/host/steer/stop.go
+++ b/internal/host/steer/stop.go
@@ -20,6 +20,8 @@
 	h.loop.Send(ctx, watch.ShutdownRequested{})
 	cancelRegistration()
 	h.server.Drain()
+	closeGate := time.AfterFunc(plan.Start.Sub(start), h.gate.Close)
+	defer closeGate.Stop()
 	exitTimer := time.NewTimer(plan.Exit.Sub(start))
 	defer exitTimer.Stop()
 	acceptTimer := time.NewTimer(plan.Accept.Sub(start))
