fix(steer): a stopping host delivers the answers behind jobs that it cuts off

Seen: in TestStopSoak on, pipelined requests that an upstream had answered seconds before ended without a status when their host exited. Cause: answers are written in order, and a running job ahead of them was cancelled only as the process exited.

--- a/internal/edge/httpd/conn.go
+++ b/internal/edge/httpd/conn.go
@@ -257,7 +257,7 @@
 	if hr.ContentLength > maxSize {
 		return http.StatusRequestEntityTooLarge, nil
 	}
-	if hr.Header.Get("Expect") != "" && c.nonePending() {
+	if hr.Header.Get("Expect") != "" && c.pendingRequests() == 0 {
 		if _, err := io.WriteString(c.net, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return 0, err
 		}
@@ -284,10 +284,10 @@
 	return errors.As(err, &ne)
 }
 
-func (c *conn) nonePending() bool {
+func (c *conn) pendingRequests() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.pending == 0
+	return c.pending
 }
 
 // closeIdle closes the connection if no request is pending or being read.
--- a/internal/edge/httpd/server.go
+++ b/internal/edge/httpd/server.go
@@ -124,3 +124,14 @@
 		c.closeIdle()
 	}
 }
+
+// Pending returns the number of requests that were read and are not answered yet.
+func (s *Server) Pending() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for c := range s.conns {
+		n += c.pendingRequests()
+	}
+	return n
+}
--- a/internal/flow/pipe/job.go
+++ b/internal/flow/pipe/job.go
@@ -1,6 +1,7 @@
 package pipe
 
 import (
+	"errors"
 	"time"
 
 	"github.com/boragelane/boragelane/internal/core/plan"
@@ -173,6 +174,9 @@
 	UpstreamFailed Reason = "upstream-failed"
 )
 
+// ErrStopping is the cause with which a stopping host cancels the jobs that are still running shortly before its exit.
+var ErrStopping = errors.New("the host is stopping")
+
 // Outcome is the result of a job with its reason and a message for the caller.
 type Outcome struct {
 	Kind   OutcomeKind
--- a/internal/flow/serve/serve.go
+++ b/internal/flow/serve/serve.go
@@ -155,6 +155,11 @@
 		job.EndAnswered(r.Answer)
 	case !r.Sent && ctx.Err() == nil:
 		job.Refuse(pipe.ConnectFailed, "no connection to the upstream")
+	case !r.Sent && errors.Is(context.Cause(ctx), pipe.ErrStopping):
+		job.RetryAfter = retryAfter(job, 0)
+		job.Refuse(pipe.Stopping, "this host stopped before the job was sent")
+	case errors.Is(context.Cause(ctx), pipe.ErrStopping):
+		job.EndUnknown(pipe.Stopping, "this host stopped before the upstream's answer")
 	case !r.Sent:
 		job.Refuse(pipe.Expired, "the job's time ended before it was sent")
 	case errors.Is(context.Cause(ctx), context.Canceled):
@@ -181,7 +186,7 @@
 			return false
 		}
 	case pipe.NotRun:
-		if job.Outcome.Reason == pipe.Expired {
+		if job.Outcome.Reason == pipe.Expired || job.Outcome.Reason == pipe.Stopping {
 			return false
 		}
 		if job.Outcome.Reason == pipe.ConnectFailed {
--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -210,6 +210,8 @@
 	if err != nil {
 		return ErrListen.Wrap(err, "listening for hosts on %s", h.Settings.Host.Peer)
 	}
+	serveCtx, giveUp := context.WithCancelCause(runCtx)
+	defer giveUp(nil)
 	registrationCtx, cancelRegistration := context.WithCancel(runCtx)
 	defer cancelRegistration()
 	go h.loop.Run(runCtx)
@@ -221,11 +223,11 @@
 	go h.loanPoller.Run(registrationCtx)
 	go h.learner.Run(registrationCtx)
 	go h.watchSettings(runCtx, hangup)
-	go h.server.Serve(runCtx, front)
+	go h.server.Serve(serveCtx, front)
 	h.Log.Info("started", zap.String("host", h.Settings.Host.Name), zap.String("domain", h.Settings.Host.Domain),
 		zap.String("incarnation", h.Settings.Host.Incarnation), zap.String("line", h.filters.String()))
 	<-ctx.Done()
-	h.shutdown(runCtx, front, cancelRegistration)
+	h.shutdown(runCtx, front, cancelRegistration, func() { giveUp(pipe.ErrStopping) })
 	h.Log.Info("stopped", zap.String("host", h.Settings.Host.Name))
 	return nil
 }
--- a/internal/host/steer/stop.go
+++ b/internal/host/steer/stop.go
@@ -5,13 +5,16 @@
 	"net"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/boragelane/boragelane/internal/ctrl/watch"
 	"github.com/boragelane/boragelane/internal/flow/halt"
 )
 
 // shutdown stops the host: it leaves the directory at once, accepts requests for a while, and returns when the last one is
-// answered or the grace period is about to end.
-func (h *Host) shutdown(ctx context.Context, front net.Listener, cancelRegistration func()) {
+// answered or the grace period is about to end. Shortly before that it calls giveUp to cancel the jobs that are still running.
+// Responses that wait for those of earlier requests on their connection can then be written.
+func (h *Host) shutdown(ctx context.Context, front net.Listener, cancelRegistration, giveUp func()) {
 	start := h.Clock()
 	plan := halt.NewPlan(start, time.Duration(h.stopGrace.Load()))
 	h.stopping.Store(true)
@@ -22,6 +25,8 @@
 	h.server.Drain()
 	closeGate := time.AfterFunc(plan.Start.Sub(start), h.gate.Close)
 	defer closeGate.Stop()
+	giveUpTimer := time.AfterFunc(plan.Answer.Sub(start), giveUp)
+	defer giveUpTimer.Stop()
 	exitTimer := time.NewTimer(plan.Exit.Sub(start))
 	defer exitTimer.Stop()
 	acceptTimer := time.NewTimer(plan.Accept.Sub(start))
@@ -34,5 +39,8 @@
 	case <-exitTimer.C:
 	}
 	<-h.keeper.Done
+	if n := h.server.Pending(); n > 0 {
+		h.Log.Warn("exiting with unanswered requests", zap.Int("count", n))
+	}
 	h.Log.Info("drained", millisField(h.Clock().Sub(start)))
 }
