fix(httpd): a stop closes every idle connection and drops no request on it

Seen by reading, shown by tests: a connection accepted while a stop closes idle ones stayed open until the exit; a request that had arrived on an idle connection was dropped. Cause: the walk over the connections misses one that is added later; a read deadline in the past hides bytes that have arrived; a connection without a last response was drained, which reads requests that nobody answers. Change: connections accepted after the walk are closed unread; idle ones are read for 50 ms more, and only a connection with a last response is drained.

--- a/internal/edge/httpd/conn.go
+++ b/internal/edge/httpd/conn.go
@@ -23,6 +23,8 @@
 	writeTimeout = 10 * time.Second
 	// lingerTimeout bounds draining the read side before a close, so that a reset can't discard the last response.
 	lingerTimeout = 500 * time.Millisecond
+	// idleCloseDelay is how long an idle connection that is to be closed is still read, for a request that has arrived already.
+	idleCloseDelay = 50 * time.Millisecond
 )
 
 // conn is a connection from a caller.
@@ -100,11 +102,15 @@
 		cancel()
 	}
 	<-writerDone
-	c.linger()
+	if c.hasEnded() {
+		c.linger()
+	}
 	_ = c.net.Close()
 }
 
-// linger closes the write side and drains the read side, because closing a socket with unread bytes sends a reset.
+// linger closes the write side and drains the read side, because closing a socket with unread bytes sends a reset, which could
+// discard the last response. Without a last response nothing more is read: the caller of a request that crosses the close of
+// an idle connection may then send it again.
 func (c *conn) linger() {
 	if tcp, ok := c.net.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
 		_ = c.net.SetReadDeadline(c.server.Clock().Add(lingerTimeout))
@@ -159,6 +165,13 @@
 	_ = c.net.SetReadDeadline(time.Unix(1, 0))
 }
 
+// hasEnded reports whether the last response has been written, or can't be.
+func (c *conn) hasEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended
+}
+
 // addPending registers a request; it returns false if the connection accepts no more.
 func (c *conn) addPending(ex *exchange, closeAfter bool) bool {
 	c.mu.Lock()
@@ -296,7 +309,7 @@
 	defer c.mu.Unlock()
 	if c.pending == 0 && !c.reading && !c.closing {
 		c.closing, c.idle = true, true
-		_ = c.net.SetReadDeadline(time.Unix(1, 0))
+		_ = c.net.SetReadDeadline(c.server.Clock().Add(idleCloseDelay))
 	}
 }
 
--- a/internal/edge/httpd/drain_test.go
+++ b/internal/edge/httpd/drain_test.go
@@ -141,3 +141,62 @@
 		_ = c.Close()
 	}
 }
+
+// slowListener hands over its connection only when the test allows it, as if accepting had been delayed.
+type slowListener struct {
+	net.Listener
+	accepted chan net.Conn
+	handOver chan struct{}
+}
+
+func (l *slowListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		l.accepted <- c
+		<-l.handOver
+	}
+	return c, err
+}
+
+// Guards against a connection that is accepted while a stop closes idle ones: it stayed open until the process exited, and
+// requests on it were cut off.
+func TestAConnectionAcceptedDuringTheCloseOfIdleOnesIsClosed(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	slow := &slowListener{Listener: ln, accepted: make(chan net.Conn), handOver: make(chan struct{})}
+	s := New(&handler{}, func() Limits {
+		return Limits{MaxHeaderBytes: 2048, MaxBodyBytes: 100, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+	}, time.Now)
+	go s.Serve(context.Background(), slow)
+	c := dial(t, ln.Addr().String())
+	<-slow.accepted
+	s.Drain()
+	_ = ln.Close()
+	s.CloseIdle()
+	close(slow.handOver)
+	c.assertClosed()
+	waitDone(t, s)
+}
+
+// A request that has arrived but isn't read yet when a stop closes idle connections is answered; afterwards the connection is
+// closed without reading, so that callers may send what crosses the close again.
+func TestARequestThatArrivesBeforeIdleConnectionsCloseIsAnswered(t *testing.T) {
+	s, ln := startDrainable(t, &handler{})
+	var callers []*client
+	for range 50 {
+		callers = append(callers, dial(t, ln.Addr().String()))
+	}
+	time.Sleep(20 * time.Millisecond)
+	s.Drain()
+	for _, c := range callers {
+		c.get("/x")
+	}
+	s.CloseIdle()
+	_ = ln.Close()
+	for _, c := range callers {
+		resp, body := c.readResponse()
+		assert.Equal(t, body, "/x")
+		assert.Assert(t, resp.Close)
+	}
+	waitDone(t, s)
+}
--- a/internal/edge/httpd/server.go
+++ b/internal/edge/httpd/server.go
@@ -61,6 +61,7 @@
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
+	closed   bool // CloseIdle was called.
 	active   sync.WaitGroup
 	draining atomic.Bool
 }
@@ -93,6 +94,11 @@
 func (s *Server) startConn(ctx context.Context, nc net.Conn) {
 	c := newConn(s, nc)
 	s.mu.Lock()
+	if s.closed { // It was accepted before the listener was closed; nothing would close it before the process exits.
+		s.mu.Unlock()
+		_ = nc.Close()
+		return
+	}
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
 	s.active.Add(1)
@@ -116,10 +122,12 @@
 	}
 }
 
-// CloseIdle closes the connections without pending requests.
+// CloseIdle closes the connections without pending requests, and those that are accepted from now on. The listener must be
+// closed before.
 func (s *Server) CloseIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.closed = true
 	for c := range s.conns {
 		c.closeIdle()
 	}
