fix(broker): a stopping host doesn't refuse other hosts' waiting jobs

Seen by reading, shown by a test: when a placing host exits, jobs of other hosts that wait there could be refused, though another host could place them. Cause: the end of its context ends the wait, and a wait without a grant was answered as a refusal. Change: a call whose context has ended is answered with an error, so that the asking host tries the next one. Result: TestTheNextHostPlacesAJobThatWaitsAtAStoppingHost got no grant in 3 of 3 runs before; the package passed 5 times in a row.

--- a/internal/edge/broker/broker_test.go
+++ b/internal/edge/broker/broker_test.go
@@ -113,6 +113,17 @@
 	assert.Assert(t, p.acquire(context.Background()) != nil)
 }
 
+// Guards against a placing host that refuses the waiting jobs of other hosts as it stops: the next host can place them.
+func TestTheNextHostPlacesAJobThatWaitsAtAStoppingHost(t *testing.T) {
+	p := newHostPair(t)
+	_, _ = p.acquire(context.Background()), p.acquire(context.Background())
+	got := make(chan *place.Grant)
+	go func() { got <- p.acquire(context.Background()) }()
+	time.Sleep(100 * time.Millisecond)
+	p.stopServer()
+	assert.Assert(t, <-got != nil)
+}
+
 func TestTheNextHostPlacesWhenTheFirstIsGone(t *testing.T) {
 	p := newHostPair(t)
 	_ = p.acquire(context.Background())
--- a/internal/edge/broker/server.go
+++ b/internal/edge/broker/server.go
@@ -137,6 +137,9 @@
 	s.mu.Lock()
 	delete(s.cancels, w.Call)
 	s.mu.Unlock()
+	if g == nil && ctx.Err() != nil {
+		return ErrCall.New("the call was canceled, or this host is stopping") // Not a refusal: the next host may place the job.
+	}
 	if g == nil {
 		return conn.Reply(ctx, id, wireGrant{RetryAfter: refusal.RetryAfter, Quarantined: refusal.Quarantined})
 	}
