fix(place): a host without a policy places without a panic or a lost lock

Cause: the rate of a cold upstream was read from a policy that isn't there; the panic was recovered by the caller, but Acquire had locked the scheduler without a deferred unlock. Change: without a policy a cold upstream gets nothing; the locked part of Acquire unlocks when it panics.

--- a/internal/flow/place/cold_test.go
+++ b/internal/flow/place/cold_test.go
@@ -72,6 +72,40 @@
 	assert.Assert(t, try(sched, at(time.Second), req) != nil)
 }
 
+// Guards against a panic of a host that is asked to place before it knows a policy: it doesn't know how many requests a cold
+// upstream takes.
+func TestAHostWithoutAPolicySendsNothingToAColdUpstream(t *testing.T) {
+	cold := upstream("cold", "a", "east")
+	cold.Cold, cold.Reported = 3*time.Second, at(0)
+	v := view(cold, upstream("warm", "a", "east"))
+	v.Policy = nil
+	sched := NewScheduler()
+	sched.Update(at(0), v)
+	g := try(sched, at(time.Second), newRequest(at(time.Second)))
+	assert.Assert(t, g != nil)
+	assert.Equal(t, g.Upstream.ID, "warm")
+}
+
+// Guards against a panic that leaves the scheduler locked, so that its host hangs for good.
+func TestAPanicLeavesTheSchedulerUnlocked(t *testing.T) {
+	sched := newTestScheduler(upstream("u", "a", "east"))
+	sched.demands = nil // Recording the demand of a job panics.
+	func() {
+		defer func() { assert.Assert(t, recover() != nil) }()
+		try(sched, at(0), newRequest(at(0)))
+	}()
+	unlocked := make(chan struct{})
+	go func() {
+		sched.Waiting()
+		close(unlocked)
+	}()
+	select {
+	case <-unlocked:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the scheduler is locked")
+	}
+}
+
 // Guards against sending jobs to an upstream that crashes, or that fails most requests while it reports itself
 // healthy.
 func TestABrokenUpstreamIsEjectedAndRetriedLater(t *testing.T) {
--- a/internal/flow/place/queue.go
+++ b/internal/flow/place/queue.go
@@ -20,25 +20,11 @@
 // Acquire reserves a slot for a job, waiting for one if necessary. It refuses a job at once if no slot is expected to be
 // free in time, and later if none was.
 func (s *Scheduler) Acquire(ctx context.Context, now time.Time, req Request) (*Grant, Refusal) {
-	s.mu.Lock()
-	s.lastSeq++
-	w := &waiter{req: req, seq: s.lastSeq, ready: make(chan *Grant, 1)}
-	if !req.Isolated {
-		s.recordDemand(now, &req)
-	}
-	g, until := s.reserve(now, w)
-	if g != nil {
-		s.mu.Unlock()
-		return g, Refusal{}
+	w := &waiter{req: req, ready: make(chan *Grant, 1)}
+	g, refusal, until := s.reserveOrEnqueue(now, w)
+	if g != nil || !until.After(now) {
+		return g, refusal
 	}
-	if !until.After(now) {
-		refusal := s.refuse(w)
-		s.mu.Unlock()
-		return nil, refusal
-	}
-	s.enqueue(w)
-	s.mu.Unlock()
-
 	timer := time.NewTimer(until.Sub(now))
 	defer timer.Stop()
 	select {
@@ -50,6 +36,27 @@
 	return s.cancelWait(w)
 }
 
+// reserveOrEnqueue grants a job a slot or refuses it, or else enqueues it until the returned time. It unlocks the scheduler also when
+// it panics: the caller recovers from that, and all other jobs need the lock.
+func (s *Scheduler) reserveOrEnqueue(now time.Time, w *waiter) (*Grant, Refusal, time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastSeq++
+	w.seq = s.lastSeq
+	if !w.req.Isolated {
+		s.recordDemand(now, &w.req)
+	}
+	g, until := s.reserve(now, w)
+	switch {
+	case g != nil:
+		return g, Refusal{}, until
+	case !until.After(now):
+		return nil, s.refuse(w), until
+	}
+	s.enqueue(w)
+	return nil, Refusal{}, until
+}
+
 // cancelWait removes a waiter, and returns its grant if one was delivered in the meantime.
 func (s *Scheduler) cancelWait(w *waiter) (*Grant, Refusal) {
 	s.mu.Lock()
--- a/internal/flow/place/rank.go
+++ b/internal/flow/place/rank.go
@@ -157,9 +157,9 @@
 }
 
 // canWarm reports whether a cold upstream's token bucket has a token. Only the pool that uses the upstream may warm
-// it, because the rate is too small to be split.
+// it, because the rate is too small to be split. A host that has no policy yet doesn't know the rate.
 func (s *Scheduler) canWarm(now time.Time, l *load) bool {
-	if !l.assigned {
+	if !l.assigned || s.view.Policy == nil {
 		return false
 	}
 	l.refillTokens(now, s.view.Policy.Services[l.upstream.Service].ColdRate)
