fix(httpd): the bodies of all requests stay within a part of the memory

Cause: bodies are read whole and held until their requests end, without a common bound. Change: all bodies take at most 0.35 of the memory; one that exceeds it is refused as not run with Retry-After. 8 KiB of each body are free, so that small requests pass. A declared length is taken at once after 1 MiB has arrived.

--- a/internal/edge/httpd/conn.go
+++ b/internal/edge/httpd/conn.go
@@ -17,8 +17,6 @@
 	maxPipelined = 16
 	// readBufferSize is the size of a connection's read buffer in bytes.
 	readBufferSize = 4096
-	// bodyTimeout bounds reading a body, which callers send without pauses.
-	bodyTimeout = 15 * time.Second
 	// writeTimeout bounds writing a response to a slow caller.
 	writeTimeout = 10 * time.Second
 	// lingerTimeout bounds draining the read side before a close, so that a reset can't discard the last response.
@@ -35,6 +33,8 @@
 	reader   *bufio.Reader
 	writer   *bufio.Writer
 	pipeline chan *exchange
+	// bodyRefused means that a part of a body was left unread; only the reading goroutine uses it.
+	bodyRefused bool
 
 	mu      sync.Mutex
 	pending int
@@ -113,7 +113,11 @@
 // an idle connection may then send it again.
 func (c *conn) linger() {
 	if tcp, ok := c.net.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
-		_ = c.net.SetReadDeadline(c.server.Clock().Add(lingerTimeout))
+		timeout := lingerTimeout
+		if c.bodyRefused {
+			timeout = refusedBodyTimeout
+		}
+		_ = c.net.SetReadDeadline(c.server.Clock().Add(timeout))
 		_, _ = io.Copy(io.Discard, c.net)
 	}
 }
@@ -130,14 +134,18 @@
 		}
 		ex := &exchange{req: req, response: make(chan Response, 1)}
 		if !c.addPending(ex, status != 0) {
+			c.server.bodies.release(int64(cap(req.Body)))
 			return false
 		}
 		c.pipeline <- ex
 		if status != 0 {
-			ex.response <- Response{Status: status}
+			ex.response <- refusal(status)
 			return false
 		}
-		go func() { ex.response <- c.server.serve(ctx, req) }()
+		go func() {
+			defer c.server.bodies.release(int64(cap(req.Body)))
+			ex.response <- c.server.serve(ctx, req)
+		}()
 		if ex.closeAfter {
 			return c.awaitLastResponse()
 		}
@@ -263,35 +271,6 @@
 	return waitErr
 }
 
-func (c *conn) readBody(hr *http.Request, req *Request, maxSize int64) (int, error) {
-	if hr.Body == nil || hr.Body == http.NoBody {
-		return 0, nil
-	}
-	if hr.ContentLength > maxSize {
-		return http.StatusRequestEntityTooLarge, nil
-	}
-	if hr.Header.Get("Expect") != "" && c.pendingRequests() == 0 {
-		if _, err := io.WriteString(c.net, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return 0, err
-		}
-	}
-	_ = c.net.SetReadDeadline(c.server.Clock().Add(bodyTimeout))
-	c.limiter.remaining = maxSize + maxSize/2 + readBufferSize // Room for the framing of chunks.
-	data, err := io.ReadAll(io.LimitReader(hr.Body, maxSize+1))
-	switch {
-	case int64(len(data)) > maxSize || errors.Is(err, errReadLimit):
-		return http.StatusRequestEntityTooLarge, nil
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return http.StatusRequestTimeout, nil
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isNetError(err):
-		return 0, err
-	case err != nil:
-		return http.StatusBadRequest, nil
-	}
-	req.Body = data
-	return 0, nil
-}
-
 func isNetError(err error) bool {
 	var ne net.Error
 	return errors.As(err, &ne)
--- a/internal/edge/httpd/server.go
+++ b/internal/edge/httpd/server.go
@@ -58,7 +58,10 @@
 	Clock   func() time.Time
 	OnPanic func(where string, value any) // Called in the goroutine that panicked.
 	Done    chan struct{}                 // Closed when the last connection has ended.
+	// MaxBodies bounds the bytes of all bodies that are being read or whose requests run; a body that exceeds it is refused.
+	MaxBodies int64
 
+	bodies   bodyBudget
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
 	closed   bool // CloseIdle was called.
@@ -68,7 +71,7 @@
 
 // New returns a server that is not running yet.
 func New(h Handler, limits func() Limits, clock func() time.Time) *Server {
-	return &Server{Handler: h, Limits: limits, Clock: clock, OnPanic: func(string, any) {}, Done: make(chan struct{}), conns: map[*conn]struct{}{}}
+	return &Server{Handler: h, Limits: limits, Clock: clock, OnPanic: func(string, any) {}, Done: make(chan struct{}), MaxBodies: defaultMaxBodies, conns: map[*conn]struct{}{}}
 }
 
 // acceptRetryDelay is the pause after a failed accept, for example when file descriptors run out.
--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -157,6 +157,8 @@
 	idleMaintenancePeriod = 250 * time.Millisecond
 	// responseMemoryFraction is the fraction of Settings.Memory that the responses being read may take together.
 	responseMemoryFraction = 0.2
+	// requestMemoryFraction is the same for the bodies of requests, which are held until their jobs end.
+	requestMemoryFraction = 0.35
 	// memoryLimitFraction is the fraction of Settings.Memory above which the garbage collector runs more often.
 	memoryLimitFraction = 0.7
 )
@@ -198,6 +200,7 @@
 	defer close(h.Done)
 	if h.Settings.Memory > 0 {
 		h.sender.MaxBuffered = int64(responseMemoryFraction * float64(h.Settings.Memory))
+		h.server.MaxBodies = int64(requestMemoryFraction * float64(h.Settings.Memory))
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(h.Settings.Memory)))
 	}
 	runCtx, cancelRun := context.WithCancel(context.Background())
