fix(steer): a stop doesn't wait for the control loop

Cause: a stop told the control loop first and waited until it had room for the event. A body also stayed in memory while its response waits for earlier ones, though it no longer counted. Change: the stop begins at the connections, and its timers run before the loop is told, for as long as connections are accepted at most; a body is dropped when its request ends.

--- a/internal/edge/httpd/conn.go
+++ b/internal/edge/httpd/conn.go
@@ -143,8 +143,10 @@
 			return false
 		}
 		go func() {
-			defer c.server.bodies.release(int64(cap(req.Body)))
-			ex.response <- c.server.serve(ctx, req)
+			resp := c.server.serve(ctx, req)
+			c.server.bodies.release(int64(cap(req.Body)))
+			req.Body = nil // The response may wait for those of earlier requests.
+			ex.response <- resp
 		}()
 		if ex.closeAfter {
 			return c.awaitLastResponse()
--- a/internal/host/steer/stop.go
+++ b/internal/host/steer/stop.go
@@ -20,7 +20,6 @@
 	h.stopping.Store(true)
 	h.halt.Begin(plan)
 	h.Log.Info("stopping")
-	h.loop.Send(ctx, watch.ShutdownRequested{})
 	cancelRegistration()
 	h.server.Drain()
 	closeGate := time.AfterFunc(plan.Start.Sub(start), h.gate.Close)
@@ -31,6 +30,9 @@
 	defer exitTimer.Stop()
 	acceptTimer := time.NewTimer(plan.Accept.Sub(start))
 	defer acceptTimer.Stop()
+	sendCtx, cancelSend := context.WithTimeout(ctx, plan.Accept.Sub(start))
+	defer cancelSend()
+	h.loop.Send(sendCtx, watch.ShutdownRequested{}) // Control that hangs must not keep the host from stopping.
 	<-acceptTimer.C
 	_ = front.Close()
 	h.server.CloseIdle()
