fix(serve): SIGHUP is handled from the start of the command

Cause: the review saw a SIGHUP end a process before it listened for it; the settings, the store's client and the tracer were set up before. Change: the signal is registered first. The time before the command runs is left; not tested.

--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -30,6 +30,9 @@
 const logFlushTimeout = 100 * time.Millisecond
 
 func (a *serveArgs) run(ctx context.Context, out, errs io.Writer) error {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP) // Before anything else, since an unhandled SIGHUP ends the process.
+	defer signal.Stop(reload)
 	path := a.Settings
 	if path == "" {
 		path = os.Getenv(platform.EnvSettings)
@@ -53,9 +56,6 @@
 		defer flushTraces(provider, errs)
 		host.Tracer = provider.Tracer("boragelane")
 	}
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
 	if err := host.Run(ctx, reload); err != nil {
 		return ErrFailed.Wrap(err, "serving")
 	}
