--- /dev/null
+++ b/internal/edge/httpd/close.go
@@ -0,0 +1,90 @@
+package httpd
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"time"
+)
+
+const (
+	// lingerTimeout bounds draining the read side before a close, so that a reset can't discard the last response.
+	lingerTimeout = 500 * time.Millisecond
+	// idleCloseDelay is how long an idle connection that is to be closed is still read, for a request that has arrived already.
+	idleCloseDelay = 50 * time.Millisecond
+)
+
+// closeIdle closes the connection if no request is pending or being read.
+func (c *conn) closeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending == 0 && !c.reading && !c.closing {
+		c.closing, c.idle = true, true
+		_ = c.net.SetReadDeadline(c.server.Clock().Add(idleCloseDelay))
+	}
+}
+
+// drain makes the connection accept no request after those that are pending or being read. A caller that always has a
+// request outstanding would otherwise keep it open until the process exits. An idle connection accepts one more request.
+func (c *conn) drain() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending > 0 && !c.reading && !c.closing {
+		c.closing = true
+		_ = c.net.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// removePending unregisters a request and reports whether the connection must close after its response.
+func (c *conn) removePending(ex *exchange) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pending--
+	if c.server.draining.Load() && c.pending == 0 && !c.reading {
+		c.closing = true
+	}
+	return ex.closeAfter || c.closing && c.pending == 0
+}
+
+// awaitLastResponse waits on a connection that accepts no more requests, and reports whether the caller disconnects before
+// its last response.
+func (c *conn) awaitLastResponse() bool {
+	c.mu.Lock()
+	if !c.ended { // Else the deadline that endReading has set must stay.
+		_ = c.net.SetReadDeadline(time.Time{})
+	}
+	c.mu.Unlock()
+	c.limiter.remaining = 1
+	_, err := c.reader.Peek(1)
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errReadLimit)
+}
+
+// endReading stops the reading of requests after the last response.
+func (c *conn) endReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing, c.ended = true, true
+	_ = c.net.SetReadDeadline(time.Unix(1, 0))
+}
+
+// hasEnded reports whether the last response has been written, or can't be.
+func (c *conn) hasEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended
+}
+
+// linger closes the write side and drains the read side, because closing a socket with unread bytes sends a reset, which could
+// discard the last response. Without a last response nothing more is read: the caller of a request that crosses the close of
+// an idle connection may then send it again.
+func (c *conn) linger() {
+	if tcp, ok := c.net.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
+		timeout := lingerTimeout
+		if c.bodyRefused {
+			timeout = refusedBodyTimeout
+		}
+		_ = c.net.SetReadDeadline(c.server.Clock().Add(timeout))
+		_, _ = io.Copy(io.Discard, c.net)
+	}
+}
