fix(httpd): refusals before a request is read are logged; one body always fits

Cause: a request refused while it is read (no memory, too long, malformed) left no log line and no count. A body longer than all bodies may take together would have been refused each time it is sent again. Change: a hook for such requests, with a log line and a counter; a body that is the only one may exceed the bound.

--- a/internal/edge/httpd/body.go
+++ b/internal/edge/httpd/body.go
@@ -35,10 +35,11 @@
 // counted returns the part of a buffer of n bytes that counts.
 func counted(n int64) int64 { return max(0, n-freeBody) }
 
-// grow takes the memory for a buffer that grows from one size to another; it returns false if that exceeds the limit.
+// grow takes the memory for a buffer that grows from one size to another; it returns false if that exceeds the limit. A body that
+// is the only one may exceed it, since it would be refused each time it is sent again.
 func (b *bodyBudget) grow(from, to, limit int64) bool {
 	n := counted(to) - counted(from)
-	if b.used.Add(n) > limit && n > 0 {
+	if total := b.used.Add(n); n > 0 && total > limit && total > counted(to) {
 		b.used.Add(-n)
 		return false
 	}
--- a/internal/edge/httpd/body_test.go
+++ b/internal/edge/httpd/body_test.go
@@ -27,6 +27,8 @@
 		return Limits{MaxHeaderBytes: 2048, MaxBodyBytes: 4 << 20, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
 	}, time.Now)
 	s.MaxBodies = 3 << 20
+	refused := make(chan string, 9)
+	s.OnRefused = func(r *Request, status int) { refused <- fmt.Sprint(r.Target, " ", status) }
 	go s.Serve(context.Background(), ln)
 
 	first, second, small, chunked := dial(t, ln.Addr().String()), dial(t, ln.Addr().String()), dial(t, ln.Addr().String()), dial(t, ln.Addr().String())
@@ -35,6 +37,7 @@
 	second.send(post("/large", 2<<20))
 	resp, _ := second.readResponse()
 	assert.Equal(t, resp.StatusCode, 503)
+	assert.Equal(t, <-refused, "/large 503")
 	assert.Assert(t, resp.Header.Get("Retry-After") != "")
 	assert.Assert(t, resp.Close)
 	chunked.send(fmt.Sprintf("POST /chunked HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", 2<<20, strings.Repeat("x", 2<<20)))
@@ -46,6 +49,9 @@
 	close(h.release)
 	_, body = first.readResponse()
 	assert.Equal(t, body, "/wait")
+	first.send(post("/alone", 4<<20)) // More than all may take together, but within the limit of a body.
+	_, body = first.readResponse()
+	assert.Equal(t, body, "/alone")
 	for range 5 { // Memory is returned when a request has ended.
 		first.send(post("/again", 2<<20))
 		_, body = first.readResponse()
@@ -60,6 +66,15 @@
 	t.Fatalf("%d bytes are still counted", s.bodies.used.Load())
 }
 
+func TestABodyThatIsAloneMayTakeMoreThanAllBodiesTogether(t *testing.T) {
+	b := &bodyBudget{}
+	assert.Assert(t, b.grow(0, 100<<10, 50<<10))
+	assert.Assert(t, !b.grow(0, 20<<10, 50<<10))
+	assert.Assert(t, b.grow(0, freeBody, 50<<10)) // A small body is accepted all the same.
+	b.release(100 << 10)
+	assert.Equal(t, b.used.Load(), int64(0))
+}
+
 // A caller that declares a long body but sends little of it takes little memory.
 func TestADeclaredLengthTakesNoMemoryUntilBytesArrive(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/edge/httpd/conn.go
+++ b/internal/edge/httpd/conn.go
@@ -121,6 +121,7 @@
 		}
 		c.pipeline <- ex
 		if status != 0 {
+			c.server.OnRefused(req, status)
 			ex.response <- refusal(status)
 			return false
 		}
--- a/internal/edge/httpd/server.go
+++ b/internal/edge/httpd/server.go
@@ -53,11 +53,12 @@
 
 // Server accepts and serves connections from callers.
 type Server struct {
-	Handler Handler
-	Limits  func() Limits
-	Clock   func() time.Time
-	OnPanic func(where string, value any) // Called in the goroutine that panicked.
-	Done    chan struct{}                 // Closed when the last connection has ended.
+	Handler   Handler
+	Limits    func() Limits
+	Clock     func() time.Time
+	OnPanic   func(where string, value any) // Called in the goroutine that panicked.
+	OnRefused func(r *Request, status int)  // Called for a request that was refused before it was read in full.
+	Done      chan struct{}                 // Closed when the last connection has ended.
 	// MaxBodies bounds the bytes of all bodies that are being read or whose requests run; a body that exceeds it is refused.
 	MaxBodies int64
 
@@ -71,7 +72,10 @@
 
 // New returns a server that is not running yet.
 func New(h Handler, limits func() Limits, clock func() time.Time) *Server {
-	return &Server{Handler: h, Limits: limits, Clock: clock, OnPanic: func(string, any) {}, Done: make(chan struct{}), MaxBodies: defaultMaxBodies, conns: map[*conn]struct{}{}}
+	return &Server{
+		Handler: h, Limits: limits, Clock: clock, OnPanic: func(string, any) {}, OnRefused: func(*Request, int) {},
+		Done: make(chan struct{}), MaxBodies: defaultMaxBodies, conns: map[*conn]struct{}{},
+	}
 }
 
 // acceptRetryDelay is the pause after a failed accept, for example when file descriptors run out.
--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -112,7 +113,7 @@
 		&serve.Filter{Placer: h.gate, Sender: &hopTracer{host: h}, Budget: h.budget, Recorder: events, Clock: clock},
 	}}
 	h.server = httpd.New(h, h.requestBounds, clock)
-	h.server.OnPanic = events.logPanic
+	h.server.OnPanic, h.server.OnRefused = events.logPanic, h.recordUnread
 	h.broker = &broker.Server{Planner: h.loop, Updates: h.loop, Admit: &placeTracer{host: h}, Scheduler: h.scheduler, Crashes: &crashReceiver{crashes: h.crashes}, Clock: clock, OnPanic: events.logPanic, Done: make(chan struct{})}
 	h.loanPoller = &broker.LoanPoller{
 		Requester: h.scheduler, Local: h.loop, View: h.loop.View, OnError: events.logLoanFailure, Clock: clock, Done: make(chan struct{}),
@@ -183,6 +184,12 @@
 	(&eventLog{log: h.Log, metrics: h.Metrics}).logRequest(job, took)
 }
 
+// recordUnread records a request that was refused before it was read in full.
+func (h *Host) recordUnread(r *httpd.Request, status int) {
+	h.Metrics.Unread.WithLabelValues(strconv.Itoa(status)).Inc()
+	h.Log.Info("request not read", zap.String("id", h.front.Job(r).ID), zap.String("path", r.Target), zap.Int("status", status))
+}
+
 // requestBounds returns the bounds on callers' requests from the current policy.
 func (h *Host) requestBounds() httpd.Limits {
 	p := h.loop.View().Policy
