test(place): a service whose jobs are never started is known red

Cause: until a job has run, a service's work is taken for as long as its objective, and a job with less than 0.6 of that before its deadline isn't started. If all callers' deadlines are that short, nothing is ever started. Seen in a test of a stop: 503 for 20 s with an idle upstream.

--- a/internal/flow/place/wait_test.go
+++ b/internal/flow/place/wait_test.go
@@ -235,3 +235,18 @@
 	}
 	assert.Assert(t, refused < 60, "%d of 600 jobs refused with free slots", refused)
 }
+
+// While nothing is known of a service's work, it is taken for as long as the objective. A job that has less time than that must
+// be started all the same, or nothing ever becomes known.
+func TestAServiceWithoutSamplesStartsJobsThatHaveLessTimeThanTheirObjective(t *testing.T) {
+	sched := newTestScheduler(upstream("idle", "a", "east"))
+	for i := range 20 {
+		now := at(time.Duration(i) * time.Second)
+		req := newRequest(now)
+		req.Objective, req.Deadline = now.Add(6*time.Second), now.Add(3*time.Second)
+		if g := try(sched, now, req); g != nil {
+			return
+		}
+	}
+	t.Fatal("no job was started in 20 s on an idle upstream")
+}
