feat(httpd): closes before delivery are logged and counted

A request's log line is written before its response is sent, and the end of a connection had none, so the hypotheses on the cut answers could not be told apart afterwards. The host now asks the kernel for the bytes that the caller has not acknowledged when it closes a connection, logs a close that leaves some behind, with the ID of the last response, and counts all closes.

Linter and the tests of httpd and steer: green.

--- a/internal/edge/httpd/close.go
+++ b/internal/edge/httpd/close.go
@@ -15,6 +15,22 @@
 	idleCloseDelay = 50 * time.Millisecond
 )
 
+// Closed describes a connection that is about to be closed.
+type Closed struct {
+	Last           *Request // The request whose response was written last.
+	Announced      bool     // A response has said that the connection ends.
+	Unacknowledged int      // The bytes of responses that the caller's kernel has not acknowledged, if known.
+}
+
+// reportClose reports a connection that is about to be closed by this host.
+func (c *conn) reportClose() {
+	if c.last == nil {
+		return
+	}
+	n, _ := unacknowledged(c.net)
+	c.server.OnClosed(Closed{Last: c.last, Announced: c.hasEnded(), Unacknowledged: n})
+}
+
 // closeIdle closes the connection if no request is pending or being read.
 func (c *conn) closeIdle() {
 	c.mu.Lock()
--- a/internal/edge/httpd/conn.go
+++ b/internal/edge/httpd/conn.go
@@ -29,6 +29,10 @@
 	reader   *bufio.Reader
 	writer   *bufio.Writer
 	pipeline chan *exchange
+	// last is the request whose response was written last; only the writing goroutine uses it until it ends.
+	last *Request
+	// writeFailed means that a response could not be written; the same goroutine sets it.
+	writeFailed bool
 	// bodyRefused means that a part of a body was left unread; only the reading goroutine uses it.
 	bodyRefused bool
 
@@ -89,6 +93,8 @@
 		defer close(writerDone)
 		if !c.writeResponses() {
 			cancel()
+			c.writeFailed = true
+			c.reportClose()
 			_ = c.net.Close()
 		}
 	}()
@@ -101,6 +107,9 @@
 	if c.hasEnded() {
 		c.linger()
 	}
+	if !c.writeFailed {
+		c.reportClose()
+	}
 	_ = c.net.Close()
 }
 
--- /dev/null
+++ b/internal/edge/httpd/sendq_linux.go
@@ -0,0 +1,25 @@
+package httpd
+
+import (
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// unacknowledged returns the number of bytes that were written to a connection and that the caller's kernel has not
+// acknowledged yet, with the end of the stream as one more; ok is false if that is unknown.
+func unacknowledged(c net.Conn) (n int, ok bool) {
+	sc, isSocket := c.(syscall.Conn)
+	if !isSocket {
+		return 0, false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	if ctlErr := raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) }); ctlErr != nil || err != nil {
+		return 0, false
+	}
+	return n, true
+}
--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -113,7 +113,7 @@
 		&serve.Filter{Placer: h.gate, Sender: &hopTracer{host: h}, Budget: h.budget, Recorder: events, Clock: clock},
 	}}
 	h.server = httpd.New(h, h.requestBounds, clock)
-	h.server.OnPanic, h.server.OnRefused = events.logPanic, h.recordUnread
+	h.server.OnPanic, h.server.OnRefused, h.server.OnClosed = events.logPanic, h.recordUnread, h.recordClosed
 	h.broker = &broker.Server{Planner: h.loop, Updates: h.loop, Admit: &placeTracer{host: h}, Scheduler: h.scheduler, Crashes: &crashReceiver{crashes: h.crashes}, Clock: clock, OnPanic: events.logPanic, Done: make(chan struct{})}
 	h.loanPoller = &broker.LoanPoller{
 		Requester: h.scheduler, Local: h.loop, View: h.loop.View, OnError: events.logLoanFailure, Clock: clock, Done: make(chan struct{}),
@@ -190,6 +190,17 @@
 	h.Log.Info("request not read", zap.String("id", h.front.Job(r).ID), zap.String("path", r.Target), zap.Int("status", status))
 }
 
+// recordClosed counts connections of callers that this host closes, and logs those that are closed before all bytes of their
+// responses were acknowledged: what is missing may never arrive.
+func (h *Host) recordClosed(c httpd.Closed) {
+	delivered := c.Unacknowledged == 0
+	h.Metrics.Closed.WithLabelValues(strconv.FormatBool(c.Announced), strconv.FormatBool(delivered)).Inc()
+	if !delivered {
+		h.Log.Warn("closed before delivery", zap.String("id", h.front.Job(c.Last).ID), zap.String("path", c.Last.Target),
+			zap.Int("unacknowledged", c.Unacknowledged), zap.Bool("announced", c.Announced), zap.Bool("stopping", h.stopping.Load()))
+	}
+}
+
 // requestBounds returns the bounds on callers' requests from the current policy.
 func (h *Host) requestBounds() httpd.Limits {
 	p := h.loop.View().Policy
