fix(httpd): a connection is kept until its caller has received the last response

Callers saw: status 200 and a part of the body, then a reset or 'unexpected EOF', 0.5 s after the host had handed its last response to the kernel, during a stop and without one. Cause: the host closed the connection after a constant time. If the caller had not read everything by then and sent more, or bytes of it were unread, the kernel reset the connection and dropped what was still in the send buffer.

Now the caller's progress bounds the wait: the host asks the kernel for the bytes that the caller's kernel hasn't acknowledged, keeps the connection while they become fewer (10 s without a byte end it, the bound that writing a response has), and then waits for the caller's close, 0.5 s after its last byte and 3 s at most. At the end of a stop all connections are closed and reported.

Why it works: once all bytes are acknowledged a reset can't drop any from the send buffer, and Linux callers still read what their kernel has received.

--- a/internal/edge/httpd/body.go
+++ b/internal/edge/httpd/body.go
@@ -12,9 +12,6 @@
 const (
 	// bodyTimeout bounds reading a body, which callers send without pauses.
 	bodyTimeout = 15 * time.Second
-	// refusedBodyTimeout bounds discarding the rest of a refused body. A caller that sends on after a reset may not read the
-	// response.
-	refusedBodyTimeout = 3 * time.Second
 	// freeBody is the size in bytes of a body that is accepted however much memory other bodies take, so that large ones don't
 	// keep out the rest.
 	freeBody = 8 << 10
--- a/internal/edge/httpd/close.go
+++ b/internal/edge/httpd/close.go
@@ -2,18 +2,13 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"os"
 	"time"
 )
 
-const (
-	// lingerTimeout bounds draining the read side before a close, so that a reset can't discard the last response.
-	lingerTimeout = 500 * time.Millisecond
-	// idleCloseDelay is how long an idle connection that is to be closed is still read, for a request that has arrived already.
-	idleCloseDelay = 50 * time.Millisecond
-)
+// idleCloseDelay is how long an idle connection that is to be closed is still read, for a request that has arrived already.
+const idleCloseDelay = 50 * time.Millisecond
 
 // Closed describes a connection that is about to be closed.
 type Closed struct {
@@ -22,13 +17,18 @@
 	Unacknowledged int      // The bytes of responses that the caller's kernel has not acknowledged, if known.
 }
 
-// reportClose reports a connection that is about to be closed by this host.
-func (c *conn) reportClose() {
-	if c.last == nil {
-		return
+// close closes the connection, and reports it if a response was written.
+func (c *conn) close() {
+	c.mu.Lock()
+	report := c.last != nil && !c.closed
+	c.closed = true
+	event := Closed{Last: c.last, Announced: c.ended}
+	c.mu.Unlock()
+	if report {
+		event.Unacknowledged, _ = undelivered(c.net)
+		c.server.OnClosed(event)
 	}
-	n, _ := unacknowledged(c.net)
-	c.server.OnClosed(Closed{Last: c.last, Announced: c.hasEnded(), Unacknowledged: n})
+	_ = c.net.Close()
 }
 
 // closeIdle closes the connection if no request is pending or being read.
@@ -57,6 +57,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending--
+	c.last = ex.req
 	if c.server.draining.Load() && c.pending == 0 && !c.reading {
 		c.closing = true
 	}
@@ -91,16 +92,35 @@
 	return c.ended
 }
 
-// linger closes the write side and drains the read side, because closing a socket with unread bytes sends a reset, which could
-// discard the last response. Without a last response nothing more is read: the caller of a request that crosses the close of
-// an idle connection may then send it again.
+// linger closes the write side and discards what the caller still sends until it has closed its side, because closing a socket
+// with unread bytes sends a reset, which discards what the caller has not received. Without a last response nothing more is
+// read: the caller of a request that crosses the close of an idle connection may then send it again.
 func (c *conn) linger() {
-	if tcp, ok := c.net.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
-		timeout := lingerTimeout
-		if c.bodyRefused {
-			timeout = refusedBodyTimeout
+	tcp, ok := c.net.(*net.TCPConn)
+	if !ok || tcp.CloseWrite() != nil {
+		return
+	}
+	var kept delivery
+	if c.bodyRefused { // The rest of the body may come with pauses.
+		kept.QuietTimeout = closeTimeout
+	}
+	discarded := make([]byte, readBufferSize)
+	var checkAt time.Time
+	for {
+		now := c.server.Clock()
+		if !now.Before(checkAt) {
+			if missing, known := undelivered(c.net); kept.expired(now, missing, known) {
+				return
+			}
+			checkAt = now.Add(deliveryPeriod)
+			_ = c.net.SetReadDeadline(checkAt)
+		}
+		n, err := c.net.Read(discarded)
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			return
+		}
+		if n > 0 {
+			kept.SentAt = now
 		}
-		_ = c.net.SetReadDeadline(c.server.Clock().Add(timeout))
-		_, _ = io.Copy(io.Discard, c.net)
 	}
 }
--- a/internal/edge/httpd/conn.go
+++ b/internal/edge/httpd/conn.go
@@ -29,18 +29,16 @@
 	reader   *bufio.Reader
 	writer   *bufio.Writer
 	pipeline chan *exchange
-	// last is the request whose response was written last; only the writing goroutine uses it until it ends.
-	last *Request
-	// writeFailed means that a response could not be written; the same goroutine sets it.
-	writeFailed bool
 	// bodyRefused means that a part of a body was left unread; only the reading goroutine uses it.
 	bodyRefused bool
 
 	mu      sync.Mutex
 	pending int
-	reading bool // The first byte of a request has arrived, but not yet all of it.
-	closing bool // No further request is accepted.
-	idle    bool // closing was set because the connection was idle; no response has announced it.
+	reading bool     // The first byte of a request has arrived, but not yet all of it.
+	closing bool     // No further request is accepted.
+	idle    bool     // closing was set because the connection was idle; no response has announced it.
+	last    *Request // The request whose response was written last.
+	closed  bool
 	ended   bool // The last response has been written, or can't be.
 }
 
@@ -93,9 +91,7 @@
 		defer close(writerDone)
 		if !c.writeResponses() {
 			cancel()
-			c.writeFailed = true
-			c.reportClose()
-			_ = c.net.Close()
+			c.close()
 		}
 	}()
 	callerGone := c.readRequests(ctx)
@@ -107,10 +103,7 @@
 	if c.hasEnded() {
 		c.linger()
 	}
-	if !c.writeFailed {
-		c.reportClose()
-	}
-	_ = c.net.Close()
+	c.close()
 }
 
 // readRequests starts requests until the connection ends; it reports whether the caller has disconnected.
--- a/internal/edge/httpd/sendq_linux.go
+++ b/internal/edge/httpd/sendq_linux.go
@@ -7,9 +7,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// unacknowledged returns the number of bytes that were written to a connection and that the caller's kernel has not
-// acknowledged yet, with the end of the stream as one more; ok is false if that is unknown.
-func unacknowledged(c net.Conn) (n int, ok bool) {
+// undelivered returns the number of bytes that were written to a connection and that the caller's kernel has not acknowledged
+// yet; the end of the stream counts as one. It returns false if the number is unknown.
+func undelivered(c net.Conn) (n int, ok bool) {
 	sc, isSocket := c.(syscall.Conn)
 	if !isSocket {
 		return 0, false
--- a/internal/edge/httpd/sendq_other.go
+++ b/internal/edge/httpd/sendq_other.go
@@ -4,5 +4,5 @@
 
 import "net"
 
-// unacknowledged reports that the number of unacknowledged bytes is unknown.
-func unacknowledged(net.Conn) (n int, ok bool) { return 0, false }
+// undelivered reports that the number of undelivered bytes is unknown.
+func undelivered(net.Conn) (n int, ok bool) { return 0, false }
--- a/internal/edge/httpd/server.go
+++ b/internal/edge/httpd/server.go
@@ -141,6 +141,16 @@
 	}
 }
 
+// Close closes all connections at once. What their callers have not received by then may be lost.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for c := range s.conns {
+		c.close()
+	}
+}
+
 // Pending returns the number of requests that were read and are not answered yet.
 func (s *Server) Pending() int {
 	s.mu.Lock()
--- a/internal/edge/httpd/write.go
+++ b/internal/edge/httpd/write.go
@@ -15,7 +15,6 @@
 			continue
 		}
 		closeAfter := c.removePending(ex)
-		c.last = ex.req
 		_ = c.net.SetWriteDeadline(c.server.Clock().Add(writeTimeout))
 		if err := c.writeResponse(ex.req, resp, closeAfter); err != nil {
 			ok = false
--- a/internal/host/steer/stop.go
+++ b/internal/host/steer/stop.go
@@ -44,5 +44,6 @@
 	if n := h.server.Pending(); n > 0 {
 		h.Log.Warn("exiting with unanswered requests", zap.Int("count", n))
 	}
+	h.server.Close()
 	h.Log.Info("drained", millisField(h.Clock().Sub(start)))
 }
