fix(httpd): a connection isn't idle while its caller receives a response

Callers saw: a reset in the middle of a body, without an announced end, when the idle timeout passed or a stop closed idle connections while they still received a response. Cause: a connection counted as idle from the moment its last response began to be written; closing it reset it if the caller had sent its next request.

Now the host asks the kernel for the bytes that the caller hasn't acknowledged before it closes an idle connection, and looks again later if there are some. A request that arrives meanwhile is answered.

--- a/internal/edge/httpd/close.go
+++ b/internal/edge/httpd/close.go
@@ -57,13 +57,30 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending--
-	c.last = ex.req
+	c.last, c.writing, c.kept = ex.req, true, delivery{}
 	if c.server.draining.Load() && c.pending == 0 && !c.reading {
 		c.closing = true
 	}
 	return ex.closeAfter || c.closing && c.pending == 0
 }
 
+// endWriting registers that a response has been handed to the kernel.
+func (c *conn) endWriting() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = false
+}
+
+// isDelivering reports whether the caller may still receive a response. The close of an idle connection would otherwise cut it
+// when the caller sends its next request.
+func (c *conn) isDelivering() bool {
+	if c.writing {
+		return true
+	}
+	missing, known := undelivered(c.net)
+	return known && missing > 0 && !c.kept.expired(c.server.Clock(), missing, known)
+}
+
 // awaitLastResponse waits on a connection that accepts no more requests, and reports whether the caller disconnects before
 // its last response.
 func (c *conn) awaitLastResponse() bool {
--- a/internal/edge/httpd/conn.go
+++ b/internal/edge/httpd/conn.go
@@ -37,6 +37,8 @@
 	reading bool     // The first byte of a request has arrived, but not yet all of it.
 	closing bool     // No further request is accepted.
 	idle    bool     // closing was set because the connection was idle; no response has announced it.
+	writing bool     // A response is being written.
+	kept    delivery // Whether an idle connection is kept for its last response.
 	last    *Request // The request whose response was written last.
 	closed  bool
 	ended   bool // The last response has been written, or can't be.
@@ -197,7 +199,7 @@
 	}
 }
 
-// errStillBusy means that the idle timeout has passed while responses are pending.
+// errStillBusy means that the idle timeout has passed while responses are pending or not yet received.
 var errStillBusy = errors.New("responses are pending")
 
 // setIdleDeadline sets the idle timeout unless the connection is closing; it returns false if no request may follow.
@@ -224,6 +226,11 @@
 		c.closing, c.idle = false, false // The request may have arrived just before the connection would have been closed.
 	case errors.Is(waitErr, os.ErrDeadlineExceeded) && c.pending > 0:
 		return errStillBusy
+	case errors.Is(waitErr, os.ErrDeadlineExceeded) && c.isDelivering():
+		if c.closing {
+			_ = c.net.SetReadDeadline(c.server.Clock().Add(deliveryPeriod))
+		}
+		return errStillBusy
 	default:
 		c.closing = true
 	}
--- a/internal/edge/httpd/write.go
+++ b/internal/edge/httpd/write.go
@@ -22,6 +22,7 @@
 			c.endReading()
 			continue
 		}
+		c.endWriting()
 		if closeAfter {
 			c.endReading()
 		}
