fix(httpd): the idle timeout counts from the last response

Callers saw: a connection that ended soon after a response, or at once when the next request was sent, though it had been idle for less than four fifths of the idle timeout, within which callers may use it again. Cause: the timeout counted from the end of the last request's reading, so a request that ran for long used it up. Now it counts from the last response, or from the time at which its caller still received it.

Evidence: TestTheIdleTimeoutCountsFromTheLastResponse failed in each run before (unexpected EOF), and holds now; the whole package holds with the race detector.

--- a/internal/edge/httpd/close.go
+++ b/internal/edge/httpd/close.go
@@ -68,17 +68,17 @@
 func (c *conn) endWriting() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.writing = false
+	c.writing, c.idleSince = false, c.server.Clock()
 }
 
 // isDelivering reports whether the caller may still receive a response. The close of an idle connection would otherwise cut it
 // when the caller sends its next request.
-func (c *conn) isDelivering() bool {
+func (c *conn) isDelivering(now time.Time) bool {
 	if c.writing {
 		return true
 	}
 	missing, known := undelivered(c.net)
-	return known && missing > 0 && !c.kept.expired(c.server.Clock(), missing, known)
+	return known && missing > 0 && !c.kept.expired(now, missing, known)
 }
 
 // awaitLastResponse waits on a connection that accepts no more requests, and reports whether the caller disconnects before
--- a/internal/edge/httpd/conn.go
+++ b/internal/edge/httpd/conn.go
@@ -32,16 +32,17 @@
 	// bodyRefused means that a part of a body was left unread; only the reading goroutine uses it.
 	bodyRefused bool
 
-	mu      sync.Mutex
-	pending int
-	reading bool     // The first byte of a request has arrived, but not yet all of it.
-	closing bool     // No further request is accepted.
-	idle    bool     // closing was set because the connection was idle; no response has announced it.
-	writing bool     // A response is being written.
-	kept    delivery // Whether an idle connection is kept for its last response.
-	last    *Request // The request whose response was written last.
-	closed  bool
-	ended   bool // The last response has been written, or can't be.
+	mu        sync.Mutex
+	pending   int
+	reading   bool      // The first byte of a request has arrived, but not yet all of it.
+	closing   bool      // No further request is accepted.
+	idle      bool      // closing was set because the connection was idle; no response has announced it.
+	idleSince time.Time // When the connection was accepted or its last response was written or still being received.
+	writing   bool      // A response is being written.
+	kept      delivery  // Whether an idle connection is kept for its last response.
+	last      *Request  // The request whose response was written last.
+	closed    bool
+	ended     bool // The last response has been written, or can't be.
 }
 
 // exchange is a request in progress and its response.
@@ -80,7 +81,7 @@
 	limiter := &byteLimiter{Reader: nc}
 	return &conn{
 		server: s, net: nc, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferSize), writer: bufio.NewWriter(nc),
-		pipeline: make(chan *exchange, maxPipelined),
+		pipeline: make(chan *exchange, maxPipelined), idleSince: s.Clock(),
 	}
 }
 
@@ -193,7 +194,7 @@
 			return errNoMoreRequests
 		}
 		_, err := c.reader.Peek(1)
-		if err = c.beginRequest(err); !errors.Is(err, errStillBusy) {
+		if err = c.beginRequest(err, timeout); !errors.Is(err, errStillBusy) {
 			return err
 		}
 	}
@@ -207,15 +208,24 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.closing {
-		_ = c.net.SetReadDeadline(c.server.Clock().Add(timeout))
+		_ = c.net.SetReadDeadline(c.idleDeadline(c.server.Clock(), timeout))
 	}
 	return !c.closing || c.idle
 }
 
+// idleDeadline returns when the idle timeout ends; it counts from the last response, or from now if one is pending.
+func (c *conn) idleDeadline(now time.Time, timeout time.Duration) time.Time {
+	if c.pending > 0 || c.writing {
+		return now.Add(timeout)
+	}
+	return c.idleSince.Add(timeout)
+}
+
 // beginRequest decides, after a wait for the first byte of a request that ended with waitErr, whether a request follows.
-func (c *conn) beginRequest(waitErr error) error {
+func (c *conn) beginRequest(waitErr error, timeout time.Duration) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := c.server.Clock()
 	switch {
 	case c.closing && !c.idle:
 		if waitErr == nil || errors.Is(waitErr, os.ErrDeadlineExceeded) {
@@ -226,11 +236,14 @@
 		c.closing, c.idle = false, false // The request may have arrived just before the connection would have been closed.
 	case errors.Is(waitErr, os.ErrDeadlineExceeded) && c.pending > 0:
 		return errStillBusy
-	case errors.Is(waitErr, os.ErrDeadlineExceeded) && c.isDelivering():
+	case errors.Is(waitErr, os.ErrDeadlineExceeded) && c.isDelivering(now):
+		c.idleSince = now
 		if c.closing {
-			_ = c.net.SetReadDeadline(c.server.Clock().Add(deliveryPeriod))
+			_ = c.net.SetReadDeadline(now.Add(deliveryPeriod))
 		}
 		return errStillBusy
+	case errors.Is(waitErr, os.ErrDeadlineExceeded) && !c.closing && now.Before(c.idleDeadline(now, timeout)):
+		return errStillBusy
 	default:
 		c.closing = true
 	}
