fix(httpd): a stopping host leaves time for answers behind a long job

Seen: on a pipelined connection of a stopping host, answers that were ready for seconds stood behind a long job, and the exit cut them. A caller that began to read 400 ms after the first one got 3 of 12 answers of 1 MiB and a part of the fourth. Change: the plan of a stop gets Yield, the start of the last sixth of the grace period (5 s of 6 s). From then on a job that holds back a ready answer of its connection is given up with pipe.ErrStopping, as all jobs are at Answer: 502, outcome unknown. Answers that get ready later give up what is in front of them at once. Jobs with no ready answer behind them run until Answer as before. Why then: in the last sixth the rule on lost requests excuses a job that is cut at work if it was sent up to 3 s after SIGTERM; before, it doesn't. A job with requests behind it was accepted before the drain, since a draining connection accepts none behind another (closeAfter). Answers that are ready by then aren't excused, and get 0.85 s of 6 s in place of 0.2 s. Not solved: a caller that takes longer than the last sixth, less 150 ms, to read what is held for it still loses the rest at the exit.

--- a/internal/edge/httpd/conn.go
+++ b/internal/edge/httpd/conn.go
@@ -38,6 +38,10 @@
 	closing bool // No further request is accepted.
 	idle    bool // closing was set because the connection was idle; no response has announced it.
 	ended   bool // The last response has been written, or can't be.
+	// line holds the requests from the first that still runs on, in their order.
+	line []*exchange
+	// yieldCause is the cause with which requests that hold back a ready response are canceled; nil if they aren't.
+	yieldCause error
 }
 
 // exchange is a request in progress and its response.
@@ -45,6 +49,8 @@
 	req        *Request
 	response   chan Response
 	closeAfter bool // The connection is closed after this response.
+	giveUp     context.CancelCauseFunc
+	ready      bool // The response is ready; guarded by the connection's mu.
 }
 
 // byteLimiter bounds the bytes read for one header or body.
@@ -119,14 +125,17 @@
 			c.server.bodies.release(int64(cap(req.Body)))
 			return false
 		}
+		exCtx := c.enter(ctx, ex)
 		c.pipeline <- ex
 		if status != 0 {
 			c.server.OnRefused(req, status)
+			c.settle(ex)
 			ex.response <- refusal(status)
 			return false
 		}
 		go func() {
-			resp := c.server.serve(ctx, req)
+			resp := c.server.serve(exCtx, req)
+			c.settle(ex)
 			c.server.bodies.release(int64(cap(req.Body)))
 			req.Body = nil // The response may wait for those of earlier requests.
 			ex.response <- resp
--- a/internal/edge/httpd/server.go
+++ b/internal/edge/httpd/server.go
@@ -68,6 +68,8 @@
 	closed   bool // CloseIdle was called.
 	active   sync.WaitGroup
 	draining atomic.Bool
+	// yieldCause is the cause given to Yield, or nil.
+	yieldCause error
 }
 
 // New returns a server that is not running yet.
@@ -106,6 +108,7 @@
 		_ = nc.Close()
 		return
 	}
+	c.yieldCause = s.yieldCause
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
 	s.active.Add(1)
--- a/internal/flow/halt/halt.go
+++ b/internal/flow/halt/halt.go
@@ -13,6 +13,7 @@
 	Long   time.Time // Until then the host accepts all jobs, afterwards only those whose deadline is not after Answer.
 	Accept time.Time // Until then it accepts connections.
 	Start  time.Time // Until then jobs may wait for an upstream.
+	Yield  time.Time // From then on jobs that hold back ready answers of their connections are given up.
 	Answer time.Time // Until then jobs run; what is still running is given up.
 	Exit   time.Time // The process exits.
 }
@@ -26,6 +27,10 @@
 	// startShare is the share of the time from Accept to Answer in which jobs may still wait for an upstream, so that they have
 	// time to run, or their callers to be served by another host.
 	startShare = 0.5
+	// excusedPart divides the grace period: in its last sixth, the users' rule on lost requests excuses a job that is given up at
+	// work, but not an answer that was ready before and isn't delivered. The job must have been sent early; one with requests
+	// behind it was, since a connection of a stopping host accepts none behind another.
+	excusedPart = 6
 	// exitMargin is the time between the exit of the process and the end of the grace period.
 	exitMargin = 150 * time.Millisecond
 	// flushTime is the time for writing the last responses.
@@ -41,6 +46,7 @@
 		Long:   now.Add(time.Duration(longShare * float64(accept))),
 		Accept: now.Add(accept),
 		Start:  now.Add(accept + time.Duration(startShare*float64(max(0, answer-accept)))),
+		Yield:  now.Add(min(grace-grace/excusedPart, answer)),
 		Answer: now.Add(answer),
 		Exit:   now.Add(exit),
 	}
--- a/internal/flow/halt/halt_test.go
+++ b/internal/flow/halt/halt_test.go
@@ -53,13 +53,26 @@
 	rapid.Check(t, func(t *rapid.T) {
 		grace := time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "grace"))
 		p := NewPlan(start, grace)
-		for i, pair := range [][2]time.Time{{start, p.Long}, {p.Long, p.Accept}, {p.Accept, p.Start}, {p.Answer, p.Exit}, {p.Exit, at(grace)}} {
+		for i, pair := range [][2]time.Time{{start, p.Long}, {p.Long, p.Accept}, {p.Accept, p.Start}, {p.Yield, p.Answer}, {p.Answer, p.Exit}, {p.Exit, at(grace)}} {
 			if pair[1].Before(pair[0]) {
 				t.Fatalf("times %d of a grace period of %s are not in order: %+v", i, grace, p)
 			}
 		}
-		if grace > time.Second && (p.Answer.Before(p.Start) || !p.Exit.Before(at(grace))) {
+		if grace > time.Second && (p.Answer.Before(p.Start) || p.Yield.Before(p.Start) || !p.Exit.Before(at(grace))) {
 			t.Fatalf("grace period of %s: %+v", grace, p)
 		}
 	})
 }
+
+// Guards against a job that is given up, while its upstream is at work, earlier than the users' rule on lost requests excuses,
+// and against answers behind it that get less time to be written than the rule leaves.
+func TestJobsThatHoldBackAnswersRunUntilTheLastSixth(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		grace := time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "grace"))
+		p := NewPlan(start, grace)
+		lastSixth := at(grace - grace/6)
+		if p.Yield.Before(lastSixth) && p.Yield.Before(p.Answer) || p.Yield.After(lastSixth) {
+			t.Fatalf("grace period of %s: the last sixth begins at %s: %+v", grace, lastSixth, p)
+		}
+	})
+}
--- a/internal/host/steer/stop.go
+++ b/internal/host/steer/stop.go
@@ -9,11 +9,12 @@
 
 	"github.com/boragelane/boragelane/internal/ctrl/watch"
 	"github.com/boragelane/boragelane/internal/flow/halt"
+	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
 // shutdown stops the host: it leaves the directory at once, accepts requests for a while, and returns when the last one is
-// answered or the grace period is about to end. Shortly before that it calls giveUp to cancel the jobs that are still running.
-// Responses that wait for those of earlier requests on their connection can then be written.
+// answered or the grace period is about to end. Before that it cancels the jobs that hold back ready answers, so that these can
+// be written and read, and shortly before the end it calls giveUp to cancel all that are still running.
 func (h *Host) shutdown(ctx context.Context, front net.Listener, cancelRegistration, giveUp func()) {
 	start := h.Clock()
 	plan := halt.NewPlan(start, time.Duration(h.stopGrace.Load()))
@@ -24,6 +25,8 @@
 	h.server.Drain()
 	closeGate := time.AfterFunc(plan.Start.Sub(start), h.gate.Close)
 	defer closeGate.Stop()
+	yieldTimer := time.AfterFunc(plan.Yield.Sub(start), func() { h.server.Yield(pipe.ErrStopping) })
+	defer yieldTimer.Stop()
 	giveUpTimer := time.AfterFunc(plan.Answer.Sub(start), giveUp)
 	defer giveUpTimer.Stop()
 	exitTimer := time.NewTimer(plan.Exit.Sub(start))
