fix(httpd): a caller that receives slowly gets its whole response

Callers would see: a long response that is cut after 10 s, though they received it all the while. Cause: one timeout bounded the writing of a whole response, however long. Now it bounds the writing of each 64 KiB.

Evidence: TestASlowCallerGetsALongResponse, with the clock of the test, failed before (i/o timeout) and holds now; the package holds with the race detector.

--- a/internal/edge/httpd/conn.go
+++ b/internal/edge/httpd/conn.go
@@ -17,8 +17,10 @@
 	maxPipelined = 16
 	// readBufferSize is the size of a connection's read buffer in bytes.
 	readBufferSize = 4096
-	// writeTimeout bounds writing a response to a slow caller.
+	// writeTimeout bounds writing a piece of a response to a slow caller.
 	writeTimeout = 10 * time.Second
+	// writePiece is the length of such a piece in bytes.
+	writePiece = 64 << 10
 )
 
 // conn is a connection from a caller.
@@ -86,7 +88,7 @@
 func newConn(s *Server, nc net.Conn) *conn {
 	limiter := &byteLimiter{Reader: nc}
 	return &conn{
-		server: s, net: nc, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferSize), writer: bufio.NewWriter(nc),
+		server: s, net: nc, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferSize), writer: bufio.NewWriter(pieceWriter{net: nc, clock: s.Clock}),
 		pipeline: make(chan *exchange, maxPipelined), idleSince: s.Clock(),
 	}
 }
--- a/internal/edge/httpd/delivery_test.go
+++ b/internal/edge/httpd/delivery_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -198,3 +199,38 @@
 		})
 	}
 }
+
+// slowWrites is a connection whose caller takes a second to receive 16 KiB, by the clock of the test.
+type slowWrites struct {
+	net.Conn
+	now      time.Time
+	deadline time.Time
+	written  int
+}
+
+func (c *slowWrites) SetWriteDeadline(t time.Time) error {
+	c.deadline = t
+	return nil
+}
+
+func (c *slowWrites) Write(b []byte) (int, error) {
+	for n := range b {
+		if c.written++; c.written%(16<<10) == 0 {
+			c.now = c.now.Add(time.Second)
+		}
+		if c.now.After(c.deadline) {
+			return n, os.ErrDeadlineExceeded
+		}
+	}
+	return len(b), nil
+}
+
+// Guards against a response that is cut because its caller, which receives it all the while, takes longer than one timeout.
+func TestASlowCallerGetsALongResponse(t *testing.T) {
+	slow := &slowWrites{now: time.Unix(1000, 0)}
+	s := New(nil, nil, func() time.Time { return slow.now })
+	c := newConn(s, slow)
+	body := make([]byte, 1<<20)
+	assert.NilError(t, c.writeResponse(&Request{Method: "GET"}, Response{Status: 200, Body: body}, false))
+	assert.Assert(t, slow.written > len(body))
+}
--- a/internal/edge/httpd/write.go
+++ b/internal/edge/httpd/write.go
@@ -1,7 +1,9 @@
 package httpd
 
 import (
+	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -15,7 +17,6 @@
 			continue
 		}
 		closeAfter := c.removePending(ex)
-		_ = c.net.SetWriteDeadline(c.server.Clock().Add(writeTimeout))
 		if err := c.writeResponse(ex.req, resp, closeAfter); err != nil {
 			ok = false
 			_ = c.net.SetWriteDeadline(time.Unix(1, 0))
@@ -30,6 +31,28 @@
 	return ok
 }
 
+// pieceWriter writes in pieces, each of which the caller must take before a timeout.
+type pieceWriter struct {
+	net   net.Conn
+	clock func() time.Time
+}
+
+// Write writes all pieces of b.
+func (w pieceWriter) Write(b []byte) (int, error) {
+	written := 0
+	for piece := range slices.Chunk(b, writePiece) {
+		if err := w.net.SetWriteDeadline(w.clock().Add(writeTimeout)); err != nil {
+			return written, err
+		}
+		n, err := w.net.Write(piece)
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
 // hopByHop lists the header fields that are not forwarded, because they concern one connection only.
 var hopByHop = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
