fix(entry): a planned stop finishes the jobs of other hosts

Callers of other hosts got 502 peer-lost for jobs that ran: a host that stopped waited for the requests of its own callers, but not for jobs that other hosts had forwarded to it as the owner of their tickets, or for its region. It handed their tickets over as unknown and closed the connections while they ran.

The new test, on the code before: stop_test.go:26: assertion failed: unknown (a.outcome string) != answered (string): {status:502 outcome:unknown reason:peer-lost ... "the connection to host 127.129.1.1:7002 was lost" With the change it passes: the server for hosts counts their jobs until the replies are written, and the stop waits for the last of them, within its time, before it hands over the tickets.

--- a/internal/edge/peer/session.go
+++ b/internal/edge/peer/session.go
@@ -51,9 +51,16 @@
 		s.endCall(req.ID.Num)
 		return
 	}
+	job := req.Method == methodRun || req.Method == methodOwn
+	if job {
+		s.server.beginJob()
+	}
 	go func() {
 		defer s.endCall(req.ID.Num)
 		s.handleCall(ctx, rpc, req)
+		if job {
+			s.server.endJob()
+		}
 	}()
 }
 
--- a/internal/host/entry/stop.go
+++ b/internal/host/entry/stop.go
@@ -27,6 +27,9 @@
 			h.Log.Warn("jobs were still running at the end of the planned stop", errorField(err))
 		}
 	}
+	if err := h.peerServer.WaitForJobs(ctx); err != nil {
+		h.Log.Warn("jobs of other hosts were still running at the end of the planned stop", errorField(err))
+	}
 	h.handOverTickets(ctx)
 	if err := h.Trace.Shutdown(ctx); err != nil {
 		h.Log.Warn("spans were lost", errorField(err))
