fix(entry): a close discards no answer that a caller hasn't read

Callers that pipeline and read slowly got a reset in the middle of the last answer before a planned stop of `boragelane entry`, for requests that had run.

Cause: net/http closes the socket as soon as the last response is in the kernel. If bytes of the caller are unread, or arrive later, the kernel resets the connection and discards what the caller hasn't acknowledged, up to a send buffer. The stop didn't wait for these bytes either.

--- /dev/null
+++ b/internal/edge/linger/doc.go
@@ -0,0 +1,2 @@
+// Package linger closes connections so that what was written before the close reaches the peer.
+package linger
--- a/internal/host/entry/host.go
+++ b/internal/host/entry/host.go
@@ -20,6 +20,7 @@
 	"github.com/boragelane/boragelane/internal/edge/admin"
 	"github.com/boragelane/boragelane/internal/edge/egress"
 	"github.com/boragelane/boragelane/internal/edge/front"
+	"github.com/boragelane/boragelane/internal/edge/linger"
 	"github.com/boragelane/boragelane/internal/edge/peer"
 	"github.com/boragelane/boragelane/internal/edge/store"
 	"github.com/boragelane/boragelane/internal/flow/accept"
@@ -67,8 +68,9 @@
 	serve       trace.Hop
 	explain     pipe.Pipeline
 	watcher     *platformWatcher
-	httpServers [2]*http.Server // Servers for callers and for operators, in this order.
-	runCtx      context.Context // Canceled when the host ends, after the graceful shutdown.
+	httpServers [2]*http.Server    // Servers for callers and for operators, in this order.
+	listeners   []*linger.Listener // Listeners for callers, hosts and operators, in this order.
+	runCtx      context.Context    // Canceled when the host ends, after the graceful shutdown.
 	cancelRun   context.CancelFunc
 }
 
@@ -149,16 +151,15 @@
 // Run starts the host and serves until the context is canceled, then performs a graceful shutdown.
 func (h *Host) Run(ctx context.Context) error {
 	defer close(h.Done)
-	listeners, err := h.listen(ctx)
-	if err != nil {
+	if err := h.listen(ctx); err != nil {
 		return err
 	}
 	defer h.cancelRun()
 	go h.loop.Run(h.runCtx)
-	go h.peerServer.Serve(h.runCtx, listeners[1])
+	go h.peerServer.Serve(h.runCtx, h.listeners[1])
 	go h.runMaintenance(h.runCtx)
-	go func() { _ = h.httpServers[0].Serve(listeners[0]) }()
-	go func() { _ = h.httpServers[1].Serve(listeners[2]) }()
+	go func() { _ = h.httpServers[0].Serve(h.listeners[0]) }()
+	go func() { _ = h.httpServers[1].Serve(h.listeners[2]) }()
 	h.Log.Info("serving", zap.String("seat", h.Self.Seat), zap.String("incarnation", h.Self.Incarnation),
 		zap.String("front", h.Settings.Front), zap.String("intake", h.intake.Next.(pipe.Pipeline).String()))
 	select {
@@ -168,7 +169,7 @@
 	}
 	h.cancelRun()
 	<-h.loop.Done
-	_ = listeners[1].Close()
+	_ = h.listeners[1].Close()
 	<-h.peerServer.Done
 	h.peerClient.Close()
 	h.sender.Close()
@@ -176,20 +177,19 @@
 	return nil
 }
 
-// listen opens the listeners for callers, hosts and operators, in this order.
-func (h *Host) listen(ctx context.Context) ([]net.Listener, error) {
-	var listeners []net.Listener
+// listen opens the listeners.
+func (h *Host) listen(ctx context.Context) error {
 	for _, addr := range []string{h.Settings.Front, h.Settings.Peer, h.Settings.Admin} {
 		ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp", addr)
 		if err != nil {
-			for _, opened := range listeners {
+			for _, opened := range h.listeners {
 				_ = opened.Close()
 			}
-			return nil, ErrListen.Wrap(err, "listening on %s", addr)
+			return ErrListen.Wrap(err, "listening on %s", addr)
 		}
-		listeners = append(listeners, ln)
+		h.listeners = append(h.listeners, &linger.Listener{Listener: ln, Clock: h.Clock})
 	}
-	return listeners, nil
+	return nil
 }
 
 // adminServer returns the server of the operators' API and of /debug/vars.
--- a/internal/host/entry/stop_test.go
+++ b/internal/host/entry/stop_test.go
@@ -1,12 +1,21 @@
 package entry
 
 import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/boragelane/boragelane/internal/ctrl/state"
+	"github.com/boragelane/boragelane/internal/edge/front"
 	"github.com/boragelane/boragelane/internal/host/trace"
 	"github.com/boragelane/boragelane/internal/stand/layout"
 )
@@ -27,3 +36,58 @@
 	assert.Equal(t, s.countRuns("forwarded"), 1)
 	<-s.hosts["dar-a-1"].Done
 }
+
+// TestAPlannedStopDeliversAnswersToSlowCallers stops a host while a caller that pipelines its requests slowly reads a large
+// answer. The caller must get all of it, although its next request arrived and will not be read.
+func TestAPlannedStopDeliversAnswersToSlowCallers(t *testing.T) {
+	t.Parallel()
+	const size = 1 << 20
+	s := startSystem(t, testOptions(130), trace.Noop())
+	s.hosts["dar-a-1"].cancel()
+	time.Sleep(state.LookupTTL + shutdownPropagation - 500*time.Millisecond)
+	c := dialSlow(t, s.hosts["dar-a-1"].Settings.Front)
+	var requests strings.Builder
+	for i := range 12 {
+		_, _ = fmt.Fprintf(&requests, "POST /v1/run/%s/x?size=%d HTTP/1.1\r\nHost: x\r\n%s: 1s\r\nX-Padding: %s\r\nContent-Length: 3\r\n\r\n%02d\n",
+			layout.Price, size, front.HeaderTimeout, strings.Repeat("p", 1000), i)
+	}
+	_, err := io.WriteString(c, requests.String())
+	assert.NilError(t, err)
+	answers, slow := 0, bufio.NewReaderSize(c, 64<<10)
+	for ; ; answers++ {
+		if _, err := slow.Peek(1); err != nil {
+			assert.ErrorIs(t, err, io.EOF, "after %d answers", answers)
+			break
+		}
+		resp, err := http.ReadResponse(slow, nil)
+		assert.NilError(t, err, "after %d answers", answers)
+		body, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err, "%s after %d answers and %d bytes of %d", resp.Header.Get(front.HeaderOutcome), answers, len(body), size)
+	}
+	assert.Assert(t, answers > 0 && answers < 12, "%d answers: the host did not stop between two of them", answers)
+	<-s.hosts["dar-a-1"].Done
+}
+
+// slowConn is a connection whose end here reads a little at a time.
+type slowConn struct{ net.Conn }
+
+// dialSlow connects to an address; little fits into the receive buffer.
+func dialSlow(t *testing.T, addr string) slowConn {
+	d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		var optErr error
+		err := raw.Control(func(fd uintptr) {
+			optErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 64<<10)
+		})
+		return errors.Join(err, optErr)
+	}}
+	c, err := d.Dial("tcp", addr)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return slowConn{c}
+}
+
+// Read reads at most 64 KiB, after a pause.
+func (s slowConn) Read(b []byte) (int, error) {
+	time.Sleep(20 * time.Millisecond)
+	return s.Conn.Read(b[:min(len(b), 64<<10)])
+}
