fix(linger): connections may close during a wait

The new test before: WARNING: DATA RACE ... linger.(*Listener).Wait() linger.go:55 ... TestConnectionsMayCloseDuringAWait linger_test.go:130

One counter, whose count may leave zero at any time, now serves the listener and the jobs of other hosts.

go test -race ./internal/edge/linger ./internal/edge/pending ./internal/edge/peer, and TestAPlannedStop(Del|Fin|Hands)... of internal/host/entry: green.

--- a/internal/edge/linger/linger.go
+++ b/internal/edge/linger/linger.go
@@ -11,6 +11,8 @@
 
 	"github.com/joomcode/errorx"
 	"golang.org/x/sys/unix"
+
+	"github.com/boragelane/boragelane/internal/edge/pending"
 )
 
 // Errors is the namespace of this package's errors.
@@ -33,7 +35,7 @@
 	net.Listener
 	Clock func() time.Time
 
-	closing sync.WaitGroup
+	closing pending.Counter
 }
 
 // Accept waits for the next connection.
@@ -49,19 +51,12 @@
 	return &conn{TCPConn: tcp, listener: l}, nil
 }
 
-// Wait waits until all closed connections have ended; it fails if the context ends first. Call it after the last Close.
+// Wait waits until all closed connections have ended; it fails if the context ends first.
 func (l *Listener) Wait(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		l.closing.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ErrUndelivered.Wrap(ctx.Err(), "closing the connections of %s", l.Addr())
+	if err := l.closing.Wait(ctx); err != nil {
+		return ErrUndelivered.Wrap(err, "closing the connections of %s", l.Addr())
 	}
+	return nil
 }
 
 // conn is an accepted connection.
@@ -120,12 +115,14 @@
 	if err := errors.Join(c.CloseWrite(), c.TCPConn.SetReadDeadline(time.Unix(1, 0))); err != nil {
 		return errors.Join(err, c.TCPConn.Close())
 	}
-	c.listener.closing.Go(c.deliver)
+	c.listener.closing.Begin()
+	go c.deliver()
 	return nil
 }
 
 // deliver discards what arrives until the peer closes the connection, has acknowledged all bytes or makes no progress.
 func (c *conn) deliver() {
+	defer c.listener.closing.End()
 	defer func() { _ = c.TCPConn.Close() }()
 	c.awaitRead() // The read deadline stays in the past until then.
 	progress, left := c.listener.Clock(), -1
--- a/internal/edge/linger/linger_test.go
+++ b/internal/edge/linger/linger_test.go
@@ -118,3 +118,16 @@
 	assert.Equal(t, n, 0)
 	assert.ErrorIs(t, err, net.ErrClosed)
 }
+
+// TestConnectionsMayCloseDuringAWait closes a connection while a Wait that began without any is in progress.
+func TestConnectionsMayCloseDuringAWait(t *testing.T) {
+	t.Parallel()
+	for range 100 {
+		l := listen(t)
+		server, _ := accept(t, l)
+		waited := make(chan error, 1)
+		go func() { waited <- waitFor(t, l, time.Second) }()
+		assert.NilError(t, server.Close())
+		assert.NilError(t, <-waited)
+	}
+}
--- a/internal/edge/peer/server.go
+++ b/internal/edge/peer/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/boragelane/boragelane/internal/core/spec"
 	"github.com/boragelane/boragelane/internal/ctrl/state"
+	"github.com/boragelane/boragelane/internal/edge/pending"
 	"github.com/boragelane/boragelane/internal/flow/dedup"
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 	"github.com/boragelane/boragelane/internal/flow/poison"
@@ -48,8 +49,7 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
-	jobs  int           // Jobs of other hosts whose replies are not written yet.
-	idle  chan struct{} // Closed when no such job is left; nil if nothing waits for that.
+	jobs  pending.Counter // Jobs of other hosts whose replies are not written yet.
 	wg    sync.WaitGroup
 }
 
@@ -88,40 +88,7 @@
 }
 
 // WaitForJobs waits until the replies to all jobs of other hosts are written; it fails if the context ends first.
-func (s *Server) WaitForJobs(ctx context.Context) error {
-	s.mu.Lock()
-	if s.jobs == 0 {
-		s.mu.Unlock()
-		return nil
-	}
-	if s.idle == nil {
-		s.idle = make(chan struct{})
-	}
-	idle, n := s.idle, s.jobs
-	s.mu.Unlock()
-	select {
-	case <-idle:
-		return nil
-	case <-ctx.Done():
-		return ErrLost.Wrap(ctx.Err(), "waiting for %d jobs of other hosts", n)
-	}
-}
-
-func (s *Server) beginJob() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.jobs++
-}
-
-func (s *Server) endJob() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.jobs--
-	if s.jobs == 0 && s.idle != nil {
-		close(s.idle)
-		s.idle = nil
-	}
-}
+func (s *Server) WaitForJobs(ctx context.Context) error { return s.jobs.Wait(ctx) }
 
 func (s *Server) closeAll() {
 	s.mu.Lock()
--- a/internal/edge/peer/session.go
+++ b/internal/edge/peer/session.go
@@ -53,13 +53,13 @@
 	}
 	job := req.Method == methodRun || req.Method == methodOwn
 	if job {
-		s.server.beginJob()
+		s.server.jobs.Begin()
 	}
 	go func() {
 		defer s.endCall(req.ID.Num)
 		s.handleCall(ctx, rpc, req)
 		if job {
-			s.server.endJob()
+			s.server.jobs.End()
 		}
 	}()
 }
--- /dev/null
+++ b/internal/edge/pending/doc.go
@@ -0,0 +1,2 @@
+// Package pending counts what is in progress, for those who wait until nothing is.
+package pending
