fix(entry): the last replies to other hosts are delivered

A caller of another host would get 502 peer-lost for a job that ran, if its host still read the reply when this host ended a planned stop, and sent a message meanwhile (seen with a test's host, not on the users' platform).

Cause: the stop counted a reply as done when it was in the kernel, closed the connection at once and ended the process. A message that arrives then makes the kernel reset the connection and discard the rest of the reply. The other host's write gets the reset, and its read an end of file.

The listener for hosts is a linger.Listener already. The stop now closes it and its connections itself, when no job of another host is left and the tickets are handed over, and waits for what they still deliver.

--- a/internal/host/entry/stop.go
+++ b/internal/host/entry/stop.go
@@ -7,7 +7,6 @@
 	"go.uber.org/zap"
 
 	"github.com/boragelane/boragelane/internal/ctrl/state"
-	"github.com/boragelane/boragelane/internal/edge/linger"
 	"github.com/boragelane/boragelane/internal/flow/dedup"
 )
 
@@ -32,7 +31,9 @@
 		h.Log.Warn("jobs of other hosts were still running at the end of the planned stop", errorField(err))
 	}
 	h.handOverTickets(ctx)
-	for _, ln := range []*linger.Listener{h.listeners[0], h.listeners[2]} {
+	_ = h.listeners[1].Close()
+	<-h.peerServer.Done
+	for _, ln := range h.listeners {
 		if err := ln.Wait(ctx); err != nil {
 			h.Log.Warn("responses were not delivered by the end of the planned stop", errorField(err))
 		}
--- a/internal/host/entry/stop_test.go
+++ b/internal/host/entry/stop_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"encoding/base64"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
@@ -91,3 +93,50 @@
 	time.Sleep(20 * time.Millisecond)
 	return s.Conn.Read(b[:min(len(b), 64<<10)])
 }
+
+// TestAPlannedStopDeliversRepliesToSlowHosts stops the owner of a ticket while another host slowly reads a large reply of it
+// and sends further messages. The other host must get all of the reply.
+func TestAPlannedStopDeliversRepliesToSlowHosts(t *testing.T) {
+	t.Parallel()
+	const size = 1 << 20
+	s := startSystem(t, testOptions(131), trace.Noop())
+	tk := s.ticket("dar-a-1")
+	s.hosts["dar-a-1"].cancel()
+	time.Sleep(state.LookupTTL + shutdownPropagation - 500*time.Millisecond)
+	c := dialSlow(t, s.hosts["dar-a-1"].Settings.Peer)
+	messages, slow := bufio.NewReaderSize(c, 64<<10), make(chan struct{})
+	exchange := func(id int, method, params string) string {
+		assert.NilError(t, writeFrame(c, fmt.Sprintf(`{"jsonrpc":"2.0","id":%d,"method":%q,"params":%s}`, id, method, params)))
+		var length [4]byte
+		_, err := io.ReadFull(messages, length[:])
+		assert.NilError(t, err)
+		reply := make([]byte, binary.BigEndian.Uint32(length[:]))
+		n, err := io.ReadFull(messages, reply)
+		assert.NilError(t, err, "after %d bytes of %d", n, len(reply))
+		return string(reply)
+	}
+	exchange(1, "hello", `{"version":1,"seat":"dar-a-2"}`)
+	go func() {
+		defer close(slow)
+		for s.hosts["dar-a-1"].runCtx.Err() == nil {
+			time.Sleep(10 * time.Millisecond)
+		}
+		for range 20 { // A call for a job that has ended is ignored.
+			if writeFrame(c, `{"jsonrpc":"2.0","method":"cancel","params":{"id":99}}`) != nil {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}()
+	reply := exchange(2, "own", fmt.Sprintf(`{"id":"j","service":%q,"method":"POST","path":"/x?size=%d","body":%q,"left":3000000,"ticket":%q,"hop":1,"from":"dar"}`,
+		layout.Orders, size, base64.StdEncoding.EncodeToString([]byte("k\n")), tk))
+	assert.Assert(t, strings.Contains(reply, `"kind":"answered"`), "%.200s", reply)
+	<-slow
+	<-s.hosts["dar-a-1"].Done
+}
+
+// writeFrame writes a message between hosts.
+func writeFrame(w io.Writer, message string) error {
+	_, err := w.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(message))), message...))
+	return err
+}
