--- a/internal/edge/peer/server.go
+++ b/internal/edge/peer/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/boragelane/boragelane/internal/core/spec"
 	"github.com/boragelane/boragelane/internal/ctrl/state"
+	"github.com/boragelane/boragelane/internal/edge/pending"
 	"github.com/boragelane/boragelane/internal/flow/dedup"
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 	"github.com/boragelane/boragelane/internal/flow/poison"
@@ -48,6 +49,7 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
+	jobs  pending.Counter // Jobs of other hosts whose replies are not written yet.
 	wg    sync.WaitGroup
 }
 
@@ -85,6 +87,9 @@
 	return true
 }
 
+// WaitForJobs waits until the replies to all jobs of other hosts are written; it fails if the context ends first.
+func (s *Server) WaitForJobs(ctx context.Context) error { return s.jobs.Wait(ctx) }
+
 func (s *Server) closeAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/host/entry/stop.go
+++ b/internal/host/entry/stop.go
@@ -27,7 +27,17 @@
 			h.Log.Warn("jobs were still running at the end of the planned stop", errorField(err))
 		}
 	}
+	if err := h.peerServer.WaitForJobs(ctx); err != nil {
+		h.Log.Warn("jobs of other hosts were still running at the end of the planned stop", errorField(err))
+	}
 	h.handOverTickets(ctx)
+	_ = h.listeners[1].Close()
+	<-h.peerServer.Done
+	for _, ln := range h.listeners {
+		if err := ln.Wait(ctx); err != nil {
+			h.Log.Warn("responses were not delivered by the end of the planned stop", errorField(err))
+		}
+	}
 	if err := h.Trace.Shutdown(ctx); err != nil {
 		h.Log.Warn("spans were lost", errorField(err))
 	}
