fix(httpd): a failed write closes its connection at once

The response counted as being written for good, so the reader looked again each 50 ms, and the writer waited for the reader.

Now the writer cancels the requests and closes the connection when a write fails. Such a close isn't reported as announced any more.

--- a/internal/edge/httpd/close.go
+++ b/internal/edge/httpd/close.go
@@ -21,7 +21,7 @@
 func (c *conn) close() {
 	c.mu.Lock()
 	report := c.last != nil && !c.closed
-	c.closed = true
+	c.closed, c.closing = true, true
 	event := Closed{Last: c.last, Announced: c.ended}
 	c.mu.Unlock()
 	if report {
@@ -102,7 +102,7 @@
 	_ = c.net.SetReadDeadline(time.Unix(1, 0))
 }
 
-// hasEnded reports whether the last response has been written, or can't be.
+// hasEnded reports whether the last response has been written.
 func (c *conn) hasEnded() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/edge/httpd/conn.go
+++ b/internal/edge/httpd/conn.go
@@ -42,7 +42,7 @@
 	kept      delivery  // Whether an idle connection is kept for its last response.
 	last      *Request  // The request whose response was written last.
 	closed    bool
-	ended     bool // The last response has been written, or can't be.
+	ended     bool // The last response has been written.
 	// line holds the requests from the first that still runs on, in their order.
 	line []*exchange
 	// yieldCause is the cause with which requests that hold back a ready response are canceled; nil if they aren't.
@@ -98,10 +98,7 @@
 	writerDone := make(chan struct{})
 	go func() {
 		defer close(writerDone)
-		if !c.writeResponses() {
-			cancel()
-			c.close()
-		}
+		c.writeResponses(cancel)
 	}()
 	callerGone := c.readRequests(ctx)
 	close(c.pipeline)
--- a/internal/edge/httpd/write.go
+++ b/internal/edge/httpd/write.go
@@ -1,13 +1,14 @@
 package httpd
 
 import (
+	"context"
 	"net/http"
 	"strconv"
-	"time"
 )
 
-// writeResponses writes the responses in the order of the requests; it returns false if a write failed.
-func (c *conn) writeResponses() bool {
+// writeResponses writes the responses in the order of the requests. If a write fails, it closes the connection and cancels the
+// requests that are still running, since their responses can't be written.
+func (c *conn) writeResponses(cancel context.CancelFunc) {
 	ok := true
 	for ex := range c.pipeline {
 		resp := <-ex.response
@@ -18,8 +19,8 @@
 		_ = c.net.SetWriteDeadline(c.server.Clock().Add(writeTimeout))
 		if err := c.writeResponse(ex.req, resp, closeAfter); err != nil {
 			ok = false
-			_ = c.net.SetWriteDeadline(time.Unix(1, 0))
-			c.endReading()
+			cancel()
+			c.close()
 			continue
 		}
 		c.endWriting()
@@ -27,7 +28,6 @@
 			c.endReading()
 		}
 	}
-	return ok
 }
 
 // hopByHop lists the header fields that are not forwarded, because they concern one connection only.
--- /dev/null
+++ b/internal/edge/httpd/write_test.go
@@ -0,0 +1,60 @@
+package httpd
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// failWrites makes the server's only connection fail to write, as if the time for it was over.
+func failWrites(t *testing.T, s *Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	assert.Equal(t, len(s.conns), 1)
+	for c := range s.conns {
+		_ = c.net.SetWriteDeadline(time.Unix(1, 0))
+	}
+}
+
+// Guards against a connection that never ends, because the failed write of its response counts as still going on.
+func TestAConnectionThatSeemsIdleEndsWhenItsResponseCannotBeWritten(t *testing.T) {
+	s, ln := startDrainable(t, &largeHandler{})
+	c := dial(t, ln.Addr().String())
+	c.get("/large")
+	time.Sleep(200 * time.Millisecond)
+	_ = ln.Close()
+	s.CloseIdle()
+	time.Sleep(2 * idleCloseDelay)
+	failWrites(t, s)
+	waitDone(t, s)
+}
+
+// Guards against requests that go on running, on a connection that stays open, though their responses can't be written.
+func TestAFailedWriteCancelsTheRequestsBehindIt(t *testing.T) {
+	waiting := &handler{release: make(chan struct{}), started: make(chan string, 1)}
+	s, ln := startDrainable(t, &largeOrWaiting{large: largeHandler{}, waiting: waiting})
+	c := dial(t, ln.Addr().String())
+	c.get("/large")
+	c.get("/wait")
+	<-waiting.started
+	time.Sleep(200 * time.Millisecond)
+	_ = ln.Close()
+	failWrites(t, s)
+	waitDone(t, s)
+	assert.Equal(t, waiting.canceled.Load(), int64(1))
+}
+
+// largeOrWaiting responds to /large with a large body, and passes other requests on.
+type largeOrWaiting struct {
+	large   largeHandler
+	waiting *handler
+}
+
+func (h *largeOrWaiting) Serve(ctx context.Context, r *Request) Response {
+	if r.Target == "/large" {
+		return h.large.Serve(ctx, r)
+	}
+	return h.waiting.Serve(ctx, r)
+}
