fix(httpd): no interim response is written into another response

Callers that send a request with Expect: 100-continue behind another saw "100 Continue" in front of the first response or in the middle of it, so that its body was not the upstream's. Cause: a request isn't pending any more from the moment its response begins to be written, and the interim response was written by the reading goroutine if nothing was pending.

Now it is written only if no response is being written either. The caller then sends its body after its own wait, as it did behind a pending request.

--- a/internal/edge/httpd/body.go
+++ b/internal/edge/httpd/body.go
@@ -55,7 +55,7 @@
 		c.bodyRefused = true
 		return http.StatusRequestEntityTooLarge, nil
 	}
-	if hr.Header.Get("Expect") != "" && c.pendingRequests() == 0 {
+	if hr.Header.Get("Expect") != "" && !c.isResponding() {
 		if _, err := io.WriteString(c.net, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return 0, err
 		}
--- a/internal/edge/httpd/close.go
+++ b/internal/edge/httpd/close.go
@@ -71,6 +71,13 @@
 	c.writing, c.idleSince = false, c.server.Clock()
 }
 
+// isResponding reports whether a response is pending or being written.
+func (c *conn) isResponding() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pending > 0 || c.writing
+}
+
 // isDelivering reports whether the caller may still receive a response. The close of an idle connection would otherwise cut it
 // when the caller sends its next request.
 func (c *conn) isDelivering(now time.Time) bool {
--- a/internal/edge/httpd/write_test.go
+++ b/internal/edge/httpd/write_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -58,3 +59,16 @@
 	}
 	return h.waiting.Serve(ctx, r)
 }
+
+// Guards against an interim response that is written in front of the response to an earlier request, or into it.
+func TestAnInterimResponseIsNotWrittenIntoAnotherResponse(t *testing.T) {
+	_, ln := startDrainable(t, &handler{})
+	path := "/" + strings.Repeat("x", 1000)
+	for range 2000 { // Each time the second request may be read while the response to the first is about to be written.
+		c := dial(t, ln.Addr().String())
+		c.send("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\nPOST /b HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n")
+		_, body := c.readResponse()
+		assert.Equal(t, body, path)
+		_ = c.Close()
+	}
+}
