test(httpd): a connection that is held open fails its test in bounded time

TestAConnectionWhoseCallerDoesNotCloseItEnds passed without closeTimeout (mutation, 10.5 s): its caller's own deadline of 10 s ended the sending, and the connection ended half a second later. Now the test fails if the connection outlives closeTimeout by 3 s.

--- a/internal/edge/httpd/delivery_test.go
+++ b/internal/edge/httpd/delivery_test.go
@@ -160,7 +160,7 @@
 	_, body := c.readResponse()
 	assert.Equal(t, body, "/x")
 	_ = ln.Close()
-	for {
+	for end := time.Now().Add(closeTimeout + 3*time.Second); time.Now().Before(end); {
 		select {
 		case <-s.Done:
 			return
@@ -168,6 +168,7 @@
 			_, _ = io.WriteString(c, "x") // What a caller sends after the end doesn't keep the connection.
 		}
 	}
+	t.Fatal("the connection is kept though its caller has received everything")
 }
 
 // A connection is kept while its caller receives, and for a bounded time afterwards.
