--- a/internal/edge/httpd/delivery_test.go
+++ b/internal/edge/httpd/delivery_test.go
@@ -199,3 +199,15 @@
 		})
 	}
 }
+
+// Guards against a caller that holds a connection for good by receiving a byte now and then.
+func TestAConnectionIsNotKeptForACallerThatReceivesHardlyAnything(t *testing.T) {
+	var d delivery
+	begin := time.Unix(1000, 0)
+	for i := range 100 {
+		if d.expired(begin.Add(time.Duration(i)*(stallTimeout-time.Second)), largeBody-i, true) {
+			return
+		}
+	}
+	t.Fatal("the connection is kept for good")
+}
