--- a/internal/edge/httpd/close.go
+++ b/internal/edge/httpd/close.go
@@ -21,7 +21,7 @@
 func (c *conn) close() {
 	c.mu.Lock()
 	report := c.last != nil && !c.closed
-	c.closed = true
+	c.closed, c.closing = true, true
 	event := Closed{Last: c.last, Announced: c.ended}
 	c.mu.Unlock()
 	if report {
@@ -71,6 +71,13 @@
 	c.writing, c.idleSince = false, c.server.Clock()
 }
 
+// isResponding reports whether a response is pending or being written.
+func (c *conn) isResponding() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pending > 0 || c.writing
+}
+
 // isDelivering reports whether the caller may still receive a response. The close of an idle connection would otherwise cut it
 // when the caller sends its next request.
 func (c *conn) isDelivering(now time.Time) bool {
@@ -102,7 +109,7 @@
 	_ = c.net.SetReadDeadline(time.Unix(1, 0))
 }
 
-// hasEnded reports whether the last response has been written, or can't be.
+// hasEnded reports whether the last response has been written.
 func (c *conn) hasEnded() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/edge/httpd/delivery_test.go
+++ b/internal/edge/httpd/delivery_test.go
@@ -161,7 +161,7 @@
 	_, body := c.readResponse()
 	assert.Equal(t, body, "/x")
 	_ = ln.Close()
-	for {
+	for end := time.Now().Add(closeTimeout + 3*time.Second); time.Now().Before(end); {
 		select {
 		case <-s.Done:
 			return
@@ -169,6 +169,7 @@
 			_, _ = io.WriteString(c, "x") // What a caller sends after the end doesn't keep the connection.
 		}
 	}
+	t.Fatal("the connection is kept though its caller has received everything")
 }
 
 // A connection is kept while its caller receives, and for a bounded time afterwards.
@@ -234,3 +235,15 @@
 	assert.NilError(t, c.writeResponse(&Request{Method: "GET"}, Response{Status: 200, Body: body}, false))
 	assert.Assert(t, slow.written > len(body))
 }
+
+// Guards against a caller that holds a connection for good by receiving a byte now and then.
+func TestAConnectionIsNotKeptForACallerThatReceivesHardlyAnything(t *testing.T) {
+	var d delivery
+	begin := time.Unix(1000, 0)
+	for i := range 100 {
+		if d.expired(begin.Add(time.Duration(i)*(stallTimeout-time.Second)), largeBody-i, true) {
+			return
+		}
+	}
+	t.Fatal("the connection is kept for good")
+}
--- a/internal/edge/httpd/write.go
+++ b/internal/edge/httpd/write.go
@@ -1,6 +1,7 @@
 package httpd
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"slices"
@@ -8,8 +9,9 @@
 	"time"
 )
 
-// writeResponses writes the responses in the order of the requests; it returns false if a write failed.
-func (c *conn) writeResponses() bool {
+// writeResponses writes the responses in the order of the requests. If a write fails, it closes the connection and cancels the
+// requests that are still running, since their responses can't be written.
+func (c *conn) writeResponses(cancel context.CancelFunc) {
 	ok := true
 	for ex := range c.pipeline {
 		resp := <-ex.response
@@ -19,8 +21,8 @@
 		closeAfter := c.removePending(ex)
 		if err := c.writeResponse(ex.req, resp, closeAfter); err != nil {
 			ok = false
-			_ = c.net.SetWriteDeadline(time.Unix(1, 0))
-			c.endReading()
+			cancel()
+			c.close()
 			continue
 		}
 		c.endWriting()
@@ -28,7 +30,6 @@
 			c.endReading()
 		}
 	}
-	return ok
 }
 
 // pieceWriter writes in pieces, each of which the caller must take before a timeout.
