--- a/internal/edge/httpd/close.go
+++ b/internal/edge/httpd/close.go
@@ -5,6 +5,8 @@
 	"net"
 	"os"
 	"time"
+
+	"github.com/boragelane/boragelane/internal/edge/linger"
 )
 
 // idleCloseDelay is how long an idle connection that is to be closed is still read, for a request that has arrived already.
@@ -25,7 +27,7 @@
 	event := Closed{Last: c.last, Announced: c.ended}
 	c.mu.Unlock()
 	if report {
-		event.Unacknowledged, _ = undelivered(c.net)
+		event.Unacknowledged, _ = linger.Unacknowledged(c.net)
 		c.server.OnClosed(event)
 	}
 	_ = c.net.Close()
@@ -84,7 +86,7 @@
 	if c.writing {
 		return true
 	}
-	missing, known := undelivered(c.net)
+	missing, known := linger.Unacknowledged(c.net)
 	return known && missing > 0 && !c.kept.expired(now, missing, known)
 }
 
@@ -133,7 +135,7 @@
 	for {
 		now := c.server.Clock()
 		if !now.Before(checkAt) {
-			if missing, known := undelivered(c.net); kept.expired(now, missing, known) {
+			if missing, known := linger.Unacknowledged(c.net); kept.expired(now, missing, known) {
 				return
 			}
 			checkAt = now.Add(deliveryPeriod)
--- a/internal/edge/linger/linger.go
+++ b/internal/edge/linger/linger.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/joomcode/errorx"
-	"golang.org/x/sys/unix"
 
 	"github.com/boragelane/boragelane/internal/edge/pending"
 )
@@ -133,12 +132,12 @@
 		if _, err := io.Copy(io.Discard, c.TCPConn); !errors.Is(err, os.ErrDeadlineExceeded) {
 			return // The peer closed or reset the connection.
 		}
-		n, err := c.unacknowledged()
+		n, known := Unacknowledged(c.TCPConn)
 		now := c.listener.Clock()
 		if n != left {
 			progress, left = now, n
 		}
-		if err != nil || n == 0 || now.Sub(progress) >= stallTimeout {
+		if !known || n == 0 || now.Sub(progress) >= stallTimeout {
 			return
 		}
 	}
@@ -149,15 +148,3 @@
 	c.reading.Lock()
 	defer c.reading.Unlock()
 }
-
-// unacknowledged returns the number of written bytes that the peer has not acknowledged, with the end of the stream as one.
-func (c *conn) unacknowledged() (int, error) {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	var n int
-	var optErr error
-	err = raw.Control(func(fd uintptr) { n, optErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
-	return n, errors.Join(err, optErr)
-}
--- a/internal/edge/httpd/sendq_linux.go
+++ b/internal/edge/linger/sendq_linux.go
@@ -1,4 +1,4 @@
-package httpd
+package linger
 
 import (
 	"net"
@@ -7,9 +7,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// undelivered returns the number of bytes that were written to a connection and that the caller's kernel has not acknowledged
+// Unacknowledged returns the number of bytes that were written to a connection and that the peer's kernel has not acknowledged
 // yet; the end of the stream counts as one. It returns false if the number is unknown.
-func undelivered(c net.Conn) (n int, ok bool) {
+func Unacknowledged(c net.Conn) (n int, ok bool) {
 	sc, isSocket := c.(syscall.Conn)
 	if !isSocket {
 		return 0, false
