test(entry): the tests of a planned stop leave more time

Seen: TestAPlannedStopDeliversRepliesToSlowHosts failed in a full run of the package at load 60, with 13 others, six of which had hosts that weren't ready within 15 s: its job came after the stop had refused new tickets, 500 ms after it was due. Change: the jobs are sent 1.2 to 3 s before, in place of 0.5 and 0.6 s, and the reply is read only after the host has closed the connection, with messages all the while. Each test checks as much as before.

--- a/internal/host/entry/stop_test.go
+++ b/internal/host/entry/stop_test.go
@@ -28,11 +28,11 @@
 	t.Parallel()
 	s := startSystem(t, testOptions(129), trace.Noop())
 	for _, u := range s.upstreams {
-		u.SetJobTime(1200 * time.Millisecond)
+		u.SetJobTime(1600 * time.Millisecond)
 	}
 	tk := s.ticket("dar-a-1")
 	s.hosts["dar-a-1"].cancel()
-	time.Sleep(state.LookupTTL + shutdownPropagation - 600*time.Millisecond)
+	time.Sleep(state.LookupTTL + shutdownPropagation - 1200*time.Millisecond)
 	a := s.call(call{host: "dar-a-2", service: layout.Orders, key: "forwarded", ticket: tk})
 	assert.Equal(t, a.outcome, "answered", "%+v", a)
 	assert.Equal(t, s.countRuns("forwarded"), 1)
@@ -46,7 +46,7 @@
 	const size = 1 << 20
 	s := startSystem(t, testOptions(130), trace.Noop())
 	s.hosts["dar-a-1"].cancel()
-	time.Sleep(state.LookupTTL + shutdownPropagation - 500*time.Millisecond)
+	time.Sleep(state.LookupTTL + shutdownPropagation - 2*time.Second)
 	c := dialSlow(t, s.hosts["dar-a-1"].Settings.Front)
 	var requests strings.Builder
 	for i := range 12 {
@@ -94,45 +94,40 @@
 	return s.Conn.Read(b[:min(len(b), 64<<10)])
 }
 
-// TestAPlannedStopDeliversRepliesToSlowHosts stops the owner of a ticket while another host slowly reads a large reply of it
-// and sends further messages. The other host must get all of the reply.
+// TestAPlannedStopDeliversRepliesToSlowHosts stops the owner of a ticket while another host, which goes on to send messages,
+// has not read a large reply of it. The other host must get all of the reply.
 func TestAPlannedStopDeliversRepliesToSlowHosts(t *testing.T) {
 	t.Parallel()
-	const size = 1 << 20
+	const size, early = 1 << 20, 3 * time.Second
 	s := startSystem(t, testOptions(131), trace.Noop())
-	tk := s.ticket("dar-a-1")
-	s.hosts["dar-a-1"].cancel()
-	time.Sleep(state.LookupTTL + shutdownPropagation - 500*time.Millisecond)
-	c := dialSlow(t, s.hosts["dar-a-1"].Settings.Peer)
-	messages, slow := bufio.NewReaderSize(c, 64<<10), make(chan struct{})
-	exchange := func(id int, method, params string) string {
-		assert.NilError(t, writeFrame(c, fmt.Sprintf(`{"jsonrpc":"2.0","id":%d,"method":%q,"params":%s}`, id, method, params)))
-		var length [4]byte
-		_, err := io.ReadFull(messages, length[:])
-		assert.NilError(t, err)
-		reply := make([]byte, binary.BigEndian.Uint32(length[:]))
-		n, err := io.ReadFull(messages, reply)
-		assert.NilError(t, err, "after %d bytes of %d", n, len(reply))
-		return string(reply)
-	}
-	exchange(1, "hello", `{"version":1,"seat":"dar-a-2"}`)
-	go func() {
-		defer close(slow)
-		for s.hosts["dar-a-1"].runCtx.Err() == nil {
-			time.Sleep(10 * time.Millisecond)
-		}
-		for range 20 { // A call for a job that has ended is ignored.
-			if writeFrame(c, `{"jsonrpc":"2.0","method":"cancel","params":{"id":99}}`) != nil {
-				return
-			}
-			time.Sleep(10 * time.Millisecond)
+	h, tk := s.hosts["dar-a-1"], s.ticket("dar-a-1")
+	h.cancel()
+	time.Sleep(state.LookupTTL + shutdownPropagation - early)
+	c := dialSlow(t, h.Settings.Peer)
+	replies := bufio.NewReaderSize(c, 64<<10)
+	assert.NilError(t, writeFrame(c, `{"jsonrpc":"2.0","id":1,"method":"hello","params":{"version":1,"seat":"dar-a-2"}}`))
+	readFrame(t, replies)
+	assert.NilError(t, writeFrame(c, fmt.Sprintf(`{"jsonrpc":"2.0","id":2,"method":"own","params":{"id":"j","service":%q,"method":"POST",
+		"path":"/x?size=%d","body":%q,"left":2000000,"ticket":%q,"hop":1,"from":"dar"}}`, layout.Orders, size, base64.StdEncoding.EncodeToString([]byte("k\n")), tk)))
+	for begin := time.Now(); time.Since(begin) < early+time.Second; time.Sleep(10 * time.Millisecond) {
+		if writeFrame(c, `{"jsonrpc":"2.0","method":"cancel","params":{"id":99}}`) != nil { // For no job.
+			break
 		}
-	}()
-	reply := exchange(2, "own", fmt.Sprintf(`{"id":"j","service":%q,"method":"POST","path":"/x?size=%d","body":%q,"left":3000000,"ticket":%q,"hop":1,"from":"dar"}`,
-		layout.Orders, size, base64.StdEncoding.EncodeToString([]byte("k\n")), tk))
+	}
+	reply := readFrame(t, replies)
 	assert.Assert(t, strings.Contains(reply, `"kind":"answered"`), "%.200s", reply)
-	<-slow
-	<-s.hosts["dar-a-1"].Done
+	<-h.Done
+}
+
+// readFrame reads a message between hosts.
+func readFrame(t *testing.T, r io.Reader) string {
+	var length [4]byte
+	_, err := io.ReadFull(r, length[:])
+	assert.NilError(t, err)
+	message := make([]byte, binary.BigEndian.Uint32(length[:]))
+	n, err := io.ReadFull(r, message)
+	assert.NilError(t, err, "after %d bytes of %d", n, len(message))
+	return string(message)
 }
 
 // writeFrame writes a message between hosts.
