fix(entry): a caller that doesn't read keeps no tickets from their successor

Callers got 502 owner-gone for each later try with a ticket of a host that had stopped, also for jobs that had run and been answered, if one other caller of that host hadn't read its answers.

Cause: the planned stop waits for running requests. One whose answer its caller doesn't read runs until the stop's time is over, and the hand-over of the tickets began with an ended context.

The new test before: a successor did not take the tickets {"error": "peer.down: connecting to 127.132.1.2:7002, cause: context deadline exceeded"} stop_test.go:160: assertion failed: unknown (a.outcome string) != answered (string): {status:502 ... reason:owner-gone

The stop now keeps the time of two successors' dials and fetches, or half of what is left if that is less, for the hand-over, and then goes on to wait for the requests until its end.

go test -race -parallel 4 ./internal/host/entry at load 20 to 48: all green.

--- a/internal/host/entry/stop.go
+++ b/internal/host/entry/stop.go
@@ -2,35 +2,41 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/boragelane/boragelane/internal/ctrl/state"
+	"github.com/boragelane/boragelane/internal/edge/peer"
 	"github.com/boragelane/boragelane/internal/flow/dedup"
 )
 
 // shutdownPropagation is the time within which all other hosts learn that this one is shutting down.
 const shutdownPropagation = 2 * time.Second
 
+// handOverTime is kept free for handing over the tickets: one successor may not answer before another one does.
+const handOverTime = 2 * (peer.DialTimeout + peer.FetchTimeout)
+
 // shutdown performs the graceful shutdown: it removes this host from lookup answers, serves until the answers that callers
 // have cached expire, finishes all jobs and hands over the tickets.
 func (h *Host) shutdown(ctx context.Context) {
 	h.Log.Info("stopping", zap.String("seat", h.Self.Seat))
-	ctx, cancel := context.WithTimeout(ctx, h.Settings.StopTimeout)
+	end := h.Clock().Add(h.Settings.StopTimeout)
+	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	h.loop.Send(ctx, state.ShutdownRequested{})
 	sleep(ctx, state.LookupTTL+shutdownPropagation)
 	h.once.Table.StopClaims()
-	for _, s := range h.httpServers {
-		if err := s.Shutdown(ctx); err != nil {
-			h.Log.Warn("jobs were still running at the end of the planned stop", errorField(err))
-		}
-	}
-	if err := h.peerServer.WaitForJobs(ctx); err != nil {
-		h.Log.Warn("jobs of other hosts were still running at the end of the planned stop", errorField(err))
+	jobsCtx, cancelJobs := context.WithDeadline(ctx, jobsEnd(h.Clock(), end))
+	defer cancelJobs()
+	if err := h.finishJobs(jobsCtx); err != nil {
+		h.Log.Warn("jobs were still running when the tickets had to be handed over", errorField(err))
 	}
 	h.handOverTickets(ctx)
+	if err := h.finishJobs(ctx); err != nil {
+		h.Log.Warn("jobs were still running at the end of the planned stop", errorField(err))
+	}
 	_ = h.listeners[1].Close()
 	<-h.peerServer.Done
 	for _, ln := range h.listeners {
@@ -43,6 +49,19 @@
 	}
 }
 
+// jobsEnd returns the time at which the tickets are handed over although jobs still run, since a caller that doesn't read its
+// answer would otherwise keep them from the successor.
+func jobsEnd(now, end time.Time) time.Time { return end.Add(-min(handOverTime, end.Sub(now)/2)) }
+
+// finishJobs accepts no more requests and waits until the running ones are answered; it fails if the context ends first.
+func (h *Host) finishJobs(ctx context.Context) error {
+	var errs []error
+	for _, s := range h.httpServers {
+		errs = append(errs, s.Shutdown(ctx))
+	}
+	return errors.Join(append(errs, h.peerServer.WaitForJobs(ctx))...)
+}
+
 // handOverTickets sends the ticket records to the first successor that accepts them.
 func (h *Host) handOverTickets(ctx context.Context) {
 	records := h.once.Table.Close()
--- a/internal/host/entry/stop_test.go
+++ b/internal/host/entry/stop_test.go
@@ -135,3 +135,23 @@
 	_, err := w.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(message))), message...))
 	return err
 }
+
+// TestACallerThatDoesNotReadKeepsNoTicketFromItsSuccessor stops a host while a caller doesn't read its answers. The host gives
+// the caller up at the end of its time, but the tickets must be handed over.
+func TestACallerThatDoesNotReadKeepsNoTicketFromItsSuccessor(t *testing.T) {
+	t.Parallel()
+	s := startSystem(t, testOptions(132), trace.Noop())
+	h := s.hosts["dar-a-1"]
+	h.Settings.StopTimeout = state.LookupTTL + shutdownPropagation + 2*time.Second
+	tk := s.ticket("dar-a-1")
+	assert.Equal(t, s.call(call{host: "dar-a-1", service: layout.Orders, key: "before", ticket: tk}).outcome, "answered")
+	c := dialSlow(t, h.Settings.Front)
+	request := fmt.Sprintf("POST /v1/run/%s/x?size=%d HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nxy\n", layout.Price, 4_000_000)
+	_, err := io.WriteString(c, strings.Repeat(request, 3)) // More than the kernel keeps for a caller.
+	assert.NilError(t, err)
+	h.cancel()
+	<-h.Done
+	a := s.call(call{host: "dar-a-2", service: layout.Orders, key: "before", ticket: tk})
+	assert.Equal(t, a.outcome, "answered", "%+v", a)
+	assert.Equal(t, s.countRuns("before"), 1)
+}
