fix(httpd): what a caller sends during a stop is discarded at once

A connection that accepts no more requests read one more piece of what its caller sent and left the rest in the kernel until the last response had been written.

Now the host goes on reading and discards. What arrives after the exit still resets the connection.

--- a/internal/edge/httpd/close.go
+++ b/internal/edge/httpd/close.go
@@ -89,16 +89,19 @@
 }
 
 // awaitLastResponse waits on a connection that accepts no more requests, and reports whether the caller disconnects before
-// its last response.
+// its last response. It discards what the caller still sends: it would hide the end, and with unread bytes a close sends a reset.
 func (c *conn) awaitLastResponse() bool {
 	c.mu.Lock()
 	if !c.ended { // Else the deadline that endReading has set must stay.
 		_ = c.net.SetReadDeadline(time.Time{})
 	}
 	c.mu.Unlock()
-	c.limiter.remaining = 1
-	_, err := c.reader.Peek(1)
-	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errReadLimit)
+	discarded := make([]byte, readBufferSize)
+	for {
+		if _, err := c.net.Read(discarded); err != nil {
+			return !errors.Is(err, os.ErrDeadlineExceeded)
+		}
+	}
 }
 
 // endReading stops the reading of requests after the last response.
