fix(httpd): the time for writing a response grows with its size

Callers that read steadily, but slowly, saw status 200 and a part of the body, then the end of the connection: a whole response had to be handed to the kernel within 10 s, however large. Now each MiB has 10 s, so that smaller responses keep their bound, and a caller that takes less than 100 KB/s still can't hold the memory of a large one for long.

--- a/internal/edge/httpd/conn.go
+++ b/internal/edge/httpd/conn.go
@@ -17,8 +17,10 @@
 	maxPipelined = 16
 	// readBufferSize is the size of a connection's read buffer in bytes.
 	readBufferSize = 4096
-	// writeTimeout bounds writing a response to a slow caller.
+	// writeTimeout bounds writing a piece of a response to a slow caller.
 	writeTimeout = 10 * time.Second
+	// writePiece is the size in bytes of such a piece, so that the bound is on the caller's rate and not on the response's size.
+	writePiece = 1 << 20
 )
 
 // conn is a connection from a caller.
--- a/internal/edge/httpd/write.go
+++ b/internal/edge/httpd/write.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 )
 
@@ -16,7 +17,6 @@
 			continue
 		}
 		closeAfter := c.removePending(ex)
-		_ = c.net.SetWriteDeadline(c.server.Clock().Add(writeTimeout))
 		if err := c.writeResponse(ex.req, resp, closeAfter); err != nil {
 			ok = false
 			cancel()
@@ -41,6 +41,7 @@
 
 func (c *conn) writeResponse(req *Request, resp Response, closeAfter bool) error {
 	w := c.writer
+	_ = c.net.SetWriteDeadline(c.server.Clock().Add(writeTimeout))
 	_, _ = w.WriteString("HTTP/1.1 " + strconv.Itoa(resp.Status) + " " + http.StatusText(resp.Status) + "\r\n")
 	header := resp.Header
 	if header == nil {
@@ -57,7 +58,12 @@
 	}
 	_, _ = w.WriteString("\r\n")
 	if req.Method != http.MethodHead {
-		_, _ = w.Write(resp.Body)
+		for piece := range slices.Chunk(resp.Body, writePiece) {
+			_ = c.net.SetWriteDeadline(c.server.Clock().Add(writeTimeout))
+			if _, err := w.Write(piece); err != nil {
+				return err
+			}
+		}
 	}
 	return w.Flush()
 }
--- a/internal/edge/httpd/write_test.go
+++ b/internal/edge/httpd/write_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"io"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -72,3 +75,43 @@
 		_ = c.Close()
 	}
 }
+
+// timeoutShare is the divisor by which hastyConn shortens write timeouts.
+const timeoutShare = 20
+
+// hastyListener hands over connections with short write timeouts.
+type hastyListener struct{ net.Listener }
+
+func (l hastyListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return hastyConn{c}, err
+}
+
+type hastyConn struct{ net.Conn }
+
+func (c hastyConn) SetWriteDeadline(t time.Time) error {
+	return c.Conn.SetWriteDeadline(time.Now().Add(time.Until(t) / timeoutShare))
+}
+
+// Guards against a large response that is cut although its caller reads it steadily, because the time for it is constant.
+func TestALargeResponseIsDeliveredToACallerThatReadsSteadily(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	s := New(&largeHandler{}, func() Limits { return testLimits }, time.Now)
+	go s.Serve(context.Background(), hastyListener{ln})
+	c := dial(t, ln.Addr().String())
+	c.get("/large")
+	resp, err := http.ReadResponse(c.r, nil)
+	assert.NilError(t, err)
+	n := 0
+	begin := time.Now()
+	for piece := make([]byte, 128<<10); err == nil; time.Sleep(20 * time.Millisecond) {
+		var m int
+		m, err = resp.Body.Read(piece)
+		n += m
+	}
+	assert.ErrorIs(t, err, io.EOF, "after %d bytes", n)
+	assert.Equal(t, n, largeBody)
+	assert.Assert(t, time.Since(begin) > writeTimeout/timeoutShare)
+}
