--- a/internal/edge/httpd/conn.go
+++ b/internal/edge/httpd/conn.go
@@ -19,8 +19,8 @@
 	readBufferSize = 4096
 	// writeTimeout bounds writing a piece of a response to a slow caller.
 	writeTimeout = 10 * time.Second
-	// writePiece is the length of such a piece in bytes.
-	writePiece = 64 << 10
+	// writePiece is the size in bytes of such a piece, so that the bound is on the caller's rate and not on the response's size.
+	writePiece = 1 << 20
 )
 
 // conn is a connection from a caller.
