fix(steer): a stop doesn't wait for the store past its exit

A stopping host waited for the removal of its entry without a bound, up to 2 s with a store that doesn't answer. With a grace period of about 2 s or less it was killed meanwhile, without the report on its last connections. Now the time of the exit bounds both waits.

Run: the new test was red before ("the stop outlasts its grace period") and is green now, twice with the race detector; the linter is green.

--- a/internal/host/steer/stop.go
+++ b/internal/host/steer/stop.go
@@ -29,8 +29,8 @@
 	defer yieldTimer.Stop()
 	giveUpTimer := time.AfterFunc(plan.Answer.Sub(start), giveUp)
 	defer giveUpTimer.Stop()
-	exitTimer := time.NewTimer(plan.Exit.Sub(start))
-	defer exitTimer.Stop()
+	exitCtx, cancelExit := context.WithTimeout(ctx, plan.Exit.Sub(start))
+	defer cancelExit()
 	acceptTimer := time.NewTimer(plan.Accept.Sub(start))
 	defer acceptTimer.Stop()
 	sendCtx, cancelSend := context.WithTimeout(ctx, plan.Accept.Sub(start))
@@ -39,11 +39,12 @@
 	<-acceptTimer.C
 	_ = front.Close()
 	h.server.CloseIdle()
-	select {
-	case <-h.server.Done:
-	case <-exitTimer.C:
+	for _, done := range []<-chan struct{}{h.server.Done, h.keeper.Done} {
+		select {
+		case <-done:
+		case <-exitCtx.Done():
+		}
 	}
-	<-h.keeper.Done
 	if n := h.server.Pending(); n > 0 {
 		h.Log.Warn("exiting with unanswered requests", zap.Int("count", n))
 	}
--- a/internal/host/steer/stop_test.go
+++ b/internal/host/steer/stop_test.go
@@ -27,8 +27,7 @@
 
 // Guards against a host that goes on accepting requests, and is killed with them, because its control loop hangs.
 func TestAStopDoesNotWaitForTheControlLoop(t *testing.T) {
-	const grace = time.Second
-	h := New(Settings{Grace: grace}, nil, noFrontend{}, dialer.HeaderNames{}, time.Now, zap.NewNop(), metric.New())
+	h := New(Settings{Grace: testGrace}, nil, noFrontend{}, dialer.HeaderNames{}, time.Now, zap.NewNop(), metric.New())
 	close(h.keeper.Done)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -37,6 +36,24 @@
 	for h.loop.Send(fill, watch.Tick{}) {
 		continue // The loop doesn't run, so that its events fill up.
 	}
+	assertStopsInTime(ctx, t, h)
+}
+
+// Guards against a host that is killed, without a report on its last connections, because its entry can't be removed in time.
+func TestAStopDoesNotWaitForTheStoreAfterItsExit(t *testing.T) {
+	h := New(Settings{Grace: testGrace}, nil, noFrontend{}, dialer.HeaderNames{}, time.Now, zap.NewNop(), metric.New())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go h.loop.Run(ctx)
+	assertStopsInTime(ctx, t, h) // The keeper doesn't run, as if the store didn't answer.
+}
+
+// testGrace is the grace period of a host under test.
+const testGrace = time.Second
+
+// assertStopsInTime checks that a host without callers stops within its grace period.
+func assertStopsInTime(ctx context.Context, t *testing.T, h *Host) {
+	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	go h.server.Serve(ctx, ln)
@@ -47,7 +64,7 @@
 	}()
 	select {
 	case <-stopped:
-	case <-time.After(grace):
+	case <-time.After(testGrace):
 		t.Fatal("the stop outlasts its grace period")
 	}
 }
