fix(httpd): an interim response has its own time for writing

A caller that sent a request with Expect: 100-continue more than 10 s after the last response on its connection saw the connection close without an answer. Cause: the write deadline of that response was still set and had passed, so "100 Continue" could not be written. Callers use connections again that have been idle for 12 s of the usual 15 s.

--- a/internal/edge/httpd/body.go
+++ b/internal/edge/httpd/body.go
@@ -56,6 +56,7 @@
 		return http.StatusRequestEntityTooLarge, nil
 	}
 	if hr.Header.Get("Expect") != "" && !c.isResponding() {
+		_ = c.net.SetWriteDeadline(c.server.Clock().Add(writeTimeout))
 		if _, err := io.WriteString(c.net, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return 0, err
 		}
--- a/internal/edge/httpd/write_test.go
+++ b/internal/edge/httpd/write_test.go
@@ -115,3 +115,21 @@
 	assert.Equal(t, n, largeBody)
 	assert.Assert(t, time.Since(begin) > writeTimeout/timeoutShare)
 }
+
+// Guards against a request that is dropped, with its connection, because the time for writing the response before it is over.
+func TestAnInterimResponseIsWrittenLongAfterTheLastResponse(t *testing.T) {
+	s, ln := startDrainable(t, &handler{})
+	c := dial(t, ln.Addr().String())
+	c.get("/a")
+	_, body := c.readResponse()
+	assert.Equal(t, body, "/a")
+	time.Sleep(50 * time.Millisecond)
+	failWrites(t, s)
+	c.send("POST /b HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n")
+	resp, err := http.ReadResponse(c.r, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusContinue)
+	c.send("b")
+	_, body = c.readResponse()
+	assert.Equal(t, body, "/b")
+}
