refactor(linger): one rule on how long a connection is kept

httpd and linger decided it each in their own way; linger's had no bound for a peer that takes a byte now and then, and closed at once when all was acknowledged. Now both use linger.Delivery, with its tests.

--- a/internal/edge/httpd/close.go
+++ b/internal/edge/httpd/close.go
@@ -59,7 +59,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending--
-	c.last, c.writing, c.kept = ex.req, true, delivery{}
+	c.last, c.writing, c.kept = ex.req, true, linger.Delivery{}
 	if c.server.draining.Load() && c.pending == 0 && !c.reading {
 		c.closing = true
 	}
@@ -87,7 +87,7 @@
 		return true
 	}
 	missing, known := linger.Unacknowledged(c.net)
-	return known && missing > 0 && !c.kept.expired(now, missing, known)
+	return known && missing > 0 && !c.kept.Expired(now, missing, known)
 }
 
 // awaitLastResponse waits on a connection that accepts no more requests, and reports whether the caller disconnects before
@@ -129,19 +129,19 @@
 	if !ok || tcp.CloseWrite() != nil {
 		return
 	}
-	var kept delivery
+	var kept linger.Delivery
 	if c.bodyRefused { // The rest of the body may come with pauses.
-		kept.QuietTimeout = closeTimeout
+		kept.QuietTimeout = linger.CloseTimeout
 	}
 	discarded := make([]byte, readBufferSize)
 	var checkAt time.Time
 	for {
 		now := c.server.Clock()
 		if !now.Before(checkAt) {
-			if missing, known := linger.Unacknowledged(c.net); kept.expired(now, missing, known) {
+			if missing, known := linger.Unacknowledged(c.net); kept.Expired(now, missing, known) {
 				return
 			}
-			checkAt = now.Add(deliveryPeriod)
+			checkAt = now.Add(linger.CheckInterval)
 			_ = c.net.SetReadDeadline(checkAt)
 		}
 		n, err := c.net.Read(discarded)
--- a/internal/edge/httpd/conn.go
+++ b/internal/edge/httpd/conn.go
@@ -10,6 +10,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/boragelane/boragelane/internal/edge/linger"
 )
 
 const (
@@ -36,13 +38,13 @@
 
 	mu        sync.Mutex
 	pending   int
-	reading   bool      // The first byte of a request has arrived, but not yet all of it.
-	closing   bool      // No further request is accepted.
-	idle      bool      // closing was set because the connection was idle; no response has announced it.
-	idleSince time.Time // When the connection was accepted or its last response was written or still being received.
-	writing   bool      // A response is being written.
-	kept      delivery  // Whether an idle connection is kept for its last response.
-	last      *Request  // The request whose response was written last.
+	reading   bool            // The first byte of a request has arrived, but not yet all of it.
+	closing   bool            // No further request is accepted.
+	idle      bool            // closing was set because the connection was idle; no response has announced it.
+	idleSince time.Time       // When the connection was accepted or its last response was written or still being received.
+	writing   bool            // A response is being written.
+	kept      linger.Delivery // Whether an idle connection is kept for its last response.
+	last      *Request        // The request whose response was written last.
 	closed    bool
 	ended     bool // The last response has been written.
 	// line holds the requests from the first that still runs on, in their order.
@@ -247,7 +249,7 @@
 	case errors.Is(waitErr, os.ErrDeadlineExceeded) && c.isDelivering(now):
 		c.idleSince = now
 		if c.closing {
-			_ = c.net.SetReadDeadline(now.Add(deliveryPeriod))
+			_ = c.net.SetReadDeadline(now.Add(linger.CheckInterval))
 		}
 		return errStillBusy
 	case errors.Is(waitErr, os.ErrDeadlineExceeded) && !c.closing && now.Before(c.idleDeadline(now, timeout)):
--- a/internal/edge/linger/linger.go
+++ b/internal/edge/linger/linger.go
@@ -20,16 +20,9 @@
 // ErrUndelivered is returned when peers have not acknowledged what was written to them.
 var ErrUndelivered = Errors.NewType("undelivered")
 
-const (
-	// checkInterval is the interval at which the acknowledgements of a closing connection are read.
-	checkInterval = 20 * time.Millisecond
-	// stallTimeout gives up a peer that has acknowledged nothing for this long.
-	stallTimeout = 10 * time.Second
-)
-
 // Listener accepts connections whose Close returns at once and ends the connection when the peer has closed it, or has
-// acknowledged all that was written. The kernel discards what a peer has not acknowledged when a socket with unread bytes is
-// closed, or when more bytes arrive afterwards.
+// received all that was written and neither closes nor sends. The kernel discards what a peer has not acknowledged when a socket
+// with unread bytes is closed, or when more bytes arrive afterwards.
 type Listener struct {
 	net.Listener
 	Clock func() time.Time
@@ -119,25 +112,25 @@
 	return nil
 }
 
-// deliver discards what arrives until the peer closes the connection, has acknowledged all bytes or makes no progress.
+// deliver discards what arrives until the peer closes the connection or it needn't be kept any longer.
 func (c *conn) deliver() {
 	defer c.listener.closing.End()
 	defer func() { _ = c.TCPConn.Close() }()
 	c.awaitRead() // The read deadline stays in the past until then.
-	progress, left := c.listener.Clock(), -1
+	var kept Delivery
 	for {
-		if c.TCPConn.SetReadDeadline(c.listener.Clock().Add(checkInterval)) != nil {
+		if c.TCPConn.SetReadDeadline(c.listener.Clock().Add(CheckInterval)) != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, c.TCPConn); !errors.Is(err, os.ErrDeadlineExceeded) {
+		sent, err := io.Copy(io.Discard, c.TCPConn)
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return // The peer closed or reset the connection.
 		}
-		n, known := Unacknowledged(c.TCPConn)
 		now := c.listener.Clock()
-		if n != left {
-			progress, left = now, n
+		if sent > 0 {
+			kept.SentAt = now
 		}
-		if !known || n == 0 || now.Sub(progress) >= stallTimeout {
+		if n, known := Unacknowledged(c.TCPConn); kept.Expired(now, n, known) {
 			return
 		}
 	}
