feat(httpd): the report of a close names unanswered requests and who closed first

The report of a close now has the requests that ran or waited behind one that did, and says who closed first; only closes by the host are logged, and the metric has a label for it. TestACloseReportsWhatItsCallerDidNotGet is new.

--- a/internal/edge/httpd/close.go
+++ b/internal/edge/httpd/close.go
@@ -14,17 +14,22 @@
 
 // Closed describes a connection that is about to be closed.
 type Closed struct {
-	Last           *Request // The request whose response was written last.
-	Announced      bool     // A response has said that the connection ends.
-	Unacknowledged int      // The bytes of responses that the caller's kernel has not acknowledged, if known.
+	Last           *Request   // The request whose response was written last, or nil.
+	Unanswered     []*Request // Requests that ran or waited behind one that did.
+	Announced      bool       // A response has said that the connection ends.
+	ByCaller       bool       // The caller closed or reset it first.
+	Unacknowledged int        // The bytes of responses that the caller's kernel has not acknowledged, if known.
 }
 
-// close closes the connection, and reports it if a response was written.
+// close closes the connection, and reports it if it was used.
 func (c *conn) close() {
 	c.mu.Lock()
-	report := c.last != nil && !c.closed
+	report := (c.last != nil || len(c.line) > 0) && !c.closed
 	c.closed, c.closing = true, true
-	event := Closed{Last: c.last, Announced: c.ended}
+	event := Closed{Last: c.last, Announced: c.ended, ByCaller: c.callerLeft}
+	for _, ex := range c.line {
+		event.Unanswered = append(event.Unanswered, ex.req)
+	}
 	c.mu.Unlock()
 	if report {
 		event.Unacknowledged, _ = linger.Unacknowledged(c.net)
@@ -33,6 +38,13 @@
 	_ = c.net.Close()
 }
 
+// noteCallerLeft registers that the caller has closed or reset the connection.
+func (c *conn) noteCallerLeft() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.callerLeft = true
+}
+
 // closeIdle closes the connection if no request is pending or being read.
 func (c *conn) closeIdle() {
 	c.mu.Lock()
@@ -146,6 +158,7 @@
 		}
 		n, err := c.net.Read(discarded)
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.noteCallerLeft()
 			return
 		}
 		if n > 0 {
--- a/internal/edge/httpd/close_test.go
+++ b/internal/edge/httpd/close_test.go
@@ -46,3 +46,48 @@
 	waitDone(t, s)
 	assert.Equal(t, h.canceled.Load(), int64(1))
 }
+
+// The report of a close says which requests are unanswered, what is undelivered, and who closed first.
+func TestACloseReportsWhatItsCallerDidNotGet(t *testing.T) {
+	type report struct {
+		last, unanswered string
+		undelivered      bool
+		byCaller         bool
+	}
+	for name, c := range map[string]struct {
+		path  string
+		leave bool
+		want  report
+	}{
+		"unanswered":  {path: "/wait", want: report{unanswered: "/wait"}},
+		"undelivered": {path: "/buffered", want: report{last: "/buffered", undelivered: true}},
+		"delivered":   {path: "/x", want: report{last: "/x"}},
+		"by caller":   {path: "/x", leave: true, want: report{last: "/x", byCaller: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, ln := startDrainable(t, &largeHandler{wait: 2 * time.Second})
+			reports := make(chan report, 1)
+			s.OnClosed = func(c Closed) {
+				r := report{undelivered: c.Unacknowledged > 0, byCaller: c.ByCaller}
+				if c.Last != nil {
+					r.last = c.Last.Target
+				}
+				for _, req := range c.Unanswered {
+					r.unanswered += req.Target
+				}
+				reports <- r
+			}
+			caller := dial(t, ln.Addr().String())
+			caller.get(c.path)
+			time.Sleep(300 * time.Millisecond)
+			_ = ln.Close()
+			if c.leave {
+				_ = caller.Close()
+			} else {
+				s.Close()
+			}
+			assert.Equal(t, <-reports, c.want)
+			waitDone(t, s)
+		})
+	}
+}
--- a/internal/edge/httpd/conn.go
+++ b/internal/edge/httpd/conn.go
@@ -36,17 +36,18 @@
 	// bodyRefused means that a part of a body was left unread; only the reading goroutine uses it.
 	bodyRefused bool
 
-	mu        sync.Mutex
-	pending   int
-	reading   bool            // The first byte of a request has arrived, but not yet all of it.
-	closing   bool            // No further request is accepted.
-	idle      bool            // closing was set because the connection was idle; no response has announced it.
-	idleSince time.Time       // When the connection was accepted or its last response was written or still being received.
-	writing   bool            // A response is being written.
-	kept      linger.Delivery // Whether an idle connection is kept for its last response.
-	last      *Request        // The request whose response was written last.
-	closed    bool
-	ended     bool // The last response has been written.
+	mu         sync.Mutex
+	pending    int
+	reading    bool            // The first byte of a request has arrived, but not yet all of it.
+	closing    bool            // No further request is accepted.
+	idle       bool            // closing was set because the connection was idle; no response has announced it.
+	idleSince  time.Time       // When the connection was accepted or its last response was written or still being received.
+	writing    bool            // A response is being written.
+	kept       linger.Delivery // Whether an idle connection is kept for its last response.
+	last       *Request        // The request whose response was written last.
+	closed     bool
+	callerLeft bool // The caller has closed or reset the connection.
+	ended      bool // The last response has been written.
 	// line holds the requests from the first that still runs on, in their order.
 	line []*exchange
 	// yieldCause is the cause with which requests that hold back a ready response are canceled; nil if they aren't.
@@ -107,6 +108,7 @@
 	callerGone := c.readRequests(ctx)
 	close(c.pipeline)
 	if callerGone {
+		c.noteCallerLeft()
 		cancel()
 	}
 	<-writerDone
--- a/internal/edge/httpd/server.go
+++ b/internal/edge/httpd/server.go
@@ -58,7 +58,7 @@
 	Clock     func() time.Time
 	OnPanic   func(where string, value any) // Called in the goroutine that panicked.
 	OnRefused func(r *Request, status int)  // Called for a request that was refused before it was read in full.
-	OnClosed  func(c Closed)                // Called before a connection is closed on which a response was written.
+	OnClosed  func(c Closed)                // Called before a used connection is closed; it must not call the server.
 	Done      chan struct{}                 // Closed when the last connection has ended.
 	// MaxBodies bounds the bytes of all bodies that are being read or whose requests run; a body that exceeds it is refused.
 	MaxBodies int64
--- a/internal/edge/httpd/write.go
+++ b/internal/edge/httpd/write.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"time"
@@ -21,6 +23,9 @@
 		closeAfter := c.removePending(ex)
 		if err := c.writeResponse(ex.req, resp, closeAfter); err != nil {
 			ok = false
+			if !errors.Is(err, os.ErrDeadlineExceeded) {
+				c.noteCallerLeft()
+			}
 			cancel()
 			c.close()
 			continue
--- a/internal/host/metric/metric.go
+++ b/internal/host/metric/metric.go
@@ -20,7 +20,7 @@
 	ViewChanges    *prometheus.CounterVec   // Changes in the host's view of the system, by kind.
 	StoreCalls     *prometheus.CounterVec   // Calls to the store, by operation and result.
 	Unread         *prometheus.CounterVec   // Requests that were refused before they were read in full, by status.
-	Closed         *prometheus.CounterVec   // Connections of callers that the host closed, by announcement and delivery.
+	Closed         *prometheus.CounterVec   // Closed connections of callers, by who closed first, announcement and delivery.
 	Dropped        prometheus.Counter       // Log lines that were dropped.
 	Panics         prometheus.Counter       // Panics that ended one request and not the process.
 }
@@ -39,7 +39,7 @@
 		ViewChanges:    counter("beliefs_total", "Changes of what the host believes.", "what"),
 		StoreCalls:     counter("store_calls_total", "Calls to the platform's store.", "call", "result"),
 		Unread:         counter("unread_total", "Requests refused before they were read in full.", "status"),
-		Closed:         counter("closed_total", "Connections of callers that the host closed.", "announced", "delivered"),
+		Closed:         counter("closed_total", "Closed connections of callers that were used.", "by", "announced", "delivered"),
 		Dropped:        prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_dropped_total", Help: "Log lines dropped."}),
 		Panics:         prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "panics_total", Help: "Panics that were recovered."}),
 	}
--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -190,15 +190,28 @@
 	h.Log.Info("request not read", zap.String("id", h.front.Job(r).ID), zap.String("path", r.Target), zap.Int("status", status))
 }
 
-// recordClosed counts connections of callers that this host closes, and logs those that are closed before all bytes of their
-// responses were acknowledged: what is missing may never arrive.
+// recordClosed counts closed connections of callers, and logs those that this host closes before all requests are answered and
+// all bytes of the responses are acknowledged: what is missing may never arrive.
 func (h *Host) recordClosed(c httpd.Closed) {
-	delivered := c.Unacknowledged == 0
-	h.Metrics.Closed.WithLabelValues(strconv.FormatBool(c.Announced), strconv.FormatBool(delivered)).Inc()
-	if !delivered {
-		h.Log.Warn("closed before delivery", zap.String("id", h.front.Job(c.Last).ID), zap.String("path", c.Last.Target),
-			zap.Int("unacknowledged", c.Unacknowledged), zap.Bool("announced", c.Announced), zap.Bool("stopping", h.stopping.Load()))
+	delivered := c.Unacknowledged == 0 && len(c.Unanswered) == 0
+	by := "host"
+	if c.ByCaller {
+		by = "caller"
 	}
+	h.Metrics.Closed.WithLabelValues(by, strconv.FormatBool(c.Announced), strconv.FormatBool(delivered)).Inc()
+	if delivered || c.ByCaller {
+		return
+	}
+	last := ""
+	if c.Last != nil {
+		last = h.front.Job(c.Last).ID
+	}
+	var unanswered []string
+	for _, r := range c.Unanswered {
+		unanswered = append(unanswered, h.front.Job(r).ID)
+	}
+	h.Log.Warn("closed before delivery", zap.String("id", last), zap.Strings("unanswered", unanswered),
+		zap.Int("unacknowledged", c.Unacknowledged), zap.Bool("announced", c.Announced), zap.Bool("stopping", h.stopping.Load()))
 }
 
 // requestBounds returns the bounds on callers' requests from the current policy.
