--- a/internal/edge/httpd/close.go
+++ b/internal/edge/httpd/close.go
@@ -24,9 +24,9 @@
 // close closes the connection, and reports it if it was used.
 func (c *conn) close() {
 	c.mu.Lock()
-	report := (c.last != nil || len(c.line) > 0) && !c.closed
+	report := (c.lastWritten != nil || len(c.line) > 0) && !c.closed
 	c.closed, c.closing = true, true
-	event := Closed{Last: c.last, Announced: c.ended, ByCaller: c.callerLeft}
+	event := Closed{Last: c.lastWritten, Announced: c.ended, ByCaller: c.callerLeft}
 	for _, ex := range c.line {
 		event.Unanswered = append(event.Unanswered, ex.req)
 	}
@@ -50,7 +50,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.pending == 0 && !c.reading && !c.closing {
-		c.closing, c.idle = true, true
+		c.closing, c.closingIdle = true, true
 		_ = c.net.SetReadDeadline(c.server.Clock().Add(idleCloseDelay))
 	}
 }
@@ -66,12 +66,12 @@
 	}
 }
 
-// removePending unregisters a request and reports whether the connection must close after its response.
-func (c *conn) removePending(ex *exchange) bool {
+// startWriting registers that the response to a request is being written, and reports whether the connection must close after it.
+func (c *conn) startWriting(ex *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending--
-	c.last, c.writing, c.kept = ex.req, true, linger.Delivery{}
+	c.lastWritten, c.writing, c.idleDelivery = ex.req, true, linger.Delivery{}
 	if c.server.draining.Load() && c.pending == 0 && !c.reading {
 		c.closing = true
 	}
@@ -99,7 +99,7 @@
 		return true
 	}
 	missing, known := linger.Unacknowledged(c.net)
-	return known && missing > 0 && !c.kept.Expired(now, missing, known)
+	return known && missing > 0 && !c.idleDelivery.Expired(now, missing, known)
 }
 
 // awaitLastResponse waits on a connection that accepts no more requests, and reports whether the caller disconnects before
--- a/internal/edge/httpd/conn.go
+++ b/internal/edge/httpd/conn.go
@@ -36,18 +36,18 @@
 	// bodyRefused means that a part of a body was left unread; only the reading goroutine uses it.
 	bodyRefused bool
 
-	mu         sync.Mutex
-	pending    int
-	reading    bool            // The first byte of a request has arrived, but not yet all of it.
-	closing    bool            // No further request is accepted.
-	idle       bool            // closing was set because the connection was idle; no response has announced it.
-	idleSince  time.Time       // When the connection was accepted or its last response was written or still being received.
-	writing    bool            // A response is being written.
-	kept       linger.Delivery // Whether an idle connection is kept for its last response.
-	last       *Request        // The request whose response was written last.
-	closed     bool
-	callerLeft bool // The caller has closed or reset the connection.
-	ended      bool // The last response has been written.
+	mu           sync.Mutex
+	pending      int
+	reading      bool            // The first byte of a request has arrived, but not yet all of it.
+	closing      bool            // No further request is accepted.
+	closingIdle  bool            // closing was set because the connection was idle; no response has announced it.
+	idleSince    time.Time       // When the connection was accepted or its last response was written or still being received.
+	writing      bool            // A response is being written.
+	idleDelivery linger.Delivery // How long an idle connection is kept for its last response.
+	lastWritten  *Request        // The request whose response was written last.
+	closed       bool            // The connection has been closed here.
+	callerLeft   bool            // The caller has closed or reset the connection.
+	ended        bool            // The last response has been written.
 	// line holds the requests from the first that still runs on, in their order.
 	line []*exchange
 	// yieldCause is the cause with which requests that hold back a ready response are canceled; nil if they aren't.
@@ -222,7 +222,7 @@
 	if !c.closing {
 		_ = c.net.SetReadDeadline(c.idleDeadline(c.server.Clock(), timeout))
 	}
-	return !c.closing || c.idle
+	return !c.closing || c.closingIdle
 }
 
 // idleDeadline returns when the idle timeout ends; it counts from the last response, or from now if one is pending.
@@ -239,13 +239,13 @@
 	defer c.mu.Unlock()
 	now := c.server.Clock()
 	switch {
-	case c.closing && !c.idle:
+	case c.closing && !c.closingIdle:
 		if waitErr == nil || errors.Is(waitErr, os.ErrDeadlineExceeded) {
 			return errNoMoreRequests
 		}
 	case waitErr == nil:
 		c.reading = true
-		c.closing, c.idle = false, false // The request may have arrived just before the connection would have been closed.
+		c.closing, c.closingIdle = false, false // The request may have arrived just before the connection would have been closed.
 	case errors.Is(waitErr, os.ErrDeadlineExceeded) && c.pending > 0:
 		return errStillBusy
 	case errors.Is(waitErr, os.ErrDeadlineExceeded) && c.isDelivering(now):
--- a/internal/edge/httpd/write.go
+++ b/internal/edge/httpd/write.go
@@ -20,7 +20,7 @@
 		if !ok {
 			continue
 		}
-		closeAfter := c.removePending(ex)
+		closeAfter := c.startWriting(ex)
 		if err := c.writeResponse(ex.req, resp, closeAfter); err != nil {
 			ok = false
 			if !errors.Is(err, os.ErrDeadlineExceeded) {
