--- a/internal/host/entry/system_test.go
+++ b/internal/host/entry/system_test.go
@@ -64,8 +64,13 @@
 	}
 }
 
+// systemSlots bounds the systems that run at once, since each has eight hosts or more with bounds in real time.
+var systemSlots = make(chan struct{}, 4)
+
 // startSystem starts a system and waits until each host has the configuration and the loads of all failure domains.
 func startSystem(t *testing.T, o layout.Options, tr trace.Provider) *system {
+	systemSlots <- struct{}{}
+	t.Cleanup(func() { <-systemSlots })
 	s := &system{
 		t: t, layout: layout.Build(o), platform: consul.New(time.Now), trace: tr,
 		hosts: map[string]*runningHost{}, upstreams: map[string]*fakeUpstream{}, gauges: map[string]*upstr.ConcurrencyGauge{}, isolated: map[string]bool{},
