--- a/internal/host/entry/stop_test.go
+++ b/internal/host/entry/stop_test.go
@@ -44,7 +44,7 @@
 func TestAPlannedStopDeliversAnswersToSlowCallers(t *testing.T) {
 	t.Parallel()
 	const size = 1 << 20
-	s := startSystem(t, testOptions(130), trace.Noop())
+	s := startSystem(t, testOptions(133), trace.Noop())
 	s.hosts["dar-a-1"].cancel()
 	time.Sleep(state.LookupTTL + shutdownPropagation - 2*time.Second)
 	c := dialSlow(t, s.hosts["dar-a-1"].Settings.Front)
@@ -99,7 +99,7 @@
 func TestAPlannedStopDeliversRepliesToSlowHosts(t *testing.T) {
 	t.Parallel()
 	const size, early = 1 << 20, 3 * time.Second
-	s := startSystem(t, testOptions(131), trace.Noop())
+	s := startSystem(t, testOptions(134), trace.Noop())
 	h, tk := s.hosts["dar-a-1"], s.ticket("dar-a-1")
 	h.cancel()
 	time.Sleep(state.LookupTTL + shutdownPropagation - early)
@@ -140,7 +140,7 @@
 // the caller up at the end of its time, but the tickets must be handed over.
 func TestACallerThatDoesNotReadKeepsNoTicketFromItsSuccessor(t *testing.T) {
 	t.Parallel()
-	s := startSystem(t, testOptions(132), trace.Noop())
+	s := startSystem(t, testOptions(135), trace.Noop())
 	h := s.hosts["dar-a-1"]
 	h.Settings.StopTimeout = state.LookupTTL + shutdownPropagation + 2*time.Second
 	tk := s.ticket("dar-a-1")
