--- a/internal/edge/linger/linger.go
+++ b/internal/edge/linger/linger.go
@@ -11,7 +11,7 @@
 
 	"github.com/joomcode/errorx"
 
-	"github.com/boragelane/boragelane/internal/edge/pending"
+	"github.com/boragelane/boragelane/internal/edge/tally"
 )
 
 // Errors is the namespace of this package's errors.
@@ -27,7 +27,7 @@
 	net.Listener
 	Clock func() time.Time
 
-	closing pending.Counter
+	closing tally.Counter
 }
 
 // Accept waits for the next connection.
--- a/internal/edge/peer/server.go
+++ b/internal/edge/peer/server.go
@@ -11,7 +11,7 @@
 
 	"github.com/boragelane/boragelane/internal/core/spec"
 	"github.com/boragelane/boragelane/internal/ctrl/state"
-	"github.com/boragelane/boragelane/internal/edge/pending"
+	"github.com/boragelane/boragelane/internal/edge/tally"
 	"github.com/boragelane/boragelane/internal/flow/dedup"
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 	"github.com/boragelane/boragelane/internal/flow/poison"
@@ -49,7 +49,7 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
-	jobs  pending.Counter // Jobs of other hosts whose replies are not written yet.
+	jobs  tally.Counter // Jobs of other hosts whose replies are not written yet.
 	wg    sync.WaitGroup
 }
 
--- a/internal/edge/pending/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package pending counts what is in progress, for those who wait until nothing is.
-package pending
--- a/internal/edge/pending/pending.go
+++ b/internal/edge/tally/tally.go
@@ -1,4 +1,4 @@
-package pending
+package tally
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 )
 
 // Errors is the namespace of this package's errors.
-var Errors = errorx.NewNamespace("pending")
+var Errors = errorx.NewNamespace("tally")
 
 // ErrLeft is returned when a wait ends while something is in progress.
 var ErrLeft = Errors.NewType("left")
--- a/internal/edge/pending/pending_test.go
+++ b/internal/edge/tally/tally_test.go
@@ -1,4 +1,4 @@
-package pending
+package tally
 
 import (
 	"context"
