fix(halt): a stopping host accepts only jobs that end before its exit

Cause: for 2.5 s a stopping host accepted jobs of any length. The plan counts from the moment at which the host handles the signal, the excuse for a job that is cut off at work (3 s) from the signal itself, so half a second of delay was enough.

Fix: a job is accepted only if its deadline ends before running jobs are given up, from the first moment of the stop. Others are refused at once as not run. When the signal was handled no longer matters.

--- a/internal/flow/halt/halt.go
+++ b/internal/flow/halt/halt.go
@@ -10,8 +10,7 @@
 
 // Plan holds the times of a planned stop in their order.
 type Plan struct {
-	Long   time.Time // Until then the host accepts all jobs, afterwards only those whose deadline is not after Answer.
-	Accept time.Time // Until then it accepts connections.
+	Accept time.Time // Until then the host accepts connections.
 	Start  time.Time // Until then jobs may wait for an upstream.
 	Yield  time.Time // From then on jobs that hold back ready answers of their connections are given up.
 	Answer time.Time // Until then jobs run; what is still running is given up.
@@ -22,8 +21,6 @@
 	// maxAcceptPeriod covers the directory responses that callers keep. It doesn't grow with the grace period, so that a
 	// longer one leaves more time to jobs that were accepted late.
 	maxAcceptPeriod = 3 * time.Second
-	// longShare is the share of the accept period in which jobs of any length are accepted.
-	longShare = 5.0 / 6
 	// startShare is the share of the time from Accept to Answer in which jobs may still wait for an upstream, so that they have
 	// time to run, or their callers to be served by another host.
 	startShare = 0.5
@@ -43,7 +40,6 @@
 	accept := min(maxAcceptPeriod, grace/2)
 	answer := exit - min(flushTime, exit/10)
 	return Plan{
-		Long:   now.Add(time.Duration(longShare * float64(accept))),
 		Accept: now.Add(accept),
 		Start:  now.Add(accept + time.Duration(startShare*float64(max(0, answer-accept)))),
 		Yield:  now.Add(min(grace-grace/excusedPart, answer)),
@@ -52,10 +48,9 @@
 	}
 }
 
-// Admits reports whether a stopping host accepts a job with the given deadline: early, or if the job is sure to end in time.
-func (p *Plan) Admits(now, deadline time.Time) bool {
-	return now.Before(p.Long) || !deadline.After(p.Answer)
-}
+// Admits reports whether a stopping host accepts a job with the given deadline: only if the job is sure to end in time. When the
+// job arrived doesn't matter, since the host may learn of its stop later than the platform began it.
+func (p *Plan) Admits(deadline time.Time) bool { return !deadline.After(p.Answer) }
 
 // retryAfter is the delay after which refused callers should retry; other hosts can serve them at once.
 const retryAfter = 50 * time.Millisecond
@@ -72,9 +67,9 @@
 func (*Filter) String() string { return "halt" }
 
 // Run refuses the job if the plan doesn't admit it.
-func (f *Filter) Run(_ context.Context, now time.Time, job *pipe.Job) {
+func (f *Filter) Run(_ context.Context, _ time.Time, job *pipe.Job) {
 	p := f.plan.Load()
-	if p == nil || p.Admits(now, job.Deadline) {
+	if p == nil || p.Admits(job.Deadline) {
 		return
 	}
 	job.RetryAfter = retryAfter
