--- a/internal/core/policy/policy.go
+++ b/internal/core/policy/policy.go
@@ -12,6 +12,18 @@
 	Routes   map[string][]Route // By HTTP host; longest prefix first.
 	Services map[string]Service
 	Limits   Limits
+
+	Workspaces map[string]Workspace // By name; empty if callers need no key.
+	Keys       map[string]string    // The workspace's name, by the key's SHA-256 in hex.
+}
+
+// Workspace is a customer whose callers identify themselves by keys.
+type Workspace struct {
+	Name  string
+	Rank  int      // Replaces the route's; 0 is the most urgent.
+	Rate  float64  // Jobs a second that all hosts together may run; 0 for no limit.
+	Burst float64  // Jobs in addition to Rate.
+	Homes []string // The regions that may serve the workspace; empty allows all.
 }
 
 // Route defines how requests for an HTTP host and path prefix are handled.
@@ -27,6 +39,7 @@
 	Attempts  int      // Maximum number of upstreams that a request is sent to.
 	Sticky    bool     // Requests with the same affinity key go to the same few upstreams.
 	Homes     []string // The regions that may serve the route; empty allows all.
+	Public    bool     // Callers need no key.
 }
 
 // WeightedService is a service that gets a share of a route's requests, in proportion to its weight.
--- a/internal/edge/broker/placer.go
+++ b/internal/edge/broker/placer.go
@@ -76,7 +76,7 @@
 			return nil, place.Refusal{}, err
 		}
 		if grant.Upstream == "" {
-			return nil, place.Refusal{RetryAfter: grant.RetryAfter, Quarantined: grant.Quarantined}, nil
+			return nil, place.Refusal{RetryAfter: grant.RetryAfter, Quarantined: grant.Quarantined, OverQuota: grant.OverQuota}, nil
 		}
 		g := &place.Grant{ID: grant.ID, Upstream: findUpstream(p.View(), req.Service, grant), Digest: req.Digest}
 		if g.Upstream != nil && p.Scheduler.Accepts(p.Clock(), g.Upstream) {
--- a/internal/edge/broker/server.go
+++ b/internal/edge/broker/server.go
@@ -141,7 +141,7 @@
 		return ErrCall.New("the call was canceled, or this host is stopping") // Not a refusal: the next host may place the job.
 	}
 	if g == nil {
-		return conn.Reply(ctx, id, wireGrant{RetryAfter: refusal.RetryAfter, Quarantined: refusal.Quarantined})
+		return conn.Reply(ctx, id, wireGrant{RetryAfter: refusal.RetryAfter, Quarantined: refusal.Quarantined, OverQuota: refusal.OverQuota})
 	}
 	err := ctx.Err() // A canceled call gets no grant.
 	if err == nil {
--- a/internal/edge/broker/wire.go
+++ b/internal/edge/broker/wire.go
@@ -41,8 +41,9 @@
 	Objective int64    `json:"aim"` // Time left in milliseconds, since the clocks of hosts differ.
 	Deadline  int64    `json:"end"` // Time left in milliseconds.
 
-	Digest uint64            `json:"dig,omitempty"`
-	Trace  map[string]string `json:"span,omitempty"`
+	Digest    uint64            `json:"dig,omitempty"`
+	Workspace string            `json:"ws,omitempty"`
+	Trace     map[string]string `json:"span,omitempty"`
 }
 
 func newWireAcquire(req *place.Request, call uint64, now time.Time) wireAcquire {
@@ -50,7 +51,7 @@
 		Call: call, Host: req.Host.Name, Domain: req.Host.Domain, Region: req.Host.Region, Service: req.Service, Rank: req.Rank,
 		Object: req.Object, Homes: req.Homes, Tried: req.Tried,
 		Objective: req.Objective.Sub(now).Milliseconds(), Deadline: req.Deadline.Sub(now).Milliseconds(),
-		Digest: req.Digest, Trace: req.Trace,
+		Digest: req.Digest, Workspace: req.Workspace, Trace: req.Trace,
 	}
 }
 
@@ -61,6 +62,7 @@
 		Objective: now.Add(time.Duration(w.Objective) * time.Millisecond),
 		Deadline:  now.Add(time.Duration(w.Deadline) * time.Millisecond),
 		Digest:    w.Digest,
+		Workspace: w.Workspace,
 		Trace:     w.Trace,
 	}
 }
@@ -72,6 +74,7 @@
 	Born        int64         `json:"born,omitempty"`
 	RetryAfter  time.Duration `json:"later,omitempty"`
 	Quarantined bool          `json:"quar,omitempty"`
+	OverQuota   bool          `json:"over,omitempty"`
 }
 
 // wireRelease ends a grant with the encoding of its place.Result.
@@ -88,19 +91,20 @@
 	Crashed       bool          `json:"crash,omitempty"`
 	Leaving       bool          `json:"leave,omitempty"`
 	RetryAfter    time.Duration `json:"later,omitempty"`
+	Pace          float64       `json:"pace,omitempty"`
 }
 
 func newWireRelease(id uint64, r place.Result) wireRelease {
 	return wireRelease{
 		ID: id, Duration: r.Duration, DialTime: r.DialTime, QueueLength: r.QueueLength, Succeeded: r.Succeeded, Inconclusive: r.Inconclusive, Shed: r.Shed,
-		AddressReused: r.AddressReused, Unreachable: r.Unreachable, Crashed: r.Crashed, Leaving: r.Leaving, RetryAfter: r.RetryAfter,
+		AddressReused: r.AddressReused, Unreachable: r.Unreachable, Crashed: r.Crashed, Leaving: r.Leaving, RetryAfter: r.RetryAfter, Pace: r.Pace,
 	}
 }
 
 func (w *wireRelease) toResult() place.Result {
 	return place.Result{
 		Duration: w.Duration, DialTime: w.DialTime, QueueLength: w.QueueLength, Succeeded: w.Succeeded, Inconclusive: w.Inconclusive, Shed: w.Shed, AddressReused: w.AddressReused, Unreachable: w.Unreachable,
-		Crashed: w.Crashed, Leaving: w.Leaving, RetryAfter: w.RetryAfter,
+		Crashed: w.Crashed, Leaving: w.Leaving, RetryAfter: w.RetryAfter, Pace: w.Pace,
 	}
 }
 
--- a/internal/flow/match/match.go
+++ b/internal/flow/match/match.go
@@ -46,7 +46,7 @@
 		job.Refuse(pipe.NoRoute, "no route for host "+job.Host+" and path "+path)
 		return
 	}
-	job.Route, job.Once, job.Level = r, r.Once, r.Rank
+	job.Route, job.Once, job.Level, job.Homes = r, r.Once, r.Rank, r.Homes
 	job.Service = r.Pick(rand.Float64())
 	if !r.Sticky {
 		job.Object = ""
--- a/internal/flow/pipe/job.go
+++ b/internal/flow/pipe/job.go
@@ -50,6 +50,10 @@
 	MayHaveRun       bool          // Some attempt may have run, whatever the result of later ones.
 	Attempts         int           // The number of upstreams that the job was sent to.
 	RetryAfter       time.Duration // How long a refused caller should wait before it retries.
+	Credentials      []string      // The caller's key as it was sent, once for each header field; never logged or forwarded.
+	Workspaces       bool          // The policy has workspaces, so that the upstream gets the job's and nothing that the caller sent in its place.
+	Workspace        string        // The name of the workspace that the caller's key belongs to.
+	Homes            []string      // The regions that may run the job; empty allows all.
 }
 
 // Target is an entry host that may serve a job, and the reason for its selection.
@@ -82,6 +86,7 @@
 	Running int
 	Waiting int
 	Slots   int
+	Pace    float64 // How long work takes at this moment, relative to the usual; 0 if not reported.
 }
 
 // Reply is the unchecked result of sending a job to an upstream.
@@ -172,6 +177,8 @@
 	TimedOut       Reason = "timed-out" // The deadline passed after serve sent the job.
 	CallerGone     Reason = "caller-gone"
 	UpstreamFailed Reason = "upstream-failed"
+	Unauthorized   Reason = "unauthorized"
+	OverQuota      Reason = "over-quota"
 )
 
 // ErrStopping is the cause with which a stopping host cancels the jobs that are still running shortly before its exit.
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -85,6 +85,7 @@
 	Deadline  time.Time         // An answer after this time is useless.
 	Isolated  bool              // The host cannot reach the placing host of its pool.
 	Digest    uint64            // Identifies the job when it is sent again.
+	Workspace string            // The workspace that the job counts against; empty for none.
 	Trace     map[string]string // Trace context of the job's span.
 
 	cachedHash uint64
@@ -93,6 +94,7 @@
 // Refusal tells why a job got no slot.
 type Refusal struct {
 	Quarantined bool          // The job has crashed too many upstreams.
+	OverQuota   bool          // The job's workspace has used up its quota.
 	Stopping    bool          // This host is stopping and sends no further job to an upstream.
 	RetryAfter  time.Duration // When a slot is expected to be free; 0 if unknown.
 }
--- a/internal/flow/serve/serve.go
+++ b/internal/flow/serve/serve.go
@@ -79,8 +79,8 @@
 
 func placeRequest(job *pipe.Job, tried []string) place.Request {
 	return place.Request{
-		Host: job.View.Self, Service: job.Service, Rank: job.Level, Object: job.Object, Homes: job.Route.Homes, Tried: tried,
-		Objective: job.Objective, Deadline: job.Deadline, Digest: job.Digest, Trace: job.Trace,
+		Host: job.View.Self, Service: job.Service, Rank: job.Level, Object: job.Object, Homes: job.Homes, Tried: tried,
+		Objective: job.Objective, Deadline: job.Deadline, Digest: job.Digest, Workspace: job.Workspace, Trace: job.Trace,
 	}
 }
 
@@ -90,6 +90,9 @@
 	case job.Attempts > 0:
 	case refusal.Quarantined:
 		job.Refuse(pipe.Quarantined, "upstreams crashed while they ran this job; it is refused for a while")
+	case refusal.OverQuota:
+		job.RetryAfter = refusal.RetryAfter
+		job.Refuse(pipe.OverQuota, "workspace "+job.Workspace+" is over its quota")
 	case refusal.Stopping:
 		job.RetryAfter = retryAfter(job, 0)
 		job.Refuse(pipe.Stopping, "this host is stopping and no slot became free in time")
@@ -137,7 +140,7 @@
 		Succeeded: r.Complete && r.Answer.Status < http.StatusInternalServerError,
 	}
 	if r.Report != nil {
-		out.QueueLength = r.Report.Waiting
+		out.QueueLength, out.Pace = r.Report.Waiting, r.Report.Pace
 	}
 	return out
 }
