feat(dialer): load headers with three or four figures

Change: the dialer parses both forms into LoadReport.Pace (1 as usual). Anything else is counted in bad_load_headers_total and logged, bounded by the logger's limit of lines per message. Placement doesn't use the pace yet.

--- a/internal/edge/dialer/dialer.go
+++ b/internal/edge/dialer/dialer.go
@@ -32,7 +32,7 @@
 	UpstreamID  string // Id of the upstream that the request is addressed to.
 	Signature   string // Marks a response that an upstream itself produced.
 	NotExecuted string // Present if the upstream did not run the request.
-	Load        string // Running requests, waiting requests and slots, separated by commas.
+	Load        string // Running requests, waiting requests, slots and, from some upstreams, the pace in percent, separated by commas.
 	Leaving     string // "1" in each response of an upstream that leaves.
 }
 
@@ -51,7 +51,8 @@
 type Sender struct {
 	Names       HeaderNames
 	Clock       func() time.Time
-	MaxBuffered int64 // Bytes of all bodies that are being read at a time; a response that exceeds them fails.
+	MaxBuffered int64                                  // Bytes of all bodies that are being read at a time; a response that exceeds them fails.
+	OnBadLoad   func(u *roster.Upstream, value string) // Called for each malformed load header; nil ignores them.
 
 	pool     pool
 	buffered atomic.Int64
@@ -113,6 +114,7 @@
 		return 0, err
 	}
 	s.fillReply(head, body, r)
+	r.Report = s.readLoad(u, head.Header.Get(s.Names.Load))
 	select {
 	case err := <-writeErr:
 		if err == nil && !head.Close {
@@ -202,7 +204,6 @@
 func (s *Sender) fillReply(resp responseHead, body []byte, r *pipe.Reply) {
 	h := resp.Header
 	r.ID = h.Get(s.Names.RequestID)
-	r.Report = parseLoad(h.Get(s.Names.Load))
 	r.Draining = resp.Close
 	r.Leaving = h.Get(s.Names.Leaving) == "1"
 	if resp.Status == http.StatusServiceUnavailable {
@@ -237,23 +238,6 @@
 	return time.Duration(min(v, maxRetryAfter.Seconds()) * float64(time.Second))
 }
 
-// parseLoad parses the load header: running, waiting and slots; it returns nil if the value is malformed.
-func parseLoad(text string) *pipe.LoadReport {
-	parts := strings.Split(text, ",")
-	if len(parts) != 3 {
-		return nil
-	}
-	var n [3]int
-	for i, part := range parts {
-		v, err := strconv.Atoi(strings.TrimSpace(part))
-		if err != nil || v < 0 {
-			return nil
-		}
-		n[i] = v
-	}
-	return &pipe.LoadReport{Running: n[0], Waiting: n[1], Slots: n[2]}
-}
-
 // reuseTimeout returns how long a connection may stay idle, according to the Keep-Alive header.
 func reuseTimeout(h http.Header) time.Duration {
 	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
--- a/internal/host/steer/journal.go
+++ b/internal/host/steer/journal.go
@@ -73,6 +73,12 @@
 	l.log.Error("panic recovered", zap.String("in", where), zap.Any("value", value), zap.ByteString("stack", debug.Stack()))
 }
 
+// logBadLoad logs and counts a malformed load header. The logger bounds the lines of one message a second.
+func (l *eventLog) logBadLoad(u *roster.Upstream, value string) {
+	l.metrics.BadLoads.Inc()
+	l.log.Warn("load header malformed", zap.String("upstream", u.ID), zap.String("service", u.Service), zap.String("value", value))
+}
+
 // logSummaries logs the state of each pool for which this host has placed jobs.
 func (h *Host) logSummaries(now time.Time) {
 	for _, s := range h.scheduler.Summaries(now) {
