feat(place): the pace that an upstream reported is its slowdown

Cause: 15 in 100 upstreams take 2.5 times as long for 600 ms; the learned slowdown is an average over seconds and follows only afterwards. Change: the pace in each answer is the upstream's slowdown until its next answer. Where a pace is reported, the learned slowdown isn't trained, so that nothing is counted twice.

--- a/internal/flow/place/grant.go
+++ b/internal/flow/place/grant.go
@@ -123,7 +123,7 @@
 // recordWork records the time of a job that was not queued by its upstream, without the round trip.
 func (s *Scheduler) recordWork(g *Grant, took time.Duration) {
 	w, l := s.estimate(g.Upstream.Service), s.loads[g.Upstream.ID]
-	normal := time.Duration(float64(took) / max(1, l.slowdown)) // What it would have taken on an average upstream.
+	normal := time.Duration(float64(took) / max(1, l.currentSlowdown())) // What it would have taken on an average upstream.
 	missed := w.looksLikeMiss(normal)
 	if c := certaintyOf(g.reuseDistance, g.reused); c != certainHit || !missed {
 		w.record(c, took)
--- a/internal/flow/place/load.go
+++ b/internal/flow/place/load.go
@@ -40,6 +40,7 @@
 	limit               int     // Jobs that may run at the same time, as computed for the last job considered.
 	queued              int     // Jobs queued for the upstream.
 	slowdown            float64 // Average ratio of actual to expected work.
+	pace                float64 // The pace in the upstream's last report; 0 if it reports none.
 	recent              recentObjects
 	unexpectedMisses    int            // Consecutive misses of objects that should have been cached.
 	warming             map[uint64]int // Jobs that run for the first time with an object, by object; the upstream hasn't cached it yet.
@@ -197,13 +198,16 @@
 		l.ejectedUntil = now.Add(maxEjection)
 		return
 	}
+	if r.Pace > 0 {
+		l.pace = min(maxSlowdown, max(minSlowdown, r.Pace))
+	}
 	if r.Inconclusive {
 		return
 	}
 	if r.Succeeded {
 		l.failureRate *= 1 - sampleWeight
 		l.consecutiveFailures, l.ejection = 0, 0
-		if r.ExpectedWork > 0 {
+		if r.ExpectedWork > 0 && r.Pace == 0 {
 			sample := min(maxSlowdown, max(minSlowdown, float64(r.Duration-r.RTT)/float64(r.ExpectedWork)))
 			l.slowdown += sampleWeight * (sample - l.slowdown)
 		}
--- a/internal/flow/place/rank.go
+++ b/internal/flow/place/rank.go
@@ -33,7 +33,15 @@
 
 // serviceTime scales expected work by the upstream's slowdown.
 func (l *load) serviceTime(work time.Duration) time.Duration {
-	return time.Duration(l.slowdown * float64(work))
+	return time.Duration(l.currentSlowdown() * float64(work))
+}
+
+// currentSlowdown returns the pace that the upstream reported with its last answer, or the learned slowdown if it reports none.
+func (l *load) currentSlowdown() float64 {
+	if l.pace > 0 {
+		return l.pace
+	}
+	return l.slowdown
 }
 
 // cost returns the value by which upstreams are compared: round trip, service time, queueing and penalties.
@@ -44,7 +52,7 @@
 		// share of jobs that leave the region must change slowly.
 		d = p.rtt / 2
 	}
-	return d + time.Duration((1+failurePenalty*l.failureRate)*float64(service)+l.queueFactor()*l.slowdown*float64(mean))
+	return d + time.Duration((1+failurePenalty*l.failureRate)*float64(service)+l.queueFactor()*l.currentSlowdown()*float64(mean))
 }
 
 // failurePenalty is the additional cost, as a multiple of the service time, of an upstream that always fails.
