feat(loans): slots to spare are shared with the regions that are short of them

Cause: a pool gets 1.25 slots a slot of demand, but jobs wait for the upstreams that cache their objects long before all slots are taken. Change: half of the slots beyond all needs is shared in proportion to the needs, up to 1.4 times a need, but only with regions whose own slots don't give as much.

--- a/internal/ctrl/loans/loans.go
+++ b/internal/ctrl/loans/loans.go
@@ -52,6 +52,13 @@
 const (
 	// headroom is the number of slots a region needs per slot of demand, so that few jobs wait.
 	headroom = 1.25
+	// surplusShare is the share of the slots beyond all needs that is shared in proportion to the needs. Jobs wait for the
+	// upstreams that cache their objects long before all slots are taken, so a region with few upstreams keeps callers waiting while
+	// others are half idle.
+	surplusShare = 0.5
+	// maxSurplus bounds the slots that a pool gets this way, as a multiple of its need. With less than 0.6 of the slots taken hardly any
+	// job waits; more slots would only add traffic between regions.
+	maxSurplus = 0.4
 	// minNeed is the number of slots that a pool needs on top of its demand with headroom, and so its need without demand.
 	minNeed = 1
 	// maxMoveShare is the share of its need that a pool may gain or lose in one plan. It may always gain or lose one
@@ -171,22 +178,39 @@
 		p.need[pool] = headroom*in.Demand[pool][service] + minNeed
 		p.moves[pool] = max(1, int(maxMoveShare*p.need[pool]/max(1, mean)))
 	}
-	p.shareScarcity()
+	p.shareSlots()
 }
 
-// shareScarcity scales the needs down to the slots that there are, so that an overload falls on all pools alike and not on
-// those with the fewest upstreams.
-func (p *planner) shareScarcity() {
+// shareSlots scales the needs to the slots that there are. It answers overload of all pools, which then falls on all alike and not on
+// those with the fewest upstreams, and callers of a region with few upstreams while other regions have slots to spare.
+func (p *planner) shareSlots() {
 	supply, need := 0.0, 0.0
 	for _, pool := range p.pools {
 		supply += p.supply[pool]
 		need += p.need[pool]
 	}
-	if need <= supply {
+	if need > supply {
+		for _, pool := range p.pools {
+			p.need[pool] *= supply / need
+		}
 		return
 	}
+	p.shareSurplus(1 + min(maxSurplus, surplusShare*(supply-need)/need))
+}
+
+// shareSurplus raises the needs of the regions whose own slots are less than the given multiple of their need.
+func (p *planner) shareSurplus(factor float64) {
+	own, need := map[string]float64{}, map[string]float64{}
+	for _, u := range p.upstreams {
+		own[u.Region] += float64(u.Slots)
+	}
+	for _, pool := range p.pools {
+		need[regionOf(pool)] += p.need[pool]
+	}
 	for _, pool := range p.pools {
-		p.need[pool] *= supply / need
+		if region := regionOf(pool); own[region] < factor*need[region] {
+			p.need[pool] *= factor
+		}
 	}
 }
 
--- a/internal/ctrl/loans/loans_test.go
+++ b/internal/ctrl/loans/loans_test.go
@@ -195,3 +195,27 @@
 	}
 	assert.Equal(t, len(in.Loans), 0)
 }
+
+// Guards against callers who wait in the region with the fewest upstreams while the others are half idle: with equal callers in
+// regions of 78, 66 and 16 upstreams, utilization of all slots of 0.4 must not become 0.8 in the smallest.
+func TestSlotsToSpareAreSharedWithTheSmallestRegion(t *testing.T) {
+	in := Input{
+		Pools: pools(regions...), PoolOf: poolByRegion, Upstreams: newUpstreams(map[string]int{"east": 78, "north": 16, "west": 66}),
+		Demand: map[string]Demand{"east": {"s": 64}, "north": {"s": 64}, "west": {"s": 64}},
+	}
+	for range 40 {
+		in.Loans = Plan(in)
+	}
+	got := slotsByRegion(in, in.Loans)
+	assert.Assert(t, float64(got["north"]) >= 64/0.6, "%v", got)
+	assert.Assert(t, got["east"] >= got["north"] && got["west"] >= got["north"], "%v", got)
+}
+
+// Guards against traffic between regions that no region needs.
+func TestNothingIsLentWhileEachRegionHasSlotsToSpare(t *testing.T) {
+	in := Input{
+		Pools: pools(regions...), PoolOf: poolByRegion, Upstreams: newUpstreams(map[string]int{"east": 40, "north": 30, "west": 35}),
+		Demand: map[string]Demand{"east": {"s": 40}, "north": {"s": 40}, "west": {"s": 40}},
+	}
+	assert.Equal(t, len(Plan(in)), 0)
+}
