feat(loans): room is lent ahead of a rising demand

Cause: loans follow an average of 1.5 s, planned each second and used after a poll, so a region whose callers come in a wave or move there gets room 2 to 3 s late. Change: the planner takes the trend of each pool's reports and plans for the demand in 2 s, up to 1.3 times the present one; changes within noise and falling demand change nothing.

--- a/internal/ctrl/watch/shares.go
+++ b/internal/ctrl/watch/shares.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -34,10 +35,44 @@
 // poolDemand is the last demand that was reported for a pool of a service.
 type poolDemand struct {
 	slots       float64
+	trend       float64 // Slots a second.
 	unavailable []string
 	receivedAt  time.Time
 }
 
+const (
+	// demandLead is how far ahead loans are planned: until a loan takes effect, it has to be planned, fetched and warmed up.
+	demandLead = 2 * time.Second
+	// trendWeight is the weight of the newest change in the trend. The reported demand is itself an average over 1.5 s.
+	trendWeight = 0.6
+	// maxTrendShare bounds what the trend adds, as a share of the demand.
+	maxTrendShare = 0.3
+	// trendNoise is the number of standard deviations of a demand that a change must exceed: the number of busy slots varies by chance.
+	trendNoise = 0.55
+)
+
+// update returns the demand with a newer report.
+func (d poolDemand) update(slots float64, unavailable []string, now time.Time) poolDemand {
+	next := poolDemand{slots: slots, unavailable: unavailable, receivedAt: now}
+	elapsed := now.Sub(d.receivedAt)
+	if d.receivedAt.IsZero() || elapsed <= 0 || elapsed > demandTTL {
+		return next
+	}
+	next.trend = d.trend + trendWeight*((slots-d.slots)/elapsed.Seconds()-d.trend)
+	return next
+}
+
+// expected returns the demand for which loans are planned. It answers callers who move to another region within seconds, and
+// demand that rises and falls in waves: without the trend, room arrives when they have already waited. A falling demand gives
+// room back only when it has fallen.
+func (d poolDemand) expected() float64 {
+	ahead := d.trend * demandLead.Seconds()
+	if ahead < trendNoise*math.Sqrt(d.slots) {
+		return d.slots
+	}
+	return d.slots + min(ahead, maxTrendShare*d.slots)
+}
+
 // loanState holds the reported demand and the loans of upstreams between regions.
 type loanState struct {
 	demands    map[[2]string]poolDemand // By pool and service.
@@ -54,7 +89,8 @@
 func (s *State) answerLoanRequest(req loans.Request, now time.Time) loans.Loans {
 	for service, slots := range req.Demand {
 		pool := roster.PoolName(s.domainPools[service], req.Region, req.Domain)
-		s.demands[[2]string{pool, service}] = poolDemand{slots: slots, unavailable: req.Unavailable, receivedAt: now}
+		key := [2]string{pool, service}
+		s.demands[key] = s.demands[key].update(slots, req.Unavailable, now)
 	}
 	if now.Sub(s.computedAt) > loansTTL && now.Sub(s.resumedAt) > loansTTL {
 		s.computed, s.resumedAt = loans.Loans{}, now
@@ -109,7 +145,7 @@
 		if in.Demand[k[0]] == nil {
 			in.Demand[k[0]] = loans.Demand{}
 		}
-		in.Demand[k[0]][k[1]] = d.slots
+		in.Demand[k[0]][k[1]] = d.expected()
 		for _, id := range d.unavailable {
 			in.Unavailable[id] = true
 		}
