feat(serve): second attempts of jobs that run for long

Cause: 3 in 100 runs take 7 times as long, which belongs to the run and not to the job, and hits the deadline.

Change: flow/hedge keeps the recent run times of a service on the host that places its jobs, apart for expected hits and others, with runs that were cut off as censored samples. A grant carries the time after which a second attempt pays off; it is 0 without a long tail or with too few samples. The host that sends the job then asks for a slot that is free at once (place.Request.NoWait, 'now' on the wire), spends at most half of the retry budget, and takes the first complete answer that is not a server error. The other attempt is canceled, or kept if serve.Filter.KeepLosers is set. Log line 'hedge', metric hedges_total.

--- a/internal/edge/broker/placer.go
+++ b/internal/edge/broker/placer.go
@@ -78,7 +78,7 @@
 		if grant.Upstream == "" {
 			return nil, place.Refusal{RetryAfter: grant.RetryAfter, Quarantined: grant.Quarantined, OverQuota: grant.OverQuota}, nil
 		}
-		g := &place.Grant{ID: grant.ID, Upstream: findUpstream(p.View(), req.Service, grant), Digest: req.Digest}
+		g := &place.Grant{ID: grant.ID, Upstream: findUpstream(p.View(), req.Service, grant), Digest: req.Digest, HedgeAfter: grant.HedgeAfter}
 		if g.Upstream != nil && p.Scheduler.Accepts(p.Clock(), g.Upstream) {
 			p.mu.Lock()
 			p.remote[g] = to
--- a/internal/edge/broker/server.go
+++ b/internal/edge/broker/server.go
@@ -145,7 +145,7 @@
 	}
 	err := ctx.Err() // A canceled call gets no grant.
 	if err == nil {
-		err = conn.Reply(ctx, id, wireGrant{ID: g.ID, Upstream: g.Upstream.ID, Born: g.Upstream.Born})
+		err = conn.Reply(ctx, id, wireGrant{ID: g.ID, Upstream: g.Upstream.ID, Born: g.Upstream.Born, HedgeAfter: g.HedgeAfter})
 	}
 	if err != nil {
 		s.server.Scheduler.Release(s.server.Clock(), g, place.Result{Inconclusive: true})
--- a/internal/edge/broker/wire.go
+++ b/internal/edge/broker/wire.go
@@ -41,6 +41,7 @@
 	Objective int64    `json:"aim"` // Time left in milliseconds, since the clocks of hosts differ.
 	Deadline  int64    `json:"end"` // Time left in milliseconds.
 
+	NoWait    bool              `json:"now,omitempty"`
 	Digest    uint64            `json:"dig,omitempty"`
 	Workspace string            `json:"ws,omitempty"`
 	Trace     map[string]string `json:"span,omitempty"`
@@ -51,7 +52,7 @@
 		Call: call, Host: req.Host.Name, Domain: req.Host.Domain, Region: req.Host.Region, Service: req.Service, Rank: req.Rank,
 		Object: req.Object, Homes: req.Homes, Tried: req.Tried,
 		Objective: req.Objective.Sub(now).Milliseconds(), Deadline: req.Deadline.Sub(now).Milliseconds(),
-		Digest: req.Digest, Workspace: req.Workspace, Trace: req.Trace,
+		NoWait: req.NoWait, Digest: req.Digest, Workspace: req.Workspace, Trace: req.Trace,
 	}
 }
 
@@ -61,6 +62,7 @@
 		Object: w.Object, Homes: w.Homes, Tried: w.Tried,
 		Objective: now.Add(time.Duration(w.Objective) * time.Millisecond),
 		Deadline:  now.Add(time.Duration(w.Deadline) * time.Millisecond),
+		NoWait:    w.NoWait,
 		Digest:    w.Digest,
 		Workspace: w.Workspace,
 		Trace:     w.Trace,
@@ -73,6 +75,7 @@
 	Upstream    string        `json:"up,omitempty"`
 	Born        int64         `json:"born,omitempty"`
 	RetryAfter  time.Duration `json:"later,omitempty"`
+	HedgeAfter  time.Duration `json:"hedge,omitempty"`
 	Quarantined bool          `json:"quar,omitempty"`
 	OverQuota   bool          `json:"over,omitempty"`
 }
--- a/internal/edge/broker/wire_test.go
+++ b/internal/edge/broker/wire_test.go
@@ -1,8 +1,10 @@
 package broker
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,6 +12,7 @@
 
 	"github.com/boragelane/boragelane/internal/core/policy"
 	"github.com/boragelane/boragelane/internal/core/roster"
+	"github.com/boragelane/boragelane/internal/flow/place"
 )
 
 var start = time.Unix(1_700_000_000, 0)
@@ -80,3 +83,16 @@
 		_, _ = w.decodeChanges()
 	})
 }
+
+// Guards against second attempts that wait at the placing host because it doesn't learn that they must not.
+func TestARequestKeepsThatItMustNotWait(t *testing.T) {
+	for _, noWait := range []bool{true, false} {
+		w := newWireAcquire(&place.Request{NoWait: noWait}, 1, start)
+		data, err := json.Marshal(w)
+		assert.NilError(t, err)
+		assert.Equal(t, strings.Contains(string(data), `"now":true`), noWait)
+		var got wireAcquire
+		assert.NilError(t, json.Unmarshal(data, &got))
+		assert.Equal(t, got.toRequest(start).NoWait, noWait)
+	}
+}
--- a/internal/flow/pipe/job.go
+++ b/internal/flow/pipe/job.go
@@ -179,11 +179,15 @@
 	UpstreamFailed Reason = "upstream-failed"
 	Unauthorized   Reason = "unauthorized"
 	OverQuota      Reason = "over-quota"
+	Superseded     Reason = "superseded" // Another attempt of the job was answered first.
 )
 
 // ErrStopping is the cause with which a stopping host cancels the jobs that are still running shortly before its exit.
 var ErrStopping = errors.New("the host is stopping")
 
+// ErrSuperseded is the cause with which an attempt is canceled when another attempt of its job was answered first.
+var ErrSuperseded = errors.New("another attempt was answered")
+
 // Outcome is the result of a job with its reason and a message for the caller.
 type Outcome struct {
 	Kind   OutcomeKind
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -84,6 +84,7 @@
 	Objective time.Time         // Target time for the answer.
 	Deadline  time.Time         // An answer after this time is useless.
 	Isolated  bool              // The host cannot reach the placing host of its pool.
+	NoWait    bool              // A second attempt of a job that still runs: it gets a slot that is free now, or none.
 	Digest    uint64            // Identifies the job when it is sent again.
 	Workspace string            // The workspace that the job counts against; empty for none.
 	Trace     map[string]string // Trace context of the job's span.
--- a/internal/flow/place/grant.go
+++ b/internal/flow/place/grant.go
@@ -11,6 +11,8 @@
 	ID       uint64
 	Upstream *roster.Upstream
 	Digest   uint64 // The job's.
+	// HedgeAfter is the time after which a second attempt pays off, counted from the sending of the job; 0 if it doesn't.
+	HedgeAfter time.Duration
 
 	host          string
 	fromDomain    string // The host's failure domain.
@@ -68,6 +70,7 @@
 	if !g.uncertain && estimate.hasSamples(g.expectHit) {
 		g.expectedWork = estimate.expected(g.expectHit)
 	}
+	g.HedgeAfter = s.hedgeAfter(now, g)
 	l.recent = l.recent.add(g.object)
 	s.lastPlaced[u.Service] = now
 	counts := s.counts(u.Service)
@@ -95,6 +98,7 @@
 		l.recordRequest(now, g.host, &r)
 		l.recordResult(now, r, s.mayEject(now, l.upstream.Service))
 		s.rtts.record(g.fromDomain, g.Upstream.Domain, r.DialTime)
+		s.recordRun(now, g, &r)
 		if r.Succeeded && r.QueueLength == 0 && !g.uncertain {
 			s.recordWork(g, r.Duration-g.rtt)
 		}
--- a/internal/flow/place/queue.go
+++ b/internal/flow/place/queue.go
@@ -43,6 +43,9 @@
 	defer s.mu.Unlock()
 	s.lastSeq++
 	w.seq = s.lastSeq
+	if w.req.NoWait {
+		return s.reserveFree(now, w), Refusal{}, now
+	}
 	if !w.req.Isolated {
 		s.recordDemand(now, &w.req)
 	}
--- a/internal/flow/place/table.go
+++ b/internal/flow/place/table.go
@@ -8,6 +8,7 @@
 
 	"github.com/boragelane/boragelane/internal/core/rendez"
 	"github.com/boragelane/boragelane/internal/core/roster"
+	"github.com/boragelane/boragelane/internal/flow/hedge"
 )
 
 // Scheduler places the jobs of a region's hosts on upstreams and tracks which jobs run and wait there.
@@ -28,6 +29,7 @@
 	backlog         backlog
 	placed          map[string]*placedCounts // By service, since the last summary.
 	lastPlaced      map[string]time.Time     // By service.
+	runTimes        map[string]*hedge.Times  // By service.
 	enqueued        chan struct{}            // Signals that a job waits while none did before.
 	scratch         []Candidate
 	lastSeq         uint64
@@ -40,7 +42,7 @@
 	return &Scheduler{
 		view: &roster.View{}, loads: map[string]*load{}, estimates: map[string]*workEstimate{}, rtts: rttEstimates{},
 		demands: map[string]*demand{}, limiters: map[string]*shiftLimiter{}, grants: map[uint64]*Grant{}, enqueued: make(chan struct{}, 1),
-		backlog: backlog{}, placed: map[string]*placedCounts{}, lastPlaced: map[string]time.Time{},
+		backlog: backlog{}, placed: map[string]*placedCounts{}, lastPlaced: map[string]time.Time{}, runTimes: map[string]*hedge.Times{},
 	}
 }
 
--- a/internal/flow/serve/budget.go
+++ b/internal/flow/serve/budget.go
@@ -16,6 +16,10 @@
 // there are, which makes its computed share too large.
 const usableShare = 0.8
 
+// hedgeShare is the part of a host's retries that second attempts of running jobs may take. The rest is kept for jobs that
+// have failed, since those have no other way to an answer.
+const hedgeShare = 0.5
+
 // Budget is this host's share of the retry budget, by service.
 type Budget struct {
 	mu       sync.Mutex
@@ -26,7 +30,8 @@
 // history holds the send times of one service's requests and retries within the window.
 type history struct {
 	requests []time.Time
-	retries  []time.Time
+	retries  []time.Time // Including the hedges.
+	hedges   []time.Time
 }
 
 // NewBudget returns an unused budget.
@@ -53,14 +58,43 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	h := b.history(now, service)
-	limit := usableShare * (b.config.Ratio*float64(len(h.requests)) + b.config.ExtraRetries/float64(max(1, hosts)))
-	if float64(len(h.retries)+1) > limit {
+	if float64(len(h.retries)+1) > b.limit(h, hosts) {
 		return false
 	}
 	h.retries = append(h.retries, now)
 	return true
 }
 
+// limit returns the number of retries that this host's share allows within the window.
+func (b *Budget) limit(h *history, hosts int) float64 {
+	return usableShare * (b.config.Ratio*float64(len(h.requests)) + b.config.ExtraRetries/float64(max(1, hosts)))
+}
+
+// MayHedge reports whether this host's share allows another second attempt of a running job. It answers a long tail of run
+// times together with failures: second attempts count as retries, and leave half of the share to them.
+func (b *Budget) MayHedge(now time.Time, service string, hosts int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.mayHedge(b.history(now, service), hosts)
+}
+
+// SpendHedge reports the same, and records the second attempt if it is allowed.
+func (b *Budget) SpendHedge(now time.Time, service string, hosts int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h := b.history(now, service)
+	if !b.mayHedge(h, hosts) {
+		return false
+	}
+	h.retries, h.hedges = append(h.retries, now), append(h.hedges, now)
+	return true
+}
+
+func (b *Budget) mayHedge(h *history, hosts int) bool {
+	limit := b.limit(h, hosts)
+	return float64(len(h.retries)+1) <= limit && float64(len(h.hedges)+1) <= hedgeShare*limit
+}
+
 func (b *Budget) history(now time.Time, service string) *history {
 	h := b.services[service]
 	if h == nil {
@@ -69,6 +103,7 @@
 	}
 	h.requests = dropBefore(h.requests, now.Add(-b.config.Window))
 	h.retries = dropBefore(h.retries, now.Add(-b.config.Window))
+	h.hedges = dropBefore(h.hedges, now.Add(-b.config.Window))
 	return h
 }
 
--- a/internal/flow/serve/serve.go
+++ b/internal/flow/serve/serve.go
@@ -18,14 +18,15 @@
 	Release(now time.Time, g *place.Grant, r place.Result)
 }
 
-// Sender makes one attempt to run a job on an upstream.
+// Sender makes one attempt to run a job on an upstream. It doesn't change the job, which may have two attempts at a time.
 type Sender interface {
 	Send(ctx context.Context, now time.Time, job *pipe.Job, u *roster.Upstream) pipe.Reply
 }
 
-// AttemptRecorder records each attempt.
+// AttemptRecorder records each attempt, and what came of each second attempt that became due.
 type AttemptRecorder interface {
 	RecordAttempt(now time.Time, job *pipe.Job, u *roster.Upstream, took time.Duration)
+	RecordHedge(job *pipe.Job, h Hedge)
 }
 
 // Filter runs jobs on upstreams.
@@ -35,6 +36,10 @@
 	Budget   *Budget
 	Recorder AttemptRecorder
 	Clock    func() time.Time
+	OnPanic  func(where string, value any) // Called in the goroutine that panicked.
+	// KeepLosers lets an attempt end by itself when the other one is answered first; otherwise it is canceled, which closes its
+	// connection, so that the upstream drops the job and the slot becomes free.
+	KeepLosers bool
 }
 
 const (
@@ -59,8 +64,7 @@
 			break
 		}
 		job.Outcome = pipe.Outcome{}
-		f.attempt(ctx, job, g)
-		tried = append(tried, g.Upstream.ID)
+		tried = append(tried, f.attempt(ctx, job, g, tried)...)
 		if job.Outcome.Kind == pipe.Answered {
 			lastAnswer = &job.Answer
 		}
@@ -116,12 +120,22 @@
 	return max(retryAfterBase, expected) + time.Duration(job.Level)*retryAfterStep + rand.N(retryAfterStep)
 }
 
-func (f *Filter) attempt(ctx context.Context, job *pipe.Job, g *place.Grant) {
-	u := g.Upstream
-	start := f.Clock()
+// attempt runs a job on an upstream, and on a second one if the first takes long; it returns the upstreams that it was sent to.
+func (f *Filter) attempt(ctx context.Context, job *pipe.Job, g *place.Grant, tried []string) []string {
 	if job.Crashed {
 		job.CrashedUpstreams = append(job.CrashedUpstreams, job.Upstream.ID)
 	}
+	if mayHedge(job, g) {
+		return f.race(ctx, job, g, tried)
+	}
+	f.send(ctx, job, g)
+	return []string{g.Upstream.ID}
+}
+
+// send makes one attempt and ends its grant. Of the job it changes only the state of the attempt.
+func (f *Filter) send(ctx context.Context, job *pipe.Job, g *place.Grant) {
+	u := g.Upstream
+	start := f.Clock()
 	job.Attempts++
 	job.Upstream = pipe.UpstreamRef{ID: u.ID, Address: u.Address}
 	job.Reply = f.Sender.Send(ctx, start, job, u)
@@ -149,6 +163,7 @@
 func setOutcome(ctx context.Context, job *pipe.Job) {
 	r := &job.Reply
 	job.Crashed = r.Crashed
+	cause := context.Cause(ctx)
 	switch {
 	case r.AddressReused:
 		job.Refuse(pipe.AddressReused, "another upstream has the address")
@@ -156,16 +171,18 @@
 		job.Refuse(pipe.Shed, "the upstream did not run the job")
 	case r.Complete:
 		job.EndAnswered(r.Answer)
+	case errors.Is(cause, pipe.ErrSuperseded):
+		job.EndUnknown(pipe.Superseded, "another attempt was answered first")
 	case !r.Sent && ctx.Err() == nil:
 		job.Refuse(pipe.ConnectFailed, "no connection to the upstream")
-	case !r.Sent && errors.Is(context.Cause(ctx), pipe.ErrStopping):
+	case !r.Sent && errors.Is(cause, pipe.ErrStopping):
 		job.RetryAfter = retryAfter(job, 0)
 		job.Refuse(pipe.Stopping, "this host stopped before the job was sent")
-	case errors.Is(context.Cause(ctx), pipe.ErrStopping):
+	case errors.Is(cause, pipe.ErrStopping):
 		job.EndUnknown(pipe.Stopping, "this host stopped before the upstream's answer")
 	case !r.Sent:
 		job.Refuse(pipe.Expired, "the job's time ended before it was sent")
-	case errors.Is(context.Cause(ctx), context.Canceled):
+	case errors.Is(cause, context.Canceled):
 		job.EndUnknown(pipe.CallerGone, "the caller left")
 	case ctx.Err() != nil:
 		job.EndUnknown(pipe.TimedOut, "no answer in the job's time")
--- a/internal/flow/serve/serve_test.go
+++ b/internal/flow/serve/serve_test.go
@@ -43,6 +43,8 @@
 
 func (*scriptedUpstreams) RecordAttempt(time.Time, *pipe.Job, *roster.Upstream, time.Duration) {}
 
+func (*scriptedUpstreams) RecordHedge(*pipe.Job, Hedge) {}
+
 func run(s *scriptedUpstreams, once bool) *pipe.Job {
 	job := &pipe.Job{
 		Once: once, Service: "s", Started: start, Deadline: time.Now().Add(time.Minute), Objective: start,
--- a/internal/host/metric/metric.go
+++ b/internal/host/metric/metric.go
@@ -16,6 +16,7 @@
 	Requests       *prometheus.CounterVec   // Callers' requests, by route, outcome and reason.
 	RequestLatency *prometheus.HistogramVec // Seconds from the first byte of a request to its end, by route.
 	Attempts       *prometheus.CounterVec   // Attempts at upstreams, by service and reason.
+	Hedges         *prometheus.CounterVec   // Second attempts of jobs that run for long, by service and result.
 	AttemptLatency *prometheus.HistogramVec // Seconds that an attempt at an upstream took, by service.
 	ViewChanges    *prometheus.CounterVec   // Changes in the host's view of the system, by kind.
 	StoreCalls     *prometheus.CounterVec   // Calls to the store, by operation and result.
@@ -35,6 +36,7 @@
 		Requests:       counter("requests_total", "Requests of callers by how they ended.", "route", "outcome", "reason"),
 		RequestLatency: histogram("request_seconds", "Time from a request's first byte to its answer.", "route"),
 		Attempts:       counter("tries_total", "Tries at upstreams by how they ended.", "service", "reason"),
+		Hedges:         counter("hedges_total", "Second attempts of jobs that run for long, by what came of them.", "service", "result"),
 		AttemptLatency: histogram("try_seconds", "Time of a try at an upstream.", "service"),
 		ViewChanges:    counter("beliefs_total", "Changes of what the host believes.", "what"),
 		StoreCalls:     counter("store_calls_total", "Calls to the platform's store.", "call", "result"),
@@ -43,7 +45,7 @@
 		Dropped:        prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_dropped_total", Help: "Log lines dropped."}),
 		Panics:         prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "panics_total", Help: "Panics that were recovered."}),
 	}
-	m.Registry.MustRegister(m.Requests, m.RequestLatency, m.Attempts, m.AttemptLatency, m.ViewChanges, m.StoreCalls, m.Unread, m.Closed, m.Dropped, m.Panics)
+	m.Registry.MustRegister(m.Requests, m.RequestLatency, m.Attempts, m.Hedges, m.AttemptLatency, m.ViewChanges, m.StoreCalls, m.Unread, m.Closed, m.Dropped, m.Panics)
 	return m
 }
 
--- a/internal/host/steer/hops.go
+++ b/internal/host/steer/hops.go
@@ -37,12 +37,11 @@
 	if h.host.Tracer == nil {
 		return h.host.sender.Send(ctx, now, job, u)
 	}
-	parent := job.Trace
-	carrier, end := trace.StartFromCarrier(ctx, h.host.Tracer, "upstream", parent,
+	carrier, end := trace.StartFromCarrier(ctx, h.host.Tracer, "upstream", job.Trace,
 		attribute.String("boragelane.job", job.ID), attribute.String("boragelane.upstream", u.ID), attribute.Int("boragelane.try", job.Attempts))
-	job.Trace = carrier
-	r := h.host.sender.Send(ctx, now, job, u)
-	job.Trace = parent
+	traced := *job // The job itself may be sent to another upstream at the same time.
+	traced.Trace = carrier
+	r := h.host.sender.Send(ctx, now, &traced, u)
 	end(attribute.Int("boragelane.status", r.Answer.Status), attribute.Bool("boragelane.whole", r.Complete))
 	return r
 }
--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -110,7 +110,7 @@
 		match.New(),
 		&h.halt,
 		poison.Filter{Table: h.crashes, Notifier: &crashReporter{host: h}},
-		&serve.Filter{Placer: h.gate, Sender: &hopTracer{host: h}, Budget: h.budget, Recorder: events, Clock: clock},
+		&serve.Filter{Placer: h.gate, Sender: &hopTracer{host: h}, Budget: h.budget, Recorder: events, Clock: clock, OnPanic: events.logPanic, KeepLosers: keepHedgeLosers},
 	}}
 	h.server = httpd.New(h, h.requestBounds, clock)
 	h.server.OnPanic, h.server.OnRefused, h.server.OnClosed = events.logPanic, h.recordUnread, h.recordClosed
@@ -156,6 +156,9 @@
 	summaryPeriod = time.Second
 	// idleMaintenancePeriod is the same while no job waits.
 	idleMaintenancePeriod = 250 * time.Millisecond
+	// keepHedgeLosers lets the attempt that is answered second end by itself. Canceling it frees its slot at once, but what the
+	// upstream has done for it is lost.
+	keepHedgeLosers = false
 	// responseMemoryFraction is the fraction of Settings.Memory that the responses being read may take together.
 	responseMemoryFraction = 0.2
 	// requestMemoryFraction is the same for the bodies of requests, which are held until their jobs end.
--- a/internal/host/steer/journal.go
+++ b/internal/host/steer/journal.go
@@ -11,6 +11,7 @@
 	"github.com/boragelane/boragelane/internal/ctrl/watch"
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 	"github.com/boragelane/boragelane/internal/flow/poison"
+	"github.com/boragelane/boragelane/internal/flow/serve"
 	"github.com/boragelane/boragelane/internal/host/metric"
 )
 
@@ -94,6 +95,24 @@
 		zap.Int("status", job.Reply.Answer.Status), zap.Bool("sent", job.Reply.Sent), millisField(d), errorField(job.Reply.Err))
 }
 
+// RecordHedge counts what came of a second attempt that became due, and logs it if it was sent.
+func (l *eventLog) RecordHedge(job *pipe.Job, h serve.Hedge) {
+	l.metrics.Hedges.WithLabelValues(job.Service, string(h.Result)).Inc()
+	if h.Second == nil {
+		return
+	}
+	winner := ""
+	switch h.Result {
+	case serve.HedgeWon:
+		winner = h.Second.ID
+	case serve.HedgeLost:
+		winner = h.First.ID
+	}
+	l.log.Info("hedge", zap.String("id", job.ID), zap.String("service", job.Service), zap.Duration("delay", h.Delay),
+		zap.Duration("threshold", h.Threshold), zap.String("first", h.First.ID), zap.String("second", h.Second.ID),
+		zap.String("result", string(h.Result)), zap.String("winner", winner))
+}
+
 // logRequest logs the outcome of a job.
 func (l *eventLog) logRequest(job *pipe.Job, d time.Duration) {
 	route, version := "", uint64(0)
