feat(place): reports of the pace expire, and are not counted twice

Cause: a report counted until the next answer, however old, so that an upstream that reported a slow moment and got no job stayed without jobs; the estimate of the work was trained with the time of slow moments, and jobs that were slow looked like lost caches. Change: a report's deviation from the usual pace loses weight with its age, as learned from how reports of an upstream follow each other; an upstream without reports is tried again. What remains of a job's time after division by the pace is learned apart from the slowdown. Reports that the upstream's responses contradict are ignored. Of a report that is better than usual, a few jobs make use. Late reports don't replace newer ones, and copies of knowledge leave the pace out.

--- a/internal/flow/place/grant.go
+++ b/internal/flow/place/grant.go
@@ -23,6 +23,8 @@
 	expectHit     bool          // The upstream is expected to have the object cached.
 	expectedWork  time.Duration // The expected work of the job there; 0 if there are no samples.
 	rtt           time.Duration
+	started       time.Time
+	pace          float64 // The upstream's expected pace at the start; 0 if it reports none.
 }
 
 // endGrant removes a grant and returns the load of its upstream, or nil if the grant or upstream is no longer known.
@@ -51,7 +53,11 @@
 	s.limiter(u.Service).record(now, u.Region != s.view.Self.Region)
 	g := &Grant{
 		ID: w.seq, Upstream: u, Digest: req.Digest, host: req.Host.Name, fromDomain: req.Host.Domain, expires: req.Deadline.Add(grantGracePeriod),
-		rtt: s.rtts.expected(&req.Host, u),
+		rtt: s.rtts.expected(&req.Host, u), started: now,
+	}
+	if l.pace.last.pace > 0 {
+		g.pace = l.pace.forecast(now, s.paceModel(u.Service), u.Slots)
+		l.pace.granted++
 	}
 	estimate := s.estimate(u.Service)
 	g.reuseDistance, g.reused = l.recent.reuseDistance(req.objectHash())
@@ -92,11 +98,13 @@
 		if g.warms {
 			l.endWarming(g.object, r.Succeeded)
 		}
+		r.Span = s.recordPace(now, l, g, &r)
 		l.recordRequest(now, g.host, &r)
 		l.recordResult(now, r, s.mayEject(now, l.upstream.Service))
+		l.updateFactor(now, s.paceModel(l.upstream.Service))
 		s.rtts.record(g.fromDomain, g.Upstream.Domain, r.DialTime)
 		if r.Succeeded && r.QueueLength == 0 && !g.uncertain {
-			s.recordWork(g, r.Duration-g.rtt)
+			s.recordWork(g, r.Duration-g.rtt, r.Span)
 		}
 	}
 	s.assignFreedSlot(now, l)
@@ -121,9 +129,13 @@
 }
 
 // recordWork records the time of a job that was not queued by its upstream, without the round trip.
-func (s *Scheduler) recordWork(g *Grant, took time.Duration) {
+func (s *Scheduler) recordWork(g *Grant, took time.Duration, span paceSpan) {
 	w, l := s.estimate(g.Upstream.Service), s.loads[g.Upstream.ID]
-	normal := time.Duration(float64(took) / max(1, l.currentSlowdown())) // What it would have taken on an average upstream.
+	normal := time.Duration(float64(took) / max(1, l.slowdown)) // What it would have taken on an average upstream.
+	if l.pace.trusted() && span != (paceSpan{}) {
+		normal = time.Duration(float64(took) / max(1, l.pace.residual*span.most()))
+		took = time.Duration(float64(took) / span.usual(took, g.expectedWork))
+	}
 	missed := w.looksLikeMiss(normal)
 	if c := certaintyOf(g.reuseDistance, g.reused); c != certainHit || !missed {
 		w.record(c, took)
@@ -137,6 +149,25 @@
 	}
 }
 
+// recordPace records the pace in a job's answer and returns the span of the job. The time of the report is that of the grant and the
+// job's duration together: the answer may have reached this host late, by another host's message.
+func (s *Scheduler) recordPace(now time.Time, l *load, g *Grant, r *Result) paceSpan {
+	if r.Pace > 0 {
+		at := g.started.Add(r.Duration)
+		if at.After(now) {
+			at = now
+		}
+		l.pace.record(s.paceModel(l.upstream.Service), r.Pace, at)
+	}
+	switch {
+	case g.pace > 0 && r.Pace > 0:
+		return paceSpan{from: g.pace, to: min(maxSlowdown, max(minSlowdown, r.Pace))}
+	case g.pace > 0:
+		return paceSpan{from: g.pace, to: g.pace}
+	}
+	return paceSpan{}
+}
+
 // Find returns the grant with the given ID, or nil.
 func (s *Scheduler) Find(id uint64) *Grant {
 	s.mu.Lock()
--- a/internal/flow/place/knowledge.go
+++ b/internal/flow/place/knowledge.go
@@ -19,7 +19,7 @@
 type UpstreamKnowledge struct {
 	ID       string
 	Born     int64
-	Slowdown float64
+	Slowdown float64  // Without the pace that the upstream reports, which is out of date when a successor needs it.
 	Recent   []uint64 // Hashes of the objects last sent there, newest last.
 }
 
@@ -34,7 +34,7 @@
 	k := &Knowledge{Hit: w.hit, Miss: w.miss, All: w.all, CacheSize: w.cacheSize}
 	for _, l := range s.poolByService[service] {
 		if len(l.recent) > 0 {
-			k.Upstreams = append(k.Upstreams, UpstreamKnowledge{ID: l.upstream.ID, Born: l.upstream.Born, Slowdown: l.slowdown, Recent: slices.Clone(l.recent)})
+			k.Upstreams = append(k.Upstreams, UpstreamKnowledge{ID: l.upstream.ID, Born: l.upstream.Born, Slowdown: l.lastingSlowdown(), Recent: slices.Clone(l.recent)})
 		}
 	}
 	return k
@@ -56,7 +56,7 @@
 			continue
 		}
 		own := l.recent
-		l.slowdown, l.recent = u.Slowdown, slices.Clone(u.Recent)
+		l.slowdown, l.pace.residual, l.recent = u.Slowdown, u.Slowdown, slices.Clone(u.Recent)
 		for _, object := range own {
 			l.recent = l.recent.add(object)
 		}
--- a/internal/flow/place/load.go
+++ b/internal/flow/place/load.go
@@ -40,7 +40,8 @@
 	limit               int     // Jobs that may run at the same time, as computed for the last job considered.
 	queued              int     // Jobs queued for the upstream.
 	slowdown            float64 // Average ratio of actual to expected work.
-	pace                float64 // The pace in the upstream's last report; 0 if it reports none.
+	pace                paceState
+	factor              float64 // Expected ratio of actual to expected work of an upstream that reports its pace, as computed for the last job considered.
 	recent              recentObjects
 	unexpectedMisses    int            // Consecutive misses of objects that should have been cached.
 	warming             map[uint64]int // Jobs that run for the first time with an object, by object; the upstream hasn't cached it yet.
@@ -154,6 +155,7 @@
 func (l *load) decay() {
 	if l.running == 0 {
 		l.slowdown += idleDecay * (1 - l.slowdown)
+		l.pace.residual += idleDecay * (1 - l.pace.residual)
 		l.failureRate *= 1 - idleDecay
 	}
 }
@@ -161,13 +163,20 @@
 // normalizeSlowdowns scales the slowdowns of a pool down to a mean of 1. If all its upstreams seem slow, the expected work
 // was too low; without this, no job would be started there any more that could show it.
 func normalizeSlowdowns(pool []*load) {
+	normalize(pool, func(l *load) *float64 { return &l.slowdown })
+	normalize(pool, func(l *load) *float64 { return &l.pace.residual })
+}
+
+// normalize scales one average of a pool's upstreams down to a mean of 1.
+func normalize(pool []*load, average func(l *load) *float64) {
 	sum := 0.0
 	for _, l := range pool {
-		sum += l.slowdown
+		sum += *average(l)
 	}
 	if mean := sum / float64(len(pool)); mean > 1 {
 		for _, l := range pool {
-			l.slowdown = max(minSlowdown, l.slowdown/mean)
+			v := average(l)
+			*v = max(minSlowdown, *v/mean)
 		}
 	}
 }
@@ -189,6 +198,21 @@
 
 	ExpectedWork time.Duration // Expected work, without the round trip; 0 if unknown.
 	RTT          time.Duration // Expected round-trip time.
+	Span         paceSpan      // The upstream's pace during the job; zero if it reports none.
+}
+
+// recordSlowdown updates the averages with the ratio of a job's actual to its expected work. If the upstream reports its pace, what remains
+// after division by it is learned separately, so that nothing is counted twice.
+func (l *load) recordSlowdown(ratio float64, span paceSpan) {
+	sample := func(v float64) float64 { return min(maxSlowdown, max(minSlowdown, v)) }
+	if span != (paceSpan{}) {
+		p := &l.pace
+		pace := span.best(ratio, p.residual)
+		p.errPace += sampleWeight * (logError(ratio, pace*p.residual) - p.errPace)
+		p.errFlat += sampleWeight * (logError(ratio, l.slowdown) - p.errFlat)
+		p.residual += sampleWeight * (sample(ratio/pace) - p.residual)
+	}
+	l.slowdown += sampleWeight * (sample(ratio) - l.slowdown)
 }
 
 // recordResult updates the failure rate, ejection and slowdown with the result of a job. Failures eject the upstream only if
@@ -198,18 +222,14 @@
 		l.ejectedUntil = now.Add(maxEjection)
 		return
 	}
-	if r.Pace > 0 {
-		l.pace = min(maxSlowdown, max(minSlowdown, r.Pace))
-	}
 	if r.Inconclusive {
 		return
 	}
 	if r.Succeeded {
 		l.failureRate *= 1 - sampleWeight
 		l.consecutiveFailures, l.ejection = 0, 0
-		if r.ExpectedWork > 0 && r.Pace == 0 {
-			sample := min(maxSlowdown, max(minSlowdown, float64(r.Duration-r.RTT)/float64(r.ExpectedWork)))
-			l.slowdown += sampleWeight * (sample - l.slowdown)
+		if r.ExpectedWork > 0 {
+			l.recordSlowdown(float64(r.Duration-r.RTT)/float64(r.ExpectedWork), r.Span)
 		}
 		return
 	}
--- /dev/null
+++ b/internal/flow/place/pace.go
@@ -0,0 +1,178 @@
+package place
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// paceBinWidth and paceBins are the resolution and the range of the ages for which the validity of reports is learned.
+	paceBinWidth = 100 * time.Millisecond
+	paceBins     = 16
+	// assumedValidity is the time constant with which reports are assumed to lose validity before there are samples.
+	assumedValidity = 400 * time.Millisecond
+	// validityPrior is the weight of that assumption, in squared deviations from the usual pace. Ten reports of slow upstreams outweigh it.
+	validityPrior = 10
+	// maxValiditySamples is the weight of the samples of one age at which the older ones count half.
+	maxValiditySamples = 400
+	// maxPaceTime is the time of upstreams, in seconds, over which the usual pace is averaged.
+	maxPaceTime = 500
+	// usualPaceTime is the weight of the assumption that the usual pace is 1, in seconds of an upstream.
+	usualPaceTime = 5
+	// maxPaceGap is the longest time for which one report counts in the usual pace.
+	maxPaceGap = time.Second
+	// forgetPaceTime is the time constant with which an upstream that sends no report is assumed to work as fast as the most. Without it, one
+	// that gets no job would count as slower than those that report, and would stay without jobs.
+	forgetPaceTime = 2 * time.Second
+)
+
+// paceModel learns how long the reports of a service's upstreams are valid. It answers upstreams whose speed changes many times a second:
+// the time for which they keep their speed is a property of the deployment.
+type paceModel struct {
+	weighted, seconds float64 // Sum of the paces times the time since the upstream's last report, and of these times.
+	bins              [paceBins]struct{ xy, xx float64 }
+}
+
+// usual returns the average pace.
+func (m *paceModel) usual() float64 {
+	return (m.weighted + usualPaceTime) / (m.seconds + usualPaceTime)
+}
+
+// validity returns how much of a report's deviation from the usual pace is expected to remain at an age, from 0 to 1.
+func (m *paceModel) validity(age time.Duration) float64 {
+	bin := int(max(0, age) / paceBinWidth)
+	if bin >= paceBins {
+		return 0
+	}
+	b := m.bins[bin]
+	assumed := math.Exp(-float64(age) / float64(assumedValidity))
+	return min(1, max(0, (b.xy+validityPrior*assumed)/(b.xx+validityPrior)))
+}
+
+// recordPair records that an upstream that reported one pace reported another at a later time.
+func (m *paceModel) recordPair(before, after float64, age time.Duration) {
+	bin := int(max(0, age) / paceBinWidth)
+	if bin >= paceBins {
+		return
+	}
+	b, usual := &m.bins[bin], m.usual()
+	b.xy += (before - usual) * (after - usual)
+	b.xx += (before - usual) * (before - usual)
+	if b.xx > maxValiditySamples {
+		b.xy, b.xx = b.xy/2, b.xx/2
+	}
+}
+
+// recordTime records that an upstream reported a pace some time after its previous report. The weight is that time, since slow upstreams
+// get fewer jobs and report less often.
+func (m *paceModel) recordTime(pace float64, since time.Duration) {
+	seconds := min(maxPaceGap, since).Seconds()
+	m.weighted += pace * seconds
+	m.seconds += seconds
+	if m.seconds > maxPaceTime {
+		m.weighted, m.seconds = m.weighted/2, m.seconds/2
+	}
+}
+
+const (
+	// reusesPerSlot is the number of jobs, as a share of the upstream's slots, after which a report that was better than usual counts no more.
+	// It is well below 1, so that the upstream has slots left when its next report comes.
+	reusesPerSlot = 0.5
+	// minReuses is the same number for an upstream with few slots.
+	minReuses = 2
+)
+
+// paceReport is a pace with the time at which an upstream reported it.
+type paceReport struct {
+	pace float64
+	at   time.Time
+}
+
+// paceState is what is known of one upstream's pace.
+type paceState struct {
+	last      paceReport // The newest report; its pace is 0 if the upstream reports none.
+	reference paceReport // An earlier report, with which later ones are compared.
+	granted   int        // Jobs started since the newest report.
+	residual  float64    // Average ratio of actual to expected work after division by the pace.
+	errPace   float64    // Average error of predictions by the pace, as a logarithm.
+	errFlat   float64    // The same of predictions by the learned slowdown.
+}
+
+// newPaceState returns the state of an upstream that has reported nothing.
+func newPaceState() paceState {
+	return paceState{residual: 1, errPace: assumedPaceError, errFlat: assumedPaceError}
+}
+
+const (
+	// assumedPaceError is the error of predictions before there are samples, as a logarithm.
+	assumedPaceError = 0.3
+	// maxPaceError bounds the error of one prediction, so that a job of the long tail counts little.
+	maxPaceError = 1.0
+	// distrustRatio is the ratio of the errors above which an upstream's reports are ignored.
+	distrustRatio = 1.25
+)
+
+// trusted reports whether the upstream reports its pace and its own responses don't contradict the reports.
+func (p *paceState) trusted() bool {
+	return p.last.pace > 0 && p.errPace <= distrustRatio*p.errFlat
+}
+
+// record adds a report. It ignores those that are older than the last one, since hosts pass them on with different delays.
+func (p *paceState) record(m *paceModel, pace float64, at time.Time) {
+	pace = min(maxSlowdown, max(minSlowdown, pace))
+	if p.last.pace > 0 {
+		if !at.After(p.last.at) {
+			return
+		}
+		m.recordTime(pace, at.Sub(p.last.at))
+		m.recordPair(p.reference.pace, pace, at.Sub(p.reference.at))
+	}
+	p.last, p.granted = paceReport{pace, at}, 0
+	if at.Sub(p.reference.at) >= paceBins*paceBinWidth {
+		p.reference = p.last
+	}
+}
+
+// forecast returns the expected pace of a job that starts now. A burst must not go to the one upstream that just reported well: a report
+// that is better than usual loses weight with each job started since, as a report of one job says little about several at a time.
+func (p *paceState) forecast(now time.Time, m *paceModel, slots int) float64 {
+	age := now.Sub(p.last.at)
+	usual, validity := m.usual(), m.validity(age)
+	deviation := p.last.pace - usual
+	if deviation < 0 {
+		validity *= max(0, 1-float64(p.granted)/max(minReuses, reusesPerSlot*float64(slots)))
+	}
+	silent := math.Exp(-max(0, age-paceBins*paceBinWidth).Seconds() / forgetPaceTime.Seconds())
+	return max(minSlowdown, 1+silent*(usual-1)+validity*deviation)
+}
+
+// paceSpan is the pace of an upstream when a job started and when it ended. The job's time may follow either, or both.
+type paceSpan struct{ from, to float64 }
+
+// best returns the pace of the span by which a ratio of actual to expected work is nearest to the given one.
+func (p paceSpan) best(ratio, expected float64) float64 {
+	out, least := 1.0, math.Inf(1)
+	for _, pace := range []float64{p.from, (p.from + p.to) / 2, p.to} {
+		if d := logError(ratio, pace*expected); d < least {
+			out, least = pace, d
+		}
+	}
+	return out
+}
+
+// most returns the longer pace of the span.
+func (p paceSpan) most() float64 { return max(p.from, p.to) }
+
+// logError returns the bounded absolute logarithm of a ratio.
+func logError(a, b float64) float64 {
+	return min(maxPaceError, math.Abs(math.Log(max(a, minSlowdown/maxSlowdown)/b)))
+}
+
+// usual returns the pace by which a job's time is divided to train the work estimate: that which explains the time best, or the mean if
+// the expected work is unknown.
+func (p paceSpan) usual(took, expected time.Duration) float64 {
+	if expected <= 0 {
+		return (p.from + p.to) / 2
+	}
+	return p.best(float64(took)/float64(expected), 1)
+}
--- a/internal/flow/place/rank.go
+++ b/internal/flow/place/rank.go
@@ -36,14 +36,30 @@
 	return time.Duration(l.currentSlowdown() * float64(work))
 }
 
-// currentSlowdown returns the pace that the upstream reported with its last answer, or the learned slowdown if it reports none.
+// currentSlowdown returns the ratio of actual to expected work that a job is likely to see: by the pace that the upstream reports, or the
+// learned one if it reports none or its responses contradict the reports.
 func (l *load) currentSlowdown() float64 {
-	if l.pace > 0 {
-		return l.pace
+	if l.pace.trusted() {
+		return l.factor
 	}
 	return l.slowdown
 }
 
+// lastingSlowdown returns the learned slowdown without the reported pace.
+func (l *load) lastingSlowdown() float64 {
+	if l.pace.trusted() {
+		return l.pace.residual
+	}
+	return l.slowdown
+}
+
+// updateFactor computes the factor of an upstream that reports its pace.
+func (l *load) updateFactor(now time.Time, m *paceModel) {
+	if l.pace.last.pace > 0 {
+		l.factor = l.pace.residual * l.pace.forecast(now, m, l.upstream.Slots)
+	}
+}
+
 // cost returns the value by which upstreams are compared: round trip, service time, queueing and penalties.
 func (l *load) cost(p *path, service, mean time.Duration) time.Duration {
 	d := p.rtt + p.penalty
@@ -109,13 +125,15 @@
 	scarcityPenalty = 4
 )
 
-// scarcity returns how scarce the free slots of the listed upstreams are, from 0 to 1, and sets the limit of each. It answers
+// scarcity returns how scarce the free slots of the listed upstreams are, from 0 to 1, and sets the limit and factor of each. It answers
 // overload after a loss of caches: while slots are scarce, a job waits longer for an upstream that has its object cached,
 // instead of taking a slot for several times as long elsewhere, where it also displaces another object.
 func (s *Scheduler) scarcity(now time.Time, list []*load, req *Request, failover bool) float64 {
 	slots, taken := 0, 0
+	m := s.paceModel(req.Service)
 	for _, l := range list {
 		l.limit = l.jobLimit(req, failover)
+		l.updateFactor(now, m)
 		if l.limit == 0 || l.ejected(now) || l.leaving || l.cold(now) {
 			continue
 		}
--- a/internal/flow/place/table.go
+++ b/internal/flow/place/table.go
@@ -19,6 +19,7 @@
 	poolByService   map[string][]*load // Those of them that this host's pool uses.
 	domains         []*roster.Upstream // One upstream of each known failure domain.
 	estimates       map[string]*workEstimate
+	paces           map[string]*paceModel // By service.
 	rtts            rttEstimates
 	demands         map[string]*demand
 	limiters        map[string]*shiftLimiter // By service.
@@ -38,7 +39,7 @@
 // NewScheduler returns a scheduler without upstreams.
 func NewScheduler() *Scheduler {
 	return &Scheduler{
-		view: &roster.View{}, loads: map[string]*load{}, estimates: map[string]*workEstimate{}, rtts: rttEstimates{},
+		view: &roster.View{}, loads: map[string]*load{}, estimates: map[string]*workEstimate{}, rtts: rttEstimates{}, paces: map[string]*paceModel{},
 		demands: map[string]*demand{}, limiters: map[string]*shiftLimiter{}, grants: map[uint64]*Grant{}, enqueued: make(chan struct{}, 1),
 		backlog: backlog{}, placed: map[string]*placedCounts{}, lastPlaced: map[string]time.Time{},
 	}
@@ -109,7 +110,7 @@
 		if l != nil {
 			running = l.running
 		}
-		l = &load{running: running, slowdown: 1, hash: rendez.Hash(u.ID), domainIndex: s.domainIndex(u)}
+		l = &load{running: running, slowdown: 1, pace: newPaceState(), hash: rendez.Hash(u.ID), domainIndex: s.domainIndex(u)}
 		s.loads[u.ID] = l
 	}
 	l.upstream = u
@@ -197,6 +198,15 @@
 	return w
 }
 
+func (s *Scheduler) paceModel(service string) *paceModel {
+	m := s.paces[service]
+	if m == nil {
+		m = &paceModel{}
+		s.paces[service] = m
+	}
+	return m
+}
+
 // Waiting returns the number of jobs that wait for a slot.
 func (s *Scheduler) Waiting() int {
 	s.mu.Lock()
