--- a/internal/flow/place/queue.go
+++ b/internal/flow/place/queue.go
@@ -159,7 +159,7 @@
 // canStart reports whether an upstream can run a job that is queued for it.
 func (s *Scheduler) canStart(now time.Time, l *load, w *waiter) bool {
 	return l.inView && l.running < l.jobLimit(&w.req, false) && !l.ejected(now) && !l.cold(now) && l.accepts(now, w.req.Host.Name) &&
-		float64(w.req.Deadline.Sub(now)) >= minTimeShare*float64(s.expectedDuration(l, &w.req))
+		s.estimate(w.req.Service).hasTime(w.req.Deadline.Sub(now), s.expectedDuration(l, &w.req))
 }
 
 // deliver grants a waiter a slot of the upstream that it is queued for.
--- a/internal/flow/place/rank.go
+++ b/internal/flow/place/rank.go
@@ -97,7 +97,7 @@
 		c.Warming = l.cold(now) && now.Sub(l.lastWarmup) > warmupInterval && req.Rank > 0
 		service := l.serviceTime(l.expectedWork(w, key))
 		p := &paths[l.domainIndex]
-		if float64(remaining) < minTimeShare*float64(p.rtt+service) {
+		if !w.hasTime(remaining, p.rtt+service) {
 			continue // The deadline would probably interrupt the job.
 		}
 		c.Cost = l.cost(p, time.Duration(scarcity*float64(service)), meanWork)
@@ -158,6 +158,12 @@
 // is below 1 because expected durations are averages. A job that has waited longer would only take slots from others.
 const minTimeShare = 0.6
 
+// hasTime reports whether a job with the given remaining time should start if it is expected to take the given duration. While nothing is
+// known of the service's work, any job may start, since only a job that has run makes it known.
+func (w *workEstimate) hasTime(remaining, expected time.Duration) bool {
+	return w.samples.all == 0 && remaining > 0 || float64(remaining) >= minTimeShare*float64(expected)
+}
+
 // uncoordinatedJobLimit is the number of jobs that a host may run on an upstream whose jobs it does not coordinate.
 const uncoordinatedJobLimit = 1
 
