feat(access): jobs belong to the workspace of their key

Cause: callers of one deployment belong to workspaces, and any caller was served.

In strict mode a host whose view is too old refuses keys with 503. The dialer drops the caller's key and workspace headers and sets the workspace's name. The request line names the workspace.

--- a/internal/core/policy/policy.go
+++ b/internal/core/policy/policy.go
@@ -20,12 +20,15 @@
 // Workspace is a customer whose callers identify themselves by keys.
 type Workspace struct {
 	Name  string
-	Rank  int      // Replaces the route's; 0 is the most urgent.
+	Rank  int      // Replaces the route's unless it is RouteRank; 0 is the most urgent.
 	Rate  float64  // Jobs a second that all hosts together may run; 0 for no limit.
 	Burst float64  // Jobs in addition to Rate.
 	Homes []string // The regions that may serve the workspace; empty allows all.
 }
 
+// RouteRank is the rank of a workspace whose jobs keep the route's.
+const RouteRank = -1
+
 // Route defines how requests for an HTTP host and path prefix are handled.
 type Route struct {
 	Name      string
--- a/internal/edge/dialer/dialer.go
+++ b/internal/edge/dialer/dialer.go
@@ -34,6 +34,8 @@
 	NotExecuted string // Present if the upstream did not run the request.
 	Load        string // Running requests, waiting requests and slots, separated by commas.
 	Leaving     string // "1" in each response of an upstream that leaves.
+	Key         string // The caller's key, which no upstream gets.
+	Workspace   string // Name of the job's workspace.
 }
 
 const (
@@ -128,6 +130,7 @@
 	if header == nil {
 		header = http.Header{}
 	}
+	s.setWorkspace(header, job)
 	header.Set(s.Names.UpstreamID, u.ID)
 	remaining := job.Deadline.Sub(s.Clock()) - deadlineMargin
 	header.Set(s.Names.Deadline, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
@@ -147,6 +150,18 @@
 	return req
 }
 
+// setWorkspace replaces the caller's key and what the caller claims to be by the job's workspace, if the policy has workspaces.
+func (s *Sender) setWorkspace(header http.Header, job *pipe.Job) {
+	if !job.Workspaces {
+		return
+	}
+	header.Del(s.Names.Key)
+	header.Del(s.Names.Workspace)
+	if job.Workspace != "" {
+		header.Set(s.Names.Workspace, job.Workspace)
+	}
+}
+
 // readResponse returns the response to the job. It skips informational responses and late responses to earlier requests.
 func (s *Sender) readResponse(req *http.Request, id string, c *upstreamConn) (responseHead, []byte, error) {
 	for range maxStaleResponses {
--- a/internal/edge/dialer/dialer_test.go
+++ b/internal/edge/dialer/dialer_test.go
@@ -288,3 +288,44 @@
 		}
 	}
 }
+
+// Guards against an upstream that gets a caller's key, or a workspace that the caller chose.
+func TestTheKeyNeverReachesAnUpstream(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		workspaces bool
+		workspace  string
+		caller     http.Header
+		want       []string // The values of the workspace header.
+	}{
+		{"key", true, "acme", http.Header{"X-Key": {"secret"}}, []string{"acme"}},
+		{"repeated key", true, "acme", http.Header{"X-Key": {"secret", "secret"}}, []string{"acme"}},
+		{"caller's own workspace header", true, "acme", http.Header{"X-Key": {"secret"}, "X-Space": {"other", "another"}}, []string{"acme"}},
+		{"a name with a space before the colon", true, "acme", http.Header{"X-Key ": {"secret"}, "X-Space ": {"other"}}, []string{"acme"}},
+		{"public route", true, "", http.Header{"X-Key": {"secret"}, "X-Space": {"other"}}, nil},
+		{"policy without workspaces", false, "", http.Header{"X-Space": {"other"}}, []string{"other"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var got *http.Request
+			u := startUpstream(t, func(_ int, r *http.Request) string {
+				got = r
+				return okResponse("7", "whole")
+			})
+			names := testNames
+			names.Key, names.Workspace = "X-Key", "X-Space"
+			c.caller.Set("X-Id", "7")
+			job := &pipe.Job{
+				ID: "7", Method: http.MethodGet, Host: "h.example", Path: "/", Deadline: time.Now().Add(5 * time.Second), Header: c.caller,
+				Credentials: []string{"secret"}, Workspaces: c.workspaces, Workspace: c.workspace,
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			r := New(names, time.Now).Send(ctx, time.Now(), job, u)
+			assert.Assert(t, r.Complete, "%v", r.Err)
+			assert.DeepEqual(t, got.Header.Values("X-Space"), c.want)
+			for name, values := range got.Header {
+				assert.Assert(t, !strings.Contains(strings.Join(values, " "), "secret"), "header %q: %q", name, values)
+			}
+		})
+	}
+}
--- a/internal/flow/pipe/job.go
+++ b/internal/flow/pipe/job.go
@@ -179,6 +179,8 @@
 	UpstreamFailed Reason = "upstream-failed"
 	Unauthorized   Reason = "unauthorized"
 	OverQuota      Reason = "over-quota"
+	KeysUnverified Reason = "keys-unverified" // The policy is too old to tell whether the caller's key is still valid.
+	NoHome         Reason = "no-home"         // No region may run the job: its route and its workspace have no home in common.
 )
 
 // ErrStopping is the cause with which a stopping host cancels the jobs that are still running shortly before its exit.
--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -23,6 +23,7 @@
 	"github.com/boragelane/boragelane/internal/edge/broker"
 	"github.com/boragelane/boragelane/internal/edge/dialer"
 	"github.com/boragelane/boragelane/internal/edge/httpd"
+	"github.com/boragelane/boragelane/internal/flow/access"
 	"github.com/boragelane/boragelane/internal/flow/halt"
 	"github.com/boragelane/boragelane/internal/flow/match"
 	"github.com/boragelane/boragelane/internal/flow/pipe"
@@ -73,6 +74,7 @@
 	scheduler     *place.Scheduler
 	sender        *dialer.Sender
 	budget        *serve.Budget
+	access        *access.Filter
 	crashes       *poison.Table
 	filters       pipe.Pipeline
 	server        *httpd.Server
@@ -98,6 +100,7 @@
 	}
 	h.scheduler.SetMaxShift(s.MaxShift)
 	events := &eventLog{log: log, metrics: h.Metrics}
+	h.access = access.New(s.Keys, events)
 	h.loop = watch.NewLoop(s.Host, clock, events)
 	h.loop.Subscribers = []watch.Subscriber{h.scheduler, &crashReceiver{crashes: h.crashes}}
 	h.updateFetcher = broker.NewUpdateFetcher(clock)
@@ -108,6 +111,7 @@
 	h.gate = halt.NewGate(&hopTracer{host: h})
 	h.filters = pipe.Pipeline{Clock: clock, Filters: []pipe.Filter{
 		match.New(),
+		h.access,
 		&h.halt,
 		poison.Filter{Table: h.crashes, Notifier: &crashReporter{host: h}},
 		&serve.Filter{Placer: h.gate, Sender: &hopTracer{host: h}, Budget: h.budget, Recorder: events, Clock: clock},
--- a/internal/host/steer/journal.go
+++ b/internal/host/steer/journal.go
@@ -103,13 +103,22 @@
 	if job.View.Policy != nil {
 		version = job.View.Policy.Version
 	}
-	l.log.Info("request", zap.String("id", job.ID), zap.String("route", route), zap.Uint64("policy", version),
+	l.log.Info("request", zap.String("id", job.ID), zap.String("route", route), zap.String("workspace", job.Workspace), zap.Uint64("policy", version),
 		zap.Duration("age", job.Started.Sub(job.View.SyncedAt)),
 		zap.String("service", job.Service), zap.String("upstream", job.Upstream.ID), zap.Int("tries", job.Attempts),
 		zap.String("outcome", job.Outcome.Kind.String()), zap.String("reason", string(job.Outcome.Reason)),
 		zap.Int("status", job.Answer.Status), millisField(d), zap.String("detail", job.Outcome.Detail))
 }
 
+// RecordKeyCheck logs that this host's policy has become too old to tell whether keys are still valid, or is current again.
+func (l *eventLog) RecordKeyCheck(_ time.Time, age time.Duration, verified, strict bool) {
+	if verified {
+		l.log.Info("keys verified again", zap.Duration("age", age))
+		return
+	}
+	l.log.Warn("keys not verified", zap.Duration("age", age), zap.Bool("refused", strict))
+}
+
 // crashReceiver adds the crashes that other hosts saw to this host's crash table.
 type crashReceiver struct {
 	crashes *poison.Table
--- a/internal/host/steer/reload.go
+++ b/internal/host/steer/reload.go
@@ -45,6 +45,7 @@
 // applySettings applies the settings that can change at run time; new addresses need a restart.
 func (h *Host) applySettings(s Settings) {
 	h.budget.SetConfig(s.Retry)
+	h.access.SetConfig(s.Keys)
 	h.scheduler.SetMaxShift(s.MaxShift)
 	h.stopGrace.Store(int64(s.Grace))
 	h.Log.Info("settings in force", zap.Duration("grace", s.Grace), zap.Float64("retries", s.Retry.Ratio))
