--- a/internal/flow/pipe/job.go
+++ b/internal/flow/pipe/job.go
@@ -179,7 +179,7 @@
 	UpstreamFailed Reason = "upstream-failed"
 	Unauthorized   Reason = "unauthorized"
 	OverQuota      Reason = "over-quota"
-	Superseded     Reason = "superseded" // Another attempt of the job was answered first.
+	Superseded     Reason = "superseded"      // Another attempt of the job was answered first.
 	KeysUnverified Reason = "keys-unverified" // The policy is too old to tell whether the caller's key is still valid.
 	NoHome         Reason = "no-home"         // No region may run the job: its route and its workspace have no home in common.
 )
