feat(serve): retries are kept for callers who come back

Retries went to whoever failed first, also to callers who come back by themselves, and a caller who had come back found none left and was lost. A fifth of the budget wasn't used at all. Change: a job whose caller seems to have sent it before is marked as returning (flow/match). As many retries as such callers needed in the last 2 s are kept for them. The margin of a fifth, which is there for hosts that see too few others, applies to the shared extra retries only; 0.95 of a host's own ratio is usable.

--- a/internal/flow/match/match.go
+++ b/internal/flow/match/match.go
@@ -54,7 +54,9 @@
 	if r.Objective > 0 {
 		job.Objective = job.Started.Add(r.Objective)
 		if !job.Deadline.IsZero() {
-			job.Objective = job.Objective.Add(-f.estimateElapsed(r.Name, job.Deadline.Sub(job.Started)))
+			elapsed := f.estimateElapsed(r.Name, job.Deadline.Sub(job.Started))
+			job.Objective = job.Objective.Add(-elapsed)
+			job.Returning = elapsed >= minReturnDelay
 		}
 	}
 	limit := job.Started.Add(r.Timeout)
@@ -75,6 +77,8 @@
 const (
 	// noPolicyRetryAfter is the retry delay for callers of a host that has just started: about one read of the store.
 	noPolicyRetryAfter = 500 * time.Millisecond
+	// minReturnDelay is the time that has passed at least when a caller comes back: the shortest Retry-After of a refusal.
+	minReturnDelay = 50 * time.Millisecond
 	// defaultTimeout applies if neither the caller nor the route sets a deadline.
 	defaultTimeout = 30 * time.Second
 )
--- a/internal/flow/pipe/job.go
+++ b/internal/flow/pipe/job.go
@@ -49,6 +49,7 @@
 	CrashedUpstreams []string      // The upstreams that crashed during earlier attempts.
 	MayHaveRun       bool          // Some attempt may have run, whatever the result of later ones.
 	Attempts         int           // The number of upstreams that the job was sent to.
+	Returning        bool          // The caller seems to have sent the job before, without success.
 	RetryAfter       time.Duration // How long a refused caller should wait before it retries.
 	Credentials      []string      // The caller's key as it was sent, once for each header field; never logged or forwarded.
 	Workspaces       bool          // The policy has workspaces, so that the upstream gets the job's and nothing that the caller sent in its place.
--- a/internal/flow/serve/budget.go
+++ b/internal/flow/serve/budget.go
@@ -12,9 +12,17 @@
 	Window       time.Duration // The length of the sliding window.
 }
 
-// usableShare is the fraction of its share of the budget that a host may spend. A host may briefly see fewer hosts than
-// there are, which makes its computed share too large.
-const usableShare = 0.8
+const (
+	// usableShare is the fraction of its share of the extra retries that a host may spend. A host may briefly see fewer hosts than
+	// there are, which makes its computed share too large.
+	usableShare = 0.8
+	// usableRatio is the fraction of the retries for its own requests that a host may spend. The rest covers requests and retries that
+	// reach the upstream in different windows.
+	usableRatio = 0.95
+	// finalPeriod is the period over which the failures of final attempts are counted. It is short, so that a disturbance is noticed
+	// before its first failures have used up the budget of the whole window.
+	finalPeriod = 2 * time.Second
+)
 
 // hedgeShare is the part of a host's retries that second attempts of running jobs may take. The rest is kept for jobs that
 // have failed, since those have no other way to an answer.
@@ -32,6 +40,9 @@
 	requests []time.Time
 	retries  []time.Time // Including the hedges.
 	hedges   []time.Time
+
+	finalRetries  []time.Time // Retries of final attempts.
+	finalFailures []time.Time // Final attempts that failed within finalPeriod, retried or not.
 }
 
 // NewBudget returns an unused budget.
@@ -53,21 +64,32 @@
 }
 
 // SpendRetry reports whether this host's share, with the given number of hosts, allows another retry, and records the
-// retry if so.
-func (b *Budget) SpendRetry(now time.Time, service string, hosts int) bool {
+// retry if so. It answers upstreams that all reject a large part of their jobs, so that there are more failures than retries: as many
+// of them as callers need who come back after a failure are kept for these, since they don't come back again.
+func (b *Budget) SpendRetry(now time.Time, service string, hosts int, final bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	h := b.history(now, service)
-	if float64(len(h.retries)+1) > b.limit(h, hosts) {
+	kept := 0.0
+	if final {
+		h.finalFailures = append(h.finalFailures, now)
+	} else {
+		expected := float64(len(h.finalFailures)) * float64(b.config.Window) / float64(finalPeriod)
+		kept = max(0, expected-float64(len(h.finalRetries)))
+	}
+	if float64(len(h.retries)+1)+kept > b.limit(h, hosts) {
 		return false
 	}
 	h.retries = append(h.retries, now)
+	if final {
+		h.finalRetries = append(h.finalRetries, now)
+	}
 	return true
 }
 
 // limit returns the number of retries that this host's share allows within the window.
 func (b *Budget) limit(h *history, hosts int) float64 {
-	return usableShare * (b.config.Ratio*float64(len(h.requests)) + b.config.ExtraRetries/float64(max(1, hosts)))
+	return usableRatio*b.config.Ratio*float64(len(h.requests)) + usableShare*b.config.ExtraRetries/float64(max(1, hosts))
 }
 
 // MayHedge reports whether this host's share allows another second attempt of a running job. It answers a long tail of run
@@ -104,6 +126,8 @@
 	h.requests = dropBefore(h.requests, now.Add(-b.config.Window))
 	h.retries = dropBefore(h.retries, now.Add(-b.config.Window))
 	h.hedges = dropBefore(h.hedges, now.Add(-b.config.Window))
+	h.finalRetries = dropBefore(h.finalRetries, now.Add(-b.config.Window))
+	h.finalFailures = dropBefore(h.finalFailures, now.Add(-finalPeriod))
 	return h
 }
 
--- a/internal/flow/serve/serve.go
+++ b/internal/flow/serve/serve.go
@@ -213,5 +213,5 @@
 			return true
 		}
 	}
-	return f.Budget.SpendRetry(now, job.Service, len(job.View.Hosts))
+	return f.Budget.SpendRetry(now, job.Service, len(job.View.Hosts), job.Returning)
 }
--- a/internal/flow/serve/serve_test.go
+++ b/internal/flow/serve/serve_test.go
@@ -136,7 +136,7 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "gap")) * time.Millisecond)
 			b := hosts[rapid.IntRange(0, len(hosts)-1).Draw(t, "host")]
 			if rapid.Bool().Draw(t, "retry") {
-				if b.SpendRetry(now, "s", len(hosts)) {
+				if b.SpendRetry(now, "s", len(hosts), true) {
 					events = append(events, event{now, true})
 				}
 				continue
@@ -176,3 +176,29 @@
 	assert.Equal(t, job.Outcome.Reason, pipe.Quarantined)
 	assert.Equal(t, job.RetryAfter, time.Duration(0))
 }
+
+// Guards against callers who come back after a rejection and find the retries used up by those who can still come back themselves:
+// all upstreams reject 46 in 100 jobs, and each caller comes back once.
+func TestRetriesAreKeptForTheFinalAttemptsOfCallers(t *testing.T) {
+	b := NewBudget(BudgetConfig{Ratio: 0.2, ExtraRetries: 50, Window: 10 * time.Second})
+	var refused, spent [2]int
+	for i := range 20_000 {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		final := i%4 == 0
+		b.RecordRequest(now, "s")
+		if i%100 >= 46 || i < 10_000 {
+			continue
+		}
+		kind := 0
+		if final {
+			kind = 1
+		}
+		if b.SpendRetry(now, "s", 10, final) {
+			spent[kind]++
+		} else {
+			refused[kind]++
+		}
+	}
+	assert.Assert(t, refused[0] > 0, "the budget isn't short")
+	assert.Assert(t, refused[1]*10 <= spent[1], "%d final attempts without a retry, %d with one", refused[1], spent[1])
+}
