feat(broker): jobs bound to other regions are placed by their home's host

Cause: a job whose homes exclude its host's region used one slot of each upstream there, uncoordinated with the jobs of that region.

Change: in policies with workspaces, such a job is placed by the placing host of the nearest home's pool (measured round trips, else rendezvous hashing), then by the next host of that pool or home, and only then as before. Placing hosts don't count these jobs against their region's shift limit, and don't eject an upstream at once when a host elsewhere can't reach it.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -89,8 +89,11 @@
 
 // PlacingOrder returns the hosts of this host's pool of a service in the order in which they place its jobs. The first reachable
 // host does. Hosts with more processor time come first.
-func (v *View) PlacingOrder(service string) []Host {
-	byDomain, pool := v.DomainPools[service], v.OwnPool(service)
+func (v *View) PlacingOrder(service string) []Host { return v.poolOrder(service, v.OwnPool(service)) }
+
+// poolOrder returns the hosts of a pool of a service in the order in which they place its jobs.
+func (v *View) poolOrder(service, pool string) []Host {
+	byDomain := v.DomainPools[service]
 	return v.orderHosts(service, func(h *Host) bool { return PoolName(byDomain, h.Region, h.Domain) == pool })
 }
 
--- a/internal/edge/broker/placer.go
+++ b/internal/edge/broker/placer.go
@@ -11,7 +11,8 @@
 )
 
 // Placer places this host's jobs: with its own scheduler if this host places jobs for its region, otherwise through the
-// host that does, and in isolated mode if no such host can be reached.
+// host that does, and in isolated mode if no such host can be reached. Jobs whose homes exclude this host's region are placed by a
+// host of a home region, if one can be reached.
 type Placer struct {
 	Scheduler     *place.Scheduler
 	Admit         Admitter // Acquires from Scheduler.
@@ -23,6 +24,7 @@
 	lastCall atomic.Uint64
 	mu       sync.Mutex
 	remote   map[*place.Grant]*peer
+	homes    homeRegions
 }
 
 // NewPlacer returns a placer; connections are opened on demand.
@@ -41,26 +43,43 @@
 func (p *Placer) Acquire(ctx context.Context, now time.Time, req place.Request) (*place.Grant, place.Refusal) {
 	v := p.View()
 	tries := 0
-	for i, h := range v.DutyHosts[req.Service] {
+	for _, pool := range p.homes.pools(v, &req) {
+		if g, refusal, reached := p.acquireFromFirst(ctx, now, pool.Hosts, &tries, req); reached {
+			return g, refusal
+		}
+		now = p.Clock()
+	}
+	tries = 0
+	if g, refusal, reached := p.acquireFromFirst(ctx, now, v.DutyHosts[req.Service], &tries, req); reached {
+		return g, refusal
+	}
+	req.Isolated = true
+	return p.Admit.Acquire(ctx, p.Clock(), req)
+}
+
+// acquireFromFirst acquires an upstream through the first of a pool's hosts that can be reached, or on this host if its turn
+// comes first. It adds to the tries of the job, and reports whether a host was reached.
+func (p *Placer) acquireFromFirst(ctx context.Context, now time.Time, hosts []roster.Host, tries *int, req place.Request) (*place.Grant, place.Refusal, bool) {
+	for i, h := range hosts {
 		if i > maxRemoteTries {
 			break // Further hosts are isolated: if each of them placed freely, each slot would be filled many times.
 		}
-		if h.Name == v.Self.Name {
-			return p.Admit.Acquire(ctx, now, req)
+		if h.Name == p.View().Self.Name {
+			g, refusal := p.Admit.Acquire(ctx, now, req)
+			return g, refusal, true
 		}
-		if tries == maxRemoteTries || p.peers.skipped(h) {
+		if *tries == maxRemoteTries || p.peers.skipped(h) {
 			continue
 		}
-		tries++
+		*tries++
 		g, refusal, err := p.acquireFrom(ctx, now, h, req)
 		if err == nil || ctx.Err() != nil {
-			return g, refusal
+			return g, refusal, true
 		}
 		p.OnUnreachable(h.Name, err)
 		now = p.Clock()
 	}
-	req.Isolated = true
-	return p.Admit.Acquire(ctx, now, req)
+	return nil, place.Refusal{}, false
 }
 
 // acquireFrom acquires an upstream through another host. A grant for an upstream that this host no longer considers
@@ -140,6 +159,7 @@
 	to := p.remote[g]
 	delete(p.remote, g)
 	p.mu.Unlock()
+	p.homes.record(g.Upstream.Region, r.DialTime)
 	if to == nil {
 		p.Scheduler.Release(now, g, r)
 		return
--- a/internal/flow/place/grant.go
+++ b/internal/flow/place/grant.go
@@ -14,6 +14,7 @@
 
 	host          string
 	fromDomain    string // The host's failure domain.
+	foreign       bool   // The host is in another region than this one.
 	expires       time.Time
 	reuseDistance int           // The number of other objects sent to the upstream since the job's object.
 	reused        bool          // The object was sent to the upstream recently.
@@ -48,10 +49,12 @@
 		l.lastWarmup = now
 	}
 	u, req := l.upstream, &w.req
-	s.limiter(u.Service).record(now, u.Region != s.view.Self.Region)
 	g := &Grant{
 		ID: w.seq, Upstream: u, Digest: req.Digest, host: req.Host.Name, fromDomain: req.Host.Domain, expires: req.Deadline.Add(grantGracePeriod),
-		rtt: s.rtts.expected(&req.Host, u),
+		rtt: s.rtts.expected(&req.Host, u), foreign: req.Host.Region != s.view.Self.Region,
+	}
+	if !g.foreign { // The limit is on the callers of this region.
+		s.limiter(u.Service).record(now, u.Region != s.view.Self.Region)
 	}
 	estimate := s.estimate(u.Service)
 	g.reuseDistance, g.reused = l.recent.reuseDistance(req.objectHash())
@@ -88,6 +91,8 @@
 		return
 	}
 	r.ExpectedWork, r.RTT = g.expectedWork, g.rtt
+	// A host elsewhere that is cut off from this region's upstreams must not eject them for this region's hosts.
+	r.Unreachable = r.Unreachable && !g.foreign
 	if l.upstream.Born == g.Upstream.Born {
 		if g.warms {
 			l.endWarming(g.object, r.Succeeded)
