feat(place): workspaces share a service's slots by start-time fair queueing

Cause: waiting jobs were served in order of arrival, so a workspace that sent several times its usual demand filled the queue, and jobs of the others were refused for the wait behind it. Change: core/fairq orders the jobs of one class (service, late or not, rank) by start tags in units of expected work, weighted by the workspaces' rates. A refusal counts the jobs that are really ahead and, where several workspaces wait, the work before the job's start tag, which is also its Retry-After. A refused or canceled job gives back its tags. A job that would be refused may displace a waiting job of the heaviest workspace that can't be served in time. Free slots that the first jobs of the queue don't take are offered to the oldest ones, so that no job is refused while a slot is free. State exists only while jobs of a class wait.

--- a/internal/flow/place/queue.go
+++ b/internal/flow/place/queue.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 	"time"
+
+	"github.com/boragelane/boragelane/internal/core/fairq"
 )
 
 // waiter is a job that waits for a slot.
@@ -14,7 +16,13 @@
 	upstream *load  // The upstream that the job is queued for.
 	slots    int    // Slots of the upstreams that could run the job.
 	counted  [2]int // Its place in the backlog.
-	ready    chan *Grant
+	class    fairClass
+	ticket   *fairq.Ticket // Its place among the jobs of its class; nil unless enqueued.
+	until    time.Time     // When it is refused unless it has a slot.
+	enqueued time.Time
+	expected time.Duration // The expected wait when it was enqueued.
+	ready    chan *Grant   // Receives nil if the job is refused while it waits.
+	refusal  Refusal       // The refusal then.
 }
 
 // Acquire reserves a slot for a job, waiting for one if necessary. It refuses a job at once if no slot is expected to be
@@ -29,11 +37,12 @@
 	defer timer.Stop()
 	select {
 	case g := <-w.ready:
-		return g, Refusal{}
+		return g, w.refusal
 	case <-timer.C:
+		return s.cancelWait(until, w)
 	case <-ctx.Done():
+		return s.cancelWait(time.Time{}, w)
 	}
-	return s.cancelWait(w)
 }
 
 // reserveOrEnqueue grants a job a slot or refuses it, or else enqueues it until the returned time. It unlocks the scheduler also when
@@ -47,27 +56,38 @@
 		s.recordDemand(now, &w.req)
 	}
 	g, until := s.reserve(now, w)
+	if g == nil && !until.After(now) && s.displace(now, w) {
+		g, until = s.reserve(now, w)
+	}
 	switch {
 	case g != nil:
+		s.chargeImmediate(w, g)
 		return g, Refusal{}, until
 	case !until.After(now):
 		return nil, s.refuse(w), until
 	}
+	w.enqueued, w.until, w.expected = now, until, s.expectedWait(w)
 	s.enqueue(w)
 	return nil, Refusal{}, until
 }
 
-// cancelWait removes a waiter, and returns its grant if one was delivered in the meantime.
-func (s *Scheduler) cancelWait(w *waiter) (*Grant, Refusal) {
+// cancelWait removes a waiter, and returns its grant if one was delivered in the meantime. The time is that at which the wait
+// ended without a slot, or zero if the caller gave up.
+func (s *Scheduler) cancelWait(ended time.Time, w *waiter) (*Grant, Refusal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	select {
 	case g := <-w.ready:
-		return g, Refusal{}
+		return g, w.refusal
 	default:
 	}
-	s.waiters = slices.DeleteFunc(s.waiters, func(o *waiter) bool { return o == w })
-	s.backlog.remove(w)
+	if !ended.IsZero() {
+		if g := s.grantAnyFree(ended, w); g != nil {
+			return g, Refusal{}
+		}
+		s.recordWait(ended, w, false)
+	}
+	s.drop(w)
 	return nil, s.refuse(w)
 }
 
@@ -91,7 +111,7 @@
 }
 
 // enqueue inserts a waiter in queue order: jobs that can still meet their objective first, then by rank, then by
-// arrival.
+// arrival. Within such a class, jobs of different workspaces are ordered by their tickets.
 func (s *Scheduler) enqueue(w *waiter) {
 	at, _ := slices.BinarySearchFunc(s.waiters, w, func(a, b *waiter) int {
 		switch {
@@ -106,6 +126,7 @@
 	})
 	s.waiters = slices.Insert(s.waiters, at, w)
 	s.backlog.add(w)
+	s.addTicket(w, at)
 	if len(s.waiters) == 1 {
 		select {
 		case s.enqueued <- struct{}{}:
@@ -124,6 +145,7 @@
 		retries++
 		return retries <= maxWakeRetries && s.tryServe(now, w)
 	})
+	s.retryOldest(now, nil, maxWakeRetries)
 }
 
 // serveWaiters offers each waiter in queue order to a function, which returns true if it granted the waiter a slot.
@@ -133,6 +155,7 @@
 			return false
 		}
 		s.backlog.remove(w)
+		s.removeTicket(w)
 		return true
 	})
 }
@@ -154,6 +177,9 @@
 		retries++
 		return s.tryServe(now, w)
 	})
+	if l.running < l.limit {
+		s.retryOldest(now, l, maxFreedRetries)
+	}
 }
 
 // canStart reports whether an upstream can run a job that is queued for it.
@@ -165,6 +191,7 @@
 // deliver grants a waiter a slot of the upstream that it is queued for.
 func (s *Scheduler) deliver(now time.Time, l *load, w *waiter) bool {
 	w.setUpstream(nil)
+	s.recordWait(now, w, true)
 	w.ready <- s.grant(now, l, w)
 	return true
 }
@@ -178,6 +205,7 @@
 	if g == nil {
 		return false
 	}
+	s.recordWait(now, w, true)
 	w.ready <- g
 	return true
 }
--- a/internal/flow/place/table.go
+++ b/internal/flow/place/table.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/boragelane/boragelane/internal/core/fairq"
 	"github.com/boragelane/boragelane/internal/core/rendez"
 	"github.com/boragelane/boragelane/internal/core/roster"
 )
@@ -26,6 +27,9 @@
 	lastLoanRequest time.Time                // Time of the last call of LoanRequest.
 	waiters         []*waiter
 	backlog         backlog
+	classes         map[fairClass]*fairq.Queue // The classes with waiting jobs.
+	weights         workspaceWeights
+	Waits           WaitRecorder             // Records how long jobs waited; may be nil. Set it before the first job.
 	placed          map[string]*placedCounts // By service, since the last summary.
 	lastPlaced      map[string]time.Time     // By service.
 	enqueued        chan struct{}            // Signals that a job waits while none did before.
@@ -40,7 +44,7 @@
 	return &Scheduler{
 		view: &roster.View{}, loads: map[string]*load{}, estimates: map[string]*workEstimate{}, rtts: rttEstimates{},
 		demands: map[string]*demand{}, limiters: map[string]*shiftLimiter{}, grants: map[uint64]*Grant{}, enqueued: make(chan struct{}, 1),
-		backlog: backlog{}, placed: map[string]*placedCounts{}, lastPlaced: map[string]time.Time{},
+		backlog: backlog{}, classes: map[fairClass]*fairq.Queue{}, placed: map[string]*placedCounts{}, lastPlaced: map[string]time.Time{},
 	}
 }
 
@@ -61,6 +65,9 @@
 	}
 	old := s.view
 	s.view = v
+	if v.Policy != old.Policy {
+		s.weights = newWorkspaceWeights(v.Policy)
+	}
 	loansChanged := !maps.Equal(v.Loans, old.Loans)
 	byService, pools := make(map[string][]*load, len(v.Upstreams)), make(map[string][]*load, len(v.Upstreams))
 	seen := make(map[string]bool, len(s.loads))
--- a/internal/flow/place/wait.go
+++ b/internal/flow/place/wait.go
@@ -24,7 +24,7 @@
 	b[w.req.Service][w.counted[0]][w.counted[1]]--
 }
 
-// ahead returns the number of waiting jobs that are served before a job that arrives now.
+// ahead returns the number of waiting jobs that are served before a job that arrives now, without regard to workspaces.
 func (b backlog) ahead(w *waiter) int {
 	counts := b[w.req.Service]
 	if counts == nil {
@@ -58,12 +58,12 @@
 	if w.slots == 0 {
 		return 0
 	}
-	expected := time.Duration(float64(s.backlog.ahead(w)+1) * float64(mean) / float64(w.slots))
+	expected := time.Duration(float64(s.backlog.ahead(w)-s.overtaken(w)+1) * float64(mean) / float64(w.slots))
 	if l := w.upstream; l != nil && l.limit > 0 {
 		// The job's own upstream may have a shorter queue than the others.
 		expected = min(expected, time.Duration(float64(max(1, l.running+l.queued-l.limit))*float64(mean)/float64(l.limit)))
 	}
-	return expected
+	return max(expected, s.tagWait(w))
 }
 
 // worthWaiting reports whether a job with an expected wait should wait, if it may wait for the given time. It answers
--- a/internal/flow/place/wait_test.go
+++ b/internal/flow/place/wait_test.go
@@ -89,7 +89,7 @@
 				}
 			case 3:
 				if len(waiting) > 0 {
-					if g, _ := sched.cancelWait(waiting[0]); g != nil {
+					if g, _ := sched.cancelWait(time.Time{}, waiting[0]); g != nil {
 						running = append(running, g)
 					}
 					waiting = waiting[1:]
