--- a/internal/flow/place/replay_test.go
+++ b/internal/flow/place/replay_test.go
@@ -180,7 +180,7 @@
 		return
 	}
 	w.done = true
-	if g, _ := r.sched.cancelWait(w.waiter); g != nil {
+	if g, _ := r.sched.cancelWait(at(now), w.waiter); g != nil {
 		r.start(now, w, g)
 		return
 	}
