fix(place): long runs, slow upstreams and lost caches are told apart

Cause: 3 in 100 jobs take seven times as long. One of them made its upstream look 2.2 times as slow, so that its objects were computed elsewhere, and moved an average of the work by a third; two in a row looked like a lost cache. Then all its objects counted as not cached, also those that it had cached again since, and after a real loss the misses shrank the estimated size of all caches. Change: the slowdown follows the median of the last three jobs. Samples of the work are bounded at 2.5 times what is expected. A job that even a miss does not explain says nothing about the cache. After a loss only objects last sent before the first miss are forgotten, and misses don't count against the size of the caches while more than a few recent objects are missed. All tests of flow/place pass.

--- a/internal/flow/place/grant.go
+++ b/internal/flow/place/grant.go
@@ -74,7 +74,7 @@
 	if !g.uncertain && estimate.hasSamples(g.expectHit) {
 		g.expectedWork = estimate.expected(g.expectHit)
 	}
-	l.recent = l.recent.add(g.object)
+	l.recent = l.recent.add(g.object, g.ID)
 	s.lastPlaced[u.Service] = now
 	counts := s.counts(u.Service)
 	counts.placed++
@@ -138,14 +138,15 @@
 	}
 	missed := w.looksLikeMiss(normal)
 	if c := certaintyOf(g.reuseDistance, g.reused); c != certainHit || !missed {
-		w.record(c, took)
+		w.record(c, took, g.expectedWork)
 	}
-	if !g.reused {
+	if !g.reused || w.tooLong(normal) {
 		return
 	}
 	w.adjustCacheSize(g.reuseDistance, normal)
 	if w.surelyCached(g.reuseDistance) {
-		l.noteCached(g.object, missed)
+		l.noteCached(g.ID, missed)
+		w.noteSureMiss(missed)
 	}
 }
 
--- a/internal/flow/place/knowledge.go
+++ b/internal/flow/place/knowledge.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"slices"
 	"time"
 )
 
@@ -34,12 +33,21 @@
 	k := &Knowledge{Hit: w.hit, Miss: w.miss, All: w.all, CacheSize: w.cacheSize}
 	for _, l := range s.poolByService[service] {
 		if len(l.recent) > 0 {
-			k.Upstreams = append(k.Upstreams, UpstreamKnowledge{ID: l.upstream.ID, Born: l.upstream.Born, Slowdown: l.lastingSlowdown(), Recent: slices.Clone(l.recent)})
+			k.Upstreams = append(k.Upstreams, UpstreamKnowledge{ID: l.upstream.ID, Born: l.upstream.Born, Slowdown: l.lastingSlowdown(), Recent: l.recent.hashes()})
 		}
 	}
 	return k
 }
 
+// hashes returns the hashes of the objects, newest last.
+func (m recentObjects) hashes() []uint64 {
+	out := make([]uint64, len(m))
+	for i, o := range m {
+		out[i] = o.hash
+	}
+	return out
+}
+
 // Adopt takes over what another host has learned of a service, unless this host places its jobs and has learned enough itself.
 func (s *Scheduler) Adopt(now time.Time, service string, k *Knowledge) {
 	s.mu.Lock()
@@ -56,9 +64,12 @@
 			continue
 		}
 		own := l.recent
-		l.slowdown, l.pace.residual, l.recent = u.Slowdown, u.Slowdown, slices.Clone(u.Recent)
-		for _, object := range own {
-			l.recent = l.recent.add(object)
+		l.slowdown, l.pace.residual, l.recent = u.Slowdown, u.Slowdown, nil
+		for _, hash := range u.Recent {
+			l.recent = l.recent.add(hash, 0)
+		}
+		for _, o := range own {
+			l.recent = l.recent.add(o.hash, o.grant)
 		}
 	}
 }
--- a/internal/flow/place/load.go
+++ b/internal/flow/place/load.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"slices"
 	"time"
 
 	"github.com/boragelane/boragelane/internal/core/roster"
@@ -40,10 +41,12 @@
 	limit               int     // Jobs that may run at the same time, as computed for the last job considered.
 	queued              int     // Jobs queued for the upstream.
 	slowdown            float64 // Average ratio of actual to expected work.
+	ratios              recentRatios
 	pace                paceState
 	factor              float64 // Expected ratio of actual to expected work of an upstream that reports its pace, as computed for the last job considered.
 	recent              recentObjects
 	unexpectedMisses    int            // Consecutive misses of objects that should have been cached.
+	lostBefore          uint64         // The oldest grant among these; what was sent before it may be lost.
 	warming             map[uint64]int // Jobs that run for the first time with an object, by object; the upstream hasn't cached it yet.
 	lastWarmup          time.Time      // When a cold upstream last got a request.
 	failureRate         float64        // Exponential moving average of failures, 0 to 1.
@@ -90,14 +93,19 @@
 // have lost its cache.
 const missesToForget = 2
 
-// noteCached records whether an object that should have been cached was missed.
-func (l *load) noteCached(object uint64, missed bool) {
+// noteCached records whether the object of a grant, which should have been cached, was missed. What was sent to the upstream since the
+// first of the missed grants is cached again: forgetting that too made the hits return slowly after a loss.
+func (l *load) noteCached(grant uint64, missed bool) {
 	if !missed {
 		l.unexpectedMisses = 0
 		return
 	}
+	if l.unexpectedMisses == 0 || grant < l.lostBefore {
+		l.lostBefore = grant
+	}
 	if l.unexpectedMisses++; l.unexpectedMisses >= missesToForget {
-		l.unexpectedMisses, l.recent = 0, recentObjects{object}
+		l.unexpectedMisses = 0
+		l.recent = slices.DeleteFunc(l.recent, func(o recentObject) bool { return o.grant < l.lostBefore })
 	}
 }
 
@@ -204,15 +212,32 @@
 // recordSlowdown updates the averages with the ratio of a job's actual to its expected work. If the upstream reports its pace, what remains
 // after division by it is learned separately, so that nothing is counted twice.
 func (l *load) recordSlowdown(ratio float64, span paceSpan) {
-	sample := func(v float64) float64 { return min(maxSlowdown, max(minSlowdown, v)) }
 	if span != (paceSpan{}) {
 		p := &l.pace
 		pace := span.best(ratio, p.residual)
 		p.errPace += sampleWeight * (logError(ratio, pace*p.residual) - p.errPace)
 		p.errFlat += sampleWeight * (logError(ratio, l.slowdown) - p.errFlat)
-		p.residual += sampleWeight * (sample(ratio/pace) - p.residual)
+		p.residual = nextSlowdown(p.residual, p.ratios.add(ratio/pace))
+	}
+	l.slowdown = nextSlowdown(l.slowdown, l.ratios.add(ratio))
+}
+
+// recentRatios holds the ratios of actual to expected work of the last jobs, newest first.
+type recentRatios [3]float64
+
+// add adds a ratio and returns the median. A few jobs in a hundred take several times as long: the median leaves out such a job if it is
+// alone, and follows an upstream that has become slow with its second job.
+func (r *recentRatios) add(ratio float64) float64 {
+	if r[1] == 0 {
+		r[1], r[2] = 1, 1 // Until the upstream has run three jobs, it is assumed to be as fast as expected.
 	}
-	l.slowdown += sampleWeight * (sample(ratio) - l.slowdown)
+	r[0], r[1], r[2] = ratio, r[0], r[1]
+	return max(min(r[0], r[1]), min(max(r[0], r[1]), r[2]))
+}
+
+// nextSlowdown moves an average slowdown towards a sample.
+func nextSlowdown(average, sample float64) float64 {
+	return average + sampleWeight*(min(maxSlowdown, max(minSlowdown, sample))-average)
 }
 
 // recordResult updates the failure rate, ejection and slowdown with the result of a job. Failures eject the upstream only if
--- a/internal/flow/place/pace.go
+++ b/internal/flow/place/pace.go
@@ -93,9 +93,10 @@
 	last      paceReport // The newest report; its pace is 0 if the upstream reports none.
 	reference paceReport // An earlier report, with which later ones are compared.
 	granted   int        // Jobs started since the newest report.
-	residual  float64    // Average ratio of actual to expected work after division by the pace.
-	errPace   float64    // Average error of predictions by the pace, as a logarithm.
-	errFlat   float64    // The same of predictions by the learned slowdown.
+	ratios    recentRatios
+	residual  float64 // Average ratio of actual to expected work after division by the pace.
+	errPace   float64 // Average error of predictions by the pace, as a logarithm.
+	errFlat   float64 // The same of predictions by the learned slowdown.
 }
 
 // newPaceState returns the state of an upstream that has reported nothing.
--- a/internal/flow/place/replay_test.go
+++ b/internal/flow/place/replay_test.go
@@ -64,6 +64,7 @@
 	waiting  []*replayWaiter
 	lastSeq  int
 	outcomes []outcome
+	onStart  func(now time.Duration, w *replayWaiter, g *Grant, hit bool)
 	onEnd    func(now time.Duration, u *simulated, r *Result)
 }
 
@@ -222,6 +223,9 @@
 	for _, o := range u.cache {
 		hit = hit || o == w.req.Object
 	}
+	if r.onStart != nil {
+		r.onStart(now, w, g, hit)
+	}
 	if hit {
 		work *= r.hitShare
 		u.cache.use(w.req.Object, r.cacheSize)
--- a/internal/flow/place/work.go
+++ b/internal/flow/place/work.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -35,11 +36,12 @@
 
 // workEstimate tracks the time that a service's requests take, separately for cache hits and misses.
 type workEstimate struct {
-	hit, miss time.Duration
-	all       time.Duration
-	initial   time.Duration // Assumed work of a miss before there are samples.
-	cacheSize float64       // Estimated number of objects that an upstream caches.
-	samples   sampleCounts
+	hit, miss  time.Duration
+	all        time.Duration
+	initial    time.Duration // Assumed work of a miss before there are samples.
+	cacheSize  float64       // Estimated number of objects that an upstream caches.
+	sureMisses float64       // Average share of missed objects among those that should have been cached however small the cache is.
+	samples    sampleCounts
 }
 
 // sampleCounts counts recorded requests.
@@ -65,6 +67,15 @@
 	return w.distinct() && took >= (w.hit+w.miss)/2
 }
 
+// longRunRatio is the ratio of a job's time to the work of a miss from which the length belongs to the run: the job says nothing about the
+// cache. A few in a hundred jobs take several times as long, and two cached ones in a row would look like a lost cache.
+const longRunRatio = 1.6
+
+// tooLong reports whether a request took so long that neither a hit nor a miss explains it.
+func (w *workEstimate) tooLong(took time.Duration) bool {
+	return w.miss > 0 && float64(took) > longRunRatio*float64(w.miss)
+}
+
 // distinct reports whether hits and misses differ enough to be told apart.
 func (w *workEstimate) distinct() bool { return w.hit > 0 && w.miss >= 2*w.hit }
 
@@ -81,13 +92,26 @@
 	hit, predicted := !w.looksLikeMiss(took), float64(distance) < w.cacheSize
 	weight := growWeight
 	if predicted {
-		weight = shrinkWeight
+		weight = shrinkWeight * max(0, 1-w.sureMisses/maxSureMisses)
 	}
 	if hit != predicted {
 		w.cacheSize = max(minCacheSize, w.cacheSize+weight*(float64(distance)-w.cacheSize))
 	}
 }
 
+// maxSureMisses is the share of unexpected misses of recent objects above which no miss counts against the size of the caches: upstreams
+// have lost them, or are slow.
+const maxSureMisses = 0.1
+
+// noteSureMiss records whether an object that should have been cached however small the cache is was missed.
+func (w *workEstimate) noteSureMiss(missed bool) {
+	sample := 0.0
+	if missed {
+		sample = 1
+	}
+	w.sureMisses += workWeight * (sample - w.sureMisses)
+}
+
 // certainty tells what is known about a request's object before the request runs.
 type certainty int
 
@@ -142,17 +166,33 @@
 // record updates the moving averages with the time of a request. The caller must leave out requests that the upstream
 // queued. Only certain hits and misses count as such: if predictions did, a wrong estimate of the cache size would make the
 // two averages alike, and then never be corrected.
-func (w *workEstimate) record(c certainty, took time.Duration) {
+func (w *workEstimate) record(c certainty, took, expected time.Duration) {
 	w.samples.all++
-	update(&w.all, w.samples.all, took)
+	update(&w.all, w.samples.all, min(took, w.longest(expected)))
 	switch c {
 	case certainHit:
 		w.samples.hit++
-		update(&w.hit, w.samples.hit, took)
+		update(&w.hit, w.samples.hit, min(took, w.longest(w.hit)))
 	case certainMiss:
 		w.samples.miss++
-		update(&w.miss, w.samples.miss, took)
+		update(&w.miss, w.samples.miss, min(took, w.longest(w.miss)))
+	}
+}
+
+// maxSampleRatio bounds a sample as a multiple of what it is expected to be. A few jobs in a hundred take several times as long, and one of
+// them would otherwise move an average by a third. If all jobs take longer, the averages still follow within some tens of samples.
+const maxSampleRatio = 2.5
+
+// longest returns the bound of a sample of a job with the given expected work. The work of a miss is within it: it is no outlier where a hit
+// was expected.
+func (w *workEstimate) longest(expected time.Duration) time.Duration {
+	if expected == 0 {
+		expected = max(w.all, w.miss)
+	}
+	if expected == 0 {
+		return math.MaxInt64 // The first sample.
 	}
+	return max(w.miss, time.Duration(maxSampleRatio*float64(expected)))
 }
 
 // update moves an average towards its nth sample. The first samples weigh more, so that no single one stands for the service.
@@ -160,8 +200,19 @@
 	*mean += time.Duration(max(workWeight, 1/float64(n)) * float64(sample-*mean))
 }
 
-// recentObjects holds the hashes of the objects last sent to an upstream, newest last.
-type recentObjects []uint64
+// recentObject is an object that was sent to an upstream.
+type recentObject struct {
+	hash  uint64
+	grant uint64 // ID of the last grant of a job with the object.
+}
+
+// recentObjects holds the objects last sent to an upstream, newest last.
+type recentObjects []recentObject
+
+// index returns the position of an object, or -1 if it is not tracked.
+func (m recentObjects) index(object uint64) int {
+	return slices.IndexFunc(m, func(o recentObject) bool { return o.hash == object })
+}
 
 // reuseDistance returns the number of other objects sent to the upstream since the given object, or false if that
 // object is not tracked.
@@ -169,30 +220,30 @@
 	if object == 0 {
 		return 0, false
 	}
-	at := slices.Index(m, object)
+	at := m.index(object)
 	return len(m) - 1 - at, at >= 0
 }
 
 // remove drops an object.
 func (m recentObjects) remove(object uint64) recentObjects {
-	if at := slices.Index(m, object); at >= 0 {
+	if at := m.index(object); at >= 0 {
 		return slices.Delete(m, at, at+1)
 	}
 	return m
 }
 
 // add appends an object, and drops the oldest if there are too many.
-func (m recentObjects) add(object uint64) recentObjects {
+func (m recentObjects) add(object, grant uint64) recentObjects {
 	if object == 0 {
 		return m
 	}
-	if at := slices.Index(m, object); at >= 0 {
+	if at := m.index(object); at >= 0 {
 		m = slices.Delete(m, at, at+1)
 	}
 	if len(m) >= maxRecentObjects {
 		m = slices.Delete(m, 0, 1)
 	}
-	return append(m, object)
+	return append(m, recentObject{object, grant})
 }
 
 // rttEstimates holds the round-trip time from one failure domain to another.
