--- a/internal/flow/place/load.go
+++ b/internal/flow/place/load.go
@@ -226,6 +226,24 @@
 	l.slowdown = nextSlowdown(l.slowdown, l.ratios.add(ratio))
 }
 
+// recordCutOff records a job that ended without an answer, at its deadline or since its caller left: it would have taken at least as long.
+// It answers an upstream on which every job reaches its deadline, which no answer would ever show to be slow.
+func (l *load) recordCutOff(r *Result) {
+	if r.ExpectedWork <= 0 {
+		return
+	}
+	ratio := float64(r.Duration-r.RTT) / float64(r.ExpectedWork)
+	if ratio > l.slowdown && ratio > minCutOffRatio {
+		l.slowdown = nextSlowdown(l.slowdown, l.ratios.add(ratio))
+	}
+	if r.Span != (paceSpan{}) && ratio/r.Span.most() > max(minCutOffRatio, l.pace.residual) {
+		l.pace.residual = nextSlowdown(l.pace.residual, l.pace.ratios.add(ratio/r.Span.most()))
+	}
+}
+
+// minCutOffRatio is the ratio of actual to expected work from which a job that was cut off counts: usual times vary within it.
+const minCutOffRatio = 1.5
+
 // recentRatios holds the ratios of actual to expected work of the last jobs, newest first.
 type recentRatios [3]float64
 
@@ -252,6 +270,7 @@
 		return
 	}
 	if r.Inconclusive {
+		l.recordCutOff(&r)
 		return
 	}
 	if r.Succeeded {
--- a/internal/flow/place/tail_test.go
+++ b/internal/flow/place/tail_test.go
@@ -85,3 +85,20 @@
 	}
 	assert.Assert(t, l.slowdown > 2, "slowdown %.2f after six jobs that took four times as long", l.slowdown)
 }
+
+// Replays an upstream that stops answering: each job ends at its deadline. Guards against sending it jobs for good, and against taking
+// callers that leave early for a sign of a slow upstream.
+func TestJobsCutOffAtTheirDeadlineMakeAnUpstreamSlow(t *testing.T) {
+	for took, slow := range map[time.Duration]bool{2 * time.Second: true, 20 * ms: false} {
+		sched, now := cachingScheduler()
+		for i := range 4 {
+			req := newRequest(now)
+			req.Object = fmt.Sprint(i % 3)
+			g := try(sched, now, req)
+			now = now.Add(took)
+			sched.Release(now, g, Result{Duration: took, Inconclusive: true})
+		}
+		got := sched.loads["u"].slowdown
+		assert.Assert(t, slow == (got > 2), "slowdown %.2f after four jobs that were cut off after %v", got, took)
+	}
+}
