--- a/internal/flow/place/grant.go
+++ b/internal/flow/place/grant.go
@@ -80,7 +80,7 @@
 		g.expectedWork = estimate.expected(g.expectHit)
 	}
 	g.HedgeAfter = s.hedgeAfter(now, g)
-	l.recent = l.recent.add(g.object)
+	l.recent = l.recent.add(g.object, g.ID)
 	s.lastPlaced[u.Service] = now
 	counts := s.counts(u.Service)
 	counts.placed++
@@ -108,12 +108,13 @@
 		}
 		r.Span = s.recordPace(now, l, g, &r)
 		l.recordRequest(now, g.host, &r)
+		l.recordShed(now, &r)
 		l.recordResult(now, r, s.mayEject(now, l.upstream.Service))
 		l.updateFactor(now, s.paceModel(l.upstream.Service))
-		s.rtts.record(g.fromDomain, g.Upstream.Domain, r.DialTime)
+		s.rtts.record(g.fromDomain, g.Upstream.Domain, r.DialTime, g.rtt)
 		s.recordRun(now, g, &r)
 		if r.Succeeded && r.QueueLength == 0 && !g.uncertain {
-			s.recordWork(g, r.Duration-g.rtt, r.Span)
+			s.recordWork(g, r.workTime(), r.Span)
 		}
 	}
 	s.assignFreedSlot(now, l)
@@ -147,14 +148,15 @@
 	}
 	missed := w.looksLikeMiss(normal)
 	if c := certaintyOf(g.reuseDistance, g.reused); c != certainHit || !missed {
-		w.record(c, took)
+		w.record(c, took, g.expectedWork)
 	}
-	if !g.reused {
+	if !g.reused || w.tooLong(normal) {
 		return
 	}
 	w.adjustCacheSize(g.reuseDistance, normal)
 	if w.surelyCached(g.reuseDistance) {
-		l.noteCached(g.object, missed)
+		l.noteCached(g.ID, missed)
+		w.noteSureMiss(missed)
 	}
 }
 
--- a/internal/flow/place/load.go
+++ b/internal/flow/place/load.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"slices"
 	"time"
 
 	"github.com/boragelane/boragelane/internal/core/roster"
@@ -40,10 +41,13 @@
 	limit               int     // Jobs that may run at the same time, as computed for the last job considered.
 	queued              int     // Jobs queued for the upstream.
 	slowdown            float64 // Average ratio of actual to expected work.
+	ratios              recentRatios
 	pace                paceState
+	shed                shedState
 	factor              float64 // Expected ratio of actual to expected work of an upstream that reports its pace, as computed for the last job considered.
 	recent              recentObjects
 	unexpectedMisses    int            // Consecutive misses of objects that should have been cached.
+	lostBefore          uint64         // The oldest grant among these; what was sent before it may be lost.
 	warming             map[uint64]int // Jobs that run for the first time with an object, by object; the upstream hasn't cached it yet.
 	lastWarmup          time.Time      // When a cold upstream last got a request.
 	failureRate         float64        // Exponential moving average of failures, 0 to 1.
@@ -59,7 +63,7 @@
 
 // accepts reports whether the upstream takes requests from a host.
 func (l *load) accepts(now time.Time, host string) bool {
-	return !l.leaving && !now.Before(l.pausedUntil[host])
+	return !l.leaving && !now.Before(l.pausedUntil[host]) && !now.Before(l.shed.pausedUntil)
 }
 
 // expectedWork returns the expected work of a job on the upstream.
@@ -90,14 +94,19 @@
 // have lost its cache.
 const missesToForget = 2
 
-// noteCached records whether an object that should have been cached was missed.
-func (l *load) noteCached(object uint64, missed bool) {
+// noteCached records whether the object of a grant, which should have been cached, was missed. What was sent to the upstream since the
+// first of the missed grants is cached again: forgetting that too made the hits return slowly after a loss.
+func (l *load) noteCached(grant uint64, missed bool) {
 	if !missed {
 		l.unexpectedMisses = 0
 		return
 	}
+	if l.unexpectedMisses == 0 || grant < l.lostBefore {
+		l.lostBefore = grant
+	}
 	if l.unexpectedMisses++; l.unexpectedMisses >= missesToForget {
-		l.unexpectedMisses, l.recent = 0, recentObjects{object}
+		l.unexpectedMisses = 0
+		l.recent = slices.DeleteFunc(l.recent, func(o recentObject) bool { return o.grant < l.lostBefore })
 	}
 }
 
@@ -157,6 +166,9 @@
 		l.slowdown += idleDecay * (1 - l.slowdown)
 		l.pace.residual += idleDecay * (1 - l.pace.residual)
 		l.failureRate *= 1 - idleDecay
+		if l.shed.allowed > 0 {
+			l.raiseAllowed(1)
+		}
 	}
 }
 
@@ -201,18 +213,57 @@
 	Span         paceSpan      // The upstream's pace during the job; zero if it reports none.
 }
 
+// workTime returns the time that the job took without the round trip and the opening of a connection, which says nothing about the work.
+// The slowdown of the upstream includes it: one that is slow to accept connections is slow.
+func (r *Result) workTime() time.Duration { return r.Duration - r.DialTime - r.RTT }
+
 // recordSlowdown updates the averages with the ratio of a job's actual to its expected work. If the upstream reports its pace, what remains
 // after division by it is learned separately, so that nothing is counted twice.
 func (l *load) recordSlowdown(ratio float64, span paceSpan) {
-	sample := func(v float64) float64 { return min(maxSlowdown, max(minSlowdown, v)) }
 	if span != (paceSpan{}) {
 		p := &l.pace
 		pace := span.best(ratio, p.residual)
 		p.errPace += sampleWeight * (logError(ratio, pace*p.residual) - p.errPace)
 		p.errFlat += sampleWeight * (logError(ratio, l.slowdown) - p.errFlat)
-		p.residual += sampleWeight * (sample(ratio/pace) - p.residual)
+		p.residual = nextSlowdown(p.residual, p.ratios.add(ratio/pace))
+	}
+	l.slowdown = nextSlowdown(l.slowdown, l.ratios.add(ratio))
+}
+
+// recordCutOff records a job that ended without an answer, at its deadline or since its caller left: it would have taken at least as long.
+// It answers an upstream on which every job reaches its deadline, which no answer would ever show to be slow.
+func (l *load) recordCutOff(r *Result) {
+	if r.ExpectedWork <= 0 {
+		return
+	}
+	ratio := float64(r.Duration-r.RTT) / float64(r.ExpectedWork)
+	if ratio > l.slowdown && ratio > minCutOffRatio {
+		l.slowdown = nextSlowdown(l.slowdown, l.ratios.add(ratio))
 	}
-	l.slowdown += sampleWeight * (sample(ratio) - l.slowdown)
+	if r.Span != (paceSpan{}) && ratio/r.Span.most() > max(minCutOffRatio, l.pace.residual) {
+		l.pace.residual = nextSlowdown(l.pace.residual, l.pace.ratios.add(ratio/r.Span.most()))
+	}
+}
+
+// minCutOffRatio is the ratio of actual to expected work from which a job that was cut off counts: usual times vary within it.
+const minCutOffRatio = 1.5
+
+// recentRatios holds the ratios of actual to expected work of the last jobs, newest first.
+type recentRatios [3]float64
+
+// add adds a ratio and returns the median. A few jobs in a hundred take several times as long: the median leaves out such a job if it is
+// alone, and follows an upstream that has become slow with its second job.
+func (r *recentRatios) add(ratio float64) float64 {
+	if r[1] == 0 {
+		r[1], r[2] = 1, 1 // Until the upstream has run three jobs, it is assumed to be as fast as expected.
+	}
+	r[0], r[1], r[2] = ratio, r[0], r[1]
+	return max(min(r[0], r[1]), min(max(r[0], r[1]), r[2]))
+}
+
+// nextSlowdown moves an average slowdown towards a sample.
+func nextSlowdown(average, sample float64) float64 {
+	return average + sampleWeight*(min(maxSlowdown, max(minSlowdown, sample))-average)
 }
 
 // recordResult updates the failure rate, ejection and slowdown with the result of a job. Failures eject the upstream only if
@@ -223,6 +274,7 @@
 		return
 	}
 	if r.Inconclusive {
+		l.recordCutOff(&r)
 		return
 	}
 	if r.Succeeded {
