feat(watch): a host that the store rejects asks the hosts behind it

Cause: hosts request changes only from those that precede them in one common order. The first of them, and hosts whose sources are all rejected by the store too, learned of no revoked key while the store rejected them and served others.

Change: while its reads fail and the policy has workspaces, such a host asks the hosts behind it, one at a time, and keeps to one with recent changes. What it gets so doesn't make its own state recent for other hosts, so that no two hosts can keep each other's state recent.

--- a/internal/ctrl/watch/fold.go
+++ b/internal/ctrl/watch/fold.go
@@ -98,6 +98,9 @@
 		stateChanges = append(stateChanges, StateChange{Message: "store regained", Revision: b.Revision})
 	}
 	s.disconnected, s.lastSync = false, now.Add(-b.Age)
+	if !b.Indirect {
+		s.directSync = s.lastSync
+	}
 	if b.Snapshot {
 		s.resetLog(b)
 		b.Changes = append(b.Changes, s.removals(b)...)
--- a/internal/ctrl/watch/reader.go
+++ b/internal/ctrl/watch/reader.go
@@ -54,6 +54,9 @@
 	peerPollInterval = 250 * time.Millisecond
 	// peerSkipPeriod is how long a host is skipped after a failed request.
 	peerSkipPeriod = 2 * time.Second
+	// otherTimeout bounds a request to a host that this one doesn't follow: two round trips between distant regions. With a
+	// failed read and the delay after it, it stays below the 3 s after which a host counts as connected again.
+	otherTimeout = 400 * time.Millisecond
 	// bootstrapDelay is the time after its start in which a host that doesn't know its own entry leaves the store alone:
 	// when the whole fleet starts, the hosts that read the store for the others are known only then.
 	bootstrapDelay = 600 * time.Millisecond
@@ -76,6 +79,7 @@
 	designated bool                 // This host is one of the fleet's readers; valid only after pollPeers returned false.
 	nextRead   time.Time            // Earliest time of the next store read.
 	skipUntil  map[string]time.Time // By host name.
+	nextOther  int                  // Index of the next of the hosts that are asked while the store rejects this one.
 }
 
 // Run reads until the context ends.
@@ -92,6 +96,9 @@
 		case r.pollPeers(ctx, r.Loop.View()):
 			sleep(ctx, peerPollInterval-r.Clock().Sub(start))
 		case start.Before(r.nextRead):
+			if r.failed {
+				r.askOther(ctx, r.Loop.View())
+			}
 			sleep(ctx, min(peerPollInterval, r.nextRead.Sub(start)))
 		default:
 			r.readStore(ctx)
@@ -141,6 +148,29 @@
 	return false
 }
 
+// askOther requests changes from one of the hosts that this one doesn't follow, if the policy has workspaces, and reports
+// whether they are recent. It answers a store that rejects this host and its sources but serves others, while keys are revoked.
+func (r *Reader) askOther(ctx context.Context, v *roster.View) bool {
+	if r.revision == 0 || v.Policy == nil || len(v.Policy.Workspaces) == 0 {
+		return false
+	}
+	others := othersOf(v)
+	if len(others) == 0 {
+		return false
+	}
+	h := others[r.nextOther%len(others)]
+	askCtx, cancel := context.WithTimeout(ctx, otherTimeout)
+	defer cancel()
+	updates, err := r.Peers.Updates(askCtx, h, r.revision, 0)
+	if err != nil || updates.Age > maxDomainAge || updates.Batch.Revision < r.revision {
+		r.nextOther++
+		return false
+	}
+	updates.Batch.Indirect = true
+	r.forward(ctx, h.Name, updates)
+	return true
+}
+
 // forward passes a peer's changes to the loop, unless this host has already read a later revision.
 func (r *Reader) forward(ctx context.Context, from string, updates Updates) {
 	if updates.Batch.Revision < r.revision {
@@ -168,7 +198,9 @@
 		r.revision = 0
 		return
 	case err != nil:
-		r.Loop.Send(ctx, StoreFailed{Err: err})
+		if !r.askOther(ctx, r.Loop.View()) {
+			r.Loop.Send(ctx, StoreFailed{Err: err})
+		}
 		r.failed, r.nextRead = true, r.Clock().Add(jitter(r.retryDelay, rand.Float64()))
 		maxDelay := maxFollowerRetryDelay
 		if r.designated {
--- a/internal/ctrl/watch/relay.go
+++ b/internal/ctrl/watch/relay.go
@@ -18,7 +18,7 @@
 // Updates holds the changes after a revision, or a snapshot of the state.
 type Updates struct {
 	Batch roster.Batch
-	Age   time.Duration // Time since the last successful store read.
+	Age   time.Duration // Time since the last successful store read, without indirect changes.
 }
 
 func (UpdatesRequest) event() {}
@@ -57,7 +57,7 @@
 
 // updatesSince returns the changes after a revision, or a snapshot if the log doesn't reach back that far.
 func (s *State) updatesSince(after int64, now time.Time) Updates {
-	updates := Updates{Batch: roster.Batch{Revision: s.revision}, Age: min(now.Sub(s.lastSync), unknownAge)}
+	updates := Updates{Batch: roster.Batch{Revision: s.revision}, Age: min(now.Sub(s.directSync), unknownAge)}
 	if after == 0 || after < s.compactedTo {
 		updates.Batch.Snapshot = true
 		updates.Batch.Changes = s.snapshot()
--- a/internal/ctrl/watch/source.go
+++ b/internal/ctrl/watch/source.go
@@ -56,3 +56,13 @@
 	}
 	return list, len(fleet) == 0
 }
+
+// othersOf returns the other hosts in the common order, beginning after this one, so that the requests of several hosts spread.
+func othersOf(v *roster.View) []roster.Host {
+	fleet := v.FleetOrder(readerRole)
+	self := slices.IndexFunc(fleet, func(h roster.Host) bool { return h.Name == v.Self.Name })
+	if self < 0 {
+		return fleet
+	}
+	return slices.Concat(fleet[self+1:], fleet[:self])
+}
--- a/internal/ctrl/watch/state.go
+++ b/internal/ctrl/watch/state.go
@@ -38,6 +38,7 @@
 	graceUntil        map[string]time.Time // Removed entries that may be restored until then, by kind and name.
 	tombstones        map[string]tombstone
 	lastSync          time.Time // Time of the last successful store read.
+	directSync        time.Time // The same without indirect changes, as other hosts are told.
 	recoveredAt       time.Time // End of the last store outage.
 	disconnected      bool
 	leaving           bool
