feat(httpd): one limit for all bytes that a host holds

Cause: bodies and responses being read had separate limits, and responses that wait for slow callers none, so many slow callers could take the memory of a host. A refused response counted as a failure of its upstream and was tried again.

Change: core/held counts bodies, answers being read and responses until they are written in one budget, an account for each request. A refused answer ends the job as unknown with reason no-memory, isn't tried again and says nothing about its upstream. A caller for whom a sixteenth of the limit waits gets no further request read. A declared length of up to 1 MB gets its buffer at once.

--- a/internal/edge/dialer/bounds.go
+++ b/internal/edge/dialer/bounds.go
@@ -4,11 +4,16 @@
 	"io"
 	"math"
 	"net/http"
+
+	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
 const (
 	// maxResponseHead bounds the bytes of a response's status line and header.
 	maxResponseHead = 64 << 10
+	// trustedLength is the declared length up to which a body's whole buffer is taken at once. Growing it step by step copies
+	// it, and takes three times its size for a moment.
+	trustedLength = 1 << 20
 	// bodyChunk is the number of bytes by which a body's buffer grows at least.
 	bodyChunk = 8 << 10
 )
@@ -37,37 +42,47 @@
 	return n, err
 }
 
-// readBody reads a body. It fails when the body is too large, or when all bodies that are being read take more memory than
-// they may.
-func (s *Sender) readBody(resp *http.Response) ([]byte, error) {
-	var body []byte
-	var reserved int64
-	defer func() { s.buffered.Add(-reserved) }()
+// readBody reads a body. It fails when the body is too large, or when the host holds too much for its callers to take it.
+func readBody(resp *http.Response, job *pipe.Job) ([]byte, error) {
 	if n := resp.ContentLength; n > maxResponseBody {
 		return nil, ErrResponse.New("response body of %d bytes exceeds %d", n, maxResponseBody)
 	}
+	body, err := readAll(resp, job)
+	if err != nil {
+		job.Held.ShrinkAnswer(int64(cap(body)))
+		return nil, err
+	}
+	return body, nil
+}
+
+// readAll reads a body, and returns it also if it fails. It takes the memory for it from the job's account.
+func readAll(resp *http.Response, job *pipe.Job) ([]byte, error) {
+	var body []byte
 	for {
 		if len(body) == cap(body) {
-			grow := int64(max(bodyChunk, len(body)))
-			if n := resp.ContentLength; n >= 0 && n < grow {
-				grow = n + 1 // Room for the read that finds the end.
-			}
-			if s.buffered.Add(grow) > s.MaxBuffered {
-				s.buffered.Add(-grow)
-				return nil, ErrResponse.New("the bodies being read exceed %d bytes", s.MaxBuffered)
+			grow := nextGrowth(int64(len(body)), resp.ContentLength)
+			if !job.Held.GrowAnswer(grow, !job.Once) {
+				return body, ErrNoMemory.New("no memory for the response body")
 			}
-			reserved += grow
 			body = append(make([]byte, 0, int64(len(body))+grow), body...)
 		}
 		n, err := resp.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		switch {
 		case len(body) > maxResponseBody:
-			return nil, ErrResponse.New("response body exceeds %d bytes", maxResponseBody)
+			return body, ErrResponse.New("response body exceeds %d bytes", maxResponseBody)
 		case err == io.EOF:
 			return body, nil
 		case err != nil:
-			return nil, err
+			return body, err
 		}
 	}
 }
+
+// nextGrowth returns the number of bytes by which the full buffer of n bytes grows; declared is the body's length, or -1.
+func nextGrowth(n, declared int64) int64 {
+	if declared >= n && declared <= max(trustedLength, 2*n) {
+		return declared + 1 - n // Room for the read that finds the end.
+	}
+	return max(bodyChunk, n)
+}
--- a/internal/edge/dialer/dialer.go
+++ b/internal/edge/dialer/dialer.go
@@ -9,7 +9,6 @@
 	"net/url"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -25,6 +24,9 @@
 // ErrResponse marks a response that can't be used as the job's answer.
 var ErrResponse = Errors.NewType("answer")
 
+// ErrNoMemory is returned when the host holds too much for its callers to read a response.
+var ErrNoMemory = ErrResponse.NewSubtype("memory")
+
 // HeaderNames holds the names of the HTTP headers that boragelane exchanges with upstreams.
 type HeaderNames struct {
 	RequestID   string // The caller's request id, which the upstream echoes in its response.
@@ -39,8 +41,6 @@
 const (
 	// maxResponseBody is the largest accepted response body, in bytes.
 	maxResponseBody = 16 << 20
-	// defaultMaxBuffered is the default of Sender.MaxBuffered.
-	defaultMaxBuffered = 64 << 20
 	// maxStaleResponses is how many responses are read from a connection while looking for the job's.
 	maxStaleResponses = 4
 	// deadlineMargin is subtracted from the deadline sent to the upstream, so that its response arrives before the job's deadline.
@@ -49,17 +49,15 @@
 
 // Sender sends jobs to upstreams over pooled connections.
 type Sender struct {
-	Names       HeaderNames
-	Clock       func() time.Time
-	MaxBuffered int64 // Bytes of all bodies that are being read at a time; a response that exceeds them fails.
+	Names HeaderNames
+	Clock func() time.Time
 
-	pool     pool
-	buffered atomic.Int64
+	pool pool
 }
 
 // New returns a sender with an empty connection pool.
 func New(names HeaderNames, clock func() time.Time) *Sender {
-	return &Sender{Names: names, Clock: clock, MaxBuffered: defaultMaxBuffered, pool: pool{idle: map[string][]*upstreamConn{}}}
+	return &Sender{Names: names, Clock: clock, pool: pool{idle: map[string][]*upstreamConn{}}}
 }
 
 // CloseExpired closes pooled connections whose idle timeout has passed.
@@ -92,6 +90,7 @@
 	}
 	if err != nil {
 		r.Err = err
+		r.NoMemory = errorx.IsOfType(err, ErrNoMemory)
 		r.Late = ctx.Err() != nil
 		r.Crashed = !r.Late && !errorx.IsOfType(err, ErrResponse) && !egress.Reachable(u.Address)
 	}
@@ -108,7 +107,7 @@
 		// An upstream may respond before it has read all of a long body.
 		go func() { writeErr <- req.Write(c) }()
 	}
-	head, body, err := s.readResponse(req, job.ID, c)
+	head, body, err := s.readResponse(req, job, c)
 	if err != nil {
 		return 0, err
 	}
@@ -148,9 +147,9 @@
 }
 
 // readResponse returns the response to the job. It skips informational responses and late responses to earlier requests.
-func (s *Sender) readResponse(req *http.Request, id string, c *upstreamConn) (responseHead, []byte, error) {
+func (s *Sender) readResponse(req *http.Request, job *pipe.Job, c *upstreamConn) (responseHead, []byte, error) {
 	for range maxStaleResponses {
-		h, body, err := s.readOne(req, c)
+		h, body, err := readOne(req, job, c)
 		if err != nil {
 			return responseHead{}, nil, err
 		}
@@ -158,14 +157,15 @@
 			continue
 		}
 		echo := h.Header.Get(s.Names.RequestID)
-		if echo == id || echo == "" && !c.reused {
+		if echo == job.ID || echo == "" && !c.reused {
 			return h, body, nil
 		}
+		job.Held.ShrinkAnswer(int64(cap(body)))
 		if echo == "" {
 			return responseHead{}, nil, ErrResponse.New("received a response without an ID, which may belong to an earlier request")
 		}
 		if h.Close {
-			return responseHead{}, nil, ErrResponse.New("received the response to another request instead of %s", id)
+			return responseHead{}, nil, ErrResponse.New("received the response to another request instead of %s", job.ID)
 		}
 	}
 	return responseHead{}, nil, ErrResponse.New("too many responses to other requests")
@@ -179,7 +179,7 @@
 }
 
 // readOne reads one full response from a connection.
-func (s *Sender) readOne(req *http.Request, c *upstreamConn) (responseHead, []byte, error) {
+func readOne(req *http.Request, job *pipe.Job, c *upstreamConn) (responseHead, []byte, error) {
 	c.head.limit(maxResponseHead)
 	resp, err := http.ReadResponse(c.reader, req)
 	if c.head.exceeded {
@@ -189,7 +189,7 @@
 		return responseHead{}, nil, err
 	}
 	c.head.unlimit()
-	body, err := s.readBody(resp)
+	body, err := readBody(resp, job)
 	if err != nil {
 		// Closing the body would read the rest of it; the connection is closed instead.
 		return responseHead{}, nil, err
--- a/internal/edge/httpd/body.go
+++ b/internal/edge/httpd/body.go
@@ -5,46 +5,24 @@
 	"io"
 	"net/http"
 	"os"
-	"sync/atomic"
 	"time"
+
+	"github.com/boragelane/boragelane/internal/core/held"
 )
 
 const (
 	// bodyTimeout bounds reading a body, which callers send without pauses.
 	bodyTimeout = 15 * time.Second
-	// freeBody is the size in bytes of a body that is accepted however much memory other bodies take, so that large ones don't
-	// keep out the rest.
-	freeBody = 8 << 10
 	// trustedBody is the number of bytes that must have arrived before memory for a body's whole declared length is taken.
 	trustedBody = 1 << 20
-	// defaultMaxBodies is the default of Server.MaxBodies in bytes.
-	defaultMaxBodies = 64 << 20
+	// firstBody is the size in bytes of the first buffer of a body whose length is unknown or large.
+	firstBody = held.FreeBytes
 	// bodyRetryAfter is the Retry-After of a body for which there is no memory, in seconds.
 	bodyRetryAfter = "1"
 )
 
-// errBodiesFull means that the bodies of all requests take as much memory as they may.
-var errBodiesFull = errors.New("no memory for the body")
-
-// bodyBudget counts the memory of the bodies that are being read or whose requests run.
-type bodyBudget struct{ used atomic.Int64 }
-
-// counted returns the part of a buffer of n bytes that counts.
-func counted(n int64) int64 { return max(0, n-freeBody) }
-
-// grow takes the memory for a buffer that grows from one size to another; it returns false if that exceeds the limit. A body that
-// is the only one may exceed it, since it would be refused each time it is sent again.
-func (b *bodyBudget) grow(from, to, limit int64) bool {
-	n := counted(to) - counted(from)
-	if total := b.used.Add(n); n > 0 && total > limit && total > counted(to) {
-		b.used.Add(-n)
-		return false
-	}
-	return true
-}
-
-// release returns the memory of a buffer of n bytes.
-func (b *bodyBudget) release(n int64) { b.used.Add(-counted(n)) }
+// errBodyRefused means that the host holds too much for its callers to accept the body.
+var errBodyRefused = errors.New("no memory for the body")
 
 // readBody reads the body of a request; a status other than 0 refuses the request and closes the connection.
 func (c *conn) readBody(hr *http.Request, req *Request, maxSize int64) (int, error) {
@@ -63,14 +41,14 @@
 	}
 	_ = c.net.SetReadDeadline(c.server.Clock().Add(bodyTimeout))
 	c.limiter.remaining = maxSize + maxSize/2 + readBufferSize // Room for the framing of chunks.
-	body, err := c.readAll(hr, maxSize)
+	body, err := readAll(hr, req.Held, maxSize)
 	if err == nil {
 		req.Body = body
 		return 0, nil
 	}
-	c.server.bodies.release(int64(cap(body)))
+	req.Held.Settle(0)
 	switch {
-	case errors.Is(err, errBodiesFull):
+	case errors.Is(err, errBodyRefused):
 		c.bodyRefused = true
 		return http.StatusServiceUnavailable, nil
 	case errors.Is(err, errReadLimit):
@@ -85,13 +63,13 @@
 }
 
 // readAll reads a body of at most maxSize bytes, and returns it also if it fails.
-func (c *conn) readAll(hr *http.Request, maxSize int64) ([]byte, error) {
+func readAll(hr *http.Request, account *held.Account, maxSize int64) ([]byte, error) {
 	var body []byte
 	for {
 		if len(body) == cap(body) {
 			size := nextSize(int64(len(body)), hr.ContentLength)
-			if !c.server.bodies.grow(int64(cap(body)), size, c.server.MaxBodies) {
-				return body, errBodiesFull
+			if !account.GrowBody(size - int64(cap(body))) {
+				return body, errBodyRefused
 			}
 			body = append(make([]byte, 0, size), body...)
 		}
@@ -110,10 +88,10 @@
 
 // nextSize returns the size of the next buffer of a body of which n bytes have arrived; declared is its length, or -1.
 func nextSize(n, declared int64) int64 {
-	if declared >= 0 && (n >= trustedBody || declared < 2*max(freeBody, n)) {
+	if declared >= 0 && (n >= trustedBody || declared < 2*max(firstBody, n)) {
 		return declared + 1 // Room for the read that finds the end.
 	}
-	return 2 * max(freeBody/2, n)
+	return 2 * max(firstBody/2, n)
 }
 
 // refusal returns the response to a request that was not read in full or is malformed.
--- a/internal/edge/httpd/conn.go
+++ b/internal/edge/httpd/conn.go
@@ -21,8 +21,13 @@
 	readBufferSize = 4096
 	// writeTimeout bounds writing a piece of a response to a slow caller.
 	writeTimeout = 10 * time.Second
-	// writePiece is the size in bytes of such a piece, so that the bound is on the caller's rate and not on the response's size.
-	writePiece = 1 << 20
+	// crowdedWriteTimeout is the same while the host holds too much for its callers.
+	crowdedWriteTimeout = writeTimeout / 4
+	// writePiece is the size in bytes of such a piece, so that the bound is on the caller's rate and not on the response's size:
+	// 26 KB a second, or 105 KB while the host holds too much.
+	writePiece = 256 << 10
+	// connShare divides the limit of all that is held; more may not wait for one caller before its next request is read.
+	connShare = 16
 )
 
 // conn is a connection from a caller.
@@ -37,6 +42,8 @@
 	bodyRefused bool
 
 	mu           sync.Mutex
+	waiting      int64     // Bytes of responses that are ready but not written.
+	written      sync.Cond // Signaled when waiting falls.
 	pending      int
 	reading      bool            // The first byte of a request has arrived, but not yet all of it.
 	closing      bool            // No further request is accepted.
@@ -90,10 +97,12 @@
 
 func newConn(s *Server, nc net.Conn) *conn {
 	limiter := &byteLimiter{Reader: nc}
-	return &conn{
-		server: s, net: nc, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferSize), writer: bufio.NewWriter(pieceWriter{net: nc, clock: s.Clock}),
+	c := &conn{
+		server: s, net: nc, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferSize), writer: bufio.NewWriter(pieceWriter{net: nc, clock: s.Clock, crowded: s.Held.Crowded}),
 		pipeline: make(chan *exchange, maxPipelined), idleSince: s.Clock(),
 	}
+	c.written.L = &c.mu
+	return c
 }
 
 // run reads requests and writes responses until the connection ends.
@@ -121,6 +130,7 @@
 // readRequests starts requests until the connection ends; it reports whether the caller has disconnected.
 func (c *conn) readRequests(ctx context.Context) bool {
 	for {
+		c.awaitRoom()
 		req, status, err := c.readRequest()
 		switch {
 		case errors.Is(err, errNoMoreRequests):
@@ -130,7 +140,7 @@
 		}
 		ex := &exchange{req: req, response: make(chan Response, 1)}
 		if !c.addPending(ex, status != 0) {
-			c.server.bodies.release(int64(cap(req.Body)))
+			req.Held.Settle(0)
 			return false
 		}
 		exCtx := c.enter(ctx, ex)
@@ -144,7 +154,7 @@
 		go func() {
 			resp := c.server.serve(exCtx, req)
 			c.settle(ex)
-			c.server.bodies.release(int64(cap(req.Body)))
+			c.hold(req, int64(cap(resp.Body)))
 			req.Body = nil // The response may wait for those of earlier requests.
 			ex.response <- resp
 		}()
@@ -183,15 +193,16 @@
 	}
 	switch {
 	case errors.Is(err, errReadLimit):
-		return &Request{}, http.StatusRequestHeaderFieldsTooLarge, nil
+		return c.newRequest(), http.StatusRequestHeaderFieldsTooLarge, nil
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return &Request{}, http.StatusRequestTimeout, nil
+		return c.newRequest(), http.StatusRequestTimeout, nil
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isNetError(err):
 		return nil, 0, err
 	case err != nil:
-		return &Request{}, http.StatusBadRequest, nil
+		return c.newRequest(), http.StatusBadRequest, nil
 	}
-	req := &Request{Method: hr.Method, Target: hr.RequestURI, Host: hr.Host, Header: hr.Header, Arrived: arrived}
+	req := c.newRequest()
+	req.Method, req.Target, req.Host, req.Header, req.Arrived = hr.Method, hr.RequestURI, hr.Host, hr.Header, arrived
 	if hr.Close || !hr.ProtoAtLeast(1, 1) && hr.Header.Get("Connection") != "keep-alive" {
 		req.Header.Set("Connection", "close")
 	}
@@ -199,6 +210,9 @@
 	return req, status, err
 }
 
+// newRequest returns a request that holds nothing yet.
+func (c *conn) newRequest() *Request { return &Request{Held: c.server.Held.NewAccount()} }
+
 // awaitRequest waits for the first byte of a request; the idle timeout does not apply while responses are pending.
 func (c *conn) awaitRequest(timeout time.Duration) error {
 	for {
--- a/internal/edge/httpd/server.go
+++ b/internal/edge/httpd/server.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/boragelane/boragelane/internal/core/held"
 )
 
 // Request is a fully read request of a caller.
@@ -18,6 +20,7 @@
 	Header  http.Header
 	Body    []byte
 	Arrived time.Time // Time at which the first byte was read.
+	Held    *held.Account // What the server and the handler hold for the request.
 }
 
 // Response is the response to a request.
@@ -60,10 +63,8 @@
 	OnRefused func(r *Request, status int)  // Called for a request that was refused before it was read in full.
 	OnClosed  func(c Closed)                // Called before a used connection is closed; it must not call the server.
 	Done      chan struct{}                 // Closed when the last connection has ended.
-	// MaxBodies bounds the bytes of all bodies that are being read or whose requests run; a body that exceeds it is refused.
-	MaxBodies int64
+	Held      *held.Budget                  // Bounds what is held for all requests; a body that exceeds it is refused.
 
-	bodies   bodyBudget
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
 	closed   bool // CloseIdle was called.
@@ -73,11 +74,14 @@
 	yieldCause error
 }
 
+// defaultMaxHeld is the default limit of Server.Held in bytes.
+const defaultMaxHeld = 128 << 20
+
 // New returns a server that is not running yet.
 func New(h Handler, limits func() Limits, clock func() time.Time) *Server {
 	return &Server{
 		Handler: h, Limits: limits, Clock: clock, OnPanic: func(string, any) {}, OnRefused: func(*Request, int) {},
-		OnClosed: func(Closed) {}, Done: make(chan struct{}), MaxBodies: defaultMaxBodies, conns: map[*conn]struct{}{},
+		OnClosed: func(Closed) {}, Done: make(chan struct{}), Held: held.NewBudget(defaultMaxHeld), conns: map[*conn]struct{}{},
 	}
 }
 
--- a/internal/edge/httpd/write.go
+++ b/internal/edge/httpd/write.go
@@ -18,10 +18,13 @@
 	for ex := range c.pipeline {
 		resp := <-ex.response
 		if !ok {
+			c.release(ex.req, resp)
 			continue
 		}
 		closeAfter := c.startWriting(ex)
-		if err := c.writeResponse(ex.req, resp, closeAfter); err != nil {
+		err := c.writeResponse(ex.req, resp, closeAfter)
+		c.release(ex.req, resp)
+		if err != nil {
 			ok = false
 			if !errors.Is(err, os.ErrDeadlineExceeded) {
 				c.noteCallerLeft()
@@ -39,18 +42,16 @@
 
 // pieceWriter writes in pieces, each of which the caller must take before a timeout.
 type pieceWriter struct {
-	net   net.Conn
-	clock func() time.Time
+	net     net.Conn
+	clock   func() time.Time
+	crowded func() bool // Whether the host holds too much to wait for slow callers.
 }
 
 // Write writes all pieces of b.
 func (w pieceWriter) Write(b []byte) (int, error) {
 	written := 0
 	for piece := range slices.Chunk(b, writePiece) {
-		if err := w.net.SetWriteDeadline(w.clock().Add(writeTimeout)); err != nil {
-			return written, err
-		}
-		n, err := w.net.Write(piece)
+		n, err := w.writePiece(piece)
 		written += n
 		if err != nil {
 			return written, err
@@ -59,6 +60,25 @@
 	return written, nil
 }
 
+// writePiece writes a piece. It gives up after the shorter timeout if the host holds too much by then.
+func (w pieceWriter) writePiece(piece []byte) (int, error) {
+	written := 0
+	start := w.clock()
+	for {
+		deadline := w.clock().Add(crowdedWriteTimeout)
+		if err := w.net.SetWriteDeadline(deadline); err != nil {
+			return written, err
+		}
+		n, err := w.net.Write(piece[written:])
+		written += n
+		now := w.clock()
+		// A timeout before the deadline was set by something else, which ends the connection.
+		if !errors.Is(err, os.ErrDeadlineExceeded) || now.Before(deadline) || now.Sub(start) >= writeTimeout || w.crowded() {
+			return written, err
+		}
+	}
+}
+
 // hopByHop lists the header fields that are not forwarded, because they concern one connection only.
 var hopByHop = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
--- a/internal/flow/pipe/job.go
+++ b/internal/flow/pipe/job.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"github.com/boragelane/boragelane/internal/core/held"
 	"github.com/boragelane/boragelane/internal/core/plan"
 	"github.com/boragelane/boragelane/internal/core/policy"
 	"github.com/boragelane/boragelane/internal/core/roster"
@@ -53,6 +54,7 @@
 	Credentials      []string      // The caller's key as it was sent, once for each header field; never logged or forwarded.
 	Workspaces       bool          // The policy has workspaces, so that the upstream gets the job's and nothing that the caller sent in its place.
 	Workspace        string        // The name of the workspace that the caller's key belongs to.
+	Held             *held.Account // What is held in memory for the request.
 	Homes            []string      // The regions that may run the job; empty allows all.
 }
 
@@ -98,6 +100,7 @@
 	Shed          bool   // The upstream reported that it did not run the job.
 	Draining      bool   // The upstream announced that it is draining.
 	Leaving       bool   // The upstream leaves and must get no further job.
+	NoMemory      bool   // The host held too much for its callers to read the answer.
 	Late          bool   // The deadline passed or the caller disconnected.
 	Crashed       bool   // The upstream seems to have crashed.
 	AddressReused bool   // Another upstream now has the address and did not run the job.
@@ -179,6 +182,7 @@
 	UpstreamFailed Reason = "upstream-failed"
 	Unauthorized   Reason = "unauthorized"
 	OverQuota      Reason = "over-quota"
+	NoMemory       Reason = "no-memory"
 	Superseded     Reason = "superseded" // Another attempt of the job was answered first.
 )
 
--- a/internal/flow/serve/serve.go
+++ b/internal/flow/serve/serve.go
@@ -149,7 +149,7 @@
 // result converts a reply to the result that the placer records for the upstream.
 func result(r *pipe.Reply, took time.Duration) place.Result {
 	out := place.Result{
-		Duration: took, DialTime: r.DialTime, Inconclusive: r.Late, Shed: r.Shed, AddressReused: r.AddressReused, Unreachable: !r.Sent && !r.Late || r.Crashed,
+		Duration: took, DialTime: r.DialTime, Inconclusive: r.Late || r.NoMemory, Shed: r.Shed, AddressReused: r.AddressReused, Unreachable: !r.Sent && !r.Late || r.Crashed,
 		Crashed: r.Crashed, Leaving: r.Leaving, RetryAfter: r.RetryAfter,
 		Succeeded: r.Complete && r.Answer.Status < http.StatusInternalServerError,
 	}
@@ -173,6 +173,8 @@
 		job.EndAnswered(r.Answer)
 	case errors.Is(cause, pipe.ErrSuperseded):
 		job.EndUnknown(pipe.Superseded, "another attempt was answered first")
+	case r.NoMemory: // Another attempt would need as much.
+		job.EndUnknown(pipe.NoMemory, "this host has no memory for the answer")
 	case !r.Sent && ctx.Err() == nil:
 		job.Refuse(pipe.ConnectFailed, "no connection to the upstream")
 	case !r.Sent && errors.Is(cause, pipe.ErrStopping):
--- a/internal/flow/serve/serve_test.go
+++ b/internal/flow/serve/serve_test.go
@@ -65,6 +65,8 @@
 	moved   = pipe.Reply{Sent: true, AddressReused: true}
 	refused = pipe.Reply{}
 	lost    = pipe.Reply{Sent: true}
+	// noMemory is the reply to a job whose answer this host couldn't read.
+	noMemory = pipe.Reply{Sent: true, NoMemory: true}
 )
 
 func TestAnAtMostOnceJobIsRetriedOnlyIfItHasNotRun(t *testing.T) {
@@ -85,6 +87,7 @@
 		{"a lost repeatable job is retried", false, []pipe.Reply{lost, whole}, 2, pipe.Answered, 200},
 		{"a failed repeatable job is retried", false, []pipe.Reply{failed, whole}, 2, pipe.Answered, 200},
 		{"a failed answer is returned if the retry is lost", false, []pipe.Reply{failed, lost}, 2, pipe.Answered, 500},
+		{"a job whose answer has no room is not retried", false, []pipe.Reply{noMemory, whole}, 1, pipe.Unknown, 0},
 		{"a job lost once may have run", false, []pipe.Reply{lost, shed}, 2, pipe.Unknown, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -176,3 +179,9 @@
 	assert.Equal(t, job.Outcome.Reason, pipe.Quarantined)
 	assert.Equal(t, job.RetryAfter, time.Duration(0))
 }
+
+// Guards against upstreams that are ejected because this host has no memory for their answers.
+func TestAnAnswerWithoutRoomSaysNothingAboutItsUpstream(t *testing.T) {
+	r := result(&noMemory, time.Second)
+	assert.Assert(t, r.Inconclusive && !r.Succeeded && !r.Unreachable && !r.Crashed)
+}
--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -159,10 +159,9 @@
 	// keepHedgeLosers lets the attempt that is answered second end by itself. Canceling it frees its slot at once, but what the
 	// upstream has done for it is lost.
 	keepHedgeLosers = false
-	// responseMemoryFraction is the fraction of Settings.Memory that the responses being read may take together.
-	responseMemoryFraction = 0.2
-	// requestMemoryFraction is the same for the bodies of requests, which are held until their jobs end.
-	requestMemoryFraction = 0.35
+	// heldMemoryFraction is the fraction of Settings.Memory that all bodies and responses may take together; a body or a response
+	// whose buffer grows takes twice its size for a moment.
+	heldMemoryFraction = 0.55
 	// memoryLimitFraction is the fraction of Settings.Memory above which the garbage collector runs more often.
 	memoryLimitFraction = 0.7
 )
@@ -170,7 +169,7 @@
 // Serve runs a caller's request through the filters and returns the answer.
 func (h *Host) Serve(ctx context.Context, r *httpd.Request) httpd.Response {
 	job := h.front.Job(r)
-	job.View = h.loop.View()
+	job.View, job.Held = h.loop.View(), r.Held
 	if h.Tracer == nil {
 		h.filters.Run(ctx, job)
 	} else {
@@ -233,8 +232,7 @@
 func (h *Host) Run(ctx context.Context, hangup <-chan os.Signal) error {
 	defer close(h.Done)
 	if h.Settings.Memory > 0 {
-		h.sender.MaxBuffered = int64(responseMemoryFraction * float64(h.Settings.Memory))
-		h.server.MaxBodies = int64(requestMemoryFraction * float64(h.Settings.Memory))
+		h.server.Held.SetLimit(int64(heldMemoryFraction * float64(h.Settings.Memory)))
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(h.Settings.Memory)))
 	}
 	runCtx, cancelRun := context.WithCancel(context.Background())
