perf(httpd): idle connections share their buffers

Cause: each connection of a caller kept a read and a write buffer of 4 KB.

Change: both come from pools. The read buffer is taken with the first byte of a request and returned when nothing unread is left; the write buffer is taken for the time of one response.

--- a/internal/edge/httpd/conn.go
+++ b/internal/edge/httpd/conn.go
@@ -34,9 +34,8 @@
 type conn struct {
 	server   *Server
 	net      net.Conn
-	limiter  *byteLimiter
-	reader   *bufio.Reader
-	writer   *bufio.Writer
+	limiter  byteLimiter
+	reader   *bufio.Reader // Nil while nothing has been read that is not yet used.
 	pipeline chan *exchange
 	// bodyRefused means that a part of a body was left unread; only the reading goroutine uses it.
 	bodyRefused bool
@@ -70,35 +69,15 @@
 	ready      bool // The response is ready; guarded by the connection's mu.
 }
 
-// byteLimiter bounds the bytes read for one header or body.
-type byteLimiter struct {
-	io.Reader
-	remaining int64
-	lastErr   error // The last read error; http.ReadRequest hides errors in the middle of a line.
-}
-
 var (
 	errReadLimit = errors.New("read limit exceeded")
 	// errNoMoreRequests ends the reading of a connection that accepts no further request.
 	errNoMoreRequests = errors.New("connection accepts no more requests")
 )
 
-// Read reads from the connection until the limit is reached.
-func (l *byteLimiter) Read(b []byte) (int, error) {
-	if l.remaining <= 0 {
-		l.lastErr = errReadLimit
-		return 0, l.lastErr
-	}
-	n, err := l.Reader.Read(b)
-	l.remaining -= int64(n)
-	l.lastErr = err
-	return n, err
-}
-
 func newConn(s *Server, nc net.Conn) *conn {
-	limiter := &byteLimiter{Reader: nc}
 	c := &conn{
-		server: s, net: nc, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferSize), writer: bufio.NewWriter(pieceWriter{net: nc, clock: s.Clock, crowded: s.Held.Crowded}),
+		server: s, net: nc, limiter: byteLimiter{Reader: nc},
 		pipeline: make(chan *exchange, maxPipelined), idleSince: s.Clock(),
 	}
 	c.written.L = &c.mu
@@ -219,7 +198,7 @@
 		if !c.setIdleDeadline(timeout) {
 			return errNoMoreRequests
 		}
-		_, err := c.reader.Peek(1)
+		err := c.awaitByte()
 		if err = c.beginRequest(err, timeout); !errors.Is(err, errStillBusy) {
 			return err
 		}
--- a/internal/edge/httpd/server.go
+++ b/internal/edge/httpd/server.go
@@ -19,7 +19,7 @@
 	Host    string
 	Header  http.Header
 	Body    []byte
-	Arrived time.Time // Time at which the first byte was read.
+	Arrived time.Time     // Time at which the first byte was read.
 	Held    *held.Account // What the server and the handler hold for the request.
 }
 
--- a/internal/edge/httpd/write.go
+++ b/internal/edge/httpd/write.go
@@ -1,6 +1,7 @@
 package httpd
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -89,7 +90,12 @@
 func EndToEnd(name string) bool { return !hopByHop[http.CanonicalHeaderKey(name)] }
 
 func (c *conn) writeResponse(req *Request, resp Response, closeAfter bool) error {
-	w := c.writer
+	w := writers.Get().(*bufio.Writer)
+	w.Reset(pieceWriter{net: c.net, clock: c.server.Clock, crowded: c.server.Held.Crowded})
+	defer func() {
+		w.Reset(nil)
+		writers.Put(w)
+	}()
 	_, _ = w.WriteString("HTTP/1.1 " + strconv.Itoa(resp.Status) + " " + http.StatusText(resp.Status) + "\r\n")
 	header := resp.Header
 	if header == nil {
