--- a/internal/flow/pipe/job.go
+++ b/internal/flow/pipe/job.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"github.com/boragelane/boragelane/internal/core/held"
 	"github.com/boragelane/boragelane/internal/core/plan"
 	"github.com/boragelane/boragelane/internal/core/policy"
 	"github.com/boragelane/boragelane/internal/core/roster"
@@ -54,6 +55,7 @@
 	Credentials      []string      // The caller's key as it was sent, once for each header field; never logged or forwarded.
 	Workspaces       bool          // The policy has workspaces, so that the upstream gets the job's and nothing that the caller sent in its place.
 	Workspace        string        // The name of the workspace that the caller's key belongs to.
+	Held             *held.Account // What is held in memory for the request.
 	Homes            []string      // The regions that may run the job; empty allows all.
 }
 
@@ -99,6 +101,7 @@
 	Shed          bool   // The upstream reported that it did not run the job.
 	Draining      bool   // The upstream announced that it is draining.
 	Leaving       bool   // The upstream leaves and must get no further job.
+	NoMemory      bool   // The host held too much for its callers to read the answer.
 	Late          bool   // The deadline passed or the caller disconnected.
 	Crashed       bool   // The upstream seems to have crashed.
 	AddressReused bool   // Another upstream now has the address and did not run the job.
@@ -183,6 +186,7 @@
 	Superseded     Reason = "superseded"      // Another attempt of the job was answered first.
 	KeysUnverified Reason = "keys-unverified" // The policy is too old to tell whether the caller's key is still valid.
 	NoHome         Reason = "no-home"         // No region may run the job: its route and its workspace have no home in common.
+	NoMemory       Reason = "no-memory"       // The host holds too much to read the answer.
 )
 
 // ErrStopping is the cause with which a stopping host cancels the jobs that are still running shortly before its exit.
