fix(place): callers that are refused together return one after another

Cause: Retry-After was the expected wait, the same for all callers refused within a second. The first refused caller is told the expected wait, as before. Nothing changes while nobody is refused.

--- a/internal/flow/place/fair.go
+++ b/internal/flow/place/fair.go
@@ -235,7 +235,7 @@
 		}
 		if s.doomed(now, q, victim) {
 			s.drop(victim)
-			victim.refusal = s.refuse(victim)
+			victim.refusal = s.refuse(now, victim)
 			victim.ready <- nil
 			return true
 		}
--- a/internal/flow/place/queue.go
+++ b/internal/flow/place/queue.go
@@ -64,7 +64,7 @@
 		s.chargeImmediate(w, g)
 		return g, Refusal{}, until
 	case !until.After(now):
-		return nil, s.refuse(w), until
+		return nil, s.refuse(now, w), until
 	}
 	w.enqueued, w.until, w.expected = now, until, s.expectedWait(w)
 	s.enqueue(w)
@@ -88,12 +88,15 @@
 		s.recordWait(ended, w, false)
 	}
 	s.drop(w)
-	return nil, s.refuse(w)
+	return nil, s.refuse(ended, w)
 }
 
-// refuse counts a job that got no slot and tells when one is expected to be free.
-func (s *Scheduler) refuse(w *waiter) Refusal {
+// refuse counts a job that got no slot and tells when its caller should return. Without a time, the caller has given up.
+func (s *Scheduler) refuse(now time.Time, w *waiter) Refusal {
 	refusal := Refusal{RetryAfter: s.expectedWait(w)}
+	if !now.IsZero() {
+		refusal.RetryAfter = s.scheduleReturn(now, w, refusal.RetryAfter)
+	}
 	w.setUpstream(nil)
 	s.counts(w.req.Service).refused++
 	return refusal
--- a/internal/flow/place/table.go
+++ b/internal/flow/place/table.go
@@ -29,6 +29,7 @@
 	backlog         backlog
 	classes         map[fairClass]*fairq.Queue // The classes with waiting jobs.
 	weights         workspaceWeights
+	returns         map[returnKey]time.Time  // When the next refused caller should return.
 	Waits           WaitRecorder             // Records how long jobs waited; may be nil. Set it before the first job.
 	placed          map[string]*placedCounts // By service, since the last summary.
 	lastPlaced      map[string]time.Time     // By service.
@@ -44,7 +45,7 @@
 	return &Scheduler{
 		view: &roster.View{}, loads: map[string]*load{}, estimates: map[string]*workEstimate{}, rtts: rttEstimates{},
 		demands: map[string]*demand{}, limiters: map[string]*shiftLimiter{}, grants: map[uint64]*Grant{}, enqueued: make(chan struct{}, 1),
-		backlog: backlog{}, classes: map[fairClass]*fairq.Queue{}, placed: map[string]*placedCounts{}, lastPlaced: map[string]time.Time{},
+		backlog: backlog{}, classes: map[fairClass]*fairq.Queue{}, returns: map[returnKey]time.Time{}, placed: map[string]*placedCounts{}, lastPlaced: map[string]time.Time{},
 	}
 }
 
@@ -140,6 +141,7 @@
 // decay.
 func (s *Scheduler) sweep(now time.Time) {
 	s.lastSweep = now
+	s.sweepReturns(now)
 	for _, l := range s.loads {
 		l.decay()
 	}
