--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -102,6 +102,7 @@
 	events := &eventLog{log: log, metrics: h.Metrics}
 	h.sender.OnBadLoad = events.logBadLoad
 	h.access = access.New(s.Keys, events)
+	h.scheduler.Waits = events
 	h.loop = watch.NewLoop(s.Host, clock, events)
 	h.loop.Subscribers = []watch.Subscriber{h.scheduler, &crashReceiver{crashes: h.crashes}}
 	h.updateFetcher = broker.NewUpdateFetcher(clock)
