Revert "feat(place): an upstream that sheds gets fewer jobs until it takes them"

Cause: where upstreams reject a part of their jobs at random and not for lack of room, the lowered limits take the room of the whole pool.

--- a/internal/flow/place/grant.go
+++ b/internal/flow/place/grant.go
@@ -108,7 +108,6 @@
 		}
 		r.Span = s.recordPace(now, l, g, &r)
 		l.recordRequest(now, g.host, &r)
-		l.recordShed(now, &r)
 		l.recordResult(now, r, s.mayEject(now, l.upstream.Service))
 		l.updateFactor(now, s.paceModel(l.upstream.Service))
 		s.rtts.record(g.fromDomain, g.Upstream.Domain, r.DialTime, g.rtt)
--- a/internal/flow/place/load.go
+++ b/internal/flow/place/load.go
@@ -43,7 +43,6 @@
 	slowdown            float64 // Average ratio of actual to expected work.
 	ratios              recentRatios
 	pace                paceState
-	shed                shedState
 	factor              float64 // Expected ratio of actual to expected work of an upstream that reports its pace, as computed for the last job considered.
 	recent              recentObjects
 	unexpectedMisses    int            // Consecutive misses of objects that should have been cached.
@@ -63,7 +62,7 @@
 
 // accepts reports whether the upstream takes requests from a host.
 func (l *load) accepts(now time.Time, host string) bool {
-	return !l.leaving && !now.Before(l.pausedUntil[host]) && !now.Before(l.shed.pausedUntil)
+	return !l.leaving && !now.Before(l.pausedUntil[host])
 }
 
 // expectedWork returns the expected work of a job on the upstream.
@@ -166,9 +165,6 @@
 		l.slowdown += idleDecay * (1 - l.slowdown)
 		l.pace.residual += idleDecay * (1 - l.pace.residual)
 		l.failureRate *= 1 - idleDecay
-		if l.shed.allowed > 0 {
-			l.raiseAllowed(1)
-		}
 	}
 }
 
--- a/internal/flow/place/rank.go
+++ b/internal/flow/place/rank.go
@@ -167,11 +167,11 @@
 // uncoordinatedJobLimit is the number of jobs that a host may run on an upstream whose jobs it does not coordinate.
 const uncoordinatedJobLimit = 1
 
-// jobLimit returns how many jobs may run on an upstream: all that it accepts if this host's pool uses it.
+// jobLimit returns how many jobs may run on an upstream: all of its slots if this host's pool uses it.
 func (l *load) jobLimit(req *Request, failover bool) int {
 	switch {
 	case l.assigned && !req.Isolated:
-		return l.slots()
+		return l.upstream.Slots
 	case l.assigned || failover:
 		return uncoordinatedJobLimit
 	}
