Revert "fix(place): a retransmission is no round trip"

Cause: with it placement can settle in a state in which few jobs are hits. Why the round trips have that effect was not traced.

--- a/internal/flow/place/grant.go
+++ b/internal/flow/place/grant.go
@@ -110,10 +110,10 @@
 		l.recordRequest(now, g.host, &r)
 		l.recordResult(now, r, s.mayEject(now, l.upstream.Service))
 		l.updateFactor(now, s.paceModel(l.upstream.Service))
-		s.rtts.record(g.fromDomain, g.Upstream.Domain, r.DialTime, g.rtt)
+		s.rtts.record(g.fromDomain, g.Upstream.Domain, r.DialTime)
 		s.recordRun(now, g, &r)
 		if r.Succeeded && r.QueueLength == 0 && !g.uncertain {
-			s.recordWork(g, r.workTime(), r.Span)
+			s.recordWork(g, r.Duration-g.rtt, r.Span)
 		}
 	}
 	s.assignFreedSlot(now, l)
--- a/internal/flow/place/pace_test.go
+++ b/internal/flow/place/pace_test.go
@@ -15,14 +15,14 @@
 	return Result{Duration: took, Succeeded: true, Pace: pace}
 }
 
-// runJobs runs jobs one after another on the only upstream of a pool.
-func runJobs(s *Scheduler, n int, result func(i int) Result) {
-	from := at(0)
+// runJobs runs jobs one after another on the only upstream of a pool, from a time on, and returns the time after the last.
+func runJobs(s *Scheduler, from time.Time, n int, result func(i int) Result) time.Time {
 	for i := range n {
 		g, r := try(s, from, newRequest(from)), result(i)
 		from = from.Add(r.Duration)
 		s.Release(from, g, r)
 	}
+	return from
 }
 
 // Guards against sending jobs to an upstream that just reported that its work takes longer.
@@ -158,7 +158,7 @@
 // Guards against training the estimate of the work with the time of slow moments, which would count the pace twice.
 func TestTheWorkEstimateLeavesOutThePace(t *testing.T) {
 	sched := newTestScheduler(upstream("u", "a", "east"))
-	runJobs(sched, 40, func(i int) Result {
+	runJobs(sched, at(0), 40, func(i int) Result {
 		if i%8 >= 4 {
 			return paced(250*ms, 2.5)
 		}
--- a/internal/flow/place/work.go
+++ b/internal/flow/place/work.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/boragelane/boragelane/internal/core/roster"
 )
 
 const (
@@ -243,3 +245,31 @@
 	}
 	return append(m, recentObject{object, grant})
 }
+
+// rttEstimates holds the round-trip time from one failure domain to another.
+type rttEstimates map[[2]string]time.Duration
+
+// Assumed round-trip times before a connection was opened, by locality.
+var initialRTT = [...]time.Duration{SameDomain: time.Millisecond, SameRegion: 3 * time.Millisecond, OtherRegion: 60 * time.Millisecond}
+
+// crossingPenalty is added to the round trip because traffic between failure domains and regions is billed.
+var crossingPenalty = [...]time.Duration{SameDomain: 0, SameRegion: 25 * time.Millisecond, OtherRegion: 40 * time.Millisecond}
+
+func (r rttEstimates) expected(from *roster.Host, u *roster.Upstream) time.Duration {
+	if d, ok := r[[2]string{from.Domain, u.Domain}]; ok {
+		return d
+	}
+	return initialRTT[localityOf(from, u)]
+}
+
+// record adds the time that a connection took to open.
+func (r rttEstimates) record(from, to string, took time.Duration) {
+	if took <= 0 {
+		return
+	}
+	key := [2]string{from, to}
+	if old, ok := r[key]; ok {
+		took = old + time.Duration(sampleWeight*float64(took-old))
+	}
+	r[key] = took
+}
