fix(place): the estimated size of the caches grows to what they are

Cause: caches of 25 objects were taken for 16. An object that an upstream should have dropped counted as missing there as on any other, so that it went anywhere, and nothing showed that it was still cached. Where the caches barely hold all objects, a quarter of the hits was lost. Change: such an object costs less on the upstream that had it, the less the longer ago. A hit beyond the estimate weighs 0.15 instead of 0.05. The share of unexpected misses is taken from objects that any cache would hold.

--- a/internal/flow/place/grant.go
+++ b/internal/flow/place/grant.go
@@ -136,8 +136,10 @@
 func (s *Scheduler) recordWork(g *Grant, took time.Duration, span paceSpan) {
 	w, l := s.estimate(g.Upstream.Service), s.loads[g.Upstream.ID]
 	normal := time.Duration(float64(took) / max(1, l.slowdown)) // What it would have taken on an average upstream.
+	longest := took                                             // The same if the upstream was no slower than usual.
 	if l.pace.trusted() && span != (paceSpan{}) {
 		normal = time.Duration(float64(took) / max(1, l.pace.residual*span.most()))
+		longest = time.Duration(float64(took) / max(1, min(span.from, span.to)))
 		took = time.Duration(float64(took) / span.usual(took, g.expectedWork))
 	}
 	missed := w.looksLikeMiss(normal)
@@ -147,9 +149,11 @@
 	if !g.reused || w.tooLong(normal) {
 		return
 	}
-	w.adjustCacheSize(g.reuseDistance, normal)
+	w.adjustCacheSize(g.reuseDistance, normal, longest)
 	if w.surelyCached(g.reuseDistance) {
 		l.noteCached(g.ID, missed)
+	}
+	if g.reuseDistance < minCacheSize {
 		w.noteSureMiss(missed)
 	}
 }
--- a/internal/flow/place/place_test.go
+++ b/internal/flow/place/place_test.go
@@ -266,8 +266,8 @@
 func TestCacheSizeEstimateConverges(t *testing.T) {
 	w := &workEstimate{cacheSize: initialCacheSize, hit: 100 * time.Millisecond, miss: 300 * time.Millisecond}
 	for range 200 {
-		w.adjustCacheSize(12, 300*time.Millisecond) // A miss after twelve other objects.
-		w.adjustCacheSize(6, 100*time.Millisecond)  // A hit after six.
+		w.adjustCacheSize(12, 300*time.Millisecond, 300*time.Millisecond) // A miss after twelve other objects.
+		w.adjustCacheSize(6, 100*time.Millisecond, 100*time.Millisecond)  // A hit after six.
 	}
 	assert.Assert(t, w.cacheSize > 6 && w.cacheSize <= 12.1, "%.1f", w.cacheSize)
 }
--- a/internal/flow/place/rank.go
+++ b/internal/flow/place/rank.go
@@ -95,12 +95,17 @@
 		}
 		c := Candidate{Upstream: l.upstream, Free: l.limit - l.running, load: l}
 		c.Warming = l.cold(now) && now.Sub(l.lastWarmup) > warmupInterval && req.Rank > 0
-		service := l.serviceTime(l.expectedWork(w, key))
+		distance, sent := l.recent.reuseDistance(key)
+		cached := sent && float64(distance) < w.cacheSize
+		service := l.serviceTime(w.expected(cached))
 		p := &paths[l.domainIndex]
 		if !w.hasTime(remaining, p.rtt+service) {
 			continue // The deadline would probably interrupt the job.
 		}
 		c.Cost = l.cost(p, time.Duration(scarcity*float64(service)), meanWork) + s.holdTime(now, l, req)
+		if sent && !cached {
+			c.Cost -= l.serviceTime(w.returnDiscount(distance))
+		}
 		if key != 0 {
 			c.Score = rendez.UnweightedScore(key, l.hash)
 			if owner < 0 || c.Score > out[owner].Score {
--- a/internal/flow/place/tail_test.go
+++ b/internal/flow/place/tail_test.go
@@ -67,7 +67,7 @@
 	}
 	for range 100 {
 		w.noteSureMiss(true)
-		w.adjustCacheSize(9, 300*ms)
+		w.adjustCacheSize(9, 300*ms, 300*ms)
 	}
 	assert.Equal(t, w.cacheSize, float64(initialCacheSize))
 }
@@ -102,3 +102,16 @@
 		assert.Assert(t, slow == (got > 2), "slowdown %.2f after four jobs that were cut off after %v", got, took)
 	}
 }
+
+// Guards against an estimate of the caches' size that grows since misses look like hits on an upstream that is wrongly taken for slow.
+func TestOnlyClearHitsMakeCachesLarger(t *testing.T) {
+	w := &workEstimate{cacheSize: initialCacheSize, hit: 100 * ms, miss: 300 * ms}
+	for range 100 {
+		w.adjustCacheSize(20, 120*ms, 300*ms)
+	}
+	assert.Equal(t, w.cacheSize, float64(initialCacheSize))
+	for range 20 {
+		w.adjustCacheSize(20, 100*ms, 110*ms)
+	}
+	assert.Assert(t, w.cacheSize > 19, "%.1f", w.cacheSize)
+}
--- a/internal/flow/place/warm_test.go
+++ b/internal/flow/place/warm_test.go
@@ -22,6 +22,20 @@
 	}
 }
 
+// Replays a region with 16 upstreams, whose caches together hold 400 objects of 323. Guards against an estimate of their size that stays too
+// small, since objects that should have been dropped go to any upstream and nothing shows that they were not.
+func TestTheHitsAreWhatTheCachesAllow(t *testing.T) {
+	for name, report := range map[string]func(*replay, time.Duration, *simulated) float64{"reports": truePace, "no reports": noPace} {
+		c := deploymentL()
+		c.perSecond, c.upstreams, c.report, c.length = c.perSecond*16/float64(c.upstreams), 16, report, 16*time.Second
+		r := newReplay(c)
+		r.run()
+		f := r.figures(8*time.Second, c.length)
+		t.Logf("%s: %v, %.1f objects", name, f, r.sched.estimate("s").cacheSize)
+		assert.Check(t, f.hits > 0.88 && r.sched.estimate("s").cacheSize > 20, "%s: %v", name, f)
+	}
+}
+
 // warmingScheduler returns a scheduler whose only upstream runs the first job with an object since the start, and knows that a miss takes
 // 800 ms and a hit 240 ms.
 func warmingScheduler() (*Scheduler, *Grant) {
--- a/internal/flow/place/work.go
+++ b/internal/flow/place/work.go
@@ -15,7 +15,7 @@
 	minCacheSize = 3
 	// growWeight and shrinkWeight are the weights of an answer that contradicts the estimated cache size. An unexpected miss
 	// weighs less, since the upstream may have lost its cache.
-	growWeight   = 0.05
+	growWeight   = 0.15
 	shrinkWeight = 0.02
 	// workWeight is the weight of the newest sample in a service's moving averages.
 	workWeight = 0.05
@@ -27,6 +27,8 @@
 	// ownerHitProbability is the chance that an object's owner, the first upstream in rendezvous order, has cached it
 	// although this scheduler has not sent it there. Another host may have placed jobs before.
 	ownerHitProbability = 0.25
+	// returnHitProbability is the chance that an upstream still has the object that it should have dropped last.
+	returnHitProbability = 0.5
 	// minSlowdown and maxSlowdown bound the measured slowdown of an upstream relative to its service.
 	minSlowdown = 0.5
 	maxSlowdown = 20
@@ -60,6 +62,13 @@
 	return time.Duration(ownerHitProbability * float64(w.expected(false)-w.expected(true)))
 }
 
+// returnDiscount returns the work that an object is expected to save on an upstream that should have dropped it since. Without it such
+// objects go anywhere, and nothing shows that the caches are larger than estimated.
+func (w *workEstimate) returnDiscount(distance int) time.Duration {
+	chance := returnHitProbability * max(0, 2-float64(distance)/w.cacheSize)
+	return time.Duration(chance * float64(w.expected(false)-w.expected(true)))
+}
+
 // looksLikeMiss reports whether a request took so long that its object was not cached. It is false while hits and misses
 // can't be told apart.
 func (w *workEstimate) looksLikeMiss(took time.Duration) bool {
@@ -83,9 +92,11 @@
 	return float64(distance) < max(minCacheSize, w.cacheSize/2)
 }
 
-// adjustCacheSize moves the estimated cache size towards a reuse distance whose hit or miss it predicted wrongly.
-func (w *workEstimate) adjustCacheSize(distance int, took time.Duration) {
-	if !w.distinct() || w.surelyCached(distance) {
+// adjustCacheSize moves the estimated cache size towards a reuse distance whose hit or miss it predicted wrongly. The job's time is given
+// twice, divided by the longest and by the shortest time that work may take on the upstream: only what is a hit or a miss by both counts, since
+// a miss on an upstream that is wrongly taken for slow looks like a hit.
+func (w *workEstimate) adjustCacheSize(distance int, took, longest time.Duration) {
+	if !w.distinct() || w.surelyCached(distance) || w.looksLikeMiss(took) != w.looksLikeMiss(longest) {
 		return
 	}
 	hit, predicted := !w.looksLikeMiss(took), float64(distance) < w.cacheSize
