--- a/internal/flow/place/pace_test.go
+++ b/internal/flow/place/pace_test.go
@@ -183,3 +183,25 @@
 	k := sched.Knowledge("s")
 	assert.Assert(t, k.Upstreams[0].Slowdown < 1.2, "slowdown %.2f", k.Upstreams[0].Slowdown)
 }
+
+// Guards against a log line from which operators can't tell a slow moment from a lasting slowdown, or from reports that are not true.
+func TestTheSummaryTellsReportedFromLearned(t *testing.T) {
+	sched := newTestScheduler(upstream("slow", "a", "east"), upstream("usual", "a", "east"), upstream("silent", "a", "east"), upstream("wrong", "a", "east"))
+	m := sched.paceModel("s")
+	for id, pace := range map[string]float64{"slow": 2.5, "usual": 1, "wrong": 1.5} {
+		sched.loads[id].pace.record(m, pace, at(0))
+	}
+	sched.loads["wrong"].pace.errPace = 1
+	sched.loads["silent"].slowdown = 3
+	sched.loads["usual"].shed.allowed = 1
+	sched.counts("s").placed++
+	got := sched.Summaries(at(time.Second))[0]
+	assert.Equal(t, got.Reporting, 3)
+	assert.Assert(t, got.Pace > 1.66 && got.Pace < 1.67, "%v", got.Pace)
+	assert.Equal(t, got.Slow, 2)
+	assert.Equal(t, got.Doubted, 1)
+	assert.Equal(t, got.Slowdown, 1.5)
+	assert.Equal(t, got.Shedding, 1)
+	sched.counts("s").placed++
+	assert.Equal(t, sched.Summaries(at(4 * time.Second))[0].Reporting, 0)
+}
--- a/internal/flow/place/summary.go
+++ b/internal/flow/place/summary.go
@@ -22,8 +22,21 @@
 	Placed    int
 	Hits      int // Jobs placed on an upstream that was expected to have their object cached.
 	Refused   int
+	Reporting int     // Upstreams that reported their pace within the last seconds.
+	Pace      float64 // Mean of the paces that they reported last; 0 if there is none.
+	Slow      int     // Those of them that reported to take at least slowPace times as long as usual.
+	Doubted   int     // Those whose reports their responses contradict.
+	Slowdown  float64 // Mean of what was learned of all upstreams apart from the reported pace.
+	Shedding  int     // Upstreams that get fewer jobs than they have slots, since they rejected jobs or reported a queue.
 }
 
+const (
+	// slowPace is the pace from which an upstream is listed as slow.
+	slowPace = 1.5
+	// listedPaceAge is the age to which reports are listed. Upstreams report with each answer, many times a second under load.
+	listedPaceAge = 2 * time.Second
+)
+
 // placedCounts counts the jobs of one service since the last summary.
 type placedCounts struct{ placed, hits, refused int }
 
@@ -47,6 +60,8 @@
 		for _, l := range s.loadsByService[service] {
 			s.summarize(now, l, &sum)
 		}
+		sum.Pace /= float64(max(1, sum.Reporting))
+		sum.Slowdown /= float64(max(1, sum.Upstreams))
 		for _, w := range s.waiters {
 			if w.req.Service == service {
 				sum.Waiting++
@@ -73,6 +88,7 @@
 	}
 	sum.Upstreams++
 	sum.Running += l.running
+	sum.addPace(now, l)
 	switch {
 	case l.leaving:
 		sum.Leaving++
@@ -84,3 +100,21 @@
 		sum.Slots += l.upstream.Slots
 	}
 }
+
+// addPace adds what is known of an upstream's speed to a summary; the means are sums until the end.
+func (sum *Summary) addPace(now time.Time, l *load) {
+	sum.Slowdown += l.lastingSlowdown()
+	if l.shed.allowed > 0 {
+		sum.Shedding++
+	}
+	if p := &l.pace; p.last.pace > 0 && now.Sub(p.last.at) <= listedPaceAge {
+		sum.Reporting++
+		sum.Pace += p.last.pace
+		if p.last.pace >= slowPace {
+			sum.Slow++
+		}
+		if !p.trusted() {
+			sum.Doubted++
+		}
+	}
+}
--- a/internal/host/steer/journal.go
+++ b/internal/host/steer/journal.go
@@ -85,7 +85,8 @@
 		h.Log.Info("pool", zap.String("service", s.Service), zap.Int("upstreams", s.Upstreams), zap.Int("slots", s.Slots),
 			zap.Int("running", s.Running), zap.Int("waiting", s.Waiting), zap.Int("ejected", s.Ejected), zap.Int("cold", s.Cold),
 			zap.Int("leaving", s.Leaving), zap.Int("borrowed", s.Borrowed), zap.Int("lent", s.Lent), zap.Int("placed", s.Placed),
-			zap.Int("hits", s.Hits), zap.Int("refused", s.Refused))
+			zap.Int("hits", s.Hits), zap.Int("refused", s.Refused), zap.Int("reporting", s.Reporting), zap.Float64("pace", s.Pace),
+			zap.Int("slow", s.Slow), zap.Int("doubted", s.Doubted), zap.Float64("slowdown", s.Slowdown), zap.Int("shedding", s.Shedding))
 	}
 }
 
