feat(place): reports count as far as jobs take longer by them

Change: the deviations that reports let expect are compared with the times of the jobs, over all upstreams of a service, and count only as far as these follow them. Where a job outlasts the moment of the report, this also accounts for the rest of the job. Tests of flow/place and edge/broker pass.

--- a/internal/flow/place/grant.go
+++ b/internal/flow/place/grant.go
@@ -25,6 +25,7 @@
 	rtt           time.Duration
 	started       time.Time
 	pace          float64 // The upstream's expected pace at the start; 0 if it reports none.
+	deviation     float64 // The deviation from the usual pace that its report let expect.
 }
 
 // endGrant removes a grant and returns the load of its upstream, or nil if the grant or upstream is no longer known.
@@ -56,7 +57,8 @@
 		rtt: s.rtts.expected(&req.Host, u), started: now,
 	}
 	if l.pace.last.pace > 0 {
-		g.pace = l.pace.forecast(now, s.paceModel(u.Service), u.Slots)
+		m := s.paceModel(u.Service)
+		g.pace, g.deviation = l.pace.forecast(now, m, u.Slots), l.pace.deviation(now, m, u.Slots)
 		l.pace.granted++
 	}
 	estimate := s.estimate(u.Service)
@@ -107,6 +109,9 @@
 		l.recordResult(now, r, s.mayEject(now, l.upstream.Service))
 		l.updateFactor(now, s.paceModel(l.upstream.Service))
 		s.rtts.record(g.fromDomain, g.Upstream.Domain, r.DialTime, g.rtt)
+		if r.Succeeded && g.pace > 0 && r.ExpectedWork > 0 {
+			s.paceModel(l.upstream.Service).recordJob(float64(r.workTime())/(l.pace.residual*float64(r.ExpectedWork)), g.deviation)
+		}
 		if r.Succeeded && r.QueueLength == 0 && !g.uncertain {
 			s.recordWork(g, r.workTime(), r.Span)
 		}
--- a/internal/flow/place/pace.go
+++ b/internal/flow/place/pace.go
@@ -30,9 +30,42 @@
 // the time for which they keep their speed is a property of the deployment.
 type paceModel struct {
 	weighted, seconds float64 // Sum of the paces times the time since the upstream's last report, and of these times.
-	bins              [paceBins]struct{ xy, xx float64 }
+	bins              [paceBins]regression
+	gain              regression // How much longer jobs take by the deviations that were expected at their start.
+	ratio             float64    // Average ratio of actual to expected work, less 1.
 }
 
+// regression holds the sums from which the slope of y over x is estimated.
+type regression struct{ xy, xx float64 }
+
+// add adds a sample and halves the weight of the older ones from time to time.
+func (r *regression) add(x, y float64) {
+	r.xy += x * y
+	r.xx += x * x
+	if r.xx > maxValiditySamples {
+		r.xy, r.xx = r.xy/2, r.xx/2
+	}
+}
+
+// slope returns the estimate, from 0 to 1, with the given one before there are samples.
+func (r *regression) slope(assumed float64) float64 {
+	return min(1, max(0, (r.xy+validityPrior*assumed)/(r.xx+validityPrior)))
+}
+
+// recordJob records the ratio of a job's actual to its expected work and the deviation of the pace that was expected at its start.
+func (m *paceModel) recordJob(ratio, deviation float64) {
+	y := min(maxGainRatio, ratio) - 1
+	m.gain.add(deviation, y-m.ratio)
+	m.ratio += gainRatioWeight * (y - m.ratio)
+}
+
+const (
+	// maxGainRatio bounds the ratio of one job, so that the long tail counts little.
+	maxGainRatio = 4
+	// gainRatioWeight is the weight of the newest job in the average ratio.
+	gainRatioWeight = 0.02
+)
+
 // usual returns the average pace.
 func (m *paceModel) usual() float64 {
 	return (m.weighted + usualPaceTime) / (m.seconds + usualPaceTime)
@@ -44,9 +77,7 @@
 	if bin >= paceBins {
 		return 0
 	}
-	b := m.bins[bin]
-	assumed := math.Exp(-float64(age) / float64(assumedValidity))
-	return min(1, max(0, (b.xy+validityPrior*assumed)/(b.xx+validityPrior)))
+	return m.bins[bin].slope(math.Exp(-float64(age) / float64(assumedValidity)))
 }
 
 // recordPair records that an upstream that reported one pace reported another at a later time.
@@ -55,12 +86,8 @@
 	if bin >= paceBins {
 		return
 	}
-	b, usual := &m.bins[bin], m.usual()
-	b.xy += (before - usual) * (after - usual)
-	b.xx += (before - usual) * (before - usual)
-	if b.xx > maxValiditySamples {
-		b.xy, b.xx = b.xy/2, b.xx/2
-	}
+	usual := m.usual()
+	m.bins[bin].add(before-usual, after-usual)
 }
 
 // recordTime records that an upstream reported a pace some time after its previous report. The weight is that time, since slow upstreams
@@ -134,17 +161,21 @@
 	}
 }
 
-// forecast returns the expected pace of a job that starts now. A burst must not go to the one upstream that just reported well: a report
-// that is better than usual loses weight with each job started since, as a report of one job says little about several at a time.
-func (p *paceState) forecast(now time.Time, m *paceModel, slots int) float64 {
-	age := now.Sub(p.last.at)
-	usual, validity := m.usual(), m.validity(age)
-	deviation := p.last.pace - usual
+// deviation returns what is expected to remain of the last report's deviation from the usual pace. A burst must not go to the one upstream
+// that just reported well: a report that is better than usual loses weight with each job started since, as it says little about several jobs
+// at a time.
+func (p *paceState) deviation(now time.Time, m *paceModel, slots int) float64 {
+	validity, deviation := m.validity(now.Sub(p.last.at)), p.last.pace-m.usual()
 	if deviation < 0 {
 		validity *= max(0, 1-float64(p.granted)/max(minReuses, reusesPerSlot*float64(slots)))
 	}
-	silent := math.Exp(-max(0, age-paceBins*paceBinWidth).Seconds() / forgetPaceTime.Seconds())
-	return max(minSlowdown, 1+silent*(usual-1)+validity*deviation)
+	return validity * deviation
+}
+
+// forecast returns the expected pace of a job that starts now.
+func (p *paceState) forecast(now time.Time, m *paceModel, slots int) float64 {
+	silent := math.Exp(-max(0, now.Sub(p.last.at)-paceBins*paceBinWidth).Seconds() / forgetPaceTime.Seconds())
+	return max(minSlowdown, 1+silent*(m.usual()-1)+m.gain.slope(1)*p.deviation(now, m, slots))
 }
 
 // paceSpan is the pace of an upstream when a job started and when it ended. The job's time may follow either, or both.
