perf(place): the decision with paces and held jobs costs less

Change: the usual pace, the gain and the assumed validities are computed when they change, recent objects are searched from the newest, and the queue looks for held jobs only while retries are left. No decision changes.

--- a/internal/flow/place/bench_test.go
+++ b/internal/flow/place/bench_test.go
@@ -56,3 +56,24 @@
 		}
 	}
 }
+
+// BenchmarkPlace measures the decision on one job in the largest pool of deployment L, with upstreams that report their pace and without.
+func BenchmarkPlace(b *testing.B) {
+	for name, report := range map[string]func(*replay, time.Duration, *simulated) float64{"pace": truePace, "none": noPace} {
+		b.Run(name, func(b *testing.B) {
+			c := deploymentL()
+			c.report, c.length = report, 3*time.Second
+			r := newReplay(c)
+			r.run()
+			now := at(c.length)
+			b.ResetTimer()
+			for i := range b.N {
+				req := newRequest(now)
+				req.Object = fmt.Sprint("o", i%c.objects)
+				if g := try(r.sched, now, req); g != nil {
+					r.sched.Release(now, g, Result{Duration: 100 * ms, Succeeded: true, Pace: report(r, c.length, r.ups[g.Upstream.ID])})
+				}
+			}
+		})
+	}
+}
--- a/internal/flow/place/pace.go
+++ b/internal/flow/place/pace.go
@@ -33,6 +33,7 @@
 	bins              [paceBins]regression
 	gain              regression // How much longer jobs take by the deviations that were expected at their start.
 	ratio             float64    // Average ratio of actual to expected work, less 1.
+	usual, slope      float64    // The usual pace and the slope of gain, as of the last record.
 }
 
 // regression holds the sums from which the slope of y over x is estimated.
@@ -56,6 +57,7 @@
 func (m *paceModel) recordJob(ratio, deviation float64) {
 	y := min(maxGainRatio, ratio) - 1
 	m.gain.add(deviation, y-m.ratio)
+	m.slope = m.gain.slope(1)
 	m.ratio += gainRatioWeight * (y - m.ratio)
 }
 
@@ -66,10 +68,8 @@
 	gainRatioWeight = 0.02
 )
 
-// usual returns the average pace.
-func (m *paceModel) usual() float64 {
-	return (m.weighted + usualPaceTime) / (m.seconds + usualPaceTime)
-}
+// newPaceModel returns a model without samples, by which the usual pace is 1 and all reports are true.
+func newPaceModel() *paceModel { return &paceModel{usual: 1, slope: 1} }
 
 // validity returns how much of a report's deviation from the usual pace is expected to remain at an age, from 0 to 1.
 func (m *paceModel) validity(age time.Duration) float64 {
@@ -77,16 +77,24 @@
 	if bin >= paceBins {
 		return 0
 	}
-	return m.bins[bin].slope(math.Exp(-float64(age) / float64(assumedValidity)))
+	return m.bins[bin].slope(assumedValidities[bin])
 }
 
+// assumedValidities holds the validity at the middle of each bin before there are samples.
+var assumedValidities = func() (out [paceBins]float64) {
+	for bin := range out {
+		out[bin] = math.Exp(-(float64(bin) + 0.5) * float64(paceBinWidth) / float64(assumedValidity))
+	}
+	return out
+}()
+
 // recordPair records that an upstream that reported one pace reported another at a later time.
 func (m *paceModel) recordPair(before, after float64, age time.Duration) {
 	bin := int(max(0, age) / paceBinWidth)
 	if bin >= paceBins {
 		return
 	}
-	usual := m.usual()
+	usual := m.usual
 	m.bins[bin].add(before-usual, after-usual)
 }
 
@@ -96,6 +104,7 @@
 	seconds := min(maxPaceGap, since).Seconds()
 	m.weighted += pace * seconds
 	m.seconds += seconds
+	m.usual = (m.weighted + usualPaceTime) / (m.seconds + usualPaceTime)
 	if m.seconds > maxPaceTime {
 		m.weighted, m.seconds = m.weighted/2, m.seconds/2
 	}
@@ -165,7 +174,7 @@
 // that just reported well: a report that is better than usual loses weight with each job started since, as it says little about several jobs
 // at a time.
 func (p *paceState) deviation(now time.Time, m *paceModel, slots int) float64 {
-	validity, deviation := m.validity(now.Sub(p.last.at)), p.last.pace-m.usual()
+	validity, deviation := m.validity(now.Sub(p.last.at)), p.last.pace-m.usual
 	if deviation < 0 {
 		validity *= max(0, 1-float64(p.granted)/max(minReuses, reusesPerSlot*float64(slots)))
 	}
@@ -174,8 +183,11 @@
 
 // forecast returns the expected pace of a job that starts now.
 func (p *paceState) forecast(now time.Time, m *paceModel, slots int) float64 {
-	silent := math.Exp(-max(0, now.Sub(p.last.at)-paceBins*paceBinWidth).Seconds() / forgetPaceTime.Seconds())
-	return max(minSlowdown, 1+silent*(m.usual()-1)+m.gain.slope(1)*p.deviation(now, m, slots))
+	silent := 1.0
+	if d := now.Sub(p.last.at) - paceBins*paceBinWidth; d > 0 {
+		silent = math.Exp(-d.Seconds() / forgetPaceTime.Seconds())
+	}
+	return max(minSlowdown, 1+silent*(m.usual-1)+m.slope*p.deviation(now, m, slots))
 }
 
 // paceSpan is the pace of an upstream when a job started and when it ended. The job's time may follow either, or both.
--- a/internal/flow/place/pace_test.go
+++ b/internal/flow/place/pace_test.go
@@ -62,7 +62,7 @@
 	assert.Assert(t, m.validity(50*ms) > 0.75, "%.2f after 50 ms", m.validity(50*ms))
 	assert.Assert(t, m.validity(350*ms) > 0.2 && m.validity(350*ms) < 0.7, "%.2f after 350 ms", m.validity(350*ms))
 	assert.Assert(t, m.validity(900*ms) < 0.2, "%.2f after 900 ms", m.validity(900*ms))
-	assert.Assert(t, m.usual() > 1.1 && m.usual() < 1.35, "usual pace %.2f", m.usual())
+	assert.Assert(t, m.usual > 1.1 && m.usual < 1.35, "usual pace %.2f", m.usual)
 }
 
 // Replays the same load. Guards against reports that cost more hits than they save time.
@@ -137,7 +137,7 @@
 			l.pace.record(sched.paceModel("s"), pace, now)
 			l.recordSlowdown(c.took, paceSpan{from: l.pace.forecast(now, sched.paceModel("s"), 6), to: pace})
 		}
-		l.updateFactor(now, &paceModel{})
+		l.updateFactor(now, newPaceModel())
 		got := l.currentSlowdown()
 		assert.Check(t, got >= c.from && got <= c.to, "%s: slowdown %.2f", c.name, got)
 	}
--- a/internal/flow/place/queue.go
+++ b/internal/flow/place/queue.go
@@ -121,11 +121,11 @@
 func (s *Scheduler) wake(now time.Time) {
 	retries := 0
 	s.serveWaiters(func(w *waiter) bool {
-		if s.isHeld(now, w) {
+		if retries >= maxWakeRetries || s.isHeld(now, w) {
 			return false
 		}
 		retries++
-		return retries <= maxWakeRetries && s.tryServe(now, w)
+		return s.tryServe(now, w)
 	})
 }
 
@@ -161,8 +161,8 @@
 
 // canStart reports whether an upstream can run a job that is queued for it.
 func (s *Scheduler) canStart(now time.Time, l *load, w *waiter) bool {
-	return l.inView && l.running < l.jobLimit(&w.req, false) && !s.shouldHold(now, l, &w.req) && !l.ejected(now) && !l.cold(now) && l.accepts(now, w.req.Host.Name) &&
-		s.estimate(w.req.Service).hasTime(w.req.Deadline.Sub(now), s.expectedDuration(l, &w.req))
+	return l.inView && l.running < l.jobLimit(&w.req, false) && !l.ejected(now) && !l.cold(now) && l.accepts(now, w.req.Host.Name) &&
+		s.estimate(w.req.Service).hasTime(w.req.Deadline.Sub(now), s.expectedDuration(l, &w.req)) && !s.shouldHold(now, l, &w.req)
 }
 
 // deliver grants a waiter a slot of the upstream that it is queued for.
--- a/internal/flow/place/table.go
+++ b/internal/flow/place/table.go
@@ -201,7 +201,7 @@
 func (s *Scheduler) paceModel(service string) *paceModel {
 	m := s.paces[service]
 	if m == nil {
-		m = &paceModel{}
+		m = newPaceModel()
 		s.paces[service] = m
 	}
 	return m
--- a/internal/flow/place/warm.go
+++ b/internal/flow/place/warm.go
@@ -62,9 +62,15 @@
 // that starts with empty caches: the first jobs of all objects run at once, and every job that arrives meanwhile would compute its object
 // again, for several times as long as it takes once the object is cached, and end later than it does after waiting.
 func (s *Scheduler) shouldHold(now time.Time, l *load, req *Request) bool {
+	if len(l.warming) == 0 {
+		return false
+	}
 	first, ok := l.warming[req.objectHash()]
+	if !ok {
+		return false
+	}
 	w := s.estimate(req.Service)
-	if !ok || w.overtakes > maxOvertakes {
+	if w.overtakes > maxOvertakes {
 		return false
 	}
 	elapsed := float64(now.Sub(first.since))
--- a/internal/flow/place/work.go
+++ b/internal/flow/place/work.go
@@ -221,7 +221,12 @@
 
 // index returns the position of an object, or -1 if it is not tracked.
 func (m recentObjects) index(object uint64) int {
-	return slices.IndexFunc(m, func(o recentObject) bool { return o.hash == object })
+	for at := len(m) - 1; at >= 0; at-- {
+		if m[at].hash == object {
+			return at
+		}
+	}
+	return -1
 }
 
 // reuseDistance returns the number of other objects sent to the upstream since the given object, or false if that
