fix(place): no job waits in vain for the first one with its object

Cause: a job waited for the first one with its object also where hits take as long as misses, and where it missed its objective or deadline by that; with little time before its deadline its wait could end, refused, while the first one still ran. Change: such jobs start at once. The wait of others lasts beyond the hold by the share of the remaining time that any late job has.

--- a/internal/flow/place/queue.go
+++ b/internal/flow/place/queue.go
@@ -214,7 +214,7 @@
 		until = now.Add(time.Duration(lateWaitShare * float64(w.req.Deadline.Sub(now))))
 	}
 	if held {
-		return nil, now.Add(time.Duration(lateWaitShare * float64(w.req.Deadline.Sub(now))))
+		return nil, s.holdUntil(l, &w.req)
 	}
 	if worthWaiting(s.expectedWait(w), until.Sub(now)) {
 		return nil, until
--- a/internal/flow/place/warm.go
+++ b/internal/flow/place/warm.go
@@ -60,7 +60,8 @@
 
 // shouldHold reports whether a job waits for the first one with its object to end, although its upstream has a free slot. It answers a fleet
 // that starts with empty caches: the first jobs of all objects run at once, and every job that arrives meanwhile would compute its object
-// again, for several times as long as it takes once the object is cached, and end later than it does after waiting.
+// again, for several times as long as it takes once the object is cached, and end later than it does after waiting. A job doesn't wait where
+// hits take as long as misses, or if it would miss its objective or deadline by that.
 func (s *Scheduler) shouldHold(now time.Time, l *load, req *Request) bool {
 	if len(l.warming) == 0 {
 		return false
@@ -70,11 +71,29 @@
 		return false
 	}
 	w := s.estimate(req.Service)
-	if w.overtakes > maxOvertakes {
+	if w.overtakes > maxOvertakes || w.hit > 0 && w.miss > 0 && !w.distinct() {
 		return false
 	}
+	hit, miss := l.serviceTime(w.expected(true)), l.serviceTime(w.expected(false))
 	elapsed := float64(now.Sub(first.since))
-	return elapsed >= minWarming*float64(l.serviceTime(w.expected(true))) && elapsed < maxWarming*float64(l.serviceTime(w.expected(false)))
+	if elapsed < minWarming*float64(hit) || elapsed >= maxWarming*float64(miss) {
+		return false
+	}
+	if w.miss > 0 && !now.Add(miss).After(req.Objective) && first.since.Add(miss+hit).After(req.Objective) {
+		return false
+	}
+	return l.holdEnd(w, first).Add(hit).Before(req.Deadline)
+}
+
+// holdEnd returns the time at which jobs stop to wait for the first one with their object.
+func (l *load) holdEnd(w *workEstimate, first warming) time.Time {
+	return first.since.Add(time.Duration(maxWarming * float64(l.serviceTime(w.expected(false)))))
+}
+
+// holdUntil returns the time until which a held job may wait: after the hold it has as much time for a slot as any late job.
+func (s *Scheduler) holdUntil(l *load, req *Request) time.Time {
+	end := l.holdEnd(s.estimate(req.Service), l.warming[req.objectHash()])
+	return end.Add(time.Duration(lateWaitShare * float64(req.Deadline.Sub(end))))
 }
 
 // isHeld reports whether a waiting job waits for the first one with its object and not for a slot.
--- a/internal/flow/place/warm_test.go
+++ b/internal/flow/place/warm_test.go
@@ -66,8 +66,8 @@
 	assert.Assert(t, (<-w.ready).expectHit)
 }
 
-// Guards against waiting where it does not pay off: for a job that has just begun, for a long run, for one that failed, and on upstreams that
-// cache an object as soon as its first job starts.
+// Guards against waiting where it does not pay off: for a job that has just begun, for a long run, for one that failed, on upstreams that
+// cache an object as soon as its first job starts or not at all, and for a job that has no time for it.
 func TestAJobDoesNotWaitForTheFirstOneInVain(t *testing.T) {
 	starts := func(sched *Scheduler, d time.Duration) bool { return try(sched, at(d), objectRequest(at(d))) != nil }
 	sched, _ := warmingScheduler()
@@ -83,4 +83,16 @@
 		sched.estimate("s").noteOvertake(true)
 	}
 	assert.Assert(t, starts(sched, 400*ms))
+	sched, _ = warmingScheduler()
+	sched.estimate("s").hit = 500 * ms
+	assert.Assert(t, starts(sched, 400*ms), "hits take nearly as long as misses")
+	for name, limit := range map[string]func(*Request){
+		"its deadline would pass":     func(r *Request) { r.Deadline = at(1400 * ms) },
+		"it would miss its objective": func(r *Request) { r.Objective = at(980 * ms) },
+	} {
+		sched, _ = warmingScheduler()
+		req := objectRequest(at(150 * ms))
+		limit(&req)
+		assert.Assert(t, try(sched, at(150*ms), req) != nil, name)
+	}
 }
