fix(place): the time of a job without its round trip is never negative

Cause: a release of another host whose duration is shorter than its dial time would have lowered the averages below 0. Change: the time is at least 0. Result: tests of flow/place, flow/serve, flow/halt and host/steer pass.

--- a/internal/flow/place/load.go
+++ b/internal/flow/place/load.go
@@ -196,7 +196,7 @@
 
 // workTime returns the time that the job took without the round trip and the opening of a connection, which says nothing about the work.
 // The slowdown of the upstream includes it: one that is slow to accept connections is slow.
-func (r *Result) workTime() time.Duration { return r.Duration - r.DialTime - r.RTT }
+func (r *Result) workTime() time.Duration { return max(0, r.Duration-r.DialTime-r.RTT) }
 
 // recordSlowdown updates the averages with the ratio of a job's actual to its expected work. If the upstream reports its pace, what remains
 // after division by it is learned separately, so that nothing is counted twice.
