--- a/internal/flow/place/grant.go
+++ b/internal/flow/place/grant.go
@@ -28,6 +28,7 @@
 	rtt           time.Duration
 	started       time.Time
 	pace          float64 // The upstream's expected pace at the start; 0 if it reports none.
+	deviation     float64 // The deviation from the usual pace that its report let expect.
 }
 
 // endGrant removes a grant and returns the load of its upstream, or nil if the grant or upstream is no longer known.
@@ -61,7 +62,8 @@
 		s.limiter(u.Service).record(now, u.Region != s.view.Self.Region)
 	}
 	if l.pace.last.pace > 0 {
-		g.pace = l.pace.forecast(now, s.paceModel(u.Service), u.Slots)
+		m := s.paceModel(u.Service)
+		g.pace, g.deviation = l.pace.forecast(now, m, u.Slots), l.pace.deviation(now, m, u.Slots)
 		l.pace.granted++
 	}
 	estimate := s.estimate(u.Service)
@@ -69,11 +71,11 @@
 	g.object = req.objectHash()
 	cached := estimate.likelyCached(l.recent, g.object)
 	switch {
-	case cached && l.warming[g.object] > 0:
+	case cached && l.warming[g.object].jobs > 0:
 		g.uncertain = true
 	case !cached && g.object != 0:
 		g.warms = true
-		l.startWarming(g.object)
+		l.startWarming(now, g.object)
 	}
 	g.expectHit = cached && !g.uncertain
 	if !g.uncertain && estimate.hasSamples(g.expectHit) {
@@ -107,11 +109,17 @@
 			l.endWarming(g.object, r.Succeeded)
 		}
 		r.Span = s.recordPace(now, l, g, &r)
+		if g.uncertain && r.Succeeded {
+			s.estimate(l.upstream.Service).noteOvertake(l.warming[g.object].jobs > 0)
+		}
 		l.recordRequest(now, g.host, &r)
 		l.recordResult(now, r, s.mayEject(now, l.upstream.Service))
 		l.updateFactor(now, s.paceModel(l.upstream.Service))
 		s.rtts.record(g.fromDomain, g.Upstream.Domain, r.DialTime)
 		s.recordRun(now, g, &r)
+		if r.Succeeded && g.pace > 0 && r.ExpectedWork > 0 {
+			s.paceModel(l.upstream.Service).recordJob(float64(r.Duration-r.RTT)/(l.pace.residual*float64(r.ExpectedWork)), g.deviation)
+		}
 		if r.Succeeded && r.QueueLength == 0 && !g.uncertain {
 			s.recordWork(g, r.Duration-g.rtt, r.Span)
 		}
@@ -141,8 +149,10 @@
 func (s *Scheduler) recordWork(g *Grant, took time.Duration, span paceSpan) {
 	w, l := s.estimate(g.Upstream.Service), s.loads[g.Upstream.ID]
 	normal := time.Duration(float64(took) / max(1, l.slowdown)) // What it would have taken on an average upstream.
+	longest := took                                             // The same if the upstream was no slower than usual.
 	if l.pace.trusted() && span != (paceSpan{}) {
 		normal = time.Duration(float64(took) / max(1, l.pace.residual*span.most()))
+		longest = time.Duration(float64(took) / max(1, min(span.from, span.to)))
 		took = time.Duration(float64(took) / span.usual(took, g.expectedWork))
 	}
 	missed := w.looksLikeMiss(normal)
@@ -152,9 +162,11 @@
 	if !g.reused || w.tooLong(normal) {
 		return
 	}
-	w.adjustCacheSize(g.reuseDistance, normal)
+	w.adjustCacheSize(g.reuseDistance, normal, longest)
 	if w.surelyCached(g.reuseDistance) {
 		l.noteCached(g.ID, missed)
+	}
+	if g.reuseDistance < minCacheSize {
 		w.noteSureMiss(missed)
 	}
 }
--- a/internal/flow/place/pace_test.go
+++ b/internal/flow/place/pace_test.go
@@ -62,7 +62,7 @@
 	assert.Assert(t, m.validity(50*ms) > 0.75, "%.2f after 50 ms", m.validity(50*ms))
 	assert.Assert(t, m.validity(350*ms) > 0.2 && m.validity(350*ms) < 0.7, "%.2f after 350 ms", m.validity(350*ms))
 	assert.Assert(t, m.validity(900*ms) < 0.2, "%.2f after 900 ms", m.validity(900*ms))
-	assert.Assert(t, m.usual() > 1.1 && m.usual() < 1.35, "usual pace %.2f", m.usual())
+	assert.Assert(t, m.usual > 1.1 && m.usual < 1.35, "usual pace %.2f", m.usual)
 }
 
 // Replays the same load. Guards against reports that cost more hits than they save time.
@@ -137,7 +137,7 @@
 			l.pace.record(sched.paceModel("s"), pace, now)
 			l.recordSlowdown(c.took, paceSpan{from: l.pace.forecast(now, sched.paceModel("s"), 6), to: pace})
 		}
-		l.updateFactor(now, &paceModel{})
+		l.updateFactor(now, newPaceModel())
 		got := l.currentSlowdown()
 		assert.Check(t, got >= c.from && got <= c.to, "%s: slowdown %.2f", c.name, got)
 	}
@@ -183,3 +183,23 @@
 	k := sched.Knowledge("s")
 	assert.Assert(t, k.Upstreams[0].Slowdown < 1.2, "slowdown %.2f", k.Upstreams[0].Slowdown)
 }
+
+// Guards against a log line from which operators can't tell a slow moment from a lasting slowdown, or from reports that are not true.
+func TestTheSummaryTellsReportedFromLearned(t *testing.T) {
+	sched := newTestScheduler(upstream("slow", "a", "east"), upstream("usual", "a", "east"), upstream("silent", "a", "east"), upstream("wrong", "a", "east"))
+	m := sched.paceModel("s")
+	for id, pace := range map[string]float64{"slow": 2.5, "usual": 1, "wrong": 1.5} {
+		sched.loads[id].pace.record(m, pace, at(0))
+	}
+	sched.loads["wrong"].pace.errPace = 1
+	sched.loads["silent"].slowdown = 3
+	sched.counts("s").placed++
+	got := sched.Summaries(at(time.Second))[0]
+	assert.Equal(t, got.Reporting, 3)
+	assert.Assert(t, got.Pace > 1.66 && got.Pace < 1.67, "%v", got.Pace)
+	assert.Equal(t, got.Slow, 2)
+	assert.Equal(t, got.Doubted, 1)
+	assert.Equal(t, got.Slowdown, 1.5)
+	sched.counts("s").placed++
+	assert.Equal(t, sched.Summaries(at(4 * time.Second))[0].Reporting, 0)
+}
--- a/internal/flow/place/queue.go
+++ b/internal/flow/place/queue.go
@@ -148,8 +148,11 @@
 func (s *Scheduler) wake(now time.Time) {
 	retries := 0
 	s.serveWaiters(func(w *waiter) bool {
+		if retries >= maxWakeRetries || s.isHeld(now, w) {
+			return false
+		}
 		retries++
-		return retries <= maxWakeRetries && s.tryServe(now, w)
+		return s.tryServe(now, w)
 	})
 	s.retryOldest(now, nil, maxWakeRetries)
 }
@@ -177,7 +180,7 @@
 	})
 	retries := 0
 	s.serveWaiters(func(w *waiter) bool {
-		if l.running >= l.limit || w.req.Service != l.upstream.Service || retries >= maxFreedRetries {
+		if l.running >= l.limit || w.req.Service != l.upstream.Service || retries >= maxFreedRetries || s.isHeld(now, w) {
 			return false
 		}
 		retries++
@@ -191,7 +194,7 @@
 // canStart reports whether an upstream can run a job that is queued for it.
 func (s *Scheduler) canStart(now time.Time, l *load, w *waiter) bool {
 	return l.inView && l.running < l.jobLimit(&w.req, false) && !l.ejected(now) && !l.cold(now) && l.accepts(now, w.req.Host.Name) &&
-		s.estimate(w.req.Service).hasTime(w.req.Deadline.Sub(now), s.expectedDuration(l, &w.req))
+		s.estimate(w.req.Service).hasTime(w.req.Deadline.Sub(now), s.expectedDuration(l, &w.req)) && !s.shouldHold(now, l, &w.req)
 }
 
 // deliver grants a waiter a slot of the upstream that it is queued for.
@@ -234,7 +237,8 @@
 		return nil, now.Add(time.Duration(lateWaitShare / 2 * float64(w.req.Objective.Sub(now))))
 	}
 	l := list[at].load
-	if l.running < l.limit {
+	held := s.shouldHold(now, l, &w.req)
+	if l.running < l.limit && !held {
 		return s.grant(now, l, w), now
 	}
 	w.setUpstream(l)
@@ -243,6 +247,9 @@
 		w.late = true
 		until = now.Add(time.Duration(lateWaitShare * float64(w.req.Deadline.Sub(now))))
 	}
+	if held {
+		return nil, s.holdUntil(l, &w.req)
+	}
 	if worthWaiting(s.expectedWait(w), until.Sub(now)) {
 		return nil, until
 	}
--- a/internal/flow/place/replay_test.go
+++ b/internal/flow/place/replay_test.go
@@ -23,6 +23,7 @@
 	slowShare, slowFactor                float64 // Upstreams that are slow, drawn anew every epoch, and how long their work takes.
 	epoch                                time.Duration
 	longShare, longFactor                float64 // Jobs that take longer, a property of the run.
+	cachedAtStart                        bool    // An upstream caches an object when the first job with it starts, and not when it ends.
 	integrated                           bool    // The speed of a job follows the upstream's; otherwise it is that at the job's start.
 	report                               func(r *replay, now time.Duration, u *simulated) float64
 	seed                                 uint64
@@ -228,6 +229,8 @@
 	}
 	if hit {
 		work *= r.hitShare
+	}
+	if hit || r.cachedAtStart {
 		u.cache.use(w.req.Object, r.cacheSize)
 	}
 	if r.random.Float64() < r.longShare {
@@ -257,43 +260,3 @@
 		r.outcomes = append(r.outcomes, o)
 	})
 }
-
-// figures sums up the outcomes of the jobs that arrived in an interval.
-type figures struct {
-	jobs                               int
-	inTime, hits, slow, refused, worth float64 // Shares of the jobs.
-	mean                               time.Duration
-}
-
-func (r *replay) figures(from, to time.Duration) figures {
-	var f figures
-	for _, o := range r.outcomes {
-		if o.arrived < from || o.arrived >= to {
-			continue
-		}
-		f.jobs++
-		if o.hit {
-			f.hits++
-		}
-		if o.slow {
-			f.slow++
-		}
-		if o.took == 0 {
-			f.refused++
-			continue
-		}
-		if o.took <= r.objective {
-			f.inTime++
-		}
-		f.worth += min(1, float64(r.objective)/float64(o.took))
-		f.mean += o.took
-	}
-	n := float64(max(1, f.jobs))
-	f.mean /= time.Duration(max(1, n-f.refused))
-	f.inTime, f.hits, f.slow, f.refused, f.worth = f.inTime/n, f.hits/n, f.slow/n, f.refused/n, f.worth/n
-	return f
-}
-
-func (f figures) String() string {
-	return fmt.Sprintf("%d jobs: in time %.3f, worth %.3f, hits %.3f, slow %.3f, refused %.3f, mean %v", f.jobs, f.inTime, f.worth, f.hits, f.slow, f.refused, f.mean.Round(time.Millisecond))
-}
--- a/internal/flow/place/table.go
+++ b/internal/flow/place/table.go
@@ -204,7 +204,7 @@
 func (s *Scheduler) estimate(service string) *workEstimate {
 	w := s.estimates[service]
 	if w == nil {
-		w = &workEstimate{cacheSize: initialCacheSize, initial: initialWork}
+		w = &workEstimate{cacheSize: initialCacheSize, initial: initialWork, overtakes: assumedOvertakes}
 		s.estimates[service] = w
 	}
 	return w
@@ -213,7 +213,7 @@
 func (s *Scheduler) paceModel(service string) *paceModel {
 	m := s.paces[service]
 	if m == nil {
-		m = &paceModel{}
+		m = newPaceModel()
 		s.paces[service] = m
 	}
 	return m
