perf(dialer): upstream connections share their buffers; collect garbage earlier

Cause: each request to an upstream allocated a write buffer of 4 KB in net/http, a sixth of all that a request allocates, and each idle connection kept a read buffer. A trial of the whole program showed second attempts for jobs of 2 ms, whose times look long-tailed by the jitter of the machine alone.

Change: the buffers come from pools. A host with a memory limit collects garbage when the heap has grown by half (steer.collectPercent). A second attempt must be expected to save 100 ms (hedge.minSaving).

Tests of dialer, hedge and steer pass with the race detector.

--- /dev/null
+++ b/internal/edge/dialer/buffer.go
@@ -0,0 +1,45 @@
+package dialer
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"sync"
+)
+
+// Buffers are shared by all connections, most of which are idle. Without a buffer of its own, net/http would allocate one for
+// each request that it writes.
+var (
+	readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferSize) }}
+	writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBufferSize) }}
+)
+
+// writeBufferSize is the size of the buffer in bytes with which a request is written; most headers fit.
+const writeBufferSize = 4096
+
+// takeReader gives a connection its read buffer.
+func (c *upstreamConn) takeReader() {
+	c.reader = readers.Get().(*bufio.Reader)
+	c.reader.Reset(c.head)
+}
+
+// returnReader takes the empty read buffer of a connection that becomes idle.
+func (c *upstreamConn) returnReader() {
+	c.reader.Reset(nil)
+	readers.Put(c.reader)
+	c.reader = nil
+}
+
+// writeRequest writes a request.
+func writeRequest(to io.Writer, req *http.Request) error {
+	w := writers.Get().(*bufio.Writer)
+	w.Reset(to)
+	defer func() {
+		w.Reset(nil)
+		writers.Put(w)
+	}()
+	if err := req.Write(w); err != nil {
+		return err
+	}
+	return w.Flush()
+}
--- a/internal/edge/dialer/dialer.go
+++ b/internal/edge/dialer/dialer.go
@@ -102,10 +102,10 @@
 	req := s.newRequest(job, u)
 	writeErr := make(chan error, 1)
 	if len(job.Body) == 0 {
-		writeErr <- req.Write(c)
+		writeErr <- writeRequest(c, req)
 	} else {
 		// An upstream may respond before it has read all of a long body.
-		go func() { writeErr <- req.Write(c) }()
+		go func() { writeErr <- writeRequest(c, req) }()
 	}
 	head, body, err := s.readResponse(req, job, c)
 	if err != nil {
--- a/internal/edge/dialer/pool.go
+++ b/internal/edge/dialer/pool.go
@@ -29,7 +29,7 @@
 type upstreamConn struct {
 	net.Conn
 	head    *headLimiter
-	reader  *bufio.Reader // Reads through head.
+	reader  *bufio.Reader // Reads through head; nil while the connection is idle.
 	reused  bool          // An earlier request was sent on the connection.
 	expires time.Time     // The connection is not reused after this time.
 }
@@ -51,6 +51,7 @@
 		p.idle[key] = list
 		if now.Before(c.expires) && reusable(c) {
 			c.reused = true
+			c.takeReader()
 			return c
 		}
 		_ = c.Close()
@@ -61,6 +62,11 @@
 
 // put returns a connection to the pool, or closes it if the pool is full.
 func (p *pool) put(now time.Time, key string, c *upstreamConn, timeout time.Duration) {
+	if c.reader.Buffered() > 0 { // The bytes belong to no job.
+		_ = c.Close()
+		return
+	}
+	c.returnReader()
 	c.expires = now.Add(timeout)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -90,12 +96,9 @@
 	}
 }
 
-// reusable reports whether an idle connection is open and has no unread bytes: such bytes belong to no job,
+// reusable reports whether an idle connection is open and has no bytes to read: such bytes belong to no job,
 // and end of file means that the upstream has closed the connection.
 func reusable(c *upstreamConn) bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return true
@@ -121,8 +124,9 @@
 	if err != nil {
 		return nil, err
 	}
-	head := &headLimiter{Reader: c}
-	return &upstreamConn{Conn: c, head: head, reader: bufio.NewReaderSize(head, readBufferSize)}, nil
+	uc := &upstreamConn{Conn: c, head: &headLimiter{Reader: c}}
+	uc.takeReader()
+	return uc, nil
 }
 
 // tcpUserTimeout is the socket option TCP_USER_TIMEOUT, which package syscall does not define.
--- a/internal/flow/hedge/curve.go
+++ b/internal/flow/hedge/curve.go
@@ -73,7 +73,7 @@
 		if s.survival > maxHedgedShare {
 			continue
 		}
-		if rest := timeAt(curve, s.survival/2) - s.took; float64(rest) >= minGain*float64(fresh) {
+		if rest := timeAt(curve, s.survival/2) - s.took; float64(rest) >= minGain*float64(fresh) && rest-fresh >= minSaving {
 			return s.took
 		}
 	}
--- a/internal/flow/hedge/hedge_test.go
+++ b/internal/flow/hedge/hedge_test.go
@@ -79,6 +79,7 @@
 		"usual":              func(l *load) { l.longPart, l.slowPart = 0, 0 },
 		"slow upstreams":     func(l *load) { l.longPart = 0 },
 		"all twice as slow":  func(l *load) { l.longPart, l.slowPart, l.hit, l.miss = 0, 0, 2*l.hit, l.miss*2-200*ms },
+		"all quick":          func(l *load) { l.hit, l.miss = 2*ms, 4*ms },
 		"everything cut off": func(l *load) { l.hit, l.miss = l.cutAfter*2, l.cutAfter*2 },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/flow/hedge/times.go
+++ b/internal/flow/hedge/times.go
@@ -13,6 +13,9 @@
 	// minGain is how many times as long as a new run the rest of a long run must be expected to take. It is above 1 since the
 	// second attempt takes a slot from other jobs.
 	minGain = 1.5
+	// minSaving is the time that a second attempt must be expected to save. It covers the round trips to place and send it between
+	// regions, and keeps the jitter of a busy machine from counting as a long tail where runs take a few milliseconds.
+	minSaving = 100 * time.Millisecond
 	// maxHedgedShare bounds the part of the runs of one kind that are long enough for a second attempt.
 	maxHedgedShare = 0.25
 	// minSamples is the number of runs from which a quantile of 0.99 has a meaning.
--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -164,6 +164,10 @@
 	heldMemoryFraction = 0.55
 	// memoryLimitFraction is the fraction of Settings.Memory above which the garbage collector runs more often.
 	memoryLimitFraction = 0.7
+	// collectPercent is the growth of the heap, relative to what is in use, after which the garbage collector runs, on a host with
+	// a memory limit. In a trial with 150 requests a second, 50 took 3.7 MB less at the peak than the usual 100 and 29% more
+	// processor time, 0.39 ms instead of 0.3 ms a request; 25 took no less memory and twice the time.
+	collectPercent = 50
 )
 
 // Serve runs a caller's request through the filters and returns the answer.
@@ -233,6 +237,7 @@
 	defer close(h.Done)
 	if h.Settings.Memory > 0 {
 		h.server.Held.SetLimit(int64(heldMemoryFraction * float64(h.Settings.Memory)))
+		debug.SetGCPercent(collectPercent)
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(h.Settings.Memory)))
 	}
 	runCtx, cancelRun := context.WithCancel(context.Background())
