feat(hedge): second attempts by the time that was expected of a run

Cause: a second attempt was due after a time that most hits and misses, on fast and slow upstreams, don't exceed. A hit that took 7 times as long got its second attempt after 600 ms, too late for the objective.

Change: the times of runs are also kept relative to what the placing host expected of them, by its knowledge of caches and of the upstream's slowdown or pace. A run is long if it exceeds what was expected by more than the others do; without an expectation the absolute times decide, as before. At most a tenth of the runs is long enough for a second attempt.

--- a/internal/flow/hedge/curve.go
+++ b/internal/flow/hedge/curve.go
@@ -62,20 +62,30 @@
 // quantile returns the time that the given part of all runs doesn't exceed, or never.
 func quantile(curve []step, q float64) time.Duration { return timeAt(curve, 1-q) }
 
-// payOff returns the earliest time after which half of the runs that have not ended take much longer than a new run, which
-// takes fresh; it returns never if the times have no long tail.
-func payOff(curve []step, fresh time.Duration) time.Duration {
-	median := quantile(curve, 0.5)
-	if median == never || float64(quantile(curve, tailQuantile)) <= tailRatio*float64(median) {
-		return never
+// point is where a second attempt pays off.
+type point struct {
+	known  bool // There were enough samples.
+	pays   bool
+	after  time.Duration
+	saving time.Duration // What a second attempt then saves half of the jobs at least.
+}
+
+// payOff returns the earliest time after which half of the runs that have not ended take much longer than a new run; it doesn't
+// pay if the times have no long tail.
+func payOff(curve []step) point {
+	p := point{known: true}
+	fresh := quantile(curve, 0.5)
+	if fresh == never || float64(quantile(curve, tailQuantile)) <= tailRatio*float64(fresh) {
+		return p
 	}
 	for _, s := range curve {
 		if s.survival > maxHedgedShare {
 			continue
 		}
-		if rest := timeAt(curve, s.survival/2) - s.took; float64(rest) >= minGain*float64(fresh) && rest-fresh >= minSaving {
-			return s.took
+		if rest := timeAt(curve, s.survival/2) - s.took; float64(rest) >= minGain*float64(fresh) {
+			p.pays, p.after, p.saving = true, s.took, rest-fresh
+			return p
 		}
 	}
-	return never
+	return p
 }
--- a/internal/flow/place/grant.go
+++ b/internal/flow/place/grant.go
@@ -24,6 +24,7 @@
 	uncertain     bool          // The job started while another one warmed the object, so it may be a hit or a miss.
 	expectHit     bool          // The upstream is expected to have the object cached.
 	expectedWork  time.Duration // The expected work of the job there; 0 if there are no samples.
+	expectedTime  time.Duration // The same with the upstream's slowdown.
 	rtt           time.Duration
 }
 
@@ -70,6 +71,7 @@
 	if !g.uncertain && estimate.hasSamples(g.expectHit) {
 		g.expectedWork = estimate.expected(g.expectHit)
 	}
+	g.expectedTime = l.serviceTime(g.expectedWork)
 	g.HedgeAfter = s.hedgeAfter(now, g)
 	l.recent = l.recent.add(g.object)
 	s.lastPlaced[u.Service] = now
--- a/internal/flow/place/hedge.go
+++ b/internal/flow/place/hedge.go
@@ -19,7 +19,7 @@
 
 // hedgeAfter returns the time after which a second attempt of a job pays off, or 0.
 func (s *Scheduler) hedgeAfter(now time.Time, g *Grant) time.Duration {
-	d, ok := s.runTimesOf(g.Upstream.Service).Delay(now, g.expectHit)
+	d, ok := s.runTimesOf(g.Upstream.Service).Delay(now, g.expectedTime)
 	if !ok {
 		return 0
 	}
@@ -30,7 +30,7 @@
 // about how long a run takes.
 func (s *Scheduler) recordRun(now time.Time, g *Grant, r *Result) {
 	if r.Succeeded || r.Inconclusive {
-		s.runTimesOf(g.Upstream.Service).Record(now, g.expectHit, r.Duration-g.rtt, r.Inconclusive)
+		s.runTimesOf(g.Upstream.Service).Record(now, r.Duration-g.rtt, g.expectedTime, r.Inconclusive)
 	}
 }
 
