feat(serve): a second attempt without a slot or budget is tried again

Cause: a job got one chance of a second attempt, at the moment when it was due. In a busy pool no slot was free then for up to half of them, and the job went on for its whole long run.

Change: it is tried again after 50 ms, doubled each time, while the first attempt runs. A test of the whole host replays runs of which one in 25 takes 1.5 s.

--- a/internal/flow/serve/race.go
+++ b/internal/flow/serve/race.go
@@ -62,6 +62,10 @@
 	return !job.Once && g.HedgeAfter > 0 && job.Attempts+2 <= job.Route.Attempts
 }
 
+// firstHedgePause is the time after which a second attempt for which there was no slot or no budget is tried again; it doubles each
+// time, since each costs a message to the placing host.
+const firstHedgePause = 50 * time.Millisecond
+
 // race runs a job on an upstream, and on a second one if it has not ended when that pays off. It returns as soon as one of
 // them has the answer, or when both have ended without one. Each attempt ends its own grant.
 func (f *Filter) race(ctx context.Context, job *pipe.Job, g *place.Grant, tried []string) []string {
@@ -70,6 +74,7 @@
 	timer := time.NewTimer(g.HedgeAfter)
 	defer timer.Stop()
 	var best, second *racer
+	pause := firstHedgePause
 	for running := 1; running > 0 && (best == nil || !best.won()); {
 		select {
 		case <-timer.C:
@@ -78,7 +83,15 @@
 		case r := <-ends:
 			running--
 			r.ended = true
-			best = better(best, r)
+			if r == second && r.sent.Load() == nil { // The first attempt may go on for long.
+				r.cancel(nil)
+				f.Recorder.RecordHedge(job, newHedge(g, first, r, best))
+				second = nil
+				timer.Reset(pause)
+				pause *= 2
+			} else {
+				best = better(best, r)
+			}
 		}
 	}
 	f.finish(first, best)
@@ -108,6 +121,7 @@
 			if v := recover(); v != nil { // It would end the process; the request's own goroutine recovers from its panics.
 				f.OnPanic("attempt", v)
 				r.job.EndUnknown(pipe.ConnectionLost, "the attempt failed on this host")
+				r.unsent = HedgeFailed
 			}
 			stop()
 			ends <- r
@@ -157,8 +171,6 @@
 // better returns the attempt whose outcome stands so far.
 func better(best, r *racer) *racer {
 	switch {
-	case r.sent.Load() == nil:
-		return best
 	case best == nil, r.won(), outcomeOrder[r.job.Outcome.Kind] > outcomeOrder[best.job.Outcome.Kind]:
 		return r
 	}
