--- a/internal/host/metric/metric.go
+++ b/internal/host/metric/metric.go
@@ -26,6 +26,11 @@
 	Panics         prometheus.Counter       // Panics that ended one request and not the process.
 }
 
+// WatchHeld exports the bytes that a host holds for its callers, and their limit, as functions of the present.
+func (m *Metrics) WatchHeld(used, limit func() int64) {
+	m.Registry.MustRegister(gauge("held_bytes", "Bytes held for callers beyond the first of each request.", used), gauge("held_limit_bytes", "Limit of the bytes held for callers.", limit))
+}
+
 // latencyBuckets are in seconds and range from the latency of a warm upstream nearby to the longest deadline.
 var latencyBuckets = []float64{.01, .025, .05, .1, .15, .25, .4, .6, 1, 1.5, 2.5, 4, 6, 12}
 
@@ -55,6 +60,10 @@
 	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
 }
 
+func gauge(name, help string, value func() int64) prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, func() float64 { return float64(value()) })
+}
+
 func histogram(name, help string, labels ...string) *prometheus.HistogramVec {
 	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: latencyBuckets}, labels)
 }
--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -113,6 +113,7 @@
 		&serve.Filter{Placer: h.gate, Sender: &hopTracer{host: h}, Budget: h.budget, Recorder: events, Clock: clock, OnPanic: events.logPanic, KeepLosers: keepHedgeLosers},
 	}}
 	h.server = httpd.New(h, h.requestBounds, clock)
+	metrics.WatchHeld(h.server.Held.Used, h.server.Held.Limit)
 	h.server.OnPanic, h.server.OnRefused, h.server.OnClosed = events.logPanic, h.recordUnread, h.recordClosed
 	h.broker = &broker.Server{Planner: h.loop, Updates: h.loop, Admit: &placeTracer{host: h}, Scheduler: h.scheduler, Crashes: &crashReceiver{crashes: h.crashes}, Clock: clock, OnPanic: events.logPanic, Done: make(chan struct{})}
 	h.loanPoller = &broker.LoanPoller{
