feat(metric): placings of jobs that may not run in the host's region

Cause: nothing told whether such jobs reach a host of their home, or are placed uncoordinated; and no test covered requests to silent hosts during a partition.

Change: home_placings_total counts them by region, none for uncoordinated ones; a test ends a partition while a reader waits for a silent host.

--- a/internal/ctrl/watch/other_test.go
+++ b/internal/ctrl/watch/other_test.go
@@ -51,6 +51,58 @@
 	})
 }
 
+// silentPeers are hosts that answer nothing until a request is given up.
+type silentPeers struct{ asked chan struct{} }
+
+func (p silentPeers) Updates(ctx context.Context, _ roster.Host, _ int64, _ time.Duration) (Updates, error) {
+	select {
+	case p.asked <- struct{}{}:
+	case <-ctx.Done():
+	}
+	<-ctx.Done()
+	return Updates{}, ctx.Err()
+}
+
+// Guards against requests to silent hosts that keep a host from reading the store when a partition ends: it must have new data before it
+// counts as connected again, 3 s later. The partition ends when the host has just begun to ask another one.
+func TestAskingOtherHostsDoesNotDelayTheStore(t *testing.T) {
+	peers, f := silentPeers{asked: make(chan struct{})}, &fakeStore{started: make(chan struct{}, 1)}
+	l := NewLoop(roster.Host{Name: "self", Region: "east"}, time.Now, noopObserver{})
+	l.state.hosts = map[string]roster.Host{"self": {Name: "self", Cores: 2}, "small": {Name: "small", Cores: 1}}
+	l.state.policy = &policy.Policy{Version: 1, Workspaces: map[string]policy.Workspace{"acme": {Name: "acme"}}}
+	l.state.cached = nil
+	l.view.Store(l.state.View(time.Now()))
+	f.hosts = l.View().Hosts
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &Reader{Source: f, Peers: peers, Loop: l, Clock: time.Now, Done: make(chan struct{})}
+	go l.Run(ctx)
+	go r.Run(ctx)
+	defer func() { cancel(); <-r.Done; <-l.Done }()
+	waitFor(t, "read", func() bool { return !l.View().SyncedAt.IsZero() })
+	setUnreachable := func(unreachable bool) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.unreachable = unreachable
+	}
+	setUnreachable(true)
+	for range 6 { // The retry delay has reached its maximum.
+		<-peers.asked
+	}
+	setUnreachable(false)
+	go func() {
+		for {
+			select {
+			case <-peers.asked:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	healed := time.Now()
+	took := waitFor(t, "read again", func() bool { return l.View().SyncedAt.After(healed) })
+	assert.Assert(t, took < 2*time.Second, "%s", took)
+}
+
 func TestOldChangesOfALaterHostAreNotUsed(t *testing.T) {
 	f := &fakeStore{peerUpdates: map[string]Updates{"small1": {Age: 3 * time.Second}, "small2": {Age: 3 * time.Second}}}
 	age := syncAge(startFirstReader(t, f, "acme"))
--- a/internal/edge/broker/home_test.go
+++ b/internal/edge/broker/home_test.go
@@ -22,6 +22,7 @@
 	west        *Placer
 	view        *roster.View // Of the host in the west.
 	unreachable atomic.Int64 // Hosts that the one in the west did not reach.
+	homes       chan string  // What the placer of the west reported.
 }
 
 func newTwoRegions(t *testing.T) *twoRegions {
@@ -55,6 +56,8 @@
 	r.view = views[2]
 	r.east = NewPlacer(r.schedulers[1], func() *roster.View { return views[1] }, time.Now, func(string, error) {})
 	r.west = NewPlacer(r.schedulers[2], func() *roster.View { return r.view }, time.Now, func(string, error) { r.unreachable.Add(1) })
+	r.homes = make(chan string, 20)
+	r.west.OnHome = func(region string) { r.homes <- region }
 	t.Cleanup(r.east.Close)
 	t.Cleanup(r.west.Close)
 	return r
@@ -83,6 +86,7 @@
 	r := newTwoRegions(t)
 	first := acquire(r.west, longWait, eastOnly, nil)
 	assert.Assert(t, first != nil && first.Upstream.ID == "e-up")
+	assert.Equal(t, <-r.homes, "east")
 	assert.Assert(t, acquire(r.east, longWait, nil, nil) != nil)
 	assert.Assert(t, acquire(r.west, shortWait, eastOnly, nil) == nil, "a third job on two slots")
 	assert.Assert(t, acquire(r.east, shortWait, nil, nil) == nil, "a third job on two slots")
@@ -99,6 +103,7 @@
 	for _, homes := range [][]string{nil, {"east", "west"}} {
 		g := acquire(r.west, longWait, homes, nil)
 		assert.Equal(t, g.Upstream.ID, "w-up", "homes %v", homes)
+		assert.Equal(t, len(r.homes), 0)
 	}
 	assert.Assert(t, acquire(r.west, shortWait, []string{"north"}, nil) == nil, "a region without upstreams")
 }
@@ -128,6 +133,7 @@
 	begin := time.Now()
 	g := acquire(r.west, longWait, eastOnly, nil)
 	assert.Assert(t, g != nil && g.Upstream.ID == "e-up")
+	assert.Equal(t, <-r.homes, "")
 	assert.Assert(t, time.Since(begin) < time.Second, "took %s", time.Since(begin))
 	assert.Assert(t, acquire(r.west, shortWait, eastOnly, nil) == nil, "more than one job on an upstream that this host doesn't coordinate")
 	r.west.Release(time.Now(), g, place.Result{Duration: time.Millisecond, Succeeded: true})
--- a/internal/edge/broker/placer.go
+++ b/internal/edge/broker/placer.go
@@ -19,6 +19,7 @@
 	View          func() *roster.View
 	Clock         func() time.Time
 	OnUnreachable func(host string, err error) // Called for a host that could not be reached.
+	OnHome        func(region string)          // Called for a job that may not run here, with the home whose host places it, or "" if none could be reached.
 
 	peers    *peerPool
 	lastCall atomic.Uint64
@@ -29,7 +30,7 @@
 
 // NewPlacer returns a placer; connections are opened on demand.
 func NewPlacer(scheduler *place.Scheduler, view func() *roster.View, clock func() time.Time, onUnreachable func(host string, err error)) *Placer {
-	return &Placer{Scheduler: scheduler, Admit: scheduler, View: view, Clock: clock, OnUnreachable: onUnreachable, peers: newPeerPool(clock), remote: map[*place.Grant]*peer{}}
+	return &Placer{Scheduler: scheduler, Admit: scheduler, View: view, Clock: clock, OnUnreachable: onUnreachable, OnHome: func(string) {}, peers: newPeerPool(clock), remote: map[*place.Grant]*peer{}}
 }
 
 // Close closes the connections to other hosts.
@@ -43,12 +44,17 @@
 func (p *Placer) Acquire(ctx context.Context, now time.Time, req place.Request) (*place.Grant, place.Refusal) {
 	v := p.View()
 	tries := 0
-	for _, pool := range p.homes.pools(v, &req) {
+	homes := p.homes.pools(v, &req)
+	for _, pool := range homes {
 		if g, refusal, reached := p.acquireFromFirst(ctx, now, pool.Hosts, &tries, req); reached {
+			p.OnHome(pool.Region)
 			return g, refusal
 		}
 		now = p.Clock()
 	}
+	if len(homes) > 0 {
+		p.OnHome("")
+	}
 	tries = 0
 	if g, refusal, reached := p.acquireFromFirst(ctx, now, v.DutyHosts[req.Service], &tries, req); reached {
 		return g, refusal
--- a/internal/host/metric/metric.go
+++ b/internal/host/metric/metric.go
@@ -21,6 +21,7 @@
 	StoreCalls     *prometheus.CounterVec   // Calls to the store, by operation and result.
 	Unread         *prometheus.CounterVec   // Requests that were refused before they were read in full, by status.
 	Closed         *prometheus.CounterVec   // Closed connections of callers, by who closed first, announcement and delivery.
+	Homes          *prometheus.CounterVec   // Jobs that may not run in the host's region, by the region whose host placed them.
 	Dropped        prometheus.Counter       // Log lines that were dropped.
 	Panics         prometheus.Counter       // Panics that ended one request and not the process.
 }
@@ -40,10 +41,11 @@
 		StoreCalls:     counter("store_calls_total", "Calls to the platform's store.", "call", "result"),
 		Unread:         counter("unread_total", "Requests refused before they were read in full.", "status"),
 		Closed:         counter("closed_total", "Closed connections of callers that were used.", "by", "announced", "delivered"),
+		Homes:          counter("home_placings_total", "Placings of jobs that may not run in the host's region, by the region that placed them.", "region"),
 		Dropped:        prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_dropped_total", Help: "Log lines dropped."}),
 		Panics:         prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "panics_total", Help: "Panics that were recovered."}),
 	}
-	m.Registry.MustRegister(m.Requests, m.RequestLatency, m.Attempts, m.AttemptLatency, m.ViewChanges, m.StoreCalls, m.Unread, m.Closed, m.Dropped, m.Panics)
+	m.Registry.MustRegister(m.Requests, m.RequestLatency, m.Attempts, m.AttemptLatency, m.ViewChanges, m.StoreCalls, m.Unread, m.Closed, m.Homes, m.Dropped, m.Panics)
 	return m
 }
 
--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -107,7 +107,7 @@
 	h.reader = &watch.Reader{Source: store, Peers: h.updateFetcher, Loop: h.loop, Clock: clock, Done: make(chan struct{})}
 	h.keeper = &lease.Keeper{Registry: store, Observer: events, Host: s.Host, Clock: clock, Listed: h.isRegistered, Done: make(chan struct{})}
 	h.placer = broker.NewPlacer(h.scheduler, h.loop.View, clock, events.logPlacingFailure)
-	h.placer.Admit = &placeTracer{host: h}
+	h.placer.Admit, h.placer.OnHome = &placeTracer{host: h}, events.countHome
 	h.gate = halt.NewGate(&hopTracer{host: h})
 	h.filters = pipe.Pipeline{Clock: clock, Filters: []pipe.Filter{
 		match.New(),
--- a/internal/host/steer/journal.go
+++ b/internal/host/steer/journal.go
@@ -67,6 +67,14 @@
 	l.log.Warn("placing host lost", zap.String("host", host), errorField(err))
 }
 
+// countHome counts a job that may not run in this host's region, by the home whose host placed it; "" is none.
+func (l *eventLog) countHome(region string) {
+	if region == "" {
+		region = "none"
+	}
+	l.metrics.Homes.WithLabelValues(region).Inc()
+}
+
 // logPanic logs and counts a panic that was recovered.
 func (l *eventLog) logPanic(where string, value any) {
 	l.metrics.Panics.Inc()
