--- a/internal/host/metric/metric.go
+++ b/internal/host/metric/metric.go
@@ -24,6 +24,7 @@
 	Unread         *prometheus.CounterVec   // Requests that were refused before they were read in full, by status.
 	Closed         *prometheus.CounterVec   // Closed connections of callers, by who closed first, announcement and delivery.
 	BadLoads       prometheus.Counter       // Malformed load headers of upstreams.
+	Homes          *prometheus.CounterVec   // Jobs that may not run in the host's region, by the region whose host placed them.
 	Dropped        prometheus.Counter       // Log lines that were dropped.
 	Panics         prometheus.Counter       // Panics that ended one request and not the process.
 }
@@ -53,12 +54,13 @@
 		StoreCalls:     counter("store_calls_total", "Calls to the platform's store.", "call", "result"),
 		Unread:         counter("unread_total", "Requests refused before they were read in full.", "status"),
 		Closed:         counter("closed_total", "Closed connections of callers that were used.", "by", "announced", "delivered"),
+		Homes:          counter("home_placings_total", "Placings of jobs that may not run in the host's region, by the region that placed them.", "region"),
 		BadLoads:       prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "bad_load_headers_total", Help: "Malformed load headers of upstreams."}),
 		Dropped:        prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_dropped_total", Help: "Log lines dropped."}),
 		Panics:         prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "panics_total", Help: "Panics that were recovered."}),
 	}
 	m.Registry.MustRegister(m.Requests, m.RequestLatency, m.Attempts, m.Hedges, m.AttemptLatency, m.WaitError, m.ViewChanges, m.StoreCalls,
-		m.Unread, m.Closed, m.BadLoads, m.Dropped, m.Panics)
+		m.Unread, m.Closed, m.BadLoads, m.Homes, m.Dropped, m.Panics)
 	return m
 }
 
