feat(steer): quotas are enforced on the hosts that place jobs

Change: flow/meter wraps the scheduler: it spends a token before a job is queued and returns it if the job is refused or did not run (place.Result.NotRun). A retry of a job that may have run is not counted again (place.Request.Counted). broker.QuotaPoller asks the owner every 200 ms, or after 100 ms if a wallet runs out; the first host of each failure domain also reports for the domain. The control loop holds the ledger. Settings quota_window_s, quota_overage and quota_slack; metrics by workspace for the 16 largest; log lines. Without limits in the policy no message is sent (TestHostsWithoutLimitsSendNoQuotaRequest).

--- a/internal/ctrl/watch/fold.go
+++ b/internal/ctrl/watch/fold.go
@@ -53,6 +53,12 @@
 		ev.Reply <- s.answerLoanRequest(ev.Request, now)
 	case UpdatesRequest:
 		ev.Reply <- s.updatesSince(ev.After, now)
+	case QuotaRequest:
+		ev.Reply <- s.drawQuota(&ev.Request, now)
+	case QuotaSettingsChanged:
+		s.changeQuotaSettings(ev, now)
+	case Tick:
+		stateChanges = s.checkQuota(now)
 	case LoansReceived:
 		s.active, s.activeAt = ev.Loans, now
 	}
--- a/internal/ctrl/watch/loop.go
+++ b/internal/ctrl/watch/loop.go
@@ -110,7 +110,7 @@
 // affectsView reports whether an event can change the view without producing a StateChange.
 func affectsView(ev Event) bool {
 	switch ev.(type) {
-	case Tick, LoanRequest, UpdatesRequest:
+	case Tick, LoanRequest, UpdatesRequest, QuotaRequest, QuotaSettingsChanged:
 		return false
 	}
 	return true
--- a/internal/ctrl/watch/state.go
+++ b/internal/ctrl/watch/state.go
@@ -47,6 +47,7 @@
 	staleHosts        bool            // Hosts have changed since the last view.
 	versions          uint64
 	loanState
+	quotaState
 	changeLog
 }
 
@@ -72,7 +73,7 @@
 		self: self, upstreams: map[string]roster.Upstream{}, hosts: map[string]roster.Host{},
 		evacuated: map[string]bool{}, evacuationEndedAt: map[string]time.Time{},
 		graceUntil: map[string]time.Time{}, tombstones: map[string]tombstone{}, domainPools: map[string]bool{}, staleServices: map[string]bool{},
-		loanState: loanState{demands: map[[2]string]poolDemand{}, credits: loans.Credits{}},
+		loanState: loanState{demands: map[[2]string]poolDemand{}, credits: loans.Credits{}}, quotaState: newQuotaState(),
 	}
 }
 
--- a/internal/edge/broker/broker_test.go
+++ b/internal/edge/broker/broker_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/boragelane/boragelane/internal/core/policy"
+	"github.com/boragelane/boragelane/internal/core/quota"
 	"github.com/boragelane/boragelane/internal/core/roster"
 	"github.com/boragelane/boragelane/internal/ctrl/loans"
 	"github.com/boragelane/boragelane/internal/ctrl/watch"
@@ -20,7 +22,11 @@
 )
 
 // fakeControl is a LoanPlanner and an UpdateSource with fixed answers.
-type fakeControl struct{ loanRequests atomic.Int64 }
+type fakeControl struct {
+	loanRequests  atomic.Int64
+	mu            sync.Mutex
+	quotaRequests []quota.Request
+}
 
 func (c *fakeControl) RequestLoans(_ context.Context, req loans.Request) (loans.Loans, bool) {
 	c.loanRequests.Add(1)
@@ -39,6 +45,7 @@
 	placer     *Placer
 	ln         net.Listener
 	server     *Server
+	control    *fakeControl
 	stopServer context.CancelFunc
 	crashes    chan uint64
 	panics     atomic.Int64
@@ -68,8 +75,9 @@
 	ctx, stopServer := context.WithCancel(context.Background())
 	p.stopServer = stopServer
 	c := &fakeControl{}
+	p.control = c
 	p.crashes = make(chan uint64, 9)
-	s := &Server{Planner: c, Updates: c, Crashes: p, OnPanic: func(string, any) { p.panics.Add(1) }, Admit: p.schedulers[0], Scheduler: p.schedulers[0], Clock: time.Now, Done: make(chan struct{})}
+	s := &Server{Planner: c, Updates: c, Quota: c, Crashes: p, OnPanic: func(string, any) { p.panics.Add(1) }, Admit: p.schedulers[0], Scheduler: p.schedulers[0], Clock: time.Now, Done: make(chan struct{})}
 	p.server = s
 	go s.Serve(ctx, ln)
 	p.placer = NewPlacer(p.schedulers[1], func() *roster.View { return p.view }, time.Now, func(string, error) {})
@@ -259,6 +267,8 @@
 	panic("unexpected")
 }
 
+func (panickingAdmitter) Release(time.Time, *place.Grant, place.Result) {}
+
 // A request of another host that makes this host panic must fail alone; the next ones are served on the same connection.
 func TestAPanicEndsOneRequestOnly(t *testing.T) {
 	p := newHostPair(t)
--- a/internal/edge/broker/placer.go
+++ b/internal/edge/broker/placer.go
@@ -85,7 +85,7 @@
 			p.mu.Unlock()
 			return g, place.Refusal{}, nil
 		}
-		_ = to.conn.Notify(ctx, methodRelease, wireRelease{ID: grant.ID, Inconclusive: true})
+		_ = to.conn.Notify(ctx, methodRelease, wireRelease{ID: grant.ID, Inconclusive: true, NotRun: true})
 		req.Tried = append(req.Tried, grant.Upstream)
 		now = p.Clock()
 	}
@@ -118,7 +118,7 @@
 	_ = to.conn.Notify(callCtx, methodCancel, wireCancel{Call: w.Call})
 	go func() {
 		if reply := <-replies; reply.err == nil && reply.grant.Upstream != "" {
-			_ = to.conn.Notify(callCtx, methodRelease, wireRelease{ID: reply.grant.ID, Inconclusive: true})
+			_ = to.conn.Notify(callCtx, methodRelease, wireRelease{ID: reply.grant.ID, Inconclusive: true, NotRun: true})
 		}
 	}()
 	return wireGrant{}, ctx.Err()
@@ -141,7 +141,7 @@
 	delete(p.remote, g)
 	p.mu.Unlock()
 	if to == nil {
-		p.Scheduler.Release(now, g, r)
+		p.Admit.Release(now, g, r)
 		return
 	}
 	p.Scheduler.Observe(now, g.Upstream, &r)
--- a/internal/edge/broker/server.go
+++ b/internal/edge/broker/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/boragelane/boragelane/internal/core/quota"
 	"github.com/boragelane/boragelane/internal/ctrl/loans"
 	"github.com/boragelane/boragelane/internal/ctrl/watch"
 	"github.com/boragelane/boragelane/internal/flow/place"
@@ -26,9 +27,15 @@
 	Updates(ctx context.Context, after int64, wait time.Duration) (watch.Updates, bool)
 }
 
-// Admitter admits jobs to upstreams and waits for a free slot.
+// QuotaOwner grants tokens of workspaces; it returns false if the context or the owner ended first.
+type QuotaOwner interface {
+	RequestQuota(ctx context.Context, req quota.Request) (quota.Reply, bool)
+}
+
+// Admitter admits jobs to upstreams, waits for a free slot and takes the results.
 type Admitter interface {
 	Acquire(ctx context.Context, now time.Time, req place.Request) (*place.Grant, place.Refusal)
+	Release(now time.Time, g *place.Grant, r place.Result)
 }
 
 // CrashRecorder is told of the upstreams that crashed while they ran a job of another host.
@@ -40,6 +47,7 @@
 type Server struct {
 	Planner   LoanPlanner
 	Updates   UpdateSource
+	Quota     QuotaOwner
 	Admit     Admitter // Acquires from Scheduler.
 	Scheduler *place.Scheduler
 	Crashes   CrashRecorder
@@ -103,6 +111,8 @@
 		err = decodeParams(req, func(w *wireLearnRequest) error {
 			return conn.Reply(ctx, req.ID, newWireKnowledge(s.server.Scheduler.Knowledge(w.Service)))
 		})
+	case methodQuota:
+		err = decodeParams(req, func(w *wireQuotaRequest) error { return s.quota(ctx, conn, req.ID, w) })
 	case methodLoans:
 		err = decodeParams(req, func(params *loans.Request) error { return s.loans(ctx, conn, req.ID, params) })
 	default:
@@ -148,7 +158,7 @@
 		err = conn.Reply(ctx, id, wireGrant{ID: g.ID, Upstream: g.Upstream.ID, Born: g.Upstream.Born})
 	}
 	if err != nil {
-		s.server.Scheduler.Release(s.server.Clock(), g, place.Result{Inconclusive: true})
+		s.server.Admit.Release(s.server.Clock(), g, place.Result{Inconclusive: true, NotRun: true})
 	}
 	return err
 }
@@ -160,7 +170,7 @@
 		if w.Crashed {
 			s.server.Crashes.RecordCrash(now, g.Digest, g.Upstream.ID)
 		}
-		s.server.Scheduler.Release(now, g, w.toResult())
+		s.server.Admit.Release(now, g, w.toResult())
 	}
 	return nil
 }
--- a/internal/edge/broker/wire.go
+++ b/internal/edge/broker/wire.go
@@ -22,9 +22,10 @@
 	methodRelease = "free" // Ends a grant.
 	methodCancel  = "drop" // Cancels a waiting acquire call.
 	methodPing    = "ping"
-	methodUpdates = "news" // Requests the store changes after a revision.
-	methodLoans   = "deal" // Sends a region's demand; the reply is the loans.
-	methodLearn   = "tell" // Requests what a placing host has learned of a service's upstreams.
+	methodUpdates = "news"  // Requests the store changes after a revision.
+	methodLoans   = "deal"  // Sends a region's demand; the reply is the loans.
+	methodQuota   = "quota" // Requests tokens of workspaces; the reply is what the owner grants.
+	methodLearn   = "tell"  // Requests what a placing host has learned of a service's upstreams.
 )
 
 // wireAcquire is the encoding of a place.Request.
@@ -43,6 +44,7 @@
 
 	Digest    uint64            `json:"dig,omitempty"`
 	Workspace string            `json:"ws,omitempty"`
+	Counted   bool              `json:"paid,omitempty"`
 	Trace     map[string]string `json:"span,omitempty"`
 }
 
@@ -51,7 +53,7 @@
 		Call: call, Host: req.Host.Name, Domain: req.Host.Domain, Region: req.Host.Region, Service: req.Service, Rank: req.Rank,
 		Object: req.Object, Homes: req.Homes, Tried: req.Tried,
 		Objective: req.Objective.Sub(now).Milliseconds(), Deadline: req.Deadline.Sub(now).Milliseconds(),
-		Digest: req.Digest, Workspace: req.Workspace, Trace: req.Trace,
+		Digest: req.Digest, Workspace: req.Workspace, Counted: req.Counted, Trace: req.Trace,
 	}
 }
 
@@ -63,6 +65,7 @@
 		Deadline:  now.Add(time.Duration(w.Deadline) * time.Millisecond),
 		Digest:    w.Digest,
 		Workspace: w.Workspace,
+		Counted:   w.Counted,
 		Trace:     w.Trace,
 	}
 }
@@ -91,20 +94,21 @@
 	Crashed       bool          `json:"crash,omitempty"`
 	Leaving       bool          `json:"leave,omitempty"`
 	RetryAfter    time.Duration `json:"later,omitempty"`
+	NotRun        bool          `json:"unrun,omitempty"`
 	Pace          float64       `json:"pace,omitempty"`
 }
 
 func newWireRelease(id uint64, r place.Result) wireRelease {
 	return wireRelease{
 		ID: id, Duration: r.Duration, DialTime: r.DialTime, QueueLength: r.QueueLength, Succeeded: r.Succeeded, Inconclusive: r.Inconclusive, Shed: r.Shed,
-		AddressReused: r.AddressReused, Unreachable: r.Unreachable, Crashed: r.Crashed, Leaving: r.Leaving, RetryAfter: r.RetryAfter, Pace: r.Pace,
+		AddressReused: r.AddressReused, Unreachable: r.Unreachable, Crashed: r.Crashed, Leaving: r.Leaving, RetryAfter: r.RetryAfter, NotRun: r.NotRun, Pace: r.Pace,
 	}
 }
 
 func (w *wireRelease) toResult() place.Result {
 	return place.Result{
 		Duration: w.Duration, DialTime: w.DialTime, QueueLength: w.QueueLength, Succeeded: w.Succeeded, Inconclusive: w.Inconclusive, Shed: w.Shed, AddressReused: w.AddressReused, Unreachable: w.Unreachable,
-		Crashed: w.Crashed, Leaving: w.Leaving, RetryAfter: w.RetryAfter, Pace: w.Pace,
+		Crashed: w.Crashed, Leaving: w.Leaving, RetryAfter: w.RetryAfter, NotRun: w.NotRun, Pace: w.Pace,
 	}
 }
 
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -86,6 +86,7 @@
 	Isolated  bool              // The host cannot reach the placing host of its pool.
 	Digest    uint64            // Identifies the job when it is sent again.
 	Workspace string            // The workspace that the job counts against; empty for none.
+	Counted   bool              // An earlier attempt that may have run counts against the workspace already.
 	Trace     map[string]string // Trace context of the job's span.
 
 	cachedHash uint64
--- a/internal/flow/place/grant.go
+++ b/internal/flow/place/grant.go
@@ -11,6 +11,7 @@
 	ID       uint64
 	Upstream *roster.Upstream
 	Digest   uint64 // The job's.
+	Charged  string // The workspace that spent a token of its quota on the job; empty for none.
 
 	host          string
 	fromDomain    string // The host's failure domain.
--- a/internal/flow/place/load.go
+++ b/internal/flow/place/load.go
@@ -184,6 +184,7 @@
 	Crashed       bool          // The upstream appears to have crashed while it ran the job.
 	Leaving       bool          // The upstream announced that it leaves.
 	RetryAfter    time.Duration // The upstream wants no requests from the host for this time; 0 if it takes them.
+	NotRun        bool          // No upstream has run the job or will.
 	Pace          float64       // How long work takes on the upstream, relative to the usual, as it reported; 0 if unknown.
 
 	ExpectedWork time.Duration // Expected work, without the round trip; 0 if unknown.
--- a/internal/flow/serve/serve.go
+++ b/internal/flow/serve/serve.go
@@ -51,9 +51,12 @@
 	defer cancel()
 	f.Budget.RecordRequest(now, job.Service)
 	var tried []string
+	counted := false // Some attempt may have run, so that the job counts against its workspace's quota.
 	var lastAnswer *pipe.Answer
 	for {
-		g, refusal := f.Placer.Acquire(ctx, now, placeRequest(job, tried))
+		req := placeRequest(job, tried)
+		req.Counted = counted
+		g, refusal := f.Placer.Acquire(ctx, now, req)
 		if g == nil {
 			f.refuseUnplaced(ctx, job, refusal)
 			break
@@ -61,6 +64,7 @@
 		job.Outcome = pipe.Outcome{}
 		f.attempt(ctx, job, g)
 		tried = append(tried, g.Upstream.ID)
+		counted = counted || job.Outcome.Kind != pipe.NotRun
 		if job.Outcome.Kind == pipe.Answered {
 			lastAnswer = &job.Answer
 		}
@@ -136,7 +140,7 @@
 func result(r *pipe.Reply, took time.Duration) place.Result {
 	out := place.Result{
 		Duration: took, DialTime: r.DialTime, Inconclusive: r.Late, Shed: r.Shed, AddressReused: r.AddressReused, Unreachable: !r.Sent && !r.Late || r.Crashed,
-		Crashed: r.Crashed, Leaving: r.Leaving, RetryAfter: r.RetryAfter,
+		Crashed: r.Crashed, Leaving: r.Leaving, RetryAfter: r.RetryAfter, NotRun: r.Shed || r.AddressReused || !r.Sent,
 		Succeeded: r.Complete && r.Answer.Status < http.StatusInternalServerError,
 	}
 	if r.Report != nil {
--- a/internal/host/metric/metric.go
+++ b/internal/host/metric/metric.go
@@ -21,8 +21,12 @@
 	StoreCalls     *prometheus.CounterVec   // Calls to the store, by operation and result.
 	Unread         *prometheus.CounterVec   // Requests that were refused before they were read in full, by status.
 	Closed         *prometheus.CounterVec   // Closed connections of callers, by who closed first, announcement and delivery.
+	QuotaJobs      *prometheus.CounterVec   // Jobs that count against a quota, by workspace and result.
+	QuotaDebt      *prometheus.GaugeVec     // Jobs that run on debt, by workspace.
 	Dropped        prometheus.Counter       // Log lines that were dropped.
 	Panics         prometheus.Counter       // Panics that ended one request and not the process.
+
+	quotaNames []string // Workspaces with metrics, as of the last call of KeepQuota.
 }
 
 // latencyBuckets are in seconds and range from the latency of a warm upstream nearby to the longest deadline.
@@ -40,10 +44,12 @@
 		StoreCalls:     counter("store_calls_total", "Calls to the platform's store.", "call", "result"),
 		Unread:         counter("unread_total", "Requests refused before they were read in full.", "status"),
 		Closed:         counter("closed_total", "Closed connections of callers that were used.", "by", "announced", "delivered"),
+		QuotaJobs:      counter("quota_jobs_total", "Jobs placed here that count against a quota, of the workspaces with most of them and of all others.", "workspace", "result"),
+		QuotaDebt:      gauge("quota_debt", "Jobs placed here before the quota's owner granted tokens for them.", "workspace"),
 		Dropped:        prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_dropped_total", Help: "Log lines dropped."}),
 		Panics:         prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "panics_total", Help: "Panics that were recovered."}),
 	}
-	m.Registry.MustRegister(m.Requests, m.RequestLatency, m.Attempts, m.AttemptLatency, m.ViewChanges, m.StoreCalls, m.Unread, m.Closed, m.Dropped, m.Panics)
+	m.Registry.MustRegister(m.Requests, m.RequestLatency, m.Attempts, m.AttemptLatency, m.ViewChanges, m.StoreCalls, m.Unread, m.Closed, m.QuotaJobs, m.QuotaDebt, m.Dropped, m.Panics)
 	return m
 }
 
@@ -53,6 +59,10 @@
 	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
 }
 
+func gauge(name, help string, labels ...string) *prometheus.GaugeVec {
+	return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
 func histogram(name, help string, labels ...string) *prometheus.HistogramVec {
 	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: latencyBuckets}, labels)
 }
--- a/internal/host/steer/hops.go
+++ b/internal/host/steer/hops.go
@@ -56,15 +56,20 @@
 		return nil, place.Refusal{Quarantined: true}
 	}
 	if p.host.Tracer == nil {
-		return p.host.scheduler.Acquire(ctx, now, req)
+		return p.host.meter.Acquire(ctx, now, req)
 	}
 	_, end := trace.StartFromCarrier(ctx, p.host.Tracer, "place", req.Trace,
 		attribute.String("boragelane.service", req.Service), attribute.String("boragelane.host", req.Host.Name))
-	g, refusal := p.host.scheduler.Acquire(ctx, now, req)
+	g, refusal := p.host.meter.Acquire(ctx, now, req)
 	end(grantAttributes(g)...)
 	return g, refusal
 }
 
+// Release returns the grant of a finished job; it has no span.
+func (p *placeTracer) Release(now time.Time, g *place.Grant, r place.Result) {
+	p.host.meter.Release(now, g, r)
+}
+
 // grantAttributes returns the span attributes of a grant, which is nil if the job was not placed.
 func grantAttributes(g *place.Grant) []attribute.KeyValue {
 	if g == nil {
--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -25,6 +25,7 @@
 	"github.com/boragelane/boragelane/internal/edge/httpd"
 	"github.com/boragelane/boragelane/internal/flow/halt"
 	"github.com/boragelane/boragelane/internal/flow/match"
+	"github.com/boragelane/boragelane/internal/flow/meter"
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 	"github.com/boragelane/boragelane/internal/flow/place"
 	"github.com/boragelane/boragelane/internal/flow/poison"
@@ -81,6 +82,8 @@
 	stopping      atomic.Bool
 	crashReports  chan roster.Crash
 	loanPoller    *broker.LoanPoller
+	meter         *meter.Meter
+	quotaPoller   *broker.QuotaPoller
 	learner       *broker.Learner
 	placer        *broker.Placer
 	updateFetcher *broker.UpdateFetcher
@@ -99,7 +102,8 @@
 	h.scheduler.SetMaxShift(s.MaxShift)
 	events := &eventLog{log: log, metrics: h.Metrics}
 	h.loop = watch.NewLoop(s.Host, clock, events)
-	h.loop.Subscribers = []watch.Subscriber{h.scheduler, &crashReceiver{crashes: h.crashes}}
+	h.meter = meter.New(h.scheduler, events)
+	h.loop.Subscribers = []watch.Subscriber{h.scheduler, h.meter, &crashReceiver{crashes: h.crashes}}
 	h.updateFetcher = broker.NewUpdateFetcher(clock)
 	h.reader = &watch.Reader{Source: store, Peers: h.updateFetcher, Loop: h.loop, Clock: clock, Done: make(chan struct{})}
 	h.keeper = &lease.Keeper{Registry: store, Observer: events, Host: s.Host, Clock: clock, Listed: h.isRegistered, Done: make(chan struct{})}
@@ -114,11 +118,12 @@
 	}}
 	h.server = httpd.New(h, h.requestBounds, clock)
 	h.server.OnPanic, h.server.OnRefused, h.server.OnClosed = events.logPanic, h.recordUnread, h.recordClosed
-	h.broker = &broker.Server{Planner: h.loop, Updates: h.loop, Admit: &placeTracer{host: h}, Scheduler: h.scheduler, Crashes: &crashReceiver{crashes: h.crashes}, Clock: clock, OnPanic: events.logPanic, Done: make(chan struct{})}
+	h.broker = &broker.Server{Planner: h.loop, Updates: h.loop, Quota: h.loop, Admit: &placeTracer{host: h}, Scheduler: h.scheduler, Crashes: &crashReceiver{crashes: h.crashes}, Clock: clock, OnPanic: events.logPanic, Done: make(chan struct{})}
 	h.loanPoller = &broker.LoanPoller{
 		Requester: h.scheduler, Local: h.loop, View: h.loop.View, OnError: events.logLoanFailure, Clock: clock, Done: make(chan struct{}),
 		OnLoans: func(l loans.Loans) { h.loop.Send(context.Background(), watch.LoansReceived{Loans: l}) },
 	}
+	h.quotaPoller = &broker.QuotaPoller{Holder: h.meter, Local: h.loop, View: h.loop.View, OnError: events.logQuotaFailure, Clock: clock, Done: make(chan struct{})}
 	h.learner = &broker.Learner{Scheduler: h.scheduler, View: h.loop.View, OnError: events.logLearnFailure, Clock: clock, Done: make(chan struct{})}
 	h.stopGrace.Store(int64(s.Grace))
 	return h
@@ -249,12 +254,14 @@
 	registrationCtx, cancelRegistration := context.WithCancel(runCtx)
 	defer cancelRegistration()
 	go h.loop.Run(runCtx)
+	h.applyQuota(runCtx, &h.Settings)
 	go h.reader.Run(runCtx)
 	go h.keeper.Run(registrationCtx)
 	go h.runMaintenance(runCtx)
 	go h.reportCrashes(runCtx)
 	go h.broker.Serve(runCtx, peers)
 	go h.loanPoller.Run(registrationCtx)
+	go h.quotaPoller.Run(runCtx)
 	go h.learner.Run(registrationCtx)
 	go h.watchSettings(runCtx, hangup)
 	go h.server.Serve(serveCtx, front)
@@ -326,6 +333,7 @@
 			if now.Sub(lastSummary) >= summaryPeriod {
 				lastSummary = now
 				h.logSummaries(now)
+				h.recordQuota(now)
 			}
 		}
 		if h.scheduler.Waiting() > 0 {
--- a/internal/host/steer/reload.go
+++ b/internal/host/steer/reload.go
@@ -35,7 +35,7 @@
 		case err != nil:
 			h.Log.Error("settings refused; the old ones stay in force", errorField(err))
 		case changed:
-			h.applySettings(s)
+			h.applySettings(ctx, s)
 		case requested:
 			h.Log.Info("settings unchanged")
 		}
@@ -43,9 +43,10 @@
 }
 
 // applySettings applies the settings that can change at run time; new addresses need a restart.
-func (h *Host) applySettings(s Settings) {
+func (h *Host) applySettings(ctx context.Context, s Settings) {
 	h.budget.SetConfig(s.Retry)
 	h.scheduler.SetMaxShift(s.MaxShift)
 	h.stopGrace.Store(int64(s.Grace))
+	h.applyQuota(ctx, &s)
 	h.Log.Info("settings in force", zap.Duration("grace", s.Grace), zap.Float64("retries", s.Retry.Ratio))
 }
--- a/internal/host/steer/settings.go
+++ b/internal/host/steer/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/boragelane/boragelane/internal/core/quota"
 	"github.com/boragelane/boragelane/internal/core/roster"
 	"github.com/boragelane/boragelane/internal/flow/serve"
 )
@@ -16,6 +17,7 @@
 	Regions   map[string]string // Region by failure domain.
 	Store     string            // Address of the platform's store.
 	Retry     serve.BudgetConfig
+	Quota     quota.Settings
 	MaxShift  float64       // Maximum fraction of a region's callers moved to other regions, or back, within two seconds; 0 for no limit.
 	Grace     time.Duration // Time from the stop signal until the platform kills the process.
 	Memory    int64         // Memory limit in bytes; 0 for none.
