--- a/internal/core/quota/terms.go
+++ b/internal/core/quota/terms.go
@@ -20,8 +20,9 @@
 	// circulationShare is the share of the tolerance by which the tokens in existence may exceed the burst, so that the reserves
 	// of the pools don't reduce what a workspace with a small burst can use.
 	circulationShare = 0.3
-	// isolatedShare is the share of the tolerance that isolated hosts would use if all hosts were isolated. Pools need none then.
-	isolatedShare = 0.5
+	// isolatedShare is the share of the tolerance that accrues in a window on all hosts if all are isolated. Each may have saved as much, so that a
+	// third of the hosts uses a sixth of the tolerance, which the pools leave.
+	isolatedShare = 0.25
 )
 
 // Tolerance returns the jobs by which a workspace may exceed its limit in one window.
--- a/internal/core/quota/wallet.go
+++ b/internal/core/quota/wallet.go
@@ -105,6 +105,9 @@
 	}
 	a.arrivals++
 	a.lastJob = now
+	if w.requestedAt.IsZero() {
+		w.requestedAt = now // Demand is measured from the first job.
+	}
 	w.expire(now, a)
 	debtLimit := w.terms.debtLimit(ws)
 	switch {
--- a/internal/edge/broker/quota_test.go
+++ b/internal/edge/broker/quota_test.go
@@ -12,6 +12,7 @@
 	"github.com/boragelane/boragelane/internal/core/policy"
 	"github.com/boragelane/boragelane/internal/core/quota"
 	"github.com/boragelane/boragelane/internal/core/roster"
+	"github.com/boragelane/boragelane/internal/flow/place"
 )
 
 // RequestQuota grants what is wanted and keeps the request.
@@ -166,3 +167,33 @@
 	_, err = q.send(ctx, p.view, p.view.Hosts[0], &quota.Request{})
 	assert.Assert(t, errors.Is(err, context.Canceled))
 }
+
+// releaseRecorder grants slots of a scheduler and keeps the results.
+type releaseRecorder struct {
+	Admitter
+	results chan place.Result
+}
+
+func (r *releaseRecorder) Release(now time.Time, g *place.Grant, result place.Result) {
+	r.Admitter.Release(now, g, result)
+	r.results <- result
+}
+
+// Guards against tokens that are lost because the result of a job reaches the scheduler only, or because a grant that was not used looks like
+// one whose job may have run.
+func TestResultsReachTheAdmitter(t *testing.T) {
+	p := newHostPair(t)
+	seen := &releaseRecorder{Admitter: p.server.Admit, results: make(chan place.Result, 1000)}
+	p.server.Admit = seen
+	g := p.acquire(context.Background())
+	assert.Assert(t, g != nil)
+	p.placer.Release(time.Now(), g, place.Result{Shed: true, NotRun: true})
+	assert.Assert(t, (<-seen.results).NotRun)
+	known := *p.view
+	known.Upstreams = nil // The grant is of no use to this host.
+	p.placer.View = func() *roster.View { return &known }
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	assert.Assert(t, p.acquire(ctx) == nil)
+	assert.Assert(t, (<-seen.results).NotRun)
+}
--- a/internal/edge/broker/wire_test.go
+++ b/internal/edge/broker/wire_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/boragelane/boragelane/internal/core/policy"
 	"github.com/boragelane/boragelane/internal/core/roster"
+	"github.com/boragelane/boragelane/internal/flow/place"
 )
 
 var start = time.Unix(1_700_000_000, 0)
@@ -80,3 +81,14 @@
 		_, _ = w.decodeChanges()
 	})
 }
+
+// Guards against fields that are lost between hosts: a job would be counted twice against its quota, or its token be lost.
+func TestWhatAQuotaNeedsReachesThePlacingHost(t *testing.T) {
+	req := place.Request{Workspace: "w", Counted: true, Objective: start, Deadline: start}
+	w := newWireAcquire(&req, 1, start)
+	got := w.toRequest(start)
+	assert.Equal(t, got.Workspace, "w")
+	assert.Assert(t, got.Counted)
+	r := newWireRelease(1, place.Result{NotRun: true})
+	assert.Assert(t, r.toResult().NotRun)
+}
--- a/internal/flow/meter/meter_test.go
+++ b/internal/flow/meter/meter_test.go
@@ -179,7 +179,7 @@
 		}
 		assert.Assert(t, refusal.OverQuota)
 	}
-	assert.Equal(t, admitted, 12) // Half of a tenth of 40 x 5 + 40.
+	assert.Equal(t, admitted, 6) // A quarter of a tenth of 40 x 5 + 40.
 	assert.Assert(t, r.seen.refused[0].Isolated)
 }
 
--- a/internal/flow/serve/serve_test.go
+++ b/internal/flow/serve/serve_test.go
@@ -22,9 +22,13 @@
 	sent    int
 	free    int // Slots that can still be acquired.
 	held    int
+
+	requests []place.Request
+	results  []place.Result
 }
 
-func (s *scriptedUpstreams) Acquire(context.Context, time.Time, place.Request) (*place.Grant, place.Refusal) {
+func (s *scriptedUpstreams) Acquire(_ context.Context, _ time.Time, req place.Request) (*place.Grant, place.Refusal) {
+	s.requests = append(s.requests, req)
 	if s.free == 0 {
 		return nil, place.Refusal{}
 	}
@@ -33,7 +37,10 @@
 	return &place.Grant{Upstream: &roster.Upstream{ID: string(rune('a' + s.free)), Service: "s"}}, place.Refusal{}
 }
 
-func (s *scriptedUpstreams) Release(time.Time, *place.Grant, place.Result) { s.held-- }
+func (s *scriptedUpstreams) Release(_ time.Time, _ *place.Grant, r place.Result) {
+	s.results = append(s.results, r)
+	s.held--
+}
 
 func (s *scriptedUpstreams) Send(context.Context, time.Time, *pipe.Job, *roster.Upstream) pipe.Reply {
 	r := s.replies[min(s.sent, len(s.replies)-1)]
@@ -174,3 +181,28 @@
 	assert.Equal(t, job.Outcome.Reason, pipe.Quarantined)
 	assert.Equal(t, job.RetryAfter, time.Duration(0))
 }
+
+// Guards against a retry that counts twice against a quota, and one that runs uncounted because the first attempt's token was returned.
+func TestAJobCountsOnceAgainstItsQuota(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		first           pipe.Reply
+		notRun, counted bool
+	}{
+		{"shed", shed, true, false},
+		{"sent to a reused address", moved, true, false},
+		{"not sent", refused, true, false},
+		{"answered with an error", failed, false, true},
+		{"lost", lost, false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := &scriptedUpstreams{replies: []pipe.Reply{c.first, whole}, free: 2}
+			run(s, false)
+			assert.Equal(t, len(s.requests), 2)
+			assert.Assert(t, !s.requests[0].Counted)
+			assert.Equal(t, s.requests[1].Counted, c.counted)
+			assert.Equal(t, s.results[0].NotRun, c.notRun)
+			assert.Assert(t, !s.results[1].NotRun)
+		})
+	}
+}
