--- a/internal/edge/broker/wire.go
+++ b/internal/edge/broker/wire.go
@@ -22,9 +22,10 @@
 	methodRelease = "free" // Ends a grant.
 	methodCancel  = "drop" // Cancels a waiting acquire call.
 	methodPing    = "ping"
-	methodUpdates = "news" // Requests the store changes after a revision.
-	methodLoans   = "deal" // Sends a region's demand; the reply is the loans.
-	methodLearn   = "tell" // Requests what a placing host has learned of a service's upstreams.
+	methodUpdates = "news"  // Requests the store changes after a revision.
+	methodLoans   = "deal"  // Sends a region's demand; the reply is the loans.
+	methodQuota   = "quota" // Requests tokens of workspaces; the reply is what the owner grants.
+	methodLearn   = "tell"  // Requests what a placing host has learned of a service's upstreams.
 )
 
 // wireAcquire is the encoding of a place.Request.
@@ -44,6 +45,7 @@
 	NoWait    bool              `json:"now,omitempty"`
 	Digest    uint64            `json:"dig,omitempty"`
 	Workspace string            `json:"ws,omitempty"`
+	Counted   bool              `json:"paid,omitempty"`
 	Trace     map[string]string `json:"span,omitempty"`
 }
 
@@ -52,7 +54,7 @@
 		Call: call, Host: req.Host.Name, Domain: req.Host.Domain, Region: req.Host.Region, Service: req.Service, Rank: req.Rank,
 		Object: req.Object, Homes: req.Homes, Tried: req.Tried,
 		Objective: req.Objective.Sub(now).Milliseconds(), Deadline: req.Deadline.Sub(now).Milliseconds(),
-		NoWait: req.NoWait, Digest: req.Digest, Workspace: req.Workspace, Trace: req.Trace,
+		NoWait: req.NoWait, Digest: req.Digest, Workspace: req.Workspace, Counted: req.Counted, Trace: req.Trace,
 	}
 }
 
@@ -65,6 +67,7 @@
 		NoWait:    w.NoWait,
 		Digest:    w.Digest,
 		Workspace: w.Workspace,
+		Counted:   w.Counted,
 		Trace:     w.Trace,
 	}
 }
@@ -94,20 +97,21 @@
 	Crashed       bool          `json:"crash,omitempty"`
 	Leaving       bool          `json:"leave,omitempty"`
 	RetryAfter    time.Duration `json:"later,omitempty"`
+	NotRun        bool          `json:"unrun,omitempty"`
 	Pace          float64       `json:"pace,omitempty"`
 }
 
 func newWireRelease(id uint64, r place.Result) wireRelease {
 	return wireRelease{
 		ID: id, Duration: r.Duration, DialTime: r.DialTime, QueueLength: r.QueueLength, Succeeded: r.Succeeded, Inconclusive: r.Inconclusive, Shed: r.Shed,
-		AddressReused: r.AddressReused, Unreachable: r.Unreachable, Crashed: r.Crashed, Leaving: r.Leaving, RetryAfter: r.RetryAfter, Pace: r.Pace,
+		AddressReused: r.AddressReused, Unreachable: r.Unreachable, Crashed: r.Crashed, Leaving: r.Leaving, RetryAfter: r.RetryAfter, NotRun: r.NotRun, Pace: r.Pace,
 	}
 }
 
 func (w *wireRelease) toResult() place.Result {
 	return place.Result{
 		Duration: w.Duration, DialTime: w.DialTime, QueueLength: w.QueueLength, Succeeded: w.Succeeded, Inconclusive: w.Inconclusive, Shed: w.Shed, AddressReused: w.AddressReused, Unreachable: w.Unreachable,
-		Crashed: w.Crashed, Leaving: w.Leaving, RetryAfter: w.RetryAfter, Pace: w.Pace,
+		Crashed: w.Crashed, Leaving: w.Leaving, RetryAfter: w.RetryAfter, NotRun: w.NotRun, Pace: w.Pace,
 	}
 }
 
--- a/internal/edge/broker/wire_test.go
+++ b/internal/edge/broker/wire_test.go
@@ -96,3 +96,14 @@
 		assert.Equal(t, got.toRequest(start).NoWait, noWait)
 	}
 }
+
+// Guards against fields that are lost between hosts: a job would be counted twice against its quota, or its token be lost.
+func TestWhatAQuotaNeedsReachesThePlacingHost(t *testing.T) {
+	req := place.Request{Workspace: "w", Counted: true, Objective: start, Deadline: start}
+	w := newWireAcquire(&req, 1, start)
+	got := w.toRequest(start)
+	assert.Equal(t, got.Workspace, "w")
+	assert.Assert(t, got.Counted)
+	r := newWireRelease(1, place.Result{NotRun: true})
+	assert.Assert(t, r.toResult().NotRun)
+}
--- a/internal/flow/place/choose.go
+++ b/internal/flow/place/choose.go
@@ -87,6 +87,7 @@
 	NoWait    bool              // A second attempt of a job that still runs: it gets a slot that is free now, or none.
 	Digest    uint64            // Identifies the job when it is sent again.
 	Workspace string            // The workspace that the job counts against; empty for none.
+	Counted   bool              // An earlier attempt that may have run counts against the workspace already.
 	Trace     map[string]string // Trace context of the job's span.
 
 	cachedHash uint64
--- a/internal/flow/place/grant.go
+++ b/internal/flow/place/grant.go
@@ -11,6 +11,7 @@
 	ID       uint64
 	Upstream *roster.Upstream
 	Digest   uint64 // The job's.
+	Charged  string // The workspace that spent a token of its quota on the job; empty for none.
 	// HedgeAfter is the time after which a second attempt pays off, counted from the sending of the job; 0 if it doesn't.
 	HedgeAfter time.Duration
 
--- a/internal/host/metric/metric.go
+++ b/internal/host/metric/metric.go
@@ -25,8 +25,12 @@
 	Closed         *prometheus.CounterVec   // Closed connections of callers, by who closed first, announcement and delivery.
 	BadLoads       prometheus.Counter       // Malformed load headers of upstreams.
 	Homes          *prometheus.CounterVec   // Jobs that may not run in the host's region, by the region whose host placed them.
+	QuotaJobs      *prometheus.CounterVec   // Jobs that count against a quota, by workspace and result.
+	QuotaDebt      *prometheus.GaugeVec     // Jobs that run on debt, by workspace.
 	Dropped        prometheus.Counter       // Log lines that were dropped.
 	Panics         prometheus.Counter       // Panics that ended one request and not the process.
+
+	quotaNames []string // Workspaces with metrics, as of the last call of KeepQuota.
 }
 
 // WatchHeld exports the bytes that a host holds for its callers, and their limit, as functions of the present.
@@ -56,11 +60,13 @@
 		Closed:         counter("closed_total", "Closed connections of callers that were used.", "by", "announced", "delivered"),
 		Homes:          counter("home_placings_total", "Placings of jobs that may not run in the host's region, by the region that placed them.", "region"),
 		BadLoads:       prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "bad_load_headers_total", Help: "Malformed load headers of upstreams."}),
+		QuotaJobs:      counter("quota_jobs_total", "Jobs placed here that count against a quota, of the workspaces with most of them and of all others.", "workspace", "result"),
+		QuotaDebt:      gaugeVec("quota_debt", "Jobs placed here before the quota's owner granted tokens for them.", "workspace"),
 		Dropped:        prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_dropped_total", Help: "Log lines dropped."}),
 		Panics:         prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "panics_total", Help: "Panics that were recovered."}),
 	}
 	m.Registry.MustRegister(m.Requests, m.RequestLatency, m.Attempts, m.Hedges, m.AttemptLatency, m.WaitError, m.ViewChanges, m.StoreCalls,
-		m.Unread, m.Closed, m.BadLoads, m.Homes, m.Dropped, m.Panics)
+		m.Unread, m.Closed, m.BadLoads, m.Homes, m.QuotaJobs, m.QuotaDebt, m.Dropped, m.Panics)
 	return m
 }
 
@@ -74,6 +80,10 @@
 	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, func() float64 { return float64(value()) })
 }
 
+func gaugeVec(name, help string, labels ...string) *prometheus.GaugeVec {
+	return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
 func histogram(name, help string, labels ...string) *prometheus.HistogramVec {
 	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: latencyBuckets}, labels)
 }
