fix(place): refuse a workspace's job by the mean of two bounds on its wait

Cause: the work until a job's start tag takes the other workspaces to keep sending as they do. Change: the expected wait is the mean of that bound and of the jobs ahead. The oldest jobs are not retried twice in one wake.

--- a/internal/flow/place/fair.go
+++ b/internal/flow/place/fair.go
@@ -150,6 +150,9 @@
 // of its service and while it has a free slot. It answers free slots that the first jobs of the queue don't take, because they
 // expect to be served sooner elsewhere, while jobs of a heavy workspace are refused behind them.
 func (s *Scheduler) retryOldest(now time.Time, l *load, n int) {
+	if l == nil && len(s.waiters) <= n {
+		return // All of them were retried in the order of the queue.
+	}
 	oldest := make([]*waiter, 0, n+1)
 	for _, w := range s.waiters {
 		if l != nil && w.req.Service != l.upstream.Service || len(s.classes[w.class].Flows) < 2 || len(oldest) == n && w.seq > oldest[n-1].seq {
--- a/internal/flow/place/wait.go
+++ b/internal/flow/place/wait.go
@@ -63,7 +63,8 @@
 		// The job's own upstream may have a shorter queue than the others.
 		expected = min(expected, time.Duration(float64(max(1, l.running+l.queued-l.limit))*float64(mean)/float64(l.limit)))
 	}
-	return max(expected, s.tagWait(w))
+	// Without new arrivals, a job waits for those ahead. With as many as now, it waits until its start tag is reached.
+	return expected + max(0, s.tagWait(w)-expected)/2
 }
 
 // worthWaiting reports whether a job with an expected wait should wait, if it may wait for the given time. It answers
