fix(quota): time reported to another owner accrues once

Cause: when the order of the hosts changes twice within a second, the first owner added the whole time between two reports of a failure domain, and the second owner a part of it again. Change: a report is marked as fresh if the host that it goes to did not answer the last one; it accrues nothing. The meter recomputes the size of the fleet only when hosts, policy or pools change.

--- a/internal/core/quota/fleet_test.go
+++ b/internal/core/quota/fleet_test.go
@@ -94,7 +94,8 @@
 	wallet      *Wallet
 	pausedUntil time.Time
 	skipUntil   map[*owner]time.Time
-	busy        int // Number of the request that is under way; 0 for none.
+	last        *owner // The owner that answered last; nil if the last request failed.
+	busy        int    // Number of the request that is under way; 0 for none.
 }
 
 func newFleet(seed uint64, ws policy.Workspace) *fleet {
@@ -234,6 +235,8 @@
 		return
 	}
 	o := f.owners[i]
+	req.Fresh = p.last != o
+	p.last = nil
 	f.seq++
 	call := f.seq
 	p.busy = call
@@ -249,7 +252,7 @@
 			f.message(p, o, func() {
 				f.whenAwake(p.pausedUntil, func() {
 					if p.busy == call && p.wallet == w {
-						p.busy = 0
+						p.busy, p.last = 0, o
 						w.Apply(f.now, reply)
 					}
 				})
--- a/internal/core/quota/ledger.go
+++ b/internal/core/quota/ledger.go
@@ -85,7 +85,7 @@
 		l.accrued = 0
 	}
 	if req.Part != "" {
-		l.report(now, req.Part)
+		l.report(now, req.Part, req.Fresh)
 	}
 	if now.Sub(l.sweptAt) > sweepInterval {
 		l.sweep(now)
@@ -103,11 +103,11 @@
 	return reply
 }
 
-// report adds a failure domain's part of the limit for the time since its last report. A domain that was silent for longer may
-// have reported to another owner.
-func (l *Ledger) report(now time.Time, domain string) {
+// report adds a failure domain's part of the limit for the time since its last report, unless the domain may have reported to another
+// owner since.
+func (l *Ledger) report(now time.Time, domain string, fresh bool) {
 	l.parts[domain] = now
-	if last, ok := l.reported[domain]; ok && now.Sub(last) <= contactTTL {
+	if last, ok := l.reported[domain]; ok && !fresh && now.Sub(last) <= contactTTL {
 		l.accrued += now.Sub(last).Seconds() / float64(l.partCount(now))
 	}
 	l.reported[domain] = now
--- a/internal/core/quota/ledger_test.go
+++ b/internal/core/quota/ledger_test.go
@@ -21,6 +21,16 @@
 	}
 }
 
+// Guards against the same for a domain that came back to an owner within a second.
+func TestAFreshReportAccruesNothing(t *testing.T) {
+	l := newTestLedger(newTerms(100, 1000), "a")
+	report(l, start, "a")
+	report(l, at(400*ms), "a")
+	l.Draw(at(time.Second), &Request{Part: "a", Fresh: true})
+	report(l, at(1200*ms), "a")
+	assert.Equal(t, draw(l, at(1200*ms), "east", Want{Want: 1000}).Give, 60)
+}
+
 // Guards against two owners that hold a whole burst each, and against tokens that an owner kept while another one granted.
 func TestAnOwnerHoldsTheBurstOfItsPartsOnly(t *testing.T) {
 	l := newTestLedger(newTerms(100, 600), "a", "b", "c")
--- a/internal/core/quota/terms.go
+++ b/internal/core/quota/terms.go
@@ -77,6 +77,7 @@
 	Pool       string
 	Service    string
 	Part       string // The failure domain that this host reports for; empty for none.
+	Fresh      bool   // The last report may have gone to another owner.
 	Workspaces map[string]Want
 }
 
--- a/internal/edge/broker/quota.go
+++ b/internal/edge/broker/quota.go
@@ -18,6 +18,7 @@
 	Pool       string              `json:"pool"`
 	Service    string              `json:"svc"`
 	Part       string              `json:"part,omitempty"`
+	Fresh      bool                `json:"fresh,omitempty"`
 	Workspaces map[string]wireWant `json:"ws,omitempty"`
 }
 
@@ -41,7 +42,7 @@
 }
 
 func newWireQuotaRequest(req *quota.Request) wireQuotaRequest {
-	w := wireQuotaRequest{Pool: req.Pool, Service: req.Service, Part: req.Part, Workspaces: make(map[string]wireWant, len(req.Workspaces))}
+	w := wireQuotaRequest{Pool: req.Pool, Service: req.Service, Part: req.Part, Fresh: req.Fresh, Workspaces: make(map[string]wireWant, len(req.Workspaces))}
 	for name, want := range req.Workspaces {
 		w.Workspaces[name] = wireWant(want)
 	}
@@ -49,7 +50,7 @@
 }
 
 func (w *wireQuotaRequest) request() quota.Request {
-	req := quota.Request{Pool: w.Pool, Service: w.Service, Part: w.Part, Workspaces: make(map[string]quota.Want, len(w.Workspaces))}
+	req := quota.Request{Pool: w.Pool, Service: w.Service, Part: w.Part, Fresh: w.Fresh, Workspaces: make(map[string]quota.Want, len(w.Workspaces))}
 	for name, want := range w.Workspaces {
 		req.Workspaces[name] = quota.Want(want)
 	}
@@ -113,8 +114,9 @@
 	limited bool           // Some workspace has a limit.
 	version uint64         // The version of the view that order refers to.
 	order   []roster.Host
-	leads   bool // This host is the first of its failure domain.
-	late    int  // Polls in a row that timed out.
+	leads   bool        // This host is the first of its failure domain.
+	owner   roster.Host // The host that answered the last poll; empty if it failed.
+	late    int         // Polls in a row that timed out.
 }
 
 // maxOwnerTries is the number of hosts that are tried at once. When half of the hosts were killed, the first two may be among them; a
@@ -166,13 +168,13 @@
 	if len(requests) == 0 {
 		return true
 	}
-	if q.leads {
-		requests[0].Part = v.Self.Domain
-	}
 	for _, h := range q.order {
 		if q.peers.skipped(h) {
 			continue
 		}
+		if q.leads {
+			requests[0].Part, requests[0].Fresh = v.Self.Domain, h != q.owner
+		}
 		q.sendAll(ctx, v, h, requests)
 		return ctx.Err() != nil || !q.peers.skipped(h)
 	}
@@ -232,8 +234,9 @@
 // checkReplies skips a host that can't be reached or is late repeatedly.
 func (q *QuotaPoller) checkReplies(h roster.Host, errs []error) {
 	failed := errors.Join(errs...)
+	q.owner = roster.Host{}
 	if failed == nil {
-		q.late = 0
+		q.owner, q.late = h, 0
 		return
 	}
 	q.OnError(h.Name, failed)
--- a/internal/edge/broker/quota_test.go
+++ b/internal/edge/broker/quota_test.go
@@ -75,7 +75,7 @@
 	h := &fakeHolder{requests: []quota.Request{req}}
 	q := newQuotaPoller(t, p, h)
 	q.poll(context.Background())
-	req.Part = "b" // The second host is the only one of its failure domain.
+	req.Part, req.Fresh = "b", true // The second host is the only one of its failure domain.
 	assert.DeepEqual(t, p.control.quotaRequestsSeen(), []quota.Request{req})
 	assert.DeepEqual(t, h.applied, []quota.Reply{{Workspaces: map[string]quota.Grant{"w": {Give: 2, Wait: 3 * time.Second}}}})
 }
@@ -92,13 +92,29 @@
 	}
 	p.view.Policy = &policy.Policy{Workspaces: map[string]policy.Workspace{"w": {Name: "w", Rate: 5}}}
 	q.poll(context.Background())
-	assert.DeepEqual(t, p.control.quotaRequestsSeen(), []quota.Request{{Part: "b", Workspaces: map[string]quota.Want{}}})
+	assert.DeepEqual(t, p.control.quotaRequestsSeen(), []quota.Request{{Part: "b", Fresh: true, Workspaces: map[string]quota.Want{}}})
 	p.view.Self.Domain, p.view.Version = "a", 2
 	q.poll(context.Background())
 	assert.Equal(t, len(p.control.quotaRequestsSeen()), 0)
 	assert.Equal(t, len(h.applied), 0)
 }
 
+// Guards against an owner that grants the time in which the domain reported to another one.
+func TestTheFirstReportToAnOwnerIsFresh(t *testing.T) {
+	p := newHostPair(t)
+	q := newQuotaPoller(t, p, &fakeHolder{})
+	fresh := func() bool {
+		q.poll(context.Background())
+		return p.control.quotaRequestsSeen()[0].Fresh
+	}
+	assert.Assert(t, fresh())
+	assert.Assert(t, !fresh())
+	q.checkReplies(p.view.Hosts[0], []error{context.DeadlineExceeded})
+	assert.Assert(t, fresh(), "the report may have been handled or not")
+	q.checkReplies(p.view.Hosts[1], []error{nil})
+	assert.Assert(t, fresh(), "another host was the owner")
+}
+
 // Guards against a change of the owner, which costs the tokens in its buckets, for one late reply.
 func TestOnlyARepeatedlyLateOwnerIsSkipped(t *testing.T) {
 	p := newHostPair(t)
--- a/internal/flow/meter/meter.go
+++ b/internal/flow/meter/meter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -84,15 +85,23 @@
 	defer m.mu.Unlock()
 	old := m.view
 	m.view = v
-	if v.Policy == nil || v.Version != 0 && v.Version == old.Version || len(v.Policy.Workspaces) == 0 && len(m.terms.Workspaces) == 0 {
+	if v.Policy == nil || len(v.Policy.Workspaces) == 0 && len(m.terms.Workspaces) == 0 {
 		return
 	}
+	if v.Policy == old.Policy && sameHosts(v.Hosts, old.Hosts) && maps.Equal(v.DomainPools, old.DomainPools) {
+		return // Upstreams change much more often.
+	}
 	t := fleetTerms(v)
 	t.Settings = m.terms.Settings
 	m.terms = t
 	m.applyTerms()
 }
 
+// sameHosts reports whether two views share the hosts.
+func sameHosts(a, b []roster.Host) bool {
+	return len(a) == len(b) && len(a) > 0 && &a[0] == &b[0]
+}
+
 // fleetTerms returns the limits and the size of the fleet in a view.
 func fleetTerms(v *roster.View) quota.Terms {
 	pools, domains := map[[2]string]bool{}, map[string]bool{}
