fix(place): jobs with an object aren't offered any free slot

Cause: where several workspaces wait, free slots were offered to the oldest jobs and to jobs at the end of their wait, also on upstreams that don't cache their objects. Such a job takes several times as long and displaces another object, so that later jobs miss too. Change: only jobs without an object get such a slot.

--- a/internal/flow/place/fair.go
+++ b/internal/flow/place/fair.go
@@ -148,14 +148,15 @@
 
 // retryOldest retries the jobs that have waited longest where several workspaces wait, and where an upstream is given, only those
 // of its service and while it has a free slot. It answers free slots that the first jobs of the queue don't take, because they
-// expect to be served sooner elsewhere, while jobs of a heavy workspace are refused behind them.
+// expect to be served sooner elsewhere, while jobs of a heavy workspace are refused behind them. Jobs with an object keep waiting
+// for the upstream that caches it: anywhere else they take several times as long and displace another object.
 func (s *Scheduler) retryOldest(now time.Time, l *load, n int) {
 	if l == nil && len(s.waiters) <= n {
 		return // All of them were retried in the order of the queue.
 	}
 	oldest := make([]*waiter, 0, n+1)
 	for _, w := range s.waiters {
-		if l != nil && w.req.Service != l.upstream.Service || len(s.classes[w.class].Flows) < 2 || len(oldest) == n && w.seq > oldest[n-1].seq {
+		if w.req.objectHash() != 0 || l != nil && w.req.Service != l.upstream.Service || len(s.classes[w.class].Flows) < 2 || len(oldest) == n && w.seq > oldest[n-1].seq {
 			continue
 		}
 		at, _ := slices.BinarySearchFunc(oldest, w, func(a, b *waiter) int { return cmp.Compare(a.seq, b.seq) })
@@ -170,9 +171,9 @@
 }
 
 // grantAnyFree grants any free slot to a job of one of several waiting workspaces at the end of its wait. The jobs that overtook it
-// may have left slots free for which they don't wait.
+// may have left slots free for which they don't wait. A job with an object gets none, as in retryOldest.
 func (s *Scheduler) grantAnyFree(now time.Time, w *waiter) *Grant {
-	if len(s.classes[w.class].Flows) < 2 {
+	if w.req.objectHash() != 0 || len(s.classes[w.class].Flows) < 2 {
 		return nil
 	}
 	list := s.candidates(now, &w.req)
--- a/internal/flow/serve/race.go
+++ b/internal/flow/serve/race.go
@@ -148,7 +148,7 @@
 		return
 	}
 	req := placeRequest(job, slices.Clone(tried)) // The placer may append to it.
-	req.NoWait, req.Counted = true, true // The first attempt counts against the quota.
+	req.NoWait, req.Counted = true, true          // The first attempt counts against the quota.
 	g, _ := f.Placer.Acquire(ctx, now, req)
 	if g == nil {
 		r.unsent = HedgeUnplaced
