fix(place): only jobs of a workspace are told to return one after another

Cause: staggered return times apply in short overloads too, where callers are served better when they come back soon; deployments without workspaces must be served as before. Change: jobs without a workspace get the expected wait as Retry-After, as before.

--- a/internal/flow/place/return.go
+++ b/internal/flow/place/return.go
@@ -15,9 +15,10 @@
 
 // scheduleReturn returns the time after which a refused caller should return, at the earliest after an expected wait, and reserves
 // it. It answers sustained overload: a queue that is full for a job is full for all that are refused within the same second, and
-// callers that return together are refused a second time.
+// callers that return together are refused a second time. Jobs without a workspace keep the expected wait: where overloads last for a
+// few seconds, their callers are served better when they return soon.
 func (s *Scheduler) scheduleReturn(now time.Time, w *waiter, wait time.Duration) time.Duration {
-	if w.slots == 0 {
+	if w.slots == 0 || w.req.Workspace == "" {
 		return wait
 	}
 	key, earliest := returnKey{service: w.req.Service, workspace: w.req.Workspace}, now.Add(wait)
