--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"os"
 	"runtime/debug"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -195,43 +194,6 @@
 	return h.front.Answer(job)
 }
 
-// recordRequest records a finished job in the metrics and the log.
-func (h *Host) recordRequest(job *pipe.Job) {
-	took := h.Clock().Sub(job.Started)
-	h.Metrics.ObserveRequest(job, took)
-	(&eventLog{log: h.Log, metrics: h.Metrics}).logRequest(job, took)
-}
-
-// recordUnread records a request that was refused before it was read in full.
-func (h *Host) recordUnread(r *httpd.Request, status int) {
-	h.Metrics.Unread.WithLabelValues(strconv.Itoa(status)).Inc()
-	h.Log.Info("request not read", zap.String("id", h.front.Job(r).ID), zap.String("path", r.Target), zap.Int("status", status))
-}
-
-// recordClosed counts closed connections of callers, and logs those that this host closes before all requests are answered and
-// all bytes of the responses are acknowledged: what is missing may never arrive.
-func (h *Host) recordClosed(c httpd.Closed) {
-	delivered := c.Unacknowledged == 0 && len(c.Unanswered) == 0
-	by := "host"
-	if c.ByCaller {
-		by = "caller"
-	}
-	h.Metrics.Closed.WithLabelValues(by, strconv.FormatBool(c.Announced), strconv.FormatBool(delivered)).Inc()
-	if delivered || c.ByCaller {
-		return
-	}
-	last := ""
-	if c.Last != nil {
-		last = h.front.Job(c.Last).ID
-	}
-	var unanswered []string
-	for _, r := range c.Unanswered {
-		unanswered = append(unanswered, h.front.Job(r).ID)
-	}
-	h.Log.Warn("closed before delivery", zap.String("id", last), zap.Strings("unanswered", unanswered),
-		zap.Int("unacknowledged", c.Unacknowledged), zap.Bool("announced", c.Announced), zap.Bool("stopping", h.stopping.Load()))
-}
-
 // requestBounds returns the bounds on callers' requests from the current policy.
 func (h *Host) requestBounds() httpd.Limits {
 	p := h.loop.View().Policy
@@ -285,74 +247,3 @@
 	h.Log.Info("stopped", zap.String("host", h.Settings.Host.Name))
 	return nil
 }
-
-// listenTCP opens a listener.
-func listenTCP(ctx context.Context, address string) (net.Listener, error) {
-	return (&net.ListenConfig{}).Listen(ctx, "tcp", address)
-}
-
-// listen opens the listener for callers, and serves readiness, directory and metrics on their own addresses.
-func (h *Host) listen(ctx context.Context) (net.Listener, error) {
-	s := h.Settings
-	front, err := h.Listen(ctx, s.Host.Front)
-	if err != nil {
-		return nil, ErrListen.Wrap(err, "listening for callers on %s", s.Host.Front)
-	}
-	for addr, handler := range map[string]http.Handler{
-		s.Ready: http.HandlerFunc(h.ready), s.Directory: h.front.DirectoryHandler(h.loop.View), s.Metrics: h.Metrics.Handler(),
-	} {
-		if addr == "" {
-			continue
-		}
-		ln, err := h.Listen(ctx, addr)
-		if err != nil {
-			_ = front.Close()
-			return nil, ErrListen.Wrap(err, "listening on %s", addr)
-		}
-		srv := &http.Server{Handler: handler, ReadHeaderTimeout: auxHeaderTimeout, IdleTimeout: auxIdleTimeout}
-		go func() { _ = srv.Serve(ln) }()
-	}
-	return front, nil
-}
-
-const (
-	// auxHeaderTimeout is the time to read a request header on the addresses for readiness, directory and metrics.
-	auxHeaderTimeout = 3 * time.Second
-	// auxIdleTimeout closes idle connections on these addresses.
-	auxIdleTimeout = 30 * time.Second
-)
-
-// ready answers the platform's readiness checks: a host is ready while it has a policy and is not stopping.
-func (h *Host) ready(w http.ResponseWriter, _ *http.Request) {
-	if h.stopping.Load() || h.loop.View().Policy == nil {
-		w.WriteHeader(http.StatusServiceUnavailable)
-	}
-}
-
-// runMaintenance periodically retries waiting jobs and closes connections to upstreams that have been idle for too long.
-func (h *Host) runMaintenance(ctx context.Context) {
-	t := time.NewTimer(idleMaintenancePeriod)
-	defer t.Stop()
-	lastSummary := h.Clock()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-h.scheduler.Enqueued():
-		case <-t.C:
-			now := h.Clock()
-			h.scheduler.Tick(now)
-			h.sender.CloseExpired(now)
-			if now.Sub(lastSummary) >= summaryPeriod {
-				lastSummary = now
-				h.logSummaries(now)
-				h.recordQuota(now)
-			}
-		}
-		if h.scheduler.Waiting() > 0 {
-			t.Reset(maintenancePeriod)
-		} else {
-			t.Reset(idleMaintenancePeriod)
-		}
-	}
-}
