fix(place): the first samples of the work are not bounded, and nobody waits before samples show that it pays off

Samples were bounded by 2.5 times an average that itself came from a few hits, so that misses of 3.3 times a hit counted as less, and jobs waited for the first one with their object before it was known whether upstreams cache an object when its first job ends. Change: the first 20 samples of an average are not bounded; the share of overtaking jobs begins above the limit for waiting. Two tests of waiting begin with a scheduler that knows that it pays off, which was the assumption before. TestTheFirstMissesAreNotBoundedByTheHits fails with the bound on all samples.

--- a/internal/flow/place/warm.go
+++ b/internal/flow/place/warm.go
@@ -36,7 +36,8 @@
 
 const (
 	// assumedOvertakes is the share of jobs assumed to be hits while the first job with their object still runs, before there are samples.
-	assumedOvertakes = 0.4
+	// It is above maxOvertakes, so that nobody waits before samples show that waiting pays off.
+	assumedOvertakes = 0.6
 	// maxOvertakes is the share above which jobs don't wait for the first one.
 	maxOvertakes = 0.5
 	// overtakeWeight is the weight of the newest sample in the share.
--- a/internal/flow/place/warm_test.go
+++ b/internal/flow/place/warm_test.go
@@ -37,11 +37,12 @@
 }
 
 // warmingScheduler returns a scheduler whose only upstream runs the first job with an object since the start, and knows that a miss takes
-// 800 ms and a hit 240 ms.
+// 800 ms, a hit 240 ms, and that upstreams cache an object when its first job ends.
 func warmingScheduler() (*Scheduler, *Grant) {
 	sched := newTestScheduler(upstream("u", "a", "east"))
 	w := sched.estimate("s")
 	w.hit, w.miss, w.all, w.samples = 240*ms, 800*ms, 300*ms, sampleCounts{hit: 20, miss: 20, all: 40}
+	w.overtakes = 0
 	return sched, try(sched, at(0), objectRequest(at(0)))
 }
 
@@ -66,6 +67,26 @@
 	assert.Assert(t, (<-w.ready).expectHit)
 }
 
+// Guards against waiting before any sample shows that it pays off.
+func TestWithoutSamplesNoJobWaitsForTheFirstOne(t *testing.T) {
+	sched, _ := warmingScheduler()
+	sched.estimate("s").overtakes = assumedOvertakes
+	assert.Assert(t, try(sched, at(400*ms), objectRequest(at(400*ms))) != nil)
+}
+
+// Guards against an average that the first samples, bounded by it, can't correct: hits of 100 ms come first, then misses of 360 ms.
+func TestTheFirstMissesAreNotBoundedByTheHits(t *testing.T) {
+	w := workEstimate{}
+	for range 5 {
+		w.record(certainHit, 100*ms, 0)
+	}
+	for range 3 {
+		w.record(certainMiss, 360*ms, 0)
+	}
+	assert.Equal(t, w.miss, 360*ms)
+	assert.Assert(t, w.distinct())
+}
+
 // Guards against waiting where it does not pay off: for a job that has just begun, for a long run, for one that failed, on upstreams that
 // cache an object as soon as its first job starts or not at all, and for a job that has no time for it.
 func TestAJobDoesNotWaitForTheFirstOneInVain(t *testing.T) {
--- a/internal/flow/place/work.go
+++ b/internal/flow/place/work.go
@@ -180,14 +180,14 @@
 // two averages alike, and then never be corrected.
 func (w *workEstimate) record(c certainty, took, expected time.Duration) {
 	w.samples.all++
-	update(&w.all, w.samples.all, min(took, w.longest(expected)))
+	update(&w.all, w.samples.all, min(took, w.longest(expected, w.samples.all)))
 	switch c {
 	case certainHit:
 		w.samples.hit++
-		update(&w.hit, w.samples.hit, min(took, w.longest(w.hit)))
+		update(&w.hit, w.samples.hit, min(took, w.longest(w.hit, w.samples.hit)))
 	case certainMiss:
 		w.samples.miss++
-		update(&w.miss, w.samples.miss, min(took, w.longest(w.miss)))
+		update(&w.miss, w.samples.miss, min(took, w.longest(w.miss, w.samples.miss)))
 	}
 }
 
@@ -195,14 +195,18 @@
 // them would otherwise move an average by a third. If all jobs take longer, the averages still follow within some tens of samples.
 const maxSampleRatio = 2.5
 
+// unboundedSamples is the number of first samples that are not bounded. With few samples an average may be far from the usual time; bounded by
+// it, the first misses count as hits, and jobs are placed badly until the averages have recovered.
+const unboundedSamples = 20
+
 // longest returns the bound of a sample of a job with the given expected work. The work of a miss is within it: it is no outlier where a hit
-// was expected.
-func (w *workEstimate) longest(expected time.Duration) time.Duration {
-	if expected == 0 {
-		expected = max(w.all, w.miss)
+// was expected. The number of samples is that of the average that the sample moves.
+func (w *workEstimate) longest(expected time.Duration, samples int) time.Duration {
+	if samples <= unboundedSamples {
+		return math.MaxInt64
 	}
 	if expected == 0 {
-		return math.MaxInt64 // The first sample.
+		expected = max(w.all, w.miss)
 	}
 	return max(w.miss, time.Duration(maxSampleRatio*float64(expected)))
 }
