test(review): an entry with missing fields is taken for a server

Cause: platform.decodeUpstream accepts entries without version, seq, cold_remaining_ms and born, which the platform says name no server. Nothing is fixed.

--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -152,6 +152,7 @@
 	"poison-trio": poisonTrio,
 	"poison-id":   poisonID,
 	"path":        doubleSlash,
+	"foreign":     foreign,
 }
 
 func main() {
