--- a/internal/flow/poison/poison.go
+++ b/internal/flow/poison/poison.go
@@ -15,10 +15,13 @@
 	CrashWindow = 5 * time.Minute
 	// CrashLimit is the number of upstreams that a job must have crashed within CrashWindow to be quarantined.
 	CrashLimit = 2
+	// RepeatLimit is the number of upstreams that a job must have crashed in more than one event, without an answer in between, to be
+	// quarantined although other upstreams crashed at the same times. Jobs that crash upstreams together look like a mass crash.
+	RepeatLimit = 3
 	// massCrashGap is the time between two crashes up to which they count as one event.
 	massCrashGap = 2 * time.Second
 	// massCrashMinOthers is the number of upstreams that crashed in the same event, but never while they ran the
-	// job, from which the event is a mass crash. A mass crash does not count against the job.
+	// job, from which the event is a mass crash. A single mass crash does not count against the job.
 	massCrashMinOthers = 2
 	// maxCrashes is the maximum number of remembered crashes.
 	maxCrashes = 2_000
@@ -29,6 +32,8 @@
 	Digest   uint64
 	Upstream string
 	At       time.Time
+
+	refuted bool // An upstream has answered the job since.
 }
 
 // Notifier reports a crash to other hosts. It may wait until they know of it, or only queue the report.
@@ -56,35 +61,66 @@
 	t.crashes = append(t.crashes, c)
 }
 
-// Quarantined reports whether a job has crashed CrashLimit upstreams within CrashWindow.
-func (t *Table) Quarantined(digest uint64, now time.Time) bool {
+// RecordAnswer notes that an upstream has answered a job. Its crashes in mass crashes so far no longer count against it.
+func (t *Table) RecordAnswer(digest uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	n := 0
-	for _, c := range t.crashes {
-		if c.Digest == digest && now.Sub(c.At) <= CrashWindow && !t.isMassCrash(c) {
-			n++
+	for i := range t.crashes {
+		if t.crashes[i].Digest == digest {
+			t.crashes[i].refuted = true
 		}
 	}
-	return n >= CrashLimit
 }
 
-// isMassCrash reports whether a crash is part of an event in which massCrashMinOthers upstreams crashed that the job has
-// not crashed.
-func (t *Table) isMassCrash(c Crash) bool {
+// Quarantined reports whether a job has crashed, within CrashWindow, CrashLimit upstreams outside mass crashes, or RepeatLimit
+// upstreams in more than one event without an answer in between.
+func (t *Table) Quarantined(digest uint64, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	own := map[string]bool{}
-	for _, o := range t.crashes {
-		if o.Digest == c.Digest {
-			own[o.Upstream] = true
+	for _, c := range t.crashes {
+		if c.Digest == digest {
+			own[c.Upstream] = true
 		}
 	}
+	if len(own) < CrashLimit {
+		return false
+	}
+	alone, repeated := 0, 0
+	var first, last time.Time
+	for _, c := range t.crashes {
+		if c.Digest != digest || now.Sub(c.At) > CrashWindow {
+			continue
+		}
+		if !t.isMassCrash(c, own) {
+			alone++
+		}
+		if c.refuted {
+			continue
+		}
+		if repeated == 0 || c.At.Before(first) {
+			first = c.At
+		}
+		if repeated == 0 || c.At.After(last) {
+			last = c.At
+		}
+		repeated++
+	}
+	return alone >= CrashLimit || repeated >= RepeatLimit && last.Sub(first) > massCrashGap
+}
+
+// isMassCrash reports whether a crash is part of an event in which massCrashMinOthers upstreams crashed that are not among
+// the job's own.
+func (t *Table) isMassCrash(c Crash, own map[string]bool) bool {
 	others := map[string]bool{}
 	for _, o := range t.crashes {
 		if gap := o.At.Sub(c.At).Abs(); gap <= massCrashGap && !own[o.Upstream] {
-			others[o.Upstream] = true
+			if others[o.Upstream] = true; len(others) >= massCrashMinOthers {
+				return true
+			}
 		}
 	}
-	return len(others) >= massCrashMinOthers
+	return false
 }
 
 // Filter refuses jobs in quarantine.
@@ -103,7 +139,8 @@
 	}
 }
 
-// Finish records the crashes and passes them to the notifier, before the caller gets the outcome and can retry.
+// Finish records the crashes and passes them to the notifier, before the caller gets the outcome and can retry. It also records
+// the upstream's answer.
 func (f Filter) Finish(now time.Time, job *pipe.Job) {
 	upstreams := job.CrashedUpstreams
 	if job.Crashed {
@@ -114,4 +151,7 @@
 		f.Table.Add(c)
 		f.Notifier.NotifyCrash(now, c)
 	}
+	if job.Outcome.Kind == pipe.Answered && !job.Crashed {
+		f.Table.RecordAnswer(job.Digest)
+	}
 }
--- a/internal/host/steer/hops.go
+++ b/internal/host/steer/hops.go
@@ -64,8 +64,11 @@
 	return g, refusal
 }
 
-// Release returns the grant of a finished job; it has no span.
+// Release returns the grant of a finished job; it has no span. An answer counts against the job's quarantine.
 func (p *placeTracer) Release(now time.Time, g *place.Grant, r place.Result) {
+	if r.Succeeded {
+		p.host.crashes.RecordAnswer(g.Digest)
+	}
 	p.host.meter.Release(now, g, r)
 }
 
