--- a/internal/edge/dialer/buffer.go
+++ b/internal/edge/dialer/buffer.go
@@ -30,16 +30,36 @@
 	c.reader = nil
 }
 
-// writeRequest writes a request.
-func writeRequest(to io.Writer, req *http.Request) error {
+// connWriter writes to a connection and keeps its error, which net/http wraps so that its cause is lost.
+type connWriter struct {
+	conn io.Writer
+	err  error
+}
+
+// Write writes b to the connection.
+func (w *connWriter) Write(b []byte) (int, error) {
+	n, err := w.conn.Write(b)
+	if err != nil {
+		w.err = err
+	}
+	return n, err
+}
+
+// writeRequest writes a request. If the connection fails, it returns the connection's error.
+func writeRequest(conn io.Writer, req *http.Request) error {
+	to := &connWriter{conn: conn}
 	w := writers.Get().(*bufio.Writer)
 	w.Reset(to)
 	defer func() {
 		w.Reset(nil)
 		writers.Put(w)
 	}()
-	if err := req.Write(w); err != nil {
-		return err
+	err := req.Write(w)
+	if err == nil {
+		err = w.Flush()
+	}
+	if to.err != nil {
+		return to.err
 	}
-	return w.Flush()
+	return err
 }
--- a/internal/edge/dialer/dialer.go
+++ b/internal/edge/dialer/dialer.go
@@ -3,12 +3,15 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"maps"
 	"net/http"
 	"net/url"
+	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -114,6 +117,11 @@
 	if err != nil {
 		return 0, err
 	}
+	if head.UntilClose {
+		if err := confirmEnd(c, writeErr); err != nil {
+			return 0, err
+		}
+	}
 	s.fillReply(head, body, r)
 	r.Report = s.readLoad(u, head.Header.Get(s.Names.Load))
 	select {
@@ -126,6 +134,18 @@
 	return 0, nil
 }
 
+// confirmEnd returns an error if a response that ended with its connection was cut off by a reset. The system reports a reset once: if
+// the request is still being written, the writer may get the error, and the reader an ordinary end. EPIPE is no such report, since it
+// means that the upstream had ended its side before.
+func confirmEnd(c *upstreamConn, writeErr <-chan error) error {
+	_ = c.SetWriteDeadline(time.Unix(1, 0)) // The upstream may have stopped reading.
+	err := <-writeErr
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EPIPE) {
+		return nil
+	}
+	return err
+}
+
 func (s *Sender) newRequest(job *pipe.Job, u *roster.Upstream) *http.Request {
 	header := http.Header(maps.Clone(job.Header))
 	if header == nil {
@@ -190,9 +210,10 @@
 
 // responseHead is a response without its body.
 type responseHead struct {
-	Status int
-	Header http.Header
-	Close  bool // The upstream closes the connection after this response.
+	Status     int
+	Header     http.Header
+	Close      bool // The upstream closes the connection after this response.
+	UntilClose bool // The body ended with the connection.
 }
 
 // readOne reads one full response from a connection.
@@ -212,7 +233,8 @@
 		return responseHead{}, nil, err
 	}
 	_ = resp.Body.Close() // Read to its end, so that there is nothing left that could fail.
-	return responseHead{Status: resp.StatusCode, Header: resp.Header, Close: resp.Close}, body, nil
+	untilClose := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	return responseHead{Status: resp.StatusCode, Header: resp.Header, Close: resp.Close, UntilClose: untilClose}, body, nil
 }
 
 // fillReply translates an HTTP response into a reply.
