--- a/cmd/call.go
+++ b/cmd/call.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/boragelane/boragelane/internal/edge/strict"
 )
 
 // maxAnswerSize limits the bytes read of a response.
@@ -33,6 +35,8 @@
 	}
 	text := bytes.TrimSpace(out)
 	switch {
+	case !strict.ValidStatus(resp.StatusCode):
+		return nil, ErrFailed.New("the host answered with the invalid status code %d", resp.StatusCode)
 	case resp.StatusCode < http.StatusMultipleChoices:
 		return out, nil
 	case resp.StatusCode == http.StatusConflict:
--- a/internal/edge/dialer/dialer.go
+++ b/internal/edge/dialer/dialer.go
@@ -18,6 +18,7 @@
 
 	"github.com/boragelane/boragelane/internal/core/roster"
 	"github.com/boragelane/boragelane/internal/edge/egress"
+	"github.com/boragelane/boragelane/internal/edge/strict"
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
@@ -226,6 +227,9 @@
 	if err != nil {
 		return responseHead{}, nil, err
 	}
+	if !strict.ValidStatus(resp.StatusCode) {
+		return responseHead{}, nil, ErrResponse.New("response with the invalid status code %d", resp.StatusCode)
+	}
 	c.head.unlimit()
 	body, err := readBody(resp, job)
 	if err != nil {
--- a/internal/edge/egress/egress.go
+++ b/internal/edge/egress/egress.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/boragelane/boragelane/internal/edge/strict"
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
@@ -175,7 +176,7 @@
 		return
 	}
 	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	r.Complete = framed && len(body) <= MaxResponseBody && digestMatches(resp.Header.Get(HeaderDigest), body)
+	r.Complete = framed && strict.ValidStatus(resp.StatusCode) && len(body) <= MaxResponseBody && digestMatches(resp.Header.Get(HeaderDigest), body)
 	r.Answer = pipe.Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}
 }
 
--- a/internal/edge/egress/egress_test.go
+++ b/internal/edge/egress/egress_test.go
@@ -57,8 +57,14 @@
 		"too large":               {func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, MaxResponseBody+1)) }, "unknown answer-mismatch"},
 		"shed":                    {func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Retry-After", "1"); w.WriteHeader(503) }, "not-run shed"},
 		"503 without Retry-After": {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, "answered "},
-		"no response":             {func(w http.ResponseWriter, _ *http.Request) { writeRawAndClose(w, "") }, "unknown connection-lost"},
-		"no response in time":     {func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, "unknown expired"},
+		"status 000": {func(w http.ResponseWriter, _ *http.Request) {
+			writeRawAndClose(w, "HTTP/1.1 000 Odd\r\nContent-Length: 0\r\n\r\n")
+		}, "unknown answer-mismatch"},
+		"status 600": {func(w http.ResponseWriter, _ *http.Request) {
+			writeRawAndClose(w, "HTTP/1.1 600 Odd\r\nContent-Length: 0\r\n\r\n")
+		}, "unknown answer-mismatch"},
+		"no response":         {func(w http.ResponseWriter, _ *http.Request) { writeRawAndClose(w, "") }, "unknown connection-lost"},
+		"no response in time": {func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, "unknown expired"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			up := httptest.NewServer(c.answer)
--- a/internal/edge/peer/client.go
+++ b/internal/edge/peer/client.go
@@ -195,6 +195,7 @@
 	switch {
 	case err == nil:
 		out.applyTo(job)
+		checkAnswer(job)
 	case errorx.IsOfType(err, ErrDown):
 		job.Refuse(pipe.PeerDown, "host "+addr+" can't be reached")
 	case ctx.Err() != nil:
--- a/internal/edge/peer/wirejob.go
+++ b/internal/edge/peer/wirejob.go
@@ -1,8 +1,10 @@
 package peer
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/boragelane/boragelane/internal/edge/strict"
 	"github.com/boragelane/boragelane/internal/flow/dedup"
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 	"github.com/boragelane/boragelane/internal/flow/poison"
@@ -80,6 +82,13 @@
 	j.Answer = pipe.Answer{Status: w.Status, ContentType: w.ContentType, Body: w.Body}
 }
 
+// checkAnswer ends a job as unknown if another host answered it with a status code that no caller can get.
+func checkAnswer(j *pipe.Job) {
+	if j.Outcome.Kind == pipe.Answered && !strict.ValidStatus(j.Answer.Status) {
+		j.EndUnknown(pipe.AnswerMismatch, fmt.Sprintf("another host sent an answer with status %d", j.Answer.Status))
+	}
+}
+
 type wireCrash struct {
 	Digest   uint64 `json:"digest"`
 	Upstream string `json:"up"`
