--- a/internal/core/held/held.go
+++ b/internal/core/held/held.go
@@ -114,12 +114,16 @@
 func (a *Account) grow(from, to int64, share float64) bool {
 	n := counted(to) - counted(from)
 	own := counted(a.body) + counted(a.answers) + n
-	total := a.budget.used.Add(n)
-	if n > 0 && float64(total) > share*float64(a.budget.limit.Load()) && total > own {
-		a.budget.used.Add(-n)
-		return false
+	for {
+		used := a.budget.used.Load()
+		total := used + n
+		if n > 0 && float64(total) > share*float64(a.budget.limit.Load()) && total > own {
+			return false
+		}
+		if a.budget.used.CompareAndSwap(used, total) {
+			return true
+		}
 	}
-	return true
 }
 
 // Settle registers that the request has ended, and that only n bytes of its response are still held.
