--- a/internal/edge/dialer/bounds.go
+++ b/internal/edge/dialer/bounds.go
@@ -84,5 +84,5 @@
 	if declared >= n && declared <= max(trustedLength, 2*n) {
 		return declared + 1 - n // Room for the read that finds the end.
 	}
-	return max(bodyChunk, n)
+	return min(max(bodyChunk, n), maxResponseBody+1-n) // A byte too many shows that the body is too large.
 }
--- a/internal/edge/dialer/held_test.go
+++ b/internal/edge/dialer/held_test.go
@@ -66,7 +66,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		declared := rapid.Int64Range(-1, maxResponseBody).Draw(t, "declared")
 		size, steps := int64(0), 0
-		for size <= declared || declared < 0 && size < maxResponseBody {
+		for size <= declared || declared < 0 && size <= maxResponseBody {
 			grow := nextGrowth(size, declared)
 			if grow <= 0 {
 				t.Fatalf("a buffer of %d bytes doesn't grow", size)
@@ -74,7 +74,9 @@
 			if next := size + grow; next > max(trustedLength+1, 2*size+1, bodyChunk) {
 				t.Fatalf("%d bytes for %d that have arrived", next, size)
 			}
-			size += grow
+			if size += grow; size > maxResponseBody+1 {
+				t.Fatalf("a buffer of %d bytes for a body of at most %d", size, maxResponseBody)
+			}
 			steps++
 		}
 		if declared >= 0 && declared <= trustedLength && steps != 1 {
