--- a/cmd/call.go
+++ b/cmd/call.go
@@ -34,9 +34,10 @@
 		return nil, ErrUnavailable.Wrap(err, "reading the answer")
 	}
 	text := bytes.TrimSpace(out)
+	if err := strict.Check(resp); err != nil {
+		return nil, ErrFailed.Wrap(err, "reading the answer")
+	}
 	switch {
-	case !strict.ValidStatus(resp.StatusCode):
-		return nil, ErrFailed.New("the host answered with the invalid status code %d", resp.StatusCode)
 	case resp.StatusCode < http.StatusMultipleChoices:
 		return out, nil
 	case resp.StatusCode == http.StatusConflict:
--- a/internal/edge/dialer/bounds.go
+++ b/internal/edge/dialer/bounds.go
@@ -2,15 +2,11 @@
 
 import (
 	"io"
-	"math"
-	"net/http"
 
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
 const (
-	// maxResponseHead bounds the bytes of a response's status line and header.
-	maxResponseHead = 64 << 10
 	// trustedLength is the declared length up to which a body's whole buffer is taken at once. Growing it step by step copies
 	// it, and takes three times its size for a moment.
 	trustedLength = 1 << 20
@@ -18,36 +14,13 @@
 	bodyChunk = 8 << 10
 )
 
-// headLimiter bounds the bytes read while a response header is parsed, since net/http doesn't.
-type headLimiter struct {
-	io.Reader
-	remaining int64
-	exceeded  bool
-}
-
-// limit allows the given number of bytes beyond those that a full read buffer may hold.
-func (l *headLimiter) limit(n int64) { l.remaining, l.exceeded = n+readBufferSize, false }
-
-// unlimit allows any number of bytes.
-func (l *headLimiter) unlimit() { l.remaining = math.MaxInt64 }
-
-// Read reads from the connection until the limit is reached.
-func (l *headLimiter) Read(b []byte) (int, error) {
-	if l.remaining <= 0 {
-		l.exceeded = true
-		return 0, io.ErrUnexpectedEOF
-	}
-	n, err := l.Reader.Read(b)
-	l.remaining -= int64(n)
-	return n, err
-}
-
-// readBody reads a body. It fails when the body is too large, or when the host holds too much for its callers to take it.
-func readBody(resp *http.Response, job *pipe.Job) ([]byte, error) {
-	if n := resp.ContentLength; n > maxResponseBody {
-		return nil, ErrResponse.New("response body of %d bytes exceeds %d", n, maxResponseBody)
+// readBody reads a body of a declared length, or of any length if that is -1. It fails when the body is too large, or when the host holds
+// too much for its callers to take it.
+func readBody(from io.Reader, declared int64, job *pipe.Job) ([]byte, error) {
+	if declared > maxResponseBody {
+		return nil, ErrResponse.New("response body of %d bytes exceeds %d", declared, maxResponseBody)
 	}
-	body, err := readAll(resp, job)
+	body, err := readAll(from, declared, job)
 	if err != nil {
 		job.Held.ShrinkAnswer(int64(cap(body)))
 		return nil, err
@@ -56,17 +29,17 @@
 }
 
 // readAll reads a body, and returns it also if it fails. It takes the memory for it from the job's account.
-func readAll(resp *http.Response, job *pipe.Job) ([]byte, error) {
+func readAll(from io.Reader, declared int64, job *pipe.Job) ([]byte, error) {
 	var body []byte
 	for {
 		if len(body) == cap(body) {
-			grow := nextGrowth(int64(len(body)), resp.ContentLength)
+			grow := nextGrowth(int64(len(body)), declared)
 			if !job.Held.GrowAnswer(grow, !job.Once) {
 				return body, ErrNoMemory.New("no memory for the response body")
 			}
 			body = append(make([]byte, 0, int64(len(body))+grow), body...)
 		}
-		n, err := resp.Body.Read(body[len(body):cap(body)])
+		n, err := from.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		switch {
 		case len(body) > maxResponseBody:
--- a/internal/edge/dialer/buffer.go
+++ b/internal/edge/dialer/buffer.go
@@ -20,7 +20,7 @@
 // takeReader gives a connection its read buffer.
 func (c *upstreamConn) takeReader() {
 	c.reader = readers.Get().(*bufio.Reader)
-	c.reader.Reset(c.head)
+	c.reader.Reset(c.Conn)
 }
 
 // returnReader takes the empty read buffer of a connection that becomes idle.
--- a/internal/edge/dialer/dialer.go
+++ b/internal/edge/dialer/dialer.go
@@ -118,7 +118,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if head.UntilClose {
+	if head.UntilClose() {
 		if err := confirmEnd(c, writeErr); err != nil {
 			return 0, err
 		}
@@ -185,11 +185,11 @@
 }
 
 // readResponse returns the response to the job. It skips informational responses and late responses to earlier requests.
-func (s *Sender) readResponse(req *http.Request, job *pipe.Job, c *upstreamConn) (responseHead, []byte, error) {
+func (s *Sender) readResponse(req *http.Request, job *pipe.Job, c *upstreamConn) (strict.Head, []byte, error) {
 	for range maxStaleResponses {
 		h, body, err := readOne(req, job, c)
 		if err != nil {
-			return responseHead{}, nil, err
+			return strict.Head{}, nil, err
 		}
 		if h.Status < http.StatusOK {
 			continue
@@ -200,49 +200,38 @@
 		}
 		job.Held.ShrinkAnswer(int64(cap(body)))
 		if echo == "" {
-			return responseHead{}, nil, ErrResponse.New("received a response without an ID, which may belong to an earlier request")
+			return strict.Head{}, nil, ErrResponse.New("received a response without an ID, which may belong to an earlier request")
 		}
 		if h.Close {
-			return responseHead{}, nil, ErrResponse.New("received the response to another request instead of %s", job.ID)
+			return strict.Head{}, nil, ErrResponse.New("received the response to another request instead of %s", job.ID)
 		}
 	}
-	return responseHead{}, nil, ErrResponse.New("too many responses to other requests")
-}
-
-// responseHead is a response without its body.
-type responseHead struct {
-	Status     int
-	Header     http.Header
-	Close      bool // The upstream closes the connection after this response.
-	UntilClose bool // The body ended with the connection.
+	return strict.Head{}, nil, ErrResponse.New("too many responses to other requests")
 }
 
 // readOne reads one full response from a connection.
-func readOne(req *http.Request, job *pipe.Job, c *upstreamConn) (responseHead, []byte, error) {
-	c.head.limit(maxResponseHead)
-	resp, err := http.ReadResponse(c.reader, req)
-	if c.head.exceeded {
-		return responseHead{}, nil, ErrResponse.New("response header exceeds %d bytes", maxResponseHead)
-	}
+func readOne(req *http.Request, job *pipe.Job, c *upstreamConn) (strict.Head, []byte, error) {
+	head, err := strict.ReadHead(c.reader, req.Method)
 	if err != nil {
-		return responseHead{}, nil, err
-	}
-	if !strict.ValidStatus(resp.StatusCode) {
-		return responseHead{}, nil, ErrResponse.New("response with the invalid status code %d", resp.StatusCode)
+		return strict.Head{}, nil, asResponseError(err)
 	}
-	c.head.unlimit()
-	body, err := readBody(resp, job)
+	body, err := readBody(head.Body(c.reader), head.Length, job)
 	if err != nil {
-		// Closing the body would read the rest of it; the connection is closed instead.
-		return responseHead{}, nil, err
+		return strict.Head{}, nil, asResponseError(err)
 	}
-	_ = resp.Body.Close() // Read to its end, so that there is nothing left that could fail.
-	untilClose := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-	return responseHead{Status: resp.StatusCode, Header: resp.Header, Close: resp.Close, UntilClose: untilClose}, body, nil
+	return head, body, nil
+}
+
+// asResponseError returns ErrResponse for a malformed response; other errors are those of the connection.
+func asResponseError(err error) error {
+	if errorx.IsOfType(err, strict.ErrMalformed) {
+		return ErrResponse.Wrap(err, "reading the response")
+	}
+	return err
 }
 
 // fillReply translates an HTTP response into a reply.
-func (s *Sender) fillReply(resp responseHead, body []byte, r *pipe.Reply) {
+func (s *Sender) fillReply(resp strict.Head, body []byte, r *pipe.Reply) {
 	h := resp.Header
 	r.ID = h.Get(s.Names.RequestID)
 	r.Draining = resp.Close
--- a/internal/edge/dialer/endless_test.go
+++ b/internal/edge/dialer/endless_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/boragelane/boragelane/internal/core/held"
 	"github.com/boragelane/boragelane/internal/core/roster"
+	"github.com/boragelane/boragelane/internal/edge/strict"
 	"github.com/boragelane/boragelane/internal/flow/pipe"
 )
 
@@ -122,7 +123,7 @@
 	}
 	wg.Wait()
 	// Growing a body keeps its old and new buffer for a moment; each connection has its buffers, and each header its limit.
-	limit := before + 2*allowed + concurrent*(4*maxResponseHead+held.FreeBytes)
+	limit := before + 2*allowed + concurrent*(4*strict.MaxHead+held.FreeBytes)
 	t.Logf("%d MB at the peak, %d MB before", peak>>20, before>>20)
 	assert.Assert(t, peak < limit, "%d MB at the peak", peak>>20)
 }
--- a/internal/edge/dialer/pool.go
+++ b/internal/edge/dialer/pool.go
@@ -28,8 +28,7 @@
 // upstreamConn is a keep-alive connection to an upstream.
 type upstreamConn struct {
 	net.Conn
-	head    *headLimiter
-	reader  *bufio.Reader // Reads through head; nil while the connection is idle.
+	reader  *bufio.Reader // Nil while the connection is idle.
 	reused  bool          // An earlier request was sent on the connection.
 	expires time.Time     // The connection is not reused after this time.
 }
@@ -124,7 +123,7 @@
 	if err != nil {
 		return nil, err
 	}
-	uc := &upstreamConn{Conn: c, head: &headLimiter{Reader: c}}
+	uc := &upstreamConn{Conn: c}
 	uc.takeReader()
 	return uc, nil
 }
--- a/internal/edge/dialer/status_test.go
+++ b/internal/edge/dialer/status_test.go
@@ -10,7 +10,7 @@
 
 // Guards against a status code outside 100 to 599 that is taken for an answer's, or for that of an informational response.
 func TestAResponseWithAnInvalidStatusIsNoAnswer(t *testing.T) {
-	for _, code := range []string{"000", "001", "099", "101", "600", "999", "-01", "-00", "+20", "+99", "20", "2000", "2x0", ""} {
+	for _, code := range []string{"000", "001", "099", "101", "600", "999", "-01", "-00", "+20", "+99", "20", "2000", "0200", "2x0", ""} {
 		for name, rest := range map[string]string{
 			"alone":                    "",
 			"before a response":        okResponse("7", "whole"),
--- a/internal/edge/egress/egress.go
+++ b/internal/edge/egress/egress.go
@@ -171,12 +171,12 @@
 func fillReply(r *pipe.Reply, resp *http.Response, body []byte) {
 	r.ID = resp.Header.Get(HeaderID)
 	r.Draining = resp.Header.Get(HeaderState) == stateDraining
-	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") != "" {
+	valid := strict.Check(resp) == nil
+	if valid && resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") != "" {
 		r.Shed = true
 		return
 	}
-	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	r.Complete = framed && strict.ValidStatus(resp.StatusCode) && len(body) <= MaxResponseBody && digestMatches(resp.Header.Get(HeaderDigest), body)
+	r.Complete = valid && strict.Framed(resp) && len(body) <= MaxResponseBody && digestMatches(resp.Header.Get(HeaderDigest), body)
 	r.Answer = pipe.Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}
 }
 
--- a/internal/edge/egress/egress_test.go
+++ b/internal/edge/egress/egress_test.go
@@ -63,6 +63,12 @@
 		"status 600": {func(w http.ResponseWriter, _ *http.Request) {
 			writeRawAndClose(w, "HTTP/1.1 600 Odd\r\nContent-Length: 0\r\n\r\n")
 		}, "unknown answer-mismatch"},
+		"blank in a field's name": {func(w http.ResponseWriter, _ *http.Request) {
+			writeRawAndClose(w, "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 0\r\n\r\n")
+		}, "unknown answer-mismatch"},
+		"malformed 503": {func(w http.ResponseWriter, _ *http.Request) {
+			writeRawAndClose(w, "HTTP/1.1 503 Busy\r\nX Odd: 1\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n")
+		}, "unknown answer-mismatch"},
 		"no response":         {func(w http.ResponseWriter, _ *http.Request) { writeRawAndClose(w, "") }, "unknown connection-lost"},
 		"no response in time": {func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, "unknown expired"},
 	} {
--- a/internal/edge/store/store.go
+++ b/internal/edge/store/store.go
@@ -15,6 +15,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/boragelane/boragelane/internal/ctrl/state"
+	"github.com/boragelane/boragelane/internal/edge/strict"
 )
 
 // Errors is the namespace of this package's errors.
@@ -202,6 +203,9 @@
 		return 0, nil, nil, ErrUnavailable.Wrap(err, "%s %s", method, path)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := strict.Check(resp); err != nil {
+		return 0, nil, nil, ErrUnavailable.Wrap(err, "%s %s", method, path)
+	}
 	out, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBody))
 	if err != nil {
 		return 0, nil, nil, ErrUnavailable.Wrap(err, "%s %s", method, path)
