--- a/internal/stand/loadg/loadg.go
+++ b/internal/stand/loadg/loadg.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -12,6 +13,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/boragelane/boragelane/internal/edge/strict"
 )
 
 // Class describes the load of one class of callers.
@@ -216,7 +219,13 @@
 		return attempt{err: err, reason: "connection"}
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := strict.Check(resp); err != nil {
+		return attempt{err: err, reason: "malformed"}
+	}
 	body, err := io.ReadAll(resp.Body)
+	if err == nil && !strict.Framed(resp) {
+		err = errors.New("answer without a length, which may be a part")
+	}
 	if err != nil {
 		return attempt{err: err, reason: "cut"}
 	}
