--- a/internal/edge/dialer/dialer.go
+++ b/internal/edge/dialer/dialer.go
@@ -1,13 +1,10 @@
 package dialer
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"maps"
 	"net/http"
-	"net/url"
 	"os"
 	"strconv"
 	"strings"
@@ -107,12 +104,15 @@
 // roundTrip writes the request and reads the response; it returns how long the connection may be reused, or 0.
 func (s *Sender) roundTrip(job *pipe.Job, u *roster.Upstream, c *upstreamConn, r *pipe.Reply) (time.Duration, error) {
 	req := s.newRequest(job, u)
+	if err := req.check(); err != nil {
+		return 0, err
+	}
 	writeErr := make(chan error, 1)
 	if len(job.Body) == 0 {
-		writeErr <- writeRequest(c, req)
+		writeErr <- req.writeTo(c)
 	} else {
 		// An upstream may respond before it has read all of a long body.
-		go func() { writeErr <- writeRequest(c, req) }()
+		go func() { writeErr <- req.writeTo(c) }()
 	}
 	head, body, err := s.readResponse(req, job, c)
 	if err != nil {
@@ -147,7 +147,7 @@
 	return err
 }
 
-func (s *Sender) newRequest(job *pipe.Job, u *roster.Upstream) *http.Request {
+func (s *Sender) newRequest(job *pipe.Job, u *roster.Upstream) *request {
 	header := http.Header(maps.Clone(job.Header))
 	if header == nil {
 		header = http.Header{}
@@ -159,17 +159,7 @@
 	for name, value := range job.Trace {
 		header.Set(name, value)
 	}
-	if _, ok := header["User-Agent"]; !ok {
-		header["User-Agent"] = nil // Stops net/http from adding its own.
-	}
-	req := &http.Request{
-		Method: job.Method, URL: &url.URL{Scheme: "http", Host: job.Host, Opaque: job.Path}, Host: job.Host,
-		Header: header, ContentLength: int64(len(job.Body)), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-	}
-	if len(job.Body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(job.Body))
-	}
-	return req
+	return &request{Method: job.Method, Target: job.Path, Host: job.Host, Header: header, Body: job.Body}
 }
 
 // setWorkspace replaces the caller's key and what the caller claims to be by the job's workspace, if the policy has workspaces.
@@ -185,7 +175,7 @@
 }
 
 // readResponse returns the response to the job. It skips informational responses and late responses to earlier requests.
-func (s *Sender) readResponse(req *http.Request, job *pipe.Job, c *upstreamConn) (strict.Head, []byte, error) {
+func (s *Sender) readResponse(req *request, job *pipe.Job, c *upstreamConn) (strict.Head, []byte, error) {
 	for range maxStaleResponses {
 		h, body, err := readOne(req, job, c)
 		if err != nil {
@@ -210,7 +200,7 @@
 }
 
 // readOne reads one full response from a connection.
-func readOne(req *http.Request, job *pipe.Job, c *upstreamConn) (strict.Head, []byte, error) {
+func readOne(req *request, job *pipe.Job, c *upstreamConn) (strict.Head, []byte, error) {
 	head, err := strict.ReadHead(c.reader, req.Method)
 	if err != nil {
 		return strict.Head{}, nil, asResponseError(err)
--- a/internal/edge/egress/egress.go
+++ b/internal/edge/egress/egress.go
@@ -10,7 +10,9 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -123,6 +125,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if !strings.HasPrefix(job.Path, "//") { // net/http writes an opaque "//a/b" as "http://a/b".
+		req.URL = &url.URL{Scheme: "http", Host: job.Upstream.Address, Opaque: job.Path} // Otherwise it is escaped anew, and without its fragment.
+	}
 	req.Body = unreplayableBody{bytes.NewReader(job.Body)}
 	req.ContentLength = int64(len(job.Body))
 	req.GetBody = nil
