--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -42,6 +42,7 @@
 type Crash struct {
 	Digest   uint64
 	Upstream string
+	Born     int64 // Identifies the upstream's incarnation; 0 if the report doesn't name it.
 }
 
 // View is an immutable snapshot of the state that is used to handle requests.
--- a/internal/edge/broker/broker_test.go
+++ b/internal/edge/broker/broker_test.go
@@ -52,7 +52,7 @@
 }
 
 // RecordCrash keeps the digest of the crash.
-func (p *hostPair) RecordCrash(_ time.Time, digest uint64, _ string) { p.crashes <- digest }
+func (p *hostPair) RecordCrash(_ time.Time, digest uint64, _ *roster.Upstream) { p.crashes <- digest }
 
 func newHostPair(t *testing.T) *hostPair {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/edge/broker/server.go
+++ b/internal/edge/broker/server.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/boragelane/boragelane/internal/core/quota"
+	"github.com/boragelane/boragelane/internal/core/roster"
 	"github.com/boragelane/boragelane/internal/ctrl/loans"
 	"github.com/boragelane/boragelane/internal/ctrl/watch"
 	"github.com/boragelane/boragelane/internal/flow/place"
@@ -40,7 +41,7 @@
 
 // CrashRecorder is told of the upstreams that crashed while they ran a job of another host.
 type CrashRecorder interface {
-	RecordCrash(now time.Time, digest uint64, upstream string)
+	RecordCrash(now time.Time, digest uint64, u *roster.Upstream)
 }
 
 // Server answers other hosts: it places the jobs of its region, plans loans and passes on store changes.
@@ -168,7 +169,7 @@
 	if g := s.server.Scheduler.Find(w.ID); g != nil {
 		now := s.server.Clock()
 		if w.Crashed {
-			s.server.Crashes.RecordCrash(now, g.Digest, g.Upstream.ID)
+			s.server.Crashes.RecordCrash(now, g.Digest, g.Upstream)
 		}
 		s.server.Admit.Release(now, g, w.toResult())
 	}
--- a/internal/flow/pipe/job.go
+++ b/internal/flow/pipe/job.go
@@ -47,7 +47,7 @@
 	View             *roster.View
 	Route            *policy.Route
 	Objective        time.Time     // The target time of the answer; a later answer is worth less.
-	CrashedUpstreams []string      // The upstreams that crashed during earlier attempts.
+	CrashedUpstreams []UpstreamRef // The upstreams that crashed during earlier attempts.
 	MayHaveRun       bool          // Some attempt may have run, whatever the result of later ones.
 	Attempts         int           // The number of upstreams that the job was sent to.
 	Returning        bool          // The caller seems to have sent the job before, without success.
@@ -72,6 +72,7 @@
 // UpstreamRef identifies the upstream that a job was admitted to and bounds the connections to it.
 type UpstreamRef struct {
 	ID      string
+	Born    int64 // Identifies the incarnation; 0 if it isn't known.
 	Address string
 	Conns   int64
 }
--- a/internal/flow/poison/poison.go
+++ b/internal/flow/poison/poison.go
@@ -31,11 +31,20 @@
 type Crash struct {
 	Digest   uint64
 	Upstream string
+	Born     int64 // Identifies the upstream's incarnation; 0 if the report doesn't name it.
 	At       time.Time
 
 	refuted bool // An upstream has answered the job since.
 }
 
+// incarnation identifies an upstream from one start to the next.
+type incarnation struct {
+	id   string
+	born int64
+}
+
+func (c *Crash) incarnation() incarnation { return incarnation{id: c.Upstream, born: c.Born} }
+
 // Notifier reports a crash to other hosts. It may wait until they know of it, or only queue the report.
 type Notifier interface {
 	NotifyCrash(now time.Time, c Crash)
@@ -51,7 +60,7 @@
 func (t *Table) Add(c Crash) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if slices.ContainsFunc(t.crashes, func(o Crash) bool { return o.Digest == c.Digest && o.Upstream == c.Upstream }) {
+	if slices.ContainsFunc(t.crashes, func(o Crash) bool { return o.Digest == c.Digest && o.incarnation() == c.incarnation() }) {
 		return
 	}
 	t.crashes = slices.DeleteFunc(t.crashes, func(o Crash) bool { return c.At.Sub(o.At) > CrashWindow })
@@ -77,19 +86,14 @@
 func (t *Table) Quarantined(digest uint64, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	own := map[string]bool{}
-	for _, c := range t.crashes {
-		if c.Digest == digest {
-			own[c.Upstream] = true
-		}
-	}
+	own := t.crashedBy(digest)
 	if len(own) < CrashLimit {
 		return false
 	}
 	alone, repeated := 0, 0
 	var first, last time.Time
 	for _, c := range t.crashes {
-		if c.Digest != digest || now.Sub(c.At) > CrashWindow {
+		if c.Digest != digest || !own[c.incarnation()] || now.Sub(c.At) > CrashWindow {
 			continue
 		}
 		if !t.isMassCrash(c, own) {
@@ -109,12 +113,35 @@
 	return alone >= CrashLimit || repeated >= RepeatLimit && last.Sub(first) > massCrashGap
 }
 
+// crashedBy returns the incarnations that a job has crashed. A report that names none counts only if no other names the upstream, since it
+// may tell of the same crash.
+func (t *Table) crashedBy(digest uint64) map[incarnation]bool {
+	own, named := map[incarnation]bool{}, map[string]bool{}
+	for i := range t.crashes {
+		if c := &t.crashes[i]; c.Digest == digest {
+			own[c.incarnation()] = true
+			named[c.Upstream] = named[c.Upstream] || c.Born != 0
+		}
+	}
+	for id, ok := range named {
+		if ok {
+			delete(own, incarnation{id: id})
+		}
+	}
+	return own
+}
+
 // isMassCrash reports whether a crash is part of an event in which massCrashMinOthers upstreams crashed that are not among
 // the job's own.
-func (t *Table) isMassCrash(c Crash, own map[string]bool) bool {
+func (t *Table) isMassCrash(c Crash, own map[incarnation]bool) bool {
+	ownIDs := map[string]bool{}
+	for i := range own {
+		ownIDs[i.id] = true
+	}
 	others := map[string]bool{}
 	for _, o := range t.crashes {
-		if gap := o.At.Sub(c.At).Abs(); gap <= massCrashGap && !own[o.Upstream] {
+		isOwn := own[o.incarnation()] || o.Born == 0 && ownIDs[o.Upstream]
+		if gap := o.At.Sub(c.At).Abs(); gap <= massCrashGap && !isOwn {
 			if others[o.Upstream] = true; len(others) >= massCrashMinOthers {
 				return true
 			}
@@ -144,10 +171,10 @@
 func (f Filter) Finish(now time.Time, job *pipe.Job) {
 	upstreams := job.CrashedUpstreams
 	if job.Crashed {
-		upstreams = append(slices.Clone(upstreams), job.Upstream.ID)
+		upstreams = append(slices.Clone(upstreams), job.Upstream)
 	}
 	for _, u := range upstreams {
-		c := Crash{Digest: job.Digest, Upstream: u, At: now}
+		c := Crash{Digest: job.Digest, Upstream: u.ID, Born: u.Born, At: now}
 		f.Table.Add(c)
 		f.Notifier.NotifyCrash(now, c)
 	}
--- a/internal/flow/serve/race.go
+++ b/internal/flow/serve/race.go
@@ -208,7 +208,7 @@
 		}
 		job.MayHaveRun = job.MayHaveRun || r.job.MayHaveRun
 		if r.job.Crashed {
-			job.CrashedUpstreams = append(job.CrashedUpstreams, r.job.Upstream.ID)
+			job.CrashedUpstreams = append(job.CrashedUpstreams, r.job.Upstream)
 		}
 	}
 	return upstreams
--- a/internal/flow/serve/race_test.go
+++ b/internal/flow/serve/race_test.go
@@ -234,7 +234,7 @@
 	s.settle(t)
 	assert.Equal(t, job.Outcome.Kind, pipe.Answered)
 	assert.Assert(t, !job.Crashed)
-	assert.DeepEqual(t, job.CrashedUpstreams, []string{"u0"})
+	assert.DeepEqual(t, job.CrashedUpstreams, []pipe.UpstreamRef{{ID: "u0"}})
 }
 
 // Guards against two answers that come at the same time: one must be used, and each grant released once.
--- a/internal/flow/serve/serve.go
+++ b/internal/flow/serve/serve.go
@@ -127,7 +127,7 @@
 // attempt runs a job on an upstream, and on a second one if the first takes long; it returns the upstreams that it was sent to.
 func (f *Filter) attempt(ctx context.Context, job *pipe.Job, g *place.Grant, tried []string) []string {
 	if job.Crashed {
-		job.CrashedUpstreams = append(job.CrashedUpstreams, job.Upstream.ID)
+		job.CrashedUpstreams = append(job.CrashedUpstreams, job.Upstream)
 	}
 	if mayHedge(job, g) {
 		return f.race(ctx, job, g, tried)
@@ -141,7 +141,7 @@
 	u := g.Upstream
 	start := f.Clock()
 	job.Attempts++
-	job.Upstream = pipe.UpstreamRef{ID: u.ID, Address: u.Address}
+	job.Upstream = pipe.UpstreamRef{ID: u.ID, Born: u.Born, Address: u.Address}
 	job.Reply = f.Sender.Send(ctx, start, job, u)
 	now := f.Clock()
 	setOutcome(ctx, job)
--- a/internal/host/steer/journal.go
+++ b/internal/host/steer/journal.go
@@ -175,8 +175,8 @@
 }
 
 // RecordCrash adds a crash that another host saw. The host that places the job learns of it before its caller can retry.
-func (r *crashReceiver) RecordCrash(now time.Time, digest uint64, upstream string) {
-	r.crashes.Add(poison.Crash{Digest: digest, Upstream: upstream, At: now})
+func (r *crashReceiver) RecordCrash(now time.Time, digest uint64, u *roster.Upstream) {
+	r.crashes.Add(poison.Crash{Digest: digest, Upstream: u.ID, Born: u.Born, At: now})
 }
 
 // Update adds the crashes in a view.
@@ -186,7 +186,7 @@
 	}
 	r.last = v.Crashes[len(v.Crashes)-1]
 	for _, c := range v.Crashes {
-		r.crashes.Add(poison.Crash{Digest: c.Digest, Upstream: c.Upstream, At: now})
+		r.crashes.Add(poison.Crash{Digest: c.Digest, Upstream: c.Upstream, Born: c.Born, At: now})
 	}
 }
 
@@ -203,7 +203,7 @@
 // NotifyCrash queues a crash; it drops the crash and logs a warning if the queue is full.
 func (r *crashReporter) NotifyCrash(_ time.Time, c poison.Crash) {
 	select {
-	case r.host.crashReports <- roster.Crash{Digest: c.Digest, Upstream: c.Upstream}:
+	case r.host.crashReports <- roster.Crash{Digest: c.Digest, Upstream: c.Upstream, Born: c.Born}:
 	default:
 		r.host.Log.Warn("crash not reported", zap.String("upstream", c.Upstream))
 	}
