--- a/internal/ctrl/watch/fold.go
+++ b/internal/ctrl/watch/fold.go
@@ -99,8 +99,8 @@
 // request changes from this one instead of reading the store.
 func (s *State) applyBatch(b roster.Batch, now time.Time) []StateChange {
 	var stateChanges []StateChange
-	if s.disconnected || now.Sub(s.lastSync) > outageThreshold && !s.lastSync.IsZero() {
-		s.recoveredAt = now
+	s.noteSteady(&b, now)
+	if s.disconnected {
 		stateChanges = append(stateChanges, StateChange{Message: "store regained", Revision: b.Revision})
 	}
 	s.disconnected, s.lastSync = false, now.Add(-b.Age)
@@ -125,6 +125,21 @@
 	return stateChanges
 }
 
+// noteSteady records the end of an outage of the store. That is only known from a call to the store that failed. If another host has read
+// the store in the meantime, its last outage counts: the store may have turned away this host alone.
+func (s *State) noteSteady(b *roster.Batch, now time.Time) {
+	steadySince := now
+	if b.Steady > 0 {
+		steadySince = now.Add(-b.Steady)
+	}
+	switch {
+	case s.lastSync.IsZero():
+		s.steadySince = steadySince
+	case s.disconnected && steadySince.After(s.steadySince):
+		s.steadySince, s.recoveredAt = steadySince, steadySince
+	}
+}
+
 // removals returns a removal for each known entry that a full read of the store no longer contains.
 func (s *State) removals(b roster.Batch) []roster.Change {
 	present := map[string]bool{}
--- a/internal/ctrl/watch/relay.go
+++ b/internal/ctrl/watch/relay.go
@@ -57,7 +57,7 @@
 
 // updatesSince returns the changes after a revision, or a snapshot if the log doesn't reach back that far.
 func (s *State) updatesSince(after int64, now time.Time) Updates {
-	updates := Updates{Batch: roster.Batch{Revision: s.revision}, Age: min(now.Sub(s.directSync), unknownAge)}
+	updates := Updates{Batch: roster.Batch{Revision: s.revision, Steady: s.steadyFor(now)}, Age: min(now.Sub(s.directSync), unknownAge)}
 	if after == 0 || after < s.compactedTo {
 		updates.Batch.Snapshot = true
 		updates.Batch.Changes = s.snapshot()
@@ -71,6 +71,14 @@
 	return updates
 }
 
+// steadyFor returns the time for which this host has known of no outage of the store, or 0 if it doesn't know.
+func (s *State) steadyFor(now time.Time) time.Duration {
+	if s.disconnected || s.steadySince.IsZero() {
+		return 0
+	}
+	return max(1, min(now.Sub(s.steadySince), unknownAge))
+}
+
 // snapshot returns the whole state as changes, with the tombstones of removed upstreams, so that a host that starts doesn't
 // use one that a delayed report brings back. Entries in their grace period are left out: the follower sees them as
 // removed and applies a grace period of its own.
--- a/internal/ctrl/watch/state.go
+++ b/internal/ctrl/watch/state.go
@@ -15,9 +15,6 @@
 	// restoreGrace is how long an entry stays usable that was removed during a store outage. The platform restores
 	// live entries within about 2 s after the store recovers.
 	restoreGrace = 2200 * time.Millisecond
-	// outageThreshold is the time without a store read after which leases may have expired unnoticed. It is below
-	// the shortest lease, which is three heartbeats.
-	outageThreshold = 2500 * time.Millisecond
 	// maxCrashes bounds the crash reports that are kept.
 	maxCrashes = 500
 	// tombstoneTTL is how long a tombstone is kept, so that a delayed write can't bring back a drained incarnation.
@@ -40,6 +37,7 @@
 	lastSync          time.Time // Time of the last successful store read.
 	directSync        time.Time // The same without indirect changes, as other hosts are told.
 	recoveredAt       time.Time // End of the last store outage.
+	steadySince       time.Time // The same, or when this host or the one that it learned from first read the store.
 	disconnected      bool
 	leaving           bool
 	domainPools       map[string]bool // Services whose upstreams are pooled by failure domain.
