--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -178,6 +178,7 @@
 	Snapshot bool          // The changes are a full snapshot of the store, not an increment.
 	Age      time.Duration // Time since the store sent the changes, if another host forwarded them.
 	Steady   time.Duration // Time without an outage of the store before the changes, as the host that forwarded them knows it; 0 if it doesn't.
+	Outage   bool          // An outage ended at the beginning of Steady.
 	Indirect bool          // From a host that may itself request changes from this one, which must not take them for recent.
 }
 
--- a/internal/ctrl/watch/fold.go
+++ b/internal/ctrl/watch/fold.go
@@ -125,18 +125,26 @@
 	return stateChanges
 }
 
-// noteSteady records the end of an outage of the store. That is only known from a call to the store that failed. If another host has read
-// the store in the meantime, its last outage counts: the store may have turned away this host alone.
+// steadyMargin is how much later than known an outage must have ended to count as another one. What a host passes on seems to have ended
+// later by the time that it took to arrive.
+const steadyMargin = 500 * time.Millisecond
+
+// noteSteady records the end of an outage of the store. That is known from a call to the store that failed, here or at the host that passes
+// the changes on. If that host has read the store in the meantime, the store has turned away this one alone.
 func (s *State) noteSteady(b *roster.Batch, now time.Time) {
-	steadySince := now
+	since := now
 	if b.Steady > 0 {
-		steadySince = now.Add(-b.Steady)
+		since = now.Add(-b.Steady)
 	}
+	isLater := since.After(s.steadySince.Add(steadyMargin))
 	switch {
 	case s.lastSync.IsZero():
-		s.steadySince = steadySince
-	case s.disconnected && steadySince.After(s.steadySince):
-		s.steadySince, s.recoveredAt = steadySince, steadySince
+		s.steadySince = since
+		if b.Outage {
+			s.recoveredAt = since
+		}
+	case isLater && (s.disconnected || b.Outage):
+		s.steadySince, s.recoveredAt = since, since
 	}
 }
 
--- a/internal/ctrl/watch/relay.go
+++ b/internal/ctrl/watch/relay.go
@@ -57,7 +57,7 @@
 
 // updatesSince returns the changes after a revision, or a snapshot if the log doesn't reach back that far.
 func (s *State) updatesSince(after int64, now time.Time) Updates {
-	updates := Updates{Batch: roster.Batch{Revision: s.revision, Steady: s.steadyFor(now)}, Age: min(now.Sub(s.directSync), unknownAge)}
+	updates := Updates{Batch: roster.Batch{Revision: s.revision, Steady: s.steadyFor(now), Outage: !s.recoveredAt.IsZero()}, Age: min(now.Sub(s.directSync), unknownAge)}
 	if after == 0 || after < s.compactedTo {
 		updates.Batch.Snapshot = true
 		updates.Batch.Changes = s.snapshot()
--- a/internal/edge/broker/asker.go
+++ b/internal/edge/broker/asker.go
@@ -142,5 +142,5 @@
 	if err != nil {
 		return watch.Updates{}, ErrCall.Wrap(err, "store changes from host %s", from.Name)
 	}
-	return watch.Updates{Batch: roster.Batch{Changes: changes, Revision: w.Revision, Snapshot: w.Snapshot, Steady: w.Steady}, Age: w.Age}, nil
+	return watch.Updates{Batch: roster.Batch{Changes: changes, Revision: w.Revision, Snapshot: w.Snapshot, Steady: w.Steady, Outage: w.Outage}, Age: w.Age}, nil
 }
--- a/internal/edge/broker/change.go
+++ b/internal/edge/broker/change.go
@@ -16,7 +16,8 @@
 	Revision int64         `json:"rev"`
 	Snapshot bool          `json:"full,omitempty"`
 	Age      time.Duration `json:"age"`
-	Steady   time.Duration `json:"ok,omitempty"` // Time without an outage of the store; not known to earlier releases.
+	Steady   time.Duration `json:"ok,omitempty"`  // Time without an outage of the store; not known to earlier releases.
+	Outage   bool          `json:"out,omitempty"` // An outage ended at the beginning of Steady.
 	Changes  []wireChange  `json:"changes,omitempty"`
 	Packed   []byte        `json:"packed,omitempty"` // The JSON of further changes, compressed.
 }
--- a/internal/edge/broker/server.go
+++ b/internal/edge/broker/server.go
@@ -224,7 +224,7 @@
 
 // pack encodes updates. A snapshot of the last snapshotReuse is returned again, with its own revision and its present age.
 func (p *packer) pack(updates *watch.Updates, now time.Time) (wireUpdates, error) {
-	out := wireUpdates{Revision: updates.Batch.Revision, Snapshot: updates.Batch.Snapshot, Age: updates.Age, Steady: updates.Batch.Steady}
+	out := wireUpdates{Revision: updates.Batch.Revision, Snapshot: updates.Batch.Snapshot, Age: updates.Age, Steady: updates.Batch.Steady, Outage: updates.Batch.Outage}
 	if !out.Snapshot {
 		return out, out.encodeChanges(updates.Batch.Changes, now)
 	}
