--- a/internal/ctrl/watch/reader.go
+++ b/internal/ctrl/watch/reader.go
@@ -54,12 +54,6 @@
 	peerPollInterval = 250 * time.Millisecond
 	// peerSkipPeriod is how long a host is skipped after a failed request.
 	peerSkipPeriod = 2 * time.Second
-	// silenceMargin is how much longer than its long poll a host may take to answer before the others are asked too: more than
-	// three round trips between distant regions.
-	silenceMargin = 350 * time.Millisecond
-	// maxPeerTime bounds the requests to all other hosts together. With the read of the store that follows, it stays below the
-	// 2.5 s in which a change must take effect.
-	maxPeerTime = 1400 * time.Millisecond
 	// otherTimeout bounds a request to a host that this one doesn't follow: two round trips between distant regions. With a
 	// failed read and the delay after it, it stays below the 3 s after which a host counts as connected again.
 	otherTimeout = 400 * time.Millisecond
@@ -137,15 +131,21 @@
 func (r *Reader) pollPeers(ctx context.Context, v *roster.View) bool {
 	var sources []source
 	sources, r.designated = sourcesOf(v)
-	now := r.Clock()
-	sources = slices.DeleteFunc(sources, func(src source) bool { return now.Before(r.skipUntil[src.host.Name]) })
-	if len(sources) == 0 {
-		return false
+	for _, src := range sources {
+		if r.Clock().Before(r.skipUntil[src.host.Name]) {
+			continue
+		}
+		updates, err := r.Peers.Updates(ctx, src.host, r.revision, src.wait)
+		if err != nil {
+			r.skipUntil[src.host.Name] = r.Clock().Add(peerSkipPeriod)
+			continue
+		}
+		if updates.Age <= src.maxAge && (r.revision > 0 || updates.Batch.Snapshot) {
+			r.forward(ctx, src.host.Name, updates)
+			return true
+		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, maxPeerTime)
-	defer cancel()
-	round := &peerRound{reader: r, sources: sources, answers: make(chan peerAnswer, len(sources))}
-	return round.run(ctx)
+	return false
 }
 
 // askOther requests changes from one of the hosts that this one doesn't follow, if the policy has workspaces, and reports
