--- a/internal/edge/dialer/dialer_test.go
+++ b/internal/edge/dialer/dialer_test.go
@@ -50,6 +50,26 @@
 	return &roster.Upstream{ID: "u1", Address: ln.Addr().String(), Slots: 2}
 }
 
+// serveConns starts an upstream that handles each connection in a goroutine of its own.
+func serveConns(t *testing.T, handle func(c *net.TCPConn)) *roster.Upstream {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				handle(c.(*net.TCPConn))
+			}()
+		}
+	}()
+	return &roster.Upstream{ID: "u1", Address: ln.Addr().String(), Slots: 2}
+}
+
 func okResponse(id, body string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Sig: s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
@@ -226,40 +246,27 @@
 // startRepeater starts an upstream that sends a second copy of its first response: after a pause, or when it reads the next
 // request on the same connection.
 func startRepeater(t *testing.T, pause time.Duration, copyOf func(id string) string) *roster.Upstream {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
+	return serveConns(t, func(c *net.TCPConn) {
+		br := bufio.NewReader(c)
+		second := ""
+		for n := 0; ; n++ {
+			r, err := http.ReadRequest(br)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				br := bufio.NewReader(c)
-				second := ""
-				for n := 0; ; n++ {
-					r, err := http.ReadRequest(br)
-					if err != nil {
-						return
-					}
-					id := r.Header.Get("X-Id")
-					if n == 1 && pause == 0 {
-						_, _ = c.Write([]byte(second[:len(second)/2]))
-						time.Sleep(10 * time.Millisecond)
-						_, _ = c.Write([]byte(second[len(second)/2:]))
-					}
-					_, _ = c.Write([]byte(okResponse(id, "answer to "+id)))
-					if second = copyOf(id); n == 0 && pause > 0 {
-						time.Sleep(pause)
-						_, _ = c.Write([]byte(second))
-					}
-				}
-			}()
+			id := r.Header.Get("X-Id")
+			if n == 1 && pause == 0 {
+				_, _ = c.Write([]byte(second[:len(second)/2]))
+				time.Sleep(10 * time.Millisecond)
+				_, _ = c.Write([]byte(second[len(second)/2:]))
+			}
+			_, _ = c.Write([]byte(okResponse(id, "answer to "+id)))
+			if second = copyOf(id); n == 0 && pause > 0 {
+				time.Sleep(pause)
+				_, _ = c.Write([]byte(second))
+			}
 		}
-	}()
-	return &roster.Upstream{ID: "u1", Address: ln.Addr().String(), Slots: 2}
+	})
 }
 
 // A second copy of an answer must never become the answer to the next request, nor say that it did not run.
--- a/internal/edge/dialer/endless_test.go
+++ b/internal/edge/dialer/endless_test.go
@@ -36,32 +36,19 @@
 
 // startEndless starts an upstream that answers each connection without end: fast, or a byte at a time.
 func startEndless(t *testing.T, response [2]string, slow bool) *roster.Upstream {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
+	return serveConns(t, func(c *net.TCPConn) {
+		rest := strings.Repeat(response[1], 4096)
+		if slow {
+			rest = response[1]
+		}
+		_, err := c.Write([]byte(response[0]))
+		for err == nil {
+			_, err = c.Write([]byte(rest))
+			if slow {
+				time.Sleep(time.Millisecond)
 			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				rest := strings.Repeat(response[1], 4096)
-				if slow {
-					rest = response[1]
-				}
-				_, err := c.Write([]byte(response[0]))
-				for err == nil {
-					_, err = c.Write([]byte(rest))
-					if slow {
-						time.Sleep(time.Millisecond)
-					}
-				}
-			}()
 		}
-	}()
-	return &roster.Upstream{ID: "u1", Address: ln.Addr().String(), Slots: 2}
+	})
 }
 
 // sendFor sends a job that runs at most once, whose answers may take the whole budget; the job has ended when it returns.
--- a/internal/edge/dialer/reset_test.go
+++ b/internal/edge/dialer/reset_test.go
@@ -19,27 +19,14 @@
 // startEarly starts an upstream that answers each upload once it has read its header, with a body that ends with the connection, and
 // that ends the connection in the given way without reading on.
 func startEarly(t *testing.T, body string, end func(c *net.TCPConn)) *roster.Upstream {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				r, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Sig: s\r\n\r\n%s", r.Header.Get("X-Id"), body)
-				end(c.(*net.TCPConn))
-			}()
+	return serveConns(t, func(c *net.TCPConn) {
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
 		}
-	}()
-	return &roster.Upstream{ID: "u1", Address: ln.Addr().String(), Slots: 2}
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Sig: s\r\n\r\n%s", r.Header.Get("X-Id"), body)
+		end(c)
+	})
 }
 
 // upload sends a job with a body of the given size.
--- a/internal/edge/dialer/target_test.go
+++ b/internal/edge/dialer/target_test.go
@@ -18,32 +18,20 @@
 
 // startReader starts an upstream that answers each request with its own head as the body.
 func startReader(t *testing.T) *roster.Upstream {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
+	return serveConns(t, func(c *net.TCPConn) {
+		br := bufio.NewReader(c)
 		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				br := bufio.NewReader(c)
-				for {
-					var head strings.Builder
-					for line := ""; line != "\r\n"; {
-						if line, err = br.ReadString('\n'); err != nil {
-							return
-						}
-						head.WriteString(line)
-					}
-					_, _ = c.Write([]byte(okResponse("7", head.String())))
+			var head strings.Builder
+			for line := ""; line != "\r\n"; {
+				var err error
+				if line, err = br.ReadString('\n'); err != nil {
+					return
 				}
-			}()
+				head.WriteString(line)
+			}
+			_, _ = c.Write([]byte(okResponse("7", head.String())))
 		}
-	}()
-	return &roster.Upstream{ID: "u1", Address: ln.Addr().String(), Slots: 2}
+	})
 }
 
 // sentHead returns the head that an upstream reads of a job.
