fix(broker): a host that is sending is not taken for a frozen one

What callers saw: nothing directly; a configuration that grows by many routes could reach hosts late (CONFIG), since it was fetched more than once.

Cause: a connection was closed when a ping got no reply in 300 ms. The reply waits behind an answer that is being sent, so a transfer of more than 300 ms looked like a frozen host, and the next host was asked for the same content.

Change: a connection records when bytes arrive. Silence means that nothing arrived since the ping.

Why it works: a host that is busy sending delivers bytes; a frozen one doesn't.

--- a/internal/edge/broker/asker.go
+++ b/internal/edge/broker/asker.go
@@ -100,7 +100,7 @@
 		return nil, err
 	}
 	var loans loans.Loans
-	if err := p.call(ctx, l.Clock, methodLoans, req, &loans); err != nil {
+	if err := p.call(ctx, methodLoans, req, &loans); err != nil {
 		return nil, ErrCall.Wrap(err, "requesting loans from host %s", h.Name)
 	}
 	return loans, nil
@@ -134,7 +134,7 @@
 		return watch.Updates{}, err
 	}
 	var w wireUpdates
-	if err := p.callLong(ctx, f.clock, wait, methodUpdates, wireUpdatesRequest{After: after, Wait: wait}, &w); err != nil {
+	if err := p.callLong(ctx, wait, methodUpdates, wireUpdatesRequest{After: after, Wait: wait}, &w); err != nil {
 		_ = p.conn.Close()
 		return watch.Updates{}, ErrCall.Wrap(err, "requesting store changes from host %s", from.Name)
 	}
--- a/internal/edge/broker/learn.go
+++ b/internal/edge/broker/learn.go
@@ -91,7 +91,7 @@
 	p, err := l.peers.get(ctx, from)
 	var w *wireKnowledge
 	if err == nil {
-		err = p.call(ctx, l.Clock, methodLearn, wireLearnRequest{Service: service}, &w)
+		err = p.call(ctx, methodLearn, wireLearnRequest{Service: service}, &w)
 	}
 	if err != nil {
 		l.OnError(from.Name, err)
--- a/internal/edge/broker/peer.go
+++ b/internal/edge/broker/peer.go
@@ -32,14 +32,33 @@
 	conn      *jsonrpc2.Conn
 	pending   atomic.Int64
 	awaited   chan struct{} // Signals that a call is pending.
-	lastReply atomic.Int64  // Unix time in nanoseconds.
+	lastHeard atomic.Int64  // When bytes last arrived, as Unix time in nanoseconds.
+}
+
+// heardSince reports whether bytes have arrived since a time.
+func (p *peer) heardSince(t time.Time) bool { return p.lastHeard.Load() >= t.UnixNano() }
+
+// heardConn records when bytes arrive from a peer.
+type heardConn struct {
+	net.Conn
+	clock func() time.Time
+	heard *atomic.Int64
+}
+
+// Read reads from the connection.
+func (c *heardConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.heard.Store(c.clock().UnixNano())
+	}
+	return n, err
 }
 
 // call makes a call and returns when it is answered, its context ends or the connection is lost.
-func (p *peer) call(ctx context.Context, clock func() time.Time, method string, in, out any) error {
+func (p *peer) call(ctx context.Context, method string, in, out any) error {
 	p.expectReply()
 	defer p.pending.Add(-1)
-	return p.send(ctx, clock, method, in, out)
+	return p.send(ctx, method, in, out)
 }
 
 // expectReply counts a call whose answer is due.
@@ -52,25 +71,22 @@
 }
 
 // callLong makes a call that the other host may take some time to answer; its answer is due only after that.
-func (p *peer) callLong(ctx context.Context, clock func() time.Time, wait time.Duration, method string, in, out any) error {
+func (p *peer) callLong(ctx context.Context, wait time.Duration, method string, in, out any) error {
 	due := time.AfterFunc(wait, p.expectReply)
 	defer func() {
 		if !due.Stop() {
 			p.pending.Add(-1)
 		}
 	}()
-	return p.send(ctx, clock, method, in, out)
+	return p.send(ctx, method, in, out)
 }
 
-func (p *peer) send(ctx context.Context, clock func() time.Time, method string, in, out any) error {
-	err := p.conn.Call(ctx, method, in, out)
-	if err == nil {
-		p.lastReply.Store(clock().UnixNano())
-	}
-	return err
+func (p *peer) send(ctx context.Context, method string, in, out any) error {
+	return p.conn.Call(ctx, method, in, out)
 }
 
-// monitor closes the connection when a host with pending calls doesn't answer a ping.
+// monitor closes the connection when a host with pending calls neither answers a ping nor sends anything else. Behind a large answer the
+// reply to a ping waits its turn.
 func (p *peer) monitor(clock func() time.Time) {
 	t := time.NewTimer(monitorInterval)
 	defer t.Stop()
@@ -88,13 +104,14 @@
 			return
 		case <-t.C:
 		}
-		if p.pending.Load() == 0 || clock().Sub(time.Unix(0, p.lastReply.Load())) < silenceLimit {
+		asked := clock()
+		if p.pending.Load() == 0 || p.heardSince(asked.Add(-silenceLimit)) {
 			continue
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
-		err := p.call(ctx, clock, methodPing, true, nil)
+		err := p.call(ctx, methodPing, true, nil)
 		cancel()
-		if err != nil {
+		if err != nil && !p.heardSince(asked) {
 			_ = p.conn.Close()
 			return
 		}
@@ -134,8 +151,9 @@
 		return nil, ErrCall.Wrap(err, "connecting to host %s", h.Name)
 	}
 	p := &peer{host: h, awaited: make(chan struct{}, 1)}
-	p.lastReply.Store(ps.clock().UnixNano())
-	p.conn = jsonrpc2.NewConn(context.Background(), newStream(nc), ignoreRequests{})
+	p.lastHeard.Store(ps.clock().UnixNano())
+	heard := &heardConn{Conn: nc, clock: ps.clock, heard: &p.lastHeard}
+	p.conn = jsonrpc2.NewConn(context.Background(), newStream(heard), ignoreRequests{})
 	return ps.add(p), nil
 }
 
--- a/internal/edge/broker/placer.go
+++ b/internal/edge/broker/placer.go
@@ -129,7 +129,7 @@
 	callCtx := context.WithoutCancel(ctx)
 	go func() {
 		var reply grantReply
-		reply.err = to.call(callCtx, p.Clock, methodAcquire, w, &reply.grant)
+		reply.err = to.call(callCtx, methodAcquire, w, &reply.grant)
 		replies <- reply
 	}()
 	select {
--- a/internal/edge/broker/quota.go
+++ b/internal/edge/broker/quota.go
@@ -261,7 +261,7 @@
 		return quota.Reply{}, err
 	}
 	var w wireQuotaReply
-	if err := p.call(ctx, q.Clock, methodQuota, newWireQuotaRequest(req), &w); ctx.Err() != nil {
+	if err := p.call(ctx, methodQuota, newWireQuotaRequest(req), &w); ctx.Err() != nil {
 		return quota.Reply{}, ctx.Err() // Unwrapped, since errorx hides the cause.
 	} else if err != nil {
 		return quota.Reply{}, ErrCall.Wrap(err, "requesting quota from host %s", h.Name)
