fix(watch): news don't age on their way from host to host

Cause: a follower was answered when there were changes or when its long poll ended, with the age that the source's state had just then. A read of the store without changes woke nobody, and each host on the way added up to 0.5 s.

TestNewsAreYoungAtTheEndOfTheChain failed before: 1.26 s.

Change: a request names the age of the asking host's state, and is answered as soon as the other host has more recent news. Each long poll lasts 500 ms, the time between two reads.

Why it works: each read of the store goes down the chain at once, so only the way adds to the age.

Result: 0.50 s in the test, with 280 calls between 8 hosts in 20 s instead of 416. TestNewsArriveInTimeThoughSourcesAreFrozen is red as before.

--- a/internal/ctrl/watch/chain_test.go
+++ b/internal/ctrl/watch/chain_test.go
@@ -82,8 +82,8 @@
 	return out, nil
 }
 
-func (h hostStore) Updates(ctx context.Context, from roster.Host, after int64, wait time.Duration) (Updates, error) {
-	updates, ok := h.loops[from.Name].Updates(ctx, after, wait)
+func (h hostStore) Updates(ctx context.Context, from roster.Host, q Query) (Updates, error) {
+	updates, ok := h.loops[from.Name].Updates(ctx, q)
 	if !ok {
 		return Updates{}, errors.New("stopped")
 	}
--- a/internal/ctrl/watch/loop.go
+++ b/internal/ctrl/watch/loop.go
@@ -47,7 +47,7 @@
 	return l
 }
 
-// signalChange wakes the requests that wait for a change.
+// signalChange wakes the requests that wait for news.
 func (l *Loop) signalChange() {
 	next := make(chan struct{})
 	if previous := l.changed.Swap(&next); previous != nil {
@@ -89,9 +89,9 @@
 // apply applies an event, reports the changes to the observer and publishes a new view if it may have changed.
 func (l *Loop) apply(ev Event) {
 	now := l.Clock()
-	recorded := l.state.recorded
+	recorded, synced := l.state.recorded, l.state.directSync
 	stateChanges := Apply(l.state, ev, now)
-	if l.state.recorded != recorded {
+	if l.state.recorded != recorded || !l.state.directSync.Equal(synced) {
 		l.signalChange()
 	}
 	for _, c := range stateChanges {
@@ -131,15 +131,17 @@
 	return nil, false
 }
 
-// Updates returns the store changes after a revision and waits up to the given time for the first one; it returns false
-// if the context or the loop ended first.
-func (l *Loop) Updates(ctx context.Context, after int64, wait time.Duration) (Updates, bool) {
-	timer := time.NewTimer(wait)
+// Updates answers a host that follows this one, and waits for news as long as it asks for; it returns false if the context or the loop ended
+// first.
+func (l *Loop) Updates(ctx context.Context, q Query) (Updates, bool) {
+	asked := l.Clock()
+	timer := time.NewTimer(q.Wait)
 	defer timer.Stop()
 	for expired := false; ; {
 		changed := *l.changed.Load()
-		updates, ok := l.requestUpdates(ctx, after)
-		if !ok || expired || updates.Batch.Snapshot || len(updates.Batch.Changes) > 0 {
+		updates, ok := l.requestUpdates(ctx, q.After)
+		isNews := updates.Batch.Snapshot || len(updates.Batch.Changes) > 0 || q.Age > 0 && updates.Age < q.Age+l.Clock().Sub(asked)
+		if !ok || expired || isNews {
 			return updates, ok
 		}
 		select {
--- a/internal/ctrl/watch/other_test.go
+++ b/internal/ctrl/watch/other_test.go
@@ -39,14 +39,14 @@
 	l := startFirstReader(t, f, "acme")
 	age := syncAge(l)
 	assert.Assert(t, age < 1500*time.Millisecond, "%s", age)
-	updates, ok := l.Updates(context.Background(), 1, 0)
+	updates, ok := l.Updates(context.Background(), Query{After: 1})
 	assert.Assert(t, ok)
 	assert.Assert(t, updates.Age > 2*time.Second, "told others that the state is %s old", updates.Age)
 	f.mu.Lock()
 	f.refuse = false
 	f.mu.Unlock()
 	waitFor(t, "the state to be direct again", func() bool {
-		updates, _ := l.Updates(context.Background(), 1, 0)
+		updates, _ := l.Updates(context.Background(), Query{After: 1})
 		return updates.Age < time.Second
 	})
 }
@@ -54,7 +54,7 @@
 // silentPeers are hosts that answer nothing until a request is given up.
 type silentPeers struct{ asked chan struct{} }
 
-func (p silentPeers) Updates(ctx context.Context, _ roster.Host, _ int64, _ time.Duration) (Updates, error) {
+func (p silentPeers) Updates(ctx context.Context, _ roster.Host, _ Query) (Updates, error) {
 	select {
 	case p.asked <- struct{}{}:
 	case <-ctx.Done():
--- a/internal/ctrl/watch/reader.go
+++ b/internal/ctrl/watch/reader.go
@@ -30,8 +30,8 @@
 
 // PeerSource fetches store changes from another host.
 type PeerSource interface {
-	// Updates returns the changes after a revision and waits up to the given time for the first one.
-	Updates(ctx context.Context, from roster.Host, after int64, wait time.Duration) (Updates, error)
+	// Updates returns the answer of another host, which may wait for news before it gives one.
+	Updates(ctx context.Context, from roster.Host, q Query) (Updates, error)
 }
 
 const (
@@ -74,6 +74,7 @@
 
 	startedAt  time.Time
 	revision   int64
+	syncedAt   time.Time // When the store sent the newest state that this host has.
 	retryDelay time.Duration
 	failed     bool                 // The last store read failed.
 	designated bool                 // This host is one of the fleet's readers; valid only after pollPeers returned false.
@@ -135,7 +136,7 @@
 		if r.Clock().Before(r.skipUntil[src.host.Name]) {
 			continue
 		}
-		updates, err := r.Peers.Updates(ctx, src.host, r.revision, src.wait)
+		updates, err := r.Peers.Updates(ctx, src.host, r.query(src.wait))
 		if err != nil {
 			r.skipUntil[src.host.Name] = r.Clock().Add(peerSkipPeriod)
 			continue
@@ -148,6 +149,15 @@
 	return false
 }
 
+// query returns the question to a source that this host follows.
+func (r *Reader) query(wait time.Duration) Query {
+	q := Query{After: r.revision, Wait: wait}
+	if r.revision > 0 {
+		q.Age = min(max(1, r.Clock().Sub(r.syncedAt)), unknownAge)
+	}
+	return q
+}
+
 // askOther requests changes from one of the hosts that this one doesn't follow, if the policy has workspaces, and reports
 // whether they are recent. It answers a store that rejects this host and its sources but serves others, while keys are revoked.
 func (r *Reader) askOther(ctx context.Context, v *roster.View) bool {
@@ -161,7 +171,7 @@
 	h := others[r.nextOther%len(others)]
 	askCtx, cancel := context.WithTimeout(ctx, otherTimeout)
 	defer cancel()
-	updates, err := r.Peers.Updates(askCtx, h, r.revision, 0)
+	updates, err := r.Peers.Updates(askCtx, h, Query{After: r.revision})
 	if err != nil || updates.Age > maxDomainAge || updates.Batch.Revision < r.revision {
 		r.nextOther++
 		return false
@@ -178,7 +188,7 @@
 	}
 	updates.Batch.Age = updates.Age
 	r.noteFirst(from, updates.Batch.Revision)
-	r.revision = updates.Batch.Revision
+	r.revision, r.syncedAt = updates.Batch.Revision, r.Clock().Add(-updates.Age)
 	r.Loop.Send(ctx, StoreRead{Batch: updates.Batch})
 }
 
@@ -211,6 +221,7 @@
 	}
 	r.noteFirst("store", batch.Revision)
 	r.revision, r.retryDelay, r.failed, r.nextRead = batch.Revision, minRetryDelay, false, start.Add(minReadInterval)
+	r.syncedAt = r.Clock()
 	r.Loop.Send(ctx, StoreRead{Batch: batch})
 }
 
--- a/internal/ctrl/watch/reader_test.go
+++ b/internal/ctrl/watch/reader_test.go
@@ -66,7 +66,7 @@
 	return roster.Batch{}, errors.New("no answer")
 }
 
-func (f *fakeStore) Updates(_ context.Context, from roster.Host, after int64, _ time.Duration) (Updates, error) {
+func (f *fakeStore) Updates(_ context.Context, from roster.Host, q Query) (Updates, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.peerRequests[from.Name]++
@@ -75,8 +75,8 @@
 		return Updates{}, errors.New("no answer")
 	}
 	updates.Batch.Revision = max(1, f.revision)
-	updates.Batch.Snapshot = after == 0
-	if after == 0 {
+	updates.Batch.Snapshot = q.After == 0
+	if q.After == 0 {
 		for _, h := range f.hosts {
 			updates.Batch.Changes = append(updates.Batch.Changes, roster.Change{Kind: roster.HostKind, Name: h.Name, Host: h})
 		}
--- a/internal/ctrl/watch/relay.go
+++ b/internal/ctrl/watch/relay.go
@@ -9,6 +9,15 @@
 // maxLoggedChanges bounds the change log; a follower that is further behind gets a snapshot.
 const maxLoggedChanges = 1000
 
+// Query is what a host that follows another one asks for.
+type Query struct {
+	After int64         // Changes after this revision.
+	Wait  time.Duration // How long to wait for news.
+	// Age is the age of the asking host's state. More recent news are worth an answer even if they contain no changes. 0 asks for
+	// changes only, as earlier releases do.
+	Age time.Duration
+}
+
 // UpdatesRequest is a request from a host that follows this host instead of reading the store.
 type UpdatesRequest struct {
 	After int64
--- a/internal/ctrl/watch/silent_test.go
+++ b/internal/ctrl/watch/silent_test.go
@@ -28,12 +28,12 @@
 // giveUpAfter is how long a request waits for an answer beyond its long poll.
 const giveUpAfter = 1200 * time.Millisecond
 
-func (p *frozenPeers) Updates(ctx context.Context, from roster.Host, after int64, wait time.Duration) (Updates, error) {
+func (p *frozenPeers) Updates(ctx context.Context, from roster.Host, q Query) (Updates, error) {
 	p.mu.Lock()
 	p.requests++
 	frozen, slow := p.frozen[from.Name], p.slow
 	p.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, wait+giveUpAfter)
+	ctx, cancel := context.WithTimeout(ctx, q.Wait+giveUpAfter)
 	defer cancel()
 	if frozen {
 		<-ctx.Done()
@@ -47,7 +47,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.revision++
-	return Updates{Batch: roster.Batch{Revision: p.revision, Snapshot: after == 0, Changes: p.changes()}}, nil
+	return Updates{Batch: roster.Batch{Revision: p.revision, Snapshot: q.After == 0, Changes: p.changes()}}, nil
 }
 
 func (p *frozenPeers) changes() []roster.Change {
@@ -141,7 +141,7 @@
 // Guards against more requests to slow hosts: one that answers within its long poll must not cost a second request.
 func TestASlowAnswerCostsNoSecondRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := &frozenPeers{slow: domainWait + 100*time.Millisecond}
+		p := &frozenPeers{slow: sourceWait + 100*time.Millisecond}
 		self, _ := p.addHosts(t)
 		v := &roster.View{Self: self, Hosts: p.hosts}
 		l := NewLoop(self, time.Now, noopObserver{})
--- a/internal/ctrl/watch/source.go
+++ b/internal/ctrl/watch/source.go
@@ -16,9 +16,8 @@
 	maxFleetAge = 900 * time.Millisecond
 	// maxDomainAge is the same for a host of the failure domain, which gets its changes from one of the fleet's readers.
 	maxDomainAge = 2 * time.Second
-	// fleetWait and domainWait are how long a request waits for a change at these hosts.
-	fleetWait  = 200 * time.Millisecond
-	domainWait = 500 * time.Millisecond
+	// sourceWait is how long a request waits for news at these hosts, which have some after each read of the store.
+	sourceWait = 500 * time.Millisecond
 	// readerRole is the duty of reading the store. It is hashed into the order of the hosts, so that reading and the
 	// placement of services spread over the hosts.
 	readerRole = "reader"
@@ -42,7 +41,7 @@
 		if h.Name == v.Self.Name {
 			break
 		}
-		list = append(list, source{host: h, maxAge: maxDomainAge, wait: domainWait})
+		list = append(list, source{host: h, maxAge: maxDomainAge, wait: sourceWait})
 	}
 	for _, h := range fleet[:min(len(fleet), maxReaders)] {
 		if h.Name == v.Self.Name {
@@ -52,7 +51,7 @@
 			list[at].maxAge = maxFleetAge
 			continue
 		}
-		list = append(list, source{host: h, maxAge: maxFleetAge, wait: fleetWait})
+		list = append(list, source{host: h, maxAge: maxFleetAge, wait: sourceWait})
 	}
 	return list, len(fleet) == 0
 }
--- a/internal/edge/broker/asker.go
+++ b/internal/edge/broker/asker.go
@@ -125,16 +125,16 @@
 // Close closes all connections.
 func (f *UpdateFetcher) Close() { f.peers.close() }
 
-// Updates fetches the store changes after a revision from a host, which waits up to the given time for the first one.
-func (f *UpdateFetcher) Updates(ctx context.Context, from roster.Host, after int64, wait time.Duration) (watch.Updates, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+updatesTimeout)
+// Updates fetches the store changes after a revision from a host, which may wait for news.
+func (f *UpdateFetcher) Updates(ctx context.Context, from roster.Host, q watch.Query) (watch.Updates, error) {
+	ctx, cancel := context.WithTimeout(ctx, q.Wait+updatesTimeout)
 	defer cancel()
 	p, err := f.peers.get(ctx, from)
 	if err != nil {
 		return watch.Updates{}, err
 	}
 	var w wireUpdates
-	if err := p.callLong(ctx, wait, methodUpdates, wireUpdatesRequest{After: after, Wait: wait}, &w); err != nil {
+	if err := p.callLong(ctx, q.Wait, methodUpdates, wireUpdatesRequest(q), &w); err != nil {
 		_ = p.conn.Close()
 		return watch.Updates{}, ErrCall.Wrap(err, "requesting store changes from host %s", from.Name)
 	}
--- a/internal/edge/broker/broker_test.go
+++ b/internal/edge/broker/broker_test.go
@@ -33,9 +33,9 @@
 	return loans.Loans{"u1": req.Region}, true
 }
 
-func (c *fakeControl) Updates(_ context.Context, after int64, _ time.Duration) (watch.Updates, bool) {
+func (c *fakeControl) Updates(_ context.Context, q watch.Query) (watch.Updates, bool) {
 	u := roster.Upstream{ID: "u9", Cold: 5 * time.Second, Reported: time.Now().Add(-time.Second)}
-	return watch.Updates{Batch: roster.Batch{Revision: after + 1, Changes: []roster.Change{{Kind: roster.UpstreamKind, Name: "u9", Upstream: u}}}, Age: time.Second}, true
+	return watch.Updates{Batch: roster.Batch{Revision: q.After + 1, Changes: []roster.Change{{Kind: roster.UpstreamKind, Name: "u9", Upstream: u}}}, Age: time.Second}, true
 }
 
 // hostPair is a host that places jobs and a host that acquires upstreams through it.
@@ -197,7 +197,7 @@
 	p := newHostPair(t)
 	fetcher := NewUpdateFetcher(time.Now)
 	defer fetcher.Close()
-	updates, err := fetcher.Updates(context.Background(), p.view.Hosts[0], 41, time.Second)
+	updates, err := fetcher.Updates(context.Background(), p.view.Hosts[0], watch.Query{After: 41, Wait: time.Second})
 	assert.NilError(t, err)
 	assert.Equal(t, updates.Batch.Revision, int64(42))
 	cold := updates.Batch.Changes[0].Upstream.Cold
@@ -279,7 +279,7 @@
 	p.server.Admit = served
 	fetcher := NewUpdateFetcher(time.Now)
 	defer fetcher.Close()
-	_, err := fetcher.Updates(context.Background(), p.view.Hosts[0], 1, 0)
+	_, err := fetcher.Updates(context.Background(), p.view.Hosts[0], watch.Query{After: 1})
 	assert.NilError(t, err)
 }
 
--- a/internal/edge/broker/server.go
+++ b/internal/edge/broker/server.go
@@ -22,10 +22,10 @@
 	RequestLoans(ctx context.Context, req loans.Request) (loans.Loans, bool)
 }
 
-// UpdateSource returns the changes after a revision that this host knows, and waits up to the given time for the first one;
-// it returns false if the context or the source ended first.
+// UpdateSource answers a host that follows this one, and waits for news as long as it asks for; it returns false if the context
+// or the source ended first.
 type UpdateSource interface {
-	Updates(ctx context.Context, after int64, wait time.Duration) (watch.Updates, bool)
+	Updates(ctx context.Context, q watch.Query) (watch.Updates, bool)
 }
 
 // QuotaOwner grants tokens of workspaces; it returns false if the context or the owner ended first.
@@ -195,9 +195,9 @@
 	return conn.Reply(ctx, id, loans)
 }
 
-// updates replies with the store changes after a revision, as soon as there are any.
+// updates replies with the store changes after a revision, as soon as there are news.
 func (s *session) updates(ctx context.Context, conn *jsonrpc2.Conn, id jsonrpc2.ID, w *wireUpdatesRequest) error {
-	updates, ok := s.server.Updates.Updates(ctx, w.After, min(w.Wait, maxUpdatesWait))
+	updates, ok := s.server.Updates.Updates(ctx, watch.Query{After: w.After, Wait: min(w.Wait, maxUpdatesWait), Age: w.Age})
 	if !ok {
 		return ErrCall.New("this host is stopping")
 	}
--- a/internal/edge/broker/transfer_test.go
+++ b/internal/edge/broker/transfer_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/boragelane/boragelane/internal/core/roster"
+	"github.com/boragelane/boragelane/internal/ctrl/watch"
 )
 
 // startTrickler starts a host that answers each request for changes byte by byte over the given time. It answers nothing else
@@ -47,7 +48,7 @@
 func TestAHostThatIsSendingIsNotSilent(t *testing.T) {
 	fetcher := NewUpdateFetcher(time.Now)
 	defer fetcher.Close()
-	updates, err := fetcher.Updates(context.Background(), startTrickler(t, 900*time.Millisecond), 1, 0)
+	updates, err := fetcher.Updates(context.Background(), startTrickler(t, 900*time.Millisecond), watch.Query{After: 1})
 	assert.NilError(t, err)
 	assert.Equal(t, updates.Batch.Revision, int64(7))
 }
--- a/internal/edge/broker/wire.go
+++ b/internal/edge/broker/wire.go
@@ -169,5 +169,6 @@
 
 type wireUpdatesRequest struct {
 	After int64         `json:"after"`
-	Wait  time.Duration `json:"wait,omitempty"` // How long to wait for a change.
+	Wait  time.Duration `json:"wait,omitempty"` // How long to wait for news.
+	Age   time.Duration `json:"age,omitempty"`  // Age of the asking host's state; not known to earlier releases.
 }
