fix(watch): a read of the store waits only while the state is young

Cause: a read with changes ends at once, the next one begins 500 ms after it and waited up to 600 ms more for a change; with a round trip the state became 1.2 s old. A host that reads the store because its sources fail waited in the same way.

Change: the long poll ends when the state is 600 ms old; requests to other hosts wait 750 ms, one for each read of the store.

Why it works: the age of the reader's state is bounded by the long poll and a round trip, whatever came before.

--- a/internal/ctrl/watch/reader.go
+++ b/internal/ctrl/watch/reader.go
@@ -38,7 +38,7 @@
 	// minReadInterval is the minimum time between two store reads. Upstream reports arrive continuously and each
 	// call to the store is billed, but changes must take effect within 2.5 s.
 	minReadInterval = 500 * time.Millisecond
-	// longPollTimeout is how long a read waits for a change. It is less than maxFleetAge, so that a store without
+	// longPollTimeout is the age of the state up to which a read waits for a change. It is less than maxFleetAge, so that a store without
 	// changes isn't taken for an unreachable one.
 	longPollTimeout = 600 * time.Millisecond
 	// minRetryDelay and maxReaderRetryDelay bound the exponential backoff after a failed read. Together with the time
@@ -151,11 +151,15 @@
 
 // query returns the question to a source that this host follows.
 func (r *Reader) query(wait time.Duration) Query {
-	q := Query{After: r.revision, Wait: wait}
-	if r.revision > 0 {
-		q.Age = min(max(1, r.Clock().Sub(r.syncedAt)), unknownAge)
+	return Query{After: r.revision, Wait: wait, Age: r.stateAge()}
+}
+
+// stateAge returns the age of this host's state, or 0 before it has any.
+func (r *Reader) stateAge() time.Duration {
+	if r.revision == 0 {
+		return 0
 	}
-	return q
+	return min(max(1, r.Clock().Sub(r.syncedAt)), unknownAge)
 }
 
 // askOther requests changes from one of the hosts that this one doesn't follow, if the policy has workspaces, and reports
@@ -237,7 +241,7 @@
 	if r.failed {
 		return r.Source.Next(ctx, r.revision, 0) // Without a long poll, an unanswered call times out sooner.
 	}
-	return r.Source.Next(ctx, r.revision, longPollTimeout)
+	return r.Source.Next(ctx, r.revision, max(0, longPollTimeout-r.stateAge()))
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/ctrl/watch/source.go
+++ b/internal/ctrl/watch/source.go
@@ -16,8 +16,9 @@
 	maxFleetAge = 900 * time.Millisecond
 	// maxDomainAge is the same for a host of the failure domain, which gets its changes from one of the fleet's readers.
 	maxDomainAge = 2 * time.Second
-	// sourceWait is how long a request waits for news at these hosts, which have some after each read of the store.
-	sourceWait = 500 * time.Millisecond
+	// sourceWait is how long a request waits for news at these hosts. They have some after each read of the store, which takes up to
+	// longPollTimeout and a round trip.
+	sourceWait = 750 * time.Millisecond
 	// readerRole is the duty of reading the store. It is hashed into the order of the hosts, so that reading and the
 	// placement of services spread over the hosts.
 	readerRole = "reader"
