fix(watch): frozen hosts don't keep others from the news

Cause: a host asked its sources one after the other, each until a ping and a time-out had failed, and read the store last. Skip periods shorter than a freeze led it to wait for the same host again.

Change: at an age of 0.85 s of its own state a host probes all its sources at the same time, at 1.1 s (1.2 s behind a host of its domain) it turns to one whose state is newer, or to the store. Sources that were silent or old are probed beside the requests and not asked before they answer. A source that answers probes or sends bytes is busy and is waited for. The log says from where news come (source changed).

Why it works: the time to the first sound source doesn't grow with the number of frozen ones, and content is fetched once.

--- a/internal/ctrl/watch/chain_test.go
+++ b/internal/ctrl/watch/chain_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"sync"
 	"testing"
 	"time"
@@ -90,6 +91,11 @@
 	return updates, nil
 }
 
+func (h hostStore) Probe(ctx context.Context, from roster.Host, maxAge, wait time.Duration) (time.Duration, error) {
+	updates, err := h.Updates(ctx, from, Query{After: math.MaxInt64, Wait: wait, Age: maxAge})
+	return updates.Age, err
+}
+
 func (s *sharedStore) add(c roster.Change) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/ctrl/watch/fleet_test.go
+++ b/internal/ctrl/watch/fleet_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/boragelane/boragelane/internal/core/roster"
 )
@@ -136,6 +138,11 @@
 	return updates, err
 }
 
+func (h *fleetHost) Probe(ctx context.Context, from roster.Host, maxAge, wait time.Duration) (time.Duration, error) {
+	updates, err := h.call(ctx, from, Query{After: math.MaxInt64, Wait: wait, Age: maxAge})
+	return updates.Age, err
+}
+
 func (h *fleetHost) call(ctx context.Context, from roster.Host, q Query) (Updates, error) {
 	h.mu.Lock()
 	h.calls++
@@ -232,3 +239,40 @@
 		}
 	}
 }
+
+// maxFrozenAge is the greatest age of the state of a host that is awake while others are frozen: a second below the time in which a
+// change must take effect, which is left for queues and pauses.
+const maxFrozenAge = 1500 * time.Millisecond
+
+// Guards against hosts that ask one frozen host after the other, or that follow one that does, and meanwhile use upstreams that have left.
+func TestNewsStayYoungWhileOtherHostsAreFrozen(outer *testing.T) {
+	rapid.Check(outer, func(t *rapid.T) {
+		n := rapid.IntRange(2, 14).Draw(t, "hosts")
+		var names []string
+		for i := range n {
+			if rapid.Bool().Draw(t, "frozen") {
+				names = append(names, fmt.Sprint("h", i))
+			}
+		}
+		at := time.Duration(rapid.IntRange(0, 1000).Draw(t, "at")) * time.Millisecond
+		gap := time.Duration(rapid.SampledFrom([]int{0, 0, 300, 1500}).Draw(t, "gap")) * time.Millisecond
+		changes := time.Duration(rapid.SampledFrom([]int{20, 300, 2300, 5000}).Draw(t, "changes")) * time.Millisecond
+		oldest, name, when := time.Duration(0), "", time.Duration(0)
+		synctest.Test(outer, func(st *testing.T) {
+			f := newFleet(st, n, changes)
+			time.Sleep(5*time.Second + at)
+			for round := range 2 {
+				for _, host := range names {
+					f.freeze(4*time.Second, host)
+					time.Sleep(gap)
+				}
+				if age, host := f.oldest(8*time.Second, 4*time.Second); age > oldest {
+					oldest, name, when = age, host, time.Duration(round)
+				}
+			}
+		})
+		if oldest > maxFrozenAge {
+			t.Fatalf("%s old at %s in round %d", oldest, name, when)
+		}
+	})
+}
--- a/internal/ctrl/watch/other_test.go
+++ b/internal/ctrl/watch/other_test.go
@@ -63,6 +63,11 @@
 	return Updates{}, ctx.Err()
 }
 
+func (p silentPeers) Probe(ctx context.Context, _ roster.Host, _, _ time.Duration) (time.Duration, error) {
+	<-ctx.Done()
+	return 0, ctx.Err()
+}
+
 // Guards against requests to silent hosts that keep a host from reading the store when a partition ends: it must have new data before it
 // counts as connected again, 3 s later. The partition ends when the host has just begun to ask another one.
 func TestAskingOtherHostsDoesNotDelayTheStore(t *testing.T) {
--- a/internal/ctrl/watch/reader.go
+++ b/internal/ctrl/watch/reader.go
@@ -32,6 +32,9 @@
 type PeerSource interface {
 	// Updates returns the answer of another host, which may wait for news before it gives one.
 	Updates(ctx context.Context, from roster.Host, q Query) (Updates, error)
+	// Probe returns the age of another host's state, without its content, and waits up to the given time until it is at most
+	// maxAge. A host that answers nothing else because it is still sending something is alive, and its age UnknownAge.
+	Probe(ctx context.Context, from roster.Host, maxAge, wait time.Duration) (time.Duration, error)
 }
 
 const (
@@ -52,8 +55,6 @@
 	minRetryShare, maxRetryShare = 0.9, 1.4
 	// peerPollInterval is the minimum time between two requests to another host, in which changes accumulate.
 	peerPollInterval = 250 * time.Millisecond
-	// peerSkipPeriod is how long a host is skipped after a failed request.
-	peerSkipPeriod = 2 * time.Second
 	// otherTimeout bounds a request to a host that this one doesn't follow: two round trips between distant regions. With a
 	// failed read and the delay after it, it stays below the 3 s after which a host counts as connected again.
 	otherTimeout = 400 * time.Millisecond
@@ -76,18 +77,19 @@
 	revision   int64
 	syncedAt   time.Time // When the store sent the newest state that this host has.
 	retryDelay time.Duration
-	failed     bool                 // The last store read failed.
-	designated bool                 // This host is one of the fleet's readers; valid only after pollPeers returned false.
-	nextRead   time.Time            // Earliest time of the next store read.
-	skipUntil  map[string]time.Time // By host name.
-	nextOther  int                  // Index of the next of the hosts that are asked while the store rejects this one.
+	failed     bool               // The last store read failed.
+	designated bool               // This host is one of the fleet's readers; valid only after pollPeers returned false.
+	nextRead   time.Time          // Earliest time of the next store read.
+	sources    map[string]*health // By host name.
+	probed     chan probeResult
+	source     string // The host that the last changes came from, or "store".
+	nextOther  int    // Index of the next of the hosts that are asked while the store rejects this one.
 }
 
 // Run reads until the context ends.
 func (r *Reader) Run(ctx context.Context) {
 	defer close(r.Done)
-	r.startedAt = r.Clock()
-	r.retryDelay, r.skipUntil = minRetryDelay, map[string]time.Time{}
+	r.init()
 	for ctx.Err() == nil && r.revision == 0 && !r.bootstrap(ctx) {
 		sleep(ctx, peerPollInterval)
 	}
@@ -107,6 +109,11 @@
 	}
 }
 
+func (r *Reader) init() {
+	r.startedAt, r.retryDelay = r.Clock(), minRetryDelay
+	r.sources, r.probed = map[string]*health{}, make(chan probeResult, probeBuffer)
+}
+
 // bootstrap fetches the first state from another host; it returns true when this host has it, or should read the store.
 func (r *Reader) bootstrap(ctx context.Context) bool {
 	now := r.Clock()
@@ -127,39 +134,21 @@
 	return now.Sub(r.startedAt) > bootstrapTimeout
 }
 
-// pollPeers requests changes from the hosts that should have them; it returns false if this host should read the store
-// itself.
-func (r *Reader) pollPeers(ctx context.Context, v *roster.View) bool {
-	var sources []source
-	sources, r.designated = sourcesOf(v)
-	for _, src := range sources {
-		if r.Clock().Before(r.skipUntil[src.host.Name]) {
-			continue
-		}
-		updates, err := r.Peers.Updates(ctx, src.host, r.query(src.wait))
-		if err != nil {
-			r.skipUntil[src.host.Name] = r.Clock().Add(peerSkipPeriod)
-			continue
-		}
-		if updates.Age <= src.maxAge && (r.revision > 0 || updates.Batch.Snapshot) {
-			r.forward(ctx, src.host.Name, updates)
-			return true
-		}
-	}
-	return false
-}
-
 // query returns the question to a source that this host follows.
 func (r *Reader) query(wait time.Duration) Query {
 	return Query{After: r.revision, Wait: wait, Age: r.stateAge()}
 }
 
-// stateAge returns the age of this host's state, or 0 before it has any.
+// firstStateAge stands for the age of the state before a host has any: a source has two round trips between distant regions to answer before
+// it is probed.
+const firstStateAge = probeAge - 2*answerTime
+
+// stateAge returns the age of this host's state.
 func (r *Reader) stateAge() time.Duration {
 	if r.revision == 0 {
-		return 0
+		return firstStateAge
 	}
-	return min(max(1, r.Clock().Sub(r.syncedAt)), unknownAge)
+	return min(max(1, r.Clock().Sub(r.syncedAt)), UnknownAge)
 }
 
 // askOther requests changes from one of the hosts that this one doesn't follow, if the policy has workspaces, and reports
@@ -191,16 +180,20 @@
 		return
 	}
 	updates.Batch.Age = updates.Age
-	r.noteFirst(from, updates.Batch.Revision)
+	r.noteSource(from, updates.Batch.Revision)
 	r.revision, r.syncedAt = updates.Batch.Revision, r.Clock().Add(-updates.Age)
 	r.Loop.Send(ctx, StoreRead{Batch: updates.Batch})
 }
 
-// noteFirst reports from where this host got its first state.
-func (r *Reader) noteFirst(from string, revision int64) {
-	if r.revision == 0 {
+// noteSource reports from where this host got its first state, and each time that it gets changes from elsewhere than before.
+func (r *Reader) noteSource(from string, revision int64) {
+	switch {
+	case r.revision == 0:
 		r.Loop.Observer.StateChanged(r.Clock(), StateChange{Message: "state loaded", Name: from, Revision: revision})
+	case from != r.source:
+		r.Loop.Observer.StateChanged(r.Clock(), StateChange{Message: "source changed", Name: from, Revision: revision})
 	}
+	r.source = from
 }
 
 // readStore reads the store once and schedules the next read; failed reads back off with jitter.
@@ -223,7 +216,7 @@
 		r.retryDelay = min(2*r.retryDelay, maxDelay)
 		return
 	}
-	r.noteFirst("store", batch.Revision)
+	r.noteSource("store", batch.Revision)
 	r.revision, r.retryDelay, r.failed, r.nextRead = batch.Revision, minRetryDelay, false, start.Add(minReadInterval)
 	r.syncedAt = r.Clock()
 	r.Loop.Send(ctx, StoreRead{Batch: batch})
--- a/internal/ctrl/watch/reader_test.go
+++ b/internal/ctrl/watch/reader_test.go
@@ -84,6 +84,24 @@
 	return updates, nil
 }
 
+// Probe waits until the other host's answer is recent enough.
+func (f *fakeStore) Probe(ctx context.Context, from roster.Host, maxAge, wait time.Duration) (time.Duration, error) {
+	f.mu.Lock()
+	f.peerRequests[from.Name]++
+	f.mu.Unlock()
+	for end := time.Now().Add(wait); ; sleep(ctx, 5*time.Millisecond) {
+		f.mu.Lock()
+		updates, ok := f.peerUpdates[from.Name]
+		f.mu.Unlock()
+		switch {
+		case !ok:
+			return 0, errors.New("no answer")
+		case updates.Age <= maxAge || !time.Now().Before(end):
+			return updates.Age, ctx.Err()
+		}
+	}
+}
+
 type noopObserver struct{}
 
 func (noopObserver) StateChanged(time.Time, StateChange) {}
--- a/internal/ctrl/watch/relay.go
+++ b/internal/ctrl/watch/relay.go
@@ -40,8 +40,8 @@
 	recorded    int64 // Number of changes and full reads recorded so far.
 }
 
-// unknownAge is the age of the state of a host that has not read the store yet, and the greatest one that is reported.
-const unknownAge = 24 * time.Hour
+// UnknownAge is the age of the state of a host that has not read the store yet, and the greatest one that is reported.
+const UnknownAge = 24 * time.Hour
 
 // resetLog empties the log for a full read. The entries of a full read are not logged: they are ordered by name, and those that
 // another host passed on carry no revision, so the log could not tell which changes it lacks. Followers that need them get a
@@ -66,7 +66,7 @@
 
 // updatesSince returns the changes after a revision, or a snapshot if the log doesn't reach back that far.
 func (s *State) updatesSince(after int64, now time.Time) Updates {
-	updates := Updates{Batch: roster.Batch{Revision: s.revision, Steady: s.steadyFor(now), Outage: !s.recoveredAt.IsZero()}, Age: min(now.Sub(s.directSync), unknownAge)}
+	updates := Updates{Batch: roster.Batch{Revision: s.revision, Steady: s.steadyFor(now), Outage: !s.recoveredAt.IsZero()}, Age: min(now.Sub(s.directSync), UnknownAge)}
 	if after == 0 || after < s.compactedTo {
 		updates.Batch.Snapshot = true
 		updates.Batch.Changes = s.snapshot()
@@ -85,7 +85,7 @@
 	if s.disconnected || s.steadySince.IsZero() {
 		return 0
 	}
-	return max(1, min(now.Sub(s.steadySince), unknownAge))
+	return max(1, min(now.Sub(s.steadySince), UnknownAge))
 }
 
 // snapshot returns the whole state as changes, with the tombstones of removed upstreams, so that a host that starts doesn't
--- a/internal/ctrl/watch/source.go
+++ b/internal/ctrl/watch/source.go
@@ -26,9 +26,10 @@
 
 // source is a host from which another one requests changes.
 type source struct {
-	host   roster.Host
-	maxAge time.Duration
-	wait   time.Duration
+	host    roster.Host
+	maxAge  time.Duration
+	readAge time.Duration
+	wait    time.Duration
 }
 
 // sourcesOf returns the hosts from which this host requests changes, in order of preference: those that pass them on in its
@@ -42,17 +43,17 @@
 		if h.Name == v.Self.Name {
 			break
 		}
-		list = append(list, source{host: h, maxAge: maxDomainAge, wait: sourceWait})
+		list = append(list, source{host: h, maxAge: maxDomainAge, readAge: domainReadAge, wait: sourceWait})
 	}
 	for _, h := range fleet[:min(len(fleet), maxReaders)] {
 		if h.Name == v.Self.Name {
 			return list, true
 		}
 		if at := slices.IndexFunc(list, func(s source) bool { return s.host.Name == h.Name }); at >= 0 {
-			list[at].maxAge = maxFleetAge
+			list[at].maxAge, list[at].readAge = maxFleetAge, fleetReadAge
 			continue
 		}
-		list = append(list, source{host: h, maxAge: maxFleetAge, wait: sourceWait})
+		list = append(list, source{host: h, maxAge: maxFleetAge, readAge: fleetReadAge, wait: sourceWait})
 	}
 	return list, len(fleet) == 0
 }
--- a/internal/edge/broker/asker.go
+++ b/internal/edge/broker/asker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/boragelane/boragelane/internal/core/roster"
@@ -108,7 +109,7 @@
 
 // updatesTimeout bounds a request for updates, on top of the time for which it waits for a change. A policy of a
 // thousand routes takes half a second over a link of 10 Mbit/s, and after a timeout there must be time left to read the
-// store within 2.5 s.
+// store within 2.5 s. Whoever waits for the answer decides earlier whether the host is silent.
 const updatesTimeout = 1200 * time.Millisecond
 
 // UpdateFetcher fetches store changes from other hosts.
@@ -133,9 +134,12 @@
 	if err != nil {
 		return watch.Updates{}, err
 	}
+	asked := f.clock()
 	var w wireUpdates
-	if err := p.callLong(ctx, q.Wait, methodUpdates, wireUpdatesRequest(q), &w); err != nil {
-		_ = p.conn.Close()
+	if err := p.send(ctx, methodUpdates, wireUpdatesRequest(q), &w); err != nil {
+		if !p.heardSince(asked) {
+			_ = p.conn.Close()
+		}
 		return watch.Updates{}, ErrCall.Wrap(err, "requesting store changes from host %s", from.Name)
 	}
 	changes, err := w.decodeChanges()
@@ -144,3 +148,23 @@
 	}
 	return watch.Updates{Batch: roster.Batch{Changes: changes, Revision: w.Revision, Snapshot: w.Snapshot, Steady: w.Steady, Outage: w.Outage}, Age: w.Age}, nil
 }
+
+// Probe returns the age of a host's state, which the host waits to be at most maxAge. A host that sends something else instead, such as a
+// large answer, is alive, but the age of its state is unknown.
+func (f *UpdateFetcher) Probe(ctx context.Context, from roster.Host, maxAge, wait time.Duration) (time.Duration, error) {
+	p, err := f.peers.get(ctx, from)
+	if err != nil {
+		return 0, err
+	}
+	asked := f.clock()
+	var w wireUpdates
+	if err := p.send(ctx, methodUpdates, wireUpdatesRequest{After: noChanges, Wait: wait, Age: maxAge}, &w); err == nil {
+		return w.Age, nil
+	} else if !p.heardSince(asked) {
+		return 0, ErrCall.Wrap(err, "probing host %s", from.Name)
+	}
+	return watch.UnknownAge, nil
+}
+
+// noChanges is later than any revision, so that an answer contains no changes.
+const noChanges = math.MaxInt64
--- a/internal/edge/broker/peer.go
+++ b/internal/edge/broker/peer.go
@@ -70,17 +70,7 @@
 	}
 }
 
-// callLong makes a call that the other host may take some time to answer; its answer is due only after that.
-func (p *peer) callLong(ctx context.Context, wait time.Duration, method string, in, out any) error {
-	due := time.AfterFunc(wait, p.expectReply)
-	defer func() {
-		if !due.Stop() {
-			p.pending.Add(-1)
-		}
-	}()
-	return p.send(ctx, method, in, out)
-}
-
+// send makes a call whose answer may take a while; monitor doesn't wait for it.
 func (p *peer) send(ctx context.Context, method string, in, out any) error {
 	return p.conn.Call(ctx, method, in, out)
 }
