fix(watch): an answer that waited while the process stood still is old

What callers saw: no request was traced to it. A host that wakes after 4 s could decide by a state of 4 s before, tell others that it was recent (DRAIN), and check keys against it as if they were verified.

Cause: the age of an answer was counted from the moment at which it was read, and an answer waits in its connection while the process is frozen.

Evidence: TestAnAnswerFromBeforeAPauseIsOld failed before, for reads of the store and for answers of other hosts.

Change: the time that a call took beyond its wait is part of the age of its answer.

Why it works: the host's own clock shows the gap; its next read begins at once, since its state is old.

--- a/internal/ctrl/watch/follow.go
+++ b/internal/ctrl/watch/follow.go
@@ -84,9 +84,10 @@
 	askCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan peerAnswer, 1)
-	q := r.query(src.wait)
+	q, asked := r.query(src.wait), r.Clock()
 	go func() {
 		updates, err := r.Peers.Updates(askCtx, src.host, q)
+		updates.Age += lateness(r.Clock().Sub(asked), q.Wait)
 		answers <- peerAnswer{Updates: updates, Err: err}
 	}()
 	overdue := time.NewTimer(max(answerTime, probeAge-q.Age))
@@ -122,6 +123,10 @@
 	}
 }
 
+// lateness returns how old an answer is at least that took the given time, although it was to wait for no longer than wait. An answer waits
+// in its connection while this process stands still.
+func lateness(took, wait time.Duration) time.Duration { return max(0, took-wait-answerTime) }
+
 // take passes on the changes of an answer if they are recent, and notes whether the source can be followed.
 func (r *Reader) take(ctx context.Context, src source, a peerAnswer) bool {
 	h := r.healthOf(src)
@@ -180,11 +185,13 @@
 	if h.Probing {
 		return
 	}
-	h.Probing, h.ProbedAt = true, r.Clock()
+	began := r.Clock()
+	h.Probing, h.ProbedAt = true, began
 	go func() {
 		probeCtx, cancel := context.WithTimeout(ctx, wait+probeTimeout)
 		defer cancel()
 		age, err := r.Peers.Probe(probeCtx, src.host, src.maxAge, wait)
+		age = min(age+lateness(r.Clock().Sub(began), wait), UnknownAge)
 		select {
 		case r.probed <- probeResult{Source: src, Age: age, Err: err}:
 		case <-ctx.Done():
--- a/internal/ctrl/watch/reader.go
+++ b/internal/ctrl/watch/reader.go
@@ -44,6 +44,8 @@
 	// longPollTimeout is the age of the state up to which a read waits for a change. It is less than maxFleetAge, so that a store without
 	// changes isn't taken for an unreachable one.
 	longPollTimeout = 600 * time.Millisecond
+	// maxReadTime is how long a read may take, beyond its wait, to count as recent. It is the time in which the store must begin to answer.
+	maxReadTime = time.Second
 	// minRetryDelay and maxReaderRetryDelay bound the exponential backoff after a failed read. Together with the time
 	// of a call they stay below the 3 s after which a host counts as connected again when a partition ends.
 	minRetryDelay       = 250 * time.Millisecond
@@ -198,8 +200,11 @@
 
 // readStore reads the store once and schedules the next read; failed reads back off with jitter.
 func (r *Reader) readStore(ctx context.Context) {
-	start := r.Clock()
-	batch, err := r.fetch(ctx)
+	start, wait := r.Clock(), max(0, longPollTimeout-r.stateAge())
+	if r.failed {
+		wait = 0 // Without a long poll, an unanswered call times out sooner.
+	}
+	batch, err := r.fetch(ctx, wait)
 	switch {
 	case errorx.IsOfType(err, ErrCompacted):
 		r.revision = 0
@@ -218,7 +223,10 @@
 	}
 	r.noteSource("store", batch.Revision)
 	r.revision, r.retryDelay, r.failed, r.nextRead = batch.Revision, minRetryDelay, false, start.Add(minReadInterval)
-	r.syncedAt = r.Clock()
+	if took := r.Clock().Sub(start); took > wait+maxReadTime {
+		batch.Age = lateness(took, wait)
+	}
+	r.syncedAt = r.Clock().Add(-batch.Age)
 	r.Loop.Send(ctx, StoreRead{Batch: batch})
 }
 
@@ -227,14 +235,11 @@
 	return time.Duration((minRetryShare + (maxRetryShare-minRetryShare)*random) * float64(delay))
 }
 
-func (r *Reader) fetch(ctx context.Context) (roster.Batch, error) {
+func (r *Reader) fetch(ctx context.Context, wait time.Duration) (roster.Batch, error) {
 	if r.revision == 0 {
 		return r.Source.Load(ctx)
 	}
-	if r.failed {
-		return r.Source.Next(ctx, r.revision, 0) // Without a long poll, an unanswered call times out sooner.
-	}
-	return r.Source.Next(ctx, r.revision, max(0, longPollTimeout-r.stateAge()))
+	return r.Source.Next(ctx, r.revision, wait)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
