fix(broker): loans and quotas come though the first hosts are frozen

What callers saw: not traced to a request. With four or more of the first hosts of a duty's order frozen, regions lost their loans after 3 s, and requests within a quota were refused when the wallets were empty. Requests waited up to 300 ms for a placing host that was still frozen when its skip period ended.

Evidence: the two tests named Frozen, with six frozen hosts, failed before (nothing for 2 s, and for 10 s in a trial with that limit); TestASilentHostStandsInNobodysWayBeforeItAnswers failed after 1.5 s.

Change: after a failure the next eight hosts are pinged at the same time, and the first one that answers is asked. A host stays skipped until it has answered a ping made beside the calls; a later incarnation isn't skipped.

Why it works: a frozen host costs one failed call, and any number up to eight costs one ping more.

Result: broker's tests pass with -race, the new ones three times more.

--- a/internal/edge/broker/asker.go
+++ b/internal/edge/broker/asker.go
@@ -56,20 +56,36 @@
 		if !mayPlace(v) {
 			continue
 		}
-		for _, h := range v.FleetOrder(plannerDuty) {
-			if l.peers.skipped(h) {
-				continue
-			}
-			loans, err := l.requestLoans(ctx, h)
-			if err != nil {
-				l.OnError(h.Name, err)
-				l.peers.markFailed(h)
-			} else {
-				l.OnLoans(loans)
-			}
-			break
+		l.poll(ctx, v.Self.Name, v.FleetOrder(plannerDuty))
+	}
+}
+
+// poll requests loans from the first host in the order that isn't skipped. If that fails, it asks the next one that answers a ping.
+func (l *LoanPoller) poll(ctx context.Context, self string, order []roster.Host) {
+	for i, h := range order {
+		if l.peers.skipped(h) {
+			continue
 		}
+		if l.request(ctx, h) {
+			return
+		}
+		if next, ok := l.peers.firstSound(ctx, self, order[i+1:]); ok {
+			l.request(ctx, next)
+		}
+		return
+	}
+}
+
+// request requests loans from a host; it returns false, and skips the host, if that failed.
+func (l *LoanPoller) request(ctx context.Context, h roster.Host) bool {
+	loans, err := l.requestLoans(ctx, h)
+	if err != nil {
+		l.OnError(h.Name, err)
+		l.peers.markFailed(h)
+		return false
 	}
+	l.OnLoans(loans)
+	return true
 }
 
 // mayPlace reports whether this host is among the first that place the jobs of some service.
--- a/internal/edge/broker/peer.go
+++ b/internal/edge/broker/peer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,8 +21,6 @@
 	pingTimeout = 300 * time.Millisecond
 	// monitorInterval is the interval between checks for silent hosts.
 	monitorInterval = 50 * time.Millisecond
-	// skipPeriod is how long a host is skipped after a failure.
-	skipPeriod = 1500 * time.Millisecond
 )
 
 // peer is a connection to another host.
@@ -108,94 +105,6 @@
 	}
 }
 
-// peerPool holds one connection per host.
-type peerPool struct {
-	clock func() time.Time
-
-	mu        sync.Mutex
-	conns     map[string]*peer     // By address.
-	skipUntil map[string]time.Time // By address.
-}
-
-func newPeerPool(clock func() time.Time) *peerPool {
-	return &peerPool{clock: clock, conns: map[string]*peer{}, skipUntil: map[string]time.Time{}}
-}
-
-// get returns a connection to a host, or an error if the host can't be reached or is skipped after a failure.
-func (ps *peerPool) get(ctx context.Context, h roster.Host) (*peer, error) {
-	ps.mu.Lock()
-	if p := ps.conns[h.Peer]; p != nil && p.host.Incarnation == h.Incarnation {
-		ps.mu.Unlock()
-		return p, nil
-	}
-	if ps.clock().Before(ps.skipUntil[h.Peer]) {
-		ps.mu.Unlock()
-		return nil, ErrCall.New("host %s failed recently and is skipped", h.Name)
-	}
-	ps.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", h.Peer)
-	if err != nil {
-		ps.markFailed(h)
-		return nil, ErrCall.Wrap(err, "connecting to host %s", h.Name)
-	}
-	p := &peer{host: h, awaited: make(chan struct{}, 1)}
-	p.lastHeard.Store(ps.clock().UnixNano())
-	heard := &heardConn{Conn: nc, clock: ps.clock, heard: &p.lastHeard}
-	p.conn = jsonrpc2.NewConn(context.Background(), newStream(heard), ignoreRequests{})
-	return ps.add(p), nil
-}
-
-// add adds a connection to the pool and returns it, or the existing one if another was opened meanwhile. It closes a
-// connection to an earlier incarnation of the host.
-func (ps *peerPool) add(p *peer) *peer {
-	ps.mu.Lock()
-	defer ps.mu.Unlock()
-	if old := ps.conns[p.host.Peer]; old != nil {
-		if old.host.Incarnation == p.host.Incarnation {
-			_ = p.conn.Close()
-			return old
-		}
-		_ = old.conn.Close()
-	}
-	ps.conns[p.host.Peer] = p
-	go p.monitor(ps.clock)
-	go func() {
-		<-p.conn.DisconnectNotify()
-		ps.mu.Lock()
-		defer ps.mu.Unlock()
-		if ps.conns[p.host.Peer] == p {
-			delete(ps.conns, p.host.Peer)
-			ps.skipUntil[p.host.Peer] = ps.clock().Add(skipPeriod)
-		}
-	}()
-	return p
-}
-
-// markFailed skips a host for skipPeriod.
-func (ps *peerPool) markFailed(h roster.Host) {
-	ps.mu.Lock()
-	defer ps.mu.Unlock()
-	ps.skipUntil[h.Peer] = ps.clock().Add(skipPeriod)
-}
-
-// skipped reports whether a host is skipped after a failure.
-func (ps *peerPool) skipped(h roster.Host) bool {
-	ps.mu.Lock()
-	defer ps.mu.Unlock()
-	return ps.clock().Before(ps.skipUntil[h.Peer])
-}
-
-// close closes all connections.
-func (ps *peerPool) close() {
-	ps.mu.Lock()
-	defer ps.mu.Unlock()
-	for _, p := range ps.conns {
-		_ = p.conn.Close()
-	}
-}
-
 // ignoreRequests ignores requests from the server side, which sends none.
 type ignoreRequests struct{}
 
--- a/internal/edge/broker/quota.go
+++ b/internal/edge/broker/quota.go
@@ -133,7 +133,8 @@
 	for {
 		last := q.Clock()
 		for tries := 0; tries < maxOwnerTries && !q.poll(ctx); tries++ {
-			continue // The next host owns the quotas.
+			// The next host owns the quotas. Those that don't answer are skipped, so that the next try reaches one.
+			q.peers.firstSound(ctx, q.View().Self.Name, q.order)
 		}
 		select {
 		case <-ctx.Done():
