fix(dialer): an upstream that left during the dial gets nothing

Cause: whether an upstream is usable was checked before its connection was opened, which takes over a second when a packet is lost.

Change: after a dial the latest view decides again; if the upstream has left, the job goes to another one.

Why it works: nothing lies between the check and the first byte any more but the write itself.

--- a/internal/edge/dialer/dialer.go
+++ b/internal/edge/dialer/dialer.go
@@ -55,6 +55,7 @@
 	Names     HeaderNames
 	Clock     func() time.Time
 	OnBadLoad func(u *roster.Upstream, value string) // Called for each malformed load header; nil ignores them.
+	Usable    func(u *roster.Upstream) bool          // Reports whether an upstream may still get jobs; nil allows all.
 
 	pool pool
 }
@@ -83,6 +84,11 @@
 			return r
 		}
 		r.DialTime = s.Clock().Sub(now)
+		if s.Usable != nil && !s.Usable(u) { // It left while the connection was opened, which may take dialTimeout.
+			r.Left = true
+			_ = c.Close()
+			return r
+		}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	r.Sent = true
--- a/internal/flow/pipe/job.go
+++ b/internal/flow/pipe/job.go
@@ -105,6 +105,7 @@
 	NoMemory      bool   // The host held too much for its callers to read the answer.
 	Late          bool   // The deadline passed or the caller disconnected.
 	Crashed       bool   // The upstream seems to have crashed.
+	Left          bool   // The upstream left before anything was sent.
 	AddressReused bool   // Another upstream now has the address and did not run the job.
 	Report        *LoadReport
 	DialTime      time.Duration // The time taken to open a new connection; 0 if none was opened.
--- a/internal/flow/serve/serve.go
+++ b/internal/flow/serve/serve.go
@@ -153,7 +153,7 @@
 // result converts a reply to the result that the placer records for the upstream.
 func result(r *pipe.Reply, took time.Duration) place.Result {
 	out := place.Result{
-		Duration: took, DialTime: r.DialTime, Inconclusive: r.Late || r.NoMemory, Shed: r.Shed, AddressReused: r.AddressReused, Unreachable: !r.Sent && !r.Late || r.Crashed,
+		Duration: took, DialTime: r.DialTime, Inconclusive: r.Late || r.NoMemory || r.Left, Shed: r.Shed, AddressReused: r.AddressReused, Unreachable: !r.Sent && !r.Late && !r.Left || r.Crashed,
 		Crashed: r.Crashed, Leaving: r.Leaving, RetryAfter: r.RetryAfter, NotRun: r.Shed || r.AddressReused || !r.Sent,
 		Succeeded: r.Complete && r.Answer.Status < http.StatusInternalServerError,
 	}
@@ -179,6 +179,8 @@
 		job.EndUnknown(pipe.Superseded, "another attempt was answered first")
 	case r.NoMemory: // Another attempt would need as much.
 		job.EndUnknown(pipe.NoMemory, "this host has no memory for the answer")
+	case r.Left:
+		job.Refuse(pipe.ConnectFailed, "the upstream left before the job was sent")
 	case !r.Sent && ctx.Err() == nil:
 		job.Refuse(pipe.ConnectFailed, "no connection to the upstream")
 	case !r.Sent && errors.Is(cause, pipe.ErrStopping):
--- a/internal/flow/serve/serve_test.go
+++ b/internal/flow/serve/serve_test.go
@@ -71,6 +71,7 @@
 	shed    = pipe.Reply{Sent: true, Shed: true}
 	moved   = pipe.Reply{Sent: true, AddressReused: true}
 	refused = pipe.Reply{}
+	left    = pipe.Reply{Left: true}
 	lost    = pipe.Reply{Sent: true}
 	// noMemory is the reply to a job whose answer this host couldn't read.
 	noMemory = pipe.Reply{Sent: true, NoMemory: true}
@@ -243,3 +244,12 @@
 		})
 	}
 }
+
+// Guards against a job that fails, or that counts against an upstream, because the upstream left while the connection to it was opened.
+func TestAJobWhoseUpstreamLeftBeforeTheSendGoesToAnother(t *testing.T) {
+	s := &scriptedUpstreams{replies: []pipe.Reply{left, whole}, free: 2}
+	job := run(s, true)
+	assert.Equal(t, job.Outcome.Kind, pipe.Answered)
+	assert.Assert(t, s.results[0].Inconclusive && s.results[0].NotRun && !s.results[0].Unreachable, "%+v", s.results[0])
+	assert.Equal(t, len(s.requests[1].Tried), 1)
+}
--- a/internal/host/steer/host.go
+++ b/internal/host/steer/host.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -102,7 +103,7 @@
 	}
 	h.scheduler.SetMaxShift(s.MaxShift)
 	events := &eventLog{log: log, metrics: h.Metrics}
-	h.sender.OnBadLoad = events.logBadLoad
+	h.sender.OnBadLoad, h.sender.Usable = events.logBadLoad, h.usesUpstream
 	h.access = access.New(s.Keys, events)
 	h.scheduler.Waits = events
 	h.loop = watch.NewLoop(s.Host, clock, events)
@@ -157,6 +158,13 @@
 	return false
 }
 
+// usesUpstream reports whether the latest view contains this incarnation of an upstream.
+func (h *Host) usesUpstream(u *roster.Upstream) bool {
+	return slices.ContainsFunc(h.loop.View().Upstreams[u.Service], func(known *roster.Upstream) bool {
+		return known.ID == u.ID && known.Born == u.Born && known.Address == u.Address
+	})
+}
+
 const (
 	// storeStaleAfter is the time since the last sync with the store after which the view may lack this host's entry.
 	storeStaleAfter = 2 * time.Second
