fix(watch): hosts that start together get their first state at once

What callers saw: refusals after a restart of all hosts.

Cause: hosts without a state answered at once that they had none, so they counted as suspect and were probed, and the state came a pause and a request later. A dial that was refused because the other process had not started yet kept a host from asking it for over 1.5 s.

Change: a host without any state holds its answer to a host that says how old its own is. Connections for news are not skipped; a suspect source is probed at once again.

Why it works: the state goes down the chain as soon as the first host has it.

--- a/internal/ctrl/watch/follow.go
+++ b/internal/ctrl/watch/follow.go
@@ -22,7 +22,7 @@
 	// probeTimeout bounds a probe, on top of the time for which it waits for news. It is longer than a brief scheduling pause of the
 	// other host, and than a connection and a call to a distant region.
 	probeTimeout = 300 * time.Millisecond
-	// suspectWait is how long a probe waits for recent news at a source that had none, and the minimum time between two of them.
+	// suspectWait is how long a probe waits for recent news at a source that had none.
 	suspectWait = time.Second
 	// probeBuffer is the number of results that can queue while this host reads the store. A source has one probe at a time.
 	probeBuffer = 2 * maxReaders
@@ -58,13 +58,11 @@
 	r.collectProbes()
 	var sound []source
 	for _, src := range sources {
-		h := r.healthOf(src)
-		switch {
-		case !h.Suspect:
-			sound = append(sound, src)
-		case r.Clock().Sub(h.ProbedAt) >= suspectWait:
+		if r.healthOf(src).Suspect {
 			r.probe(ctx, src, suspectWait)
+			continue
 		}
+		sound = append(sound, src)
 	}
 	if len(sound) == 0 {
 		return false
--- a/internal/ctrl/watch/loop.go
+++ b/internal/ctrl/watch/loop.go
@@ -140,8 +140,7 @@
 	for expired := false; ; {
 		changed := *l.changed.Load()
 		updates, ok := l.requestUpdates(ctx, q.After)
-		isNews := updates.Batch.Snapshot || len(updates.Batch.Changes) > 0 || q.Age > 0 && updates.Age < q.Age+l.Clock().Sub(asked)
-		if !ok || expired || isNews {
+		if !ok || expired || isNews(&updates, &q, l.Clock().Sub(asked)) {
 			return updates, ok
 		}
 		select {
@@ -154,6 +153,15 @@
 	}
 }
 
+// isNews reports whether updates are worth an answer to a query that has waited for the given time.
+func isNews(u *Updates, q *Query, waited time.Duration) bool {
+	isNewer, hasChanges := u.Age < q.Age+waited, u.Batch.Snapshot || len(u.Batch.Changes) > 0
+	if q.Age == 0 {
+		return hasChanges
+	}
+	return isNewer || hasChanges && u.Age < UnknownAge // A host without any state has nothing to tell.
+}
+
 func (l *Loop) requestUpdates(ctx context.Context, after int64) (Updates, bool) {
 	reply := make(chan Updates, 1)
 	if !l.Send(ctx, UpdatesRequest{After: after, Reply: reply}) {
--- a/internal/edge/broker/asker.go
+++ b/internal/edge/broker/asker.go
@@ -128,7 +128,7 @@
 // store within 2.5 s. Whoever waits for the answer decides earlier whether the host is silent.
 const updatesTimeout = 1200 * time.Millisecond
 
-// UpdateFetcher fetches store changes from other hosts.
+// UpdateFetcher fetches store changes from other hosts. It skips none: whoever follows a host decides when to ask it.
 type UpdateFetcher struct {
 	peers *peerPool
 	clock func() time.Time
@@ -146,7 +146,7 @@
 func (f *UpdateFetcher) Updates(ctx context.Context, from roster.Host, q watch.Query) (watch.Updates, error) {
 	ctx, cancel := context.WithTimeout(ctx, q.Wait+updatesTimeout)
 	defer cancel()
-	p, err := f.peers.get(ctx, from)
+	p, err := f.peers.connect(ctx, from)
 	if err != nil {
 		return watch.Updates{}, err
 	}
@@ -168,7 +168,7 @@
 // Probe returns the age of a host's state, which the host waits to be at most maxAge. A host that sends something else instead, such as a
 // large answer, is alive, but the age of its state is unknown.
 func (f *UpdateFetcher) Probe(ctx context.Context, from roster.Host, maxAge, wait time.Duration) (time.Duration, error) {
-	p, err := f.peers.get(ctx, from)
+	p, err := f.peers.connect(ctx, from)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/edge/broker/pool.go
+++ b/internal/edge/broker/pool.go
@@ -41,19 +41,24 @@
 
 // get returns a connection to a host, or an error if the host can't be reached or is skipped after a failure.
 func (ps *peerPool) get(ctx context.Context, h roster.Host) (*peer, error) {
-	if p := ps.connected(h); p != nil {
-		return p, nil
-	}
-	if ps.skipped(h) {
+	if ps.connected(h) == nil && ps.skipped(h) {
 		return nil, ErrCall.New("host %s failed recently and is skipped", h.Name)
 	}
-	p, err := ps.dial(ctx, h)
+	p, err := ps.connect(ctx, h)
 	if err != nil {
 		ps.markFailed(h)
 	}
 	return p, err
 }
 
+// connect returns a connection to a host, whether it is skipped or not.
+func (ps *peerPool) connect(ctx context.Context, h roster.Host) (*peer, error) {
+	if p := ps.connected(h); p != nil {
+		return p, nil
+	}
+	return ps.dial(ctx, h)
+}
+
 // connected returns the open connection to a host, or nil.
 func (ps *peerPool) connected(h roster.Host) *peer {
 	ps.mu.Lock()
@@ -153,12 +158,9 @@
 
 // ping connects to a host, if necessary, and calls it.
 func (ps *peerPool) ping(ctx context.Context, h roster.Host) error {
-	p := ps.connected(h)
-	if p == nil {
-		var err error
-		if p, err = ps.dial(ctx, h); err != nil {
-			return err
-		}
+	p, err := ps.connect(ctx, h)
+	if err != nil {
+		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
