fix(watch): older news don't make a host's state older

What callers saw: nothing by itself; up to 0.25 s of the age of news while hosts freeze one after the other (DRAIN).

Cause: the age of the state was that of the last answer, also if an earlier one had been more recent; an answer that left the state too old ended the round all the same; and a round that lasted long was compared with the next read by the time of its begin, so the read came up to 0.25 s later.

TestOlderNewsDoNotMakeTheStateOlder failed.

Change: the state is as recent as the most recent of its answers; a round ends only with a state that is young enough.

--- a/internal/ctrl/watch/boot_test.go
+++ b/internal/ctrl/watch/boot_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/boragelane/boragelane/internal/core/roster"
 )
 
 // Guards against hosts that wait for each other when all start at the same time, and against many calls meanwhile.
@@ -36,3 +38,14 @@
 		})
 	}
 }
+
+// Guards against a state that seems to grow older when another source sends older news than those that this host has.
+func TestOlderNewsDoNotMakeTheStateOlder(t *testing.T) {
+	s := newState()
+	applyChanges(s, at(0), upstreamChange("u", 1, 1))
+	applyChanges(s, at(5*time.Second), upstreamChange("u", 1, 2))
+	Apply(s, StoreRead{Batch: roster.Batch{Revision: s.revision, Age: 3 * time.Second}}, at(5*time.Second))
+	assert.Equal(t, s.View(at(5*time.Second)).SyncedAt, at(5*time.Second))
+	Apply(s, StoreRead{Batch: roster.Batch{Revision: s.revision, Age: 3 * time.Second, Indirect: true}}, at(5*time.Second))
+	assert.Equal(t, s.updatesSince(s.revision, at(5*time.Second)).Age, time.Duration(0))
+}
--- a/internal/ctrl/watch/fold.go
+++ b/internal/ctrl/watch/fold.go
@@ -103,9 +103,11 @@
 	if s.disconnected {
 		stateChanges = append(stateChanges, StateChange{Message: "store regained", Revision: b.Revision})
 	}
-	s.disconnected, s.lastSync = false, now.Add(-b.Age)
+	s.disconnected = false
+	at := now.Add(-b.Age) // May be earlier than that of news from another source.
+	s.lastSync = later(s.lastSync, at)
 	if !b.Indirect {
-		s.directSync = s.lastSync
+		s.directSync = later(s.directSync, at)
 	}
 	if b.Snapshot {
 		s.resetLog(b)
@@ -125,6 +127,14 @@
 	return stateChanges
 }
 
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // steadyMargin is how much later than known an outage must have ended to count as another one. What a host passes on seems to have ended
 // later by the time that it took to arrive.
 const steadyMargin = 500 * time.Millisecond
--- a/internal/ctrl/watch/follow.go
+++ b/internal/ctrl/watch/follow.go
@@ -125,14 +125,16 @@
 // in its connection while this process stands still.
 func lateness(took, wait time.Duration) time.Duration { return max(0, took-wait-answerTime) }
 
-// take passes on the changes of an answer if they are recent, and notes whether the source can be followed.
+// take passes on the changes of an answer if they are recent, and notes whether the source can be followed. It returns false if this host's
+// state is too old all the same.
 func (r *Reader) take(ctx context.Context, src source, a peerAnswer) bool {
 	h := r.healthOf(src)
 	h.Suspect = a.Err != nil || a.Updates.Age > src.maxAge || r.revision == 0 && !a.Updates.Batch.Snapshot
-	if !h.Suspect {
-		r.forward(ctx, src.host.Name, a.Updates)
+	if h.Suspect {
+		return false
 	}
-	return !h.Suspect
+	r.forward(ctx, src.host.Name, a.Updates)
+	return r.stateAge() < src.readAge
 }
 
 // search requests changes from sources that a probe shows to have more recent ones than this host; it returns false if it gets none within
--- a/internal/ctrl/watch/reader.go
+++ b/internal/ctrl/watch/reader.go
@@ -100,11 +100,11 @@
 		switch {
 		case r.pollPeers(ctx, r.Loop.View()):
 			sleep(ctx, peerPollInterval-r.Clock().Sub(start))
-		case start.Before(r.nextRead):
+		case r.Clock().Before(r.nextRead):
 			if r.failed {
 				r.askOther(ctx, r.Loop.View())
 			}
-			sleep(ctx, min(peerPollInterval, r.nextRead.Sub(start)))
+			sleep(ctx, min(peerPollInterval-r.Clock().Sub(start), r.nextRead.Sub(r.Clock())))
 		default:
 			r.readStore(ctx)
 		}
@@ -183,7 +183,7 @@
 	}
 	updates.Batch.Age = updates.Age
 	r.noteSource(from, updates.Batch.Revision)
-	r.revision, r.syncedAt = updates.Batch.Revision, r.Clock().Add(-updates.Age)
+	r.revision, r.syncedAt = updates.Batch.Revision, later(r.syncedAt, r.Clock().Add(-updates.Age))
 	r.Loop.Send(ctx, StoreRead{Batch: updates.Batch})
 }
 
