--- a/internal/ctrl/watch/fold.go
+++ b/internal/ctrl/watch/fold.go
@@ -99,19 +99,10 @@
 // applyBatch applies the changes of a store read. It records those that modified the state for followers: hosts that
 // request changes from this one instead of reading the store.
 func (s *State) applyBatch(b roster.Batch, now time.Time) []StateChange {
-	var stateChanges []StateChange
-	if isOlderEra(b.Era, s.era) || isOlderEra(s.era, b.Era) && !b.Snapshot {
+	if s.isOtherEra(&b) {
 		return []StateChange{{Message: "changes of another era dropped", Name: fmt.Sprintf("era %d in era %d", b.Era, s.era), Revision: b.Revision}}
 	}
-	restored := isOlderEra(s.era, b.Era)
-	if restored {
-		stateChanges = append(stateChanges, StateChange{
-			Message: "store restored", Name: fmt.Sprintf("era %d at revision %d, then era %d", s.era, s.revision, b.Era), Revision: b.Revision,
-		})
-		s.restore(&b, now)
-	} else if b.Snapshot && slices.ContainsFunc(b.Changes, func(c roster.Change) bool { return c.Pending }) {
-		s.restore(&b, now) // This host starts from the state of one that waits for the entries to be written again.
-	}
+	stateChanges := s.noteEra(&b, now)
 	s.noteSteady(&b, now)
 	if s.disconnected {
 		stateChanges = append(stateChanges, StateChange{Message: "store regained", Revision: b.Revision})
@@ -128,9 +119,6 @@
 	} else {
 		s.era, s.revision = max(s.era, b.Era), max(s.revision, b.Revision)
 	}
-	if restored {
-		s.withhold(b.Changes)
-	}
 	for i := range b.Changes {
 		change := s.applyChange(&b.Changes[i], now)
 		// What this host knows already may be new to a follower that has read the copy.
--- a/internal/ctrl/watch/restore.go
+++ b/internal/ctrl/watch/restore.go
@@ -1,11 +1,34 @@
 package watch
 
 import (
+	"fmt"
+	"slices"
 	"time"
 
 	"github.com/boragelane/boragelane/internal/core/roster"
 )
 
+// isOtherEra reports whether changes can't be applied to the state: those of an earlier era never, those of a later one only as a full read.
+func (s *State) isOtherEra(b *roster.Batch) bool {
+	return isOlderEra(b.Era, s.era) || isOlderEra(s.era, b.Era) && !b.Snapshot
+}
+
+// noteEra prepares the state for a full read of a later era, or for one of a host that waits for entries to be written again.
+func (s *State) noteEra(b *roster.Batch, now time.Time) []StateChange {
+	if isOlderEra(s.era, b.Era) {
+		change := StateChange{
+			Message: "store restored", Name: fmt.Sprintf("era %d at revision %d, then era %d", s.era, s.revision, b.Era), Revision: b.Revision,
+		}
+		s.restore(b, now)
+		s.withhold(b.Changes)
+		return []StateChange{change}
+	}
+	if b.Snapshot && slices.ContainsFunc(b.Changes, func(c roster.Change) bool { return c.Pending }) {
+		s.restore(b, now)
+	}
+	return nil
+}
+
 // restore prepares the state for a full read of a store that was restored from an older copy. For restoreGrace, what others wrote since the
 // copy may be written again.
 func (s *State) restore(b *roster.Batch, now time.Time) {
--- a/internal/flow/serve/serve.go
+++ b/internal/flow/serve/serve.go
@@ -179,17 +179,10 @@
 		job.EndUnknown(pipe.Superseded, "another attempt was answered first")
 	case r.NoMemory: // Another attempt would need as much.
 		job.EndUnknown(pipe.NoMemory, "this host has no memory for the answer")
-	case r.Left:
-		job.Refuse(pipe.ConnectFailed, "the upstream left before the job was sent")
-	case !r.Sent && ctx.Err() == nil:
-		job.Refuse(pipe.ConnectFailed, "no connection to the upstream")
-	case !r.Sent && errors.Is(cause, pipe.ErrStopping):
-		job.RetryAfter = retryAfter(job, 0)
-		job.Refuse(pipe.Stopping, "this host stopped before the job was sent")
+	case !r.Sent:
+		refuseUnsent(ctx, job)
 	case errors.Is(cause, pipe.ErrStopping):
 		job.EndUnknown(pipe.Stopping, "this host stopped before the upstream's answer")
-	case !r.Sent:
-		job.Refuse(pipe.Expired, "the job's time ended before it was sent")
 	case errors.Is(cause, context.Canceled):
 		job.EndUnknown(pipe.CallerGone, "the caller left")
 	case ctx.Err() != nil:
@@ -199,6 +192,21 @@
 	}
 }
 
+// refuseUnsent derives the outcome of a job of which nothing was sent.
+func refuseUnsent(ctx context.Context, job *pipe.Job) {
+	switch {
+	case job.Reply.Left:
+		job.Refuse(pipe.ConnectFailed, "the upstream left before the job was sent")
+	case ctx.Err() == nil:
+		job.Refuse(pipe.ConnectFailed, "no connection to the upstream")
+	case errors.Is(context.Cause(ctx), pipe.ErrStopping):
+		job.RetryAfter = retryAfter(job, 0)
+		job.Refuse(pipe.Stopping, "this host stopped before the job was sent")
+	default:
+		job.Refuse(pipe.Expired, "the job's time ended before it was sent")
+	}
+}
+
 // mayRetry reports whether another attempt is allowed, and spends a retry of the budget if it needs one.
 func (f *Filter) mayRetry(now time.Time, job *pipe.Job) bool {
 	if job.Deadline.Sub(now) < minAttemptTime || job.Attempts >= max(1, job.Route.Attempts) {
