fix(watch): a large answer that is late is used

What callers saw: nothing yet; a large policy could be fetched again and again from one host after the other while all were busy with it (CONFIG).

Cause: a host gave up on its source 50 ms before the probe behind a transfer could show that it was busy, and an answer whose arrival took long counted as too old to be used.

Evidence: TestALargeAnswerThatIsLateIsUsed failed: the answer wasn't used.

Change: a probe that is about to end is waited for. The age that a source states decides whether it is followed; lateness counts for the age of the state only.

Why it works: content is fetched once from a host that shows any sign of life.

--- a/internal/ctrl/watch/follow.go
+++ b/internal/ctrl/watch/follow.go
@@ -38,8 +38,9 @@
 
 // peerAnswer is the result of a request for changes.
 type peerAnswer struct {
-	Updates Updates
-	Err     error
+	Updates  Updates
+	Lateness time.Duration // See lateness.
+	Err      error
 }
 
 // probeResult is the result of a probe.
@@ -85,14 +86,14 @@
 	q, asked := r.query(src.wait), r.Clock()
 	go func() {
 		updates, err := r.Peers.Updates(askCtx, src.host, q)
-		updates.Age += lateness(r.Clock().Sub(asked), q.Wait)
-		answers <- peerAnswer{Updates: updates, Err: err}
+		answers <- peerAnswer{Updates: updates, Lateness: lateness(r.Clock().Sub(asked), q.Wait), Err: err}
 	}()
 	overdue := time.NewTimer(max(answerTime, probeAge-q.Age))
 	defer overdue.Stop()
 	giveUp := time.NewTimer(patience)
 	defer giveUp.Stop()
 	alive, coming := false, false // The source answers probes; it is sending its answer, or has more recent news than this host.
+	expired := false
 	for {
 		select {
 		case a := <-answers:
@@ -112,11 +113,12 @@
 			}
 			alive, coming = true, p.Age == UnknownAge || r.hasNews(src)
 		case <-giveUp.C:
-			if !coming {
-				h := r.healthOf(src)
-				h.Suspect = h.Suspect || !alive
-				return false
-			}
+			expired = true
+		}
+		if expired && !coming && !r.probeEnds(src) {
+			h := r.healthOf(src)
+			h.Suspect = h.Suspect || !alive
+			return false
 		}
 	}
 }
@@ -125,6 +127,12 @@
 // in its connection while this process stands still.
 func lateness(took, wait time.Duration) time.Duration { return max(0, took-wait-answerTime) }
 
+// probeEnds reports whether a probe of a source will end soon, which tells a busy one from a silent one.
+func (r *Reader) probeEnds(src source) bool {
+	h := r.healthOf(src)
+	return h.Probing && r.Clock().Sub(h.ProbedAt) >= answerTime
+}
+
 // take passes on the changes of an answer if they are recent, and notes whether the source can be followed. It returns false if this host's
 // state is too old all the same.
 func (r *Reader) take(ctx context.Context, src source, a peerAnswer) bool {
@@ -134,6 +142,7 @@
 	if h.Suspect {
 		return false
 	}
+	a.Updates.Age += a.Lateness // A large answer may be late; its content counts all the same.
 	r.forward(ctx, src.host.Name, a.Updates)
 	return r.stateAge() < src.readAge
 }
