--- a/internal/edge/broker/wire.go
+++ b/internal/edge/broker/wire.go
@@ -167,6 +167,7 @@
 	return k
 }
 
+// wireUpdatesRequest is the encoding of a watch.Query; its fields match, since it is converted from one.
 type wireUpdatesRequest struct {
 	Era   int64         `json:"era,omitempty"` // The era of After; not known to earlier releases.
 	After int64         `json:"after"`
