review/12: a leaving server gets requests again after its last report came late

Cause: a machine forgets that an upstream announced in an answer that it leaves, when the upstream drops out of the view; a late report of the same incarnation brings it back as ready.

--- a/review/stand-3/server.go
+++ b/review/stand-3/server.go
@@ -150,20 +150,12 @@
 // heartbeatPeriod is heartbeat_ms of the settings.
 const heartbeatPeriod = 1500 * time.Millisecond
 
-// heartbeat writes the servers' entries. An entry is removed after three intervals of silence.
+// heartbeat writes the entries of the servers that are up.
 func heartbeat(st *store, servers []*server) {
-	lastBeat := map[string]time.Time{}
 	for {
 		for _, s := range servers {
 			if key, value, ok := s.entry(); ok {
 				st.put(key, value)
-				lastBeat[key] = time.Now()
-			}
-		}
-		for key, at := range lastBeat {
-			if time.Since(at) > 3*heartbeatPeriod {
-				st.remove(key)
-				delete(lastBeat, key)
 			}
 		}
 		time.Sleep(heartbeatPeriod)
