review/14: two crashes of servers starve a popular request

Cause: two crashes of servers that ran a request quarantine it for five minutes, whatever was answered in between, and a request is known without its caller. Change: the case review/14 (script) and its stand-in; each machine of a case gets a loopback address of its own at which the metrics port is free; review/build-3.sh builds without a network.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of review/11 to review/13 into target/. It needs no network and no module but this one.
+# Builds the stand-in of the cases 11 to 14 into target/, without a network. It uses the standard library only.
 set -eu
 cd "$(dirname "$0")/.."
-go build -tags review3 -o target/stand-3 ./review/stand-3
+GOTOOLCHAIN=local GOPROXY=off go build -buildvcs=false -tags review3 -o target/stand-3 ./review/stand-3
--- a/review/stand-3/fleet.go
+++ b/review/stand-3/fleet.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -38,9 +39,25 @@
 	return ln.Addr().(*net.TCPAddr).Port
 }
 
+// metricsPort is the port of deploy/system.toml at which each machine serves its metrics.
+const metricsPort = 9464
+
+// freeIP returns a loopback address at which the metrics port is free.
+func freeIP() string {
+	for range 100 {
+		ip := fmt.Sprintf("127.%d.%d.%d", 16+rand.IntN(200), rand.IntN(256), 1+rand.IntN(250))
+		if ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, metricsPort)); err == nil {
+			_ = ln.Close()
+			return ip
+		}
+	}
+	fail("no loopback address with a free port %d", metricsPort)
+	return ""
+}
+
 // newMachine writes the settings file of a machine. Each has a loopback address of its own.
-func newMachine(dir string, n int, name, zone string, zones map[string]string, extraBounds []string) *machine {
-	ip := fmt.Sprintf("127.0.%d.%d", 40+os.Getpid()%200, 10+n)
+func newMachine(dir, name, zone string, zones map[string]string, extraBounds []string) *machine {
+	ip := freeIP()
 	m := &machine{name: name, zone: zone, region: zones[zone], ip: ip}
 	m.peer = freePort(ip)
 	m.front, m.ready = fmt.Sprintf("%s:%d", ip, freePort(ip)), fmt.Sprintf("%s:%d", ip, freePort(ip))
@@ -113,7 +130,7 @@
 	var machines []*machine
 	for i := range n {
 		zone := names[i%len(names)]
-		m := newMachine(dir, i, fmt.Sprintf("edge-%s-%d", zone, 1+i/len(names)), zone, zones, bounds)
+		m := newMachine(dir, fmt.Sprintf("edge-%s-%d", zone, 1+i/len(names)), zone, zones, bounds)
 		if err := st.serve(m.name, m.storeURL); err != nil {
 			fail("the store's address: %v", err)
 		}
@@ -138,5 +155,8 @@
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
+	if log, err := os.ReadFile(m.log.Name()); err == nil {
+		note("log of %s: %s", m.name, log[max(0, len(log)-2000):])
+	}
 	fail("%s isn't ready after %s", m.name, limit)
 }
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -99,7 +99,7 @@
 		fmt.Println(dir)
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
-	cases := map[string]func(dir string, trouble bool) int{"quota": quotaCase, "behind": behindCase, "leaving": leavingCase}
+	cases := map[string]func(dir string, trouble bool) int{"quota": quotaCase, "behind": behindCase, "leaving": leavingCase, "popular": popularCase}
 	play := cases[os.Args[1]]
 	if play == nil {
 		fail("no case %s", os.Args[1])
